--- /dev/null
+++ b/cmds/cmds.go
@@ -0,0 +1,97 @@
+// Package cmds holds the commands of the binary. Each command is in a file of its
+// own and registers itself.
+package cmds
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"k8s.io/klog/v2"
+)
+
+// Version is the version of the binary; the build may set it.
+var Version = "0.1.0"
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitUsage    = 2
+	exitConflict = 3
+	exitUnknown  = 4
+)
+
+// exitError is an error with the exit code that it causes.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+func (e *exitError) Unwrap() error { return e.err }
+
+// usage marks an error in the arguments or settings.
+func usage(err error) error { return &exitError{code: exitUsage, err: err} }
+
+type command struct {
+	name    string
+	short   string
+	long    string
+	command flags.Commander
+}
+
+var commands []command
+
+func register(name, short, long string, c flags.Commander) {
+	commands = append(commands, command{name, short, long, c})
+}
+
+type globalOptions struct {
+	Version func() `long:"version" description:"Print the version and exit"`
+	Verbose int    `short:"v" long:"verbose" description:"Log level" default:"0"`
+}
+
+// Main runs the command that the arguments name and returns the exit code.
+func Main(args []string) int {
+	defer klog.Flush()
+	var o globalOptions
+	o.Version = func() {
+		fmt.Println("magnolialever", Version)
+		os.Exit(exitOK)
+	}
+	p := flags.NewNamedParser("magnolialever", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := p.AddGroup("Global options", "", &o); err != nil {
+		return report(err)
+	}
+	for _, c := range commands {
+		if _, err := p.AddCommand(c.name, c.short, c.long, c.command); err != nil {
+			return report(err)
+		}
+	}
+	_, err := p.ParseArgs(args)
+	return report(err)
+}
+
+func report(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	var fe *flags.Error
+	if errors.As(err, &fe) {
+		if fe.Type == flags.ErrHelp {
+			fmt.Println(fe.Message)
+			return exitOK
+		}
+		fmt.Fprintln(os.Stderr, fe.Message)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "magnolialever:", err)
+	var ee *exitError
+	if errors.As(err, &ee) {
+		return ee.code
+	}
+	return exitFailure
+}
