--- /dev/null
+++ b/store/helper_test.go
@@ -0,0 +1,31 @@
+package store_test
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fakes/keyval"
+	"github.com/magnolialever/magnolialever/store"
+)
+
+const testTimeout = 200 * clock.Millisecond
+
+// start runs a stand-in and returns it with a client.
+func start(t *testing.T, o keyval.Options) (*keyval.Server, *store.Client) {
+	t.Helper()
+	s, err := keyval.New(o)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	c := store.New(store.Options{Address: s.Addr(), Timeout: testTimeout})
+	t.Cleanup(func() {
+		c.Close()
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return s, c
+}
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,100 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/fakes/keyval"
+	"github.com/magnolialever/magnolialever/store"
+)
+
+// Guards against a compare-and-swap that ignores the revision.
+func TestSwap(t *testing.T) {
+	_, c := start(t, keyval.Options{})
+	ctx := context.Background()
+	_, err := c.Get(ctx, "/a")
+	assert.ErrorIs(t, err, store.ErrMissing)
+	r, err := c.Swap(ctx, "/a", 0, []byte("1"), 0)
+	assert.NilError(t, err)
+	_, err = c.Swap(ctx, "/a", 0, []byte("2"), 0)
+	assert.ErrorIs(t, err, store.ErrConflict)
+	r2, err := c.Swap(ctx, "/a", r, []byte("2"), 0)
+	assert.NilError(t, err)
+	assert.Assert(t, r2 > r)
+	e, err := c.Get(ctx, "/a")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, e, store.Entry{Key: "/a", Value: []byte("2"), Revision: r2, Created: r})
+	assert.ErrorIs(t, c.Delete(ctx, "/a", r), store.ErrConflict)
+	assert.NilError(t, c.Delete(ctx, "/a", r2))
+	assert.ErrorIs(t, c.Delete(ctx, "/a", r2), store.ErrMissing)
+	assert.ErrorIs(t, c.Delete(ctx, "/a", 0), store.ErrMissing)
+}
+
+// Guards against entries lost between two pages and against foreign prefixes.
+func TestList(t *testing.T) {
+	_, c := start(t, keyval.Options{})
+	ctx := context.Background()
+	const keys = 600
+	for i := range keys {
+		_, err := c.Swap(ctx, fmt.Sprintf("/p/%04d", i), 0, []byte("v"), 0)
+		assert.NilError(t, err)
+	}
+	_, err := c.Swap(ctx, "/q", 0, []byte("v"), 0)
+	assert.NilError(t, err)
+	list, at, err := c.List(ctx, "/p/")
+	assert.NilError(t, err)
+	assert.Equal(t, len(list), keys)
+	for i, e := range list {
+		assert.Equal(t, e.Key, fmt.Sprintf("/p/%04d", i))
+	}
+	assert.Assert(t, at > list[keys-1].Revision)
+}
+
+// Guards against a write that is reported wrongly when its answer is lost.
+func TestLostAnswer(t *testing.T) {
+	s, c := start(t, keyval.Options{})
+	ctx := context.Background()
+	s.LoseAnswers(1)
+	r, err := c.Swap(ctx, "/a", 0, []byte("1"), 0)
+	assert.NilError(t, err)
+	e, err := c.Get(ctx, "/a")
+	assert.NilError(t, err)
+	assert.Equal(t, e.Revision, r)
+	s.Update(func(f *keyval.Faults) { f.LoseWrites = 1 })
+	r2, err := c.Swap(ctx, "/a", r, []byte("2"), 0)
+	assert.NilError(t, err)
+	assert.Assert(t, r2 > r)
+	s.LoseAnswers(1)
+	_, err = c.Swap(ctx, "/a", r, []byte("3"), 0)
+	assert.ErrorIs(t, err, store.ErrConflict)
+	s.LoseAnswers(1)
+	assert.NilError(t, c.Delete(ctx, "/a", r2))
+	assert.Equal(t, c.Counters().Readbacks, int64(4))
+}
+
+// Guards against a definite result when the read-back fails too, and against
+// ErrUnknown for a write that certainly did not take effect.
+func TestUnknownAndUnavailable(t *testing.T) {
+	s, c := start(t, keyval.Options{})
+	ctx := context.Background()
+	s.SetOutage(true)
+	_, err := c.Swap(ctx, "/a", 0, []byte("1"), 0)
+	assert.ErrorIs(t, err, store.ErrUnknown)
+	_, err = c.Get(ctx, "/a")
+	assert.ErrorIs(t, err, store.ErrUnavailable)
+	s.SetOutage(false)
+	_, err = c.Get(ctx, "/a")
+	assert.ErrorIs(t, err, store.ErrMissing)
+	n := c.Counters()
+	assert.Equal(t, n.Outages, int64(1))
+	assert.Equal(t, n.Unknown, int64(1))
+	assert.Equal(t, n.Errors, int64(4))
+
+	// Nothing listens at a port that was just closed.
+	gone := store.New(store.Options{Address: "127.0.0.1:1", Timeout: testTimeout})
+	_, err = gone.Swap(ctx, "/a", 0, []byte("1"), 0)
+	assert.ErrorIs(t, err, store.ErrUnavailable)
+}
