--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,96 @@
+// Package agent is the process beside one upstream. It is the final authority on
+// that upstream: each request and each order passes through it.
+package agent
+
+import (
+	"crypto/tls"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/config"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// Kind tells what the upstream is.
+type Kind string
+
+// Kinds of upstreams.
+const (
+	// Engine is a replica of a model engine.
+	Engine Kind = "engine"
+	// Service is a plain service.
+	Service Kind = "service"
+)
+
+// Upstream describes the upstream of an agent.
+type Upstream struct {
+	Kind Kind
+	// Address is the IP address and port of its HTTP interface.
+	Address string
+	// Capacity is the accelerator memory that models and adapters may take.
+	Capacity units.Bytes
+	// Fences is true when the engine refuses old fencing numbers itself. The agent
+	// refuses them in both cases.
+	Fences bool
+	// Services are the services that the upstream offers.
+	Services []units.ServiceID
+}
+
+// Limits bound the work of an agent. A zero field takes its default.
+type Limits struct {
+	// Running is the number of requests that the upstream runs at once.
+	Running int
+	// QueuedPerCustomer bounds the waiting requests of one customer.
+	QueuedPerCustomer int
+	// QueuedBytesPerCustomer bounds the bodies of these requests.
+	QueuedBytesPerCustomer units.Bytes
+	// BodyBytes bounds the body of one request.
+	BodyBytes units.Bytes
+	// StartAllowance is the number of requests at once that a cold upstream bears.
+	StartAllowance int
+	// Stop is the time that a graceful stop waits for running requests.
+	Stop clock.Span
+	// Poll is the interval between reads of the engine's load.
+	Poll clock.Span
+}
+
+// Defaults of the limits.
+const (
+	defaultRunning                = 64
+	defaultQueuedPerCustomer      = 1024
+	defaultQueuedBytesPerCustomer = 64 << 20
+	defaultBodyBytes              = 64 << 20
+	defaultStartAllowance         = 2
+	defaultStop                   = 10 * clock.Minute
+	defaultPoll                   = 200 * clock.Millisecond
+)
+
+func orDefault[T ~int | ~int64](v *T, d T) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
+func (l *Limits) complete() {
+	orDefault(&l.Running, defaultRunning)
+	orDefault(&l.QueuedPerCustomer, defaultQueuedPerCustomer)
+	orDefault(&l.QueuedBytesPerCustomer, defaultQueuedBytesPerCustomer)
+	orDefault(&l.BodyBytes, defaultBodyBytes)
+	orDefault(&l.StartAllowance, defaultStartAllowance)
+	orDefault(&l.Stop, defaultStop)
+	orDefault(&l.Poll, defaultPoll)
+}
+
+// Options configure an agent.
+type Options struct {
+	Node   config.Node
+	Secret []byte
+	// TLS, when set, protects the sessions with gateways.
+	TLS      *tls.Config
+	Upstream Upstream
+	Limits   Limits
+	// Free admits calls that cost nothing without a permit, such as those of open
+	// routes of services.
+	Free bool
+	// Clock defaults to the monotonic clock of the process.
+	Clock clock.Clock
+}
