tree: validate values, compare them and record their history

Operators need to learn before a write what is wrong, with the path of the entry.

Check covers one value; Validate also covers the other teams: names taken, missing base models, limits and memory sums. Problems that the tree already has do not block a change. Package config now finds the line of a path inside a list instead of the first text that looks like it.

--- a/config/config.go
+++ b/config/config.go
@@ -95,21 +95,6 @@
 	return 1 + bytes.Count(data[:offset], []byte("\n"))
 }
 
-// lineOf returns the line of the setting at the dotted path, or of its nearest
-// parent that the file has.
-func lineOf(data []byte, path string) int {
-	offset, line := 0, 0
-	for name := range strings.SplitSeq(path, ".") {
-		i := bytes.Index(data[offset:], []byte(`"`+name+`"`))
-		if i < 0 {
-			break
-		}
-		offset += i
-		line = lineAt(data, int64(offset))
-	}
-	return line
-}
-
 func lineInMessage(err error) int {
 	var line, column int
 	if _, scanErr := fmt.Sscanf(err.Error(), "hujson: line %d, column %d", &line, &column); scanErr != nil {
--- a/tree/class.go
+++ b/tree/class.go
@@ -14,3 +14,9 @@
 	}
 	return units.Normal
 }
+
+// known reports whether the name is empty or that of a class.
+func (n ClassName) known() bool {
+	_, ok := units.ParseClass(string(n))
+	return ok || n == ""
+}
