rate: add token buckets, owners, clients and fences of permits

Cause: customers have one rate and burst across all gateways; gateways and agents need the decisions for it. Change: package rate with Bucket, Owner, Table, Client, Fence and Stamp, and the conversion of their messages. wire: Settled carries totals of started and returned tokens, Level carries the tokens held in grants.

--- /dev/null
+++ b/rate/owner.go
@@ -0,0 +1,243 @@
+package rate
+
+import (
+	"slices"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// settleMax is how long a grant is remembered for the settlement of its answer.
+// Later, its unused tokens stay spent.
+const settleMax = 15 * clock.Minute
+
+const sweepInterval = clock.Minute
+
+// Owner holds the buckets of the slots that this gateway owns.
+type Owner struct {
+	self     units.VMID
+	table    *Table
+	slots    map[Slot]*ownedSlot
+	limits   map[units.CustomerID]Limit
+	grants   map[grantKey]*issued
+	expiring queue[*issued]
+	phantoms queue[phantom]
+	swept    clock.Time
+	// pending slots are not active yet.
+	pending []*ownedSlot
+	fleet   fleet
+	faults  faults
+}
+
+// ownedSlot is one slot in the epoch of this owner.
+type ownedSlot struct {
+	slot    Slot
+	epoch   units.Epoch
+	buckets map[units.CustomerID]*Bucket
+	// active is the start of the epoch at this owner; 0 while it must wait.
+	active clock.Time
+	change change
+}
+
+type grantKey struct {
+	client units.VMID
+	id     GrantID
+}
+
+// issued is a grant that is not settled yet.
+type issued struct {
+	key    grantKey
+	slot   *ownedSlot
+	bucket *Bucket
+	issued clock.Time
+	// held tokens may still be started.
+	held units.Tokens
+	// mark of the first start, and the tokens that a refund may still cover.
+	mark   Mark
+	marked bool
+	spent  units.Tokens
+	// told is the sum of the client's reports.
+	told Settled
+}
+
+// phantom stands for the grants of the former owner, which sent its level.
+type phantom struct {
+	bucket *Bucket
+	tokens units.Tokens
+	ends   clock.Time
+}
+
+// NewOwner returns an owner without slots. The id must name this gateway as in
+// the tables.
+func NewOwner(self units.VMID) *Owner {
+	return &Owner{
+		self:   self,
+		slots:  make(map[Slot]*ownedSlot),
+		limits: make(map[units.CustomerID]Limit),
+		grants: make(map[grantKey]*issued),
+		fleet:  newFleet(),
+	}
+}
+
+// SetLimit sets the limit of a customer. One without a limit is granted nothing.
+func (o *Owner) SetLimit(now clock.Time, c units.CustomerID, l Limit) {
+	if o.limits[c] == l {
+		return
+	}
+	o.limits[c] = l
+	for _, s := range SlotsOf(c) {
+		if b := o.existing(s, c); b != nil {
+			b.SetLimit(now, l, s)
+		}
+	}
+}
+
+func (o *Owner) existing(s Slot, c units.CustomerID) *Bucket {
+	if w := o.slots[s]; w != nil {
+		return w.buckets[c]
+	}
+	return nil
+}
+
+// Acquire grants tokens to a client.
+func (o *Owner) Acquire(now clock.Time, client units.VMID, a Acquire) Grant {
+	o.Tick(now)
+	g := Grant{ID: a.ID}
+	w := o.slots[a.Slot]
+	if w == nil || w.epoch != a.Epoch {
+		g.Code = units.PermitStale
+		g.Wait = MaxWait
+		return g
+	}
+	key := grantKey{client: client, id: a.ID}
+	if _, ok := o.grants[key]; ok {
+		// A repeated message, or an id of the client's former process.
+		g.Code = units.RateUnavailable
+		return g
+	}
+	b := o.bucket(w, a.Customer)
+	if b == nil {
+		g.Code = units.RateUnavailable
+		g.Wait = MaxWait
+		return g
+	}
+	g.Tokens, g.Wait = b.Take(now, a.Tokens)
+	g.Level = b.Level(now)
+	if g.Tokens < a.Tokens {
+		g.Code = units.RateExceeded
+	}
+	if g.Tokens > 0 {
+		o.remember(&issued{key: key, slot: w, bucket: b, issued: now, held: g.Tokens})
+	}
+	return g
+}
+
+func (o *Owner) remember(g *issued) {
+	o.grants[g.key] = g
+	o.expiring.push(g)
+}
+
+// bucket returns the customer's bucket, nil while the slot is not active or when
+// the customer has no limit.
+func (o *Owner) bucket(w *ownedSlot, c units.CustomerID) *Bucket {
+	if b := w.buckets[c]; b != nil {
+		return b
+	}
+	l, ok := o.limits[c]
+	if !ok || w.active == 0 {
+		return nil
+	}
+	b := NewBucket(w.active, l, w.slot, 0)
+	b.faults = o.faults
+	if o.faults.fullStart {
+		b.level = b.burst
+	}
+	w.buckets[c] = b
+	return b
+}
+
+// Settle takes a client's reports on its grants. Reports on unknown grants are
+// ignored; their tokens stay spent.
+func (o *Owner) Settle(now clock.Time, client units.VMID, s Settle) {
+	o.Tick(now)
+	for _, r := range s.Settled {
+		if g := o.grants[grantKey{client: client, id: r.Grant}]; g != nil {
+			o.settle(now, g, r)
+		}
+	}
+}
+
+func (o *Owner) settle(now clock.Time, g *issued, r Settled) {
+	g.start(now, min(r.Started-g.told.Started, g.held))
+	back := r.Returned - g.told.Returned
+	if n := min(back, g.held); n > 0 {
+		g.bucket.Return(now, n)
+		g.held -= n
+		back -= n
+	}
+	// Tokens that had expired before they were returned were counted as spent.
+	g.refund(now, max(back, 0)+max(r.Unused-g.told.Unused, 0))
+	g.told.add(r)
+	if g.told.Final && g.held == 0 {
+		delete(o.grants, g.key)
+	}
+}
+
+// refund credits n tokens of those that were spent.
+func (g *issued) refund(now clock.Time, n units.Tokens) {
+	n = min(n, g.spent)
+	if n > 0 {
+		g.bucket.Refund(now, g.mark, n)
+		g.spent -= n
+	}
+}
+
+// start takes n held tokens out of the bucket.
+func (g *issued) start(now clock.Time, n units.Tokens) {
+	if n <= 0 {
+		return
+	}
+	m := g.bucket.Start(now, n)
+	if !g.marked {
+		// One mark for the grant: the earliest gives the smallest refund.
+		g.mark = m
+		g.marked = true
+	}
+	g.held -= n
+	g.spent += n
+}
+
+// Tick ends what has expired and activates slots that have waited long enough.
+// Each other method does so too; a process calls it at least every 100 ms.
+func (o *Owner) Tick(now clock.Time) {
+	for g := range o.expiring.until(func(g *issued) bool { return now.Sub(g.issued) >= guardTTL }) {
+		g.start(now, g.held)
+		if g.told.Final {
+			delete(o.grants, g.key)
+		}
+	}
+	for p := range o.phantoms.until(func(p phantom) bool { return !now.Before(p.ends) }) {
+		p.bucket.Start(now, p.tokens)
+	}
+	o.pending = slices.DeleteFunc(o.pending, func(w *ownedSlot) bool {
+		if o.slots[w.slot] == w && !o.ready(now, w) {
+			return false
+		}
+		w.active = now
+		return true
+	})
+	o.sweep(now)
+}
+
+// sweep forgets grants whose settlement never came.
+func (o *Owner) sweep(now clock.Time) {
+	if now.Sub(o.swept) < sweepInterval {
+		return
+	}
+	o.swept = now
+	for k, g := range o.grants {
+		if now.Sub(g.issued) >= settleMax {
+			delete(o.grants, k)
+		}
+	}
+}
--- /dev/null
+++ b/rate/rate.go
@@ -0,0 +1,139 @@
+// Package rate bounds what each customer starts across all VMs: in every window
+// at most rate x window + burst tokens.
+//
+// A customer has two slots, each owned by one gateway that keeps half of the
+// customer's rate and burst in a Bucket. An Owner issues grants to the Clients
+// of all gateways. A Client combines grants into a Ticket for a request, from
+// which the process makes a Permit for the chosen agent. The Fence of the agent
+// checks the Permit when the request arrives there; this is the start.
+//
+// The types do no I/O and are not safe for concurrent use. Times are of the
+// process's own clock. Rates are measured by the clock of the owner.
+package rate
+
+import (
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+const (
+	// TTL is the life of a grant, counted from the sending of Acquire.
+	TTL = clock.Second
+	// MaxWait is the longest wait for tokens that are still to be refilled.
+	MaxWait = 200 * clock.Millisecond
+	// guardTTL is the life of a grant by the clock of its owner. A fast owner and
+	// a slow client differ by 1.01/0.99, less than 1/40; 2 ms cover rounding.
+	guardTTL = TTL + TTL/40 + 2
+)
+
+// driftUp returns s such that s by a fast clock lasts at least as long as the
+// argument by a slow one, both within 1 %.
+func driftUp(s clock.Span) clock.Span { return s + (s+39)/40 + 1 }
+
+// Limit is what a customer may start: Rate tokens a second, Burst at once.
+type Limit struct {
+	Rate  units.Tokens
+	Burst units.Tokens
+}
+
+// GrantID names a grant; the client that asks chooses it. It is unique for one
+// client.
+type GrantID uint64
+
+// Acquire asks the owner of a slot for tokens.
+type Acquire struct {
+	ID       GrantID
+	Slot     Slot
+	Epoch    units.Epoch
+	Customer units.CustomerID
+	Tokens   units.Tokens
+}
+
+// Grant answers an Acquire.
+type Grant struct {
+	ID GrantID
+	// Tokens may be less than asked, or 0.
+	Tokens units.Tokens
+	// Wait is the span from the receipt until the tokens may be used. When Tokens
+	// is 0, it is the span until some would be granted; -1: never.
+	Wait clock.Span
+	// Level of the slot's bucket after the grant; negative when refills of the
+	// near future have been granted.
+	Level units.Tokens
+	// Code is empty or says why less than asked was granted: RateExceeded,
+	// RateUnavailable (the owner is not active yet), PermitStale (not the owner).
+	Code units.Code
+}
+
+// Settle reports what became of grants.
+type Settle struct {
+	Settled []Settled
+}
+
+// Settled reports on one grant. All amounts are totals so far, so that a report
+// that is lost, repeated or late does no harm.
+type Settled struct {
+	Grant GrantID
+	// Started tokens were presented to an agent, which accepted them.
+	Started units.Tokens
+	// Returned tokens were not and will not be started.
+	Returned units.Tokens
+	// Unused tokens were started, but the answer did not need them.
+	Unused units.Tokens
+	// Final tells that no more reports follow.
+	Final bool
+}
+
+// Level hands the bucket of one customer over to the next owner of the slot.
+type Level struct {
+	Slot Slot
+	// Epoch of the sender's ownership.
+	Epoch    units.Epoch
+	Customer units.CustomerID
+	Level    units.Tokens
+	// Held tokens are in grants that may still be started.
+	Held units.Tokens
+}
+
+// Paid names the part of one grant that contributes to a permit.
+type Paid struct {
+	Slot   Slot
+	Epoch  units.Epoch
+	Grant  GrantID
+	Tokens units.Tokens
+}
+
+// Permit allows a request to start at one agent.
+type Permit struct {
+	// Expires is the first moment, in the agent's clock, at which it is too late.
+	Expires clock.Time
+	Paid    []Paid
+}
+
+// milli counts thousandths of a token, so that a rate in tokens a second is a
+// whole number each millisecond.
+type milli int64
+
+const milliPerToken = 1000
+
+func toMilli(t units.Tokens) milli { return milli(t) * milliPerToken }
+
+// tokens rounds down, also below zero.
+func (m milli) tokens() units.Tokens {
+	t := m / milliPerToken
+	if m%milliPerToken < 0 {
+		t--
+	}
+	return units.Tokens(t)
+}
+
+// half returns the share of one of a customer's two slots.
+func (l Limit) half(s Slot) (rate, burst milli) {
+	rate = milli(l.Rate) / 2
+	burst = toMilli(l.Burst) / 2
+	if s%SlotsPerShard == 1 {
+		rate = milli(l.Rate) - rate
+		burst = toMilli(l.Burst) - burst
+	}
+	return rate, burst
+}
--- /dev/null
+++ b/rate/report.go
@@ -0,0 +1,77 @@
+package rate
+
+import (
+	"slices"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+const (
+	// startDelay is how long reports of starts and settlements are collected.
+	startDelay = 100 * clock.Millisecond
+	// returnDelay is shorter, because returned tokens are missing elsewhere.
+	returnDelay = 20 * clock.Millisecond
+	// settledMax bounds the reports of one message.
+	settledMax = 256
+)
+
+// batch holds the reports for one owner.
+type batch struct {
+	to      units.VMID
+	at      clock.Time
+	settled []Settled
+}
+
+type reports struct {
+	batches []*batch
+}
+
+func (r *reports) add(now clock.Time, delay clock.Span, to units.VMID, s Settled) {
+	i := slices.IndexFunc(r.batches, func(b *batch) bool { return b.to == to })
+	if i < 0 {
+		i = len(r.batches)
+		r.batches = append(r.batches, &batch{to: to, at: now.Add(delay)})
+	}
+	b := r.batches[i]
+	b.at = min(b.at, now.Add(delay))
+	if len(b.settled) >= settledMax {
+		b.at = now
+	}
+	for j := range b.settled {
+		if b.settled[j].Grant == s.Grant {
+			b.settled[j] = s
+			return
+		}
+	}
+	b.settled = append(b.settled, s)
+}
+
+// add takes over the higher totals of a report that may be late.
+func (s *Settled) add(o Settled) {
+	s.Started = max(s.Started, o.Started)
+	s.Returned = max(s.Returned, o.Returned)
+	s.Unused = max(s.Unused, o.Unused)
+	s.Final = s.Final || o.Final
+}
+
+// due removes and returns the batches whose time has come.
+func (r *reports) due(now clock.Time) []Send {
+	var out []Send
+	r.batches = slices.DeleteFunc(r.batches, func(b *batch) bool {
+		if now.Before(b.at) {
+			return false
+		}
+		out = append(out, Send{To: b.to, Message: Settle{Settled: b.settled}})
+		return true
+	})
+	return out
+}
+
+func (r *reports) next() clock.Time {
+	next := never
+	for _, b := range r.batches {
+		next = min(next, b.at)
+	}
+	return next
+}
