gate: relay chat completions from agents to callers

A gateway keeps a session for each agent, checks the key, picks the agent with the fewest outstanding requests and relays its answer, plain or in events, each flushed at once. The command gateway runs it with the settings node.json, fleet.json and gate.json. The index of wire.Part is now defined: it counts the events of the whole answer, so that a gateway can resume at an event.

Tested with the official client library against a stand-in of an agent: plain, streamed, and refused by one agent.

--- /dev/null
+++ b/cmds/gateway.go
@@ -0,0 +1,51 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/magnolialever/magnolialever/config"
+	"github.com/magnolialever/magnolialever/gate"
+)
+
+func init() {
+	register("gateway", "Run a gateway",
+		"Serves callers on an entry VM. Reads node.json, fleet.json and gate.json from the settings directory. "+
+			"SIGTERM and SIGINT stop it gracefully.",
+		&gatewayCommand{})
+}
+
+type gatewayCommand struct {
+	Settings string `long:"settings" value-name:"DIR" description:"Directory of the settings files" required:"true"`
+}
+
+// Execute runs the command.
+func (c *gatewayCommand) Execute([]string) error {
+	var (
+		o     gate.Options
+		fleet config.Fleet
+	)
+	err := errors.Join(
+		config.Load(filepath.Join(c.Settings, "node.json"), &o.Node),
+		config.Load(filepath.Join(c.Settings, "fleet.json"), &fleet),
+		config.Load(filepath.Join(c.Settings, "gate.json"), &o.Gate),
+	)
+	if err != nil {
+		return usage(err)
+	}
+	o.Secret = []byte(fleet.Secret)
+	s, err := gate.New(o)
+	if err != nil {
+		return fmt.Errorf("gateway: %w", err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := s.Run(ctx); err != nil {
+		return fmt.Errorf("gateway: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/gate/admin.go
@@ -0,0 +1,27 @@
+package gate
+
+import (
+	"expvar"
+	"net/http"
+)
+
+func newAdmin(s *Server) http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, http.StatusOK, "ok\n")
+	})
+	m.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if s.leaving.Load() {
+			reply(w, http.StatusServiceUnavailable, "leaving\n")
+			return
+		}
+		reply(w, http.StatusOK, "ready\n")
+	})
+	m.Handle("GET /debug/vars", expvar.Handler())
+	return m
+}
+
+func reply(w http.ResponseWriter, status int, text string) {
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text)) // the client may have gone
+}
--- /dev/null
+++ b/gate/agent_test.go
@@ -0,0 +1,194 @@
+package gate_test
+
+import (
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+const secret = "the secret of the tests"
+
+// script answers one call.
+type script func(a *agentCall)
+
+// agentCall is a call that a stand-in agent has received.
+type agentCall struct {
+	*wire.Call
+	agent  *standIn
+	stream *wire.Stream
+	// gone is closed when the gateway has closed the stream.
+	gone chan struct{}
+}
+
+// standIn plays the agent's side with a script.
+type standIn struct {
+	id       string
+	listener net.Listener
+	script   script
+	resident []string
+	services []string
+	calls    atomic.Int64
+	session  atomic.Pointer[wire.Session]
+	leave    chan struct{}
+}
+
+func newStandIn(t testing.TB, id string, f script) *standIn {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	a := &standIn{
+		id: id, listener: l, script: f,
+		resident: []string{"small"}, services: []string{"cases"},
+		leave: make(chan struct{}),
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		a.accept()
+	}()
+	t.Cleanup(func() {
+		l.Close()
+		if s := a.session.Load(); s != nil {
+			s.Close()
+		}
+		<-done
+	})
+	return a
+}
+
+func (a *standIn) accept() {
+	for {
+		c, err := a.listener.Accept()
+		if err != nil {
+			return
+		}
+		self := wire.Identity{ID: a.id, Role: wire.Agent, Zone: "a"}
+		s, err := wire.Accept(c, wire.Options{Self: self, Secret: []byte(secret)})
+		if err != nil {
+			continue
+		}
+		a.session.Store(s)
+		go a.serve(s)
+	}
+}
+
+func (a *standIn) serve(s *wire.Session) {
+	for {
+		st, err := s.Accept()
+		if err != nil {
+			return
+		}
+		go a.stream(st)
+	}
+}
+
+func (a *standIn) stream(st *wire.Stream) {
+	defer st.Close()
+	f, err := st.Recv()
+	if err != nil {
+		return
+	}
+	if f.GetPing() != nil {
+		a.control(st, f)
+		return
+	}
+	c := &agentCall{Call: f.GetCall(), agent: a, stream: st, gone: make(chan struct{})}
+	a.calls.Add(1)
+	go func() {
+		defer close(c.gone)
+		for {
+			if _, err := st.Recv(); err != nil {
+				return
+			}
+		}
+	}()
+	a.script(c)
+	st.Close()
+	select {
+	case <-c.gone:
+	case <-time.After(time.Second):
+	}
+}
+
+func (a *standIn) control(st *wire.Stream, f *wire.Frame) {
+	load := &wire.Load{Upstream: a.id, Resident: a.resident, Service: a.services}
+	if st.Send(&wire.Frame{Body: &wire.Frame_Load{Load: load}}) != nil {
+		return
+	}
+	for {
+		if p := f.GetPing(); p != nil {
+			pong := &wire.Pong{Id: p.Id, Now: int64(clock.System{}.Now()) + 1000}
+			if st.Send(&wire.Frame{Body: &wire.Frame_Pong{Pong: pong}}) != nil {
+				return
+			}
+		}
+		select {
+		case <-a.leave:
+			_ = st.Send(&wire.Frame{Body: &wire.Frame_Leave{Leave: &wire.Leave{Id: a.id}}})
+		default:
+		}
+		var err error
+		if f, err = st.Recv(); err != nil {
+			return
+		}
+	}
+}
+
+func (c *agentCall) head(status uint32, contentType string) error {
+	h := &wire.Head{Attempt: c.Attempt, Status: status, Header: []*wire.Header{{Name: "Content-Type", Value: contentType}}}
+	return c.stream.Send(&wire.Frame{Body: &wire.Frame_Head{Head: h}})
+}
+
+func (c *agentCall) part(index int64, data string) error {
+	p := &wire.Part{Attempt: c.Attempt, Index: index, Data: []byte(data)}
+	return c.stream.Send(&wire.Frame{Body: &wire.Frame_Part{Part: p}})
+}
+
+func (c *agentCall) done() {
+	_ = c.stream.Send(&wire.Frame{Body: &wire.Frame_Done{Done: &wire.Done{Attempt: c.Attempt, Used: 7}}})
+}
+
+func (c *agentCall) refuse(code string, ran bool, wait int64) {
+	r := &wire.Refuse{Attempt: c.Attempt, Code: code, Ran: ran, Wait: wait}
+	_ = c.stream.Send(&wire.Frame{Body: &wire.Frame_Refuse{Refuse: r}})
+}
+
+// token returns the event of one token of a chat answer.
+func token(i int64) string {
+	return fmt.Sprintf(`data: {"id":"x","object":"chat.completion.chunk","created":1,"model":"small",`+
+		`"choices":[{"index":0,"delta":{"content":"t%d "},"finish_reason":null}]}`+"\n\n", i)
+}
+
+const (
+	events   = "text/event-stream"
+	endEvent = "data: [DONE]\n\n"
+	plain    = `{"id":"x","object":"chat.completion","created":1,"model":"small","extra":{"kept":true},` +
+		`"choices":[{"index":0,"message":{"role":"assistant","content":"hello"},"finish_reason":"stop"}],` +
+		`"usage":{"prompt_tokens":3,"completion_tokens":4,"total_tokens":7}}`
+)
+
+// answerTokens answers any call with the given number of tokens.
+func answerTokens(n int64) script {
+	return func(c *agentCall) {
+		if !c.Stream {
+			_ = c.head(200, "application/json")
+			_ = c.part(0, plain)
+			c.done()
+			return
+		}
+		_ = c.head(200, events)
+		for i := c.Resume; i < n; i++ {
+			if c.part(i, token(i)) != nil {
+				return
+			}
+		}
+		_ = c.part(n, endEvent)
+		c.done()
+	}
+}
--- /dev/null
+++ b/gate/answer.go
@@ -0,0 +1,156 @@
+package gate
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+// maxHeldBytes is the size up to which a plain answer is held back until it is
+// complete, so that another upstream can take over while the caller has nothing.
+const maxHeldBytes = 1 << 20
+
+var (
+	errGap   = errors.New("the answer has a gap")
+	errEvent = errors.New("an event of the answer is too long")
+	errWrite = errors.New("the caller does not take the answer")
+)
+
+// answer relays an answer to the caller. It outlives attempts: it knows what the
+// caller already has.
+type answer struct {
+	writer  *writer
+	arrived time.Time
+	// resumable is set for answers in events, which can continue on another upstream.
+	resumable bool
+	// next is the index of the event that the caller needs next.
+	next int64
+	// sent is set when the caller has the head of the answer.
+	sent bool
+	// flushed is when the last part was passed on.
+	flushed time.Time
+
+	// The rest belongs to the current attempt.
+	status  int
+	header  []*wire.Header
+	started bool
+	events  bool
+	held    []byte
+	// position is the index of the event that held starts with.
+	position int64
+}
+
+// begin prepares for the frames of a new attempt.
+func (a *answer) begin() {
+	a.status, a.header, a.started, a.events = 0, nil, false, false
+	a.held = a.held[:0]
+	a.position = -1
+}
+
+func (a *answer) head(h *wire.Head) error {
+	if a.started {
+		return errFrame
+	}
+	a.started = true
+	a.status, a.header = int(h.Status), h.Header
+	a.events = isEvents(h.Header)
+	if a.sent && (!a.events || a.status != http.StatusOK) {
+		return errGap
+	}
+	return nil
+}
+
+func isEvents(header []*wire.Header) bool {
+	for _, h := range header {
+		if strings.EqualFold(h.Name, "Content-Type") {
+			return strings.HasPrefix(h.Value, "text/event-stream")
+		}
+	}
+	return false
+}
+
+func (a *answer) part(p *wire.Part) error {
+	if !a.started {
+		return errFrame
+	}
+	if a.events && a.resumable {
+		return a.event(p)
+	}
+	if a.events || a.sent {
+		return a.write(p.Data)
+	}
+	a.held = append(a.held, p.Data...)
+	if len(a.held) < maxHeldBytes {
+		return nil
+	}
+	defer func() { a.held = a.held[:0] }()
+	return a.write(a.held)
+}
+
+func (a *answer) done() error {
+	if !a.started {
+		return errFrame
+	}
+	if !a.sent && !a.events {
+		a.writer.Header().Set("Content-Length", strconv.Itoa(len(a.held)))
+	}
+	if len(a.held) == 0 && a.sent {
+		return nil
+	}
+	return a.write(a.held)
+}
+
+// write passes data on, after the head if that has not been sent.
+func (a *answer) write(data []byte) error {
+	a.sendHead()
+	if len(data) == 0 {
+		return nil
+	}
+	if _, err := a.writer.Write(data); err != nil {
+		return errors.Wrap(errWrite, err.Error())
+	}
+	now := time.Now()
+	if a.flushed.IsZero() {
+		stats.FirstToken.Record(now.Sub(a.arrived))
+	} else if a.events {
+		stats.InterToken.Record(now.Sub(a.flushed))
+	}
+	a.flushed = now
+	return nil
+}
+
+func (a *answer) sendHead() {
+	if a.sent {
+		return
+	}
+	a.sent = true
+	h := a.writer.Header()
+	for _, f := range a.header {
+		if passAnswer(f.Name) {
+			h.Add(f.Name, f.Value)
+		}
+	}
+	a.writer.WriteHeader(a.status)
+}
+
+// abort ends an answer that the caller has in part. An answer in events gets an
+// event with the error; any other is cut off, so that the caller sees that it is
+// not whole.
+func (a *answer) abort(p *Problem) {
+	p = p.public()
+	stats.Refuse(p.Code)
+	if a.writer.failed {
+		return
+	}
+	if !a.events && !a.resumable {
+		panic(http.ErrAbortHandler)
+	}
+	event := append([]byte("data: "), p.encode()...)
+	_, _ = a.writer.Write(append(event, "\n\n"...)) // the caller may have gone
+}
--- /dev/null
+++ b/gate/attempt.go
@@ -0,0 +1,182 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+// attempt runs a request on one upstream.
+type attempt struct {
+	request  *request
+	upstream *upstream
+	answer   *answer
+	clock    clock.Clock
+	stall    clock.Span
+	id       string
+	stream   *wire.Stream
+	started  clock.Time
+	result   Result
+	// armed is when the time limit of the stream was set last.
+	armed clock.Time
+	// deadline is the time limit of the stream.
+	deadline clock.Time
+}
+
+var errFrame = errors.New("frame out of order")
+
+// run returns nil after a complete answer. The result is valid in each case.
+func (a *attempt) run(ctx context.Context, permit Permit) *Problem {
+	a.started = a.clock.Now()
+	p := a.exchange(ctx, permit)
+	a.result.Total = a.clock.Now().Sub(a.started)
+	if p != nil {
+		a.result.Code, a.result.Ran = p.Code, p.Ran
+		a.result.Cancelled = ctx.Err() != nil
+	}
+	return p
+}
+
+func (a *attempt) exchange(ctx context.Context, permit Permit) *Problem {
+	st, err := a.upstream.session.Open()
+	if err != nil {
+		return problem(units.NoUpstream, "the connection to the upstream is lost")
+	}
+	a.stream = st
+	// The agent cancels the request when the stream is closed before its end.
+	defer st.Close()
+	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	a.arm(a.request.query.Deadline.Add(graceSpan))
+	call := a.request.call(a.started, a.upstream.permit(permit, a.started), a.answer.next)
+	a.id = call.Attempt
+	a.answer.begin()
+	// A part of the call may have arrived even if sending failed, but an agent runs
+	// only a whole call.
+	if err := st.Send(&wire.Frame{Body: &wire.Frame_Call{Call: call}}); err != nil {
+		return a.broken(ctx, err, false)
+	}
+	return a.receive(ctx)
+}
+
+// graceSpan lets the agent's own refusal arrive before the gateway gives up.
+const graceSpan = clock.Second
+
+func (a *attempt) receive(ctx context.Context) *Problem {
+	for {
+		f, err := a.stream.Recv()
+		if err != nil {
+			return a.broken(ctx, err, true)
+		}
+		done, p := a.handle(f)
+		if done || p != nil {
+			return p
+		}
+	}
+}
+
+// handle takes one frame. Frames of another attempt are dropped: an answer may
+// arrive late or on the wrong stream.
+func (a *attempt) handle(f *wire.Frame) (done bool, p *Problem) {
+	switch b := f.Body.(type) {
+	case *wire.Frame_Head:
+		if a.mine(b.Head.Attempt) {
+			a.extend()
+			return false, a.fail(a.answer.head(b.Head))
+		}
+	case *wire.Frame_Part:
+		if a.mine(b.Part.Attempt) {
+			return false, a.part(b.Part)
+		}
+	case *wire.Frame_Done:
+		if a.mine(b.Done.Attempt) {
+			a.ended(b.Done.Load)
+			a.result.Used = units.Tokens(b.Done.Used)
+			return true, a.fail(a.answer.done())
+		}
+	case *wire.Frame_Refuse:
+		if a.mine(b.Refuse.Attempt) {
+			return false, a.refused(b.Refuse)
+		}
+	default:
+		stats.Event("request_frame_unknown")
+	}
+	return false, nil
+}
+
+func (a *attempt) mine(id string) bool {
+	if id == a.id {
+		return true
+	}
+	stats.Event("frame_of_other_attempt")
+	return false
+}
+
+func (a *attempt) part(p *wire.Part) *Problem {
+	if a.result.First == 0 {
+		a.result.First = max(a.clock.Now().Sub(a.started), 1)
+	}
+	a.extend()
+	return a.fail(a.answer.part(p))
+}
+
+func (a *attempt) refused(r *wire.Refuse) *Problem {
+	a.ended(r.Load)
+	a.result.Crashed = r.Crashed
+	p := &Problem{Code: units.Code(r.Code), Message: r.Message, Ran: r.Ran, Wait: clock.Span(r.Wait)}
+	if p.Message == "" {
+		p.Message = "the upstream refused the request"
+	}
+	return p
+}
+
+func (a *attempt) ended(l *wire.Load) {
+	a.upstream.loaded(l)
+	if l != nil {
+		a.result.Cached = units.Tokens(l.Cached)
+	}
+}
+
+// fail turns an error of the answer into a problem.
+func (a *attempt) fail(err error) *Problem {
+	if err == nil {
+		return nil
+	}
+	stats.Event("answer_failed")
+	return &Problem{Code: units.UpstreamFailed, Message: err.Error(), Ran: true}
+}
+
+// broken returns the problem of a stream that ended early.
+func (a *attempt) broken(ctx context.Context, err error, ran bool) *Problem {
+	if cause := context.Cause(ctx); cause != nil {
+		p := *problemOf(cause)
+		p.Ran = ran
+		return &p
+	}
+	if !a.clock.Now().Before(a.deadline) {
+		return &Problem{Code: units.UpstreamTimeout, Message: "the upstream did not answer in time", Ran: ran}
+	}
+	return &Problem{Code: units.UpstreamFailed, Message: "the connection to the upstream broke: " + err.Error(), Ran: ran}
+}
+
+// extend moves the time limit. It is called for each frame and sets the limit of
+// the stream only when a good part of it has passed.
+func (a *attempt) extend() {
+	now := a.clock.Now()
+	if now.Sub(a.armed) > a.stall/8 || a.deadline.Sub(now) > a.stall {
+		a.arm(now.Add(a.stall))
+	}
+}
+
+func (a *attempt) arm(deadline clock.Time) {
+	now := a.clock.Now()
+	a.armed = now
+	a.deadline = deadline
+	_ = a.stream.SetDeadline(time.Now().Add(max(deadline.Sub(now), 1).Duration()))
+}
--- /dev/null
+++ b/gate/body.go
@@ -0,0 +1,105 @@
+package gate
+
+import (
+	"github.com/go-faster/jx"
+
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// fieldModel is the field of a body that names the target.
+const fieldModel = "model"
+
+// fields are what the gateway reads of a request body.
+type fields struct {
+	model  string
+	stream bool
+	// tokens is the largest answer that the caller allows; 0: not given.
+	tokens int64
+	// choices is the number of answers.
+	choices int64
+}
+
+// scan checks that the body is one JSON object and reads the fields. The body
+// itself is passed on unchanged.
+func scan(body []byte) (fields, *Problem) {
+	f := fields{choices: 1}
+	d := jx.GetDecoder()
+	defer jx.PutDecoder(d)
+	d.ResetBytes(body)
+	wrong := ""
+	err := d.ObjBytes(func(d *jx.Decoder, key []byte) error {
+		err := f.read(d, key)
+		if err != nil && wrong == "" {
+			wrong = string(key)
+		}
+		return err
+	})
+	if err != nil {
+		p := problem(units.InvalidRequest, "the body is not a valid JSON object: "+err.Error())
+		p.Param = wrong
+		return f, p
+	}
+	if d.Next() != jx.Invalid {
+		return f, problem(units.InvalidRequest, "the body has data after the JSON object")
+	}
+	if f.model == "" {
+		p := problem(units.InvalidRequest, "the field model is missing")
+		p.Param = fieldModel
+		return f, p
+	}
+	return f, nil
+}
+
+func (f *fields) read(d *jx.Decoder, key []byte) error {
+	var err error
+	switch string(key) {
+	case fieldModel:
+		f.model, err = d.Str()
+	case "stream":
+		f.stream, err = optional(d, d.Bool)
+	case "max_tokens", "max_completion_tokens":
+		var n int64
+		n, err = optional(d, d.Int64)
+		f.tokens = min(max(f.tokens, n), maxAnswerTokens)
+	case "n":
+		f.choices, err = optional(d, d.Int64)
+		f.choices = min(max(f.choices, 1), maxChoices)
+	default:
+		err = d.Skip()
+	}
+	return err
+}
+
+// optional reads a value that may be null.
+func optional[T any](d *jx.Decoder, read func() (T, error)) (T, error) {
+	if d.Next() == jx.Null {
+		var zero T
+		return zero, d.Null()
+	}
+	return read()
+}
+
+const (
+	// bytesPerToken is a low estimate for prompts in JSON, so that the reservation
+	// is high enough.
+	bytesPerToken = 3
+	// defaultAnswerTokens is reserved when the caller sets no limit.
+	defaultAnswerTokens = 1024
+	// Larger values are reserved as these, which no engine exceeds; the product
+	// can't overflow.
+	maxAnswerTokens = 1 << 24
+	maxChoices      = 1 << 10
+)
+
+// cost returns an upper estimate of the tokens of the request.
+func (f *fields) cost(body int, answers bool) units.Tokens {
+	prompt := int64(body/bytesPerToken + 1)
+	if !answers {
+		return units.Tokens(prompt)
+	}
+	tokens := f.tokens
+	if tokens <= 0 {
+		tokens = defaultAnswerTokens
+	}
+	return units.Tokens(prompt + tokens*f.choices)
+}
--- /dev/null
+++ b/gate/header.go
@@ -0,0 +1,67 @@
+package gate
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+// Headers that stay between the caller and the gateway: keys, and those that
+// belong to one connection. Content-Length and Host are set anew.
+var private = map[string]bool{
+	"Authorization":       true,
+	"Api-Key":             true,
+	"X-Api-Key":           true,
+	"Cookie":              true,
+	"Connection":          true,
+	"Content-Length":      true,
+	"Expect":              true,
+	"Host":                true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
+
+// passRequest returns the headers of a request that an upstream may see.
+func passRequest(h http.Header) []*wire.Header {
+	named := connectionNamed(h)
+	out := make([]*wire.Header, 0, len(h))
+	for name, values := range h {
+		if private[name] || named[name] {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, &wire.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+// connectionNamed returns the headers that the header Connection declares as
+// belonging to the connection.
+func connectionNamed(h http.Header) map[string]bool {
+	lists := h["Connection"]
+	if len(lists) == 0 {
+		return nil
+	}
+	named := map[string]bool{}
+	for _, list := range lists {
+		for name := range strings.SplitSeq(list, ",") {
+			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return named
+}
+
+// passAnswer reports whether a header of an upstream's answer goes to the caller.
+func passAnswer(name string) bool {
+	name = textproto.CanonicalMIMEHeaderKey(name)
+	return !private[name] && name != headerRun
+}
--- /dev/null
+++ b/gate/links.go
@@ -0,0 +1,81 @@
+package gate
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+// links keeps one session for each agent.
+type links struct {
+	wire  wire.Options
+	clock clock.Clock
+	group group
+	// up holds the connected agents, for the traffic goroutines.
+	up atomic.Pointer[[]*upstream]
+
+	mu    sync.Mutex
+	ctx   context.Context // nil until run
+	stops map[string]context.CancelFunc
+}
+
+func newLinks(o wire.Options, c clock.Clock) *links {
+	l := &links{wire: o, clock: c, stops: map[string]context.CancelFunc{}}
+	l.up.Store(&[]*upstream{})
+	return l
+}
+
+// run connects to the addresses and returns after the context is done and all
+// sessions are closed.
+func (l *links) run(ctx context.Context, addresses []string) {
+	l.mu.Lock()
+	l.ctx = ctx
+	l.mu.Unlock()
+	l.set(addresses)
+	<-ctx.Done()
+	l.group.wait()
+}
+
+// set replaces the addresses.
+func (l *links) set(addresses []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx == nil || l.ctx.Err() != nil {
+		return
+	}
+	for a, stop := range l.stops {
+		if !slices.Contains(addresses, a) {
+			stop()
+			delete(l.stops, a)
+		}
+	}
+	for _, a := range addresses {
+		if l.stops[a] != nil {
+			continue
+		}
+		ctx, stop := context.WithCancel(l.ctx)
+		l.stops[a] = stop
+		k := &link{address: a, links: l}
+		l.group.start(func() { k.run(ctx) })
+	}
+}
+
+// connected adds u to the snapshot.
+func (l *links) connected(u *upstream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next := append(slices.Clone(*l.up.Load()), u)
+	l.up.Store(&next)
+}
+
+// disconnected removes u from the snapshot.
+func (l *links) disconnected(u *upstream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next := slices.DeleteFunc(slices.Clone(*l.up.Load()), func(v *upstream) bool { return v == u })
+	l.up.Store(&next)
+}
--- /dev/null
+++ b/gate/problem.go
@@ -0,0 +1,157 @@
+package gate
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/go-faster/jx"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// Problem is an error that a caller receives.
+type Problem struct {
+	Code    units.Code
+	Message string
+	// Param names the field of the request that is wrong, if any.
+	Param string
+	// Ran is false only when no upstream has received the request.
+	Ran bool
+	// Wait is the span after which another try may succeed; 0: unknown.
+	Wait clock.Span
+	// Status replaces the status of the code when it is not 0.
+	Status int
+}
+
+// Error returns the code and the message.
+func (p *Problem) Error() string { return fmt.Sprintf("%s: %s", p.Code, p.Message) }
+
+func problem(c units.Code, message string) *Problem {
+	return &Problem{Code: c, Message: message}
+}
+
+// Headers of refusals.
+const (
+	headerRun        = "X-Run"
+	headerRetryAfter = "Retry-After"
+
+	notRun     = "not-run"
+	mayHaveRun = "may-have-run"
+)
+
+var statuses = map[units.Code]int{
+	units.InvalidKey:       http.StatusUnauthorized,
+	units.KeyWithdrawn:     http.StatusUnauthorized,
+	units.ModelNotFound:    http.StatusNotFound,
+	units.ServiceNotFound:  http.StatusNotFound,
+	units.InvalidRequest:   http.StatusBadRequest,
+	units.BodyTooLarge:     http.StatusRequestEntityTooLarge,
+	units.RateExceeded:     http.StatusTooManyRequests,
+	units.RateUnavailable:  http.StatusServiceUnavailable,
+	units.QueueFull:        http.StatusServiceUnavailable,
+	units.DeadlineMissed:   http.StatusServiceUnavailable,
+	units.ColdLimit:        http.StatusServiceUnavailable,
+	units.NoUpstream:       http.StatusServiceUnavailable,
+	units.Isolated:         http.StatusServiceUnavailable,
+	units.Draining:         http.StatusServiceUnavailable,
+	units.StoreUnavailable: http.StatusServiceUnavailable,
+	units.CrashSuspect:     http.StatusUnprocessableEntity,
+	units.InProgress:       http.StatusConflict,
+	units.OutcomeUnknown:   http.StatusConflict,
+	units.UpstreamFailed:   http.StatusBadGateway,
+	units.UpstreamTimeout:  http.StatusGatewayTimeout,
+}
+
+// status returns the HTTP status of the problem.
+func (p *Problem) status() int {
+	if p.Status != 0 {
+		return p.Status
+	}
+	if s, ok := statuses[p.Code]; ok {
+		return s
+	}
+	return http.StatusBadGateway
+}
+
+// public returns the problem with a code that callers may see: codes that only
+// agents and gateways exchange become no_upstream.
+func (p *Problem) public() *Problem {
+	if _, ok := statuses[p.Code]; ok {
+		return p
+	}
+	q := *p
+	q.Code = units.NoUpstream
+	if p.Ran {
+		q.Code = units.UpstreamFailed
+	}
+	return &q
+}
+
+// kind returns the value of the field type of OpenAI's errors.
+func (p *Problem) kind() string {
+	switch s := p.status(); {
+	case s == http.StatusUnauthorized:
+		return "authentication_error"
+	case s == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case s >= http.StatusInternalServerError:
+		return "server_error"
+	default:
+		return "invalid_request_error"
+	}
+}
+
+// encode returns the problem in OpenAI's shape.
+func (p *Problem) encode() []byte {
+	var e jx.Encoder
+	e.Obj(func(e *jx.Encoder) {
+		e.Field("error", func(e *jx.Encoder) {
+			e.Obj(func(e *jx.Encoder) {
+				e.Field("message", func(e *jx.Encoder) { e.Str(p.Message) })
+				e.Field("type", func(e *jx.Encoder) { e.Str(p.kind()) })
+				e.Field("code", func(e *jx.Encoder) { e.Str(string(p.Code)) })
+				e.Field("param", func(e *jx.Encoder) {
+					if p.Param == "" {
+						e.Null()
+						return
+					}
+					e.Str(p.Param)
+				})
+			})
+		})
+	})
+	return e.Bytes()
+}
+
+// write sends the problem as the whole answer.
+func (p *Problem) write(w http.ResponseWriter) {
+	p = p.public()
+	stats.Refuse(p.Code)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(headerRun, notRun)
+	if p.Ran {
+		h.Set(headerRun, mayHaveRun)
+	}
+	if p.Wait > 0 {
+		h.Set(headerRetryAfter, strconv.FormatInt(int64((p.Wait+clock.Second-1)/clock.Second), 10))
+	}
+	body := p.encode()
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(p.status())
+	_, _ = w.Write(body) //nolint:gosec // JSON, escaped by the encoder; the caller may have gone
+}
+
+// problemOf returns the problem in the chain of err; any other error counts as a
+// failure of the upstream that may have run the request.
+func problemOf(err error) *Problem {
+	var p *Problem
+	if errors.As(err, &p) {
+		return p
+	}
+	return &Problem{Code: units.UpstreamFailed, Message: "the upstream failed", Ran: true}
+}
--- /dev/null
+++ b/gate/public.go
@@ -0,0 +1,88 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/go-faster/errors"
+	"github.com/ogen-go/ogen/ogenerrors"
+	"github.com/ogen-go/ogen/validate"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/llmapi"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// exchange is one request of a caller with its answer, before it is known what it
+// asks for.
+type exchange struct {
+	writer  *writer
+	request *http.Request
+	arrived clock.Time
+	caller  Caller
+}
+
+type exchangeKey struct{}
+
+func exchangeOf(ctx context.Context) *exchange { return ctx.Value(exchangeKey{}).(*exchange) }
+
+// publicHandler returns the handler of the callers' interface.
+func (s *Server) publicHandler() (http.Handler, error) {
+	api, err := llmapi.NewServer(struct{}{}, &models{server: s}, &keys{server: s},
+		llmapi.WithErrorHandler(apiError),
+		llmapi.WithNotFound(notFound),
+		llmapi.WithMethodNotAllowed(notAllowed),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("callers' interface: %w", err)
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		x := &exchange{writer: newWriter(w, s.options.Gate.Limits.Write), request: r, arrived: s.clock.Now()}
+		x.writer.arm()
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+			problem(units.Draining, "the gateway stops").write(w)
+			return
+		}
+		api.ServeHTTP(x.writer, r.WithContext(context.WithValue(r.Context(), exchangeKey{}, x)))
+	}), nil
+}
+
+// apiError answers with errors of the generated server and of the handlers.
+func apiError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	requestProblem(err).write(w)
+}
+
+func requestProblem(err error) *Problem {
+	var (
+		p        *Problem
+		security *ogenerrors.SecurityError
+		media    *validate.InvalidContentTypeError
+	)
+	switch {
+	case errors.As(err, &p):
+		return p
+	case errors.As(err, &security):
+		return problem(units.InvalidKey, "the key is missing or not valid")
+	case errors.As(err, &media):
+		p = problem(units.InvalidRequest, "the content type must be application/json")
+		p.Status = http.StatusUnsupportedMediaType
+		return p
+	default:
+		return problem(units.InvalidRequest, "the request is not valid: "+err.Error())
+	}
+}
+
+func notFound(w http.ResponseWriter, r *http.Request) {
+	p := problem(units.InvalidRequest, "there is no path "+r.URL.Path)
+	p.Status = http.StatusNotFound
+	p.write(w)
+}
+
+func notAllowed(w http.ResponseWriter, r *http.Request, allowed string) {
+	w.Header().Set("Allow", allowed)
+	p := problem(units.InvalidRequest, "the path does not take the method "+r.Method)
+	p.Status = http.StatusMethodNotAllowed
+	p.write(w)
+}
--- /dev/null
+++ b/gate/relay.go
@@ -0,0 +1,178 @@
+package gate
+
+import (
+	"context"
+	"slices"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// relay runs a request until the caller has the answer or no attempt is left.
+type relay struct {
+	server  *Server
+	request *request
+	answer  *answer
+	failed  []units.UpstreamID
+	failure Failure
+	// ran is set when an upstream may have run the request.
+	ran  bool
+	used units.Tokens
+}
+
+// run returns nil after a complete answer.
+func (r *relay) run(ctx context.Context) *Problem {
+	reservation, err := r.server.options.Limiter.Reserve(ctx, &r.request.query)
+	if err != nil {
+		return problemOf(err)
+	}
+	p := r.attempts(ctx, &reservation)
+	if reservation != nil {
+		reservation.Settle(r.ran, r.used)
+	}
+	return p
+}
+
+func (r *relay) attempts(ctx context.Context, reservation *Reservation) *Problem {
+	var last *Problem
+	for {
+		u := r.pick()
+		if u == nil {
+			return r.final(last, problem(units.NoUpstream, "no upstream is available for "+r.request.query.Target))
+		}
+		p := r.attempt(ctx, u, (*reservation).Permit())
+		if p == nil {
+			r.server.options.Retrier.Succeeded(r.server.clock.Now(), &r.request.query)
+			return nil
+		}
+		if last = p; !r.again(ctx, p) {
+			return r.final(last, p)
+		}
+		if p.Code != units.PermitExpired && p.Code != units.PermitStale {
+			continue
+		}
+		(*reservation).Settle(r.ran, r.used)
+		*reservation = nil
+		next, err := r.server.options.Limiter.Reserve(ctx, &r.request.query)
+		if err != nil {
+			return r.final(nil, problemOf(err))
+		}
+		*reservation = next
+	}
+}
+
+// final returns the problem that the caller gets: the last refusal tells more than
+// that there is no other upstream.
+func (r *relay) final(last, p *Problem) *Problem {
+	if last != nil {
+		p = last
+	}
+	q := *p
+	q.Ran = q.Ran || r.ran
+	return &q
+}
+
+// again reports whether another attempt may start, after the wait for it.
+func (r *relay) again(ctx context.Context, p *Problem) bool {
+	if ctx.Err() != nil || r.answer.writer.failed {
+		return false
+	}
+	if r.answer.sent && (!r.answer.resumable || r.answer.next == 0) {
+		return false
+	}
+	now := r.server.clock.Now()
+	wait, ok := r.server.options.Retrier.Retry(now, &r.request.query, r.failure)
+	if !ok || !now.Add(wait).Before(r.request.query.Deadline) && !r.answer.sent {
+		return false
+	}
+	pause(ctx, wait.Duration())
+	if ctx.Err() != nil {
+		return false
+	}
+	stats.Retry(p.Code)
+	return true
+}
+
+func (r *relay) attempt(ctx context.Context, u *upstream, permit Permit) *Problem {
+	s := r.server
+	a := &attempt{
+		request:  r.request,
+		upstream: u,
+		answer:   r.answer,
+		clock:    s.clock,
+		stall:    s.options.Gate.Limits.Stall,
+	}
+	u.outstanding.Add(1)
+	s.options.Picker.Started(s.clock.Now(), u.id, &r.request.query)
+	p := a.run(ctx, permit)
+	u.outstanding.Add(-1)
+	s.options.Picker.Ended(s.clock.Now(), u.id, &r.request.query, a.result)
+	r.used += a.result.Used
+	if p == nil {
+		r.ran = true
+		return nil
+	}
+	r.ran = r.ran || p.Ran
+	r.failed = append(r.failed, u.id)
+	r.failure.Upstream = u.id
+	r.failure.Result = a.result
+	r.failure.Failures++
+	if !p.Ran {
+		r.failure.NotRun++
+	}
+	r.failure.Delivered = r.answer.sent
+	return p
+}
+
+// manyCandidates is the number of candidates that need no allocation.
+const manyCandidates = 32
+
+func (r *relay) pick() *upstream {
+	var (
+		spaceC [manyCandidates]Candidate
+		spaceU [manyCandidates]*upstream
+	)
+	candidates, upstreams := spaceC[:0], spaceU[:0]
+	now := r.server.clock.Now()
+	for _, u := range *r.server.links.up.Load() {
+		if !u.usable(now) || !u.offers(r.request.kind, r.request.query.Target) {
+			continue
+		}
+		candidates = append(candidates, r.candidate(u))
+		upstreams = append(upstreams, u)
+	}
+	i := -1
+	if len(candidates) > 0 {
+		i = r.server.options.Picker.Pick(now, &r.request.query, candidates)
+	}
+	if i < 0 {
+		return nil
+	}
+	return upstreams[i]
+}
+
+func (r *relay) candidate(u *upstream) Candidate {
+	report := u.report.Load()
+	return Candidate{
+		Upstream:    u.id,
+		Zone:        u.zone,
+		Load:        report.load,
+		Heard:       report.heard,
+		Outstanding: int(u.outstanding.Load()),
+		Failed:      slices.Contains(r.failed, u.id),
+	}
+}
+
+// deadline returns when an answer of the class has to start.
+func (s *Server) deadline(arrived clock.Time, c units.Class) clock.Time {
+	l := &s.options.Gate.Limits
+	switch c {
+	case units.Live:
+		return arrived.Add(l.Live)
+	case units.Night:
+		return arrived.Add(l.Night)
+	default:
+		return arrived.Add(l.Normal)
+	}
+}
