fakes/engine: add a stand-in for model engines

Cause: gateways and agents need an engine whose answers show gaps, crossed answers, repeated runs and overcommitted memory. Change: continuous batching, streams in OpenAI's chunk format, resumption, prefix events, load reports, orders with a memory ledger, cold start and faults.

--- /dev/null
+++ b/fakes/engine/engine_test.go
@@ -0,0 +1,290 @@
+package engine_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fakes/engine"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+const model units.ModelID = "m1"
+
+func start(t *testing.T, o engine.Options) *engine.Server {
+	t.Helper()
+	if o.Models == nil {
+		o.Models = []engine.Model{{ID: model, Bytes: 10}}
+	}
+	if o.TokenTime == 0 {
+		o.TokenTime = 1
+	}
+	s, err := engine.New(o)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return s
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(2*time.Millisecond), poll.WithTimeout(10*time.Second))
+}
+
+func client(s *engine.Server) openai.Client {
+	return openai.NewClient(option.WithBaseURL("http://"+s.Addr()+"/v1/"), option.WithAPIKey("none"), option.WithMaxRetries(0))
+}
+
+type body struct {
+	Model      units.ModelID `json:"model"`
+	Prompt     string        `json:"prompt"`
+	MaxTokens  int           `json:"max_tokens"`
+	ResumeFrom int           `json:"resume_from,omitempty"`
+}
+
+func post(t *testing.T, s *engine.Server, path string, v any) (int, string) {
+	t.Helper()
+	b, err := json.Marshal(v)
+	assert.NilError(t, err)
+	r, err := http.Post("http://"+s.Addr()+path, "application/json", bytes.NewReader(b))
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return r.StatusCode, string(text)
+}
+
+// Guards against chunks that OpenAI's client can't read, gaps between tokens, and a
+// missing usage.
+func TestStream(t *testing.T) {
+	s := start(t, engine.Options{})
+	c := client(s)
+	st := c.Chat.Completions.NewStreaming(context.Background(), openai.ChatCompletionNewParams{
+		Model: string(model), MaxTokens: openai.Int(20),
+		Messages:      []openai.ChatCompletionMessageParamUnion{openai.UserMessage("tell me")},
+		StreamOptions: openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)},
+	})
+	var acc openai.ChatCompletionAccumulator
+	for st.Next() {
+		assert.Assert(t, acc.AddChunk(st.Current()))
+	}
+	assert.NilError(t, st.Err())
+	prompt := engine.ChatPrompt(engine.Message{Role: "user", Content: "tell me"})
+	assert.Equal(t, acc.Choices[0].Message.Content, engine.Text(model, prompt, 0, 20))
+	assert.Equal(t, acc.Choices[0].FinishReason, "length")
+	assert.Equal(t, acc.Usage.CompletionTokens, int64(20))
+	assert.Equal(t, s.Runs(model, prompt), 1)
+	assert.Assert(t, s.Saw("Bearer none"))
+	assert.Assert(t, !s.Saw("Bearer other"))
+}
+
+// Guards against whole answers and embeddings that OpenAI's client can't read.
+func TestWhole(t *testing.T) {
+	s := start(t, engine.Options{})
+	c := client(s)
+	ctx := context.Background()
+	a, err := c.Completions.New(ctx, openai.CompletionNewParams{
+		Model: openai.CompletionNewParamsModel(model), MaxTokens: openai.Int(9),
+		Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("go len=4")},
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, a.Choices[0].Text, engine.Text(model, "go len=4", 0, 4))
+	assert.Equal(t, string(a.Choices[0].FinishReason), "stop")
+	e, err := c.Embeddings.New(ctx, openai.EmbeddingNewParams{
+		Model: openai.EmbeddingModel(model), Input: openai.EmbeddingNewParamsInputUnion{OfArrayOfStrings: []string{"a", "b"}},
+	})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, e.Data[1].Embedding, engine.Embedding(model, "b"))
+	_, err = c.Embeddings.New(ctx, openai.EmbeddingNewParams{
+		Model: "absent", Input: openai.EmbeddingNewParamsInputUnion{OfString: openai.String("a")},
+	})
+	var refusal *openai.Error
+	assert.Assert(t, errors.As(err, &refusal))
+	assert.Equal(t, refusal.Code, "model_not_found")
+}
+
+// Guards against a resumed stream with a gap or a repetition.
+func TestResumeAfterCut(t *testing.T) {
+	s := start(t, engine.Options{})
+	s.Update(func(f *engine.Faults) { f.CutStreams, f.CutAfter = 1, 5 })
+	c := client(s)
+	p := openai.CompletionNewParams{
+		Model: openai.CompletionNewParamsModel(model), MaxTokens: openai.Int(12),
+		Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("go on")},
+	}
+	var text strings.Builder
+	read := func(o ...option.RequestOption) error {
+		st := c.Completions.NewStreaming(context.Background(), p, o...)
+		for st.Next() {
+			if len(st.Current().Choices) > 0 {
+				text.WriteString(st.Current().Choices[0].Text)
+			}
+		}
+		return st.Err()
+	}
+	assert.Assert(t, read() != nil)
+	assert.Equal(t, text.String(), engine.Text(model, "go on", 0, 5))
+	assert.NilError(t, read(option.WithJSONSet("resume_from", 5)))
+	assert.Equal(t, text.String(), engine.Text(model, "go on", 0, 12))
+	assert.Equal(t, s.Runs(model, "go on"), 2)
+}
+
+// Guards against requests that go on after their caller left.
+func TestCancel(t *testing.T) {
+	s := start(t, engine.Options{})
+	c := client(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	st := c.Completions.NewStreaming(ctx, openai.CompletionNewParams{
+		Model: openai.CompletionNewParamsModel(model), MaxTokens: openai.Int(100_000),
+		Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("x")},
+	})
+	assert.Assert(t, st.Next())
+	cancel()
+	eventually(t, "cancelled", func() bool { return s.Counts().Cancelled == 1 })
+	assert.Equal(t, s.Requests()[0].Outcome, engine.Cancelled)
+}
+
+// Guards against a marker that doesn't crash the engine, and against state that
+// survives a crash.
+func TestCrash(t *testing.T) {
+	s := start(t, engine.Options{Marker: "boom", Restart: 50})
+	s.LoadModel(engine.Model{ID: "m2"})
+	code, _ := post(t, s, "/v1/completions", body{model, "go boom", 5, 0})
+	assert.Equal(t, code, 0)
+	eventually(t, "restarted", func() bool {
+		code, _ := post(t, s, "/v1/completions", body{model, "go", 5, 0})
+		return code == http.StatusOK
+	})
+	assert.Equal(t, s.Counts().Crashes, int64(1))
+	assert.Equal(t, len(s.Models()), 1)
+	assert.Assert(t, s.Cold())
+}
+
+// Guards against a cold engine that bears full load, or that never gets warm.
+func TestCold(t *testing.T) {
+	s := start(t, engine.Options{Cold: true, ColdLimit: 2, ColdAnswers: 3, CollapseTime: 50})
+	codes := make(chan int, 3)
+	for range 3 {
+		go func() {
+			code, _ := post(t, s, "/v1/completions", body{model, "x", 1000, 0})
+			codes <- code
+		}()
+	}
+	for range 3 {
+		assert.Equal(t, <-codes, http.StatusInternalServerError)
+	}
+	assert.Equal(t, s.Counts().Collapses, int64(1))
+	code, _ := post(t, s, "/v1/completions", body{model, "x", 1, 0})
+	assert.Equal(t, code, http.StatusServiceUnavailable)
+	eventually(t, "warm", func() bool {
+		post(t, s, "/v1/completions", body{model, "x", 1, 0})
+		return !s.Cold()
+	})
+}
+
+// Guards against an overcommit that is not recorded and against memory that counts
+// as free before an unload is over.
+func TestMemory(t *testing.T) {
+	s := start(t, engine.Options{Capacity: 25, UnloadTime: 100})
+	order := func(o engine.Order) int {
+		code, _ := post(t, s, "/orders", o)
+		return code
+	}
+	assert.Equal(t, order(engine.Order{Op: engine.OpLoad, Model: "m2", Bytes: 15}), http.StatusOK)
+	assert.Equal(t, s.Counts().Overcommits, int64(0))
+	unloaded := make(chan int, 1)
+	go func() { unloaded <- order(engine.Order{Op: engine.OpUnload, Model: "m2"}) }()
+	eventually(t, "unload begins", func() bool { return s.Models()[1].State == engine.Unloading })
+	assert.Equal(t, order(engine.Order{Op: engine.OpLoad, Model: model, Adapter: "a1", Bytes: 1}), http.StatusOK)
+	assert.Equal(t, s.Counts().Overcommits, int64(1))
+	assert.Equal(t, <-unloaded, http.StatusOK)
+	assert.Equal(t, order(engine.Order{Op: engine.OpUnload, Model: model}), http.StatusConflict)
+	assert.Equal(t, order(engine.Order{Op: engine.OpLoad, Model: "m9", Adapter: "a2"}), http.StatusNotFound)
+	code, _ := post(t, s, "/v1/completions", body{"a1", "x", 1, 0})
+	assert.Equal(t, code, http.StatusOK)
+}
+
+// Guards against an old controller that is obeyed unnoticed.
+func TestFence(t *testing.T) {
+	for _, check := range []bool{true, false} {
+		s := start(t, engine.Options{CheckFence: check})
+		post(t, s, "/orders", engine.Order{Fence: 7, Op: engine.OpLoad, Model: "m2"})
+		code, _ := post(t, s, "/orders", engine.Order{Fence: 6, Op: engine.OpLoad, Model: "m3"})
+		assert.Equal(t, code == http.StatusConflict, check)
+		assert.Equal(t, s.Counts().StaleOrders == 0, check)
+	}
+}
+
+// Guards against load numbers without the lag of real engines.
+func TestLoadLag(t *testing.T) {
+	s := start(t, engine.Options{LoadLag: 300, TokenTime: 20})
+	load := func() (l engine.Load) {
+		r, err := http.Get("http://" + s.Addr() + "/load")
+		assert.NilError(t, err)
+		defer r.Body.Close()
+		assert.NilError(t, json.NewDecoder(r.Body).Decode(&l))
+		return l
+	}
+	go post(t, s, "/v1/completions", body{model, "x", 50, 0})
+	eventually(t, "running", func() bool { return s.Counts().Tokens > 0 })
+	assert.Equal(t, load().Running, 0)
+	eventually(t, "reported", func() bool { return load().Running == 1 })
+	assert.Equal(t, load().Models[0].ID, model)
+	eventually(t, "finished", func() bool { return s.Counts().Done == 1 })
+}
+
+// Guards against prefix events that come at once or without gaps.
+func TestPrefixEvents(t *testing.T) {
+	const lag = 100 * clock.Millisecond
+	s := start(t, engine.Options{EventLag: lag, EventGaps: 0.5, PrefixBlocks: 4})
+	begin := time.Now()
+	for i := range 20 {
+		post(t, s, "/v1/completions", body{model, strings.Repeat(string(rune('a'+i)), 130), 1, 0})
+	}
+	r, err := http.Get("http://" + s.Addr() + "/events")
+	assert.NilError(t, err)
+	defer r.Body.Close()
+	gaps, last := 0, int64(0)
+	for lines := bufio.NewScanner(r.Body); last < 40 && lines.Scan(); {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		assert.Assert(t, time.Since(begin) >= lag.Duration())
+		var e engine.PrefixEvent
+		assert.NilError(t, json.Unmarshal([]byte(data), &e))
+		if e.Sequence != last+1 {
+			gaps++
+		}
+		last = e.Sequence
+	}
+	assert.Assert(t, gaps > 0)
+}
--- /dev/null
+++ b/fakes/engine/fault.go
@@ -0,0 +1,44 @@
+package engine
+
+import (
+	"net/http"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fakes/serve"
+)
+
+type crashRequest struct {
+	Millis clock.Span `json:"millis"`
+}
+
+type coldRequest struct {
+	On bool `json:"on"`
+}
+
+// faultRoutes adds the methods of the server that tests of separate processes
+// need.
+func (s *Server) faultRoutes(m *http.ServeMux) {
+	m.Handle("/fault", &s.faults)
+	m.HandleFunc("POST /fault/crash", func(w http.ResponseWriter, r *http.Request) {
+		var q crashRequest
+		if !serve.Read(w, r, &q) {
+			return
+		}
+		// Over HTTP nothing could end a crash without a time limit.
+		orDefault(&q.Millis, s.options.Restart)
+		s.Crash(q.Millis)
+	})
+	m.HandleFunc("POST /fault/cold", func(w http.ResponseWriter, r *http.Request) {
+		var q coldRequest
+		if serve.Read(w, r, &q) {
+			s.SetCold(q.On)
+		}
+	})
+	m.HandleFunc("POST /fault/forget", func(http.ResponseWriter, *http.Request) { s.Forget() })
+	m.HandleFunc("GET /fault/counts", func(w http.ResponseWriter, _ *http.Request) {
+		serve.Write(w, http.StatusOK, s.Counts())
+	})
+	m.HandleFunc("GET /fault/requests", func(w http.ResponseWriter, _ *http.Request) {
+		serve.Write(w, http.StatusOK, s.Requests())
+	})
+}
--- /dev/null
+++ b/fakes/engine/memory.go
@@ -0,0 +1,104 @@
+package engine
+
+import (
+	"slices"
+
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// State is the state of a model or adapter in the memory of the engine.
+type State string
+
+// States in memory; each of them occupies memory.
+const (
+	Loading   State = "loading"
+	Resident  State = "resident"
+	Unloading State = "unloading"
+)
+
+// Model is a model or an adapter in the memory of the engine.
+type Model struct {
+	ID units.ModelID `json:"id"`
+	// Base is the model that an adapter belongs to; empty for a model.
+	Base    units.ModelID `json:"base,omitempty"`
+	Version int64         `json:"version"`
+	Bytes   units.Bytes   `json:"bytes"`
+	State   State         `json:"state"`
+}
+
+// memory holds what occupies the accelerator; it needs s.mu.
+type memory struct {
+	entries []*Model
+	fence   units.Fence
+}
+
+func (m *memory) reset(models []Model) {
+	*m = memory{}
+	for _, v := range models {
+		v.State = Resident
+		m.entries = append(m.entries, &v)
+	}
+}
+
+func (m *memory) used() units.Bytes {
+	var sum units.Bytes
+	for _, e := range m.entries {
+		sum += e.Bytes
+	}
+	return sum
+}
+
+func (m *memory) find(id units.ModelID, version int64) *Model {
+	for _, e := range m.entries {
+		if e.ID == id && e.Version == version {
+			return e
+		}
+	}
+	return nil
+}
+
+func (m *memory) resident(id units.ModelID) *Model {
+	for _, e := range m.entries {
+		if e.ID == id && e.State == Resident {
+			return e
+		}
+	}
+	return nil
+}
+
+// serves returns the base model of the target and whether both are resident.
+func (m *memory) serves(target units.ModelID) (units.ModelID, bool) {
+	e := m.resident(target)
+	if e == nil {
+		return "", false
+	}
+	if e.Base == "" {
+		return target, true
+	}
+	return e.Base, m.resident(e.Base) != nil
+}
+
+// hasAdapters reports whether an adapter needs the model and no other version of
+// the model is resident.
+func (m *memory) hasAdapters(e *Model) bool {
+	other := slices.ContainsFunc(m.entries, func(o *Model) bool {
+		return o != e && o.ID == e.ID && o.State == Resident
+	})
+	adapter := slices.ContainsFunc(m.entries, func(o *Model) bool { return o.Base == e.ID && e.Base == "" })
+	return adapter && !other
+}
+
+func (m *memory) remove(e *Model) {
+	m.entries = slices.DeleteFunc(m.entries, func(o *Model) bool { return o == e })
+}
+
+// list returns the models or the adapters.
+func (m *memory) list(adapters bool) []Model {
+	found := make([]Model, 0, len(m.entries))
+	for _, e := range m.entries {
+		if (e.Base != "") == adapters {
+			found = append(found, *e)
+		}
+	}
+	return found
+}
