gate: add limits, services, peers, graceful stop and calls that run once

Bounds connections, requests in progress by process and customer, and the memory of request bodies. Ends the requests of a withdrawn key. Routes plain services with open routes and Idempotency-Key, answers other gateways, and exchanges configuration versions on control streams.

--- a/gate/admin.go
+++ b/gate/admin.go
@@ -5,7 +5,7 @@
 	"net/http"
 )
 
-func newAdmin(s *Server) http.Handler {
+func (s *Server) adminHandler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		reply(w, http.StatusOK, "ok\n")
--- a/gate/answer.go
+++ b/gate/answer.go
@@ -29,6 +29,9 @@
 	arrived time.Time
 	// resumable is set for answers in events, which can continue on another upstream.
 	resumable bool
+	// keep is set when the whole answer has to be kept for a repeated call.
+	keep bool
+	kept []byte
 	// next is the index of the event that the caller needs next.
 	next int64
 	// sent is set when the caller has the head of the answer.
@@ -50,6 +53,7 @@
 func (a *answer) begin() {
 	a.status, a.header, a.started, a.events = 0, nil, false, false
 	a.held = a.held[:0]
+	a.kept = nil
 	a.position = -1
 }
 
@@ -79,6 +83,9 @@
 	if !a.started {
 		return errFrame
 	}
+	if a.keep && len(a.kept) <= maxHeldBytes {
+		a.kept = append(a.kept, p.Data...)
+	}
 	if a.events && a.resumable {
 		return a.event(p)
 	}
@@ -112,7 +119,14 @@
 	if len(data) == 0 {
 		return nil
 	}
+	if a.writer.failed && a.keep {
+		return nil
+	}
 	if _, err := a.writer.Write(data); err != nil {
+		if a.keep {
+			// The answer is stored for a repeated call although the caller has gone.
+			return nil
+		}
 		return errors.Wrap(errWrite, err.Error())
 	}
 	now := time.Now()
@@ -139,18 +153,18 @@
 	a.writer.WriteHeader(a.status)
 }
 
-// abort ends an answer that the caller has in part. An answer in events gets an
-// event with the error; any other is cut off, so that the caller sees that it is
-// not whole.
-func (a *answer) abort(p *Problem) {
-	p = p.public()
-	stats.Refuse(p.Code)
-	if a.writer.failed {
-		return
-	}
-	if !a.events && !a.resumable {
-		panic(http.ErrAbortHandler)
+// stored returns the complete answer, or nil when it is too large to be kept.
+func (a *answer) stored() *Stored {
+	if len(a.kept) > maxHeldBytes {
+		return nil
 	}
-	event := append([]byte("data: "), p.encode()...)
-	_, _ = a.writer.Write(append(event, "\n\n"...)) // the caller may have gone
+	return &Stored{Status: a.status, Header: a.header, Body: a.kept}
+}
+
+// replay sends a stored answer.
+func (a *answer) replay(s *Stored) error {
+	a.begin()
+	a.started = true
+	a.status, a.header, a.held = s.Status, s.Header, s.Body
+	return a.done()
 }
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -19,7 +19,7 @@
 	answer   *answer
 	clock    clock.Clock
 	stall    clock.Span
-	id       string
+	id       units.AttemptID
 	stream   *wire.Stream
 	started  clock.Time
 	result   Result
@@ -54,8 +54,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	a.arm(a.request.query.Deadline.Add(graceSpan))
-	call := a.request.call(a.started, a.upstream.permit(permit, a.started), a.answer.next)
-	a.id = call.Attempt
+	call := a.request.call(a.id, a.started, a.upstream.permit(permit, a.started), a.answer.next)
 	a.answer.begin()
 	// A part of the call may have arrived even if sending failed, but an agent runs
 	// only a whole call.
@@ -111,7 +110,7 @@
 }
 
 func (a *attempt) mine(id string) bool {
-	if id == a.id {
+	if id == string(a.id) {
 		return true
 	}
 	stats.Event("frame_of_other_attempt")
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -6,21 +6,20 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/config"
+	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
 
-// ErrLeft is the result of Run when requests were still running at the time
-// limit of the graceful stop.
-var ErrLeft = errors.New("requests were still running at the time limit of the stop")
+// ErrLeft is the result of Run when requests were cut off at the time limit of the
+// graceful stop.
+var ErrLeft = errors.New("requests were cut off at the time limit of the stop")
 
 // Options configure a Server.
 type Options struct {
@@ -32,6 +31,13 @@
 	Picker    Picker
 	Limiter   Limiter
 	Retrier   Retrier
+	Configs   Configs
+	// Once is needed for calls with an Idempotency-Key; without it they are refused.
+	Once Once
+	// Work is needed for deferred work; without it such requests are refused.
+	Work Work
+	// Receiver takes the control frames that the gateway does not handle itself.
+	Receiver Receiver
 	// Clock is clock.System when nil.
 	Clock clock.Clock
 }
@@ -42,7 +48,7 @@
 		o.Clock = clock.System{}
 	}
 	if o.Directory == nil {
-		o.Directory = &Static{}
+		o.Directory = o.Gate.Static.directory()
 	}
 	if o.Picker == nil {
 		o.Picker = LeastOutstanding{}
@@ -53,29 +59,39 @@
 	if o.Retrier == nil {
 		o.Retrier = RetryOnce{}
 	}
+	if o.Configs == nil {
+		o.Configs = &Newest{}
+	}
 }
 
 // Server is a gateway.
 type Server struct {
 	options   Options
+	wire      wire.Options
 	clock     clock.Clock
 	directory atomic.Pointer[Directory]
-	links     *links
+	agents    *links
+	gateways  *links
 	running   *running
+	budget    budget
 	public    *listener
 	admin     *listener
-	peers     net.Listener
+	peers     *peers
 	leaving   atomic.Bool
-	draining  atomic.Bool
 }
 
 // New opens the listeners. Run has to be called to serve and to close them.
 func New(o Options) (*Server, error) {
 	o.setDefaults()
-	s := &Server{options: o, clock: o.Clock, running: newRunning()}
-	s.SetDirectory(o.Directory)
-	self := wire.Identity{ID: o.Node.ID, Role: wire.Gateway, Zone: o.Node.Zone}
-	s.links = newLinks(wire.Options{Self: self, Secret: o.Secret}, o.Clock)
+	s := &Server{options: o, clock: o.Clock, running: newRunning(&o.Gate.Limits)}
+	s.budget.limit = o.Gate.Limits.BufferBytes
+	s.wire = wire.Options{
+		Self:   wire.Identity{ID: o.Node.ID, Role: wire.Gateway, Zone: o.Node.Zone},
+		Secret: o.Secret,
+	}
+	s.directory.Store(&o.Directory)
+	s.agents = newLinks(s, wire.Agent)
+	s.gateways = newLinks(s, wire.Gateway)
 	if err := s.listen(); err != nil {
 		s.closeListeners()
 		return nil, err
@@ -88,15 +104,18 @@
 	if err != nil {
 		return err
 	}
-	if s.public, err = newListener("public", s.options.Gate.Public, handler, &s.options.Gate.Limits); err != nil {
+	l := &s.options.Gate.Limits
+	if s.public, err = newListener("public", s.options.Gate.Public, handler, l); err != nil {
 		return err
 	}
-	if s.admin, err = newListener("admin", s.options.Node.Admin, s.adminHandler(), &s.options.Gate.Limits); err != nil {
+	if s.admin, err = newListener("admin", s.options.Node.Admin, s.adminHandler(), l); err != nil {
 		return err
 	}
-	if s.peers, err = net.Listen("tcp", s.options.Node.Peer); err != nil { //nolint:noctx // no context at start
+	n, err := net.Listen("tcp", s.options.Node.Peer) //nolint:noctx // no context at start
+	if err != nil {
 		return fmt.Errorf("listen on peer address: %w", err)
 	}
+	s.peers = &peers{server: s, net: n}
 	return nil
 }
 
@@ -106,9 +125,6 @@
 			_ = l.net.Close()
 		}
 	}
-	if s.peers != nil {
-		_ = s.peers.Close()
-	}
 }
 
 // Addr returns the address for callers.
@@ -118,13 +134,23 @@
 func (s *Server) AdminAddr() net.Addr { return s.admin.net.Addr() }
 
 // PeerAddr returns the address for sessions from other gateways.
-func (s *Server) PeerAddr() net.Addr { return s.peers.Addr() }
-
-// SetDirectory replaces the snapshot of who may call what.
-func (s *Server) SetDirectory(d Directory) { s.directory.Store(&d) }
+func (s *Server) PeerAddr() net.Addr { return s.peers.net.Addr() }
 
 // SetAgents replaces the addresses of the agents.
-func (s *Server) SetAgents(addresses []string) { s.links.set(addresses) }
+func (s *Server) SetAgents(addresses []string) { s.agents.set(addresses) }
+
+// SetGateways replaces the addresses of the other gateways.
+func (s *Server) SetGateways(addresses []string) { s.gateways.set(addresses) }
+
+// Connected returns the identifiers of the connected agents.
+func (s *Server) Connected() []units.UpstreamID {
+	up := *s.agents.up.Load()
+	ids := make([]units.UpstreamID, 0, len(up))
+	for _, u := range up {
+		ids = append(ids, u.id)
+	}
+	return ids
+}
 
 // Run serves until the context is done, and then stops gracefully. It returns
 // ErrLeft when requests were cut off at the time limit.
@@ -132,36 +158,18 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	parts := &group{}
-	parts.start(func() { s.links.run(work, s.options.Gate.Agents) })
-	parts.start(func() { s.public.serve() })
-	parts.start(func() { s.admin.serve() })
-	klog.Infof("gate: serves callers on %s, peers on %s, admin on %s", s.Addr(), s.PeerAddr(), s.AdminAddr())
+	parts.start(func() { s.agents.run(work, s.options.Gate.Agents) })
+	parts.start(func() { s.gateways.run(work, s.options.Gate.Gateways) })
+	parts.start(func() { s.peers.run(work) })
+	parts.start(s.public.serve)
+	parts.start(s.admin.serve)
+	klog.Infof("gate: serves callers on %s, gateways on %s, admin on %s", s.Addr(), s.PeerAddr(), s.AdminAddr())
 	<-ctx.Done()
 	err := s.stop()
+	s.public.shutdown()
 	cancel()
-	s.public.close()
-	s.admin.close()
-	_ = s.peers.Close()
+	s.admin.shutdown()
 	parts.wait()
+	klog.Infof("gate: has stopped")
 	return err
 }
-
-func (s *Server) stop() error {
-	s.leaving.Store(true)
-	s.draining.Store(true)
-	limit := s.options.Gate.Limits.Stop.Duration()
-	klog.Infof("gate: stops, %d requests are running, the limit is %v", s.running.count(), limit)
-	select {
-	case <-s.running.idle():
-		return nil
-	case <-time.After(limit):
-		return fmt.Errorf("stop: %d left: %w", s.running.count(), ErrLeft)
-	}
-}
-
-func (s *Server) adminHandler() http.Handler {
-	return newAdmin(s)
-}
-
-// Connected returns the number of connected agents.
-func (s *Server) Connected() int { return len(*s.links.up.Load()) }
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -32,7 +32,7 @@
 	o := gate.Options{
 		Node:      config.Node{ID: "g1", Zone: "a", Peer: local, Admin: local},
 		Secret:    []byte(secret),
-		Gate:      gate.Settings{Public: local},
+		Gate:      gate.Settings{Public: local, Limits: gate.Limits{Notice: 1}},
 		Directory: directory(),
 	}
 	for _, a := range agents {
@@ -50,7 +50,7 @@
 		cancel()
 		assert.NilError(t, <-done)
 	})
-	eventually(t, func() bool { return s.Connected() == len(agents) })
+	eventually(t, func() bool { return len(s.Connected()) == len(agents) })
 	return s
 }
 
--- a/gate/keys.go
+++ b/gate/keys.go
@@ -18,21 +18,22 @@
 //
 //nolint:revive // the name is generated
 func (k *keys) HandleApiKey(ctx context.Context, _ llmapi.OperationName, t llmapi.ApiKey) (context.Context, error) {
-	return ctx, k.check(ctx, t.APIKey)
+	return ctx, k.server.authenticate(exchangeOf(ctx), t.APIKey)
 }
 
 // HandleBearer implements llmapi.SecurityHandler.
 func (k *keys) HandleBearer(ctx context.Context, _ llmapi.OperationName, t llmapi.Bearer) (context.Context, error) {
-	return ctx, k.check(ctx, t.Token)
+	return ctx, k.server.authenticate(exchangeOf(ctx), t.Token)
 }
 
-// check looks the key up by its hash, so that the time of the look-up tells
+// authenticate looks the key up by its hash, so that the time of the look-up tells
 // nothing about other keys.
-func (k *keys) check(ctx context.Context, key string) error {
-	c, ok := (*k.server.directory.Load()).Caller(HashKey(key))
+func (s *Server) authenticate(x *exchange, key string) error {
+	h := HashKey(key)
+	c, ok := s.snapshot().Caller(h)
 	if !ok {
-		return problem(units.InvalidKey, "the key is not valid")
+		return problem(units.InvalidKey, "the key is missing or not valid")
 	}
-	exchangeOf(ctx).caller = c
+	x.caller, x.key = c, h
 	return nil
 }
--- a/gate/link.go
+++ b/gate/link.go
@@ -11,14 +11,14 @@
 	"github.com/magnolialever/magnolialever/wire"
 )
 
-// Backoff of connections to agents: doubled from the first to the last, with
+// Backoff of connections to agents and gateways: doubled from the first to the last, with
 // jitter so that gateways don't return all at once.
 const (
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = 2 * time.Second
 )
 
-// link dials one agent for as long as it is listed.
+// link dials one process for as long as it is listed.
 type link struct {
 	address string
 	links   *links
@@ -34,8 +34,8 @@
 		if connected {
 			backoff = firstBackoff
 		}
-		stats.Event("agent_session_ended")
-		klog.V(1).Infof("gate: session with agent %s ended: %v", l.address, err)
+		stats.Event("link_ended")
+		klog.V(1).Infof("gate: session with %s %s ended: %v", l.links.role, l.address, err)
 		pause(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, lastBackoff)
 	}
@@ -43,18 +43,22 @@
 
 // connect runs one session and returns when it has ended.
 func (l *link) connect(ctx context.Context) (connected bool, err error) {
-	s, err := wire.Dial(ctx, l.address, l.links.wire)
+	server := l.links.server
+	s, err := wire.Dial(ctx, l.address, server.wire)
 	if err != nil {
 		return false, err
 	}
 	defer s.Close()
-	if s.Peer().Role != wire.Agent {
-		stats.Event("agent_wrong_role")
+	if s.Peer().Role != l.links.role {
+		stats.Event("link_wrong_role")
 		return false, errRole
 	}
-	u := newUpstream(s, l.links.clock)
+	u, err := newUpstream(s, server)
+	if err != nil {
+		return false, err
+	}
 	defer u.close(l.links)
-	return true, u.control(ctx, l.links)
+	return true, u.run(ctx, l.links)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/gate/links.go
+++ b/gate/links.go
@@ -6,16 +6,15 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/wire"
 )
 
-// links keeps one session for each agent.
+// links keeps one session for each listed agent or gateway.
 type links struct {
-	wire  wire.Options
-	clock clock.Clock
-	group group
-	// up holds the connected agents, for the traffic goroutines.
+	server *Server
+	role   wire.Role
+	group  group
+	// up holds the connected processes, for the traffic goroutines.
 	up atomic.Pointer[[]*upstream]
 
 	mu    sync.Mutex
@@ -23,8 +22,8 @@
 	stops map[string]context.CancelFunc
 }
 
-func newLinks(o wire.Options, c clock.Clock) *links {
-	l := &links{wire: o, clock: c, stops: map[string]context.CancelFunc{}}
+func newLinks(s *Server, r wire.Role) *links {
+	l := &links{server: s, role: r, stops: map[string]context.CancelFunc{}}
 	l.up.Store(&[]*upstream{})
 	return l
 }
@@ -79,3 +78,13 @@
 	next := slices.DeleteFunc(slices.Clone(*l.up.Load()), func(v *upstream) bool { return v == u })
 	l.up.Store(&next)
 }
+
+// broadcast sends a control frame to the connected processes that keep, if given,
+// wants. Sending may wait for a slow process, so each has a goroutine.
+func (l *links) broadcast(f *wire.Frame, keep func(id string) bool) {
+	for _, u := range *l.up.Load() {
+		if keep == nil || keep(string(u.id)) {
+			l.group.start(func() { _ = u.control.Send(f) }) // the session ends by itself
+		}
+	}
+}
--- a/gate/listen.go
+++ b/gate/listen.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 
 	"k8s.io/klog/v2"
 )
@@ -29,7 +30,7 @@
 		IdleTimeout:       l.Idle.Duration(),
 		MaxHeaderBytes:    l.HeaderBytes,
 	}
-	return &listener{name: name, net: n, http: s}, nil
+	return &listener{name: name, net: newBounded(n, l.Connections), http: s}, nil
 }
 
 func (l *listener) serve() {
@@ -38,4 +39,48 @@
 	}
 }
 
-func (l *listener) close() { _ = l.http.Close() }
+// bounded accepts only as many connections at once as it has places; further ones
+// wait in the backlog of the socket.
+type bounded struct {
+	net.Listener
+	places chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newBounded(l net.Listener, limit int) *bounded {
+	return &bounded{Listener: l, places: make(chan struct{}, limit), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (b *bounded) Accept() (net.Conn, error) {
+	select {
+	case b.places <- struct{}{}:
+	case <-b.closed:
+		return nil, net.ErrClosed
+	}
+	c, err := b.Listener.Accept()
+	if err != nil {
+		<-b.places
+		return nil, err
+	}
+	return &boundedConn{Conn: c, places: b.places}, nil
+}
+
+// Close implements net.Listener.
+func (b *bounded) Close() error {
+	b.once.Do(func() { close(b.closed) })
+	return b.Listener.Close()
+}
+
+type boundedConn struct {
+	net.Conn
+	places chan struct{}
+	once   sync.Once
+}
+
+// Close implements net.Conn.
+func (c *boundedConn) Close() error {
+	c.once.Do(func() { <-c.places })
+	return c.Conn.Close()
+}
--- a/gate/models.go
+++ b/gate/models.go
@@ -5,7 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
+	"strings"
 
 	"github.com/go-faster/jx"
 
@@ -21,25 +21,31 @@
 var _ llmapi.RawHandler = (*models)(nil)
 
 // CreateChatCompletion implements llmapi.RawHandler.
-func (m *models) CreateChatCompletion(ctx context.Context, req llmapi.CreateChatCompletionReq, params llmapi.CreateChatCompletionParams, _ http.ResponseWriter) error {
-	return m.generate(ctx, req, generation{class: string(params.XClass.Value), answers: true})
+func (m *models) CreateChatCompletion(ctx context.Context, req llmapi.CreateChatCompletionReq, params llmapi.CreateChatCompletionParams, w http.ResponseWriter) error {
+	return m.generate(ctx, w, req, string(params.XClass.Value), params.Prefer.Value)
 }
 
 // CreateCompletion implements llmapi.RawHandler.
-func (m *models) CreateCompletion(ctx context.Context, req llmapi.CreateCompletionReq, params llmapi.CreateCompletionParams, _ http.ResponseWriter) error {
-	return m.generate(ctx, req, generation{class: string(params.XClass.Value), answers: true})
+func (m *models) CreateCompletion(ctx context.Context, req llmapi.CreateCompletionReq, params llmapi.CreateCompletionParams, w http.ResponseWriter) error {
+	return m.generate(ctx, w, req, string(params.XClass.Value), params.Prefer.Value)
 }
 
 // CreateEmbedding implements llmapi.RawHandler.
-func (m *models) CreateEmbedding(ctx context.Context, req llmapi.CreateEmbeddingReq, params llmapi.CreateEmbeddingParams, _ http.ResponseWriter) error {
-	return m.generate(ctx, req, generation{class: string(params.XClass.Value)})
+func (m *models) CreateEmbedding(ctx context.Context, req llmapi.CreateEmbeddingReq, params llmapi.CreateEmbeddingParams, w http.ResponseWriter) error {
+	return m.generate(ctx, w, req, string(params.XClass.Value), params.Prefer.Value)
 }
 
 // GetDeferred implements llmapi.RawHandler.
-func (m *models) GetDeferred(context.Context, llmapi.GetDeferredParams, http.ResponseWriter) error {
-	p := problem(units.InvalidRequest, "there is no deferred work with this id")
-	p.Status = http.StatusNotFound
-	return p
+func (m *models) GetDeferred(ctx context.Context, params llmapi.GetDeferredParams, _ http.ResponseWriter) error {
+	work := m.server.options.Work
+	if work == nil {
+		return problem(units.StoreUnavailable, "there is no store for deferred work")
+	}
+	s, err := work.Get(ctx, exchangeOf(ctx).caller.Customer, params.ID)
+	if err != nil {
+		return err
+	}
+	return exchangeOf(ctx).replay(s)
 }
 
 // ListModels implements llmapi.RawHandler.
@@ -50,7 +56,7 @@
 		e.Field("object", func(e *jx.Encoder) { e.Str("list") })
 		e.Field("data", func(e *jx.Encoder) {
 			e.Arr(func(e *jx.Encoder) {
-				for _, n := range (*m.server.directory.Load()).Models(x.caller.Customer) {
+				for _, n := range m.server.snapshot().Models(x.caller.Customer) {
 					encodeModel(e, n)
 				}
 			})
@@ -74,70 +80,85 @@
 // ignoreGone drops the error of a write: a caller that has gone gets no answer.
 func ignoreGone(error) error { return nil }
 
-// generation is what the operation adds to the body.
-type generation struct {
-	class string
-	// answers is set when the model generates tokens.
-	answers bool
-}
+// respondAsync is the preference that defers work (RFC 7240).
+const respondAsync = "respond-async"
 
-func (m *models) generate(ctx context.Context, body io.Reader, g generation) error {
+func (m *models) generate(ctx context.Context, w http.ResponseWriter, from io.Reader, className, prefer string) error {
 	x := exchangeOf(ctx)
-	data, p := m.server.readBody(x, body)
+	class, p := classOf(x, className)
 	if p != nil {
 		return p
 	}
-	f, p := scan(data)
+	b, p := m.server.readBody(x, from)
 	if p != nil {
 		return p
 	}
-	if !(*m.server.directory.Load()).Model(x.caller.Customer, units.ModelID(f.model)) {
-		p := problem(units.ModelNotFound, "there is no model "+strconv.Quote(f.model))
-		p.Param = fieldModel
+	defer m.server.release(b)
+	path := x.request.URL.RequestURI()
+	q, p := m.server.generation(x.caller, class, path, b.data)
+	if p != nil {
 		return p
 	}
-	class := x.caller.Class
-	if g.class != "" {
-		class, _ = units.ParseClass(g.class) // the generated server has checked it
+	if class == units.Night && strings.Contains(prefer, respondAsync) {
+		return m.submit(ctx, w, q, x)
 	}
-	q := &request{
+	return m.server.serve(ctx, x, q)
+}
+
+// generation returns the request for a body, checked.
+func (s *Server) generation(c Caller, class units.Class, path string, data []byte) (*request, *Problem) {
+	f, p := scan(data)
+	if p != nil {
+		return nil, p
+	}
+	if !s.snapshot().Model(c.Customer, units.ModelID(f.model)) {
+		p := problem(units.ModelNotFound, "there is no model "+strconv.Quote(f.model))
+		p.Param = fieldModel
+		return nil, p
+	}
+	answers := !strings.HasPrefix(path, "/v1/embeddings")
+	now := s.clock.Now()
+	return &request{
 		query: Query{
-			Customer:    x.caller.Customer,
+			Customer:    c.Customer,
 			Target:      f.model,
 			Class:       class,
-			Cost:        f.cost(len(data), g.answers),
-			Fingerprint: fingerprint(x.caller.Customer, f.model, data),
-			Deadline:    m.server.deadline(x.arrived, class),
+			Cost:        f.cost(len(data), answers),
+			Fingerprint: fingerprint(c.Customer, f.model, data),
+			Deadline:    s.deadline(now, class),
 			Idempotent:  true,
 		},
+		caller: c,
 		kind:   kindModel,
+		method: http.MethodPost,
+		path:   path,
 		body:   data,
-		stream: f.stream && g.answers,
-	}
-	return m.server.serve(ctx, x, q)
+		stream: f.stream && answers,
+	}, nil
 }
 
-// serve runs the request and writes its answer. The error is for the caller, who
-// has received nothing yet.
-func (s *Server) serve(ctx context.Context, x *exchange, q *request) error {
-	ctx, q.cancel = context.WithCancelCause(ctx)
-	defer q.cancel(nil)
-	q.caller = x.caller
-	q.arrived = x.arrived
-	q.method = x.request.Method
-	q.path = x.request.URL.RequestURI()
-	q.header = passRequest(x.request.Header)
-	s.running.add(q)
-	defer s.running.remove(q)
-	a := &answer{writer: x.writer, arrived: time.Now(), resumable: q.stream}
-	r := &relay{server: s, request: q, answer: a}
-	p := r.run(ctx)
-	if p == nil {
-		return nil
+// submit stores a request as deferred work.
+func (m *models) submit(ctx context.Context, w http.ResponseWriter, q *request, x *exchange) error {
+	work := m.server.options.Work
+	if work == nil {
+		return problem(units.StoreUnavailable, "there is no store for deferred work")
 	}
-	if !a.sent {
-		return p
+	j := Job{Caller: q.caller, Method: q.method, Path: q.path, Header: passRequest(x.request.Header), Body: q.body}
+	id, err := work.Submit(ctx, j)
+	if err != nil {
+		return err
 	}
-	a.abort(p)
-	return nil
+	var e jx.Encoder
+	e.Obj(func(e *jx.Encoder) {
+		e.Field("id", func(e *jx.Encoder) { e.Str(id) })
+		e.Field("object", func(e *jx.Encoder) { e.Str("deferred") })
+		e.Field("status", func(e *jx.Encoder) { e.Str("queued") })
+	})
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Preference-Applied", respondAsync)
+	h.Set("Location", "/v1/deferred/"+id)
+	w.WriteHeader(http.StatusAccepted)
+	_, err = w.Write(e.Bytes())
+	return ignoreGone(err)
 }
--- a/gate/public.go
+++ b/gate/public.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/ogen-go/ogen/ogenerrors"
@@ -20,7 +22,9 @@
 	writer  *writer
 	request *http.Request
 	arrived clock.Time
+	started time.Time
 	caller  Caller
+	key     KeyHash
 }
 
 type exchangeKey struct{}
@@ -38,17 +42,29 @@
 		return nil, fmt.Errorf("callers' interface: %w", err)
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		x := &exchange{writer: newWriter(w, s.options.Gate.Limits.Write), request: r, arrived: s.clock.Now()}
-		x.writer.arm()
-		if s.draining.Load() {
-			w.Header().Set("Connection", "close")
-			problem(units.Draining, "the gateway stops").write(w)
-			return
-		}
-		api.ServeHTTP(x.writer, r.WithContext(context.WithValue(r.Context(), exchangeKey{}, x)))
+		s.admit(api, newWriter(w, s.options.Gate.Limits.Write), r)
 	}), nil
 }
 
+// admit handles a request if there is a place for it.
+func (s *Server) admit(api http.Handler, w *writer, r *http.Request) {
+	w.arm()
+	if p := s.running.enter(); p != nil {
+		w.Header().Set("Connection", "close")
+		p.write(w)
+		return
+	}
+	defer s.running.leave()
+	x := &exchange{writer: w, request: r, arrived: s.clock.Now(), started: time.Now()}
+	if strings.HasPrefix(r.URL.Path, servicePrefix) {
+		if err := s.call(r.Context(), x); err != nil {
+			requestProblem(err).write(w)
+		}
+		return
+	}
+	api.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), exchangeKey{}, x)))
+}
+
 // apiError answers with errors of the generated server and of the handlers.
 func apiError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
 	requestProblem(err).write(w)
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 
+	"github.com/google/uuid"
+
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
@@ -17,23 +19,38 @@
 	failed  []units.UpstreamID
 	failure Failure
 	// ran is set when an upstream may have run the request.
-	ran  bool
-	used units.Tokens
+	ran bool
+	// stuck is set when the record of the call does not allow an attempt.
+	stuck bool
+	used  units.Tokens
 }
 
 // run returns nil after a complete answer.
 func (r *relay) run(ctx context.Context) *Problem {
-	reservation, err := r.server.options.Limiter.Reserve(ctx, &r.request.query)
-	if err != nil {
-		return problemOf(err)
+	reservation, p := r.reserve(ctx)
+	if p != nil {
+		return p
 	}
-	p := r.attempts(ctx, &reservation)
+	p = r.attempts(ctx, &reservation)
 	if reservation != nil {
 		reservation.Settle(r.ran, r.used)
 	}
 	return p
 }
 
+// reserve takes the cost from the customer's rate. Calls of plain services cost no
+// tokens.
+func (r *relay) reserve(ctx context.Context) (Reservation, *Problem) {
+	if r.request.query.Cost == 0 {
+		return unlimited{expires: r.server.clock.Now().Add(permitSpan)}, nil
+	}
+	v, err := r.server.options.Limiter.Reserve(ctx, &r.request.query)
+	if err != nil {
+		return nil, problemOf(err)
+	}
+	return v, nil
+}
+
 func (r *relay) attempts(ctx context.Context, reservation *Reservation) *Problem {
 	var last *Problem
 	for {
@@ -54,9 +71,9 @@
 		}
 		(*reservation).Settle(r.ran, r.used)
 		*reservation = nil
-		next, err := r.server.options.Limiter.Reserve(ctx, &r.request.query)
-		if err != nil {
-			return r.final(nil, problemOf(err))
+		next, p := r.reserve(ctx)
+		if p != nil {
+			return r.final(nil, p)
 		}
 		*reservation = next
 	}
@@ -75,7 +92,11 @@
 
 // again reports whether another attempt may start, after the wait for it.
 func (r *relay) again(ctx context.Context, p *Problem) bool {
-	if ctx.Err() != nil || r.answer.writer.failed {
+	if ctx.Err() != nil || r.answer.writer.failed || r.stuck {
+		return false
+	}
+	// Without a record nothing tells the next attempt from the first.
+	if !r.request.query.Idempotent && r.request.once == "" {
 		return false
 	}
 	if r.answer.sent && (!r.answer.resumable || r.answer.next == 0) {
@@ -97,17 +118,22 @@
 func (r *relay) attempt(ctx context.Context, u *upstream, permit Permit) *Problem {
 	s := r.server
 	a := &attempt{
+		id:       units.AttemptID(uuid.NewString()),
 		request:  r.request,
 		upstream: u,
 		answer:   r.answer,
 		clock:    s.clock,
 		stall:    s.options.Gate.Limits.Stall,
 	}
+	if done, p := r.begin(ctx, a); done || p != nil {
+		return p
+	}
 	u.outstanding.Add(1)
 	s.options.Picker.Started(s.clock.Now(), u.id, &r.request.query)
 	p := a.run(ctx, permit)
 	u.outstanding.Add(-1)
 	s.options.Picker.Ended(s.clock.Now(), u.id, &r.request.query, a.result)
+	r.end(ctx, a, p)
 	r.used += a.result.Used
 	if p == nil {
 		r.ran = true
@@ -125,6 +151,50 @@
 	return p
 }
 
+// begin records the attempt of a call that must not be repeated. It is done when
+// the answer of an earlier attempt has been sent.
+func (r *relay) begin(ctx context.Context, a *attempt) (done bool, p *Problem) {
+	if r.request.once == "" {
+		return false, nil
+	}
+	if r.server.options.Once == nil {
+		r.stuck = true
+		return false, problem(units.StoreUnavailable, "calls with an Idempotency-Key can't be recorded")
+	}
+	s, err := r.server.options.Once.Begin(ctx, r.record(a))
+	if err != nil {
+		r.stuck = true
+		return false, problemOf(err)
+	}
+	if s == nil {
+		return false, nil
+	}
+	stats.Event("answer_replayed")
+	return true, a.fail(r.answer.replay(s))
+}
+
+func (r *relay) record(a *attempt) OnceCall {
+	return OnceCall{
+		Customer:    r.request.query.Customer,
+		Key:         r.request.once,
+		Attempt:     a.id,
+		Upstream:    a.upstream.id,
+		Fingerprint: r.request.query.Fingerprint,
+	}
+}
+
+// end completes the record of the attempt.
+func (r *relay) end(ctx context.Context, a *attempt, p *Problem) {
+	if r.request.once == "" {
+		return
+	}
+	var s *Stored
+	if p == nil {
+		s = r.answer.stored()
+	}
+	r.server.options.Once.End(context.WithoutCancel(ctx), r.record(a), s, p == nil || p.Ran)
+}
+
 // manyCandidates is the number of candidates that need no allocation.
 const manyCandidates = 32
 
@@ -135,7 +205,7 @@
 	)
 	candidates, upstreams := spaceC[:0], spaceU[:0]
 	now := r.server.clock.Now()
-	for _, u := range *r.server.links.up.Load() {
+	for _, u := range *r.server.agents.up.Load() {
 		if !u.usable(now) || !u.offers(r.request.kind, r.request.query.Target) {
 			continue
 		}
--- a/gate/request.go
+++ b/gate/request.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/units"
@@ -29,7 +28,13 @@
 	// stream is set when the caller asked for events.
 	stream  bool
 	arrived clock.Time
-	cancel  context.CancelCauseFunc
+	// key is the hash of the caller's key; open requests have none.
+	key  KeyHash
+	open bool
+	// once is the Idempotency-Key of a call that must not be repeated.
+	once   string
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 }
 
 func fingerprint(c units.CustomerID, target string, body []byte) uint64 {
@@ -44,9 +49,9 @@
 }
 
 // call returns the message that starts an attempt.
-func (q *request) call(now clock.Time, permit *wire.Permit, resume int64) *wire.Call {
+func (q *request) call(id units.AttemptID, now clock.Time, permit *wire.Permit, resume int64) *wire.Call {
 	return &wire.Call{
-		Attempt:     uuid.NewString(),
+		Attempt:     string(id),
 		Customer:    string(q.query.Customer),
 		Target:      q.query.Target,
 		Class:       uint32(q.query.Class),
--- a/gate/settings.go
+++ b/gate/settings.go
@@ -13,6 +13,10 @@
 	Public string `json:"public"`
 	// Agents are the addresses of the agents, as IP:port.
 	Agents []string `json:"agents"`
+	// Gateways are the peer addresses of other gateways, as IP:port.
+	Gateways []string `json:"gateways"`
+	// Callers, models and services that don't come from the operators' tree.
+	Static StaticSettings `json:"static"`
 	// Limits of the listeners; a value of 0 takes the default.
 	Limits Limits `json:"limits"`
 }
@@ -35,6 +39,17 @@
 	Stall clock.Span `json:"stall"`
 	// Stop is the time limit of a graceful stop.
 	Stop clock.Span `json:"stop"`
+	// Notice is the time for which new requests are still taken after the readiness
+	// check has begun to fail.
+	Notice clock.Span `json:"notice"`
+	// Connections is the largest number of connections to a listener.
+	Connections int `json:"connections"`
+	// Requests is the largest number of requests in progress.
+	Requests int `json:"requests"`
+	// CustomerRequests is the largest number of requests in progress of one customer.
+	CustomerRequests int `json:"customer_requests"`
+	// BufferBytes is the largest sum of request bodies in memory.
+	BufferBytes int64 `json:"buffer_bytes"`
 	// Deadlines are the times to the start of an answer, by class.
 	Live   clock.Span `json:"live"`
 	Normal clock.Span `json:"normal"`
@@ -44,17 +59,22 @@
 // defaultLimits are for requests of language models; a body of 8 MB holds about
 // two million tokens.
 var defaultLimits = Limits{
-	BodyBytes:   8 << 20,
-	HeaderBytes: 64 << 10,
-	Header:      10 * clock.Second,
-	Body:        clock.Minute,
-	Write:       30 * clock.Second,
-	Idle:        2 * clock.Minute,
-	Stall:       clock.Minute,
-	Stop:        10 * clock.Minute,
-	Live:        30 * clock.Second,
-	Normal:      5 * clock.Minute,
-	Night:       clock.Hour,
+	BodyBytes:        8 << 20,
+	HeaderBytes:      64 << 10,
+	Header:           10 * clock.Second,
+	Body:             clock.Minute,
+	Write:            30 * clock.Second,
+	Idle:             2 * clock.Minute,
+	Stall:            clock.Minute,
+	Stop:             10 * clock.Minute,
+	Notice:           clock.Second,
+	Connections:      8192,
+	Requests:         4096,
+	CustomerRequests: 2048,
+	BufferBytes:      256 << 20,
+	Live:             30 * clock.Second,
+	Normal:           5 * clock.Minute,
+	Night:            clock.Hour,
 }
 
 // maxBodyBytes leaves room for the rest of a call in the largest frame.
@@ -70,6 +90,11 @@
 	orDefault(&l.Idle, d.Idle)
 	orDefault(&l.Stall, d.Stall)
 	orDefault(&l.Stop, d.Stop)
+	orDefault(&l.Notice, d.Notice)
+	orDefault(&l.Connections, d.Connections)
+	orDefault(&l.Requests, d.Requests)
+	orDefault(&l.CustomerRequests, d.CustomerRequests)
+	orDefault(&l.BufferBytes, d.BufferBytes)
 	orDefault(&l.Live, d.Live)
 	orDefault(&l.Normal, d.Normal)
 	orDefault(&l.Night, d.Night)
@@ -88,6 +113,10 @@
 	for _, a := range s.Agents {
 		config.CheckAddress("agents", a, report)
 	}
+	for _, a := range s.Gateways {
+		config.CheckAddress("gateways", a, report)
+	}
+	s.Static.check(report)
 	s.Limits.check(report)
 }
 
@@ -95,26 +124,29 @@
 	if l.BodyBytes < 0 || l.BodyBytes > maxBodyBytes {
 		report("limits.body_bytes", fmt.Sprintf("must be between 0 and %d", maxBodyBytes))
 	}
-	if l.HeaderBytes < 0 {
-		report("limits.header_bytes", "must not be negative")
-	}
-	spans := []struct {
-		path string
-		span clock.Span
+	values := []struct {
+		path  string
+		value int64
 	}{
-		{"limits.header", l.Header},
-		{"limits.body", l.Body},
-		{"limits.write", l.Write},
-		{"limits.idle", l.Idle},
-		{"limits.stall", l.Stall},
-		{"limits.stop", l.Stop},
-		{"limits.live", l.Live},
-		{"limits.normal", l.Normal},
-		{"limits.night", l.Night},
+		{"limits.header_bytes", int64(l.HeaderBytes)},
+		{"limits.connections", int64(l.Connections)},
+		{"limits.requests", int64(l.Requests)},
+		{"limits.customer_requests", int64(l.CustomerRequests)},
+		{"limits.buffer_bytes", l.BufferBytes},
+		{"limits.header", int64(l.Header)},
+		{"limits.body", int64(l.Body)},
+		{"limits.write", int64(l.Write)},
+		{"limits.idle", int64(l.Idle)},
+		{"limits.stall", int64(l.Stall)},
+		{"limits.stop", int64(l.Stop)},
+		{"limits.notice", int64(l.Notice)},
+		{"limits.live", int64(l.Live)},
+		{"limits.normal", int64(l.Normal)},
+		{"limits.night", int64(l.Night)},
 	}
-	for _, s := range spans {
-		if s.span < 0 {
-			report(s.path, "must not be negative")
+	for _, v := range values {
+		if v.value < 0 {
+			report(v.path, "must not be negative")
 		}
 	}
 }
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -16,12 +16,16 @@
 )
 
 var (
-	errRole   = errors.New("peer has the wrong role")
-	errSilent = errors.New("peer does not answer pings")
+	errRole         = errors.New("peer has the wrong role")
+	errSilent       = errors.New("peer does not answer pings")
+	errNotConnected = errors.New("peer is not connected")
 )
 
 const (
 	pingInterval = 250 * time.Millisecond
+	// pingsPerVersions makes the comparison of configuration happen every 10 s, which
+	// stays within the bandwidth for control at 650 agents.
+	pingsPerVersions = 40
 	// silentSpan is the age of the last Pong at which an agent gets no new requests.
 	silentSpan = 1500 * clock.Millisecond
 	// lostSpan is the age of the last Pong at which the session is closed.
@@ -40,11 +44,14 @@
 	heard clock.Time
 }
 
-// upstream is a connected agent. It lives as long as the session.
+// upstream is a connected agent, or another gateway. It lives as long as the
+// session.
 type upstream struct {
 	id          units.UpstreamID
 	zone        units.Zone
 	session     *wire.Session
+	control     *wire.Stream
+	server      *Server
 	clock       clock.Clock
 	report      atomic.Pointer[report]
 	stamp       atomic.Pointer[stamp]
@@ -52,9 +59,20 @@
 	leaving     atomic.Bool
 }
 
-func newUpstream(s *wire.Session, c clock.Clock) *upstream {
+func newUpstream(s *wire.Session, server *Server) (*upstream, error) {
+	st, err := s.Open()
+	if err != nil {
+		return nil, err
+	}
 	p := s.Peer()
-	return &upstream{id: units.UpstreamID(p.ID), zone: units.Zone(p.Zone), session: s, clock: c}
+	return &upstream{
+		id:      units.UpstreamID(p.ID),
+		zone:    units.Zone(p.Zone),
+		session: s,
+		control: st,
+		server:  server,
+		clock:   server.clock,
+	}, nil
 }
 
 func (u *upstream) close(l *links) {
@@ -62,21 +80,16 @@
 	_ = u.session.Close()
 }
 
-// control runs the control stream until the session ends.
-func (u *upstream) control(ctx context.Context, l *links) error {
-	st, err := u.session.Open()
-	if err != nil {
-		return err
-	}
-	defer st.Close()
+// run serves the control stream until the session ends.
+func (u *upstream) run(ctx context.Context, l *links) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// Closing the session also ends the pending Recv.
 	stop := context.AfterFunc(ctx, func() { _ = u.session.Close() })
 	defer stop()
 	pinger := make(chan error, 1)
-	go func() { pinger <- u.ping(ctx, st) }()
-	err = u.receive(st, l)
+	go func() { pinger <- u.ping(ctx) }()
+	err := u.receive(l)
 	cancel()
 	if pingErr := <-pinger; pingErr != nil {
 		return pingErr
@@ -84,12 +97,12 @@
 	return err
 }
 
-func (u *upstream) ping(ctx context.Context, st *wire.Stream) error {
+func (u *upstream) ping(ctx context.Context) error {
 	started := u.clock.Now()
 	t := time.NewTicker(pingInterval)
 	defer t.Stop()
 	for id := uint64(1); ; id++ {
-		if err := st.Send(&wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{Id: id}}}); err != nil {
+		if err := u.greet(id); err != nil {
 			_ = u.session.Close()
 			return err
 		}
@@ -103,28 +116,46 @@
 			heard = s.heard
 		}
 		if u.clock.Now().Sub(heard) > lostSpan {
-			stats.Event("agent_silent")
+			stats.Event("link_silent")
 			_ = u.session.Close()
 			return errSilent
 		}
 	}
 }
 
-func (u *upstream) receive(st *wire.Stream, l *links) error {
+// greet sends a Ping and now and then, from the first, the versions of the
+// configuration.
+func (u *upstream) greet(id uint64) error {
+	if err := u.control.Send(&wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{Id: id}}}); err != nil {
+		return err
+	}
+	if id%pingsPerVersions != 1 {
+		return nil
+	}
+	v := u.server.options.Configs.Versions()
+	return u.control.Send(&wire.Frame{Body: &wire.Frame_Versions{Versions: v}})
+}
+
+func (u *upstream) receive(l *links) error {
 	listed := false
 	for {
-		f, err := st.Recv()
+		f, err := u.control.Recv()
 		if err != nil {
 			return fmt.Errorf("control stream: %w", err)
 		}
 		u.handle(f)
-		if !listed && u.stamp.Load() != nil && u.report.Load() != nil {
+		if !listed && u.known(l.role) {
 			listed = true
 			l.connected(u)
 		}
 	}
 }
 
+// known reports whether enough has arrived to use the process.
+func (u *upstream) known(r wire.Role) bool {
+	return u.stamp.Load() != nil && (r == wire.Gateway || u.report.Load() != nil)
+}
+
 func (u *upstream) handle(f *wire.Frame) {
 	switch b := f.Body.(type) {
 	case *wire.Frame_Pong:
@@ -134,7 +165,7 @@
 	case *wire.Frame_Leave:
 		u.leaving.Store(true)
 	default:
-		stats.Event("control_frame_unknown")
+		u.server.control(u.session.Peer(), f, u.control.Send)
 	}
 }
 
