--- a/gate/agent_test.go
+++ b/gate/agent_test.go
@@ -104,6 +104,8 @@
 		defer close(c.gone)
 		for {
 			if _, err := st.Recv(); err != nil {
+				// Closing also ends a Send that waits for a stalled reader.
+				st.Close()
 				return
 			}
 		}
--- a/gate/body.go
+++ b/gate/body.go
@@ -1,6 +1,9 @@
 package gate
 
 import (
+	"errors"
+	"io"
+
 	"github.com/go-faster/jx"
 
 	"github.com/magnolialever/magnolialever/units"
@@ -39,7 +42,7 @@
 		p.Param = wrong
 		return f, p
 	}
-	if d.Next() != jx.Invalid {
+	if !errors.Is(d.Skip(), io.EOF) {
 		return f, problem(units.InvalidRequest, "the body has data after the JSON object")
 	}
 	if f.model == "" {
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -26,8 +26,7 @@
 	}
 }
 
-// start runs a gateway in front of the agents and waits until it is connected.
-func start(t testing.TB, change func(o *gate.Options), agents ...*standIn) *gate.Server {
+func options(agents ...*standIn) gate.Options {
 	const local = "127.0.0.1:0"
 	o := gate.Options{
 		Node:      config.Node{ID: "g1", Zone: "a", Peer: local, Admin: local},
@@ -38,6 +37,12 @@
 	for _, a := range agents {
 		o.Gate.Agents = append(o.Gate.Agents, a.listener.Addr().String())
 	}
+	return o
+}
+
+// start runs a gateway in front of the agents and waits until it is connected.
+func start(t testing.TB, change func(o *gate.Options), agents ...*standIn) *gate.Server {
+	o := options(agents...)
 	if change != nil {
 		change(&o)
 	}
