--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -26,18 +26,23 @@
 	}
 }
 
-// start runs a gateway in front of the agents and waits until it is connected.
-func start(t testing.TB, change func(o *gate.Options), agents ...*standIn) *gate.Server {
+func options(agents ...*standIn) gate.Options {
 	const local = "127.0.0.1:0"
 	o := gate.Options{
 		Node:      config.Node{ID: "g1", Zone: "a", Peer: local, Admin: local},
 		Secret:    []byte(secret),
-		Gate:      gate.Settings{Public: local},
+		Gate:      gate.Settings{Public: local, Limits: gate.Limits{Notice: 1}},
 		Directory: directory(),
 	}
 	for _, a := range agents {
 		o.Gate.Agents = append(o.Gate.Agents, a.listener.Addr().String())
 	}
+	return o
+}
+
+// start runs a gateway in front of the agents and waits until it is connected.
+func start(t testing.TB, change func(o *gate.Options), agents ...*standIn) *gate.Server {
+	o := options(agents...)
 	if change != nil {
 		change(&o)
 	}
@@ -50,7 +55,7 @@
 		cancel()
 		assert.NilError(t, <-done)
 	})
-	eventually(t, func() bool { return s.Connected() == len(agents) })
+	eventually(t, func() bool { return len(s.Connected()) == len(agents) })
 	return s
 }
 
