--- /dev/null
+++ b/admit/allow.go
@@ -0,0 +1,110 @@
+package admit
+
+import (
+	"github.com/magnolialever/magnolialever/clock"
+)
+
+const (
+	// jumpFactor is the rise of the first-token latency that counts as a jump. A
+	// busy warm engine stays within a small multiple of its mean.
+	jumpFactor = 4
+	// jumpFloor keeps noise of fast upstreams from counting as a jump.
+	jumpFloor = 100 * clock.Millisecond
+	// jumpSamples is the number of latencies needed before jumps are recognised.
+	jumpSamples = 8
+	// latencyShare is the weight of one latency in the mean.
+	latencyShare = 1.0 / 16
+)
+
+// Allowance is the number of requests at once that an upstream in cold start
+// bears. It starts low and rises by one with each success, which doubles it each
+// round. A report that the upstream is cold and a jump of the first-token latency
+// set it back at once.
+type Allowance struct {
+	start int
+	full  int
+	// allowed is the present limit; at full there is none.
+	allowed int
+	running int
+	cold    bool
+	// round counts the falls. Successes of earlier rounds don't raise the limit.
+	round   uint64
+	mean    float64
+	samples int
+}
+
+// Ticket belongs to one request in flight.
+type Ticket struct {
+	round uint64
+}
+
+// NewAllowance returns an allowance that starts at start and is lifted at full.
+func NewAllowance(start, full int) *Allowance {
+	start = max(start, 1)
+	return &Allowance{start: start, full: max(full, start), allowed: start}
+}
+
+// Take starts a request, or returns false when the allowance is used up.
+func (a *Allowance) Take() (Ticket, bool) {
+	if !a.Fits() {
+		return Ticket{}, false
+	}
+	a.running++
+	return Ticket{a.round}, true
+}
+
+// Fits reports whether Take would start a request.
+func (a *Allowance) Fits() bool { return a.running < a.allowed || a.Limit() == 0 }
+
+// Release ends a request.
+func (a *Allowance) Release(t Ticket, success bool) {
+	a.running--
+	if success && t.round == a.round && !a.cold {
+		a.allowed = min(a.allowed+1, a.full)
+	}
+}
+
+// Report passes on whether the upstream says that it is cold. While it does, the
+// allowance stays at its start.
+func (a *Allowance) Report(cold bool) {
+	a.cold = cold
+	if cold {
+		a.fall()
+	}
+}
+
+// First passes on the first-token latency of a request.
+func (a *Allowance) First(t Ticket, latency clock.Span) {
+	if t.round != a.round {
+		return
+	}
+	v := float64(latency)
+	if a.samples >= jumpSamples && v > jumpFactor*a.mean && v > a.mean+float64(jumpFloor) {
+		a.fall()
+		return
+	}
+	a.samples++
+	a.mean += (v - a.mean) * max(latencyShare, 1/float64(a.samples))
+}
+
+// Crash sets the allowance back after the upstream died.
+func (a *Allowance) Crash() { a.fall() }
+
+// fall goes back to the start. The mean is learnt anew, so that a lasting change
+// of the latency counts as a jump once.
+func (a *Allowance) fall() {
+	a.allowed = a.start
+	a.round++
+	a.mean, a.samples = 0, 0
+}
+
+// Running returns the number of requests in flight.
+func (a *Allowance) Running() int { return a.running }
+
+// Limit returns the allowance, or 0 when there is none.
+func (a *Allowance) Limit() int {
+	if a.allowed >= a.full {
+		return 0
+	}
+	return a.allowed
+}
--- /dev/null
+++ b/admit/limit.go
@@ -0,0 +1,165 @@
+package admit
+
+import (
+	"math"
+
+	"github.com/magnolialever/magnolialever/clock"
+)
+
+const (
+	// limitStart is the first value of a Limit.
+	limitStart = 8
+	// limitShare is the operating point relative to the probe. A probe ends up to
+	// 15 % above the knee, so operation stays below it.
+	limitShare = 0.85
+	// limitBound is the relative growth of the latency by concurrency at which the
+	// throughput no longer grows enough: 0 is a flat latency, 1 a constant
+	// throughput. Below their knees the sites' adapters reach 0.5.
+	limitBound = 0.55
+	// limitFast and limitSlow are the steps before and after the knee was first
+	// passed.
+	limitFast = 1.25
+	limitSlow = 1.05
+	// limitSamples is the number of latencies in a phase for each slot. The mean
+	// latency of one phase must be known to about 1 %.
+	limitSamples = 6
+	// limitUse is the share of the slots that must be in use for a phase to count.
+	limitUse = 0.9
+)
+
+// phase is one step of a cycle: operation, probe, operation. Comparing the probe
+// with the mean of what came before and after it cancels a slow drift.
+type phase struct {
+	// use sums up the concurrency at the start of each request, latency its time.
+	use     float64
+	latency float64
+	count   int
+}
+
+func (p *phase) add(use, latency float64) {
+	p.use += use
+	p.latency += latency
+	p.count++
+}
+
+const (
+	phaseBefore = iota
+	phaseProbe
+	phaseAfter
+	phases
+)
+
+// Limit learns the concurrency up to which an upstream gets faster in total. It
+// follows the gradient of the latency by concurrency between an operating point
+// and a short probe above it.
+type Limit struct {
+	probe   float64
+	highest float64
+	step    float64
+	running int
+	current int
+	// cycle counts phases, so that a request counts in the phase it started in.
+	cycle  uint64
+	phases [phases]phase
+}
+
+// LimitTicket belongs to one request in flight.
+type LimitTicket struct {
+	cycle uint64
+	use   float64
+}
+
+// NewLimit returns a limit that never exceeds highest.
+func NewLimit(highest int) *Limit {
+	h := float64(max(highest, 1))
+	return &Limit{probe: min(limitStart, h), highest: h, step: limitFast}
+}
+
+// Value returns the present limit.
+func (l *Limit) Value() int {
+	v := l.probe
+	if l.current != phaseProbe {
+		v *= limitShare
+	}
+	return max(int(v), 1)
+}
+
+// Fits reports whether Take would start a request.
+func (l *Limit) Fits() bool { return l.running < l.Value() }
+
+// Take starts a request, or returns false at the limit.
+func (l *Limit) Take() (LimitTicket, bool) {
+	if !l.Fits() {
+		return LimitTicket{}, false
+	}
+	l.running++
+	return LimitTicket{l.cycle, float64(l.running)}, true
+}
+
+// Release ends a request. Latency is 0 for one that failed or was cancelled.
+func (l *Limit) Release(t LimitTicket, latency clock.Span) {
+	l.ReleaseMicros(t, int64(latency)*1000)
+}
+
+// ReleaseMicros is Release with a latency in microseconds: adapters answer in a
+// few milliseconds, where whole ones are too coarse.
+func (l *Limit) ReleaseMicros(t LimitTicket, micros int64) {
+	l.running--
+	if micros <= 0 || t.cycle != l.cycle {
+		return
+	}
+	p := &l.phases[l.current]
+	p.add(t.use, float64(micros))
+	if p.count < l.samples() {
+		return
+	}
+	if p.use/float64(p.count) < limitUse*float64(l.Value()) {
+		// Without enough requests the latency says nothing about the limit.
+		l.restart()
+		return
+	}
+	l.cycle++
+	l.current++
+	if l.current == phases {
+		l.learn()
+		l.restart()
+	}
+}
+
+// samples returns the number of latencies in the present phase. The probe is
+// shorter, as it is above the operating point.
+func (l *Limit) samples() int {
+	n := limitSamples * max(int(l.probe), limitStart)
+	if l.current != phaseProbe {
+		n *= 2
+	}
+	return n
+}
+
+func (l *Limit) restart() {
+	l.cycle++
+	l.current = phaseBefore
+	l.phases = [phases]phase{}
+}
+
+// learn moves the limit along the gradient.
+func (l *Limit) learn() {
+	low := l.phases[phaseBefore]
+	low.use += l.phases[phaseAfter].use
+	low.latency += l.phases[phaseAfter].latency
+	low.count += l.phases[phaseAfter].count
+	high := l.phases[phaseProbe]
+	use := math.Log(high.use / float64(high.count) * float64(low.count) / low.use)
+	latency := math.Log(high.latency / float64(high.count) * float64(low.count) / low.latency)
+	if use <= 0 {
+		// The slots are too few to differ; a probe needs one more.
+		l.probe = min(l.probe+1, l.highest)
+		return
+	}
+	if latency/use < limitBound {
+		l.probe = min(l.probe*l.step, l.highest)
+		return
+	}
+	l.step = limitSlow
+	l.probe = max(l.probe/l.step, 2)
+}
