place: plan copies of models inside memory and the load budget

Cause: models must stay reachable on too few accelerators while demand shifts. Change: a planner that first covers every target, then relieves upstreams above 75 % of their speed and uses free memory for a second zone; it unloads a copy only when another is resident or nobody asks for it.

--- a/gate/decide.go
+++ b/gate/decide.go
@@ -11,9 +11,11 @@
 // Query describes a request to the decisions.
 type Query struct {
 	Customer units.CustomerID
-	Target   string
-	Class    units.Class
-	Cost     units.Tokens
+	// Target is a model, an adapter or, if Service is set, a plain service.
+	Target  string
+	Service bool
+	Class   units.Class
+	Cost    units.Tokens
 	// Fingerprint is the hash of customer, target and body.
 	Fingerprint uint64
 	// Prefix holds the hashes of the prompt's leading blocks.
--- /dev/null
+++ b/place/plan.go
@@ -0,0 +1,524 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// Target is a model or an adapter that has to stay reachable.
+type Target struct {
+	ID units.ModelID
+	// Base is the base model of an adapter; empty for a model.
+	Base  units.ModelID
+	Bytes units.Bytes
+}
+
+// Replica is what the controller knows of one model engine.
+type Replica struct {
+	ID   units.UpstreamID
+	Zone units.Zone
+	// Free is what the agent's ledger has left, reservations taken off.
+	Free     units.Bytes
+	Capacity units.Bytes
+	// Speed is in tokens a second.
+	Speed    units.Tokens
+	Resident []units.ModelID
+	Loading  []units.ModelID
+	// Usable replicas get new work: they are connected, not leaving and not out.
+	Usable bool
+}
+
+// Demand is the work asked for of one target, in tokens a second.
+type Demand struct {
+	// Short is averaged over seconds, Long over minutes.
+	Short float64
+	Long  float64
+	// Waiting counts requests that wait for the target to be resident.
+	Waiting int
+}
+
+// World is the input of one planning round.
+type World struct {
+	Targets  []Target
+	Replicas []Replica
+	Demand   map[units.ModelID]Demand
+}
+
+// Op is what an order does.
+type Op string
+
+// Operations of orders.
+const (
+	Load   Op = "load"
+	Unload Op = "unload"
+)
+
+// Command is one order for an agent.
+type Command struct {
+	Op      Op
+	Replica units.UpstreamID
+	Target  Target
+}
+
+// Budget limits loads from the weight store.
+type Budget struct {
+	// Rate is in loads a second.
+	Rate float64
+	// Concurrent is the number of loads at once.
+	Concurrent int
+}
+
+const (
+	// highUse is the share of a replica's speed above which a model on it gets
+	// another copy, so that a burst finds room.
+	highUse = 0.75
+	// lowUse is the share below which a replica may take on another copy. The gap to
+	// highUse keeps copies from moving back and forth.
+	lowUse = 0.6
+	// minGain is the share of a replica's speed that a new copy must take over to be
+	// worth its load.
+	minGain = 0.05
+	// pendingSpan is how long an order without effect is taken to be under way; then
+	// it counts as lost and may be sent again.
+	pendingSpan = 20 * clock.Second
+	// settleSpan keeps a new copy from being evicted before it can have helped.
+	settleSpan = 30 * clock.Second
+	// idleUse is the demand in tokens a second below which a target counts as unused.
+	idleUse = 0.5
+	// burstBudget is the number of loads that a quiet time saves up.
+	burstBudget = 4.0
+	// spareBudget is what copies for the loss of a zone must leave for urgent loads.
+	spareBudget = 2.0
+)
+
+type place struct {
+	replica units.UpstreamID
+	target  units.ModelID
+}
+
+type pending struct {
+	op Op
+	at clock.Time
+}
+
+// Planner decides which targets are resident where. It performs no I/O and is not
+// safe for concurrent use.
+type Planner struct {
+	budget  Budget
+	credit  float64
+	last    clock.Time
+	pending map[place]pending
+	loaded  map[place]clock.Time
+}
+
+// NewPlanner returns a Planner that stays inside the budget.
+func NewPlanner(b Budget) *Planner {
+	return &Planner{budget: b, credit: burstBudget, pending: map[place]pending{}, loaded: map[place]clock.Time{}}
+}
+
+// SetBudget changes the limits of the weight store.
+func (p *Planner) SetBudget(b Budget) { p.budget = b }
+
+// Plan returns the orders for this round. It is called about once a second.
+func (p *Planner) Plan(now clock.Time, w World) []Command {
+	p.refill(now)
+	r := newRound(p, now, w)
+	r.coverTargets()
+	r.relieveReplicas()
+	r.spreadZones()
+	return r.commands
+}
+
+func (p *Planner) refill(now clock.Time) {
+	p.credit = min(p.credit+now.Sub(p.last).Seconds()*p.budget.Rate, burstBudget)
+	p.last = now
+}
+
+// round is the state of one planning round.
+type round struct {
+	planner  *Planner
+	now      clock.Time
+	targets  map[units.ModelID]Target
+	order    []Target
+	demand   map[units.ModelID]Demand
+	replicas []*replica
+	// copies lists the usable replicas that have or load a target.
+	copies   map[units.ModelID][]*replica
+	loads    int
+	commands []Command
+}
+
+type replica struct {
+	Replica
+	// free is Free less what pending loads will take.
+	free units.Bytes
+	// has is true for resident and false for loading targets.
+	has map[units.ModelID]bool
+	// leaving targets have a pending unload.
+	leaving map[units.ModelID]bool
+	// use is the expected work in tokens a second.
+	use float64
+	// flow is the part of use for each target.
+	flow map[units.ModelID]float64
+}
+
+func newRound(p *Planner, now clock.Time, w World) *round {
+	r := &round{
+		planner: p, now: now, demand: w.Demand,
+		targets: make(map[units.ModelID]Target, len(w.Targets)),
+		order:   slices.Clone(w.Targets),
+		copies:  make(map[units.ModelID][]*replica, len(w.Targets)),
+	}
+	for _, t := range w.Targets {
+		r.targets[t.ID] = t
+	}
+	// Models go before adapters, which need them, and wanted targets before others.
+	slices.SortFunc(r.order, func(a, b Target) int {
+		return cmp.Or(
+			cmp.Compare(len(a.Base), 0)-cmp.Compare(len(b.Base), 0),
+			-cmp.Compare(r.wanted(a.ID), r.wanted(b.ID)),
+			cmp.Compare(a.ID, b.ID))
+	})
+	for _, one := range w.Replicas {
+		r.add(one)
+	}
+	r.settlePending()
+	for _, t := range r.order {
+		r.spread(t.ID)
+	}
+	return r
+}
+
+// wanted is the demand that orders targets: requests that wait count most.
+func (r *round) wanted(id units.ModelID) float64 {
+	d := r.demand[id]
+	return float64(d.Waiting)*1000 + max(d.Short, d.Long)
+}
+
+func (r *round) add(one Replica) {
+	v := &replica{
+		Replica: one, free: one.Free,
+		has:     make(map[units.ModelID]bool, len(one.Resident)+len(one.Loading)),
+		leaving: map[units.ModelID]bool{},
+		flow:    map[units.ModelID]float64{},
+	}
+	for _, id := range one.Loading {
+		v.has[id] = false
+	}
+	for _, id := range one.Resident {
+		v.has[id] = true
+	}
+	r.loads += len(one.Loading)
+	r.replicas = append(r.replicas, v)
+}
+
+// settlePending takes orders into account whose effect is not reported yet.
+func (r *round) settlePending() {
+	byID := make(map[units.UpstreamID]*replica, len(r.replicas))
+	for _, v := range r.replicas {
+		byID[v.ID] = v
+	}
+	for at, o := range r.planner.pending {
+		v, connected := byID[at.replica]
+		resident, known := false, false
+		if connected {
+			resident, known = v.has[at.target]
+		}
+		switch {
+		case r.now.Sub(o.at) >= pendingSpan, !connected:
+			delete(r.planner.pending, at)
+		case o.op == Load && resident:
+			delete(r.planner.pending, at)
+			r.planner.loaded[at] = r.now
+		case o.op == Load && !known:
+			v.has[at.target] = false
+			v.free -= r.targets[at.target].Bytes
+			r.loads++
+		case o.op == Unload && !known:
+			delete(r.planner.pending, at)
+		case o.op == Unload:
+			v.leaving[at.target] = true
+		}
+	}
+	for _, v := range r.replicas {
+		if !v.Usable {
+			continue
+		}
+		for id := range v.has {
+			if !v.leaving[id] {
+				r.copies[id] = append(r.copies[id], v)
+			}
+		}
+	}
+}
+
+// spread divides the demand of a target among its copies, the less used first.
+func (r *round) spread(id units.ModelID) {
+	copies := r.copies[id]
+	work := max(r.demand[id].Short, r.demand[id].Long)
+	if len(copies) == 0 || work == 0 {
+		return
+	}
+	const steps = 8
+	for range steps {
+		least := slices.MinFunc(copies, func(a, b *replica) int {
+			return cmp.Or(cmp.Compare(a.share(), b.share()), cmp.Compare(a.ID, b.ID))
+		})
+		least.use += work / steps
+		least.flow[id] += work / steps
+	}
+}
+
+func (v *replica) share() float64 { return v.use / max(float64(v.Speed), 1) }
+
+// coverTargets loads targets that no usable replica has.
+func (r *round) coverTargets() {
+	for _, t := range r.order {
+		if len(r.copies[t.ID]) > 0 || (t.Base != "" && !r.baseResident(t.Base)) {
+			continue
+		}
+		if v := r.roomiest(t, 1); v != nil {
+			r.load(v, t)
+			continue
+		}
+		r.makeRoom(t)
+	}
+}
+
+func (r *round) baseResident(base units.ModelID) bool {
+	return slices.ContainsFunc(r.copies[base], func(v *replica) bool { return v.has[base] })
+}
+
+// roomiest returns the least used replica below the share that can take the target.
+func (r *round) roomiest(t Target, share float64) *replica {
+	var best *replica
+	for _, v := range r.replicas {
+		if v.canTake(t) && v.free >= t.Bytes && v.share() < share && (best == nil || v.share() < best.share()) {
+			best = v
+		}
+	}
+	return best
+}
+
+func (v *replica) canTake(t Target) bool {
+	_, has := v.has[t.ID]
+	return v.Usable && !has && (t.Base == "" || v.has[t.Base])
+}
+
+// load orders a load if the budget allows it.
+func (r *round) load(v *replica, t Target) bool {
+	if r.planner.credit < 1 || r.loads >= r.planner.budget.Concurrent {
+		return false
+	}
+	r.planner.credit--
+	r.loads++
+	r.command(Load, v, t)
+	v.has[t.ID] = false
+	v.free -= t.Bytes
+	r.copies[t.ID] = append(r.copies[t.ID], v)
+	return true
+}
+
+func (r *round) command(op Op, v *replica, t Target) {
+	r.commands = append(r.commands, Command{op, v.ID, t})
+	r.planner.pending[place{v.ID, t.ID}] = pending{op, r.now}
+}
+
+// makeRoom unloads what is worth least, on the replica where that costs least. The
+// load follows when the agent has confirmed that the memory is free.
+func (r *round) makeRoom(t Target) {
+	var best []Target
+	var from *replica
+	bestCost := 0.0
+	for _, v := range r.replicas {
+		if !v.canTake(t) || v.Capacity < t.Bytes {
+			continue
+		}
+		victims, cost, ok := r.victims(v, t)
+		if ok && (from == nil || cost < bestCost) {
+			best, from, bestCost = victims, v, cost
+		}
+	}
+	if from == nil {
+		return
+	}
+	for _, o := range best {
+		r.unload(from, o)
+	}
+}
+
+func (r *round) unload(v *replica, t Target) {
+	r.command(Unload, v, t)
+	v.leaving[t.ID] = true
+	r.copies[t.ID] = slices.DeleteFunc(r.copies[t.ID], func(o *replica) bool { return o == v })
+}
+
+// victims returns what has to go from v for t, and the work that it would displace.
+// Memory that pending unloads will free counts as free.
+func (r *round) victims(v *replica, t Target) (list []Target, cost float64, ok bool) {
+	need := t.Bytes - v.free
+	for id := range v.leaving {
+		need -= r.targets[id].Bytes
+	}
+	candidates := make([]Target, 0, len(v.has))
+	for id, resident := range v.has {
+		if resident && r.expendable(v, id, t) {
+			candidates = append(candidates, r.targets[id])
+		}
+	}
+	slices.SortFunc(candidates, func(a, b Target) int {
+		return cmp.Or(cmp.Compare(v.flow[a.ID], v.flow[b.ID]), -cmp.Compare(a.Bytes, b.Bytes), cmp.Compare(a.ID, b.ID))
+	})
+	for _, o := range candidates {
+		if need <= 0 {
+			break
+		}
+		list = append(list, o)
+		cost += v.flow[o.ID]
+		need -= o.Bytes
+	}
+	return list, cost, need <= 0
+}
+
+// expendable tells whether a target may leave v for t: it has another resident copy,
+// or nobody asks for it while somebody asks for t. A base model stays while one of
+// its adapters is on v.
+func (r *round) expendable(v *replica, id units.ModelID, t Target) bool {
+	o, known := r.targets[id]
+	if !known {
+		return true
+	}
+	if v.leaving[id] || id == t.Base || r.now.Sub(r.planner.loaded[place{v.ID, id}]) < settleSpan && r.planner.loaded[place{v.ID, id}] != 0 {
+		return false
+	}
+	if o.Base == "" && r.hasAdapterOf(v, id) {
+		return false
+	}
+	for _, other := range r.copies[id] {
+		if other != v && other.has[id] {
+			return true
+		}
+	}
+	return r.wanted(id) < idleUse && r.wanted(t.ID) >= idleUse
+}
+
+func (r *round) hasAdapterOf(v *replica, base units.ModelID) bool {
+	for id := range v.has {
+		if r.targets[id].Base == base && !v.leaving[id] {
+			return true
+		}
+	}
+	return false
+}
+
+// relieveReplicas adds copies of targets on replicas that are used too much.
+func (r *round) relieveReplicas() {
+	busy := slices.Clone(r.replicas)
+	slices.SortFunc(busy, func(a, b *replica) int {
+		return cmp.Or(-cmp.Compare(a.share(), b.share()), cmp.Compare(a.ID, b.ID))
+	})
+	for _, v := range busy {
+		if v.share() < highUse {
+			return
+		}
+		if id, ok := v.largestFlow(); ok && v.flow[id] >= minGain*float64(v.Speed) {
+			r.relieve(v, r.targets[id])
+		}
+	}
+}
+
+// largestFlow returns the target that causes most work on v.
+func (v *replica) largestFlow() (units.ModelID, bool) {
+	var best units.ModelID
+	for id, f := range v.flow {
+		if best == "" || f > v.flow[best] || (f == v.flow[best] && id < best) {
+			best = id
+		}
+	}
+	return best, best != ""
+}
+
+func (r *round) relieve(v *replica, t Target) {
+	if r.loadingSomewhere(t.ID) {
+		return
+	}
+	if t.Base != "" && r.roomiest(t, lowUse) == nil {
+		// The other replicas with the base model are busy too, so the base model needs
+		// another copy first.
+		t = r.targets[t.Base]
+	}
+	to := r.roomiest(t, lowUse)
+	if to == nil {
+		to = r.cheapest(t)
+		if to == nil {
+			return
+		}
+		victims, _, _ := r.victims(to, t)
+		for _, o := range victims {
+			r.unload(to, o)
+		}
+		return
+	}
+	if r.load(to, t) {
+		moved := v.flow[t.ID] / 2
+		v.use -= moved
+		to.use += moved
+	}
+}
+
+// loadingSomewhere tells whether a copy is on its way, whose effect must be awaited.
+func (r *round) loadingSomewhere(id units.ModelID) bool {
+	return slices.ContainsFunc(r.copies[id], func(v *replica) bool { return !v.has[id] })
+}
+
+// cheapest returns the replica below lowUse where room for a further copy of t
+// displaces least work, if that is less than the copy would take over.
+func (r *round) cheapest(t Target) *replica {
+	var best *replica
+	bestCost := 0.0
+	for _, v := range r.replicas {
+		if !v.canTake(t) || v.share() >= lowUse {
+			continue
+		}
+		_, cost, ok := r.victims(v, t)
+		if ok && cost < r.wanted(t.ID)/2 && (best == nil || cost < bestCost) {
+			best, bestCost = v, cost
+		}
+	}
+	return best
+}
+
+// spreadZones uses free memory for a copy in a second availability zone, so that a
+// target stays reachable when a zone leaves.
+func (r *round) spreadZones() {
+	for _, t := range r.order {
+		if r.planner.credit < 1+spareBudget {
+			return
+		}
+		copies := r.copies[t.ID]
+		if len(copies) == 0 || r.loadingSomewhere(t.ID) || len(zonesOf(copies)) > 1 {
+			continue
+		}
+		zone := copies[0].Zone
+		var best *replica
+		for _, v := range r.replicas {
+			if v.Zone != zone && v.canTake(t) && v.free >= t.Bytes && (best == nil || v.free > best.free) {
+				best = v
+			}
+		}
+		if best != nil {
+			r.load(best, t)
+		}
+	}
+}
+
+func zonesOf(copies []*replica) map[units.Zone]bool {
+	zones := map[units.Zone]bool{}
+	for _, v := range copies {
+		zones[v.Zone] = true
+	}
+	return zones
+}
--- /dev/null
+++ b/place/plan_test.go
@@ -0,0 +1,201 @@
+package place_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/place"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// fleet carries out orders with a delay, as agents do that check their memory.
+type fleet struct {
+	replicas []place.Replica
+	targets  []place.Target
+	loading  []underway
+	loads    int
+	loadTime clock.Span
+	refused  int
+}
+
+type underway struct {
+	replica int
+	target  place.Target
+	done    clock.Time
+}
+
+func (f *fleet) bytes(id units.ModelID) units.Bytes {
+	i := slices.IndexFunc(f.targets, func(t place.Target) bool { return t.ID == id })
+	return f.targets[i].Bytes
+}
+
+func (f *fleet) apply(now clock.Time, c place.Command) {
+	i := slices.IndexFunc(f.replicas, func(r place.Replica) bool { return r.ID == c.Replica })
+	r := &f.replicas[i]
+	switch {
+	case c.Op == place.Unload:
+		if j := slices.Index(r.Resident, c.Target.ID); j >= 0 {
+			r.Resident = slices.Delete(r.Resident, j, j+1)
+			r.Free += c.Target.Bytes
+		}
+	case slices.Contains(r.Resident, c.Target.ID), slices.Contains(r.Loading, c.Target.ID):
+	case r.Free < c.Target.Bytes:
+		f.refused++
+	default:
+		r.Free -= c.Target.Bytes
+		r.Loading = append(r.Loading, c.Target.ID)
+		f.loading = append(f.loading, underway{i, c.Target, now.Add(f.loadTime)})
+		f.loads++
+	}
+}
+
+func (f *fleet) finish(now clock.Time) {
+	f.loading = slices.DeleteFunc(f.loading, func(u underway) bool {
+		if now.Before(u.done) {
+			return false
+		}
+		r := &f.replicas[u.replica]
+		r.Loading = slices.DeleteFunc(r.Loading, func(id units.ModelID) bool { return id == u.target.ID })
+		r.Resident = append(r.Resident, u.target.ID)
+		return true
+	})
+}
+
+func (f *fleet) copies(id units.ModelID) int {
+	n := 0
+	for _, r := range f.replicas {
+		if r.Usable && slices.Contains(r.Resident, id) {
+			n++
+		}
+	}
+	return n
+}
+
+// soudniMost has the sizes of the smaller site: 9 replicas in 3 zones, 20 models, 40
+// adapters.
+func soudniMost() *fleet {
+	f := &fleet{loadTime: 4 * clock.Second}
+	for i := range 9 {
+		f.replicas = append(f.replicas, place.Replica{
+			ID: units.UpstreamID(fmt.Sprint("u", i)), Zone: units.Zone(fmt.Sprint("z", i%3)),
+			Free: 80, Capacity: 80, Speed: 2000, Usable: true,
+		})
+	}
+	for i := range 20 {
+		f.targets = append(f.targets, place.Target{ID: units.ModelID(fmt.Sprintf("m%02d", i)), Bytes: 16})
+	}
+	for i := range 40 {
+		f.targets = append(f.targets, place.Target{
+			ID: units.ModelID(fmt.Sprintf("x%02d", i)), Base: units.ModelID(fmt.Sprintf("m%02d", i%20)), Bytes: 1,
+		})
+	}
+	return f
+}
+
+var budget = place.Budget{Rate: 1.6, Concurrent: 6}
+
+func (f *fleet) run(p *place.Planner, from, to clock.Time, demand map[units.ModelID]place.Demand) {
+	for now := from; now.Before(to); now = now.Add(clock.Second) {
+		f.finish(now)
+		for _, c := range p.Plan(now, place.World{Targets: f.targets, Replicas: f.replicas, Demand: demand}) {
+			f.apply(now, c)
+		}
+	}
+}
+
+// Guards against models that are reachable nowhere, and against placement that never
+// comes to rest.
+func TestAllReachableThenQuiet(t *testing.T) {
+	f := soudniMost()
+	p := place.NewPlanner(budget)
+	f.run(p, 0, 120_000, nil)
+	for _, o := range f.targets {
+		assert.Assert(t, f.copies(o.ID) >= 1, o.ID)
+	}
+	before := f.loads
+	f.run(p, 120_000, 300_000, nil)
+	settled := f.loads
+	f.run(p, 300_000, 900_000, nil)
+	t.Logf("loads: %d for the start, %d for copies in other zones, %d afterwards", before, settled-before, f.loads-settled)
+	assert.Equal(t, f.loads, settled)
+}
+
+// Guards against a slow answer to tenfold demand: the loads for it start in the next
+// round and stay inside the budget.
+func TestTenfoldDemand(t *testing.T) {
+	f := soudniMost()
+	p := place.NewPlanner(budget)
+	demand := map[units.ModelID]place.Demand{"m03": {Short: 300, Long: 300}}
+	f.run(p, 0, 300_000, demand)
+	before := f.copies("m03")
+	demand["m03"] = place.Demand{Short: 3000, Long: 500}
+	f.run(p, 300_000, 315_000, demand)
+	t.Logf("copies before %d, after 15 s %d", before, f.copies("m03"))
+	assert.Assert(t, f.copies("m03") >= 2)
+	f.run(p, 315_000, 360_000, demand)
+	for _, o := range f.targets {
+		assert.Assert(t, f.copies(o.ID) >= 1, o.ID)
+	}
+}
+
+// Guards against a zone whose loss leaves a model unreachable for long.
+func TestZoneLeaves(t *testing.T) {
+	f := soudniMost()
+	p := place.NewPlanner(budget)
+	f.run(p, 0, 300_000, nil)
+	for i := range f.replicas {
+		f.replicas[i].Usable = f.replicas[i].Zone != "z0"
+	}
+	f.run(p, 300_000, 360_000, nil)
+	for _, o := range f.targets {
+		assert.Assert(t, f.copies(o.ID) >= 1, o.ID)
+	}
+}
+
+// Guards against overcommitted memory, loads beyond the budget, and the unload of a
+// last copy for a target that is not wanted more, with orders lost and doubled.
+func TestPlanInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := soudniMost()
+		f.loadTime = clock.Span(rapid.IntRange(1, 8).Draw(t, "load time")) * clock.Second
+		p := place.NewPlanner(budget)
+		demand := map[units.ModelID]place.Demand{}
+		started := 0
+		for now := clock.Time(0); now < 60_000; now += 1000 {
+			if rapid.IntRange(0, 9).Draw(t, "shift") == 0 {
+				o := rapid.SampledFrom(f.targets).Draw(t, "target")
+				demand[o.ID] = place.Demand{Short: float64(rapid.IntRange(0, 4000).Draw(t, "demand"))}
+			}
+			f.finish(now)
+			for _, c := range p.Plan(now, place.World{Targets: f.targets, Replicas: f.replicas, Demand: demand}) {
+				if c.Op == place.Load {
+					started++
+				} else if f.copies(c.Target.ID) == 1 {
+					assert.Assert(t, demand[c.Target.ID].Short < 1, "last copy of %s unloaded", c.Target.ID)
+				}
+				fate := rapid.IntRange(0, 9).Draw(t, "fate")
+				if fate > 0 {
+					f.apply(now, c)
+				}
+				if fate == 9 {
+					f.apply(now, c)
+				}
+			}
+			assert.Assert(t, len(f.loading) <= budget.Concurrent)
+			assert.Assert(t, float64(started) <= 4+budget.Rate*float64(now+1000)/1000)
+			for _, r := range f.replicas {
+				used := units.Bytes(0)
+				for _, id := range slices.Concat(r.Resident, r.Loading) {
+					used += f.bytes(id)
+				}
+				assert.Assert(t, used <= r.Capacity)
+			}
+		}
+		assert.Equal(t, f.refused, 0, "the planner ordered loads that don't fit")
+	})
+}
--- a/route/route.go
+++ b/route/route.go
@@ -51,8 +51,9 @@
 	Cost    units.Tokens
 	// Prefix holds the hashes of the leading prompt blocks, shortest first.
 	Prefix []uint64
-	// Avoid lists upstreams that have failed this request.
-	Avoid []units.UpstreamID
+	// Among limits the choice, for instance to upstreams that have not failed this
+	// request; nil allows all.
+	Among []units.UpstreamID
 }
 
 // Choice is an upstream for one attempt.
@@ -278,7 +279,7 @@
 
 func (r *Router) usable(v *view, w Want) bool {
 	return !v.load.Leaving && !r.upsOut[v.load.Upstream] && !r.zonesOut[v.load.Zone] &&
-		!slices.Contains(w.Avoid, v.load.Upstream)
+		(w.Among == nil || slices.Contains(w.Among, v.load.Upstream))
 }
 
 // sample moves Options.Sample random candidates to the front and returns them.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -48,7 +48,7 @@
 }
 
 // Guards against new work for an availability zone or upstream that is marked out,
-// leaving, avoided, or at its cold-start allowance.
+// leaving, not allowed, or at its cold-start allowance.
 func TestNeverChosen(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := route.New(route.Options{Zone: "a", Seed: rapid.Uint64().Draw(t, "seed")})
@@ -67,8 +67,9 @@
 		}
 		r.Marks(zones, []units.UpstreamID{"u1"})
 		own := map[units.UpstreamID]int{}
+		among := []units.UpstreamID{"u0", "u1", "u3", "u4", "u5"}
 		for range 10 {
-			c, err := r.Pick(2, route.Want{Target: "m", Cost: 10, Avoid: []units.UpstreamID{"u2"}})
+			c, err := r.Pick(2, route.Want{Target: "m", Cost: 10, Among: among})
 			if err != nil {
 				break
 			}
