--- a/gate/agent_test.go
+++ b/gate/agent_test.go
@@ -35,8 +35,10 @@
 	resident []string
 	services []string
 	calls    atomic.Int64
-	session  atomic.Pointer[wire.Session]
-	leave    chan struct{}
+	// config is the last revision of a team's value that arrived.
+	config  atomic.Int64
+	session atomic.Pointer[wire.Session]
+	leave   chan struct{}
 }
 
 func newStandIn(t testing.TB, id string, f script) *standIn {
@@ -130,6 +132,9 @@
 				return
 			}
 		}
+		if c := f.GetConfig(); c != nil {
+			a.config.Store(c.Revision)
+		}
 		select {
 		case <-a.leave:
 			_ = st.Send(&wire.Frame{Body: &wire.Frame_Leave{Leave: &wire.Leave{Id: a.id}}})
--- a/gate/control.go
+++ b/gate/control.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"slices"
+
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -22,9 +24,7 @@
 		pong := &wire.Pong{Id: b.Ping.Id, Now: int64(s.clock.Now())}
 		_ = reply(&wire.Frame{Body: &wire.Frame_Pong{Pong: pong}}) // the session ends by itself
 	case *wire.Frame_Versions:
-		for _, c := range s.options.Configs.Newer(b.Versions) {
-			_ = reply(&wire.Frame{Body: &wire.Frame_Config{Config: c}})
-		}
+		s.compare(b.Versions, reply)
 	case *wire.Frame_Config:
 		if s.options.Configs.Apply(b.Config) {
 			s.PushConfig(b.Config, from.ID)
@@ -38,6 +38,26 @@
 	}
 }
 
+// compare sends the values that the sender of the versions lacks, and asks for
+// those that this process lacks with its own versions.
+func (s *Server) compare(theirs *wire.Versions, reply Reply) {
+	for _, c := range s.options.Configs.Newer(theirs) {
+		_ = reply(&wire.Frame{Body: &wire.Frame_Config{Config: c}}) // the session ends by itself
+	}
+	ours := s.options.Configs.Versions()
+	if lacks(ours, theirs) {
+		_ = reply(&wire.Frame{Body: &wire.Frame_Versions{Versions: ours}})
+	}
+}
+
+func lacks(ours, theirs *wire.Versions) bool {
+	known := make(map[string]int64, len(ours.Version))
+	for _, v := range ours.Version {
+		known[v.Team] = v.Revision
+	}
+	return slices.ContainsFunc(theirs.Version, func(v *wire.Version) bool { return v.Revision > known[v.Team] })
+}
+
 // PushConfig sends a new value to all agents and gateways, but for the process that
 // it came from.
 func (s *Server) PushConfig(c *wire.Config, from string) {
