gate: hand control traffic to its owner and reserve tokens for each run

Cause: the exchange of configuration stood in the gateway and again in syncer; a retry after an attempt that may have run reused tokens that had been spent. Change: an interface Peers takes all control frames and is told of links and answered pings; an attempt that may have run settles its reservation, and the next one takes a new one; permits use rate.Stamp, which allows for clock drift.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -22,7 +22,9 @@
 	id       units.AttemptID
 	stream   *wire.Stream
 	started  clock.Time
-	result   Result
+	// confirm is called when the agent has shown that it started the request.
+	confirm func()
+	result  Result
 	// armed is when the time limit of the stream was set last.
 	armed clock.Time
 	// deadline is the time limit of the stream.
@@ -54,7 +56,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	a.arm(a.request.query.Deadline.Add(graceSpan))
-	call := a.request.call(a.id, a.started, a.upstream.permit(permit, a.started), a.answer.next)
+	call := a.request.call(a.id, a.started, a.upstream.permit(permit), a.answer.next)
 	a.answer.begin()
 	// A part of the call may have arrived even if sending failed, but an agent runs
 	// only a whole call.
@@ -86,6 +88,7 @@
 	switch b := f.Body.(type) {
 	case *wire.Frame_Head:
 		if a.mine(b.Head.Attempt) {
+			a.confirm()
 			a.extend()
 			return false, a.fail(a.answer.head(b.Head))
 		}
--- a/gate/decide.go
+++ b/gate/decide.go
@@ -80,6 +80,8 @@
 // Reservation holds tokens for one request.
 type Reservation interface {
 	Permit() Permit
+	// Started is called when an agent has confirmed the start.
+	Started()
 	// Settle ends the reservation; it is called once. Started is false when no
 	// upstream has started the request.
 	Settle(started bool, used units.Tokens)
@@ -160,6 +162,8 @@
 
 func (u unlimited) Permit() Permit { return Permit{Expires: u.expires} }
 
+func (unlimited) Started() {}
+
 func (unlimited) Settle(bool, units.Tokens) {}
 
 // RetryOnce is a Retrier that allows one retry of a request that did not run or
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -31,13 +31,14 @@
 	Picker    Picker
 	Limiter   Limiter
 	Retrier   Retrier
-	Configs   Configs
 	// Once is needed for calls with an Idempotency-Key; without it they are refused.
 	Once Once
 	// Work is needed for deferred work; without it such requests are refused.
 	Work Work
-	// Receiver takes the control frames that the gateway does not handle itself.
-	Receiver Receiver
+	// Peers takes part in the control traffic.
+	Peers Peers
+	// Isolated tells that the gateway must take no new request; nil means never.
+	Isolated func() bool
 	// Clock is clock.System when nil.
 	Clock clock.Clock
 }
@@ -59,8 +60,11 @@
 	if o.Retrier == nil {
 		o.Retrier = RetryOnce{}
 	}
-	if o.Configs == nil {
-		o.Configs = &Newest{}
+	if o.Peers == nil {
+		o.Peers = noPeers{}
+	}
+	if o.Isolated == nil {
+		o.Isolated = func() bool { return false }
 	}
 }
 
--- a/gate/public.go
+++ b/gate/public.go
@@ -46,10 +46,18 @@
 	}), nil
 }
 
+// enter takes a place for a request unless the gateway may have missed a change.
+func (s *Server) enter() *Problem {
+	if s.options.Isolated() {
+		return problem(units.Isolated, "the gateway reaches neither the store nor most other gateways")
+	}
+	return s.running.enter()
+}
+
 // admit handles a request if there is a place for it.
 func (s *Server) admit(api http.Handler, w *writer, r *http.Request) {
 	w.arm()
-	if p := s.running.enter(); p != nil {
+	if p := s.enter(); p != nil {
 		w.Header().Set("Connection", "close")
 		p.write(w)
 		return
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -22,18 +22,15 @@
 	ran bool
 	// stuck is set when the record of the call does not allow an attempt.
 	stuck bool
-	used  units.Tokens
+	// reservation is nil when the next attempt needs a new one.
+	reservation Reservation
 }
 
 // run returns nil after a complete answer.
 func (r *relay) run(ctx context.Context) *Problem {
-	reservation, p := r.reserve(ctx)
-	if p != nil {
-		return p
-	}
-	p = r.attempts(ctx, &reservation)
-	if reservation != nil {
-		reservation.Settle(r.ran, r.used)
+	p := r.attempts(ctx)
+	if r.reservation != nil {
+		r.reservation.Settle(false, 0)
 	}
 	return p
 }
@@ -51,34 +48,52 @@
 	return v, nil
 }
 
-func (r *relay) attempts(ctx context.Context, reservation *Reservation) *Problem {
+func (r *relay) attempts(ctx context.Context) *Problem {
 	var last *Problem
 	for {
 		u := r.pick()
 		if u == nil {
 			return r.final(last, problem(units.NoUpstream, "no upstream is available for "+r.request.query.Target))
 		}
-		p := r.attempt(ctx, u, (*reservation).Permit())
-		if p == nil {
+		p := r.renew(ctx)
+		if p != nil {
+			return r.final(nil, p)
+		}
+		if p = r.attempt(ctx, u); p == nil {
 			r.server.options.Retrier.Succeeded(r.server.clock.Now(), &r.request.query)
 			return nil
 		}
 		if last = p; !r.again(ctx, p) {
 			return r.final(last, p)
 		}
-		if p.Code != units.PermitExpired && p.Code != units.PermitStale {
-			continue
-		}
-		(*reservation).Settle(r.ran, r.used)
-		*reservation = nil
-		next, p := r.reserve(ctx)
-		if p != nil {
-			return r.final(nil, p)
-		}
-		*reservation = next
 	}
 }
 
+// renew makes sure that the next attempt has tokens. A reservation pays for one
+// attempt that may have run, and for any number that did not.
+func (r *relay) renew(ctx context.Context) (p *Problem) {
+	if r.reservation == nil {
+		r.reservation, p = r.reserve(ctx)
+	}
+	return p
+}
+
+// settle ends the reservation unless the next attempt can use it.
+func (r *relay) settle(p *Problem, used units.Tokens) {
+	switch {
+	case p == nil:
+		r.reservation.Settle(true, used)
+	case p.Ran:
+		// What a broken attempt has used is not known, so it counts in full.
+		r.reservation.Settle(true, r.request.query.Cost)
+	case p.Code == units.PermitExpired || p.Code == units.PermitStale:
+		r.reservation.Settle(false, 0)
+	default:
+		return
+	}
+	r.reservation = nil
+}
+
 // final returns the problem that the caller gets: the last refusal tells more than
 // that there is no other upstream.
 func (r *relay) final(last, p *Problem) *Problem {
@@ -115,7 +130,7 @@
 	return true
 }
 
-func (r *relay) attempt(ctx context.Context, u *upstream, permit Permit) *Problem {
+func (r *relay) attempt(ctx context.Context, u *upstream) *Problem {
 	s := r.server
 	a := &attempt{
 		id:       units.AttemptID(uuid.NewString()),
@@ -124,17 +139,18 @@
 		answer:   r.answer,
 		clock:    s.clock,
 		stall:    s.options.Gate.Limits.Stall,
+		confirm:  r.reservation.Started,
 	}
 	if done, p := r.begin(ctx, a); done || p != nil {
 		return p
 	}
 	u.outstanding.Add(1)
 	s.options.Picker.Started(s.clock.Now(), u.id, &r.request.query)
-	p := a.run(ctx, permit)
+	p := a.run(ctx, r.reservation.Permit())
 	u.outstanding.Add(-1)
 	s.options.Picker.Ended(s.clock.Now(), u.id, &r.request.query, a.result)
 	r.end(ctx, a, p)
-	r.used += a.result.Used
+	r.settle(p, a.result.Used)
 	if p == nil {
 		r.ran = true
 		return nil
--- a/gate/service.go
+++ b/gate/service.go
@@ -57,6 +57,7 @@
 		query: Query{
 			Customer:    x.caller.Customer,
 			Target:      name,
+			Service:     true,
 			Class:       class,
 			Fingerprint: fingerprint(x.caller.Customer, r.Method+" "+rest, body.data),
 			Deadline:    s.deadline(x.arrived, class),
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/rate"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
@@ -23,9 +24,6 @@
 
 const (
 	pingInterval = 250 * time.Millisecond
-	// pingsPerVersions makes the comparison of configuration happen every 10 s, which
-	// stays within the bandwidth for control at 650 agents.
-	pingsPerVersions = 40
 	// silentSpan is the age of the last Pong at which an agent gets no new requests.
 	silentSpan = 1500 * clock.Millisecond
 	// lostSpan is the age of the last Pong at which the session is closed.
@@ -40,10 +38,16 @@
 
 // stamp is a reading of the agent's clock with the time when it arrived.
 type stamp struct {
-	agent clock.Time
+	agent rate.Stamp
 	heard clock.Time
 }
 
+// ping is the last Ping sent.
+type ping struct {
+	id   uint64
+	sent clock.Time
+}
+
 // upstream is a connected agent, or another gateway. It lives as long as the
 // session.
 type upstream struct {
@@ -55,6 +59,7 @@
 	clock       clock.Clock
 	report      atomic.Pointer[report]
 	stamp       atomic.Pointer[stamp]
+	pinged      atomic.Pointer[ping]
 	outstanding atomic.Int64
 	leaving     atomic.Bool
 }
@@ -77,6 +82,7 @@
 
 func (u *upstream) close(l *links) {
 	l.disconnected(u)
+	u.server.options.Peers.Disconnected(u.session.Peer(), u)
 	_ = u.session.Close()
 }
 
@@ -102,7 +108,8 @@
 	t := time.NewTicker(pingInterval)
 	defer t.Stop()
 	for id := uint64(1); ; id++ {
-		if err := u.greet(id); err != nil {
+		u.pinged.Store(&ping{id: id, sent: u.clock.Now()})
+		if err := u.control.Send(&wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{Id: id}}}); err != nil {
 			_ = u.session.Close()
 			return err
 		}
@@ -123,19 +130,6 @@
 	}
 }
 
-// greet sends a Ping and now and then, from the first, the versions of the
-// configuration.
-func (u *upstream) greet(id uint64) error {
-	if err := u.control.Send(&wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{Id: id}}}); err != nil {
-		return err
-	}
-	if id%pingsPerVersions != 1 {
-		return nil
-	}
-	v := u.server.options.Configs.Versions()
-	return u.control.Send(&wire.Frame{Body: &wire.Frame_Versions{Versions: v}})
-}
-
 func (u *upstream) receive(l *links) error {
 	listed := false
 	for {
@@ -147,6 +141,7 @@
 		if !listed && u.known(l.role) {
 			listed = true
 			l.connected(u)
+			u.server.options.Peers.Connected(u.session.Peer(), u)
 		}
 	}
 }
@@ -159,7 +154,7 @@
 func (u *upstream) handle(f *wire.Frame) {
 	switch b := f.Body.(type) {
 	case *wire.Frame_Pong:
-		u.stamp.Store(&stamp{agent: clock.Time(b.Pong.Now), heard: u.clock.Now()})
+		u.ponged(b.Pong)
 	case *wire.Frame_Load:
 		u.loaded(b.Load)
 	case *wire.Frame_Leave:
@@ -169,6 +164,18 @@
 	}
 }
 
+// ponged records the peer's clock. A Pong that is not for the last Ping is older than
+// the one for it and tells nothing more.
+func (u *upstream) ponged(p *wire.Pong) {
+	last := u.pinged.Load()
+	if last == nil || p.Id != last.id {
+		return
+	}
+	now := u.clock.Now()
+	u.stamp.Store(&stamp{agent: rate.NewStamp(now, clock.Time(p.Now)), heard: now})
+	u.server.options.Peers.Answered(u.session.Peer(), last.sent)
+}
+
 // loaded keeps the report unless a newer one has arrived: reports come on the
 // control stream and on each request's stream.
 func (u *upstream) loaded(l *wire.Load) {
@@ -201,12 +208,7 @@
 	return slices.Contains(l.Resident, target)
 }
 
-// permit translates the permit to the agent's clock. The last stamp is older than
-// now, so the result can only be too early.
-func (u *upstream) permit(p Permit, now clock.Time) *wire.Permit {
-	last := u.stamp.Load()
-	return &wire.Permit{
-		Expires: int64(last.agent.Add(p.Expires.Sub(now))),
-		Paid:    p.Paid,
-	}
+// permit translates the permit to the agent's clock.
+func (u *upstream) permit(p Permit) *wire.Permit {
+	return &wire.Permit{Expires: int64(u.stamp.Load().agent.Expiry(p.Expires)), Paid: p.Paid}
 }
