--- a/fakes/keyval/keyval.go
+++ b/fakes/keyval/keyval.go
@@ -46,6 +46,8 @@
 	// DelayMillis holds every call before it takes effect, even if its caller gives
 	// up.
 	DelayMillis clock.Span `json:"delay_millis"`
+	// WatchOutage cuts watches only.
+	WatchOutage bool `json:"watch_outage"`
 	// WatchDelayMillis holds the events of watches.
 	WatchDelayMillis clock.Span `json:"watch_delay_millis"`
 	// LoseAnswers is the number of next writes of keys whose answers are lost after
@@ -194,11 +196,12 @@
 	f := s.faults.Get()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	out := f.Outage || f.Refuse || f.WatchOutage
 	closed := isClosed(s.outage)
 	switch {
-	case (f.Outage || f.Refuse) && !closed:
+	case out && !closed:
 		close(s.outage)
-	case !f.Outage && !f.Refuse && closed:
+	case !out && closed:
 		s.outage = make(chan struct{})
 	}
 }
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fakes/keyval"
 	"github.com/magnolialever/magnolialever/store"
 )
@@ -98,3 +101,52 @@
 	_, err = gone.Swap(ctx, "/a", 0, []byte("1"), 0)
 	assert.ErrorIs(t, err, store.ErrUnavailable)
 }
+
+// Guards against a definite result for a write that is still on its way.
+func TestLateWrite(t *testing.T) {
+	s, c := start(t, keyval.Options{})
+	ctx := context.Background()
+	s.SetDelay(2 * testTimeout)
+	_, err := c.Swap(ctx, "/a", 0, []byte("1"), 0)
+	assert.ErrorIs(t, err, store.ErrUnknown)
+	s.SetDelay(0)
+	eventually(t, "the write takes effect", func() bool {
+		e, err := c.Get(ctx, "/a")
+		return err == nil && string(e.Value) == "1"
+	})
+}
+
+// Guards against a refusal by the limit of calls that counts as unknown.
+func TestLimit(t *testing.T) {
+	s, c := start(t, keyval.Options{WritesPerSecond: 1})
+	ctx := context.Background()
+	r, err := c.Swap(ctx, "/a", 0, []byte("1"), 0)
+	assert.NilError(t, err)
+	_, err = c.Swap(ctx, "/a", r, []byte("2"), 0)
+	assert.ErrorIs(t, err, store.ErrUnavailable)
+	assert.Equal(t, s.Calls().Limited, int64(1))
+}
+
+// Guards against values that the store refuses.
+func TestTooLarge(t *testing.T) {
+	s, _ := start(t, keyval.Options{})
+	ctx := context.Background()
+	// The race detector slows the encoding of a megabyte down.
+	c := store.New(store.Options{Address: s.Addr(), Timeout: 10 * clock.Second})
+	defer c.Close()
+	_, err := c.Swap(ctx, "/a", 0, make([]byte, store.MaxValueBytes), 0)
+	assert.NilError(t, err)
+	_, err = c.Swap(ctx, "/b", 0, make([]byte, store.MaxValueBytes+1), 0)
+	assert.ErrorIs(t, err, store.ErrTooLarge)
+}
+
+// Guards against faults that a test can't switch in a separate process.
+func TestFaultsOverHTTP(t *testing.T) {
+	s, c := start(t, keyval.Options{})
+	r, err := http.Post("http://"+s.Addr()+"/fault", "application/json", strings.NewReader(`{"outage":true}`))
+	assert.NilError(t, err)
+	r.Body.Close()
+	_, err = c.Get(context.Background(), "/a")
+	assert.ErrorIs(t, err, store.ErrUnavailable)
+	assert.Assert(t, s.Faults().Outage)
+}
--- /dev/null
+++ b/store/watch_test.go
@@ -0,0 +1,117 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/fakes/keyval"
+	"github.com/magnolialever/magnolialever/store"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+func receive(t *testing.T, ch <-chan store.Event) store.Event {
+	t.Helper()
+	select {
+	case e, ok := <-ch:
+		assert.Assert(t, ok)
+		return e
+	case <-time.After(10 * time.Second):
+		t.Fatal("no event")
+		return store.Event{}
+	}
+}
+
+// Guards against events that are lost, repeated or reordered when connections
+// break.
+func TestWatchOverCuts(t *testing.T) {
+	s, c := start(t, keyval.Options{})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ch := c.Watch(ctx, "/p/", 1)
+	const rounds, writes = 4, 50
+	last := units.Revision(0)
+	for r := range rounds {
+		s.Update(func(f *keyval.Faults) { f.CutWatches = 1 })
+		sent := make(chan error, 1)
+		go func() { sent <- write(ctx, c, r, writes) }()
+		for i := range writes {
+			e := receive(t, ch)
+			assert.Equal(t, e.Key, fmt.Sprintf("/p/%d/%d", r, i))
+			assert.Assert(t, e.Revision > last)
+			last = e.Revision
+		}
+		assert.NilError(t, <-sent)
+		assert.Equal(t, s.Faults().CutWatches, 0)
+	}
+	eventually(t, "all cuts were met", func() bool { return c.Counters().Watches > rounds })
+}
+
+func write(ctx context.Context, c *store.Client, round, writes int) error {
+	for i := range writes {
+		if _, err := c.Swap(ctx, fmt.Sprintf("/p/%d/%d", round, i), 0, nil, 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Guards against a deletion that goes unnoticed because the store dropped the
+// events of an outage.
+func TestWatchAfterCompaction(t *testing.T) {
+	s, c := start(t, keyval.Options{})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	put := func(key string) units.Revision {
+		r, err := c.Swap(ctx, key, 0, []byte("v"), 0)
+		assert.NilError(t, err)
+		return r
+	}
+	put("/p/old")
+	ch := c.Watch(ctx, "/p/", put("/p/kept")+1)
+	mark := put("/p/mark")
+	assert.Equal(t, receive(t, ch).Revision, mark)
+
+	s.Update(func(f *keyval.Faults) { f.WatchOutage = true })
+	assert.NilError(t, c.Delete(ctx, "/p/old", 0))
+	fresh := put("/p/new")
+	s.Compact()
+	s.Update(func(f *keyval.Faults) { f.WatchOutage = false })
+	e := receive(t, ch)
+	assert.Equal(t, e.Key, "/p/new")
+	assert.Equal(t, e.Revision, fresh)
+	e = receive(t, ch)
+	assert.Equal(t, e.Key, "/p/old")
+	assert.Assert(t, e.Deleted && e.Revision >= fresh)
+	next := put("/p/next")
+	assert.Equal(t, receive(t, ch).Revision, next)
+}
+
+// Guards against a watch from now on that delivers the past, and against a channel
+// that stays open.
+func TestWatchFromNow(t *testing.T) {
+	s, c := start(t, keyval.Options{})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	_, err := c.Swap(ctx, "/a", 0, nil, 0)
+	assert.NilError(t, err)
+	ch := c.Watch(ctx, "/", 0)
+	eventually(t, "watch is open", func() bool { return s.Calls().Watch == 1 })
+	s.SetOutage(true)
+	s.SetOutage(false)
+	_, err = c.Swap(ctx, "/b", 0, nil, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, receive(t, ch).Key, "/b")
+	cancel()
+	eventually(t, "closed", func() bool {
+		select {
+		case _, ok := <-ch:
+			return !ok
+		default:
+			return false
+		}
+	})
+}
