--- a/fakes/engine/errors.go
+++ b/fakes/engine/errors.go
@@ -57,4 +57,6 @@
 	return newError(http.StatusInternalServerError, typeServer, "engine_error", err.Error())
 }
 
+func (e *apiError) Error() string { return e.body.Error.Message }
+
 func (e *apiError) write(w http.ResponseWriter) { serve.Write(w, e.status, e.body) }
--- a/fakes/engine/orders.go
+++ b/fakes/engine/orders.go
@@ -95,6 +95,14 @@
 	return ctx, cancel
 }
 
+// Order executes the order as POST /orders does, without faults.
+func (s *Server) Order(ctx context.Context, o Order) error {
+	if e := s.execute(ctx, &o); e != nil {
+		return e
+	}
+	return nil
+}
+
 func (s *Server) memorySize() Memory {
 	return Memory{Capacity: s.options.Capacity, Used: s.memory.used()}
 }
--- /dev/null
+++ b/fakes/plain/plain.go
@@ -0,0 +1,238 @@
+// Package plain is a stand-in for a plain HTTP service, some of whose calls must
+// not be repeated.
+package plain
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fakes/serve"
+)
+
+// CallHeader names the call in tests; the stand-in counts runs by its value.
+const CallHeader = "X-Call-Id"
+
+// maxRecords bounds the memory of long runs; runs are counted for all calls.
+const maxRecords = 20_000
+
+// Options configure a Server.
+type Options struct {
+	// Address to listen on; empty means a free port of 127.0.0.1.
+	Address string
+	// Time is what a call takes.
+	Time clock.Span
+	// Marker in a body crashes the service; empty means none.
+	Marker string
+	// Restart is how long it is down after a crash by Marker, 500 ms by default.
+	Restart clock.Span
+}
+
+const defaultRestart = 500 * clock.Millisecond
+
+// Faults are the switchable faults.
+type Faults struct {
+	// LoseAnswers is the number of next calls whose answers are lost after they ran.
+	LoseAnswers int `json:"lose_answers"`
+	// LoseCalls is the number of next calls that are cut before they run.
+	LoseCalls int `json:"lose_calls"`
+	// FailCalls is the number of next calls answered with 500 before they run.
+	FailCalls int `json:"fail_calls"`
+	// DelayMillis is added to the time of each call.
+	DelayMillis clock.Span `json:"delay_millis"`
+}
+
+// Call is the record of a call received.
+type Call struct {
+	ID     string      `json:"id"`
+	Method string      `json:"method"`
+	Path   string      `json:"path"`
+	Header http.Header `json:"header"`
+	Body   string      `json:"body"`
+	Ran    bool        `json:"ran"`
+}
+
+// Answer is the body of each answer; it repeats the call so that crossed answers
+// are noticed.
+type Answer struct {
+	ID     string `json:"id"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Body   string `json:"body"`
+	// Run is how often the call has run.
+	Run int `json:"run"`
+}
+
+// Server is the stand-in.
+type Server struct {
+	options Options
+	web     *serve.Server
+	faults  serve.Faults[Faults]
+
+	mu      sync.Mutex
+	calls   []*Call
+	runs    map[string]int
+	crashes int
+}
+
+// New opens the listener.
+func New(o Options) (*Server, error) {
+	if o.Address == "" {
+		o.Address = "127.0.0.1:0"
+	}
+	if o.Restart == 0 {
+		o.Restart = defaultRestart
+	}
+	s := &Server{options: o, runs: make(map[string]int)}
+	m := http.NewServeMux()
+	m.HandleFunc("/", s.serve)
+	s.faultRoutes(m)
+	web, err := serve.Listen(o.Address, m)
+	if err != nil {
+		return nil, fmt.Errorf("plain service stand-in: %w", err)
+	}
+	s.web = web
+	return s, nil
+}
+
+// Addr returns the address of the listener.
+func (s *Server) Addr() string { return s.web.Addr() }
+
+// Run serves until the context is done.
+func (s *Server) Run(ctx context.Context) error { return s.web.Run(ctx) }
+
+// Faults returns the faults in force.
+func (s *Server) Faults() Faults { return s.faults.Get() }
+
+// Update changes the faults.
+func (s *Server) Update(change func(*Faults)) { s.faults.Update(change) }
+
+// Crash cuts all connections and comes back after the span; with a span of 0 it
+// stays down until Restart. What calls did is kept, as in a data base.
+func (s *Server) Crash(down clock.Span) {
+	s.mu.Lock()
+	s.crashes++
+	s.mu.Unlock()
+	s.web.Down(down)
+}
+
+// Restart ends a crash without a time limit.
+func (s *Server) Restart() { s.web.Up() }
+
+// Runs returns how often the call with the id has run.
+func (s *Server) Runs(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
+// Repeated returns the ids of calls that have run more than once, sorted.
+func (s *Server) Repeated() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := []string{}
+	for id, n := range s.runs {
+		if n > 1 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Calls returns the records of the calls received, oldest first.
+func (s *Server) Calls() []Call {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]Call, 0, len(s.calls))
+	for _, c := range s.calls {
+		list = append(list, *c)
+	}
+	return list
+}
+
+// Crashes returns the number of crashes.
+func (s *Server) Crashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes
+}
+
+// Saw reports whether the text occurred in the path, a header or the body of a call.
+func (s *Server) Saw(text string) bool {
+	for _, c := range s.Calls() {
+		var b strings.Builder
+		_ = c.Header.Write(&b) // a builder takes all
+		if strings.Contains(b.String()+c.Path+c.Body, text) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, serve.MaxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	c := s.record(r, body)
+	if m := s.options.Marker; m != "" && strings.Contains(c.Body, m) {
+		s.Crash(s.options.Restart)
+		serve.Abort()
+	}
+	if s.take(func(f *Faults) *int { return &f.LoseCalls }) {
+		serve.Abort()
+	}
+	if s.take(func(f *Faults) *int { return &f.FailCalls }) {
+		http.Error(w, "fault was switched on", http.StatusInternalServerError)
+		return
+	}
+	a := s.run(c)
+	// The call has run; a caller that leaves does not change that.
+	time.Sleep((s.options.Time + s.faults.Get().DelayMillis).Duration())
+	if s.take(func(f *Faults) *int { return &f.LoseAnswers }) {
+		serve.Abort()
+	}
+	serve.Write(w, http.StatusOK, a)
+}
+
+func (s *Server) record(r *http.Request, body []byte) *Call {
+	c := &Call{
+		ID: r.Header.Get(CallHeader), Method: r.Method, Path: r.URL.RequestURI(), Header: r.Header.Clone(),
+		Body: string(body),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, c)
+	if len(s.calls) > 2*maxRecords {
+		s.calls = slices.Clone(s.calls[len(s.calls)-maxRecords:])
+	}
+	return c
+}
+
+func (s *Server) run(c *Call) Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.Ran = true
+	s.runs[c.ID]++
+	return Answer{ID: c.ID, Method: c.Method, Path: c.Path, Body: c.Body, Run: s.runs[c.ID]}
+}
+
+// take reports whether one of the counted faults is due.
+func (s *Server) take(field func(*Faults) *int) bool {
+	due := false
+	s.faults.Update(func(f *Faults) {
+		if n := field(f); *n > 0 {
+			*n--
+			due = true
+		}
+	})
+	return due
+}
--- /dev/null
+++ b/fakes/plain/plain_test.go
@@ -0,0 +1,81 @@
+package plain_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/magnolialever/magnolialever/fakes/plain"
+)
+
+func start(t *testing.T, o plain.Options) *plain.Server {
+	t.Helper()
+	s, err := plain.New(o)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return s
+}
+
+func call(t *testing.T, s *plain.Server, id, body string) (plain.Answer, error) {
+	t.Helper()
+	q, err := http.NewRequest(http.MethodPost, "http://"+s.Addr()+"/book", strings.NewReader(body))
+	assert.NilError(t, err)
+	q.Header.Set(plain.CallHeader, id)
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return plain.Answer{}, err
+	}
+	defer r.Body.Close()
+	var a plain.Answer
+	return a, json.NewDecoder(r.Body).Decode(&a)
+}
+
+// Guards against runs that are not counted when the answer is lost, and against
+// those that are counted without a run.
+func TestLostAnswers(t *testing.T) {
+	s := start(t, plain.Options{})
+	s.Update(func(f *plain.Faults) { f.LoseAnswers, f.LoseCalls = 1, 1 })
+	_, err := call(t, s, "c1", "first") // lost before it ran
+	assert.Assert(t, err != nil)
+	assert.Equal(t, s.Runs("c1"), 0)
+	_, err = call(t, s, "c1", "first") // ran, answer lost
+	assert.Assert(t, err != nil)
+	assert.Equal(t, s.Runs("c1"), 1)
+	a, err := call(t, s, "c1", "first")
+	assert.NilError(t, err)
+	assert.Equal(t, a, plain.Answer{ID: "c1", Method: http.MethodPost, Path: "/book", Body: "first", Run: 2})
+	assert.DeepEqual(t, s.Repeated(), []string{"c1"})
+	assert.Equal(t, len(s.Calls()), 3)
+	assert.Assert(t, !s.Calls()[0].Ran && s.Calls()[1].Ran)
+	assert.Assert(t, s.Saw("first") && !s.Saw("second"))
+}
+
+// Guards against a crash that answers, and against counts that it loses.
+func TestCrash(t *testing.T) {
+	s := start(t, plain.Options{Marker: "boom", Restart: 30})
+	_, err := call(t, s, "c1", "fine")
+	assert.NilError(t, err)
+	_, err = call(t, s, "c2", "boom")
+	assert.Assert(t, err != nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := call(t, s, "c3", "fine"); err != nil {
+			return poll.Continue("still down: %v", err)
+		}
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond))
+	assert.Equal(t, s.Runs("c1"), 1)
+	assert.Equal(t, s.Runs("c2"), 0)
+	assert.Equal(t, s.Crashes(), 1)
+}
--- /dev/null
+++ b/fakes/weight/weight_test.go
@@ -0,0 +1,85 @@
+package weight_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/fakes/engine"
+	"github.com/magnolialever/magnolialever/fakes/weight"
+)
+
+func start(t *testing.T, o weight.Options) *weight.Server {
+	t.Helper()
+	s, err := weight.New(o)
+	assert.NilError(t, err)
+	run(t, s.Run)
+	return s
+}
+
+func run(t *testing.T, f func(context.Context) error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+}
+
+// load returns the status, or 0 when the answer was cut.
+func load(s *weight.Server) int {
+	r, err := http.Get("http://" + s.Addr() + "/weights/m1")
+	if err != nil {
+		return 0
+	}
+	defer r.Body.Close()
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return 0
+	}
+	return r.StatusCode
+}
+
+// Guards against loads above the concurrency limit.
+func TestConcurrency(t *testing.T) {
+	s := start(t, weight.Options{Rate: 1000, Burst: 1000, Concurrent: 2, Time: 200})
+	codes := make(chan int, 4)
+	for range 4 {
+		go func() { codes <- load(s) }()
+	}
+	count := make(map[int]int)
+	for range 4 {
+		count[<-codes]++
+	}
+	assert.Equal(t, count[http.StatusOK], 2)
+	assert.Equal(t, count[http.StatusTooManyRequests], 2)
+	assert.Equal(t, s.Counts().MaxConcurrent, 2)
+}
+
+// Guards against loads above the rate, and against a cut load that looks whole.
+func TestRate(t *testing.T) {
+	s := start(t, weight.Options{Rate: 0.001, Burst: 2})
+	s.Update(func(f *weight.Faults) { f.CutLoads = 1 })
+	assert.Equal(t, load(s), 0)
+	assert.Equal(t, load(s), http.StatusOK)
+	assert.Equal(t, load(s), http.StatusTooManyRequests)
+	assert.Equal(t, s.Counts(), weight.Counts{Loads: 2, Refused: 1, MaxConcurrent: 1})
+}
+
+// Guards against an engine that keeps memory for a load that the weight store
+// refused.
+func TestEngineLoads(t *testing.T) {
+	s := start(t, weight.Options{Rate: 0.001, Burst: 1, Time: 20})
+	e, err := engine.New(engine.Options{Weights: s.Addr()})
+	assert.NilError(t, err)
+	run(t, e.Run)
+	order := func(o engine.Order) error { return e.Order(context.Background(), o) }
+	assert.NilError(t, order(engine.Order{Op: engine.OpLoad, Model: "m1", Bytes: 5}))
+	assert.ErrorContains(t, order(engine.Order{Op: engine.OpLoad, Model: "m2", Bytes: 5}), "429")
+	assert.Equal(t, len(e.Models()), 1)
+	assert.Equal(t, s.Counts().Loads, int64(1))
+}
