store, fakes: tell refusals from outages and bound the stand-ins

Cause: a refused call counted as an outage of the store, a missing lease had no error of its own, and the stand-ins spent time on their logs. Change: answers below 500 are refusals, 404 is ErrMissing; the change log is dropped in large pieces and prefix events are searched; fake-engine has more flags.

--- a/cmds/fakeengine.go
+++ b/cmds/fakeengine.go
@@ -29,6 +29,10 @@
 	CheckFence bool          `long:"check-fence" description:"Refuse orders with an old fencing number"`
 	Cold       bool          `long:"cold" description:"Start cold"`
 	ColdLimit  int           `long:"cold-limit" description:"Requests at once that a cold engine bears" default:"4"`
+	Answers    int           `long:"cold-answers" description:"Answers after which a cold engine is warm" default:"10"`
+	Collapse   time.Duration `long:"collapse" description:"Time without service after a collapse" default:"1s"`
+	MaxRunning int           `long:"max-running" description:"Requests in the batch" default:"128"`
+	Blocks     int           `long:"blocks" description:"KV cache blocks of 16 tokens" default:"16384"`
 	Marker     string        `long:"marker" description:"Text in a prompt that crashes the engine"`
 	Restart    time.Duration `long:"restart" description:"Time down after a crash" default:"500ms"`
 }
@@ -62,6 +66,7 @@
 		TokenTime: clock.FromDuration(c.TokenTime), Jitter: clock.FromDuration(c.Jitter), Knee: c.Knee,
 		LoadLag: clock.FromDuration(c.LoadLag), EventLag: clock.FromDuration(c.EventLag), EventGaps: c.EventGaps,
 		CheckFence: c.CheckFence, Cold: c.Cold, ColdLimit: c.ColdLimit,
+		ColdAnswers: c.Answers, CollapseTime: clock.FromDuration(c.Collapse), MaxRunning: c.MaxRunning, Blocks: c.Blocks,
 		Marker: c.Marker, Restart: clock.FromDuration(c.Restart),
 	}
 	for _, v := range c.Models {
--- a/fakes/engine/engine.go
+++ b/fakes/engine/engine.go
@@ -165,7 +165,7 @@
 func New(o Options) (*Server, error) {
 	o.setDefaults()
 	s := &Server{
-		options: o, weights: &http.Client{}, wake: make(chan struct{}, 1), stopped: make(chan struct{}),
+		options: o, weights: &http.Client{Transport: &http.Transport{}}, wake: make(chan struct{}, 1), stopped: make(chan struct{}),
 		prefix: newPrefixCache(o), instance: time.Now().UnixNano(),
 	}
 	s.memory.reset(o.Models)
--- a/fakes/engine/prefix.go
+++ b/fakes/engine/prefix.go
@@ -1,11 +1,13 @@
 package engine
 
 import (
+	"cmp"
 	"container/list"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -106,10 +108,14 @@
 // after returns the events with a higher number that happened before the limit.
 func (c *prefixCache) after(sequence int64, limit clock.Time) []PrefixEvent {
 	var found []PrefixEvent
-	for _, e := range c.events {
-		if e.Sequence > sequence && !e.at.After(limit) {
-			found = append(found, e.PrefixEvent)
+	first, _ := slices.BinarySearchFunc(c.events, sequence+1, func(e timedEvent, n int64) int {
+		return cmp.Compare(e.Sequence, n)
+	})
+	for _, e := range c.events[first:] {
+		if e.at.After(limit) {
+			break
 		}
+		found = append(found, e.PrefixEvent)
 	}
 	return found
 }
--- a/fakes/engine/record.go
+++ b/fakes/engine/record.go
@@ -10,7 +10,7 @@
 )
 
 // maxRecords bounds the memory of long runs; runs are counted for all requests.
-const maxRecords = 20_000
+const maxRecords = 5000
 
 // Outcome is how a request ended.
 type Outcome string
--- a/fakes/keyval/data.go
+++ b/fakes/keyval/data.go
@@ -27,7 +27,8 @@
 
 func (s *Server) record(c change) {
 	s.log = append(s.log, c)
-	if drop := len(s.log) - s.keep; drop > 0 {
+	// Changes are dropped in large pieces, since each drop moves the rest.
+	if drop := len(s.log) - s.keep; drop > s.keep/4 {
 		s.compacted = s.log[drop-1].kv.ModRevision
 		s.log = slices.Delete(s.log, 0, drop)
 	}
--- a/fakes/keyval/keyval.go
+++ b/fakes/keyval/keyval.go
@@ -29,8 +29,8 @@
 	// ReadsPerSecond and WritesPerSecond limit the calls; 0 means no limit.
 	ReadsPerSecond  int
 	WritesPerSecond int
-	// KeepEvents is the number of changes kept for watches and reads of the past; 0
-	// means 100,000. Older ones are compacted.
+	// KeepEvents is the least number of changes kept for watches and reads of the past;
+	// 0 means 100,000. Older ones are compacted.
 	KeepEvents int
 	// Clock measures leases; nil means clock.System.
 	Clock clock.Clock
--- a/fakes/plain/plain.go
+++ b/fakes/plain/plain.go
@@ -20,7 +20,7 @@
 const CallHeader = "X-Call-Id"
 
 // maxRecords bounds the memory of long runs; runs are counted for all calls.
-const maxRecords = 20_000
+const maxRecords = 5000
 
 // Options configure a Server.
 type Options struct {
--- a/store/call.go
+++ b/store/call.go
@@ -154,11 +154,7 @@
 	if r.StatusCode != http.StatusOK {
 		defer r.Body.Close()
 		text, _ := io.ReadAll(io.LimitReader(r.Body, maxErrorBytes)) // only for the message
-		err := fmt.Errorf("call %s: status %d: %s", path, r.StatusCode, bytes.TrimSpace(text))
-		if r.StatusCode < http.StatusInternalServerError {
-			return nil, c.failed(&failure{err: fmt.Errorf("%w: %w", errRefused, err)})
-		}
-		return nil, c.failed(&failure{ran: true, err: err})
+		return nil, c.refused(r.StatusCode, fmt.Errorf("call %s: status %d: %s", path, r.StatusCode, bytes.TrimSpace(text)))
 	}
 	return r, nil
 }
@@ -170,6 +166,21 @@
 	return errors.As(err, &o) && o.Op == "dial"
 }
 
+// refused turns an answer other than 200 into an error. Below 500 the store has
+// refused to run the call; it is not out.
+func (c *Client) refused(status int, err error) error {
+	if status >= http.StatusInternalServerError {
+		return c.failed(&failure{ran: true, err: err})
+	}
+	c.count.errors.Add(1)
+	stats.Event("store_refused")
+	c.answered()
+	if status == http.StatusNotFound {
+		return fmt.Errorf("%w: %w", ErrMissing, err)
+	}
+	return &failure{err: fmt.Errorf("%w: %w", errRefused, err)}
+}
+
 func (c *Client) failed(f *failure) error {
 	c.count.errors.Add(1)
 	stats.Event("store_error")
--- a/store/helper_test.go
+++ b/store/helper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"github.com/magnolialever/magnolialever/clock"
@@ -11,6 +12,8 @@
 	"github.com/magnolialever/magnolialever/store"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 const testTimeout = 200 * clock.Millisecond
 
 // start runs a stand-in and returns it with a client.
--- a/store/store.go
+++ b/store/store.go
@@ -63,7 +63,8 @@
 	List(ctx context.Context, prefix string) ([]Entry, units.Revision, error)
 	// Swap writes the value if the key has the revision old; 0 creates the key. It
 	// returns the new revision, ErrConflict, ErrUnknown or ErrUnavailable. A lease
-	// other than 0 binds the key to the lease.
+	// other than 0 binds the key to the lease; without that lease the result is
+	// ErrMissing.
 	Swap(ctx context.Context, key string, old units.Revision, value []byte, lease LeaseID) (units.Revision, error)
 	// Delete removes the key if it has the revision old; 0 means any revision. It
 	// returns ErrMissing when there is no such key. After a lost answer a missing key
@@ -73,7 +74,7 @@
 	Grant(ctx context.Context, ttl clock.Span) (LeaseID, error)
 	// Renew prolongs the lease and returns its time to live, or ErrMissing.
 	Renew(ctx context.Context, id LeaseID) (clock.Span, error)
-	// Revoke ends the lease and deletes its keys.
+	// Revoke ends the lease and deletes its keys, or returns ErrMissing.
 	Revoke(ctx context.Context, id LeaseID) error
 	// Watch delivers the changes of keys with the prefix from the revision on; 0 means
 	// from now on. It reconnects until the context is done and then closes the
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -34,6 +34,9 @@
 	assert.NilError(t, c.Delete(ctx, "/a", r2))
 	assert.ErrorIs(t, c.Delete(ctx, "/a", r2), store.ErrMissing)
 	assert.ErrorIs(t, c.Delete(ctx, "/a", 0), store.ErrMissing)
+	_, err = c.Swap(ctx, "/a", 0, nil, 99)
+	assert.ErrorIs(t, err, store.ErrMissing)
+	assert.ErrorIs(t, c.Revoke(ctx, 99), store.ErrMissing)
 }
 
 // Guards against entries lost between two pages and against foreign prefixes.
@@ -125,6 +128,7 @@
 	_, err = c.Swap(ctx, "/a", r, []byte("2"), 0)
 	assert.ErrorIs(t, err, store.ErrUnavailable)
 	assert.Equal(t, s.Calls().Limited, int64(1))
+	assert.Equal(t, c.Counters().Outages, int64(0))
 }
 
 // Guards against values that the store refuses.
