--- a/fakes/engine/batch.go
+++ b/fakes/engine/batch.go
@@ -100,28 +100,34 @@
 	*b = batch{free: blocks}
 }
 
+// next is what the loop of the batch does after it started waiting sequences.
+type next int
+
+const (
+	doStep next = iota
+	doHang
+	doCrash
+	doWait
+)
+
 // steps runs the batch until the context is done.
 func (s *Server) steps(ctx context.Context) {
 	for ctx.Err() == nil {
-		f := s.faults.Get()
-		if f.Hang {
+		length, next := s.fill()
+		switch next {
+		case doStep:
+			sleep(ctx, length)
+			s.step()
+		case doHang:
 			sleep(ctx, hangPoll)
-			continue
-		}
-		length, crash := s.fill(f)
-		if crash {
+		case doCrash:
 			s.Crash(s.options.Restart)
-			continue
-		}
-		if length == 0 {
+		case doWait:
 			select {
 			case <-s.wake:
 			case <-ctx.Done():
 			}
-			continue
 		}
-		sleep(ctx, length)
-		s.step()
 	}
 }
 
@@ -134,11 +140,15 @@
 	}
 }
 
-// fill starts waiting sequences and returns the length of the next step, 0 when
-// nothing runs, and whether a sequence crashes the engine.
-func (s *Server) fill(f Faults) (clock.Span, bool) {
+// fill starts waiting sequences and returns the length of the next step.
+func (s *Server) fill() (clock.Span, next) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	// Read under the lock, so that a fault applies to all later requests.
+	f := s.faults.Get()
+	if f.Hang {
+		return 0, doHang
+	}
 	b := &s.batch
 	for len(b.waiting) > 0 && len(b.running) < s.options.MaxRunning && b.waiting[0].blocks <= b.free {
 		q := b.waiting[0]
@@ -147,12 +157,12 @@
 		b.free -= q.blocks
 		s.begin(q)
 		if m := s.options.Marker; m != "" && strings.Contains(q.prompt, m) {
-			return 0, true
+			return 0, doCrash
 		}
 	}
 	n := len(b.running)
 	if n == 0 {
-		return 0, false
+		return 0, doWait
 	}
 	length := s.options.TokenTime + rand.N(s.options.Jitter+1)
 	if n > s.options.Knee {
@@ -161,7 +171,7 @@
 	if s.cold.on {
 		length *= clock.Span(s.options.ColdFactor)
 	}
-	return length * clock.Span(max(f.Slow, 1)), false
+	return length * clock.Span(max(f.Slow, 1)), doStep
 }
 
 // begin looks the prompt up in the prefix cache; what is found needs no prefill.
--- a/fakes/engine/engine_test.go
+++ b/fakes/engine/engine_test.go
@@ -6,14 +6,17 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -24,6 +27,16 @@
 
 const model units.ModelID = "m1"
 
+func TestMain(m *testing.M) {
+	code := m.Run()
+	http.DefaultClient.CloseIdleConnections()
+	if err := goleak.Find(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	os.Exit(code)
+}
+
 func start(t *testing.T, o engine.Options) *engine.Server {
 	t.Helper()
 	if o.Models == nil {
@@ -247,10 +260,7 @@
 func TestLoadLag(t *testing.T) {
 	s := start(t, engine.Options{LoadLag: 300, TokenTime: 20})
 	load := func() (l engine.Load) {
-		r, err := http.Get("http://" + s.Addr() + "/load")
-		assert.NilError(t, err)
-		defer r.Body.Close()
-		assert.NilError(t, json.NewDecoder(r.Body).Decode(&l))
+		read(t, s, "/load", &l)
 		return l
 	}
 	go post(t, s, "/v1/completions", body{model, "x", 50, 0})
