--- a/gate/control.go
+++ b/gate/control.go
@@ -65,6 +65,7 @@
 	keep := func(id string) bool { return id != from }
 	s.agents.broadcast(f, keep)
 	s.gateways.broadcast(f, keep)
+	s.peers.broadcast(f, keep)
 }
 
 // Send sends a control frame to the connected agent or gateway with the id.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		return fmt.Errorf("listen on peer address: %w", err)
 	}
-	s.peers = &peers{server: s, net: n}
+	s.peers = newPeers(s, n)
 	return nil
 }
 
--- a/gate/links.go
+++ b/gate/links.go
@@ -80,8 +80,11 @@
 }
 
 // broadcast sends a control frame to the connected processes that keep, if given,
-// wants. Sending may wait for a slow process, so each has a goroutine.
+// wants. Sending may wait for a slow process, so each has a goroutine. The lock
+// keeps the group from ending meanwhile.
 func (l *links) broadcast(f *wire.Frame, keep func(id string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, u := range *l.up.Load() {
 		if keep == nil || keep(string(u.id)) {
 			l.group.start(func() { _ = u.control.Send(f) }) // the session ends by itself
--- a/gate/peers.go
+++ b/gate/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 
 	"k8s.io/klog/v2"
@@ -21,6 +22,14 @@
 	net    net.Listener
 	count  atomic.Int64
 	group  group
+
+	mu sync.Mutex
+	// streams holds the control streams of the sessions.
+	streams map[*wire.Stream]wire.Identity
+}
+
+func newPeers(s *Server, n net.Listener) *peers {
+	return &peers{server: s, net: n, streams: map[*wire.Stream]wire.Identity{}}
 }
 
 // run returns after the context is done and all sessions have ended.
@@ -76,9 +85,34 @@
 	}
 }
 
+// broadcast sends a control frame to the gateways that keep wants.
+func (p *peers) broadcast(f *wire.Frame, keep func(id string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for st, from := range p.streams {
+		if keep(from.ID) {
+			p.group.start(func() { _ = st.Send(f) }) // the session ends by itself
+		}
+	}
+}
+
+func (p *peers) add(from wire.Identity, st *wire.Stream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.streams[st] = from
+}
+
+func (p *peers) remove(st *wire.Stream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.streams, st)
+}
+
 // stream serves a control stream. Gateways take no calls from each other.
 func (p *peers) stream(from wire.Identity, st *wire.Stream) {
 	defer st.Close()
+	p.add(from, st)
+	defer p.remove(st)
 	for first := true; ; first = false {
 		f, err := st.Recv()
 		if err != nil {
--- a/gate/peers_test.go
+++ b/gate/peers_test.go
@@ -39,6 +39,11 @@
 	eventually(t, func() bool { return revision(c2) == 5 && revision(c3) == 5 })
 	eventually(t, func() bool { return a.config.Load() == 5 })
 	assert.Equal(t, revision(c1), int64(5))
+	// A later value also spreads against the direction of the sessions.
+	newer := &wire.Config{Team: "ops", Revision: 6}
+	c3.Apply(newer)
+	g3.PushConfig(newer, "")
+	eventually(t, func() bool { return revision(c1) == 6 })
 }
 
 // Guards against an agent that stays lost after its session has ended, and against
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -123,15 +123,20 @@
 	}
 }
 
-// greet sends a Ping and now and then, from the first, the versions of the
-// configuration.
+// greet sends a Ping, and now and then the versions of the configuration.
 func (u *upstream) greet(id uint64) error {
 	if err := u.control.Send(&wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{Id: id}}}); err != nil {
 		return err
 	}
-	if id%pingsPerVersions != 1 {
+	if id%pingsPerVersions != 0 {
 		return nil
 	}
+	return u.compare()
+}
+
+// compare sends the versions of the configuration, which the process answers with
+// what differs.
+func (u *upstream) compare() error {
 	v := u.server.options.Configs.Versions()
 	return u.control.Send(&wire.Frame{Body: &wire.Frame_Versions{Versions: v}})
 }
@@ -147,6 +152,10 @@
 		if !listed && u.known(l.role) {
 			listed = true
 			l.connected(u)
+			// Changes before this moment are compared here, later ones are pushed.
+			if err := u.compare(); err != nil {
+				return err
+			}
 		}
 	}
 }
