--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,179 @@
+// Package gate is the gateway process on an entry VM: it checks callers, chooses
+// upstreams and relays answers from their agents.
+package gate
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/config"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+// ErrLeft is the result of Run when requests were cut off at the time limit of the
+// graceful stop.
+var ErrLeft = errors.New("requests were cut off at the time limit of the stop")
+
+// Options configure a Server.
+type Options struct {
+	Node   config.Node
+	Secret []byte
+	Gate   Settings
+	// The decisions; each has a simple default.
+	Directory Directory
+	Picker    Picker
+	Limiter   Limiter
+	Retrier   Retrier
+	// Once is needed for calls with an Idempotency-Key; without it they are refused.
+	Once Once
+	// Work is needed for deferred work; without it such requests are refused.
+	Work Work
+	// Peers takes part in the control traffic.
+	Peers Peers
+	// Isolated tells that the gateway must take no new request; nil means never.
+	Isolated func() bool
+	// Clock is clock.System when nil.
+	Clock clock.Clock
+}
+
+func (o *Options) setDefaults() {
+	o.Gate.setDefaults()
+	if o.Clock == nil {
+		o.Clock = clock.System{}
+	}
+	if o.Directory == nil {
+		o.Directory = o.Gate.Static.directory()
+	}
+	if o.Picker == nil {
+		o.Picker = LeastOutstanding{}
+	}
+	if o.Limiter == nil {
+		o.Limiter = Unlimited{Clock: o.Clock}
+	}
+	if o.Retrier == nil {
+		o.Retrier = RetryOnce{}
+	}
+	if o.Peers == nil {
+		o.Peers = noPeers{}
+	}
+	if o.Isolated == nil {
+		o.Isolated = func() bool { return false }
+	}
+}
+
+// Server is a gateway.
+type Server struct {
+	options   Options
+	wire      wire.Options
+	clock     clock.Clock
+	directory atomic.Pointer[Directory]
+	agents    *links
+	gateways  *links
+	running   *running
+	budget    budget
+	public    *listener
+	admin     *listener
+	peers     *peers
+	leaving   atomic.Bool
+}
+
+// New opens the listeners. Run has to be called to serve and to close them.
+func New(o Options) (*Server, error) {
+	o.setDefaults()
+	s := &Server{options: o, clock: o.Clock, running: newRunning(&o.Gate.Limits)}
+	s.budget.limit = o.Gate.Limits.BufferBytes
+	s.wire = wire.Options{
+		Self:   wire.Identity{ID: o.Node.ID, Role: wire.Gateway, Zone: o.Node.Zone},
+		Secret: o.Secret,
+	}
+	s.directory.Store(&o.Directory)
+	s.agents = newLinks(s, wire.Agent)
+	s.gateways = newLinks(s, wire.Gateway)
+	if err := s.listen(); err != nil {
+		s.closeListeners()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Server) listen() error {
+	handler, err := s.publicHandler()
+	if err != nil {
+		return err
+	}
+	l := &s.options.Gate.Limits
+	if s.public, err = newListener("public", s.options.Gate.Public, handler, l); err != nil {
+		return err
+	}
+	if s.admin, err = newListener("admin", s.options.Node.Admin, s.adminHandler(), l); err != nil {
+		return err
+	}
+	n, err := net.Listen("tcp", s.options.Node.Peer) //nolint:noctx // no context at start
+	if err != nil {
+		return fmt.Errorf("listen on peer address: %w", err)
+	}
+	s.peers = &peers{server: s, net: n}
+	return nil
+}
+
+func (s *Server) closeListeners() {
+	for _, l := range []*listener{s.public, s.admin} {
+		if l != nil {
+			_ = l.net.Close()
+		}
+	}
+}
+
+// Addr returns the address for callers.
+func (s *Server) Addr() net.Addr { return s.public.net.Addr() }
+
+// AdminAddr returns the address of /healthz, /readyz and /debug/vars.
+func (s *Server) AdminAddr() net.Addr { return s.admin.net.Addr() }
+
+// PeerAddr returns the address for sessions from other gateways.
+func (s *Server) PeerAddr() net.Addr { return s.peers.net.Addr() }
+
+// SetAgents replaces the addresses of the agents.
+func (s *Server) SetAgents(addresses []string) { s.agents.set(addresses) }
+
+// SetGateways replaces the addresses of the other gateways.
+func (s *Server) SetGateways(addresses []string) { s.gateways.set(addresses) }
+
+// Connected returns the identifiers of the connected agents.
+func (s *Server) Connected() []units.UpstreamID {
+	up := *s.agents.up.Load()
+	ids := make([]units.UpstreamID, 0, len(up))
+	for _, u := range up {
+		ids = append(ids, u.id)
+	}
+	return ids
+}
+
+// Run serves until the context is done, and then stops gracefully. It returns
+// ErrLeft when requests were cut off at the time limit.
+func (s *Server) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	parts := &group{}
+	parts.start(func() { s.agents.run(work, s.options.Gate.Agents) })
+	parts.start(func() { s.gateways.run(work, s.options.Gate.Gateways) })
+	parts.start(func() { s.peers.run(work) })
+	parts.start(s.public.serve)
+	parts.start(s.admin.serve)
+	klog.Infof("gate: serves callers on %s, gateways on %s, admin on %s", s.Addr(), s.PeerAddr(), s.AdminAddr())
+	<-ctx.Done()
+	err := s.stop()
+	s.public.shutdown()
+	cancel()
+	s.admin.shutdown()
+	parts.wait()
+	klog.Infof("gate: has stopped")
+	return err
+}
--- /dev/null
+++ b/gate/link.go
@@ -0,0 +1,71 @@
+package gate
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+// Backoff of connections to agents and gateways: doubled from the first to the last, with
+// jitter so that gateways don't return all at once.
+const (
+	firstBackoff = 50 * time.Millisecond
+	lastBackoff  = 2 * time.Second
+)
+
+// link dials one process for as long as it is listed.
+type link struct {
+	address string
+	links   *links
+}
+
+func (l *link) run(ctx context.Context) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		connected, err := l.connect(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if connected {
+			backoff = firstBackoff
+		}
+		stats.Event("link_ended")
+		klog.V(1).Infof("gate: session with %s %s ended: %v", l.links.role, l.address, err)
+		pause(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, lastBackoff)
+	}
+}
+
+// connect runs one session and returns when it has ended.
+func (l *link) connect(ctx context.Context) (connected bool, err error) {
+	server := l.links.server
+	s, err := wire.Dial(ctx, l.address, server.wire)
+	if err != nil {
+		return false, err
+	}
+	defer s.Close()
+	if s.Peer().Role != l.links.role {
+		stats.Event("link_wrong_role")
+		return false, errRole
+	}
+	u, err := newUpstream(s, server)
+	if err != nil {
+		return false, err
+	}
+	defer u.close(l.links)
+	return true, u.run(ctx, l.links)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
