--- a/place/ledger.go
+++ b/place/ledger.go
@@ -1,7 +1,3 @@
-// Package place decides where models and adapters reside, and accounts for the
-// memory that they take. It has no I/O; the caller passes the time.
-//
-// The types are not safe for concurrent use.
 package place
 
 import (
@@ -11,15 +7,6 @@
 	"github.com/magnolialever/magnolialever/units"
 )
 
-// Op is what an order asks for.
-type Op string
-
-// Operations.
-const (
-	Load   Op = "load"
-	Unload Op = "unload"
-)
-
 // Order asks an upstream to load or unload a target.
 type Order struct {
 	ID      string
