agent: check permits, queue, account for memory and remember outcomes

The agent forwarded every call as it came.

It now checks permits in its own clock and against the owners' table, queues and admits by package admit, reads its engine, carries out orders by the ledger, runs crash suspects alone, relays configuration, owners and suspects, and remembers the outcomes of calls that must not be repeated. Parts of streams carry the index of events; resumed chats start one event earlier.

--- a/admit/allow.go
+++ b/admit/allow.go
@@ -87,8 +87,8 @@
 	a.mean += (v - a.mean) * max(latencyShare, 1/float64(a.samples))
 }
 
-// Crash sets the allowance back after the upstream died.
-func (a *Allowance) Crash() { a.fall() }
+// Fall sets the allowance back, for example after the upstream died.
+func (a *Allowance) Fall() { a.fall() }
 
 // fall goes back to the start. The mean is learnt anew, so that a lasting change
 // of the latency counts as a jump once.
--- a/agent/call_test.go
+++ b/agent/call_test.go
@@ -26,7 +26,8 @@
 		tokens(w, 2)
 		finish(w, 9)
 	}), nil)
-	st := r.call(&wire.Call{Attempt: "a1", Kind: "model", Cost: 9, Stream: true, Body: []byte(`{"max_tokens":3}`),
+	r.own(1)
+	st := r.call(&wire.Call{Attempt: "a1", Kind: "model", Cost: 9, Permit: r.permit(9, 1), Idempotent: true, Body: []byte(`{"max_tokens":3}`),
 		Header: []*wire.Header{{Name: "Authorization", Value: "Bearer key"}}})
 	f, err := st.Recv()
 	assert.NilError(t, err)
@@ -40,13 +41,15 @@
 	assert.Assert(t, a.done != nil)
 	assert.Equal(t, a.done.Used, int64(9))
 	assert.Equal(t, a.parts[1].Index, int64(2))
+	assert.Equal(t, len(a.parts), 4)
 	assert.Assert(t, strings.HasSuffix(a.text(), "data: [DONE]\n\n"))
 }
 
 // Guards against customers that receive more tokens than were reserved for them.
 func TestStopAtReservation(t *testing.T) {
 	r := newRig(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { tokens(w, 1000) }), nil)
-	a := read(t, r.call(&wire.Call{Attempt: "a1", Kind: "model", Cost: 25, Body: []byte(`{"max_tokens":20}`)}))
+	r.own(1)
+	a := read(t, r.call(&wire.Call{Attempt: "a1", Kind: "model", Cost: 25, Permit: r.permit(25, 1), Idempotent: true, Body: []byte(`{"max_tokens":20}`)}))
 	assert.Assert(t, a.done != nil)
 	assert.Equal(t, a.done.Used, int64(25))
 	assert.Equal(t, strings.Count(a.text(), `"text":"t`), 20)
@@ -90,6 +93,7 @@
 		assert.Equal(t, a.refuse.Code, "upstream_failed")
 		assert.Assert(t, a.refuse.Ran)
 		assert.Assert(t, a.refuse.Crashed)
+		assert.Assert(t, a.refuse.Crash != 0)
 	}
 }
 
@@ -125,7 +129,7 @@
 		tokens(w, 1)
 		finish(w, 2)
 	}), nil)
-	running := r.call(&wire.Call{Attempt: "a1", Kind: "model"})
+	running := r.call(&wire.Call{Attempt: "a1", Kind: "model", Idempotent: true})
 	_, err := running.Recv()
 	assert.NilError(t, err)
 	control := r.open(&wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{Id: 1}}})
@@ -141,3 +145,60 @@
 	close(proceed)
 	assert.Assert(t, read(t, running).done != nil)
 }
+
+// Guards against answers that are cut although the upstream closed the stream in
+// order, and against errors that reach the caller as a part of an answer.
+func TestIncompleteStream(t *testing.T) {
+	r := newRig(t, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		tokens(w, 1)
+		if q.URL.Path == "/error" {
+			_, _ = io.WriteString(w, "data: {\"error\":{\"message\":\"collapsed\"}}\n\n")
+		}
+	}), nil)
+	for i, path := range []string{"/end", "/error"} {
+		a := read(t, r.call(&wire.Call{Attempt: fmt.Sprint("a", i), Kind: "model", Path: path, Idempotent: true}))
+		assert.Equal(t, a.refuse.GetCode(), "upstream_failed")
+		assert.Assert(t, a.refuse.Ran && !a.refuse.Crashed)
+		assert.Equal(t, len(a.parts), 1)
+	}
+}
+
+// Guards against gaps and repetitions after the resumption of a stream: a chat has
+// an event before its first token.
+func TestResume(t *testing.T) {
+	bodies := make(chan string, 1)
+	r := newRig(t, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		b, _ := io.ReadAll(q.Body)
+		bodies <- string(b)
+		tokens(w, 1)
+		finish(w, 1)
+	}), nil)
+	for i, c := range []struct {
+		path, body string
+		index      int64
+	}{
+		{"/v1/completions", `{"resume_from":7}`, 7},
+		{"/v1/chat/completions", `{"resume_from":6}`, 6},
+	} {
+		a := read(t, r.call(&wire.Call{Attempt: fmt.Sprint("a", i), Kind: "model", Path: c.path, Idempotent: true, Resume: 7, Body: []byte("{}")}))
+		assert.Assert(t, a.done != nil)
+		assert.Equal(t, <-bodies, c.body)
+		assert.Equal(t, a.parts[0].Index, c.index)
+	}
+}
+
+// Guards against requests that wait for an answer after nobody needs it any more.
+func TestDeadline(t *testing.T) {
+	r := newRig(t, http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		_, _ = io.Copy(io.Discard, q.Body)
+		<-q.Context().Done()
+	}), func(o *agent.Options) { o.Limits.Running, o.Limits.StartAllowance = 1, 1 })
+	first := r.call(&wire.Call{Attempt: "a1", Kind: "service", Idempotent: true, Timeout: 300})
+	second := r.call(&wire.Call{Attempt: "a2", Kind: "service", Idempotent: true, Timeout: 50})
+	a := read(t, second)
+	assert.Equal(t, a.refuse.GetCode(), "deadline_unreachable")
+	assert.Assert(t, !a.refuse.Ran)
+	a = read(t, first)
+	assert.Equal(t, a.refuse.GetCode(), "upstream_timeout")
+	assert.Assert(t, a.refuse.Ran)
+}
--- a/agent/control.go
+++ b/agent/control.go
@@ -7,13 +7,14 @@
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
 
 const (
 	// controlFrames is the number of frames that may wait for a slow gateway. Later
 	// ones are dropped: loads and versions are sent again.
-	controlFrames = 64
+	controlFrames = 256
 	// loadInterval is the lowest interval between two loads sent without being
 	// asked for.
 	loadInterval = time.Second
@@ -34,25 +35,26 @@
 	}
 }
 
-// control serves the control stream of a gateway.
-func (s *Server) control(ctx context.Context, peer wire.Identity, st *wire.Stream, first *wire.Ping) {
+// control serves a stream of control messages. A stream that starts with Ping also
+// gets what the agent announces.
+func (s *Server) control(ctx context.Context, peer wire.Identity, st *wire.Stream, first *wire.Frame) {
 	c := &control{peer: peer, out: make(chan *wire.Frame, controlFrames)}
-	if !s.owner.do(func() { s.state.join(c) }) {
-		return
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
 		c.send(ctx, st)
 	}()
-	s.handle(c, &wire.Frame{Body: &wire.Frame_Ping{Ping: first}})
+	s.handle(ctx, c, first)
+	if first.GetPing() != nil {
+		s.owner.do(func() { s.state.join(c) })
+	}
 	for {
 		f, err := st.Recv()
 		if err != nil {
 			break
 		}
-		s.handle(c, f)
+		s.handle(ctx, c, f)
 	}
 	cancel()
 	s.owner.do(func() { delete(s.state.controls, c) })
@@ -63,6 +65,10 @@
 func (s *state) join(c *control) {
 	s.controls[c] = struct{}{}
 	c.push(s.loadFrame())
+	c.push(s.versions())
+	if f := s.suspectsFrame(s.clock.Now()); len(f.GetSuspects().Suspect) > 0 {
+		c.push(f)
+	}
 	if s.leaving {
 		c.push(s.leaveFrame())
 	}
@@ -83,13 +89,28 @@
 }
 
 // handle serves one message of a gateway.
-func (s *Server) handle(c *control, f *wire.Frame) {
+func (s *Server) handle(ctx context.Context, c *control, f *wire.Frame) {
 	switch b := f.Body.(type) {
 	case *wire.Frame_Ping:
 		c.push(&wire.Frame{Body: &wire.Frame_Pong{Pong: &wire.Pong{Id: b.Ping.Id, Now: int64(s.clock.Now())}}})
 	case *wire.Frame_Load:
 		// A load from a gateway asks for the agent's own.
 		s.owner.do(func() { c.push(s.state.loadFrame()) })
+	case *wire.Frame_Versions:
+		s.owner.do(func() { s.state.compare(c, b.Versions) })
+	case *wire.Frame_Config:
+		s.owner.do(func() { s.state.configs.update(b.Config) })
+	case *wire.Frame_Owners:
+		s.owner.do(func() { s.state.own(c, b.Owners) })
+	case *wire.Frame_Order:
+		s.order(ctx, c, b.Order)
+	case *wire.Frame_Query:
+		s.owner.do(func() {
+			o := s.state.query(b.Query)
+			c.push(&wire.Frame{Body: &wire.Frame_Outcome{Outcome: o}})
+		})
+	case *wire.Frame_Suspects:
+		s.owner.do(func() { s.state.mergeSuspects(s.clock.Now(), b.Suspects) })
 	case *wire.Frame_Leave:
 		klog.Infof("agent: gateway %s is leaving", c.peer.ID)
 	default:
@@ -97,6 +118,45 @@
 	}
 }
 
+// compare hands newer configuration to a gateway that has older, and asks for what
+// the agent lacks.
+func (s *state) compare(c *control, v *wire.Versions) {
+	s.ledger.Learn(units.Fence(v.Fence))
+	lacking, missing := s.configs.newer(v)
+	for _, own := range lacking {
+		c.push(&wire.Frame{Body: &wire.Frame_Config{Config: own}})
+	}
+	if v.Owners < s.owners.version {
+		c.push(&wire.Frame{Body: &wire.Frame_Owners{Owners: s.owners.table}})
+	}
+	if missing || v.Owners != s.owners.version {
+		c.push(s.versions())
+	}
+}
+
+// own takes a table of owners and acknowledges the version in force.
+func (s *state) own(c *control, t *wire.Owners) {
+	if !s.owners.update(t) {
+		c.push(s.versions())
+		return
+	}
+	for other := range s.controls {
+		other.push(s.versions())
+	}
+	if _, ok := s.controls[c]; !ok {
+		c.push(s.versions())
+	}
+}
+
+// query answers for an attempt that must not be repeated. One that waits in the
+// queue has been received and may still run.
+func (s *state) query(q *wire.Query) *wire.Outcome {
+	if j := s.jobs[units.AttemptID(q.Attempt)]; j != nil && !j.running {
+		return &wire.Outcome{Attempt: q.Attempt, State: outcomeRunning}
+	}
+	return s.outcomes.query(s.clock.Now(), q)
+}
+
 // watch sends the load when it has changed, at most once a second.
 func (s *Server) watch(ctx context.Context) {
 	t := time.NewTicker(loadInterval)
--- a/agent/event.go
+++ b/agent/event.go
@@ -19,6 +19,8 @@
 // doneEvent is the last event of an OpenAI-compatible stream.
 const doneEvent = "data: [DONE]\n\n"
 
+var doneData = []byte("[DONE]")
+
 // eventReader splits a stream of server-sent events.
 type eventReader struct {
 	reader *bufio.Reader
@@ -79,6 +81,8 @@
 type chunk struct {
 	Choices []choice `json:"choices"`
 	Usage   *usage   `json:"usage"`
+	// Error is set when the engine gives up in the middle of an answer.
+	Error json.RawMessage `json:"error"`
 }
 
 type usage struct {
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -14,15 +14,11 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
 
 const (
-	// defaultCallTimeout limits a call without a deadline.
-	defaultCallTimeout = 10 * clock.Minute
-
 	dialTimeout    = time.Second
 	idleTimeout    = 30 * time.Second
 	chunkBytes     = 32 << 10
@@ -94,10 +90,13 @@
 		return outcome{}, failure(ctx, err, connected.Load())
 	}
 	defer resp.Body.Close()
+	m := newMeter(c)
+	if r := m.refused(resp); r != nil {
+		return outcome{}, r
+	}
 	if err := a.head(resp.StatusCode, answerHeader(resp.Header)); err != nil {
 		return outcome{}, gone(err)
 	}
-	m := newMeter(c)
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		return f.events(ctx, resp.Body, m, a)
 	}
@@ -154,16 +153,19 @@
 	for {
 		event, err := er.next()
 		if errors.Is(err, io.EOF) {
-			return m.outcome(), nil
+			return m.outcome(), m.incomplete()
 		}
 		if err != nil {
 			return m.outcome(), failure(ctx, err, true)
 		}
-		index, within := m.event(event)
-		if !within {
+		switch m.event(event) {
+		case eventFails:
+			return m.outcome(), &refusal{code: units.UpstreamFailed, ran: true, message: string(eventData(event))}
+		case eventExceeds:
 			return f.stop(m, a, event)
+		case eventPasses:
 		}
-		if err := a.part(index, event); err != nil {
+		if err := a.part(m.index(event), event); err != nil {
 			return m.outcome(), gone(err)
 		}
 	}
@@ -172,11 +174,10 @@
 // stop ends a stream that has used up its reservation the way an engine ends one
 // at max_tokens.
 func (f *forwarder) stop(m *meter, a answer, event []byte) (outcome, *refusal) {
-	if err := a.part(m.next(), lengthEvent(event)); err != nil {
-		return m.outcome(), gone(err)
-	}
-	if err := a.part(m.next(), []byte(doneEvent)); err != nil {
-		return m.outcome(), gone(err)
+	for _, e := range [][]byte{lengthEvent(event), []byte(doneEvent)} {
+		if err := a.part(m.index(e), e); err != nil {
+			return m.outcome(), gone(err)
+		}
 	}
 	return m.outcome(), nil
 }
@@ -208,7 +209,7 @@
 	switch {
 	case !connected:
 		return notRun(units.UpstreamFailed, err.Error())
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded), errors.Is(context.Cause(ctx), errStart):
 		return &refusal{code: units.UpstreamTimeout, ran: true, message: err.Error()}
 	case ctx.Err() != nil:
 		return gone(err)
@@ -218,13 +219,5 @@
 
 // gone ends a call whose gateway no longer listens.
 func gone(err error) *refusal {
-	return &refusal{code: units.UpstreamFailed, ran: true, message: err.Error()}
-}
-
-// remaining returns the time limit of the call.
-func remaining(c *wire.Call) clock.Span {
-	if c.Timeout > 0 {
-		return clock.Span(c.Timeout)
-	}
-	return defaultCallTimeout
+	return &refusal{code: units.UpstreamFailed, ran: true, cancelled: true, message: err.Error()}
 }
--- a/agent/main_test.go
+++ b/agent/main_test.go
@@ -30,6 +30,8 @@
 	session *wire.Session
 	stop    context.CancelFunc
 	ended   chan error
+	// now is the agent's clock.
+	now int64
 }
 
 func newRig(t *testing.T, upstream http.Handler, change func(*agent.Options)) *rig {
@@ -72,6 +74,44 @@
 	return st
 }
 
+// control opens a control stream and reads until the agent's clock is known.
+func (r *rig) control() *wire.Stream {
+	st := r.open(&wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{Id: 1}}})
+	r.now = until(r.T, st, func(f *wire.Frame) *wire.Pong { return f.GetPong() }).Now
+	return st
+}
+
+// until reads frames until get returns one.
+func until[M any](t *testing.T, st *wire.Stream, get func(*wire.Frame) *M) *M {
+	t.Helper()
+	for {
+		f, err := st.Recv()
+		assert.NilError(t, err)
+		if m := get(f); m != nil {
+			return m
+		}
+	}
+}
+
+// own gives slot 1 to an owner with the epoch and waits for the acknowledgement.
+func (r *rig) own(epoch int64) {
+	r.Helper()
+	st := r.control()
+	o := &wire.Owners{Version: epoch, Slot: []*wire.Slot{{Slot: 1, Owner: "g1", Epoch: epoch}}}
+	assert.NilError(r, st.Send(&wire.Frame{Body: &wire.Frame_Owners{Owners: o}}))
+	until(r.T, st, func(f *wire.Frame) *wire.Versions {
+		if f.GetVersions().GetOwners() != epoch {
+			return nil
+		}
+		return f.GetVersions()
+	})
+}
+
+// permit returns a permit that is valid for a minute.
+func (r *rig) permit(tokens, epoch int64) *wire.Permit {
+	return &wire.Permit{Expires: r.now + 60_000, Paid: []*wire.Paid{{Slot: 1, Epoch: epoch, Tokens: tokens}}}
+}
+
 func (r *rig) call(c *wire.Call) *wire.Stream {
 	r.Helper()
 	if c.Method == "" {
--- a/agent/meter.go
+++ b/agent/meter.go
@@ -1,15 +1,22 @@
 package agent
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
+	"strings"
 
+	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
 
 const (
 	// maxUsageBytes bounds how much of an answer is kept to read its usage.
 	maxUsageBytes = 1 << 20
+	// maxMessageBytes bounds the text of an error that is passed on.
+	maxMessageBytes = 512
 	// bytesPerToken is a usual ratio of English text; it stands in when a request
 	// does not limit its answer.
 	bytesPerToken = 4
@@ -36,43 +43,107 @@
 type meter struct {
 	cost   int64
 	prompt int64
-	resume int64
-	model  bool
-	tokens int64
-	usage  *usage
-	text   []byte
+	// resume is the index of the first token, position that of the next event.
+	resume   int64
+	position int64
+	model    bool
+	done     bool
+	tokens   int64
+	usage    *usage
+	text     []byte
 }
 
 func newMeter(c *wire.Call) *meter {
-	m := &meter{cost: c.Cost, resume: c.Resume, model: c.Kind != kindService}
+	first := firstToken(c)
+	m := &meter{cost: c.Cost, resume: first, position: first, model: c.Kind != kindService}
 	if m.model {
 		m.prompt = promptTokens(c)
 	}
 	return m
 }
 
-// next returns the index of the next token.
-func (m *meter) next() int64 { return m.resume + m.tokens }
+// firstToken returns the index of the token that a stream resumes at. Call.resume
+// counts events. A stream of a chat starts with an event that has the role and no
+// token, also when it is resumed; that event has the index of the last event that
+// the caller has, and the gateway drops it.
+func firstToken(c *wire.Call) int64 {
+	if strings.HasSuffix(c.Path, "/chat/completions") {
+		return max(c.Resume-1, 0)
+	}
+	return c.Resume
+}
+
+// refused returns the refusal for the answer of an engine that did not run a
+// request of a model, so that the gateway tries another upstream.
+func (m *meter) refused(resp *http.Response) *refusal {
+	if !m.model || resp.StatusCode != http.StatusNotFound && resp.StatusCode < http.StatusInternalServerError {
+		return nil
+	}
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxMessageBytes)) // only for the message
+	r := &refusal{code: units.UpstreamFailed, ran: true, message: fmt.Sprintf("engine answered %d: %s", resp.StatusCode, text)}
+	if resp.StatusCode == http.StatusNotFound {
+		r.code = units.NotLoaded
+	}
+	return r
+}
+
+// eventKind tells what becomes of an event.
+type eventKind uint8
+
+const (
+	eventPasses eventKind = iota
+	// eventExceeds has a token beyond the reservation.
+	eventExceeds
+	// eventFails is an error of the engine.
+	eventFails
+)
 
-// event counts one event. It returns the index of its token, or of the next token
-// when it carries none, and whether it is within the reservation.
-func (m *meter) event(event []byte) (index int64, within bool) {
-	index = m.next()
+// event counts one event.
+func (m *meter) event(event []byte) eventKind {
+	if !m.model {
+		return eventPasses
+	}
+	data := eventData(event)
+	if bytes.Equal(data, doneData) {
+		m.done = true
+		return eventPasses
+	}
 	var c chunk
-	if json.Unmarshal(eventData(event), &c) != nil {
-		return index, true
+	if json.Unmarshal(data, &c) != nil {
+		return eventPasses
+	}
+	if len(c.Error) > 0 && string(c.Error) != "null" {
+		return eventFails
 	}
 	if c.Usage != nil {
 		m.usage = c.Usage
 	}
 	if !c.token() {
-		return index, true
+		return eventPasses
 	}
-	if m.cost > 0 && m.model && m.prompt+m.resume+m.tokens+1 > m.cost {
-		return index, false
+	if m.cost > 0 && m.prompt+m.resume+m.tokens+1 > m.cost {
+		return eventExceeds
 	}
 	m.tokens++
-	return index, true
+	return eventPasses
+}
+
+// index returns the index of an event that is passed on. Comments have that of the
+// next event.
+func (m *meter) index(event []byte) int64 {
+	i := m.position
+	if event[0] != ':' {
+		m.position++
+	}
+	return i
+}
+
+// incomplete returns a refusal when a stream ended without its last event.
+func (m *meter) incomplete() *refusal {
+	if !m.model || m.done {
+		return nil
+	}
+	return &refusal{code: units.UpstreamFailed, ran: true, message: "engine ended the stream early"}
 }
 
 // plain keeps the answer for its usage.
@@ -110,14 +181,15 @@
 // withResume returns the body of the call with the index of the token to resume
 // at.
 func withResume(c *wire.Call) ([]byte, error) {
-	if c.Resume == 0 {
+	first := firstToken(c)
+	if first == 0 || c.Kind == kindService {
 		return c.Body, nil
 	}
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(c.Body, &fields); err != nil {
 		return nil, fmt.Errorf("read body of resumed stream: %w", err)
 	}
-	fields["resume_from"] = fmt.Append(nil, c.Resume)
+	fields["resume_from"] = fmt.Append(nil, first)
 	b, err := json.Marshal(fields)
 	if err != nil {
 		return nil, fmt.Errorf("write body of resumed stream: %w", err)
--- a/agent/refusal.go
+++ b/agent/refusal.go
@@ -12,8 +12,12 @@
 	code    units.Code
 	ran     bool
 	crashed bool
-	wait    clock.Span
-	message string
+	// crash identifies the crash.
+	crash uint64
+	// cancelled is set when the gateway gave up.
+	cancelled bool
+	wait      clock.Span
+	message   string
 }
 
 // notRun returns a refusal of a request that did not reach the upstream.
@@ -28,6 +32,7 @@
 		Code:    string(r.code),
 		Ran:     r.ran,
 		Crashed: r.crashed,
+		Crash:   r.crash,
 		Wait:    int64(r.wait),
 		Message: r.message,
 		Load:    load,
--- a/agent/server.go
+++ b/agent/server.go
@@ -34,10 +34,16 @@
 	peer    net.Listener
 	admin   net.Listener
 	forward *forwarder
+	engine  *engine
 	owner   *owner
 	state   *state
 	// sessions counts open sessions.
 	sessions sync.WaitGroup
+	// orders counts orders in progress.
+	orders sync.WaitGroup
+	// lifetime ends when the graceful stop is over.
+	lifetime context.Context
+	end      context.CancelFunc
 }
 
 // New opens the listeners of the agent.
@@ -56,15 +62,18 @@
 		_ = peer.Close()
 		return nil, fmt.Errorf("listen for administration: %w", err)
 	}
-	return &Server{
+	s := &Server{
 		options: o,
 		clock:   o.Clock,
 		peer:    peer,
 		admin:   admin,
 		forward: newForwarder(o.Upstream.Address),
+		engine:  newEngine(o.Upstream.Address),
 		owner:   newOwner(),
 		state:   newState(o),
-	}, nil
+	}
+	s.lifetime, s.end = context.WithCancel(ctx)
+	return s, nil
 }
 
 // Addr returns the address for sessions of gateways.
@@ -77,20 +86,25 @@
 // leaves, refuses new work and finishes what runs, at most for Limits.Stop.
 func (s *Server) Run(ctx context.Context) error {
 	klog.Infof("agent: serving upstream %s at %s for gateways at %s", s.options.Node.ID, s.options.Upstream.Address, s.peer.Addr())
-	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
+	defer s.end()
+	work := s.lifetime
 	g := &errgroup.Group{}
 	g.Go(func() error { s.owner.run(work); return nil })
 	g.Go(func() error { return s.accept(work) })
 	g.Go(func() error { return s.serveAdmin(work) })
 	g.Go(func() error { s.watch(work); return nil })
+	if s.options.Upstream.Kind == Engine {
+		g.Go(func() error { s.poll(work); return nil })
+	}
 	<-ctx.Done()
 	s.drain()
-	cancel()
+	s.end()
 	_ = s.peer.Close()
 	err := g.Wait()
 	s.sessions.Wait()
+	s.orders.Wait()
 	s.forward.close()
+	s.engine.close()
 	klog.Infof("agent: stopped")
 	if err != nil {
 		return fmt.Errorf("serve: %w", err)
@@ -143,6 +157,10 @@
 		return
 	}
 	defer ss.Close()
+	if ss.Peer().Role != wire.Gateway {
+		klog.Warningf("agent: refused a session of %s, which is a %s", ss.Peer().ID, ss.Peer().Role)
+		return
+	}
 	var streams sync.WaitGroup
 	defer streams.Wait()
 	for {
@@ -157,7 +175,7 @@
 	}
 }
 
-// stream serves a stream by its first frame.
+// stream serves a stream by its first frame: a call, or control messages.
 func (s *Server) stream(ctx context.Context, peer wire.Identity, st *wire.Stream) {
 	f, err := st.Recv()
 	if err != nil {
@@ -166,10 +184,8 @@
 	switch b := f.Body.(type) {
 	case *wire.Frame_Call:
 		s.call(ctx, b.Call, st)
-	case *wire.Frame_Ping:
-		s.control(ctx, peer, st, b.Ping)
 	default:
-		klog.Warningf("agent: gateway %s opened a stream with an unexpected message", peer.ID)
+		s.control(ctx, peer, st, f)
 	}
 }
 
--- a/agent/state.go
+++ b/agent/state.go
@@ -1,41 +1,78 @@
 package agent
 
 import (
+	"github.com/magnolialever/magnolialever/admit"
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/place"
+	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
 
-const kindService = "service"
+const (
+	kindService = "service"
+
+	// ledgerLag covers the age of an engine's load report.
+	ledgerLag = 2 * clock.Second
+)
 
 // state is the control state of the agent. Only the owner's goroutine uses it.
 type state struct {
-	options  Options
+	options Options
+	free    bool
+	clock   clock.Clock
+
+	// Of the process.
 	leaving  bool
 	sequence uint64
-	calls    map[units.AttemptID]*job
-	controls map[*control]struct{}
 	changed  bool
+	controls map[*control]struct{}
 	// serving counts the streams of requests; idle is closed when none is left
 	// after the agent began to leave.
 	serving int
 	idle    chan struct{}
 	empty   bool
-}
 
-// job is one admitted call.
-type job struct {
-	call    *wire.Call
-	arrived clock.Time
-	running bool
+	// Of the upstream.
+	queue     *admit.Queue
+	allowance *admit.Allowance
+	adapters  *admit.Limit
+	ledger    *place.Ledger
+	awaiting  map[string][]*control
+	cold      bool
+	silent    bool
+	instance  string
+	crash     crash
+
+	// Of the fleet.
+	owners   owners
+	configs  configs
+	suspects *retry.Suspects
+
+	// Of requests.
+	outcomes *outcomes
+	jobs     map[units.AttemptID]*job
+	running  int
+	alone    *job
 }
 
 func newState(o Options) *state {
 	return &state{
 		options:  o,
-		calls:    map[units.AttemptID]*job{},
+		clock:    o.Clock,
+		free:     o.Free || o.Upstream.Kind == Service,
 		controls: map[*control]struct{}{},
 		idle:     make(chan struct{}),
+		queue: admit.NewQueue(admit.Options{
+			Count: o.Limits.QueuedPerCustomer, Bytes: o.Limits.QueuedBytesPerCustomer, Floor: admit.DefaultFloor,
+		}),
+		allowance: admit.NewAllowance(o.Limits.StartAllowance, o.Limits.Running),
+		adapters:  admit.NewLimit(o.Limits.Running),
+		ledger:    place.NewLedger(place.Options{Capacity: o.Upstream.Capacity, Lag: ledgerLag}),
+		awaiting:  map[string][]*control{},
+		suspects:  retry.NewSuspects(),
+		outcomes:  newOutcomes(),
+		jobs:      map[units.AttemptID]*job{},
 	}
 }
 
@@ -55,11 +92,20 @@
 	}
 }
 
-func (s *state) ready() bool { return !s.leaving }
+// ready reports whether the agent takes work. It does not wait for the owners of
+// rate slots, which gateways send only to agents that they use.
+func (s *state) ready() bool {
+	return !s.leaving && (s.options.Upstream.Kind == Service || s.ledger.Known())
+}
 
-// leave refuses new work from now on and tells all gateways.
+// leave refuses new work from now on, also what waits, and tells all gateways.
 func (s *state) leave() {
 	s.leaving = true
+	for _, j := range s.jobs {
+		if !j.running {
+			s.withdraw(j, notRun(units.Draining, "agent is stopping"))
+		}
+	}
 	for c := range s.controls {
 		c.push(s.leaveFrame())
 	}
@@ -71,59 +117,12 @@
 	return &wire.Frame{Body: &wire.Frame_Leave{Leave: &wire.Leave{Id: s.options.Node.ID}}}
 }
 
-// load describes the upstream as it is now.
-func (s *state) load() *wire.Load {
-	s.sequence++
-	l := &wire.Load{
-		Upstream:    s.options.Node.ID,
-		Zone:        s.options.Node.Zone,
-		Sequence:    s.sequence,
-		Leaving:     s.leaving,
-		MemoryTotal: int64(s.options.Upstream.Capacity),
-	}
-	for _, id := range s.options.Upstream.Services {
-		l.Service = append(l.Service, string(id))
-	}
-	for _, j := range s.calls {
-		if j.running {
-			l.Running++
-		} else {
-			l.Waiting++
-		}
-		l.Backlog += j.call.Cost
-	}
-	return l
-}
-
-func (s *state) loadFrame() *wire.Frame {
-	return &wire.Frame{Body: &wire.Frame_Load{Load: s.load()}}
-}
-
-// pushLoad sends the load to all gateways.
-func (s *state) pushLoad() {
-	s.changed = false
-	for c := range s.controls {
-		c.push(s.loadFrame())
-	}
-}
-
-// admit decides on the start of a call.
-func (s *state) admit(j *job) *refusal {
-	if s.leaving {
-		return notRun(units.Draining, "agent is stopping")
-	}
-	id := units.AttemptID(j.call.Attempt)
-	if _, ok := s.calls[id]; ok || id == "" {
-		return notRun(units.InvalidRequest, "attempt id is missing or in use")
-	}
-	j.running = true
-	s.calls[id] = j
-	s.changed = true
-	return nil
-}
-
-// finish removes a call.
-func (s *state) finish(j *job) {
-	delete(s.calls, units.AttemptID(j.call.Attempt))
-	s.changed = true
+// versions tells a gateway what the agent has; it acknowledges the owners' table.
+func (s *state) versions() *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Versions{Versions: &wire.Versions{
+		Version:   s.configs.versions(),
+		Owners:    s.owners.version,
+		Confirmed: -1,
+		Fence:     int64(s.ledger.Fence()),
+	}}}
 }
