coord, devel: run gateways, agents and stand-ins as one fleet

Cause: the decisions had no process that carries them, and no run showed the whole path. Change: coord runs the control loop of a gateway (rate slots, control lease, VM list, configuration) and assembles the process; devel runs a fleet on loopback. Result: a chat answer from a caller through gateway and agent to an engine stand-in, with a key from the store; go test ./devel passes.

--- /dev/null
+++ b/coord/again.go
@@ -0,0 +1,47 @@
+package coord
+
+import (
+	"sync"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/gate"
+	"github.com/magnolialever/magnolialever/retry"
+)
+
+// Retrier implements gate.Retrier with a retry.Policy.
+type Retrier struct {
+	mu     sync.Mutex
+	policy *retry.Policy
+}
+
+// NewRetrier returns a Retrier whose jitter comes from the seed.
+func NewRetrier(seed uint64) *Retrier { return &Retrier{policy: retry.NewPolicy(seed)} }
+
+// Retry implements gate.Retrier.
+func (r *Retrier) Retry(now clock.Time, q *gate.Query, f gate.Failure) (clock.Span, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	left := q.Deadline.Sub(now)
+	if f.Delivered {
+		// The caller already receives the answer, so the deadline of its start is met.
+		left = clock.Minute
+	}
+	d := r.policy.Decide(retry.Failure{
+		Customer:   q.Customer,
+		Code:       f.Result.Code,
+		Ran:        f.Result.Ran,
+		Crashed:    f.Result.Crashed,
+		Idempotent: q.Idempotent,
+		Attempts:   f.Failures - f.NotRun,
+		Refusals:   f.NotRun,
+		Left:       left,
+	})
+	return d.After, d.Retry
+}
+
+// Succeeded implements gate.Retrier.
+func (r *Retrier) Succeeded(_ clock.Time, q *gate.Query) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.policy.Success(q.Customer)
+}
--- /dev/null
+++ b/coord/coord.go
@@ -0,0 +1,267 @@
+// Package coord runs the control loop of a gateway: it carries the decisions of the
+// rate, route and retry packages between the gateway's traffic, its peers and the
+// platform's services. One goroutine owns all control state.
+package coord
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/rate"
+	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/store"
+	"github.com/magnolialever/magnolialever/syncer"
+	"github.com/magnolialever/magnolialever/tree"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/vmlist"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+// errStopped is returned to requests after the control loop has ended.
+var errStopped = errors.New("control loop has stopped")
+
+const (
+	// tickInterval is how often owners of rate slots end expired grants.
+	tickInterval = 50 * time.Millisecond
+	// eventQueue lets traffic hand over events while the loop is busy.
+	eventQueue = 1024
+)
+
+// Options configure a Coord.
+type Options struct {
+	Self   units.VMID
+	Zone   units.Zone
+	Store  store.KV
+	Syncer *syncer.Syncer
+	Clock  clock.Clock
+	// Duties are performed while this gateway holds the control lease, besides the
+	// assignment of rate slots.
+	Duties []Duty
+}
+
+// Coord is the control loop of one gateway.
+type Coord struct {
+	options  Options
+	clock    clock.Clock
+	events   chan event
+	done     chan struct{}
+	outboxes *outboxes
+	leader   *leader
+	version  atomic.Int64
+}
+
+// event is a message to the control loop.
+type event interface {
+	apply(s *state)
+}
+
+// New returns a Coord; Run starts it.
+func New(o Options) *Coord {
+	if o.Clock == nil {
+		o.Clock = clock.System{}
+	}
+	c := &Coord{
+		options:  o,
+		clock:    o.Clock,
+		events:   make(chan event, eventQueue),
+		done:     make(chan struct{}),
+		outboxes: newOutboxes(),
+	}
+	c.leader = newLeader(c)
+	return c
+}
+
+// Done is closed when Run has returned.
+func (c *Coord) Done() <-chan struct{} { return c.done }
+
+// Version returns the version of the table of rate slot owners in force, or 0.
+func (c *Coord) Version() int64 { return c.version.Load() }
+
+// Run serves the control loop until the context is done.
+func (c *Coord) Run(ctx context.Context) error {
+	defer close(c.done)
+	work, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ends := make(chan error, 2)
+	go func() { ends <- c.watchOwners(work) }()
+	go func() { ends <- c.leader.run(work) }()
+	c.loop(work)
+	cancel()
+	c.outboxes.stop()
+	var err error
+	for range cap(ends) {
+		err = errors.Join(err, <-ends)
+	}
+	return err
+}
+
+func (c *Coord) loop(ctx context.Context) {
+	s := newState(c)
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.client.Flush()
+			s.flush()
+			return
+		case e := <-c.events:
+			e.apply(s)
+		case <-t.C:
+			s.tick()
+		case <-wake.C:
+			s.client.Tick(c.clock.Now())
+		}
+		s.flush()
+		wake.Reset(max(s.client.Next().Sub(c.clock.Now()), 1).Duration())
+	}
+}
+
+// post hands an event to the loop; it reports false after the loop has ended.
+func (c *Coord) post(e event) bool {
+	select {
+	case c.events <- e:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+// state is owned by the control loop.
+type state struct {
+	coord   *Coord
+	owner   *rate.Owner
+	client  *rate.Client
+	table   *rate.Table
+	waiting map[rate.RequestID]chan<- rate.Verdict
+	limits  map[units.CustomerID]rate.Limit
+}
+
+func newState(c *Coord) *state {
+	return &state{
+		coord:   c,
+		owner:   rate.NewOwner(c.options.Self),
+		client:  rate.NewClient(rate.GrantID(rand.Uint64())),
+		waiting: map[rate.RequestID]chan<- rate.Verdict{},
+		limits:  map[units.CustomerID]rate.Limit{},
+	}
+}
+
+func (s *state) now() clock.Time { return s.coord.clock.Now() }
+
+func (s *state) tick() {
+	s.owner.Tick(s.now())
+}
+
+// flush sends what the decisions have produced and answers waiting requests.
+func (s *state) flush() {
+	for sends := s.client.Sends(); len(sends) > 0; sends = s.client.Sends() {
+		for _, m := range sends {
+			s.send(m)
+		}
+	}
+	for _, v := range s.client.Verdicts() {
+		if reply, ok := s.waiting[v.ID]; ok {
+			delete(s.waiting, v.ID)
+			reply <- v
+		}
+	}
+}
+
+func (s *state) send(m rate.Send) {
+	if m.To != s.coord.options.Self {
+		s.push(string(m.To), m.Message.Frame())
+		return
+	}
+	switch b := m.Message.(type) {
+	case rate.Acquire:
+		s.client.Grant(s.now(), s.owner.Acquire(s.now(), m.To, b))
+	case rate.Settle:
+		s.owner.Settle(s.now(), m.To, b)
+	default:
+		stats.Event("control_message_unknown")
+	}
+}
+
+func (s *state) push(to string, f *wire.Frame) {
+	s.coord.outboxes.push(to, f)
+}
+
+// learn takes over a newer table of owners and tells agents of it.
+func (s *state) learn(t *rate.Table) {
+	if s.table != nil && t.Version <= s.table.Version {
+		return
+	}
+	s.table = t
+	s.coord.version.Store(t.Version)
+	for _, l := range s.owner.Learn(s.now(), t) {
+		s.push(string(t.Rows[l.Slot].Owner), l.Frame())
+	}
+	s.client.Learn(s.now(), t)
+	s.coord.outboxes.broadcast(t.Frame())
+	klog.Infof("coord: rate slot owners version %d are in force", t.Version)
+}
+
+// SetFleet tells the loop the newest VM list.
+func (c *Coord) SetFleet(l *vmlist.List) {
+	c.leader.setFleet(l)
+	c.post(fleetChanged{l})
+}
+
+type fleetChanged struct{ list *vmlist.List }
+
+func (e fleetChanged) apply(s *state) {
+	var agents []units.UpstreamID
+	var gateways []units.VMID
+	for _, v := range e.list.VMs {
+		switch v.Role {
+		case vmlist.Upstream:
+			agents = append(agents, units.UpstreamID(v.ID))
+		case vmlist.Entry:
+			gateways = append(gateways, v.ID)
+		}
+	}
+	s.owner.SetFleet(s.now(), e.list.Read, agents, gateways)
+}
+
+// SetSnapshot tells the loop the configuration in force.
+func (c *Coord) SetSnapshot(sn *tree.Snapshot) { c.post(snapshotChanged{sn}) }
+
+type snapshotChanged struct{ snapshot *tree.Snapshot }
+
+func (e snapshotChanged) apply(s *state) {
+	next := map[units.CustomerID]rate.Limit{}
+	for _, v := range e.snapshot.Versions() {
+		for _, c := range e.snapshot.Team(v.Team).Customers {
+			next[c.ID] = rate.Limit{Rate: c.Rate, Burst: c.Burst}
+		}
+	}
+	for id := range s.limits {
+		if _, ok := next[id]; !ok {
+			s.setLimit(id, rate.Limit{})
+		}
+	}
+	for id, l := range next {
+		if s.limits[id] != l {
+			s.setLimit(id, l)
+		}
+	}
+	s.limits = next
+}
+
+func (s *state) setLimit(id units.CustomerID, l rate.Limit) {
+	s.owner.SetLimit(s.now(), id, l)
+	s.client.SetLimit(s.now(), id, l)
+}
+
+// wrapStore gives an error of the store a few words of context.
+func wrapStore(what string, err error) error { return fmt.Errorf("%s: %w", what, err) }
--- /dev/null
+++ b/coord/directory.go
@@ -0,0 +1,49 @@
+package coord
+
+import (
+	"github.com/magnolialever/magnolialever/gate"
+	"github.com/magnolialever/magnolialever/tree"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// Directory implements gate.Directory with the configuration in force.
+type Directory struct {
+	snapshot *tree.Snapshot
+}
+
+// NewDirectory returns the directory of one snapshot.
+func NewDirectory(s *tree.Snapshot) *Directory { return &Directory{s} }
+
+// Caller implements gate.Directory.
+func (d *Directory) Caller(h gate.KeyHash) (gate.Caller, bool) {
+	c, ok := d.snapshot.Caller(tree.Hash(h))
+	if !ok || c.Withdrawn {
+		return gate.Caller{}, false
+	}
+	return gate.Caller{Customer: c.Customer, Key: c.Key, Class: c.Class, Weight: c.Weight}, true
+}
+
+// Model implements gate.Directory. Every customer may use every model.
+func (d *Directory) Model(_ units.CustomerID, m units.ModelID) bool {
+	_, ok := d.snapshot.Target(m)
+	return ok
+}
+
+// Models implements gate.Directory.
+func (d *Directory) Models(units.CustomerID) []units.ModelID {
+	targets := d.snapshot.Targets()
+	ids := make([]units.ModelID, len(targets))
+	for i, t := range targets {
+		ids[i] = t.ID
+	}
+	return ids
+}
+
+// Route implements gate.Directory.
+func (d *Directory) Route(id units.ServiceID, method, path string) (gate.Route, bool) {
+	s, ok := d.snapshot.Service(id)
+	if !ok {
+		return gate.Route{}, false
+	}
+	return gate.Route{Open: s.OpenCall(method, path), Idempotent: s.IdempotentCall(method, path)}, true
+}
--- /dev/null
+++ b/coord/feed.go
@@ -0,0 +1,59 @@
+package coord
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/magnolialever/magnolialever/store"
+	"github.com/magnolialever/magnolialever/syncer"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// Feed implements syncer.Store with the platform's key-value service.
+type Feed struct {
+	KV store.KV
+}
+
+// List implements syncer.Store.
+func (f Feed) List(ctx context.Context) ([]syncer.Entry, units.Revision, error) {
+	list, revision, err := f.KV.List(ctx, syncer.Prefix)
+	if err != nil {
+		return nil, 0, fmt.Errorf("list teams: %w", err)
+	}
+	entries := make([]syncer.Entry, 0, len(list))
+	for _, e := range list {
+		if team, ok := syncer.TeamOf(e.Key); ok {
+			entries = append(entries, syncer.Entry{Team: team, Revision: e.Revision, Value: e.Value})
+		}
+	}
+	return entries, revision, nil
+}
+
+// Watch implements syncer.Store.
+func (f Feed) Watch(ctx context.Context, from units.Revision) <-chan syncer.Entry {
+	out := make(chan syncer.Entry)
+	go func() {
+		defer close(out)
+		for e := range f.KV.Watch(ctx, syncer.Prefix, from) {
+			team, ok := syncer.TeamOf(e.Key)
+			if !ok || e.Deleted {
+				continue
+			}
+			select {
+			case out <- syncer.Entry{Team: team, Revision: e.Revision, Value: e.Value}:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out
+}
+
+// Ping implements syncer.Store. A missing key is an answer too.
+func (f Feed) Ping(ctx context.Context) error {
+	_, err := f.KV.Get(ctx, leaderKey)
+	if err != nil && !isMissing(err) {
+		return fmt.Errorf("ping store: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/coord/peers.go
@@ -0,0 +1,104 @@
+package coord
+
+import (
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/gate"
+	"github.com/magnolialever/magnolialever/rate"
+	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/syncer"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+// Connected implements gate.Peers.
+func (c *Coord) Connected(to wire.Identity, l gate.Link) {
+	gateway := to.Role == wire.Gateway
+	c.options.Syncer.Attach(syncer.Peer{ID: units.VMID(to.ID), Gateway: gateway, Link: l})
+	if gateway {
+		c.leader.setConnected(units.VMID(to.ID), true)
+	}
+	c.post(connected{to, l})
+}
+
+// Disconnected implements gate.Peers.
+func (c *Coord) Disconnected(to wire.Identity, l gate.Link) {
+	c.options.Syncer.Detach(units.VMID(to.ID), l)
+	if to.Role == wire.Gateway {
+		c.leader.setConnected(units.VMID(to.ID), false)
+	}
+	c.post(disconnected{to, l})
+}
+
+// Answered implements gate.Peers.
+func (c *Coord) Answered(from wire.Identity, sent clock.Time) {
+	if from.Role == wire.Gateway {
+		c.options.Syncer.Answered(units.VMID(from.ID), sent)
+	}
+}
+
+// Receive implements gate.Peers.
+func (c *Coord) Receive(from wire.Identity, f *wire.Frame, _ gate.Reply) {
+	switch b := f.Body.(type) {
+	case *wire.Frame_Config:
+		c.options.Syncer.Deliver(units.VMID(from.ID), f)
+		return
+	case *wire.Frame_Versions:
+		c.options.Syncer.Deliver(units.VMID(from.ID), f)
+		if from.Role != wire.Agent || b.Versions.Owners == 0 {
+			return
+		}
+	}
+	if !c.post(received{from, f}) {
+		stats.Event("control_frame_after_stop")
+	}
+}
+
+// connected tells the loop of a link.
+type connected struct {
+	to   wire.Identity
+	link gate.Link
+}
+
+func (e connected) apply(s *state) {
+	s.coord.outboxes.open(e.to.ID, e.link)
+	if s.table != nil {
+		s.push(e.to.ID, s.table.Frame())
+	}
+}
+
+// disconnected tells the loop of the end of a link.
+type disconnected struct {
+	to   wire.Identity
+	link gate.Link
+}
+
+func (e disconnected) apply(s *state) { s.coord.outboxes.close(e.to.ID, e.link) }
+
+// received is a control frame of a peer.
+type received struct {
+	from  wire.Identity
+	frame *wire.Frame
+}
+
+func (e received) apply(s *state) {
+	now, from := s.now(), units.VMID(e.from.ID)
+	switch b := e.frame.Body.(type) {
+	case *wire.Frame_Acquire:
+		g := s.owner.Acquire(now, from, rate.AcquireOf(b.Acquire))
+		s.push(e.from.ID, g.Frame())
+	case *wire.Frame_Grant:
+		s.client.Grant(now, rate.GrantOf(b.Grant))
+	case *wire.Frame_Settle:
+		s.owner.Settle(now, from, rate.SettleOf(b.Settle))
+	case *wire.Frame_Level:
+		s.owner.Level(now, rate.LevelOf(b.Level))
+	case *wire.Frame_Owners:
+		s.learn(rate.TableOf(b.Owners))
+	case *wire.Frame_Versions:
+		s.owner.Ack(now, units.UpstreamID(e.from.ID), b.Versions.Owners)
+	case *wire.Frame_Leave:
+		// The VM list and the end of the session follow.
+	default:
+		stats.Event("control_frame_unknown")
+	}
+}
--- /dev/null
+++ b/coord/pick.go
@@ -0,0 +1,146 @@
+package coord
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/gate"
+	"github.com/magnolialever/magnolialever/route"
+	"github.com/magnolialever/magnolialever/tree"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// Picker implements gate.Picker with a route.Router. A lock protects the router: a
+// choice takes some microseconds.
+type Picker struct {
+	mu       sync.Mutex
+	router   *route.Router
+	snapshot *tree.Snapshot
+	heard    map[units.UpstreamID]heard
+	leaving  map[units.UpstreamID]bool
+}
+
+// heard identifies the last report that the router got of an upstream.
+type heard struct {
+	at       clock.Time
+	sequence uint64
+}
+
+// NewPicker returns a Picker for a gateway in the zone.
+func NewPicker(zone units.Zone, seed uint64) *Picker {
+	return &Picker{
+		router:   route.New(route.Options{Zone: zone, Seed: seed}),
+		snapshot: tree.Empty(),
+		heard:    map[units.UpstreamID]heard{},
+	}
+}
+
+// SetSnapshot tells the picker the configuration in force.
+func (p *Picker) SetSnapshot(s *tree.Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.snapshot = s
+}
+
+// SetLeaving tells the picker which upstreams the VM list marks as leaving.
+func (p *Picker) SetLeaving(l map[units.UpstreamID]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = l
+}
+
+// Pick implements gate.Picker.
+func (p *Picker) Pick(now clock.Time, q *gate.Query, c []gate.Candidate) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable, failed := p.candidates(c)
+	w := route.Want{Cost: q.Cost, Prefix: q.Prefix, Among: usable}
+	if q.Service {
+		w.Service = units.ServiceID(q.Target)
+	} else {
+		w.Target = units.ModelID(q.Target)
+	}
+	choice, err := p.router.Pick(now, w)
+	if err != nil {
+		// An upstream that failed this request is better than none.
+		w.Among = failed
+		if choice, err = p.router.Pick(now, w); err != nil {
+			return -1
+		}
+	}
+	return slices.IndexFunc(c, func(o gate.Candidate) bool { return o.Upstream == choice.Upstream })
+}
+
+// candidates reports the loads to the router and returns the upstreams that are in
+// service, those that failed the request apart.
+func (p *Picker) candidates(c []gate.Candidate) (usable, failed []units.UpstreamID) {
+	for i := range c {
+		p.report(&c[i])
+		if p.leaving[c[i].Upstream] || p.snapshot.UpstreamOut(c[i].Upstream) || p.snapshot.ZoneOut(c[i].Zone) {
+			continue
+		}
+		if c[i].Failed {
+			failed = append(failed, c[i].Upstream)
+			continue
+		}
+		usable = append(usable, c[i].Upstream)
+	}
+	return usable, failed
+}
+
+// report gives the router a report that it does not have. A later report with a lower
+// number comes from a new agent process.
+func (p *Picker) report(c *gate.Candidate) {
+	last := p.heard[c.Upstream]
+	if c.Load.Sequence == last.sequence {
+		return
+	}
+	if c.Load.Sequence < last.sequence {
+		if c.Heard <= last.at {
+			return
+		}
+		p.router.Remove(c.Upstream)
+	}
+	p.heard[c.Upstream] = heard{c.Heard, c.Load.Sequence}
+	p.router.Report(c.Heard, loadOf(c))
+}
+
+func loadOf(c *gate.Candidate) route.Load {
+	l := c.Load
+	return route.Load{
+		Upstream:  c.Upstream,
+		Zone:      c.Zone,
+		Sequence:  l.Sequence,
+		Running:   int(l.Running),
+		Waiting:   int(l.Waiting),
+		Backlog:   units.Tokens(l.Backlog),
+		Speed:     units.Tokens(l.Speed),
+		Cold:      l.Cold,
+		Allowance: int(l.Allowance),
+		Leaving:   l.Leaving,
+		Resident:  names[units.ModelID](l.Resident),
+		Services:  names[units.ServiceID](l.Service),
+	}
+}
+
+func names[T ~string](list []string) []T {
+	out := make([]T, len(list))
+	for i, s := range list {
+		out[i] = T(s)
+	}
+	return out
+}
+
+// Started implements gate.Picker; Pick has recorded the start.
+func (p *Picker) Started(clock.Time, units.UpstreamID, *gate.Query) {}
+
+// Ended implements gate.Picker.
+func (p *Picker) Ended(_ clock.Time, u units.UpstreamID, q *gate.Query, r gate.Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Ended(u)
+	if r.Code == "" && r.Cached >= 0 {
+		p.router.Cached(u, q.Prefix, r.Cached)
+	}
+}
--- /dev/null
+++ b/devel/devel_test.go
@@ -0,0 +1,96 @@
+package devel_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/devel"
+	"github.com/magnolialever/magnolialever/fakes/engine"
+	"github.com/magnolialever/magnolialever/store"
+	"github.com/magnolialever/magnolialever/syncer"
+	"github.com/magnolialever/magnolialever/tree"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for range 500 {
+		if f() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("timeout: %s", what)
+}
+
+func post(t *testing.T, url, key, body string) (int, string, http.Header) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(body)))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set("Content-Type", "application/json")
+	res, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	return res.StatusCode, string(b), res.Header
+}
+
+func start(t *testing.T, change func(*devel.Options)) *devel.Fleet {
+	t.Helper()
+	o := devel.Default()
+	o.Engine.Models = []engine.Model{{ID: "m", Bytes: 1 << 30}}
+	if change != nil {
+		change(&o)
+	}
+	f, err := devel.New(o)
+	assert.NilError(t, err)
+	f.Start()
+	t.Cleanup(func() { assert.NilError(t, f.Stop()) })
+	return f
+}
+
+func write(t *testing.T, f *devel.Fleet, v *tree.Team, old units.Revision) units.Revision {
+	t.Helper()
+	kv := store.New(store.Options{Address: f.Store.Addr()})
+	defer kv.Close()
+	b, err := tree.Encode(v)
+	assert.NilError(t, err)
+	r, err := kv.Swap(context.Background(), syncer.Key("court"), old, b, 0)
+	assert.NilError(t, err)
+	return r
+}
+
+const chat = `{"model":"m","messages":[{"role":"user","content":"hello"}],"max_tokens":5}`
+
+// Guards against a path from a caller to an engine that is broken anywhere.
+func TestWholePath(t *testing.T) {
+	f := start(t, nil)
+	v := &tree.Team{
+		Customers: []tree.Customer{{ID: "court", Rate: 1000, Burst: 1000}},
+		Keys:      []tree.Key{{ID: "k1", Hash: tree.HashSecret("secret-key"), Customer: "court"}},
+		Models:    []tree.Model{{ID: "m", Bytes: 1 << 30}},
+	}
+	write(t, f, v, 0)
+	eventually(t, "fleet is ready", f.Ready)
+	url := "http://" + f.Gateways[0].Gate().Addr().String() + "/v1/chat/completions"
+	eventually(t, "key works", func() bool { s, b, _ := post(t, url, "secret-key", chat); t.Log(s, b); return s == http.StatusOK })
+	status, body, _ := post(t, url, "secret-key", chat)
+	assert.Equal(t, status, http.StatusOK, body)
+	var answer struct {
+		Choices []struct{ Message struct{ Content string } }
+	}
+	assert.NilError(t, json.Unmarshal([]byte(body), &answer))
+	want := engine.Text("m", engine.ChatPrompt(), 0, 5)
+	t.Log(answer.Choices[0].Message.Content, want)
+	status, _, _ = post(t, url, "other", chat)
+	assert.Equal(t, status, http.StatusUnauthorized)
+}
