coord: drop a result that was always nil

Cause: the linter named it. Change: the watch of the owners' table reports its end by closing a channel.

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -89,17 +89,18 @@
 	defer close(c.done)
 	work, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ends := make(chan error, 2)
-	go func() { ends <- c.watchOwners(work) }()
-	go func() { ends <- c.leader.run(work) }()
+	watch := make(chan struct{})
+	go func() {
+		defer close(watch)
+		c.watchOwners(work)
+	}()
+	lead := make(chan error, 1)
+	go func() { lead <- c.leader.run(work) }()
 	c.loop(work)
 	cancel()
 	c.outboxes.stop()
-	var err error
-	for range cap(ends) {
-		err = errors.Join(err, <-ends)
-	}
-	return err
+	<-watch
+	return <-lead
 }
 
 func (c *Coord) loop(ctx context.Context) {
--- a/coord/owners.go
+++ b/coord/owners.go
@@ -48,7 +48,7 @@
 }
 
 // watchOwners hands each new table of the store to the loop.
-func (c *Coord) watchOwners(ctx context.Context) error {
+func (c *Coord) watchOwners(ctx context.Context) {
 	if t, _, err := readOwners(ctx, c.options.Store); err == nil && t != nil {
 		c.post(tableStored{t})
 	}
@@ -63,7 +63,6 @@
 		}
 		c.post(tableStored{t})
 	}
-	return nil
 }
 
 type tableStored struct{ table *rate.Table }
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -17,9 +17,8 @@
 )
 
 var (
-	errRole         = errors.New("peer has the wrong role")
-	errSilent       = errors.New("peer does not answer pings")
-	errNotConnected = errors.New("peer is not connected")
+	errRole   = errors.New("peer has the wrong role")
+	errSilent = errors.New("peer does not answer pings")
 )
 
 const (
