retry: keep credit for the requests of one crashed upstream

Cause: the system test of a crash left streams unfinished, since the budget held three retries and a crash ends all requests of an upstream at once. Change: the reserve is 32 and the cap 64 retries; a merge of suspects reports whether it was news, so that nodes pass it on once.

--- a/cmds/gateway.go
+++ b/cmds/gateway.go
@@ -11,7 +11,7 @@
 	"syscall"
 
 	"github.com/magnolialever/magnolialever/config"
-	"github.com/magnolialever/magnolialever/gate"
+	"github.com/magnolialever/magnolialever/coord"
 )
 
 // The heap of a gateway is small and short-lived. Collecting it less often than by
@@ -44,27 +44,23 @@
 
 // Execute runs the command.
 func (c *gatewayCommand) Execute([]string) error {
-	var (
-		o     gate.Options
-		fleet config.Fleet
-	)
+	var s coord.Settings
 	err := errors.Join(
-		config.Load(filepath.Join(c.Settings, "node.json"), &o.Node),
-		config.Load(filepath.Join(c.Settings, "fleet.json"), &fleet),
-		config.Load(filepath.Join(c.Settings, "gate.json"), &o.Gate),
+		config.Load(filepath.Join(c.Settings, "node.json"), &s.Node),
+		config.Load(filepath.Join(c.Settings, "fleet.json"), &s.Fleet),
+		config.Load(filepath.Join(c.Settings, "gate.json"), &s.Gate),
 	)
 	if err != nil {
 		return usage(err)
 	}
 	limitMemory()
-	o.Secret = []byte(fleet.Secret)
-	s, err := gate.New(o)
+	g, err := coord.NewGateway(s)
 	if err != nil {
 		return fmt.Errorf("gateway: %w", err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := s.Run(ctx); err != nil {
+	if err := g.Run(ctx); err != nil {
 		return fmt.Errorf("gateway: %w", err)
 	}
 	return nil
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -14,10 +14,11 @@
 	// budgetShare is the number of retries that one success pays for. It bounds the
 	// load on upstreams at 1.1 times the offered load.
 	budgetShare = 0.1
-	// budgetReserve lets a customer with little traffic retry at all.
-	budgetReserve = 3.0
+	// budgetReserve covers the requests that one upstream runs when it crashes, so
+	// that all of them can finish elsewhere.
+	budgetReserve = 32.0
 	// budgetCap bounds the retries that a long time without failures saves up.
-	budgetCap = 20.0
+	budgetCap = 64.0
 	// maxCustomers bounds the memory; the budget of the gateway still holds beyond it.
 	maxCustomers = 10_000
 
--- a/retry/suspect.go
+++ b/retry/suspect.go
@@ -57,10 +57,10 @@
 	s.Merge(now, Suspect{Fingerprint: f, Crashes: []CrashID{c}, Expires: now.Add(SuspectSpan)})
 }
 
-// Merge adds what another node knows.
-func (s *Suspects) Merge(now clock.Time, other Suspect) {
+// Merge adds what another node knows and reports whether it was news.
+func (s *Suspects) Merge(now clock.Time, other Suspect) bool {
 	if !now.Before(other.Expires) {
-		return
+		return false
 	}
 	e, ok := s.entries[other.Fingerprint]
 	if !ok {
@@ -68,12 +68,17 @@
 		e = &Suspect{Fingerprint: other.Fingerprint}
 		s.entries[other.Fingerprint] = e
 	}
+	news := false
 	for _, c := range other.Crashes {
 		if len(e.Crashes) < crashLimit && !slices.Contains(e.Crashes, c) {
 			e.Crashes = append(e.Crashes, c)
+			news = true
 		}
 	}
-	e.Expires = max(e.Expires, other.Expires)
+	if news {
+		e.Expires = max(e.Expires, other.Expires)
+	}
+	return news
 }
 
 func (s *Suspects) makeRoom(now clock.Time) {
