coord: spread what crashed upstreams

Cause: a request that crashed an upstream through one gateway was unknown to the others. Change: gateways merge suspects from agents and peers and pass news on once.

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -54,6 +54,7 @@
 	done     chan struct{}
 	outboxes *outboxes
 	leader   *leader
+	suspects *Suspects
 	version  atomic.Int64
 }
 
@@ -75,12 +76,21 @@
 		outboxes: newOutboxes(),
 	}
 	c.leader = newLeader(c)
+	c.suspects = NewSuspects(c.clock, func(f *wire.Frame) { c.post(spread{f}) })
 	return c
 }
 
 // Done is closed when Run has returned.
 func (c *Coord) Done() <-chan struct{} { return c.done }
 
+// Suspects returns what the fleet knows of requests that crashed upstreams.
+func (c *Coord) Suspects() *Suspects { return c.suspects }
+
+// spread is a frame for all agents and gateways.
+type spread struct{ frame *wire.Frame }
+
+func (e spread) apply(s *state) { s.coord.outboxes.broadcast(e.frame) }
+
 // Version returns the version of the table of rate slot owners in force, or 0.
 func (c *Coord) Version() int64 { return c.version.Load() }
 
--- a/coord/peers.go
+++ b/coord/peers.go
@@ -42,6 +42,9 @@
 	case *wire.Frame_Config:
 		c.options.Syncer.Deliver(units.VMID(from.ID), f)
 		return
+	case *wire.Frame_Suspects:
+		c.suspects.Receive(b.Suspects)
+		return
 	case *wire.Frame_Versions:
 		c.options.Syncer.Deliver(units.VMID(from.ID), f)
 		if from.Role != wire.Agent || b.Versions.Owners == 0 {
