gate: close gaps in limits and cancellation

Reviewing found these faults, now fixed: a cancellation that came while the time limit of a stream was renewed was lost; a refused request could hold its connection by not sending the rest of its body; an agent's status outside of 200 to 599 reached the HTTP server; answers to HEAD had a Content-Length of 0; the key passed to upstreams in headers of other names; addresses set before Run were lost.

Load reports now keep their targets as sets, requests carry hashes of the prompt's leading blocks, and Options.Refuse lets other parts refuse new requests.

--- a/gate/answer.go
+++ b/gate/answer.go
@@ -16,6 +16,9 @@
 // complete, so that another upstream can take over while the caller has nothing.
 const maxHeldBytes = 1 << 20
 
+// maxStatus is the largest status that an upstream may answer with.
+const maxStatus = 599
+
 var (
 	errGap   = errors.New("the answer has a gap")
 	errEvent = errors.New("an event of the answer is too long")
@@ -29,6 +32,8 @@
 	arrived time.Time
 	// resumable is set for answers in events, which can continue on another upstream.
 	resumable bool
+	// headOnly is set for the method HEAD.
+	headOnly bool
 	// keep is set when the whole answer has to be kept for a repeated call.
 	keep bool
 	kept []byte
@@ -58,7 +63,7 @@
 }
 
 func (a *answer) head(h *wire.Head) error {
-	if a.started {
+	if a.started || h.Status < http.StatusOK || h.Status > maxStatus {
 		return errFrame
 	}
 	a.started = true
@@ -104,7 +109,7 @@
 	if !a.started {
 		return errFrame
 	}
-	if !a.sent && !a.events {
+	if !a.sent && !a.events && a.hasLength() {
 		a.writer.Header().Set("Content-Length", strconv.Itoa(len(a.held)))
 	}
 	if len(a.held) == 0 && a.sent {
@@ -113,10 +118,16 @@
 	return a.write(a.held)
 }
 
+// hasLength reports whether the answer has a Content-Length of its own: answers to
+// HEAD have that of another answer, and some have none.
+func (a *answer) hasLength() bool {
+	return !a.headOnly && a.status != http.StatusNoContent && a.status != http.StatusNotModified
+}
+
 // write passes data on, after the head if that has not been sent.
 func (a *answer) write(data []byte) error {
 	a.sendHead()
-	if len(data) == 0 {
+	if len(data) == 0 || a.headOnly {
 		return nil
 	}
 	if a.writer.failed && a.keep {
@@ -129,14 +140,21 @@
 		}
 		return errors.Wrap(errWrite, err.Error())
 	}
+	if a.resumable {
+		a.record()
+	}
+	return nil
+}
+
+// record adds the times between tokens to the histograms.
+func (a *answer) record() {
 	now := time.Now()
 	if a.flushed.IsZero() {
 		stats.FirstToken.Record(now.Sub(a.arrived))
-	} else if a.events {
+	} else {
 		stats.InterToken.Record(now.Sub(a.flushed))
 	}
 	a.flushed = now
-	return nil
 }
 
 func (a *answer) sendHead() {
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -20,6 +20,7 @@
 	clock    clock.Clock
 	stall    clock.Span
 	id       units.AttemptID
+	ctx      context.Context
 	stream   *wire.Stream
 	started  clock.Time
 	result   Result
@@ -48,10 +49,10 @@
 	if err != nil {
 		return problem(units.NoUpstream, "the connection to the upstream is lost")
 	}
-	a.stream = st
+	a.stream, a.ctx = st, ctx
 	// The agent cancels the request when the stream is closed before its end.
 	defer st.Close()
-	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, a.interrupt)
 	defer stop()
 	a.arm(a.request.query.Deadline.Add(graceSpan))
 	call := a.request.call(a.id, a.started, a.upstream.permit(permit, a.started), a.answer.next)
@@ -178,4 +179,11 @@
 	a.armed = now
 	a.deadline = deadline
 	_ = a.stream.SetDeadline(time.Now().Add(max(deadline.Sub(now), 1).Duration()))
+	if a.ctx.Err() != nil {
+		// The interruption may have come before the new limit.
+		a.interrupt()
+	}
 }
+
+// interrupt ends pending and later calls of the stream.
+func (a *attempt) interrupt() { _ = a.stream.SetDeadline(time.Unix(1, 0)) }
--- a/gate/body.go
+++ b/gate/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/jx"
 
 	"github.com/magnolialever/magnolialever/units"
@@ -20,6 +21,8 @@
 	tokens int64
 	// choices is the number of answers.
 	choices int64
+	// prefix holds the hashes of the prompt's leading blocks.
+	prefix []uint64
 }
 
 // scan checks that the body is one JSON object and reads the fields. The body
@@ -67,12 +70,39 @@
 	case "n":
 		f.choices, err = optional(d, d.Int64)
 		f.choices = min(max(f.choices, 1), maxChoices)
+	case "messages", "prompt":
+		var raw jx.Raw
+		raw, err = d.Raw()
+		f.prefix = prefix(raw)
 	default:
 		err = d.Skip()
 	}
 	return err
 }
 
+const (
+	prefixBlockBytes = 1 << 10
+	maxPrefixBlocks  = 16
+)
+
+// prefix returns a hash for each whole block at the start of the prompt; each
+// covers the blocks before it. Requests with equal hashes share an entry of an
+// engine's prefix cache.
+func prefix(prompt []byte) []uint64 {
+	n := min(len(prompt)/prefixBlockBytes, maxPrefixBlocks)
+	if n == 0 {
+		return nil
+	}
+	hashes := make([]uint64, n)
+	var d xxhash.Digest
+	d.Reset()
+	for i := range hashes {
+		_, _ = d.Write(prompt[i*prefixBlockBytes : (i+1)*prefixBlockBytes])
+		hashes[i] = d.Sum64()
+	}
+	return hashes
+}
+
 // optional reads a value that may be null.
 func optional[T any](d *jx.Decoder, read func() (T, error)) (T, error) {
 	if d.Next() == jx.Null {
--- a/gate/decide.go
+++ b/gate/decide.go
@@ -166,7 +166,7 @@
 
 // Retry implements Retrier.
 func (RetryOnce) Retry(_ clock.Time, q *Query, f Failure) (clock.Span, bool) {
-	if f.Result.Ran && !q.Idempotent {
+	if f.Result.Ran && !q.Idempotent || f.Result.Code == units.CrashSuspect {
 		return 0, false
 	}
 	return 0, f.Failures <= 1
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -36,6 +36,9 @@
 	Once Once
 	// Work is needed for deferred work; without it such requests are refused.
 	Work Work
+	// Refuse, if set, returns why the gateway takes no new request, such as isolated,
+	// or nil. It is called for each request by many goroutines.
+	Refuse func() *Problem
 	// Receiver takes the control frames that the gateway does not handle itself.
 	Receiver Receiver
 	// Clock is clock.System when nil.
@@ -91,7 +94,9 @@
 	}
 	s.directory.Store(&o.Directory)
 	s.agents = newLinks(s, wire.Agent)
+	s.agents.set(o.Gate.Agents)
 	s.gateways = newLinks(s, wire.Gateway)
+	s.gateways.set(o.Gate.Gateways)
 	if err := s.listen(); err != nil {
 		s.closeListeners()
 		return nil, err
@@ -105,10 +110,10 @@
 		return err
 	}
 	l := &s.options.Gate.Limits
-	if s.public, err = newListener("public", s.options.Gate.Public, handler, l); err != nil {
+	if s.public, err = newListener(publicName, s.options.Gate.Public, handler, l); err != nil {
 		return err
 	}
-	if s.admin, err = newListener("admin", s.options.Node.Admin, s.adminHandler(), l); err != nil {
+	if s.admin, err = newListener(adminName, s.options.Node.Admin, s.adminHandler(), l); err != nil {
 		return err
 	}
 	n, err := net.Listen("tcp", s.options.Node.Peer) //nolint:noctx // no context at start
@@ -152,14 +157,17 @@
 	return ids
 }
 
+// Running returns the number of requests in progress.
+func (s *Server) Running() int { return s.running.count() }
+
 // Run serves until the context is done, and then stops gracefully. It returns
 // ErrLeft when requests were cut off at the time limit.
 func (s *Server) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	parts := &group{}
-	parts.start(func() { s.agents.run(work, s.options.Gate.Agents) })
-	parts.start(func() { s.gateways.run(work, s.options.Gate.Gateways) })
+	parts.start(func() { s.agents.run(work) })
+	parts.start(func() { s.gateways.run(work) })
 	parts.start(func() { s.peers.run(work) })
 	parts.start(s.public.serve)
 	parts.start(s.admin.serve)
--- a/gate/header.go
+++ b/gate/header.go
@@ -5,6 +5,7 @@
 	"net/textproto"
 	"strings"
 
+	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/wire"
 )
 
@@ -29,8 +30,9 @@
 	"Upgrade":             true,
 }
 
-// passRequest returns the headers of a request that an upstream may see.
-func passRequest(h http.Header) []*wire.Header {
+// passRequest returns the headers of a request that an upstream may see. No header
+// with the key passes, whatever its name.
+func passRequest(h http.Header, key string) []*wire.Header {
 	named := connectionNamed(h)
 	out := make([]*wire.Header, 0, len(h))
 	for name, values := range h {
@@ -38,6 +40,10 @@
 			continue
 		}
 		for _, v := range values {
+			if key != "" && strings.Contains(v, key) {
+				stats.Event("header_with_key")
+				continue
+			}
 			out = append(out, &wire.Header{Name: name, Value: v})
 		}
 	}
--- a/gate/keys.go
+++ b/gate/keys.go
@@ -34,6 +34,6 @@
 	if !ok {
 		return problem(units.InvalidKey, "the key is missing or not valid")
 	}
-	x.caller, x.key = c, h
+	x.caller, x.key, x.token = c, h, key
 	return nil
 }
--- a/gate/links.go
+++ b/gate/links.go
@@ -17,9 +17,10 @@
 	// up holds the connected processes, for the traffic goroutines.
 	up atomic.Pointer[[]*upstream]
 
-	mu    sync.Mutex
-	ctx   context.Context // nil until run
-	stops map[string]context.CancelFunc
+	mu        sync.Mutex
+	ctx       context.Context // nil until run
+	addresses []string
+	stops     map[string]context.CancelFunc
 }
 
 func newLinks(s *Server, r wire.Role) *links {
@@ -28,13 +29,12 @@
 	return l
 }
 
-// run connects to the addresses and returns after the context is done and all
-// sessions are closed.
-func (l *links) run(ctx context.Context, addresses []string) {
+// run keeps the sessions and returns after the context is done and all are closed.
+func (l *links) run(ctx context.Context) {
 	l.mu.Lock()
 	l.ctx = ctx
+	l.update()
 	l.mu.Unlock()
-	l.set(addresses)
 	<-ctx.Done()
 	l.group.wait()
 }
@@ -43,16 +43,22 @@
 func (l *links) set(addresses []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.addresses = slices.Clone(addresses)
+	l.update()
+}
+
+// update starts and stops links as the addresses say. The lock is held.
+func (l *links) update() {
 	if l.ctx == nil || l.ctx.Err() != nil {
 		return
 	}
 	for a, stop := range l.stops {
-		if !slices.Contains(addresses, a) {
+		if !slices.Contains(l.addresses, a) {
 			stop()
 			delete(l.stops, a)
 		}
 	}
-	for _, a := range addresses {
+	for _, a := range l.addresses {
 		if l.stops[a] != nil {
 			continue
 		}
--- a/gate/listen.go
+++ b/gate/listen.go
@@ -10,6 +10,12 @@
 	"k8s.io/klog/v2"
 )
 
+// Names of the listeners.
+const (
+	publicName = "public"
+	adminName  = "admin"
+)
+
 // listener is an HTTP server with its socket.
 type listener struct {
 	name string
@@ -30,6 +36,9 @@
 		IdleTimeout:       l.Idle.Duration(),
 		MaxHeaderBytes:    l.HeaderBytes,
 	}
+	if name == adminName {
+		s.ReadTimeout, s.WriteTimeout = l.Header.Duration(), l.Write.Duration()
+	}
 	return &listener{name: name, net: newBounded(n, l.Connections), http: s}, nil
 }
 
--- a/gate/models.go
+++ b/gate/models.go
@@ -94,7 +94,7 @@
 		return p
 	}
 	defer m.server.release(b)
-	path := x.request.URL.RequestURI()
+	path := x.request.URL.Path
 	q, p := m.server.generation(x.caller, class, path, b.data)
 	if p != nil {
 		return p
@@ -125,6 +125,7 @@
 			Class:       class,
 			Cost:        f.cost(len(data), answers),
 			Fingerprint: fingerprint(c.Customer, f.model, data),
+			Prefix:      f.prefix,
 			Deadline:    s.deadline(now, class),
 			Idempotent:  true,
 		},
@@ -143,7 +144,7 @@
 	if work == nil {
 		return problem(units.StoreUnavailable, "there is no store for deferred work")
 	}
-	j := Job{Caller: q.caller, Method: q.method, Path: q.path, Header: passRequest(x.request.Header), Body: q.body}
+	j := Job{Caller: q.caller, Method: q.method, Path: q.path, Header: passRequest(x.request.Header, x.token), Body: q.body}
 	id, err := work.Submit(ctx, j)
 	if err != nil {
 		return err
--- a/gate/public.go
+++ b/gate/public.go
@@ -25,6 +25,8 @@
 	started time.Time
 	caller  Caller
 	key     KeyHash
+	// token is the key itself, to keep it out of what an upstream sees.
+	token string
 }
 
 type exchangeKey struct{}
@@ -49,12 +51,19 @@
 // admit handles a request if there is a place for it.
 func (s *Server) admit(api http.Handler, w *writer, r *http.Request) {
 	w.arm()
-	if p := s.running.enter(); p != nil {
+	if s.leaving.Load() {
+		// The caller's next request has to reach another gateway.
 		w.Header().Set("Connection", "close")
+	}
+	if p := s.enter(); p != nil {
 		p.write(w)
 		return
 	}
 	defer s.running.leave()
+	if r.ContentLength != 0 {
+		// Without a body the limit would look like a caller that has gone.
+		_ = w.controller.SetReadDeadline(time.Now().Add(s.options.Gate.Limits.Body.Duration()))
+	}
 	x := &exchange{writer: w, request: r, arrived: s.clock.Now(), started: time.Now()}
 	if strings.HasPrefix(r.URL.Path, servicePrefix) {
 		if err := s.call(r.Context(), x); err != nil {
@@ -65,6 +74,16 @@
 	api.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), exchangeKey{}, x)))
 }
 
+// enter takes a place for a new request.
+func (s *Server) enter() *Problem {
+	if f := s.options.Refuse; f != nil {
+		if p := f(); p != nil {
+			return p
+		}
+	}
+	return s.running.enter()
+}
+
 // apiError answers with errors of the generated server and of the handlers.
 func apiError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
 	requestProblem(err).write(w)
--- a/gate/read.go
+++ b/gate/read.go
@@ -63,16 +63,13 @@
 		bodies.Put(b)
 		return nil, problem(units.QueueFull, "the gateway has too many request bodies in memory")
 	}
-	c := x.writer.controller
-	_ = c.SetReadDeadline(time.Now().Add(l.Body.Duration()))
 	limited := http.MaxBytesReader(x.writer.response, io.NopCloser(from), l.BodyBytes)
-	p := s.fill(b, limited)
-	// A limit that stays set would look like a caller that has gone.
-	_ = c.SetReadDeadline(time.Time{})
-	if p != nil {
+	if p := s.fill(b, limited); p != nil {
 		s.release(b)
 		return nil, p
 	}
+	// The limit of admit would look like a caller that has gone if it stayed.
+	_ = x.writer.controller.SetReadDeadline(time.Time{})
 	return b, nil
 }
 
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -12,12 +12,18 @@
 // has received nothing yet.
 func (s *Server) serve(ctx context.Context, x *exchange, q *request) error {
 	q.caller, q.key, q.arrived = x.caller, x.key, x.arrived
-	q.header = passRequest(x.request.Header)
+	q.header = passRequest(x.request.Header, x.token)
 	if p := s.start(ctx, q); p != nil {
 		return p
 	}
 	defer s.finish(q)
-	a := &answer{writer: x.writer, arrived: x.started, resumable: q.stream, keep: q.once != ""}
+	a := &answer{
+		writer:    x.writer,
+		arrived:   x.started,
+		resumable: q.stream,
+		headOnly:  q.method == http.MethodHead,
+		keep:      q.once != "",
+	}
 	r := &relay{server: s, request: q, answer: a}
 	p := r.run(q.ctx)
 	switch {
--- a/gate/service_test.go
+++ b/gate/service_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -36,7 +38,7 @@
 	})
 	s := start(t, withCases, a)
 	w, body := send(t, s, "PUT", "/svc/cases/a/b%20c?x=1&y=2", "payload", "api-key", key, "Cookie", "c=1",
-		"Connection", "X-Hop", "X-Hop", "1", "X-Kept", "2", "Content-Type", "text/plain")
+		"Connection", "X-Hop", "X-Hop", "1", "X-Kept", "2", "X-Mine", "key="+key, "Content-Type", "text/plain")
 	assert.Equal(t, w.StatusCode, 203)
 	assert.Equal(t, body, "status")
 	c := <-calls
@@ -95,23 +97,48 @@
 		assert.Equal(t, status, 201)
 		assert.Equal(t, body, "booking 1")
 	}
-	status, _ := post("k1", "another interpreter")
-	assert.Equal(t, status, 400)
+	status, body := post("k1", "another interpreter")
+	assert.Equal(t, status, 400, body)
+
+	// The answer is kept for a caller that has gone before it came.
+	arrived, release := make(chan struct{}), make(chan struct{})
+	set(func(c *agentCall) {
+		close(arrived)
+		<-release
+		book(c)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Addr().String()+"/svc/cases/book", nil)
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set("Idempotency-Key", "k0")
+	_, err := http.DefaultClient.Do(r)
+	assert.Assert(t, errors.Is(err, context.Canceled))
+	status, body = post("k0", "")
+	assert.Equal(t, status, 409, body)
+	close(release)
+	eventually(t, func() bool {
+		status, body = post("k0", "")
+		return status == 201 && body == "booking 2"
+	})
 
 	// An attempt that did not run leaves no record.
 	set(func(c *agentCall) { c.refuse("queue_full", false, 0) })
 	status, _ = post("k2", "interpreter")
 	assert.Equal(t, status, 503)
 	set(book)
-	_, body := post("k2", "interpreter")
-	assert.Equal(t, body, "booking 2")
+	_, body = post("k2", "interpreter")
+	assert.Equal(t, body, "booking 3")
 
 	// An attempt that broke is not repeated, with and without a key.
 	set(crash)
 	for i, key := range []string{"k3", ""} {
 		status, _ = post(key, "interpreter")
 		assert.Equal(t, status, 502)
-		assert.Equal(t, runs.Load(), int64(3+i))
+		assert.Equal(t, runs.Load(), int64(4+i))
 	}
 	status, body = post("k3", "interpreter")
 	assert.Equal(t, status, 409)
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -36,6 +36,37 @@
 type report struct {
 	load  *wire.Load
 	heard clock.Time
+	// resident and services are the targets of the report as sets.
+	resident set
+	services set
+}
+
+type set map[string]struct{}
+
+// setOf returns the names as a set, which is that of the last report when the names
+// are the same.
+func setOf(names, lastNames []string, last set) set {
+	if last != nil && slices.Equal(names, lastNames) {
+		return last
+	}
+	s := make(set, len(names))
+	for _, n := range names {
+		s[n] = struct{}{}
+	}
+	return s
+}
+
+// newReport returns the report that follows the last one, if any.
+func newReport(l *wire.Load, heard clock.Time, last *report) *report {
+	if last == nil {
+		last = &report{}
+	}
+	return &report{
+		load:     l,
+		heard:    heard,
+		resident: setOf(l.Resident, last.load.GetResident(), last.resident),
+		services: setOf(l.Service, last.load.GetService(), last.services),
+	}
 }
 
 // stamp is a reading of the agent's clock with the time when it arrived.
@@ -184,13 +215,13 @@
 	if l == nil {
 		return
 	}
-	next := &report{load: l, heard: u.clock.Now()}
+	now := u.clock.Now()
 	for {
 		old := u.report.Load()
 		if old != nil && old.load.Sequence > l.Sequence {
 			return
 		}
-		if u.report.CompareAndSwap(old, next) {
+		if u.report.CompareAndSwap(old, newReport(l, now, old)) {
 			return
 		}
 	}
@@ -203,11 +234,13 @@
 
 // offers reports whether the upstream serves the target.
 func (u *upstream) offers(kind, target string) bool {
-	l := u.report.Load().load
+	r := u.report.Load()
+	targets := r.resident
 	if kind == kindService {
-		return slices.Contains(l.Service, target)
+		targets = r.services
 	}
-	return slices.Contains(l.Resident, target)
+	_, ok := targets[target]
+	return ok
 }
 
 // permit translates the permit to the agent's clock. The last stamp is older than
--- a/gate/work.go
+++ b/gate/work.go
@@ -39,7 +39,7 @@
 // Execute runs a job and returns its answer. Its key may have been withdrawn since
 // it was submitted.
 func (s *Server) Execute(ctx context.Context, j Job) (*Stored, error) {
-	if p := s.running.enter(); p != nil {
+	if p := s.enter(); p != nil {
 		return nil, p
 	}
 	defer s.running.leave()
