--- a/coord/gateway.go
+++ b/coord/gateway.go
@@ -18,6 +18,10 @@
 	"github.com/magnolialever/magnolialever/vmlist"
 )
 
+// isolatedWait is what callers of an isolated gateway are told to wait; the balancer
+// sends them to another one as soon as the readiness check has failed.
+const isolatedWait = clock.Second
+
 // Settings are the sections of a gateway's settings.
 type Settings struct {
 	Node  config.Node
@@ -58,7 +62,7 @@
 		Limiter:   NewLimiter(g.coord),
 		Retrier:   NewRetrier(rand.Uint64()),
 		Peers:     g.coord,
-		Isolated:  func() bool { return g.syncer.Isolated(c.Now()) },
+		Refuse:    g.refuse,
 		Clock:     c,
 	})
 	if err != nil {
@@ -97,6 +101,16 @@
 	return err
 }
 
+// refuse implements gate.Options.Refuse.
+func (g *Gateway) refuse() *gate.Problem {
+	if g.syncer.Isolated(g.clock.Now()) {
+		return &gate.Problem{
+			Code: units.Isolated, Message: "the gateway reaches neither the store nor most other gateways", Wait: isolatedWait,
+		}
+	}
+	return nil
+}
+
 // follow applies new configuration and VM lists.
 func (g *Gateway) follow(ctx context.Context) error {
 	updates := g.syncer.Subscribe()
