coord, gate, place: load what the configuration and callers ask for

Cause: the planner had no process that carries out its orders, and a request for a model that is resident nowhere was refused at once. Change: the holder of the control lease plans every second from fresh load reports, the configuration and measured demand, and sends fenced orders; gateways report demand in the new message Demand to the gateway that announced the lease (Leader), and let requests wait for a load until their deadline. The planner evicts a base model together with its adapters, an unused target at once for one that is waited for, and starts with one load instead of four, because the controller before may have used up the budget.

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/gate"
 	"github.com/magnolialever/magnolialever/rate"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/store"
@@ -44,6 +45,9 @@
 	// Duties are performed while this gateway holds the control lease, besides the
 	// assignment of rate slots.
 	Duties []Duty
+	// Reports returns the load reports of the connected agents. Without it this
+	// gateway does not place models.
+	Reports func() []gate.Report
 }
 
 // Coord is the control loop of one gateway.
@@ -54,6 +58,8 @@
 	done     chan struct{}
 	outboxes *outboxes
 	leader   *leader
+	placer   *placer
+	demand   *demand
 	version  atomic.Int64
 }
 
@@ -73,7 +79,9 @@
 		events:   make(chan event, eventQueue),
 		done:     make(chan struct{}),
 		outboxes: newOutboxes(),
+		demand:   newDemand(),
 	}
+	c.placer = newPlacer(c)
 	c.leader = newLeader(c)
 	return c
 }
@@ -145,6 +153,10 @@
 	table   *rate.Table
 	waiting map[rate.RequestID]chan<- rate.Verdict
 	limits  map[units.CustomerID]rate.Limit
+	// agents tells agents from gateways among the connected processes.
+	agents     map[string]bool
+	controller controller
+	demandSent clock.Time
 }
 
 func newState(c *Coord) *state {
@@ -154,6 +166,7 @@
 		client:  rate.NewClient(rate.GrantID(rand.Uint64())),
 		waiting: map[rate.RequestID]chan<- rate.Verdict{},
 		limits:  map[units.CustomerID]rate.Limit{},
+		agents:  map[string]bool{},
 	}
 }
 
@@ -161,6 +174,7 @@
 
 func (s *state) tick() {
 	s.owner.Tick(s.now())
+	s.sendDemand()
 }
 
 // flush sends what the decisions have produced and answers waiting requests.
@@ -235,7 +249,13 @@
 }
 
 // SetSnapshot tells the loop the configuration in force.
-func (c *Coord) SetSnapshot(sn *tree.Snapshot) { c.post(snapshotChanged{sn}) }
+func (c *Coord) SetSnapshot(sn *tree.Snapshot) {
+	c.placer.setSnapshot(sn)
+	c.post(snapshotChanged{sn})
+}
+
+// Demand returns the part that counts what callers ask for.
+func (c *Coord) Demand() gate.Demand { return c.demand }
 
 type snapshotChanged struct{ snapshot *tree.Snapshot }
 
--- a/coord/gateway.go
+++ b/coord/gateway.go
@@ -46,7 +46,10 @@
 	g.vms = vmlist.New(vmlist.Options{Address: s.Fleet.Vms, Clock: c})
 	self := units.VMID(s.Node.ID)
 	g.syncer = syncer.New(syncer.Options{Self: self, Clock: c, Store: Feed{g.store}})
-	g.coord = New(Options{Self: self, Zone: units.Zone(s.Node.Zone), Store: g.store, Syncer: g.syncer, Clock: c})
+	g.coord = New(Options{
+		Self: self, Zone: units.Zone(s.Node.Zone), Store: g.store, Syncer: g.syncer, Clock: c,
+		Reports: func() []gate.Report { return g.gate.Reports() },
+	})
 	g.picker = NewPicker(units.Zone(s.Node.Zone), rand.Uint64())
 	var err error
 	g.gate, err = gate.New(gate.Options{
@@ -58,6 +61,7 @@
 		Limiter:   NewLimiter(g.coord),
 		Retrier:   NewRetrier(rand.Uint64()),
 		Peers:     g.coord,
+		Demand:    g.coord.Demand(),
 		Isolated:  func() bool { return g.syncer.Isolated(c.Now()) },
 		Clock:     c,
 	})
--- a/coord/leader.go
+++ b/coord/leader.go
@@ -51,6 +51,9 @@
 		KV: c.options.Store, Key: leaderKey, Value: []byte(c.options.Self), Clock: c.clock,
 	})
 	l.duties = append([]Duty{ownersDuty{l}}, c.options.Duties...)
+	if c.options.Reports != nil {
+		l.duties = append(l.duties, c.placer)
+	}
 	return l
 }
 
@@ -65,6 +68,8 @@
 		case <-ctx.Done():
 			return <-end
 		case <-t.C:
+		case <-l.holder.Changes():
+			// A new controller announces its fencing number at once.
 		}
 		for _, d := range l.duties {
 			if _, held := l.holder.Held(); !held {
@@ -84,6 +89,13 @@
 	l.fleet = list
 }
 
+// list returns the newest VM list, or nil.
+func (l *leader) list() *vmlist.List {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fleet
+}
+
 // setConnected records whether the session with another gateway is up.
 func (l *leader) setConnected(id units.VMID, up bool) {
 	l.mu.Lock()
--- a/coord/outbox.go
+++ b/coord/outbox.go
@@ -47,12 +47,15 @@
 	}
 }
 
-// close ends the outbox unless another link has replaced it.
-func (o *outboxes) close(id string, l gate.Link) {
-	if b, ok := o.boxes[id]; ok && b.link == l {
-		close(b.frames)
-		delete(o.boxes, id)
+// close ends the outbox and reports true, unless another link has replaced it.
+func (o *outboxes) close(id string, l gate.Link) bool {
+	b, ok := o.boxes[id]
+	if !ok || b.link != l {
+		return false
 	}
+	close(b.frames)
+	delete(o.boxes, id)
+	return true
 }
 
 func (o *outboxes) push(id string, f *wire.Frame) {
--- a/coord/peers.go
+++ b/coord/peers.go
@@ -61,9 +61,11 @@
 
 func (e connected) apply(s *state) {
 	s.coord.outboxes.open(e.to.ID, e.link)
+	s.agents[e.to.ID] = e.to.Role == wire.Agent
 	if s.table != nil {
 		s.push(e.to.ID, s.table.Frame())
 	}
+	s.announce(e.to.ID)
 }
 
 // disconnected tells the loop of the end of a link.
@@ -72,7 +74,11 @@
 	link gate.Link
 }
 
-func (e disconnected) apply(s *state) { s.coord.outboxes.close(e.to.ID, e.link) }
+func (e disconnected) apply(s *state) {
+	if s.coord.outboxes.close(e.to.ID, e.link) {
+		delete(s.agents, e.to.ID)
+	}
+}
 
 // received is a control frame of a peer.
 type received struct {
@@ -96,6 +102,12 @@
 		s.learn(rate.TableOf(b.Owners))
 	case *wire.Frame_Versions:
 		s.owner.Ack(now, units.UpstreamID(e.from.ID), b.Versions.Owners)
+	case *wire.Frame_Demand:
+		s.coord.placer.demanded(now, from, b.Demand)
+	case *wire.Frame_Leader:
+		s.lead(from, units.Fence(b.Leader.Fence))
+	case *wire.Frame_OrderResult:
+		s.coord.placer.result(units.UpstreamID(e.from.ID), b.OrderResult)
 	case *wire.Frame_Leave:
 		// The VM list and the end of the session follow.
 	default:
--- a/devel/devel.go
+++ b/devel/devel.go
@@ -36,6 +36,8 @@
 	Service units.ServiceID
 	// Engine is the model of all engines; its address is ignored.
 	Engine engine.Options
+	// Weights is the weight store; its address is ignored.
+	Weights weight.Options
 	// Gate holds the limits of the gateways; its addresses are ignored.
 	Gate gate.Settings
 	// Public is the address of the first gateway for callers; empty: any port.
@@ -99,7 +101,9 @@
 	if f.Store, err = keyval.New(keyval.Options{}); err != nil {
 		return fmt.Errorf("open store: %w", err)
 	}
-	if f.Weights, err = weight.New(weight.Options{}); err != nil {
+	w := f.options.Weights
+	w.Address = ""
+	if f.Weights, err = weight.New(w); err != nil {
 		return fmt.Errorf("open weight store: %w", err)
 	}
 	if f.VMs, err = vms.New(vms.Options{}); err != nil {
--- /dev/null
+++ b/devel/place_test.go
@@ -0,0 +1,169 @@
+package devel_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/devel"
+	"github.com/magnolialever/magnolialever/fakes/engine"
+	"github.com/magnolialever/magnolialever/store"
+	"github.com/magnolialever/magnolialever/syncer"
+	"github.com/magnolialever/magnolialever/tree"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+const modelBytes = 10 << 30
+
+// startEmpty starts a fleet whose engines hold nothing and ignore fencing numbers.
+func startEmpty(t *testing.T, capacity units.Bytes, models, adapters int) *devel.Fleet {
+	t.Helper()
+	f := start(t, func(o *devel.Options) {
+		o.Services = 0
+		o.Engine.Models, o.Engine.Capacity, o.Engine.LoadTime = nil, capacity, 100*clock.Millisecond
+		o.Weights.Rate, o.Weights.Time = 20, 100*clock.Millisecond
+	})
+	v := &tree.Team{
+		Customers: []tree.Customer{{ID: "court", Rate: 1000, Burst: 1000}},
+		Keys:      []tree.Key{{ID: "k1", Hash: tree.HashSecret("secret-key"), Customer: "court"}},
+	}
+	for i := range models {
+		v.Models = append(v.Models, tree.Model{ID: units.ModelID(fmt.Sprint("m", i)), Bytes: modelBytes})
+	}
+	for i := range adapters {
+		base := units.ModelID(fmt.Sprint("m", i%models))
+		v.Adapters = append(v.Adapters, tree.Adapter{ID: units.ModelID(fmt.Sprint("a", i)), Base: base, Bytes: 1 << 30})
+	}
+	write(t, f, v, 0)
+	writeFleet(t, f, &tree.Team{Limits: &tree.Limits{WeightLoads: 10, WeightConcurrent: 6}})
+	return f
+}
+
+func writeFleet(t *testing.T, f *devel.Fleet, v *tree.Team) {
+	t.Helper()
+	kv := store.New(store.Options{Address: f.Store.Addr()})
+	defer kv.Close()
+	b, err := tree.Encode(v)
+	assert.NilError(t, err)
+	_, err = kv.Swap(context.Background(), syncer.Key(tree.Fleet), 0, b, 0)
+	assert.NilError(t, err)
+}
+
+// holders returns the engines on which the target is resident.
+func holders(f *devel.Fleet, id units.ModelID) int {
+	n := 0
+	for _, e := range f.Engines {
+		if slices.ContainsFunc(e.Models(), func(m engine.Model) bool { return m.ID == id && m.State == engine.Resident }) {
+			n++
+		}
+	}
+	return n
+}
+
+// checkEngines guards the invariants of the memory and of fencing at the engines.
+func checkEngines(t *testing.T, f *devel.Fleet) {
+	t.Helper()
+	for i, e := range f.Engines {
+		c := e.Counts()
+		assert.Equal(t, c.Overcommits, int64(0), "engine %d", i)
+		assert.Equal(t, c.StaleOrders, int64(0), "engine %d", i)
+	}
+	assert.Equal(t, f.Weights.Counts().Refused, int64(0))
+}
+
+// Guards against models and adapters of the configuration that are not loaded.
+func TestLoadsConfiguration(t *testing.T) {
+	f := startEmpty(t, 4*modelBytes, 5, 5)
+	for i := range 5 {
+		eventually(t, "model is resident", func() bool { return holders(f, units.ModelID(fmt.Sprint("m", i))) > 0 })
+		eventually(t, "adapter is resident", func() bool { return holders(f, units.ModelID(fmt.Sprint("a", i))) > 0 })
+	}
+	checkEngines(t, f)
+}
+
+// Guards against a request that is refused, or waits for its whole deadline, because
+// its model is resident nowhere: another one has to make room.
+func TestRequestWaitsForLoad(t *testing.T) {
+	f := startEmpty(t, modelBytes, 4, 0)
+	eventually(t, "engines are full", func() bool {
+		n := 0
+		for i := range 4 {
+			n += holders(f, units.ModelID(fmt.Sprint("m", i)))
+		}
+		return n == len(f.Engines)
+	})
+	absent := slices.IndexFunc([]units.ModelID{"m0", "m1", "m2", "m3"}, func(id units.ModelID) bool { return holders(f, id) == 0 })
+	assert.Assert(t, absent >= 0)
+	url := "http://" + f.Gateways[1].Gate().Addr().String() + "/v1/chat/completions"
+	began := time.Now()
+	status, body, _ := post(t, url, "secret-key", strings.Replace(chat, `"m"`, fmt.Sprintf(`"m%d"`, absent), 1))
+	t.Logf("answered after %v", time.Since(began))
+	assert.Equal(t, status, http.StatusOK, body)
+	checkEngines(t, f)
+}
+
+func leaderOf(t *testing.T, f *devel.Fleet) (string, units.Fence) {
+	t.Helper()
+	kv := store.New(store.Options{Address: f.Store.Addr()})
+	defer kv.Close()
+	e, err := kv.Get(context.Background(), "/control/leader")
+	if err != nil {
+		return "", 0
+	}
+	return string(e.Value), units.Fence(e.Created)
+}
+
+// send gives an order to an agent as a gateway does, and returns the code of its
+// result.
+func send(t *testing.T, address string, o *wire.Order) string {
+	t.Helper()
+	s, err := wire.Dial(context.Background(), address, wire.Options{
+		Self: wire.Identity{ID: "old", Role: wire.Gateway, Zone: "zone-a"}, Secret: []byte(devel.Secret),
+	})
+	assert.NilError(t, err)
+	defer s.Close()
+	st, err := s.Open()
+	assert.NilError(t, err)
+	assert.NilError(t, st.Send(&wire.Frame{Body: &wire.Frame_Order{Order: o}}))
+	for {
+		r, err := st.Recv()
+		assert.NilError(t, err)
+		if r.GetOrderResult() != nil {
+			return r.GetOrderResult().Code
+		}
+	}
+}
+
+// Guards against a fleet without placement after its controller has stopped, and
+// against orders of the old one that still take effect.
+func TestControllerReplaced(t *testing.T) {
+	f := startEmpty(t, 4*modelBytes, 3, 0)
+	eventually(t, "model is resident", func() bool { return holders(f, "m0") > 0 })
+	first, fence := leaderOf(t, f)
+	assert.Assert(t, first != "")
+	assert.NilError(t, f.StopPart("gateway "+first))
+	eventually(t, "another controller", func() bool { id, _ := leaderOf(t, f); return id != "" && id != first })
+	old := &wire.Order{Id: "late", Fence: int64(fence), Op: "load", Target: "m9", Bytes: 1 << 30}
+	none := &wire.Order{Id: "none", Fence: int64(fence), Op: "unload", Target: "m9"}
+	for _, a := range f.Agents {
+		// An order without effect shows when the agent has heard of the new controller.
+		eventually(t, "fence is known", func() bool { return send(t, a.Addr().String(), none) == string(units.FenceStale) })
+		assert.Equal(t, send(t, a.Addr().String(), old), string(units.FenceStale))
+	}
+	assert.Equal(t, holders(f, "m9"), 0)
+	f.Engines[0].Crash(100 * clock.Millisecond)
+	f.Engines[1].Crash(100 * clock.Millisecond)
+	f.Engines[2].Crash(100 * clock.Millisecond)
+	eventually(t, "models are loaded again", func() bool {
+		return holders(f, "m0") > 0 && holders(f, "m1") > 0 && holders(f, "m2") > 0
+	})
+	checkEngines(t, f)
+}
--- /dev/null
+++ b/gate/demand.go
@@ -0,0 +1,123 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+// Demand is told what callers ask for, so that it can be loaded. It is called by
+// many goroutines.
+type Demand interface {
+	// Asked is told once of each request that the customer's rate admits.
+	Asked(target units.ModelID, cost units.Tokens)
+	// Waits is told of a request that begins to wait for the target to be resident.
+	// The caller calls the function that it returns at the end of the wait.
+	Waits(target units.ModelID) (end func())
+}
+
+// repickInterval bounds one wait for a load report: a picker may also change its mind
+// without one, for example when an availability zone returns.
+const repickInterval = 500 * time.Millisecond
+
+// notice is a condition that any number of goroutines wait for.
+type notice struct {
+	mu   sync.Mutex
+	next chan struct{}
+}
+
+// wait returns a channel that is closed by the next announce.
+func (n *notice) wait() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.next == nil {
+		n.next = make(chan struct{})
+	}
+	return n.next
+}
+
+func (n *notice) announce() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.next != nil {
+		close(n.next)
+		n.next = nil
+	}
+}
+
+// awaits reports whether the request should wait for a load of its target: it is
+// resident nowhere, and no attempt has failed for another reason.
+func (r *relay) awaits(last *Problem) bool {
+	if r.server.options.Demand == nil || r.request.kind != kindModel || r.answer.sent || r.ran {
+		return false
+	}
+	return last == nil || last.Code == units.NotLoaded
+}
+
+// await waits until an upstream offers the target, at most until the deadline. It
+// returns nil when none does.
+func (r *relay) await(ctx context.Context) *upstream {
+	q := &r.request.query
+	end := r.server.options.Demand.Waits(units.ModelID(q.Target))
+	defer end()
+	stats.Event("load_awaited")
+	for {
+		// The channel is taken before the upstreams are read, so that no change between
+		// the two is missed.
+		changed := r.server.changed.wait()
+		if u := r.pick(); u != nil {
+			return u
+		}
+		left := q.Deadline.Sub(r.server.clock.Now())
+		if left <= 0 || ctx.Err() != nil {
+			stats.Event("load_awaited_in_vain")
+			return nil
+		}
+		waitFor(ctx, changed, min(left.Duration(), repickInterval))
+	}
+}
+
+func waitFor(ctx context.Context, changed <-chan struct{}, limit time.Duration) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// Report is the last load report of a connected agent.
+type Report struct {
+	Upstream units.UpstreamID
+	Zone     units.Zone
+	// Load is shared and not to be changed.
+	Load *wire.Load
+	// Heard is when the report arrived.
+	Heard clock.Time
+	// Alive is set while the agent answers pings.
+	Alive bool
+	// Leaving is set after the agent has announced its stop.
+	Leaving bool
+}
+
+// Reports returns the reports of all connected agents.
+func (s *Server) Reports() []Report {
+	now := s.clock.Now()
+	up := *s.agents.up.Load()
+	list := make([]Report, 0, len(up))
+	for _, u := range up {
+		p := u.report.Load()
+		list = append(list, Report{
+			Upstream: u.id, Zone: u.zone, Load: p.load, Heard: p.heard,
+			Alive:   now.Sub(u.stamp.Load().heard) <= silentSpan,
+			Leaving: u.leaving.Load() || p.load.Leaving,
+		})
+	}
+	return list
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -35,6 +35,9 @@
 	Once Once
 	// Work is needed for deferred work; without it such requests are refused.
 	Work Work
+	// Demand is told what callers ask for. Without it nothing would load a target, so a
+	// request for one that is resident nowhere is refused at once.
+	Demand Demand
 	// Peers takes part in the control traffic.
 	Peers Peers
 	// Isolated tells that the gateway must take no new request; nil means never.
@@ -82,6 +85,8 @@
 	admin     *listener
 	peers     *peers
 	leaving   atomic.Bool
+	// changed is announced when an upstream may offer more than before.
+	changed notice
 }
 
 // New opens the listeners. Run has to be called to serve and to close them.
--- a/gate/links.go
+++ b/gate/links.go
@@ -69,6 +69,7 @@
 	defer l.mu.Unlock()
 	next := append(slices.Clone(*l.up.Load()), u)
 	l.up.Store(&next)
+	l.server.changed.announce()
 }
 
 // disconnected removes u from the snapshot.
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -22,6 +22,8 @@
 	ran bool
 	// stuck is set when the record of the call does not allow an attempt.
 	stuck bool
+	// counted is set when the request has been counted as demand.
+	counted bool
 	// reservation is nil when the next attempt needs a new one.
 	reservation Reservation
 }
@@ -52,6 +54,12 @@
 	var last *Problem
 	for {
 		u := r.pick()
+		if u == nil && r.awaits(last) {
+			u = r.await(ctx)
+			if cause := context.Cause(ctx); u == nil && cause != nil {
+				return problemOf(cause)
+			}
+		}
 		if u == nil {
 			return r.final(last, problem(units.NoUpstream, "no upstream is available for "+r.request.query.Target))
 		}
@@ -72,12 +80,25 @@
 // renew makes sure that the next attempt has tokens. A reservation pays for one
 // attempt that may have run, and for any number that did not.
 func (r *relay) renew(ctx context.Context) (p *Problem) {
-	if r.reservation == nil {
-		r.reservation, p = r.reserve(ctx)
+	if r.reservation != nil {
+		return nil
+	}
+	if r.reservation, p = r.reserve(ctx); p == nil {
+		r.asked()
 	}
 	return p
 }
 
+// asked counts the request once, after the customer's rate has admitted it: what is
+// refused must not displace the models of others.
+func (r *relay) asked() {
+	if r.counted || r.request.kind != kindModel || r.server.options.Demand == nil {
+		return
+	}
+	r.counted = true
+	r.server.options.Demand.Asked(units.ModelID(r.request.query.Target), r.request.query.Cost)
+}
+
 // settle ends the reservation unless the next attempt can use it.
 func (r *relay) settle(p *Problem, used units.Tokens) {
 	switch {
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -188,11 +188,20 @@
 			return
 		}
 		if u.report.CompareAndSwap(old, next) {
+			if old == nil || offersMore(old.load, l) {
+				u.server.changed.announce()
+			}
 			return
 		}
 	}
 }
 
+// offersMore reports whether the later load may let requests run that the earlier
+// one did not.
+func offersMore(old, l *wire.Load) bool {
+	return old.Leaving && !l.Leaving || !slices.Equal(old.Resident, l.Resident) || old.Allowance != l.Allowance
+}
+
 // usable reports whether the agent may get new requests.
 func (u *upstream) usable(now clock.Time) bool {
 	return !u.leaving.Load() && now.Sub(u.stamp.Load().heard) <= silentSpan && !u.report.Load().load.Leaving
--- a/place/plan.go
+++ b/place/plan.go
@@ -63,6 +63,8 @@
 	Target  Target
 }
 
+func (c *Command) place() place { return place{c.Replica, c.Target.ID} }
+
 // Budget limits loads from the weight store.
 type Budget struct {
 	// Rate is in loads a second.
@@ -90,6 +92,12 @@
 	idleUse = 0.5
 	// burstBudget is the number of loads that a quiet time saves up.
 	burstBudget = 4.0
+	// firstBudget is the number of loads that a new planner may start at once. The one
+	// before it may have used up the rest.
+	firstBudget = 1.0
+	// failedSpan keeps an order that was refused from being repeated at once: the
+	// reports may be older than the refusal.
+	failedSpan = 3 * clock.Second
 	// spareBudget is what copies for the loss of a zone must leave for urgent loads.
 	spareBudget = 2.0
 )
@@ -102,6 +110,8 @@
 type pending struct {
 	op Op
 	at clock.Time
+	// free is the memory that the replica reported before an unload.
+	free units.Bytes
 }
 
 // Planner decides which targets are resident where. It performs no I/O and is not
@@ -110,18 +120,37 @@
 	budget  Budget
 	credit  float64
 	last    clock.Time
+	started bool
 	pending map[place]pending
 	loaded  map[place]clock.Time
+	// failed is when an order for the place was refused last.
+	failed map[place]clock.Time
 }
 
 // NewPlanner returns a Planner that stays inside the budget.
 func NewPlanner(b Budget) *Planner {
-	return &Planner{budget: b, credit: burstBudget, pending: map[place]pending{}, loaded: map[place]clock.Time{}}
+	return &Planner{
+		budget: b, credit: firstBudget,
+		pending: map[place]pending{}, loaded: map[place]clock.Time{}, failed: map[place]clock.Time{},
+	}
 }
 
 // SetBudget changes the limits of the weight store.
 func (p *Planner) SetBudget(b Budget) { p.budget = b }
 
+// Done tells the planner that an order was carried out.
+func (p *Planner) Done(c Command) {
+	if o, ok := p.pending[c.place()]; ok && o.op == Unload && c.Op == Unload {
+		delete(p.pending, c.place())
+	}
+}
+
+// Failed tells the planner that an order was refused or failed.
+func (p *Planner) Failed(now clock.Time, c Command) {
+	delete(p.pending, c.place())
+	p.failed[c.place()] = now
+}
+
 // Plan returns the orders for this round. It is called about once a second.
 func (p *Planner) Plan(now clock.Time, w World) []Command {
 	p.refill(now)
@@ -133,8 +162,15 @@
 }
 
 func (p *Planner) refill(now clock.Time) {
-	p.credit = min(p.credit+now.Sub(p.last).Seconds()*p.budget.Rate, burstBudget)
-	p.last = now
+	if p.started {
+		p.credit = min(p.credit+now.Sub(p.last).Seconds()*p.budget.Rate, burstBudget)
+	}
+	p.last, p.started = now, true
+	for at, then := range p.failed {
+		if now.Sub(then) >= failedSpan {
+			delete(p.failed, at)
+		}
+	}
 }
 
 // round is the state of one planning round.
@@ -228,8 +264,12 @@
 			resident, known = v.has[at.target]
 		}
 		switch {
-		case r.now.Sub(o.at) >= pendingSpan, !connected:
+		case r.now.Sub(o.at) >= pendingSpan:
 			delete(r.planner.pending, at)
+		case !connected && o.op == Load:
+			// The load goes on and takes its part of the budget.
+			r.loads++
+		case !connected:
 		case o.op == Load && resident:
 			delete(r.planner.pending, at)
 			r.planner.loaded[at] = r.now
@@ -237,7 +277,7 @@
 			v.has[at.target] = false
 			v.free -= r.targets[at.target].Bytes
 			r.loads++
-		case o.op == Unload && !known:
+		case o.op == Unload && !known && v.Free >= o.free+r.targets[at.target].Bytes:
 			delete(r.planner.pending, at)
 		case o.op == Unload:
 			v.leaving[at.target] = true
@@ -296,16 +336,31 @@
 func (r *round) roomiest(t Target, share float64) *replica {
 	var best *replica
 	for _, v := range r.replicas {
-		if v.canTake(t) && v.free >= t.Bytes && v.share() < share && (best == nil || v.share() < best.share()) {
+		if r.canTake(v, t) && v.free >= t.Bytes && v.share() < share && (best == nil || v.roomier(best)) {
 			best = v
 		}
 	}
 	return best
 }
 
-func (v *replica) canTake(t Target) bool {
+// roomier orders replicas that can take a load: the less used first, and the one with
+// more memory among equals, so that adapters find room beside their base models.
+func (v *replica) roomier(o *replica) bool {
+	if v.share() != o.share() {
+		return v.share() < o.share()
+	}
+	return v.free > o.free
+}
+
+func (r *round) canTake(v *replica, t Target) bool {
 	_, has := v.has[t.ID]
-	return v.Usable && !has && (t.Base == "" || v.has[t.Base])
+	return v.Usable && !has && !v.leaving[t.ID] && (t.Base == "" || v.has[t.Base] && !v.leaving[t.Base]) && !r.failed(v, t.ID)
+}
+
+// failed reports whether an order for the target was refused a short time ago.
+func (r *round) failed(v *replica, id units.ModelID) bool {
+	_, ok := r.planner.failed[place{v.ID, id}]
+	return ok
 }
 
 // load orders a load if the budget allows it.
@@ -324,7 +379,7 @@
 
 func (r *round) command(op Op, v *replica, t Target) {
 	r.commands = append(r.commands, Command{op, v.ID, t})
-	r.planner.pending[place{v.ID, t.ID}] = pending{op, r.now}
+	r.planner.pending[place{v.ID, t.ID}] = pending{op, r.now, v.Free}
 }
 
 // makeRoom unloads what is worth least, on the replica where that costs least. The
@@ -334,7 +389,7 @@
 	var from *replica
 	bestCost := 0.0
 	for _, v := range r.replicas {
-		if !v.canTake(t) || v.Capacity < t.Bytes {
+		if !r.canTake(v, t) || v.Capacity < t.Bytes {
 			continue
 		}
 		victims, cost, ok := r.victims(v, t)
@@ -356,45 +411,96 @@
 	r.copies[t.ID] = slices.DeleteFunc(r.copies[t.ID], func(o *replica) bool { return o == v })
 }
 
+// eviction is a target that may leave a replica, with its adapters there.
+type eviction struct {
+	target   Target
+	adapters []Target
+	bytes    units.Bytes
+	// cost is the work that it displaces, in tokens a second.
+	cost float64
+}
+
 // victims returns what has to go from v for t, and the work that it would displace.
-// Memory that pending unloads will free counts as free.
+// Memory that pending unloads will free counts as free. A base model goes in a later
+// round than its adapters, which need it.
 func (r *round) victims(v *replica, t Target) (list []Target, cost float64, ok bool) {
 	need := t.Bytes - v.free
 	for id := range v.leaving {
 		need -= r.targets[id].Bytes
 	}
-	candidates := make([]Target, 0, len(v.has))
+	chosen := map[units.ModelID]bool{}
+	for _, e := range r.evictions(v, t) {
+		if need <= 0 {
+			break
+		}
+		for _, o := range e.adapters {
+			if chosen[o.ID] {
+				need += o.Bytes
+				continue
+			}
+			chosen[o.ID] = true
+			list = append(list, o)
+		}
+		if len(e.adapters) == 0 && !chosen[e.target.ID] {
+			chosen[e.target.ID] = true
+			list = append(list, e.target)
+		}
+		cost += e.cost
+		need -= e.bytes
+	}
+	return list, cost, need <= 0
+}
+
+// evictions returns what may leave v for t, the cheapest first.
+func (r *round) evictions(v *replica, t Target) []eviction {
+	var list []eviction
 	for id, resident := range v.has {
-		if resident && r.expendable(v, id, t) {
-			candidates = append(candidates, r.targets[id])
+		if !resident || !r.expendable(v, id, t) {
+			continue
+		}
+		o := r.targets[id]
+		// A target that is no longer configured has no known size.
+		o.ID = id
+		if e, ok := r.withAdapters(v, o, t); ok {
+			list = append(list, e)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b Target) int {
-		return cmp.Or(cmp.Compare(v.flow[a.ID], v.flow[b.ID]), -cmp.Compare(a.Bytes, b.Bytes), cmp.Compare(a.ID, b.ID))
+	slices.SortFunc(list, func(a, b eviction) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), -cmp.Compare(a.bytes, b.bytes), cmp.Compare(a.target.ID, b.target.ID))
 	})
-	for _, o := range candidates {
-		if need <= 0 {
-			break
+	return list
+}
+
+// withAdapters returns the eviction of o, or false when one of its adapters has to
+// stay.
+func (r *round) withAdapters(v *replica, o, t Target) (eviction, bool) {
+	e := eviction{target: o, bytes: o.Bytes, cost: v.flow[o.ID]}
+	if o.Base != "" {
+		return e, true
+	}
+	for id, resident := range v.has {
+		a, known := r.targets[id]
+		if !known || a.Base != o.ID || v.leaving[id] {
+			continue
+		}
+		if !resident || !r.expendable(v, id, t) {
+			return e, false
 		}
-		list = append(list, o)
-		cost += v.flow[o.ID]
-		need -= o.Bytes
+		e.adapters = append(e.adapters, a)
+		e.bytes += a.Bytes
+		e.cost += v.flow[id]
 	}
-	return list, cost, need <= 0
+	slices.SortFunc(e.adapters, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	return e, true
 }
 
 // expendable tells whether a target may leave v for t: it has another resident copy,
-// or nobody asks for it while somebody asks for t. A base model stays while one of
-// its adapters is on v.
+// or nobody asks for it while somebody asks for t.
 func (r *round) expendable(v *replica, id units.ModelID, t Target) bool {
-	o, known := r.targets[id]
-	if !known {
-		return true
+	if _, known := r.targets[id]; !known {
+		return !v.leaving[id] && !r.failed(v, id)
 	}
-	if v.leaving[id] || id == t.Base || r.now.Sub(r.planner.loaded[place{v.ID, id}]) < settleSpan && r.planner.loaded[place{v.ID, id}] != 0 {
-		return false
-	}
-	if o.Base == "" && r.hasAdapterOf(v, id) {
+	if v.leaving[id] || id == t.Base || r.failed(v, id) || r.settling(v, id, t) {
 		return false
 	}
 	for _, other := range r.copies[id] {
@@ -405,13 +511,14 @@
 	return r.wanted(id) < idleUse && r.wanted(t.ID) >= idleUse
 }
 
-func (r *round) hasAdapterOf(v *replica, base units.ModelID) bool {
-	for id := range v.has {
-		if r.targets[id].Base == base && !v.leaving[id] {
-			return true
-		}
+// settling reports whether a copy is too new to go. It may go at once when nobody
+// asks for it and requests wait for t.
+func (r *round) settling(v *replica, id units.ModelID, t Target) bool {
+	since, ok := r.planner.loaded[place{v.ID, id}]
+	if !ok || r.now.Sub(since) >= settleSpan {
+		return false
 	}
-	return false
+	return r.wanted(id) >= idleUse || r.demand[t.ID].Waiting == 0
 }
 
 // relieveReplicas adds copies of targets on replicas that are used too much.
@@ -480,7 +587,7 @@
 	var best *replica
 	bestCost := 0.0
 	for _, v := range r.replicas {
-		if !v.canTake(t) || v.share() >= lowUse {
+		if !r.canTake(v, t) || v.share() >= lowUse {
 			continue
 		}
 		_, cost, ok := r.victims(v, t)
@@ -505,7 +612,7 @@
 		zone := copies[0].Zone
 		var best *replica
 		for _, v := range r.replicas {
-			if v.Zone != zone && v.canTake(t) && v.free >= t.Bytes && (best == nil || v.free > best.free) {
+			if v.Zone != zone && r.canTake(v, t) && v.free >= t.Bytes && (best == nil || v.free > best.free) {
 				best = v
 			}
 		}
