gate: run crash suspects alone and wait for capacity

Cause: in the system tests a crashing request took down four engines, and requests were refused with no_upstream while engines were in cold start. Change: the gateway asks for the verdict on each attempt, sends suspects to one upstream on which all gateways agree, and waits up to 5 s after cold_limit and quarantine_busy; a router records a start only when the attempt begins.

--- a/coord/gateway.go
+++ b/coord/gateway.go
@@ -64,6 +64,7 @@
 		Picker:    g.picker,
 		Limiter:   NewLimiter(g.coord),
 		Retrier:   NewRetrier(rand.Uint64()),
+		Suspects:  g.coord.Suspects(),
 		Peers:     g.coord,
 		Refuse:    g.refuse,
 		Demand:    g.coord.Demand(),
--- a/coord/pick.go
+++ b/coord/pick.go
@@ -6,6 +6,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/gate"
+	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/route"
 	"github.com/magnolialever/magnolialever/tree"
 	"github.com/magnolialever/magnolialever/units"
@@ -55,26 +56,43 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	usable, failed := p.candidates(c)
-	w := route.Want{Cost: q.Cost, Prefix: q.Prefix, Among: usable}
+	chosen, ok := p.choose(now, q, usable)
+	if !ok {
+		// An upstream that failed this request is better than none.
+		chosen, ok = p.choose(now, q, failed)
+	}
+	if !ok {
+		return -1
+	}
+	return slices.IndexFunc(c, func(o gate.Candidate) bool { return o.Upstream == chosen })
+}
+
+// choose returns the upstream for the request. All gateways choose the same one for a
+// crash suspect.
+func (p *Picker) choose(now clock.Time, q *gate.Query, among []units.UpstreamID) (units.UpstreamID, bool) {
+	if q.Alone {
+		return retry.QuarantineUpstream(retry.Fingerprint(q.Fingerprint), among)
+	}
+	w := wantOf(q)
+	w.Among = among
+	choice, err := p.router.Pick(now, w)
+	return choice.Upstream, err == nil
+}
+
+func wantOf(q *gate.Query) route.Want {
+	w := route.Want{Cost: q.Cost, Prefix: q.Prefix}
 	if q.Service {
 		w.Service = units.ServiceID(q.Target)
 	} else {
 		w.Target = units.ModelID(q.Target)
 	}
-	choice, err := p.router.Pick(now, w)
-	if err != nil {
-		// An upstream that failed this request is better than none.
-		w.Among = failed
-		if choice, err = p.router.Pick(now, w); err != nil {
-			return -1
-		}
-	}
-	return slices.IndexFunc(c, func(o gate.Candidate) bool { return o.Upstream == choice.Upstream })
+	return w
 }
 
 // candidates reports the loads to the router and returns the upstreams that are in
 // service, those that failed the request apart.
 func (p *Picker) candidates(c []gate.Candidate) (usable, failed []units.UpstreamID) {
+	usable, failed = []units.UpstreamID{}, []units.UpstreamID{}
 	for i := range c {
 		p.report(&c[i])
 		if p.leaving[c[i].Upstream] || p.snapshot.UpstreamOut(c[i].Upstream) || p.snapshot.ZoneOut(c[i].Zone) {
@@ -132,8 +150,12 @@
 	return out
 }
 
-// Started implements gate.Picker; Pick has recorded the start.
-func (p *Picker) Started(clock.Time, units.UpstreamID, *gate.Query) {}
+// Started implements gate.Picker.
+func (p *Picker) Started(now clock.Time, u units.UpstreamID, q *gate.Query) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Started(now, u, wantOf(q))
+}
 
 // Ended implements gate.Picker.
 func (p *Picker) Ended(_ clock.Time, u units.UpstreamID, q *gate.Query, r gate.Result) {
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -131,7 +131,7 @@
 
 func (a *attempt) refused(r *wire.Refuse) *Problem {
 	a.ended(r.Load)
-	a.result.Crashed = r.Crashed
+	a.result.Crashed, a.result.Crash = r.Crashed, r.Crash
 	p := &Problem{Code: units.Code(r.Code), Message: r.Message, Ran: r.Ran, Wait: clock.Span(r.Wait)}
 	if p.Message == "" {
 		p.Message = "the upstream refused the request"
--- a/gate/decide.go
+++ b/gate/decide.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -24,6 +25,9 @@
 	Deadline clock.Time
 	// Idempotent requests may be repeated after they may have run.
 	Idempotent bool
+	// Alone is set while the request is suspected of crashing upstreams: nothing else
+	// may run on the upstream meanwhile.
+	Alone bool
 }
 
 // Candidate is a connected agent that offers the target.
@@ -55,6 +59,8 @@
 	Cached units.Tokens
 	// Crashed is set when the upstream crashed while it ran the request.
 	Crashed bool
+	// Crash identifies that crash.
+	Crash uint64
 	// Cancelled is set when the caller went away.
 	Cancelled bool
 }
@@ -107,6 +113,21 @@
 	Delivered bool
 }
 
+// Suspects knows the requests that were running when upstreams crashed. It is
+// called by many goroutines.
+type Suspects interface {
+	Verdict(f retry.Fingerprint) retry.Verdict
+	Crashed(f retry.Fingerprint, c retry.CrashID)
+	Succeeded(f retry.Fingerprint)
+}
+
+// noSuspects is the Suspects of a gateway that does not track crashes.
+type noSuspects struct{}
+
+func (noSuspects) Verdict(retry.Fingerprint) retry.Verdict  { return retry.Clear }
+func (noSuspects) Crashed(retry.Fingerprint, retry.CrashID) {}
+func (noSuspects) Succeeded(retry.Fingerprint)              {}
+
 // Retrier decides on retries. It is called by many goroutines.
 type Retrier interface {
 	// Retry reports whether another attempt may start, and after which span.
--- a/gate/demand.go
+++ b/gate/demand.go
@@ -50,16 +50,13 @@
 	}
 }
 
-// awaits reports whether the request should wait for a load of its target: it is
-// resident nowhere, and no attempt has failed for another reason.
-func (r *relay) awaits(last *Problem) bool {
-	if r.server.options.Demand == nil || r.request.kind != kindModel || r.answer.sent || r.ran {
-		return false
-	}
-	return last == nil || last.Code == units.NotLoaded
+// awaits reports whether the request should wait for an upstream: its target is
+// resident nowhere, or only where the cold-start limit allows no further request.
+func (r *relay) awaits() bool {
+	return r.server.options.Demand != nil && r.request.kind == kindModel
 }
 
-// await waits until an upstream offers the target, at most until the deadline. It
+// await waits until an upstream takes the target, at most until the limit. It
 // returns nil when none does.
 func (r *relay) await(ctx context.Context) *upstream {
 	q := &r.request.query
@@ -73,7 +70,7 @@
 		if u := r.pick(); u != nil {
 			return u
 		}
-		left := q.Deadline.Sub(r.server.clock.Now())
+		left := r.limit().Sub(r.server.clock.Now())
 		if left <= 0 || ctx.Err() != nil {
 			stats.Event("load_awaited_in_vain")
 			return nil
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -31,6 +31,7 @@
 	Picker    Picker
 	Limiter   Limiter
 	Retrier   Retrier
+	Suspects  Suspects
 	// Once is needed for calls with an Idempotency-Key; without it they are refused.
 	Once Once
 	// Work is needed for deferred work; without it such requests are refused.
@@ -64,6 +65,9 @@
 	if o.Retrier == nil {
 		o.Retrier = RetryOnce{}
 	}
+	if o.Suspects == nil {
+		o.Suspects = noSuspects{}
+	}
 	if o.Peers == nil {
 		o.Peers = noPeers{}
 	}
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -2,16 +2,30 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 )
 
+const (
+	// capacityWait is the mean wait after a refusal for lack of capacity. Answers that
+	// end on the upstream usually end the wait before.
+	capacityWait = 40 * time.Millisecond
+	// capacitySpan bounds the wait for capacity. A caller that is told early can try
+	// again later or elsewhere.
+	capacitySpan = 5 * clock.Second
+	// resumeSpan is how long a broken answer waits for another upstream.
+	resumeSpan = 30 * clock.Second
+)
+
 // relay runs a request until the caller has the answer or no attempt is left.
 type relay struct {
 	server  *Server
@@ -23,6 +37,10 @@
 	ran bool
 	// stuck is set when the record of the call does not allow an attempt.
 	stuck bool
+	// last is why the last attempt failed.
+	last *Problem
+	// broken is when the last attempt that may have run ended.
+	broken clock.Time
 	// counted is set when the request has been counted as demand.
 	counted bool
 	// reservation is nil when the next attempt needs a new one.
@@ -52,30 +70,97 @@
 }
 
 func (r *relay) attempts(ctx context.Context) *Problem {
-	var last *Problem
 	for {
-		u := r.pick()
-		if u == nil && r.awaits(last) {
-			u = r.await(ctx)
-			if cause := context.Cause(ctx); u == nil && cause != nil {
-				return problemOf(cause)
-			}
+		if p := r.quarantine(); p != nil {
+			return r.final(nil, p)
 		}
-		if u == nil {
-			return r.final(last, problem(units.NoUpstream, "no upstream is available for "+r.request.query.Target))
+		u, p := r.choose(ctx)
+		if p == nil {
+			p = r.renew(ctx)
 		}
-		p := r.renew(ctx)
 		if p != nil {
-			return r.final(nil, p)
+			return r.final(r.last, p)
 		}
 		if p = r.attempt(ctx, u); p == nil {
-			r.server.options.Retrier.Succeeded(r.server.clock.Now(), &r.request.query)
+			r.succeeded()
 			return nil
 		}
-		if last = p; !r.again(ctx, p) {
-			return r.final(last, p)
+		r.last = p
+		if !r.passes(ctx, p) && !r.again(ctx, p) {
+			return r.final(p, p)
+		}
+	}
+}
+
+func (r *relay) succeeded() {
+	q := &r.request.query
+	r.server.options.Retrier.Succeeded(r.server.clock.Now(), q)
+	if q.Alone {
+		r.server.options.Suspects.Succeeded(retry.Fingerprint(q.Fingerprint))
+	}
+}
+
+// quarantine tells whether the request may run, and whether it has to run alone.
+func (r *relay) quarantine() *Problem {
+	q := &r.request.query
+	switch r.server.options.Suspects.Verdict(retry.Fingerprint(q.Fingerprint)) {
+	case retry.Reject:
+		return problem(units.CrashSuspect, "the request was running when two upstreams crashed")
+	case retry.Isolate:
+		q.Alone = true
+	case retry.Clear:
+		q.Alone = false
+	}
+	return nil
+}
+
+// choose returns the upstream for the next attempt, and waits if that can help.
+func (r *relay) choose(ctx context.Context) (*upstream, *Problem) {
+	u := r.pick()
+	if u == nil && r.awaits() {
+		u = r.await(ctx)
+		if cause := context.Cause(ctx); u == nil && cause != nil {
+			return nil, problemOf(cause)
 		}
 	}
+	if u == nil {
+		return nil, problem(units.NoUpstream, "no upstream is available for "+r.request.query.Target)
+	}
+	return u, nil
+}
+
+// passes waits after a refusal whose reason passes by itself, and reports whether
+// another attempt may follow. Such refusals cost the upstream nothing, so that they
+// count as no failure.
+func (r *relay) passes(ctx context.Context, p *Problem) bool {
+	if !transient(p) || !r.server.clock.Now().Before(r.capacityLimit()) {
+		return false
+	}
+	stats.Event("capacity_awaited")
+	changed := r.server.changed.wait()
+	waitFor(ctx, changed, capacityWait/2+rand.N(capacityWait))
+	return ctx.Err() == nil
+}
+
+func transient(p *Problem) bool {
+	return !p.Ran && (p.Code == units.ColdLimit || p.Code == units.Quarantine)
+}
+
+// capacityLimit returns when waiting for capacity ends.
+func (r *relay) capacityLimit() clock.Time {
+	if r.answer.sent {
+		return r.limit()
+	}
+	return min(r.limit(), r.request.arrived.Add(capacitySpan))
+}
+
+// limit returns when waiting for an upstream ends: before the deadline of the start,
+// or some time after an answer in progress broke.
+func (r *relay) limit() clock.Time {
+	if r.answer.sent {
+		return r.broken.Add(resumeSpan)
+	}
+	return r.request.query.Deadline
 }
 
 // renew makes sure that the next attempt has tokens. A reservation pays for one
@@ -177,7 +262,16 @@
 		r.ran = true
 		return nil
 	}
-	r.ran = r.ran || p.Ran
+	if a.result.Crashed {
+		f, c := retry.Fingerprint(r.request.query.Fingerprint), retry.CrashID(a.result.Crash)
+		s.options.Suspects.Crashed(f, c)
+	}
+	if p.Ran {
+		r.ran, r.broken = true, s.clock.Now()
+	}
+	if transient(p) {
+		return p
+	}
 	r.failed = append(r.failed, u.id)
 	r.failure.Upstream = u.id
 	r.failure.Result = a.result
--- a/gate/request.go
+++ b/gate/request.go
@@ -69,5 +69,6 @@
 		Stream:      q.stream,
 		Prefix:      q.query.Prefix,
 		Weight:      q.caller.Weight,
+		Alone:       q.query.Alone,
 	}
 }
--- a/route/route.go
+++ b/route/route.go
@@ -210,7 +210,7 @@
 	r.upsOut = setOf(upstreams)
 }
 
-// Pick chooses an upstream and records that the request starts there.
+// Pick chooses an upstream for the request.
 func (r *Router) Pick(now clock.Time, w Want) (Choice, error) {
 	candidates, err := r.candidates(w)
 	if err != nil {
@@ -224,13 +224,21 @@
 			best, estimate = v, e
 		}
 	}
-	best.own = append(best.own, ownRequest{started: now, cost: w.Cost})
-	best.outstanding++
-	best.prefixes.add(w.Prefix)
 	return Choice{Upstream: best.load.Upstream, Resident: best.offers(w), Estimate: estimate}, nil
 }
 
-// Ended records that a request that Pick placed on the upstream has ended. The report
+// Started records that a request starts on the upstream.
+func (r *Router) Started(now clock.Time, id units.UpstreamID, w Want) {
+	v, ok := r.views[id]
+	if !ok {
+		return
+	}
+	v.own = append(v.own, ownRequest{started: now, cost: w.Cost})
+	v.outstanding++
+	v.prefixes.add(w.Prefix)
+}
+
+// Ended records that a request that started on the upstream has ended. The report
 // that came with the answer must be recorded after it.
 func (r *Router) Ended(id units.UpstreamID) {
 	if v, ok := r.views[id]; ok && v.outstanding > 0 {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -73,6 +73,7 @@
 			if err != nil {
 				break
 			}
+			r.Started(2, c.Upstream, route.Want{Cost: 10})
 			l := loads[c.Upstream]
 			own[c.Upstream]++
 			assert.Assert(t, !l.Leaving && c.Upstream != "u1" && c.Upstream != "u2")
@@ -113,6 +114,7 @@
 	c, err := r.Pick(3, w)
 	assert.NilError(t, err)
 	assert.Equal(t, c.Upstream, units.UpstreamID("u2"), "the older report of u1 must not count")
+	r.Started(3, c.Upstream, w)
 	r.Report(100, report("u2", "a", 2, "m"))
 	c, err = r.Pick(100, w)
 	assert.NilError(t, err)
@@ -140,6 +142,7 @@
 				if err != nil {
 					b.Fatal(err)
 				}
+				r.Started(now, c.Upstream, route.Want{Cost: 100})
 				sequence++
 				r.Report(now+6, report(string(c.Upstream), "a", sequence, "m"))
 			}
--- a/route/sim_test.go
+++ b/route/sim_test.go
@@ -283,10 +283,12 @@
 }
 
 func (p *routed) pick(s *simulation, r request) int {
-	c, err := p.routers[r.gateway].Pick(s.now, route.Want{Target: "m", Cost: r.tokens})
+	w := route.Want{Target: "m", Cost: r.tokens}
+	c, err := p.routers[r.gateway].Pick(s.now, w)
 	if err != nil {
 		return s.subsets[r.gateway][0]
 	}
+	p.routers[r.gateway].Started(s.now, c.Upstream, w)
 	var u int
 	_, _ = fmt.Sscanf(string(c.Upstream), "u%d", &u)
 	return u
