--- a/agent/orders.go
+++ b/agent/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -160,11 +161,13 @@
 	}
 	st.instance = l.Instance
 	known, free := st.ledger.Known(), st.ledger.Free()
+	before, _ := st.ledger.Targets()
 	st.ledger.Observe(asked, l.report())
+	after, _ := st.ledger.Targets()
 	if !known {
 		st.pushLoad()
 	}
-	st.changed = st.changed || free != st.ledger.Free()
+	st.changed = st.changed || free != st.ledger.Free() || !slices.Equal(before, after)
 	s.clean(ctx)
 	st.pump(s.clock.Now())
 }
