cmds, agent: add the agent command

Agents could only be started by tests. The command reads node.json, fleet.json and upstream.json; wrong settings end with exit code 2. Sessions and requests of an agent are bounded.

Measured: go test -race ./agent ./cmds passes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -23,45 +23,53 @@
 
 // Upstream describes the upstream of an agent.
 type Upstream struct {
-	Kind Kind
+	Kind Kind `json:"kind"`
 	// Address is the IP address and port of its HTTP interface.
-	Address string
-	// Capacity is the accelerator memory that models and adapters may take.
-	Capacity units.Bytes
+	Address string `json:"address"`
+	// Capacity is the accelerator memory that models and adapters may take, in bytes.
+	Capacity units.Bytes `json:"capacity"`
 	// Fences is true when the engine refuses old fencing numbers itself. The agent
 	// refuses them in both cases.
-	Fences bool
+	Fences bool `json:"fences"`
 	// Services are the services that the upstream offers.
-	Services []units.ServiceID
+	Services []units.ServiceID `json:"services"`
 }
 
-// Limits bound the work of an agent. A zero field takes its default.
+// Limits bound the work of an agent. A zero field takes its default. Spans are in
+// milliseconds.
 type Limits struct {
 	// Running is the number of requests that the upstream runs at once.
-	Running int
+	Running int `json:"running"`
 	// QueuedPerCustomer bounds the waiting requests of one customer.
-	QueuedPerCustomer int
+	QueuedPerCustomer int `json:"queued_per_customer"`
 	// QueuedBytesPerCustomer bounds the bodies of these requests.
-	QueuedBytesPerCustomer units.Bytes
+	QueuedBytesPerCustomer units.Bytes `json:"queued_bytes_per_customer"`
 	// BodyBytes bounds the body of one request.
-	BodyBytes units.Bytes
+	BodyBytes units.Bytes `json:"body_bytes"`
+	// Requests bounds the requests of all customers.
+	Requests int `json:"requests"`
+	// Sessions bounds the sessions of gateways.
+	Sessions int `json:"sessions"`
 	// StartAllowance is the number of requests at once that a cold upstream bears.
-	StartAllowance int
+	StartAllowance int `json:"start_allowance"`
 	// Stop is the time that a graceful stop waits for running requests.
-	Stop clock.Span
+	Stop clock.Span `json:"stop"`
 	// Poll is the interval between reads of the engine's load.
-	Poll clock.Span
+	Poll clock.Span `json:"poll"`
 }
 
-// Defaults of the limits.
+// Defaults of the limits. The sessions suffice for twice the gateways expected in
+// two years.
 const (
 	defaultRunning                = 64
 	defaultQueuedPerCustomer      = 1024
 	defaultQueuedBytesPerCustomer = 64 << 20
 	defaultBodyBytes              = 64 << 20
+	defaultRequests               = 8192
+	defaultSessions               = 640
 	defaultStartAllowance         = 2
 	defaultStop                   = 10 * clock.Minute
-	defaultPoll                   = 200 * clock.Millisecond
+	defaultPoll                   = 100 * clock.Millisecond
 )
 
 func orDefault[T ~int | ~int64](v *T, d T) {
@@ -75,6 +83,8 @@
 	orDefault(&l.QueuedPerCustomer, defaultQueuedPerCustomer)
 	orDefault(&l.QueuedBytesPerCustomer, defaultQueuedBytesPerCustomer)
 	orDefault(&l.BodyBytes, defaultBodyBytes)
+	orDefault(&l.Requests, defaultRequests)
+	orDefault(&l.Sessions, defaultSessions)
 	orDefault(&l.StartAllowance, defaultStartAllowance)
 	orDefault(&l.Stop, defaultStop)
 	orDefault(&l.Poll, defaultPoll)
--- a/agent/call.go
+++ b/agent/call.go
@@ -19,10 +19,15 @@
 
 // call serves one request from its first frame to its end.
 func (s *Server) call(ctx context.Context, c *wire.Call, st *wire.Stream) {
-	if !s.owner.do(s.state.enter) {
+	full := false
+	if !s.owner.do(func() { full = s.state.enter() }) {
 		return
 	}
 	defer s.owner.do(s.state.exit)
+	if full {
+		s.refuse(c, st, notRun(units.QueueFull, "agent has too many requests"))
+		return
+	}
 	if r := s.receiveBody(c, st); r != nil {
 		s.refuse(c, st, r)
 		return
--- a/agent/server.go
+++ b/agent/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/wire"
 )
 
@@ -37,8 +39,9 @@
 	engine  *engine
 	owner   *owner
 	state   *state
-	// sessions counts open sessions.
+	// sessions waits for the end of open sessions; open counts them.
 	sessions sync.WaitGroup
+	open     atomic.Int64
 	// orders counts orders in progress.
 	orders sync.WaitGroup
 	// lifetime ends when the graceful stop is over.
@@ -137,9 +140,16 @@
 			time.Sleep(acceptPause)
 			continue
 		}
+		if s.open.Add(1) > int64(s.options.Limits.Sessions) {
+			s.open.Add(-1)
+			stats.Event("sessions_refused")
+			_ = c.Close()
+			continue
+		}
 		s.sessions.Add(1)
 		go func() {
 			defer s.sessions.Done()
+			defer s.open.Add(-1)
 			s.session(ctx, c)
 		}()
 	}
--- a/agent/state.go
+++ b/agent/state.go
@@ -76,8 +76,11 @@
 	}
 }
 
-// enter counts the stream of a request.
-func (s *state) enter() { s.serving++ }
+// enter counts the stream of a request, and reports whether there are too many.
+func (s *state) enter() (full bool) {
+	s.serving++
+	return s.serving > s.options.Limits.Requests
+}
 
 // exit counts the end of such a stream.
 func (s *state) exit() {
--- /dev/null
+++ b/cmds/agent.go
@@ -0,0 +1,53 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/magnolialever/magnolialever/agent"
+	"github.com/magnolialever/magnolialever/config"
+)
+
+func init() {
+	register("agent", "Run the agent of one upstream",
+		"Decides on each request and order for the upstream beside it. Reads node.json, fleet.json and upstream.json "+
+			"from the settings directory. SIGTERM and SIGINT stop it gracefully.",
+		&agentCommand{})
+}
+
+type agentCommand struct {
+	Settings string `long:"settings" value-name:"DIR" description:"Directory of the settings files" required:"true"`
+}
+
+// Execute runs the command.
+func (c *agentCommand) Execute([]string) error {
+	var (
+		o        agent.Options
+		fleet    config.Fleet
+		settings agent.Settings
+	)
+	err := errors.Join(
+		config.Load(filepath.Join(c.Settings, "node.json"), &o.Node),
+		config.Load(filepath.Join(c.Settings, "fleet.json"), &fleet),
+		config.Load(filepath.Join(c.Settings, "upstream.json"), &settings),
+	)
+	if err != nil {
+		return usage(err)
+	}
+	o.Secret = []byte(fleet.Secret)
+	o.Upstream, o.Free, o.Limits = settings.Upstream, settings.Free, settings.Limits
+	s, err := agent.New(o)
+	if err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := s.Run(ctx); err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
+	return nil
+}
