gate: settle what may have been used, bound frames before authentication

A request that may have run without a report of its use now counts with its whole cost; before, all of it was credited. A call that failed to be sent may still arrive from the queue of yamux, so it is no longer reported as not run. A gateway renews a permit that has expired before it retries.

The wire accepts 4 KB before a peer is authenticated, and the buffer of a frame grows with the data: a length alone reserved up to 16 MB.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -57,10 +57,10 @@
 	a.arm(a.request.query.Deadline.Add(graceSpan))
 	call := a.request.call(a.id, a.started, a.upstream.permit(permit, a.started), a.answer.next)
 	a.answer.begin()
-	// A part of the call may have arrived even if sending failed, but an agent runs
-	// only a whole call.
+	// The call may arrive even if sending it failed: yamux still sends what waits in
+	// its queue. So it may have run.
 	if err := st.Send(&wire.Frame{Body: &wire.Frame_Call{Call: call}}); err != nil {
-		return a.broken(ctx, err, false)
+		return a.broken(ctx, err)
 	}
 	return a.receive(ctx)
 }
@@ -72,7 +72,7 @@
 	for {
 		f, err := a.stream.Recv()
 		if err != nil {
-			return a.broken(ctx, err, true)
+			return a.broken(ctx, err)
 		}
 		done, p := a.handle(f)
 		if done || p != nil {
@@ -129,7 +129,7 @@
 func (a *attempt) refused(r *wire.Refuse) *Problem {
 	a.ended(r.Load)
 	a.result.Crashed = r.Crashed
-	p := &Problem{Code: units.Code(r.Code), Message: r.Message, Ran: r.Ran, Wait: clock.Span(r.Wait)}
+	p := &Problem{Code: units.Code(r.Code), Message: r.Message, Ran: r.Ran || a.answer.started, Wait: clock.Span(r.Wait)}
 	if p.Message == "" {
 		p.Message = "the upstream refused the request"
 	}
@@ -153,16 +153,16 @@
 }
 
 // broken returns the problem of a stream that ended early.
-func (a *attempt) broken(ctx context.Context, err error, ran bool) *Problem {
+func (a *attempt) broken(ctx context.Context, err error) *Problem {
 	if cause := context.Cause(ctx); cause != nil {
 		p := *problemOf(cause)
-		p.Ran = ran
+		p.Ran = true
 		return &p
 	}
 	if !a.clock.Now().Before(a.deadline) {
-		return &Problem{Code: units.UpstreamTimeout, Message: "the upstream did not answer in time", Ran: ran}
+		return &Problem{Code: units.UpstreamTimeout, Message: "the upstream did not answer in time", Ran: true}
 	}
-	return &Problem{Code: units.UpstreamFailed, Message: "the connection to the upstream broke: " + err.Error(), Ran: ran}
+	return &Problem{Code: units.UpstreamFailed, Message: "the connection to the upstream broke: " + err.Error(), Ran: true}
 }
 
 // extend moves the time limit. It is called for each frame and sets the limit of
--- a/gate/limits_test.go
+++ b/gate/limits_test.go
@@ -12,8 +12,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/gate"
 	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/wire"
 )
 
 // Guards against requests without bound, of the process and of one customer.
@@ -85,3 +87,77 @@
 		eventually(t, func() bool { return s.Running() == 0 })
 	}
 }
+
+// ledger is a Limiter that records how reservations end.
+type ledger struct {
+	settled chan settlement
+}
+
+type settlement struct {
+	cost, used units.Tokens
+	started    bool
+}
+
+type entry struct {
+	ledger *ledger
+	cost   units.Tokens
+}
+
+func (l *ledger) Reserve(_ context.Context, q *gate.Query) (gate.Reservation, error) {
+	return &entry{l, q.Cost}, nil
+}
+
+func (e *entry) Permit() gate.Permit {
+	return gate.Permit{Expires: clock.System{}.Now().Add(300), Paid: []*wire.Paid{{Slot: 3, Tokens: int64(e.cost)}}}
+}
+
+func (e *entry) Settle(started bool, used units.Tokens) {
+	e.ledger.settled <- settlement{e.cost, used, started}
+}
+
+// Guards against tokens that are credited although they may have been used, and
+// against permits that are valid for longer than the limiter said.
+func TestSettle(t *testing.T) {
+	const full = -1
+	tests := map[string]struct {
+		script  script
+		used    units.Tokens
+		started bool
+	}{
+		"complete": {answerTokens(0), 7, true},
+		"not run":  {func(c *agentCall) { c.refuse("queue_full", false, 0) }, 0, false},
+		"failed":   {func(c *agentCall) { c.refuse("upstream_failed", true, 0) }, full, true},
+		"broken":   {func(c *agentCall) { c.stream.Close() }, full, true},
+		"stale permit": {func(c *agentCall) {
+			if c.agent.calls.Load() == 1 {
+				c.refuse("permit_expired", false, 0)
+				return
+			}
+			answerTokens(0)(c)
+		}, 0, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := &ledger{settled: make(chan settlement, 4)}
+			permits := make(chan int64, 4)
+			a := newStandIn(t, "a1", func(c *agentCall) {
+				// The clock of the stand-in is 1 s ahead.
+				permits <- c.Permit.Expires - int64(clock.System{}.Now()) - 1000
+				assert.Equal(t, c.Permit.Paid[0].Tokens, c.Cost)
+				tt.script(c)
+			})
+			s := start(t, func(o *gate.Options) { o.Limiter = l }, a)
+			_, _ = client(s, key).Chat.Completions.New(context.Background(), chat("small"))
+			got := <-l.settled
+			want := settlement{got.cost, tt.used, tt.started}
+			if tt.used == full {
+				want.used = got.cost
+			}
+			assert.Equal(t, got, want)
+			assert.Assert(t, got.cost > 1024 && <-permits <= 300)
+			if name == "stale permit" {
+				assert.Equal(t, <-l.settled, settlement{got.cost, 7, true})
+			}
+		})
+	}
+}
--- a/gate/listen.go
+++ b/gate/listen.go
@@ -35,6 +35,7 @@
 		ReadHeaderTimeout: l.Header.Duration(),
 		IdleTimeout:       l.Idle.Duration(),
 		MaxHeaderBytes:    l.HeaderBytes,
+		ErrorLog:          klog.NewStandardLogger("WARNING"),
 	}
 	if name == adminName {
 		s.ReadTimeout, s.WriteTimeout = l.Header.Duration(), l.Write.Duration()
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -34,11 +34,14 @@
 	}
 	p = r.attempts(ctx, &reservation)
 	if reservation != nil {
-		reservation.Settle(r.ran, r.used)
+		r.settle(reservation)
 	}
 	return p
 }
 
+// settle returns what was not used.
+func (r *relay) settle(v Reservation) { v.Settle(r.ran, min(r.used, r.request.query.Cost)) }
+
 // reserve takes the cost from the customer's rate. Calls of plain services cost no
 // tokens.
 func (r *relay) reserve(ctx context.Context) (Reservation, *Problem) {
@@ -67,17 +70,25 @@
 		if last = p; !r.again(ctx, p) {
 			return r.final(last, p)
 		}
-		if p.Code != units.PermitExpired && p.Code != units.PermitStale {
-			continue
-		}
-		(*reservation).Settle(r.ran, r.used)
-		*reservation = nil
-		next, p := r.reserve(ctx)
-		if p != nil {
+		if p := r.renew(ctx, reservation, p.Code); p != nil {
 			return r.final(nil, p)
 		}
+	}
+}
+
+// renew replaces a reservation whose permit is no longer good for a start.
+func (r *relay) renew(ctx context.Context, reservation *Reservation, c units.Code) *Problem {
+	expired := !r.server.clock.Now().Before((*reservation).Permit().Expires)
+	if !expired && c != units.PermitExpired && c != units.PermitStale {
+		return nil
+	}
+	r.settle(*reservation)
+	*reservation = nil
+	next, p := r.reserve(ctx)
+	if p == nil {
 		*reservation = next
 	}
+	return p
 }
 
 // final returns the problem that the caller gets: the last refusal tells more than
@@ -135,12 +146,16 @@
 	u.outstanding.Add(-1)
 	s.options.Picker.Ended(s.clock.Now(), u.id, &r.request.query, a.result)
 	r.end(ctx, a, p)
-	r.used += a.result.Used
 	if p == nil {
+		r.used += a.result.Used
 		r.ran = true
 		return nil
 	}
-	r.ran = r.ran || p.Ran
+	if p.Ran {
+		// What the attempt has used is not known, so it counts as all.
+		r.ran = true
+		r.used += r.request.query.Cost
+	}
 	r.failed = append(r.failed, u.id)
 	r.failure.Upstream = u.id
 	r.failure.Result = a.result
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -35,7 +35,12 @@
 	// readBufferBytes is small, because each request has a stream on both sides;
 	// larger frames bypass the buffer.
 	readBufferBytes = 512
-	nonceBytes      = 16
+	// maxHelloBytes bounds what a peer can send before it is authenticated.
+	maxHelloBytes = 4 << 10
+	// chunkBytes is the step in which the buffer of a frame grows with the data that
+	// arrives, so that a length alone reserves no memory.
+	chunkBytes = 64 << 10
+	nonceBytes = 16
 )
 
 // Errors of the handshake and of streams.
@@ -134,6 +139,7 @@
 		return Identity{}, err
 	}
 	defer st.Close()
+	st.limit = maxHelloBytes
 	if err := st.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return Identity{}, fmt.Errorf("set deadline: %w", err)
 	}
@@ -233,11 +239,13 @@
 type Stream struct {
 	mux    *yamux.Stream
 	reader *bufio.Reader
-	mu     sync.Mutex
+	// limit is the largest frame that is accepted.
+	limit uint64
+	mu    sync.Mutex
 }
 
 func newStream(st *yamux.Stream) *Stream {
-	return &Stream{mux: st, reader: bufio.NewReaderSize(st, readBufferBytes)}
+	return &Stream{mux: st, reader: bufio.NewReaderSize(st, readBufferBytes), limit: MaxFrameBytes}
 }
 
 // Send writes one frame. It is safe for concurrent use.
@@ -277,15 +285,21 @@
 	if err != nil {
 		return err
 	}
-	if n > MaxFrameBytes {
+	if n > s.limit {
 		return ErrTooLarge
 	}
-	p.data = slices.Grow(p.data[:0], int(n))[:n]
-	if _, err := io.ReadFull(s.reader, p.data); err != nil {
+	p.data = p.data[:0]
+	for len(p.data) < int(n) {
+		from := len(p.data)
+		to := min(int(n), max(from+chunkBytes, 2*from))
+		p.data = slices.Grow(p.data, to-from)[:to]
+		_, err := io.ReadFull(s.reader, p.data[from:])
 		if errors.Is(err, io.EOF) {
 			return io.ErrUnexpectedEOF
 		}
-		return err
+		if err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -1,6 +1,7 @@
 package wire_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -78,6 +79,36 @@
 	assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
 }
 
+// Guards against a length that is accepted without limit, and against large frames
+// that are damaged.
+func TestFrameSizes(t *testing.T) {
+	s, a, err := connect(t, options("g1", wire.Gateway, "s"), options("a1", wire.Agent, "s"))
+	assert.NilError(t, err)
+	defer s.Close()
+	defer a.session.Close()
+	out, err := s.Open()
+	assert.NilError(t, err)
+	data := make([]byte, wire.MaxFrameBytes-100)
+	data[len(data)-1] = 7
+	sent := make(chan error, 1)
+	go func() {
+		err := out.Send(&wire.Frame{Body: &wire.Frame_Data{Data: &wire.Data{Data: data}}})
+		if err == nil {
+			err = out.Send(&wire.Frame{Body: &wire.Frame_Data{Data: &wire.Data{Data: make([]byte, wire.MaxFrameBytes)}}})
+		}
+		sent <- err
+	}()
+	in, err := a.session.Accept()
+	assert.NilError(t, err)
+	f, err := in.Recv()
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(f.GetData().Data, data))
+	_, err = in.Recv()
+	assert.Assert(t, errors.Is(err, wire.ErrTooLarge), "%v", err)
+	a.session.Close()
+	<-sent
+}
+
 // Guards against a process without the secret of the fleet that joins it.
 func TestWrongSecret(t *testing.T) {
 	_, a, err := connect(t, options("g1", wire.Gateway, "wrong"), options("a1", wire.Agent, "right"))
