--- a/gate/relay.go
+++ b/gate/relay.go
@@ -21,7 +21,7 @@
 	capacityWait = 40 * time.Millisecond
 	// capacitySpan bounds the wait for capacity. A caller that is told early can try
 	// again later or elsewhere.
-	capacitySpan = 5 * clock.Second
+	capacitySpan = 3 * clock.Second
 	// resumeSpan is how long a broken answer waits for another upstream.
 	resumeSpan = 30 * clock.Second
 )
@@ -86,7 +86,7 @@
 			return nil
 		}
 		r.last = p
-		if !r.passes(ctx, p) && !r.again(ctx, p) {
+		if !r.repeats(ctx, p) {
 			return r.final(p, p)
 		}
 	}
@@ -129,11 +129,14 @@
 	return u, nil
 }
 
-// passes waits after a refusal whose reason passes by itself, and reports whether
-// another attempt may follow. Such refusals cost the upstream nothing, so that they
-// count as no failure.
-func (r *relay) passes(ctx context.Context, p *Problem) bool {
-	if !transient(p) || !r.server.clock.Now().Before(r.capacityLimit()) {
+// repeats waits for the next attempt and reports whether there is one. Refusals
+// whose reason passes by itself cost the upstream nothing, so they count as no failure
+// and end with the time for them.
+func (r *relay) repeats(ctx context.Context, p *Problem) bool {
+	if !transient(p) {
+		return r.again(ctx, p)
+	}
+	if !r.server.clock.Now().Before(r.capacityLimit()) {
 		return false
 	}
 	stats.Event("capacity_awaited")
@@ -167,7 +170,10 @@
 // attempt that may have run, and for any number that did not.
 func (r *relay) renew(ctx context.Context) (p *Problem) {
 	if r.reservation != nil {
-		return nil
+		if r.server.clock.Now().Before(r.reservation.Permit().Expires) {
+			return nil
+		}
+		r.reservation.Settle(false, 0)
 	}
 	if r.reservation, p = r.reserve(ctx); p == nil {
 		r.asked()
