--- /dev/null
+++ b/opsrv/status.go
@@ -0,0 +1,36 @@
+package opsrv
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/magnolialever/magnolialever/opsapi"
+)
+
+// GetStatus tells which node has which version in force, of the teams that the
+// operator reaches.
+func (s *server) GetStatus(ctx context.Context) (*opsapi.Status, error) {
+	p, _ := ctx.Value(principalKey{}).(principal)
+	l, err := s.config.Nodes(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("status: %w", err)
+	}
+	st := &opsapi.Status{Nodes: make([]opsapi.Node, 0, len(l))}
+	for _, n := range l {
+		e := opsapi.Node{
+			ID: string(n.ID), Role: opsapi.NodeRoleAgent, Age: int64(n.Age), Versions: []opsapi.NodeVersion{},
+		}
+		if n.Gateway {
+			e.Role = opsapi.NodeRoleGateway
+		}
+		for _, v := range n.Versions {
+			if p.reaches(v.Team) {
+				e.Versions = append(e.Versions, opsapi.NodeVersion{
+					Team: string(v.Team), Revision: opsapi.Revision(v.Revision), Rejected: int64(v.Rejected),
+				})
+			}
+		}
+		st.Nodes = append(st.Nodes, e)
+	}
+	return st, nil
+}
--- a/tree/check_test.go
+++ b/tree/check_test.go
@@ -66,8 +66,9 @@
 	}
 }
 
-// Guards against a team that removes the base model of another team's adapter, and
-// against an old problem that blocks the withdrawal of a key.
+// Guards against a team that removes the base model of another team's adapter,
+// against an old problem that blocks the withdrawal of a key, and against a
+// withdrawn key that an old file brings back.
 func TestValidateAcrossTeams(t *testing.T) {
 	s, _ := merge(t, tree.Empty(), "a", 1, valued())
 	s, _ = merge(t, s, "b", 2, &tree.Team{Adapters: []tree.Adapter{{ID: "other", Base: "base", Bytes: 1}}})
@@ -79,6 +80,9 @@
 	v = valued()
 	v.Keys[0].Withdrawn = true
 	assert.Equal(t, problems(s, "b", v), "")
+
+	s, _ = merge(t, s, "b", 4, v)
+	assert.Equal(t, problems(s, "b", valued()), "keys.0.withdrawn")
 }
 
 // Guards against differences that are missed or reported without cause.
--- a/tree/validate.go
+++ b/tree/validate.go
@@ -22,6 +22,7 @@
 	v.Check(report)
 	c := checker{report}
 	c.fleetOnly(team, v)
+	c.withdrawn(s.part(team), v)
 	c.size(v)
 	if len(l) > 0 {
 		return l
@@ -32,6 +33,10 @@
 	return l
 }
 
+// Conflicts returns the problems between the team's value in force and the other
+// teams. Two teams that write at the same moment can leave some.
+func Conflicts(s *Snapshot, team units.TeamID) []Problem { return s.crossProblems(team) }
+
 // newProblems returns the problems of now whose text is not among those of old. The
 // text of a problem names the entry, as its path may shift.
 func newProblems(old, now []Problem) []Problem {
@@ -64,6 +69,19 @@
 	}
 }
 
+// withdrawn reports keys that would become valid again, as when an old file is
+// applied after a withdrawal.
+func (c checker) withdrawn(old *part, v *Team) {
+	if old == nil {
+		return
+	}
+	for i, k := range v.Keys {
+		if o, ok := old.keys[k.Hash]; ok && o.Withdrawn && !k.Withdrawn {
+			c.addf(at(listKeys, i, "withdrawn"), "key %q has been withdrawn and can't become valid again", k.ID)
+		}
+	}
+}
+
 func (c checker) size(v *Team) {
 	data, err := Encode(v)
 	if err != nil {
