cmds: add the operators' commands

Problems that the gateway finds are shown with file, line and path. apply replaces only the revision that the file names, if it names one.

--- /dev/null
+++ b/cmds/apply.go
@@ -0,0 +1,83 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/magnolialever/magnolialever/opsapi"
+)
+
+type applyCommand struct {
+	Client clientOptions `group:"Client options"`
+	Scope  teamOptions   `group:"Team"`
+	DryRun bool          `long:"dry-run" description:"Only check and compare"`
+	Args   struct {
+		File string `positional-arg-name:"file"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func init() {
+	register("apply", "Replace a team's configuration by a file",
+		"Check the file in a dry run and then write it. The file is JSON with comments: "+
+			"{team, revision, value}. With a revision, the file replaces only that one.", &applyCommand{})
+}
+
+// Execute runs the command.
+func (a *applyCommand) Execute([]string) error {
+	s, err := readSource(a.Args.File)
+	if err != nil {
+		return err
+	}
+	c, err := a.Client.client()
+	if err != nil {
+		return err
+	}
+	ctx := context.Background()
+	q, p, err := a.request(ctx, c, s)
+	if err != nil {
+		return err
+	}
+	q.DryRun = opsapi.NewOptBool(true)
+	r, err := c.PutTeam(ctx, q, p)
+	if err != nil {
+		return explain(err)
+	}
+	if _, ok := r.(*opsapi.Accepted); !ok || a.DryRun {
+		return a.finish(s, r)
+	}
+	q.DryRun = opsapi.NewOptBool(false)
+	r, err = send(ctx, func(ctx context.Context) (opsapi.PutTeamRes, error) { return c.PutTeam(ctx, q, p) })
+	if err != nil {
+		return fmt.Errorf("apply: %w", err)
+	}
+	return a.finish(s, r)
+}
+
+// request returns the change, for the newest revision when the file names none.
+func (a *applyCommand) request(
+	ctx context.Context, c *opsapi.Client, s *source,
+) (*opsapi.PutTeam, opsapi.PutTeamParams, error) {
+	p := opsapi.PutTeamParams{Team: s.team(a.Scope.Team)}
+	value, err := s.value()
+	if err != nil {
+		return nil, p, err
+	}
+	q := &opsapi.PutTeam{Attempt: newAttempt(), Value: value}
+	if s.Revision != nil {
+		q.Revision = opsapi.Revision(*s.Revision)
+		return q, p, nil
+	}
+	v, err := c.GetTeam(ctx, opsapi.GetTeamParams(p))
+	if err != nil {
+		return nil, p, explain(err)
+	}
+	q.Revision = v.Revision
+	return q, p, nil
+}
+
+func (a *applyCommand) finish(s *source, r opsapi.PutTeamRes) error {
+	if f, ok := r.(*opsapi.Refused); ok {
+		return a.Client.refused(f, s.place)
+	}
+	return a.Client.finish(r)
+}
--- /dev/null
+++ b/cmds/get.go
@@ -0,0 +1,62 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/magnolialever/magnolialever/opsapi"
+	"github.com/magnolialever/magnolialever/tree"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+type getCommand struct {
+	Client clientOptions `group:"Client options"`
+	Args   struct {
+		Team string `positional-arg-name:"team"`
+	} `positional-args:"yes"`
+}
+
+func init() {
+	register("get", "Print a team's configuration",
+		"Print the value of a team, or without a team the list of teams. "+
+			"The JSON form can be edited and given to apply.", &getCommand{})
+}
+
+// Execute runs the command.
+func (g *getCommand) Execute([]string) error {
+	c, err := g.Client.client()
+	if err != nil {
+		return err
+	}
+	ctx := context.Background()
+	if g.Args.Team == "" {
+		return g.list(ctx, c)
+	}
+	v, err := c.GetTeam(ctx, opsapi.GetTeamParams{Team: g.Args.Team})
+	if err != nil {
+		return explain(err)
+	}
+	value := &tree.Team{}
+	if err := json.Unmarshal(v.Value, value); err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	t := &table{head: []string{"LIST", "ID", "ENTRY"}}
+	for _, d := range tree.Diff(nil, value) {
+		t.add(d.List, d.ID, d.New)
+	}
+	r := units.Revision(v.Revision)
+	return g.Client.show(document{Team: units.TeamID(v.Team), Revision: &r, Value: value}, t)
+}
+
+func (g *getCommand) list(ctx context.Context, c *opsapi.Client) error {
+	l, err := c.ListTeams(ctx)
+	if err != nil {
+		return explain(err)
+	}
+	t := &table{head: []string{"TEAM", headRevision}}
+	for _, v := range l.Teams {
+		t.add(v.Team, v.Revision)
+	}
+	return g.Client.show(l, t)
+}
--- /dev/null
+++ b/cmds/history.go
@@ -0,0 +1,35 @@
+package cmds
+
+import (
+	"context"
+	"time"
+
+	"github.com/magnolialever/magnolialever/opsapi"
+)
+
+type historyCommand struct {
+	Client clientOptions `group:"Client options"`
+	Scope  teamOptions   `group:"Team"`
+}
+
+func init() {
+	register("history", "Print the last changes of a team's configuration",
+		"Print the last 20 changes with their author, time and summary, oldest first.", &historyCommand{})
+}
+
+// Execute runs the command.
+func (h *historyCommand) Execute([]string) error {
+	c, err := h.Client.client()
+	if err != nil {
+		return err
+	}
+	l, err := c.GetHistory(context.Background(), opsapi.GetHistoryParams{Team: h.Scope.Team})
+	if err != nil {
+		return explain(err)
+	}
+	t := &table{head: []string{"WHEN", "WHO", "SUMMARY"}}
+	for _, e := range l.Changes {
+		t.add(e.When.Format(time.RFC3339), e.Who, e.Summary)
+	}
+	return h.Client.show(l, t)
+}
--- /dev/null
+++ b/cmds/keys.go
@@ -0,0 +1,74 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/magnolialever/magnolialever/opsapi"
+)
+
+type keysCommand struct {
+	Issue    keysIssue    `command:"issue" description:"Create a key and print its secret, which is not shown again"`
+	Withdraw keysWithdraw `command:"withdraw" description:"Withdraw a key for good"`
+}
+
+func init() {
+	register("keys", "Issue or withdraw a key",
+		"Issue a key for a customer of a team, or withdraw one.", &keysCommand{})
+}
+
+// Execute is not reached, as a subcommand is required.
+func (*keysCommand) Execute([]string) error { return nil }
+
+type keysIssue struct {
+	Client   clientOptions `group:"Client options"`
+	Scope    teamOptions   `group:"Team"`
+	Customer string        `long:"customer" required:"yes" description:"Customer that the key stands for"`
+	Class    string        `long:"class" choice:"live" choice:"normal" choice:"night" description:"Default class of requests"`
+	Args     struct {
+		Key string `positional-arg-name:"key"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute runs the command.
+func (k *keysIssue) Execute([]string) error {
+	c, err := k.Client.client()
+	if err != nil {
+		return err
+	}
+	q := &opsapi.IssueKey{Attempt: newAttempt(), ID: k.Args.Key, Customer: k.Customer}
+	if k.Class != "" {
+		q.Class = opsapi.NewOptIssueKeyClass(opsapi.IssueKeyClass(k.Class))
+	}
+	r, err := send(context.Background(), func(ctx context.Context) (opsapi.IssueKeyRes, error) {
+		return c.IssueKey(ctx, q, opsapi.IssueKeyParams{Team: k.Scope.Team})
+	})
+	if err != nil {
+		return fmt.Errorf("issue key: %w", err)
+	}
+	return k.Client.finish(r)
+}
+
+type keysWithdraw struct {
+	Client clientOptions `group:"Client options"`
+	Scope  teamOptions   `group:"Team"`
+	Args   struct {
+		Key string `positional-arg-name:"key"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute runs the command.
+func (k *keysWithdraw) Execute([]string) error {
+	c, err := k.Client.client()
+	if err != nil {
+		return err
+	}
+	q := &opsapi.WithdrawKey{Attempt: newAttempt()}
+	r, err := send(context.Background(), func(ctx context.Context) (opsapi.WithdrawKeyRes, error) {
+		return c.WithdrawKey(ctx, q, opsapi.WithdrawKeyParams{Team: k.Scope.Team, Key: k.Args.Key})
+	})
+	if err != nil {
+		return fmt.Errorf("withdraw key: %w", err)
+	}
+	return k.Client.finish(r)
+}
--- /dev/null
+++ b/cmds/output.go
@@ -0,0 +1,61 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+)
+
+// stdout receives the results of commands.
+var stdout io.Writer = os.Stdout
+
+const (
+	outputJSON   = "json"
+	headRevision = "REVISION"
+	cellGap      = 2
+)
+
+// table is a result in rows.
+type table struct {
+	head []string
+	rows [][]string
+}
+
+func (t *table) add(cells ...any) {
+	row := make([]string, 0, len(cells))
+	for _, c := range cells {
+		row = append(row, fmt.Sprint(c))
+	}
+	t.rows = append(t.rows, row)
+}
+
+func (t *table) print() error {
+	w := tabwriter.NewWriter(stdout, 0, 0, cellGap, ' ', 0)
+	for _, r := range append([][]string{t.head}, t.rows...) {
+		if _, err := fmt.Fprintln(w, strings.Join(r, "\t")); err != nil {
+			return fmt.Errorf("print table: %w", err)
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("print table: %w", err)
+	}
+	return nil
+}
+
+// show prints v in JSON or the table.
+func (o *clientOptions) show(v any, t *table) error {
+	if o.Output != outputJSON {
+		return t.print()
+	}
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return fmt.Errorf("print JSON: %w", err)
+	}
+	if _, err := fmt.Fprintln(stdout, string(data)); err != nil {
+		return fmt.Errorf("print JSON: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmds/status.go
@@ -0,0 +1,57 @@
+package cmds
+
+import (
+	"context"
+	"time"
+
+	"github.com/magnolialever/magnolialever/opsapi"
+)
+
+type statusCommand struct {
+	Client clientOptions `group:"Client options"`
+}
+
+func init() {
+	register("status", "Print which node has which configuration in force",
+		"Print the gateway that answers and the nodes with a session to it. A node is behind "+
+			"when another node has a newer version.", &statusCommand{})
+}
+
+// Execute runs the command.
+func (s *statusCommand) Execute([]string) error {
+	c, err := s.Client.client()
+	if err != nil {
+		return err
+	}
+	st, err := c.GetStatus(context.Background())
+	if err != nil {
+		return explain(err)
+	}
+	newest := map[string]opsapi.Revision{}
+	for _, n := range st.Nodes {
+		for _, v := range n.Versions {
+			newest[v.Team] = max(newest[v.Team], v.Revision)
+		}
+	}
+	t := &table{head: []string{"NODE", "ROLE", "AGE", "TEAM", headRevision, "STATE"}}
+	for _, n := range st.Nodes {
+		age := (time.Duration(n.Age) * time.Millisecond).Round(time.Second / 10)
+		if len(n.Versions) == 0 {
+			t.add(n.ID, n.Role, age, "-", "-", "none")
+		}
+		for _, v := range n.Versions {
+			t.add(n.ID, n.Role, age, v.Team, v.Revision, stateOf(v, newest[v.Team]))
+		}
+	}
+	return s.Client.show(st, t)
+}
+
+func stateOf(v opsapi.NodeVersion, newest opsapi.Revision) string {
+	switch {
+	case v.Rejected > int64(v.Revision):
+		return "rejected newer"
+	case v.Revision < newest:
+		return "behind"
+	}
+	return "current"
+}
--- /dev/null
+++ b/cmds/zone.go
@@ -0,0 +1,18 @@
+package cmds
+
+import (
+	"github.com/magnolialever/magnolialever/tree"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+type zoneCommand struct{ markCommand }
+
+func init() {
+	register("zone", "Take an availability zone out of service or back",
+		"An availability zone that is out receives no new work.", &zoneCommand{})
+}
+
+// Execute runs the command.
+func (z *zoneCommand) Execute([]string) error {
+	return run(&z.markCommand, func(v *tree.Team) *[]units.Zone { return &v.ZonesOut })
+}
--- a/config/place.go
+++ b/config/place.go
@@ -45,3 +45,13 @@
 	}
 	return line
 }
+
+// Place returns an error about the path in data that was read from the file, with
+// the line of the path or of its nearest parent.
+func Place(file string, data []byte, path, problem string) *Error {
+	plain, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return &Error{File: file, Path: path, Problem: problem}
+	}
+	return &Error{File: file, Line: lineOf(plain, path), Path: path, Problem: problem}
+}
