--- a/rate/account.go
+++ b/rate/account.go
@@ -23,6 +23,8 @@
 	asked units.Tokens
 	// paid tickets wait until their tokens are refilled.
 	paid []*ticket
+	// pumped is the time of the last pump.
+	pumped clock.Time
 }
 
 func newAccount(id units.CustomerID) *account {
@@ -43,20 +45,30 @@
 		next = min(next, q.sent.Add(askTimeout))
 	}
 	for _, h := range a.holdings {
-		next = min(next, h.returnAt())
+		if len(a.queue) > 0 {
+			next = min(next, h.expires.Add(1-minLife))
+		} else {
+			next = min(next, h.returnAt())
+		}
 	}
 	for _, r := range a.queue {
 		next = min(next, r.Deadline)
 	}
 	if len(a.queue) > 0 && len(a.asks) == 0 {
-		next = min(next, a.views[0].wake(), a.views[1].wake())
+		for i := range a.views {
+			// An offer that has risen already was not enough alone.
+			if w := a.views[i].wake(); w.After(a.pumped) {
+				next = min(next, w)
+			}
+		}
 	}
-	return next
+	return max(next, a.pumped+1)
 }
 
 // pump serves waiting requests, asks for what they lack and refuses those that
 // can't be served.
 func (c *Client) pump(now clock.Time, a *account) {
+	a.pumped = now
 	c.timeOut(now, a)
 	c.release(now, a)
 	for len(a.queue) > 0 {
--- a/rate/bucket.go
+++ b/rate/bucket.go
@@ -81,8 +81,13 @@
 // there would be some; -1: never.
 func (b *Bucket) Take(now clock.Time, n units.Tokens) (units.Tokens, clock.Span) {
 	b.refill(now)
-	room := (b.level + b.rate*milli(MaxWait)).tokens()
-	n = min(n, room)
+	// Grants of coming refills may be started late, all in one moment, so that they
+	// must not exceed the burst together with those before.
+	room := min(b.level+b.rate*milli(MaxWait), b.burst-b.held)
+	if b.faults.debtAboveBurst || b.faults.freeHeld {
+		room = b.level + b.rate*milli(MaxWait)
+	}
+	n = min(n, room.tokens())
 	if n <= 0 {
 		return 0, b.wait(toMilli(1) - b.rate*milli(MaxWait))
 	}
@@ -125,7 +130,9 @@
 // would be in the bucket had they never been taken out. It returns the credit.
 func (b *Bucket) Refund(now clock.Time, since Mark, n units.Tokens) units.Tokens {
 	b.refill(now)
-	room := b.burst - b.peaks.highest(since, b.fill())
+	// One millisecond of refill less: when the bucket would have become full is
+	// known to a millisecond only, and its refill would have paused there.
+	room := b.burst - b.peaks.highest(since, b.fill()) - b.rate
 	if b.faults.plainRefund {
 		room = b.burst - b.fill()
 	}
--- a/rate/fence.go
+++ b/rate/fence.go
@@ -5,13 +5,18 @@
 	"github.com/magnolialever/magnolialever/units"
 )
 
+// repeatMax is how long after the expiry of a permit its attempt is remembered. A
+// message that a connection repeats later than that would get a refusal although
+// the request was started.
+const repeatMax = 15 * clock.Second
+
 // Fence is the agent's check of permits. It refuses all permits until it has
 // learned a table that is known to be current.
 type Fence struct {
 	version int64
 	epochs  [Slots]units.Epoch
 	open    bool
-	// seen holds the attempts that were decided, until their permits have expired.
+	// seen holds until when decided attempts are remembered.
 	seen   map[units.AttemptID]clock.Time
 	swept  clock.Time
 	faults faults
@@ -41,13 +46,18 @@
 
 // Start checks the permit of an attempt that needs cost tokens. An empty code is
 // the start of the request; with another one the request must not run. Each
-// attempt is decided once, so a repeated message neither starts it again nor
-// starts it after a refusal.
+// attempt is decided once. A repeated message gets InProgress, and the agent must
+// not answer it: "not run" would let the gateway spend the tokens of a started
+// request again.
 func (f *Fence) Start(now clock.Time, id units.AttemptID, p Permit, cost units.Tokens) units.Code {
 	f.sweep(now)
-	code := f.check(now, id, p, cost)
+	if _, ok := f.seen[id]; ok && !f.faults.replay {
+		return units.InProgress
+	}
+	code := f.check(now, p, cost)
+	// An expired permit needs no entry: a repeated refusal is still true.
 	if code != units.PermitExpired {
-		f.seen[id] = p.Expires
+		f.seen[id] = p.Expires.Add(repeatMax)
 	}
 	if code != "" {
 		return code
@@ -59,16 +69,13 @@
 	return ""
 }
 
-func (f *Fence) check(now clock.Time, id units.AttemptID, p Permit, cost units.Tokens) units.Code {
+func (f *Fence) check(now clock.Time, p Permit, cost units.Tokens) units.Code {
 	if !f.open {
 		return units.PermitStale
 	}
 	if !now.Before(p.Expires) && !f.faults.noExpiry {
 		return units.PermitExpired
 	}
-	if _, ok := f.seen[id]; ok && !f.faults.replay {
-		return units.PermitStale
-	}
 	var paid units.Tokens
 	for _, g := range p.Paid {
 		if int(g.Slot) >= Slots || g.Tokens < 0 {
@@ -90,8 +97,8 @@
 		return
 	}
 	f.swept = now
-	for id, expires := range f.seen {
-		if !now.Before(expires) {
+	for id, ends := range f.seen {
+		if !now.Before(ends) {
 			delete(f.seen, id)
 		}
 	}
