--- a/rate/account.go
+++ b/rate/account.go
@@ -7,6 +7,14 @@
 	"github.com/magnolialever/magnolialever/units"
 )
 
+// waiting is a request without tokens.
+type waiting struct {
+	Request
+	// patience is the earliest time of a refusal for lack of tokens: settlements
+	// and returns of other gateways may be on their way.
+	patience clock.Time
+}
+
 // account is what a client knows and does for one customer.
 type account struct {
 	customer units.CustomerID
@@ -16,7 +24,7 @@
 	demand   demand
 	busy     bool
 	// queue holds requests without tokens, in order of arrival.
-	queue    []Request
+	queue    []waiting
 	holdings []*holding
 	// asks that may still be answered in time, and their tokens.
 	asks  []*ask
@@ -53,6 +61,9 @@
 	}
 	for _, r := range a.queue {
 		next = min(next, r.Deadline)
+		if r.patience.After(a.pumped) {
+			next = min(next, r.patience)
+		}
 	}
 	if len(a.queue) > 0 && len(a.asks) == 0 {
 		for i := range a.views {
@@ -76,12 +87,12 @@
 			continue
 		}
 		c.ask(now, a)
-		if len(a.asks) > 0 || a.down() {
+		r := a.queue[0]
+		if len(a.asks) > 0 || a.down() || now.Before(r.patience) {
 			break
 		}
-		r := a.queue[0]
 		a.queue = slices.Delete(a.queue, 0, 1)
-		c.refuse(r, units.RateExceeded, a.retryAfter(now, r.Cost))
+		c.refuse(r.Request, units.RateExceeded, a.retryAfter(now, r.Cost))
 	}
 	c.giveBack(now, a)
 }
@@ -99,7 +110,7 @@
 		return false
 	}
 	a.queue = slices.Delete(a.queue, 0, 1)
-	t := &ticket{request: r, ready: now, expires: now.Add(TTL)}
+	t := &ticket{request: r.Request, ready: now, expires: now.Add(TTL)}
 	lack := r.Cost
 	for _, h := range a.holdings {
 		if lack == 0 {
@@ -150,7 +161,7 @@
 			c.abandon(a, q.side)
 		}
 	}
-	a.queue = slices.DeleteFunc(a.queue, func(r Request) bool {
+	a.queue = slices.DeleteFunc(a.queue, func(r waiting) bool {
 		if now.Before(r.Deadline) {
 			return false
 		}
@@ -158,7 +169,7 @@
 		if a.views[0].failed && a.views[1].failed {
 			code = units.RateUnavailable
 		}
-		c.refuse(r, code, a.retryAfter(now, r.Cost))
+		c.refuse(r.Request, code, a.retryAfter(now, r.Cost))
 		return true
 	})
 }
--- a/rate/client.go
+++ b/rate/client.go
@@ -193,7 +193,7 @@
 		c.refuse(r, units.RateExceeded, a.retryAfter(now, r.Cost))
 	default:
 		a.demand.add(now, r.Cost)
-		a.queue = append(a.queue, r)
+		a.queue = append(a.queue, waiting{Request: r, patience: now.Add(MaxWait)})
 		c.engage(a)
 		c.pump(now, a)
 	}
--- a/rate/table.go
+++ b/rate/table.go
@@ -126,8 +126,8 @@
 	}
 }
 
-// best returns the gateway with the highest score that has room, in another zone
-// than the other slot where possible.
+// best returns the gateway with the highest score: in another zone than the other
+// slot where possible, then with room.
 func (a *assignment) best(s Slot) units.VMID {
 	var best units.VMID
 	var bestScore uint64
@@ -138,10 +138,10 @@
 			rank++
 		}
 		if !a.apart || a.zones[a.other(s)] != g.Zone {
-			rank += 2
+			rank += 4
 		}
 		if a.load[g.ID] < a.limit {
-			rank += 4
+			rank += 2
 		}
 		score := score(g.ID, s)
 		if rank > bestRank || rank == bestRank && score > bestScore {
