--- a/rate/account.go
+++ b/rate/account.go
@@ -7,6 +7,14 @@
 	"github.com/magnolialever/magnolialever/units"
 )
 
+// waiting is a request without tokens.
+type waiting struct {
+	Request
+	// patience is the earliest time of a refusal for lack of tokens: settlements
+	// and returns of other gateways may be on their way.
+	patience clock.Time
+}
+
 // account is what a client knows and does for one customer.
 type account struct {
 	customer units.CustomerID
@@ -16,13 +24,15 @@
 	demand   demand
 	busy     bool
 	// queue holds requests without tokens, in order of arrival.
-	queue    []Request
+	queue    []waiting
 	holdings []*holding
 	// asks that may still be answered in time, and their tokens.
 	asks  []*ask
 	asked units.Tokens
 	// paid tickets wait until their tokens are refilled.
 	paid []*ticket
+	// pumped is the time of the last pump.
+	pumped clock.Time
 }
 
 func newAccount(id units.CustomerID) *account {
@@ -43,20 +53,33 @@
 		next = min(next, q.sent.Add(askTimeout))
 	}
 	for _, h := range a.holdings {
-		next = min(next, h.returnAt())
+		if len(a.queue) > 0 {
+			next = min(next, h.expires.Add(1-minLife))
+		} else {
+			next = min(next, h.returnAt())
+		}
 	}
 	for _, r := range a.queue {
 		next = min(next, r.Deadline)
+		if r.patience.After(a.pumped) {
+			next = min(next, r.patience)
+		}
 	}
 	if len(a.queue) > 0 && len(a.asks) == 0 {
-		next = min(next, a.views[0].wake(), a.views[1].wake())
+		for i := range a.views {
+			// An offer that has risen already was not enough alone.
+			if w := a.views[i].wake(); w.After(a.pumped) {
+				next = min(next, w)
+			}
+		}
 	}
-	return next
+	return max(next, a.pumped+1)
 }
 
 // pump serves waiting requests, asks for what they lack and refuses those that
 // can't be served.
 func (c *Client) pump(now clock.Time, a *account) {
+	a.pumped = now
 	c.timeOut(now, a)
 	c.release(now, a)
 	for len(a.queue) > 0 {
@@ -64,12 +87,12 @@
 			continue
 		}
 		c.ask(now, a)
-		if len(a.asks) > 0 || a.down() {
+		r := a.queue[0]
+		if len(a.asks) > 0 || a.down() || now.Before(r.patience) {
 			break
 		}
-		r := a.queue[0]
 		a.queue = slices.Delete(a.queue, 0, 1)
-		c.refuse(r, units.RateExceeded, a.retryAfter(now, r.Cost))
+		c.refuse(r.Request, units.RateExceeded, a.retryAfter(now, r.Cost))
 	}
 	c.giveBack(now, a)
 }
@@ -87,7 +110,7 @@
 		return false
 	}
 	a.queue = slices.Delete(a.queue, 0, 1)
-	t := &ticket{request: r, ready: now, expires: now.Add(TTL)}
+	t := &ticket{request: r.Request, ready: now, expires: now.Add(TTL)}
 	lack := r.Cost
 	for _, h := range a.holdings {
 		if lack == 0 {
@@ -138,7 +161,7 @@
 			c.abandon(a, q.side)
 		}
 	}
-	a.queue = slices.DeleteFunc(a.queue, func(r Request) bool {
+	a.queue = slices.DeleteFunc(a.queue, func(r waiting) bool {
 		if now.Before(r.Deadline) {
 			return false
 		}
@@ -146,7 +169,7 @@
 		if a.views[0].failed && a.views[1].failed {
 			code = units.RateUnavailable
 		}
-		c.refuse(r, code, a.retryAfter(now, r.Cost))
+		c.refuse(r.Request, code, a.retryAfter(now, r.Cost))
 		return true
 	})
 }
