coord, cmds: serve the operators' interface from each gateway

Cause: the operators' handler was reachable nowhere. Change: a gateway reads ops.json and serves it with a store adapter; devel and the system tests set its address.

--- a/cmds/gateway.go
+++ b/cmds/gateway.go
@@ -33,7 +33,7 @@
 
 func init() {
 	register("gateway", "Run a gateway",
-		"Serves callers on an entry VM. Reads node.json, fleet.json and gate.json from the settings directory. "+
+		"Serves callers on an entry VM. Reads node.json, fleet.json, gate.json and ops.json from the settings directory. "+
 			"SIGTERM and SIGINT stop it gracefully.",
 		&gatewayCommand{})
 }
@@ -49,6 +49,7 @@
 		config.Load(filepath.Join(c.Settings, "node.json"), &s.Node),
 		config.Load(filepath.Join(c.Settings, "fleet.json"), &s.Fleet),
 		config.Load(filepath.Join(c.Settings, "gate.json"), &s.Gate),
+		config.Load(filepath.Join(c.Settings, "ops.json"), &s.Ops),
 	)
 	if err != nil {
 		return usage(err)
--- a/cmds/gateway_test.go
+++ b/cmds/gateway_test.go
@@ -30,7 +30,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			dir := t.TempDir()
-			for file, text := range map[string]string{"node.json": node, "fleet.json": fleet, "gate.json": tt.gate} {
+			for file, text := range map[string]string{"node.json": node, "fleet.json": fleet, "gate.json": tt.gate, "ops.json": `{"address": "127.0.0.1:0"}`} {
 				if text != "" {
 					assert.NilError(t, os.WriteFile(filepath.Join(dir, file), []byte(text), 0o600))
 				}
--- a/coord/gateway.go
+++ b/coord/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 
 	"k8s.io/klog/v2"
 
@@ -27,6 +28,7 @@
 	Node  config.Node
 	Fleet config.Fleet
 	Gate  gate.Settings
+	Ops   OpsSettings
 }
 
 // Gateway is a gateway process: its traffic, its control loop, and the clients of
@@ -40,6 +42,7 @@
 	coord    *Coord
 	picker   *Picker
 	gate     *gate.Server
+	ops      *operators
 }
 
 // NewGateway opens the listeners of a gateway.
@@ -73,12 +76,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("open gateway: %w", err)
 	}
-	return g, nil
+	g.ops, err = newOperators(s.Ops, g.store, g.syncer)
+	return g, err
 }
 
 // Gate returns the traffic part, for its addresses.
 func (g *Gateway) Gate() *gate.Server { return g.gate }
 
+// Operators returns the address of the operators' interface.
+func (g *Gateway) Operators() net.Addr { return g.ops.net.Addr() }
+
 // Store returns the client of the platform's key-value service.
 func (g *Gateway) Store() store.KV { return g.store }
 
@@ -90,7 +97,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	control, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	parts := []func(context.Context) error{g.coord.Run, g.vms.Run, g.syncer.Run, g.follow}
+	parts := []func(context.Context) error{g.coord.Run, g.vms.Run, g.syncer.Run, g.follow, g.ops.run}
 	ends := make(chan error, len(parts))
 	for _, run := range parts {
 		go func() { ends <- run(control) }()
--- a/devel/devel.go
+++ b/devel/devel.go
@@ -3,6 +3,7 @@
 package devel
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -24,6 +25,9 @@
 // secret authenticates the processes of the fleet, which listen on loopback only.
 const secret = "only-for-development"
 
+// Bootstrap is the credential of the fleet administrator.
+const Bootstrap = "development-administrator"
+
 const anyPort = "127.0.0.1:0"
 
 // Options configure a Fleet.
@@ -173,9 +177,10 @@
 			Fleet: f.fleet(),
 			Gate:  f.options.Gate,
 		}
-		s.Gate.Public = anyPort
-		if i == 0 && f.options.Public != "" {
-			s.Gate.Public = f.options.Public
+		s.Gate.Public, s.Ops = anyPort, coord.OpsSettings{Address: anyPort, Bootstrap: Bootstrap}
+		if i == 0 {
+			s.Gate.Public = cmp.Or(f.options.Public, anyPort)
+			s.Ops.Address = cmp.Or(f.options.Operators, anyPort)
 		}
 		g, err := coord.NewGateway(s)
 		if err != nil {
--- a/system/failure_test.go
+++ b/system/failure_test.go
@@ -24,15 +24,6 @@
 // text returns the whole answer that an engine gives to the prompt.
 func text(prompt string, tokens int) string { return engine.Text("m", prompt, 0, tokens) }
 
-// requests returns how many requests all engines have received.
-func (f *fleet) requests() int64 {
-	n := int64(0)
-	for _, e := range f.engines {
-		n += e.Counts().Requests
-	}
-	return n
-}
-
 // Guards against a path that works only inside one process, a key that reaches an
 // upstream, and answers that are not whole.
 func TestSeparateProcesses(t *testing.T) {
@@ -344,7 +335,10 @@
 // that does not tell.
 func TestExitCodes(t *testing.T) {
 	f := start(t, defaults())
-	p := f.spawn("gateway", "bad", 0, map[string]any{"gate.json": map[string]any{"public": "not an address"}})
+	p := f.spawn("gateway", "bad", 0, map[string]any{
+		"gate.json": map[string]any{"public": "not an address"},
+		"ops.json":  map[string]any{"address": "127.0.0.1:0"},
+	})
 	err := <-p.exited
 	p.exited <- err
 	var code interface{ ExitCode() int }
--- a/system/harness_test.go
+++ b/system/harness_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -38,6 +39,8 @@
 	modelBytes   = 1 << 30
 )
 
+var errCut = errors.New("the end is missing")
+
 var binary string
 
 func TestMain(m *testing.M) { os.Exit(run(m)) }
@@ -226,9 +229,10 @@
 
 func (f *fleet) gateway(id string, i int) *process {
 	public := free(f.t)
-	p := f.spawn("gateway", id, i, map[string]any{"gate.json": map[string]any{
-		"public": public, "limits": map[string]any{"notice": 50},
-	}})
+	p := f.spawn("gateway", id, i, map[string]any{
+		"gate.json": map[string]any{"public": public, "limits": map[string]any{"notice": 50}},
+		"ops.json":  map[string]any{"address": "127.0.0.1:0"},
+	})
 	p.public = public
 	f.vms.Set(vms.VM{ID: id, Role: vms.Entry, Address: p.peer, Zone: zone(i), State: vms.Live})
 	return p
@@ -375,11 +379,9 @@
 			each(text)
 		}
 	}
-	return text, fmt.Errorf("stream was cut after %d bytes: %v", len(text), lines.Err())
+	return text, fmt.Errorf("stream was cut after %d bytes: %w", len(text), errors.Join(errCut, lines.Err()))
 }
 
-// slow makes a plain service take longer than the steps of a test.
-func slow(f *plain.Faults) { f.DelayMillis = 1500 }
 
 // writeFleet stores the value of the team that concerns the whole fleet.
 func (f *fleet) writeFleet(v *tree.Team, old units.Revision) units.Revision {
