agent, admit, place: react at once to a restarted engine

After a crash of the engine the agent announced lost models for up to the lag of reports, and the limit for adapters took many long requests to learn the knee.

A changed instance puts all resident targets in doubt until a report shows them; an engine that does not answer is announced without models. The limit counts the tokens of a request, starts higher and goes back to the last good probe.

--- a/admit/limit.go
+++ b/admit/limit.go
@@ -8,7 +8,7 @@
 
 const (
 	// limitStart is the first value of a Limit.
-	limitStart = 8
+	limitStart = 16
 	// limitShare is the operating point relative to the probe. A probe ends up to
 	// 15 % above the knee, so operation stays below it.
 	limitShare = 0.85
@@ -18,13 +18,16 @@
 	limitBound = 0.55
 	// limitFast and limitSlow are the steps before and after the knee was first
 	// passed.
-	limitFast = 1.25
+	limitFast = 1.5
 	limitSlow = 1.05
 	// limitSamples is the number of latencies in a phase for each slot. The mean
 	// latency of one phase must be known to about 1 %.
 	limitSamples = 6
 	// limitUse is the share of the slots that must be in use for a phase to count.
 	limitUse = 0.9
+	// limitTokens is how much the mean of one request counts at most. Its tokens are
+	// not independent measurements: those of one engine step share their time.
+	limitTokens = 8
 )
 
 // phase is one step of a cycle: operation, probe, operation. Comparing the probe
@@ -36,10 +39,10 @@
 	count   int
 }
 
-func (p *phase) add(use, latency float64) {
-	p.use += use
-	p.latency += latency
-	p.count++
+func (p *phase) add(use, latency float64, count int) {
+	p.use += use * float64(count)
+	p.latency += latency * float64(count)
+	p.count += count
 }
 
 const (
@@ -98,18 +101,18 @@
 
 // Release ends a request. Latency is 0 for one that failed or was cancelled.
 func (l *Limit) Release(t LimitTicket, latency clock.Span) {
-	l.ReleaseMicros(t, int64(latency)*1000)
+	l.ReleaseMicros(t, int64(latency)*1000, 1)
 }
 
-// ReleaseMicros is Release with a latency in microseconds: adapters answer in a
-// few milliseconds, where whole ones are too coarse.
-func (l *Limit) ReleaseMicros(t LimitTicket, micros int64) {
+// ReleaseMicros is Release with a latency in microseconds, as whole milliseconds are
+// too coarse for adapters. It is the mean of the given number of tokens.
+func (l *Limit) ReleaseMicros(t LimitTicket, micros int64, tokens int) {
 	l.running--
 	if micros <= 0 || t.cycle != l.cycle {
 		return
 	}
 	p := &l.phases[l.current]
-	p.add(t.use, float64(micros))
+	p.add(t.use, float64(micros), min(max(tokens, 1), limitTokens))
 	if p.count < l.samples() {
 		return
 	}
@@ -160,6 +163,7 @@
 		l.probe = min(l.probe*l.step, l.highest)
 		return
 	}
-	l.step = limitSlow
+	// The first time this goes back to the last probe below the knee.
 	l.probe = max(l.probe/l.step, 2)
+	l.step = limitSlow
 }
--- a/admit/limit_test.go
+++ b/admit/limit_test.go
@@ -62,7 +62,7 @@
 		}
 		f := heap.Pop(&running).(flight)
 		now = f.at
-		l.ReleaseMicros(f.ticket, f.latency)
+		l.ReleaseMicros(f.ticket, f.latency, 1)
 	}
 	return float64(sum) / float64(count), highest
 }
--- a/agent/engine_test.go
+++ b/agent/engine_test.go
@@ -27,6 +27,8 @@
 	orders []string
 	// hold, when set, keeps orders and requests until it is closed.
 	hold chan struct{}
+	// instance changes when the engine restarts; empty while it is down.
+	instance string
 	// lose loses the answers of orders.
 	lose bool
 }
@@ -53,12 +55,15 @@
 func (e *engine) load(w http.ResponseWriter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.instance == "" {
+		panic(http.ErrAbortHandler)
+	}
 	used := int64(0)
 	for _, m := range e.models {
 		used += m.Bytes
 	}
 	_ = json.NewEncoder(w).Encode(map[string]any{
-		"instance": "1", "cold": e.cold, "models": e.models,
+		"instance": e.instance, "cold": e.cold, "models": e.models,
 		"memory": map[string]int64{"capacity": 100, "used": used},
 	})
 }
@@ -95,6 +100,7 @@
 
 // engineRig waits until the agent has read its engine.
 func engineRig(t *testing.T, e *engine) (*rig, *wire.Stream) {
+	e.instance = "1"
 	r := newRig(t, e, func(o *agent.Options) {
 		o.Upstream.Kind, o.Upstream.Capacity = agent.Engine, 100
 		o.Limits.Poll = 10
@@ -195,6 +201,27 @@
 	assert.Equal(t, untilLoad(t, st, func(l *wire.Load) bool { return l.Cold }).Allowance, uint32(2))
 }
 
+// Guards against requests that are sent to an engine that is down, or for models
+// that were lost when it restarted, and against memory that stays reserved for them.
+func TestEngineRestarts(t *testing.T) {
+	e := &engine{models: []held{{"a", 30}, {"b", 40}}}
+	r, st := engineRig(t, e)
+	set := func(instance string, models []held) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.instance, e.models = instance, models
+	}
+	set("", nil)
+	untilLoad(t, st, func(l *wire.Load) bool { return len(l.Resident) == 0 })
+	a := read(t, r.call(&wire.Call{Attempt: "a1", Kind: "model", Target: "a", Idempotent: true}))
+	assert.Equal(t, a.refuse.GetCode(), "not_loaded")
+	assert.Assert(t, !a.refuse.Ran)
+	set("2", []held{{"a", 30}})
+	l := untilLoad(t, st, func(l *wire.Load) bool { return len(l.Resident) == 1 && l.MemoryFree == 70 })
+	assert.Equal(t, l.Resident[0], "a")
+	assert.Assert(t, read(t, r.call(&wire.Call{Attempt: "a2", Kind: "model", Target: "a", Idempotent: true})).done != nil)
+}
+
 // Guards against a suspect that runs beside others and takes them down with it.
 func TestQuarantine(t *testing.T) {
 	e := &engine{models: []held{{"a", 30}}, hold: make(chan struct{})}
--- a/agent/finish.go
+++ b/agent/finish.go
@@ -26,7 +26,7 @@
 	s.allowance.Release(j.ticket, r == nil)
 	s.queue.Done(now, j.item, units.Tokens(o.used))
 	if j.adapter {
-		s.adapters.ReleaseMicros(j.slot, j.tokenMicros(r))
+		s.adapters.ReleaseMicros(j.slot, j.tokenMicros(r), int(j.sent.Load()))
 	}
 	if j.once() {
 		s.outcomes.end(now, j.item.ID, k, r)
@@ -36,7 +36,8 @@
 		s.suspects.Succeeded(retry.Fingerprint(j.call.Fingerprint))
 	case r.crashed:
 		s.crashed(now, j, r)
-	case r.code == units.UpstreamFailed && r.ran && !r.cancelled:
+	case r.code == units.UpstreamFailed && !r.cancelled:
+		// It is overloaded, or down and cold when it comes back.
 		s.allowance.Fall()
 	}
 	s.pump(now)
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -208,7 +208,7 @@
 	dial := errors.As(err, &op) && op.Op == "dial"
 	switch {
 	case !connected:
-		return notRun(units.UpstreamFailed, err.Error())
+		return &refusal{code: units.UpstreamFailed, cancelled: ctx.Err() != nil, message: err.Error()}
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded), errors.Is(context.Cause(ctx), errStart):
 		return &refusal{code: units.UpstreamTimeout, ran: true, message: err.Error()}
 	case ctx.Err() != nil:
--- a/agent/job.go
+++ b/agent/job.go
@@ -89,6 +89,9 @@
 	if s.options.Upstream.Kind == Service || j.call.Kind == kindService {
 		return nil
 	}
+	if s.silent {
+		return notRun(units.NotLoaded, "engine does not answer")
+	}
 	id := units.ModelID(j.call.Target)
 	if !s.ledger.Has(id) && !s.ledger.Loading(id) {
 		return notRun(units.NotLoaded, "model is not resident")
--- a/agent/load.go
+++ b/agent/load.go
@@ -24,6 +24,9 @@
 		Quarantine:  s.alone != nil,
 	}
 	ready, pending := s.ledger.Targets()
+	if s.silent {
+		ready = nil
+	}
 	for _, id := range ready {
 		l.Resident = append(l.Resident, string(id))
 	}
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -140,16 +140,12 @@
 // observe takes a load report of the engine. The owner calls it.
 func (s *Server) observe(ctx context.Context, asked clock.Time, l *engineLoad, err error) {
 	st := s.state
+	st.setSilent(err)
 	if err != nil {
-		if !st.silent {
-			klog.Warningf("agent: %v", err)
-		}
-		st.silent = true
 		// An engine that does not answer may be starting again.
 		st.allowance.Fall()
 		return
 	}
-	st.silent = false
 	if st.cold != l.Cold {
 		st.cold = l.Cold
 		st.changed = true
@@ -157,6 +153,7 @@
 	st.allowance.Report(l.Cold)
 	if st.instance != "" && st.instance != l.Instance {
 		klog.Warningf("agent: engine has restarted")
+		st.ledger.Restarted()
 		st.allowance.Fall()
 	}
 	st.instance = l.Instance
@@ -172,6 +169,19 @@
 	st.pump(s.clock.Now())
 }
 
+// setSilent notes whether the engine answers. Gateways learn at once, as requests
+// for an engine that does not answer are refused.
+func (s *state) setSilent(err error) {
+	silent := err != nil
+	if silent == s.silent {
+		return
+	}
+	if s.silent = silent; silent {
+		klog.Warningf("agent: engine does not answer: %v", err)
+	}
+	s.pushLoad()
+}
+
 // clean unloads targets of which it is not known whether the engine holds them.
 func (s *Server) clean(ctx context.Context) {
 	now := s.clock.Now()
--- a/place/ledger_test.go
+++ b/place/ledger_test.go
@@ -217,6 +217,9 @@
 					return
 				}
 				w.held = map[string]place.Held{}
+				if rapid.Bool().Draw(t, "noticed") {
+					w.ledger.Restarted()
+				}
 			},
 			"tick": func(*rapid.T) { w.tick() },
 			"": func(t *rapid.T) {
--- a/place/report.go
+++ b/place/report.go
@@ -50,9 +50,19 @@
 	l.known = true
 }
 
+// Restarted tells that the engine has lost its memory. The next report shows what it
+// holds now; the rest is in doubt.
+func (l *Ledger) Restarted() {
+	for _, e := range l.entries {
+		if e.state == resident {
+			e.state, e.changed = doubtful, 0
+		}
+	}
+}
+
 // settled reports whether a report asked for at the given time shows a change.
 func (l *Ledger) settled(asked, changed clock.Time) bool {
-	return !l.known || asked.After(changed.Add(l.options.Lag))
+	return !l.known || changed == 0 || asked.After(changed.Add(l.options.Lag))
 }
 
 // attributed returns the part of the memory in use that the entries of the ledger
