--- a/cmds/gateway.go
+++ b/cmds/gateway.go
@@ -4,14 +4,33 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/magnolialever/magnolialever/config"
-	"github.com/magnolialever/magnolialever/gate"
+	"github.com/magnolialever/magnolialever/coord"
 )
 
+// The heap of a gateway is small and short-lived. Collecting it less often than by
+// default saves pauses, and the limit keeps the memory of request bodies in bounds.
+// GOGC and GOMEMLIMIT take precedence.
+const (
+	gcPercent        = 400
+	memoryLimitBytes = 512 << 20
+)
+
+func limitMemory() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memoryLimitBytes)
+	}
+}
+
 func init() {
 	register("gateway", "Run a gateway",
 		"Serves callers on an entry VM. Reads node.json, fleet.json and gate.json from the settings directory. "+
@@ -25,26 +44,23 @@
 
 // Execute runs the command.
 func (c *gatewayCommand) Execute([]string) error {
-	var (
-		o     gate.Options
-		fleet config.Fleet
-	)
+	var s coord.Settings
 	err := errors.Join(
-		config.Load(filepath.Join(c.Settings, "node.json"), &o.Node),
-		config.Load(filepath.Join(c.Settings, "fleet.json"), &fleet),
-		config.Load(filepath.Join(c.Settings, "gate.json"), &o.Gate),
+		config.Load(filepath.Join(c.Settings, "node.json"), &s.Node),
+		config.Load(filepath.Join(c.Settings, "fleet.json"), &s.Fleet),
+		config.Load(filepath.Join(c.Settings, "gate.json"), &s.Gate),
 	)
 	if err != nil {
 		return usage(err)
 	}
-	o.Secret = []byte(fleet.Secret)
-	s, err := gate.New(o)
+	limitMemory()
+	g, err := coord.NewGateway(s)
 	if err != nil {
 		return fmt.Errorf("gateway: %w", err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := s.Run(ctx); err != nil {
+	if err := g.Run(ctx); err != nil {
 		return fmt.Errorf("gateway: %w", err)
 	}
 	return nil
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -31,14 +31,19 @@
 	Picker    Picker
 	Limiter   Limiter
 	Retrier   Retrier
+	Suspects  Suspects
 	// Once is needed for calls with an Idempotency-Key; without it they are refused.
 	Once Once
 	// Work is needed for deferred work; without it such requests are refused.
 	Work Work
+	// Demand is told what callers ask for. Without it nothing would load a target, so a
+	// request for one that is resident nowhere is refused at once.
+	Demand Demand
 	// Peers takes part in the control traffic.
 	Peers Peers
-	// Isolated tells that the gateway must take no new request; nil means never.
-	Isolated func() bool
+	// Refuse, if set, returns why the gateway takes no new request, such as isolated,
+	// or nil. It is called for each request by many goroutines.
+	Refuse func() *Problem
 	// Clock is clock.System when nil.
 	Clock clock.Clock
 }
@@ -60,12 +65,12 @@
 	if o.Retrier == nil {
 		o.Retrier = RetryOnce{}
 	}
+	if o.Suspects == nil {
+		o.Suspects = noSuspects{}
+	}
 	if o.Peers == nil {
 		o.Peers = noPeers{}
 	}
-	if o.Isolated == nil {
-		o.Isolated = func() bool { return false }
-	}
 }
 
 // Server is a gateway.
@@ -82,6 +87,8 @@
 	admin     *listener
 	peers     *peers
 	leaving   atomic.Bool
+	// changed is announced when an upstream may offer more than before.
+	changed notice
 }
 
 // New opens the listeners. Run has to be called to serve and to close them.
@@ -95,7 +102,9 @@
 	}
 	s.directory.Store(&o.Directory)
 	s.agents = newLinks(s, wire.Agent)
+	s.agents.set(o.Gate.Agents)
 	s.gateways = newLinks(s, wire.Gateway)
+	s.gateways.set(o.Gate.Gateways)
 	if err := s.listen(); err != nil {
 		s.closeListeners()
 		return nil, err
@@ -109,10 +118,10 @@
 		return err
 	}
 	l := &s.options.Gate.Limits
-	if s.public, err = newListener("public", s.options.Gate.Public, handler, l); err != nil {
+	if s.public, err = newListener(publicName, s.options.Gate.Public, handler, l); err != nil {
 		return err
 	}
-	if s.admin, err = newListener("admin", s.options.Node.Admin, s.adminHandler(), l); err != nil {
+	if s.admin, err = newListener(adminName, s.options.Node.Admin, s.adminHandler(), l); err != nil {
 		return err
 	}
 	n, err := net.Listen("tcp", s.options.Node.Peer) //nolint:noctx // no context at start
@@ -156,14 +165,17 @@
 	return ids
 }
 
+// Running returns the number of requests in progress.
+func (s *Server) Running() int { return s.running.count() }
+
 // Run serves until the context is done, and then stops gracefully. It returns
 // ErrLeft when requests were cut off at the time limit.
 func (s *Server) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	parts := &group{}
-	parts.start(func() { s.agents.run(work, s.options.Gate.Agents) })
-	parts.start(func() { s.gateways.run(work, s.options.Gate.Gateways) })
+	parts.start(func() { s.agents.run(work) })
+	parts.start(func() { s.gateways.run(work) })
 	parts.start(func() { s.peers.run(work) })
 	parts.start(s.public.serve)
 	parts.start(s.admin.serve)
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -17,9 +17,8 @@
 )
 
 var (
-	errRole         = errors.New("peer has the wrong role")
-	errSilent       = errors.New("peer does not answer pings")
-	errNotConnected = errors.New("peer is not connected")
+	errRole   = errors.New("peer has the wrong role")
+	errSilent = errors.New("peer does not answer pings")
 )
 
 const (
@@ -34,6 +33,37 @@
 type report struct {
 	load  *wire.Load
 	heard clock.Time
+	// resident and services are the targets of the report as sets.
+	resident set
+	services set
+}
+
+type set map[string]struct{}
+
+// setOf returns the names as a set, which is that of the last report when the names
+// are the same.
+func setOf(names, lastNames []string, last set) set {
+	if last != nil && slices.Equal(names, lastNames) {
+		return last
+	}
+	s := make(set, len(names))
+	for _, n := range names {
+		s[n] = struct{}{}
+	}
+	return s
+}
+
+// newReport returns the report that follows the last one, if any.
+func newReport(l *wire.Load, heard clock.Time, last *report) *report {
+	if last == nil {
+		last = &report{}
+	}
+	return &report{
+		load:     l,
+		heard:    heard,
+		resident: setOf(l.Resident, last.load.GetResident(), last.resident),
+		services: setOf(l.Service, last.load.GetService(), last.services),
+	}
 }
 
 // stamp is a reading of the agent's clock with the time when it arrived.
@@ -182,18 +212,27 @@
 	if l == nil {
 		return
 	}
-	next := &report{load: l, heard: u.clock.Now()}
+	now := u.clock.Now()
 	for {
 		old := u.report.Load()
 		if old != nil && old.load.Sequence > l.Sequence {
 			return
 		}
-		if u.report.CompareAndSwap(old, next) {
+		if u.report.CompareAndSwap(old, newReport(l, now, old)) {
+			if old == nil || offersMore(old.load, l) {
+				u.server.changed.announce()
+			}
 			return
 		}
 	}
 }
 
+// offersMore reports whether the later load may let requests run that the earlier
+// one did not.
+func offersMore(old, l *wire.Load) bool {
+	return old.Leaving && !l.Leaving || !slices.Equal(old.Resident, l.Resident) || old.Allowance != l.Allowance
+}
+
 // usable reports whether the agent may get new requests.
 func (u *upstream) usable(now clock.Time) bool {
 	return !u.leaving.Load() && now.Sub(u.stamp.Load().heard) <= silentSpan && !u.report.Load().load.Leaving
@@ -201,11 +240,13 @@
 
 // offers reports whether the upstream serves the target.
 func (u *upstream) offers(kind, target string) bool {
-	l := u.report.Load().load
+	r := u.report.Load()
+	targets := r.resident
 	if kind == kindService {
-		return slices.Contains(l.Service, target)
+		targets = r.services
 	}
-	return slices.Contains(l.Resident, target)
+	_, ok := targets[target]
+	return ok
 }
 
 // permit translates the permit to the agent's clock.
