place, agent: unload a doubtful target only after a report that does not show it

TestLostOrder failed once: at the end of the lag the clean-up could come between asking for a report and its arrival, and unloaded a model that the report showed.

The ledger now compares with the time of the last report instead of the present. Unload orders name the base model of an adapter, a repeated order adds its sender once, and agents learn the fencing number from Leader.

--- a/agent/control.go
+++ b/agent/control.go
@@ -111,6 +111,9 @@
 		})
 	case *wire.Frame_Suspects:
 		s.owner.do(func() { s.state.mergeSuspects(s.clock.Now(), b.Suspects) })
+	case *wire.Frame_Leader:
+		// An agent that has just started has not seen an order of the leader yet.
+		s.owner.do(func() { s.state.ledger.Learn(units.Fence(b.Leader.Fence)) })
 	case *wire.Frame_Leave:
 		klog.Infof("agent: gateway %s is leaving", c.peer.ID)
 	default:
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -46,7 +46,9 @@
 		case place.Finished:
 			c.push(orderResult(w.Id, "", s.state.load()))
 		case place.Await:
-			s.state.awaiting[w.Id] = append(s.state.awaiting[w.Id], c)
+			if !slices.Contains(s.state.awaiting[w.Id], c) {
+				s.state.awaiting[w.Id] = append(s.state.awaiting[w.Id], c)
+			}
 		case place.Send:
 			s.state.awaiting[w.Id] = append(s.state.awaiting[w.Id], c)
 			s.start(ctx, v.Order)
@@ -185,7 +187,7 @@
 // clean unloads targets of which it is not known whether the engine holds them.
 func (s *Server) clean(ctx context.Context) {
 	now := s.clock.Now()
-	for _, o := range s.state.ledger.Doubtful(now) {
+	for _, o := range s.state.ledger.Doubtful() {
 		o.ID = uuid.NewString()
 		if v := s.state.ledger.Order(now, o); v.Step == place.Send {
 			s.start(ctx, v.Order)
--- a/place/ledger.go
+++ b/place/ledger.go
@@ -107,7 +107,9 @@
 	// other is memory that the engine uses for something else.
 	other   units.Bytes
 	changed clock.Time
-	past    results
+	// asked is the time of the last report.
+	asked clock.Time
+	past  results
 }
 
 // NewLedger returns a ledger that knows nothing of its engine.
@@ -146,6 +148,9 @@
 	}
 	v := l.decide(o, e)
 	if v.Step == Send {
+		if e != nil && o.Op == Unload {
+			o.Base = e.base
+		}
 		v.Order = o
 		l.begin(now, o, e)
 	}
--- a/place/ledger_test.go
+++ b/place/ledger_test.go
@@ -205,7 +205,7 @@
 				}
 			},
 			"clean": func(t *rapid.T) {
-				for _, o := range w.ledger.Doubtful(w.now) {
+				for _, o := range w.ledger.Doubtful() {
 					w.next++
 					o.ID = fmt.Sprint(w.next)
 					w.deliver(t, o)
@@ -244,7 +244,9 @@
 	l.Answer(3, load, place.Lost)
 	l.Observe(4, place.Report{})
 	assert.Equal(t, l.Free(), units.Bytes(30))
-	clean := l.Doubtful(20)
+	assert.Equal(t, len(l.Doubtful()), 0, "no report is young enough")
+	l.Observe(20, place.Report{})
+	clean := l.Doubtful()
 	assert.Equal(t, len(clean), 1)
 	clean[0].ID = "clean"
 	v := l.Order(20, clean[0])
@@ -259,5 +261,8 @@
 	adapter := place.Order{ID: "4", Fence: 3, Op: place.Load, Target: "x", Base: "b", Bytes: 1}
 	assert.Equal(t, l.Order(25, adapter).Step, place.Send)
 	l.Answer(26, adapter, place.Done)
+	unload := l.Order(27, place.Order{ID: "6", Fence: 3, Op: place.Unload, Target: "x"})
+	assert.Equal(t, unload.Order.Base, units.ModelID("b"), "engines need the base model to find an adapter")
+	l.Answer(27, unload.Order, place.Failed)
 	assert.Equal(t, l.Order(27, place.Order{ID: "5", Fence: 3, Op: place.Unload, Target: "b"}).Code, units.InvalidRequest)
 }
--- a/place/report.go
+++ b/place/report.go
@@ -48,6 +48,7 @@
 	}
 	l.other = max(r.Used-l.attributed(r), 0)
 	l.known = true
+	l.asked = max(l.asked, asked)
 }
 
 // Restarted tells that the engine has lost its memory. The next report shows what it
@@ -105,11 +106,12 @@
 }
 
 // Doubtful returns an order to unload for each target of which it is not known
-// whether the engine holds it, without ids, sorted.
-func (l *Ledger) Doubtful(now clock.Time) []Order {
+// whether the engine holds it, without ids, sorted. The last report was young enough
+// to show these targets and did not.
+func (l *Ledger) Doubtful() []Order {
 	var orders []Order
 	for k, e := range l.entries {
-		if e.state == doubtful && l.settled(now, e.changed) {
+		if e.state == doubtful && l.settled(l.asked, e.changed) {
 			orders = append(orders, Order{Fence: l.fence, Op: Unload, Target: k.target, Version: k.version, Base: e.base})
 		}
 	}
