--- a/gate/decide.go
+++ b/gate/decide.go
@@ -11,9 +11,11 @@
 // Query describes a request to the decisions.
 type Query struct {
 	Customer units.CustomerID
-	Target   string
-	Class    units.Class
-	Cost     units.Tokens
+	// Target is a model, an adapter or, if Service is set, a plain service.
+	Target  string
+	Service bool
+	Class   units.Class
+	Cost    units.Tokens
 	// Fingerprint is the hash of customer, target and body.
 	Fingerprint uint64
 	// Prefix holds the hashes of the prompt's leading blocks.
@@ -78,6 +80,8 @@
 // Reservation holds tokens for one request.
 type Reservation interface {
 	Permit() Permit
+	// Started is called when an agent has confirmed the start.
+	Started()
 	// Settle ends the reservation; it is called once. Started is false when no
 	// upstream has started the request.
 	Settle(started bool, used units.Tokens)
@@ -158,6 +162,8 @@
 
 func (u unlimited) Permit() Permit { return Permit{Expires: u.expires} }
 
+func (unlimited) Started() {}
+
 func (unlimited) Settle(bool, units.Tokens) {}
 
 // RetryOnce is a Retrier that allows one retry of a request that did not run or
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -31,16 +31,18 @@
 	Picker    Picker
 	Limiter   Limiter
 	Retrier   Retrier
-	Configs   Configs
 	// Once is needed for calls with an Idempotency-Key; without it they are refused.
 	Once Once
 	// Work is needed for deferred work; without it such requests are refused.
 	Work Work
+	// Demand is told what callers ask for. Without it nothing would load a target, so a
+	// request for one that is resident nowhere is refused at once.
+	Demand Demand
+	// Peers takes part in the control traffic.
+	Peers Peers
 	// Refuse, if set, returns why the gateway takes no new request, such as isolated,
 	// or nil. It is called for each request by many goroutines.
 	Refuse func() *Problem
-	// Receiver takes the control frames that the gateway does not handle itself.
-	Receiver Receiver
 	// Clock is clock.System when nil.
 	Clock clock.Clock
 }
@@ -62,8 +64,8 @@
 	if o.Retrier == nil {
 		o.Retrier = RetryOnce{}
 	}
-	if o.Configs == nil {
-		o.Configs = &Newest{}
+	if o.Peers == nil {
+		o.Peers = noPeers{}
 	}
 }
 
@@ -81,6 +83,8 @@
 	admin     *listener
 	peers     *peers
 	leaving   atomic.Bool
+	// changed is announced when an upstream may offer more than before.
+	changed notice
 }
 
 // New opens the listeners. Run has to be called to serve and to close them.
@@ -120,7 +124,7 @@
 	if err != nil {
 		return fmt.Errorf("listen on peer address: %w", err)
 	}
-	s.peers = newPeers(s, n)
+	s.peers = &peers{server: s, net: n}
 	return nil
 }
 
--- a/gate/limits_test.go
+++ b/gate/limits_test.go
@@ -111,6 +111,8 @@
 	return gate.Permit{Expires: clock.System{}.Now().Add(300), Paid: []*wire.Paid{{Slot: 3, Tokens: int64(e.cost)}}}
 }
 
+func (*entry) Started() {}
+
 func (e *entry) Settle(started bool, used units.Tokens) {
 	e.ledger.settled <- settlement{e.cost, used, started}
 }
--- a/gate/links.go
+++ b/gate/links.go
@@ -75,6 +75,7 @@
 	defer l.mu.Unlock()
 	next := append(slices.Clone(*l.up.Load()), u)
 	l.up.Store(&next)
+	l.server.changed.announce()
 }
 
 // disconnected removes u from the snapshot.
@@ -86,11 +87,8 @@
 }
 
 // broadcast sends a control frame to the connected processes that keep, if given,
-// wants. Sending may wait for a slow process, so each has a goroutine. The lock
-// keeps the group from ending meanwhile.
+// wants. Sending may wait for a slow process, so each has a goroutine.
 func (l *links) broadcast(f *wire.Frame, keep func(id string) bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	for _, u := range *l.up.Load() {
 		if keep == nil || keep(string(u.id)) {
 			l.group.start(func() { _ = u.control.Send(f) }) // the session ends by itself
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -23,25 +23,21 @@
 	ran bool
 	// stuck is set when the record of the call does not allow an attempt.
 	stuck bool
-	used  units.Tokens
+	// counted is set when the request has been counted as demand.
+	counted bool
+	// reservation is nil when the next attempt needs a new one.
+	reservation Reservation
 }
 
 // run returns nil after a complete answer.
 func (r *relay) run(ctx context.Context) *Problem {
-	reservation, p := r.reserve(ctx)
-	if p != nil {
-		return p
-	}
-	p = r.attempts(ctx, &reservation)
-	if reservation != nil {
-		r.settle(reservation)
+	p := r.attempts(ctx)
+	if r.reservation != nil {
+		r.reservation.Settle(false, 0)
 	}
 	return p
 }
 
-// settle returns what was not used.
-func (r *relay) settle(v Reservation) { v.Settle(r.ran, min(r.used, r.request.query.Cost)) }
-
 // reserve takes the cost from the customer's rate. Calls of plain services cost no
 // tokens.
 func (r *relay) reserve(ctx context.Context) (Reservation, *Problem) {
@@ -55,42 +51,76 @@
 	return v, nil
 }
 
-func (r *relay) attempts(ctx context.Context, reservation *Reservation) *Problem {
+func (r *relay) attempts(ctx context.Context) *Problem {
 	var last *Problem
 	for {
 		u := r.pick()
+		if u == nil && r.awaits(last) {
+			u = r.await(ctx)
+			if cause := context.Cause(ctx); u == nil && cause != nil {
+				return problemOf(cause)
+			}
+		}
 		if u == nil {
 			return r.final(last, problem(units.NoUpstream, "no upstream is available for "+r.request.query.Target))
 		}
-		p := r.attempt(ctx, u, (*reservation).Permit())
-		if p == nil {
+		p := r.renew(ctx)
+		if p != nil {
+			return r.final(nil, p)
+		}
+		if p = r.attempt(ctx, u); p == nil {
 			r.server.options.Retrier.Succeeded(r.server.clock.Now(), &r.request.query)
 			return nil
 		}
 		if last = p; !r.again(ctx, p) {
 			return r.final(last, p)
 		}
-		if p := r.renew(ctx, reservation, p.Code); p != nil {
-			return r.final(nil, p)
-		}
 	}
 }
 
-// renew replaces a reservation whose permit is no longer good for a start.
-func (r *relay) renew(ctx context.Context, reservation *Reservation, c units.Code) *Problem {
-	expired := !r.server.clock.Now().Before((*reservation).Permit().Expires)
-	if !expired && c != units.PermitExpired && c != units.PermitStale {
-		return nil
+// renew makes sure that the next attempt has tokens and a valid permit. A
+// reservation pays for one attempt that may have run, and for any number that did
+// not.
+func (r *relay) renew(ctx context.Context) (p *Problem) {
+	if r.reservation != nil {
+		if r.server.clock.Now().Before(r.reservation.Permit().Expires) {
+			return nil
+		}
+		r.reservation.Settle(false, 0)
+		r.reservation = nil
 	}
-	r.settle(*reservation)
-	*reservation = nil
-	next, p := r.reserve(ctx)
-	if p == nil {
-		*reservation = next
+	if r.reservation, p = r.reserve(ctx); p == nil {
+		r.asked()
 	}
 	return p
 }
 
+// asked counts the request once, after the customer's rate has admitted it: what is
+// refused must not displace the models of others.
+func (r *relay) asked() {
+	if r.counted || r.request.kind != kindModel || r.server.options.Demand == nil {
+		return
+	}
+	r.counted = true
+	r.server.options.Demand.Asked(units.ModelID(r.request.query.Target), r.request.query.Cost)
+}
+
+// settle ends the reservation unless the next attempt can use it.
+func (r *relay) settle(p *Problem, used units.Tokens) {
+	switch {
+	case p == nil:
+		r.reservation.Settle(true, min(used, r.request.query.Cost))
+	case p.Ran:
+		// What a broken attempt has used is not known, so it counts in full.
+		r.reservation.Settle(true, r.request.query.Cost)
+	case p.Code == units.PermitExpired || p.Code == units.PermitStale:
+		r.reservation.Settle(false, 0)
+	default:
+		return
+	}
+	r.reservation = nil
+}
+
 // final returns the problem that the caller gets: the last refusal tells more than
 // that there is no other upstream.
 func (r *relay) final(last, p *Problem) *Problem {
@@ -127,7 +157,7 @@
 	return true
 }
 
-func (r *relay) attempt(ctx context.Context, u *upstream, permit Permit) *Problem {
+func (r *relay) attempt(ctx context.Context, u *upstream) *Problem {
 	s := r.server
 	a := &attempt{
 		id:       units.AttemptID(uuid.NewString()),
@@ -136,26 +166,23 @@
 		answer:   r.answer,
 		clock:    s.clock,
 		stall:    s.options.Gate.Limits.Stall,
+		confirm:  r.reservation.Started,
 	}
 	if done, p := r.begin(ctx, a); done || p != nil {
 		return p
 	}
 	u.outstanding.Add(1)
 	s.options.Picker.Started(s.clock.Now(), u.id, &r.request.query)
-	p := a.run(ctx, permit)
+	p := a.run(ctx, r.reservation.Permit())
 	u.outstanding.Add(-1)
 	s.options.Picker.Ended(s.clock.Now(), u.id, &r.request.query, a.result)
 	r.end(ctx, a, p)
+	r.settle(p, a.result.Used)
 	if p == nil {
-		r.used += a.result.Used
 		r.ran = true
 		return nil
 	}
-	if p.Ran {
-		// What the attempt has used is not known, so it counts as all.
-		r.ran = true
-		r.used += r.request.query.Cost
-	}
+	r.ran = r.ran || p.Ran
 	r.failed = append(r.failed, u.id)
 	r.failure.Upstream = u.id
 	r.failure.Result = a.result
