--- a/gate/relay.go
+++ b/gate/relay.go
@@ -166,8 +166,9 @@
 	return r.request.query.Deadline
 }
 
-// renew makes sure that the next attempt has tokens. A reservation pays for one
-// attempt that may have run, and for any number that did not.
+// renew makes sure that the next attempt has tokens and a valid permit. A
+// reservation pays for one attempt that may have run, and for any number that did
+// not.
 func (r *relay) renew(ctx context.Context) (p *Problem) {
 	if r.reservation != nil {
 		if r.server.clock.Now().Before(r.reservation.Permit().Expires) {
--- a/system/harness_test.go
+++ b/system/harness_test.go
@@ -382,7 +382,6 @@
 	return text, fmt.Errorf("stream was cut after %d bytes: %w", len(text), errors.Join(errCut, lines.Err()))
 }
 
-
 // writeFleet stores the value of the team that concerns the whole fleet.
 func (f *fleet) writeFleet(v *tree.Team, old units.Revision) units.Revision {
 	f.t.Helper()
