rate: spread large customers over more slots

Cause: with 16 shards and two slots for each customer, the busiest owner at 320 gateways handled 13.5 KB/s of control messages. Change: 160 shards; a customer has up to 128 slots of at least 32,000 tokens of burst each; prefetching is limited by the spare level instead of given up; for 10 s after a change of owner requests wait until their deadlines, because the new bucket may be empty.

--- a/rate/account.go
+++ b/rate/account.go
@@ -18,9 +18,9 @@
 // account is what a client knows and does for one customer.
 type account struct {
 	customer units.CustomerID
-	slots    [SlotsPerShard]Slot
+	slots    []Slot
 	limit    Limit
-	views    [SlotsPerShard]view
+	views    []view
 	demand   demand
 	busy     bool
 	// queue holds requests without tokens, in order of arrival.
@@ -31,12 +31,14 @@
 	asked units.Tokens
 	// paid tickets wait until their tokens are refilled.
 	paid []*ticket
+	// recovered is until when requests wait for a new owner's bucket.
+	recovered clock.Time
 	// pumped is the time of the last pump.
 	pumped clock.Time
 }
 
 func newAccount(id units.CustomerID) *account {
-	return &account{customer: id, slots: SlotsOf(id)}
+	return &account{customer: id}
 }
 
 func (a *account) idle() bool {
@@ -61,8 +63,8 @@
 	}
 	for _, r := range a.queue {
 		next = min(next, r.Deadline)
-		if r.patience.After(a.pumped) {
-			next = min(next, r.patience)
+		if p := max(r.patience, a.recovered); p.After(a.pumped) {
+			next = min(next, p)
 		}
 	}
 	if len(a.queue) > 0 && len(a.asks) == 0 {
@@ -88,7 +90,7 @@
 		}
 		c.ask(now, a)
 		r := a.queue[0]
-		if len(a.asks) > 0 || a.down() || now.Before(r.patience) {
+		if len(a.asks) > 0 || a.down() || now.Before(max(r.patience, a.recovered)) {
 			break
 		}
 		a.queue = slices.Delete(a.queue, 0, 1)
@@ -166,7 +168,7 @@
 			return false
 		}
 		code := units.RateExceeded
-		if a.views[0].failed && a.views[1].failed {
+		if !slices.ContainsFunc(a.views, func(v view) bool { return !v.failed }) {
 			code = units.RateUnavailable
 		}
 		c.refuse(r.Request, code, a.retryAfter(now, r.Cost))
@@ -211,11 +213,16 @@
 func (h *holding) returnAt() clock.Time { return h.expires.Add(prefetchKeep - TTL) }
 
 // down tells whether a slot has no reachable owner.
-func (a *account) down() bool { return a.views[0].failed || a.views[1].failed }
+func (a *account) down() bool {
+	return slices.ContainsFunc(a.views, func(v view) bool { return v.failed })
+}
 
-// retryAfter returns the span until the cost would be in both buckets.
+// retryAfter returns the span until the cost would be in the buckets.
 func (a *account) retryAfter(now clock.Time, cost units.Tokens) clock.Span {
-	level := a.views[0].estimate(now) + a.views[1].estimate(now)
+	var level milli
+	for i := range a.views {
+		level += a.views[i].estimate(now)
+	}
 	lack := toMilli(cost) - level
 	if a.limit.Rate <= 0 {
 		return -1
--- a/rate/activate.go
+++ b/rate/activate.go
@@ -190,7 +190,7 @@
 	var out []Level
 	for _, c := range slices.Sorted(maps.Keys(o.limits)) {
 		b := o.bucket(w, c)
-		if SlotsOf(c)[w.slot%SlotsPerShard] != w.slot || b == nil {
+		if b == nil || now.Before(b.from) {
 			continue
 		}
 		out = append(out, Level{Slot: w.slot, Epoch: w.epoch, Customer: c, Level: b.Level(now), Held: (b.held + milliPerToken - 1).tokens()})
@@ -203,11 +203,11 @@
 func (o *Owner) Level(now clock.Time, l Level) {
 	o.Tick(now)
 	w := o.slots[l.Slot]
-	limit, ok := o.limits[l.Customer]
+	x, ok := o.limits[l.Customer].share(l.Slot)
 	if w == nil || !ok || l.Epoch+1 != w.epoch || w.buckets[l.Customer] != nil {
 		return
 	}
-	b := NewBucket(now, limit, l.Slot, l.Level)
+	b := NewBucket(now, x, l.Level)
 	b.faults = o.faults
 	b.held = toMilli(l.Held)
 	b.refill(now)
--- a/rate/ask.go
+++ b/rate/ask.go
@@ -1,6 +1,9 @@
 package rate
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/units"
 )
@@ -36,9 +39,9 @@
 
 // view is what a client knows of one slot's bucket of a customer.
 type view struct {
-	rate, burst milli
-	level       milli
-	at          clock.Time
+	Share
+	level milli
+	at    clock.Time
 	// known tells that the level was reported by the owner at that time.
 	known bool
 	// retry is when the owner may be asked again.
@@ -47,9 +50,10 @@
 	backoff clock.Span
 }
 
-func (v *view) reset(now clock.Time, l Limit, s Slot) {
-	*v = view{at: now}
-	v.rate, v.burst = l.half(s)
+// reset forgets what is known of a slot.
+func (a *account) reset(now clock.Time, side int) {
+	v := &a.views[side]
+	*v = view{at: now, Share: a.limit.part(side, len(a.slots))}
 	v.level = v.burst
 }
 
@@ -114,41 +118,87 @@
 	for _, r := range a.queue {
 		lack += r.Cost
 	}
-	offers := [SlotsPerShard]milli{a.views[0].offer(now), a.views[1].offer(now)}
-	if lack <= 0 || toMilli(first) > offers[0]+offers[1] {
+	offers := a.offers(now, int(c.next))
+	var total milli
+	for _, o := range offers {
+		total += o.most
+	}
+	if lack <= 0 || toMilli(first) > total {
 		return
 	}
-	for i, n := range a.split(now, toMilli(lack), offers) {
-		if n > 0 {
-			c.send(now, a, i, n)
+	split(offers, toMilli(lack))
+	for _, o := range offers {
+		if n := (o.take + milliPerToken - 1).tokens(); n > 0 {
+			c.send(now, a, o.side, n)
 		}
 	}
 }
 
-// split divides the lack between the slots: all to the fuller one if that covers
-// it, else so that both end at the same level. A slot whose owner failed gets only
-// what the other can't offer.
-func (a *account) split(now clock.Time, lack milli, offers [SlotsPerShard]milli) [SlotsPerShard]units.Tokens {
-	var out [SlotsPerShard]units.Tokens
-	x, y := &a.views[0], &a.views[1]
-	high := 0
-	if x.failed && !y.failed || x.failed == y.failed && y.estimate(now) > x.estimate(now) {
-		high = 1
-	}
-	low := 1 - high
-	top := min(a.views[high].estimate(now), offers[high])
-	part := lack
-	if top < lack && !a.views[low].failed {
-		part = min(lack, (lack+top-min(a.views[low].estimate(now), offers[low]))/2)
-	}
-	part = max(min(part, offers[high]), lack-offers[low])
-	part = min(part, offers[high])
-	out[high] = (part + milliPerToken - 1).tokens()
-	rest := min(max(lack-toMilli(out[high]), 0), offers[low])
-	out[low] = (rest + milliPerToken - 1).tokens()
+// offer is what one slot may grant.
+type offer struct {
+	side  int
+	most  milli
+	level milli
+	// failed owners come last.
+	failed bool
+	take   milli
+}
+
+// offers returns the offers, fullest first. Equal ones are rotated, so that gateways
+// do not all start with the same slot.
+func (a *account) offers(now clock.Time, rotate int) []offer {
+	n := len(a.views)
+	out := make([]offer, 0, n)
+	for i := range n {
+		side := (i + rotate) % n
+		v := &a.views[side]
+		o := offer{side: side, most: v.offer(now), failed: v.failed}
+		o.level = min(v.estimate(now), o.most)
+		out = append(out, o)
+	}
+	slices.SortStableFunc(out, func(x, y offer) int {
+		if x.failed != y.failed {
+			if x.failed {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(y.level, x.level)
+	})
 	return out
 }
 
+// split divides the lack: all to the fullest slot if that covers it, else so that
+// the slots asked end at the same level. A slot whose owner failed gets only what
+// the others can't offer.
+func split(offers []offer, lack milli) {
+	var sum, even milli
+	for i, o := range offers {
+		if o.failed {
+			break
+		}
+		sum += o.level
+		even = (sum - lack) / milli(i+1)
+		if i == 0 && o.level >= lack || i+1 < len(offers) && even >= offers[i+1].level {
+			break
+		}
+	}
+	rest := lack
+	for i := range offers {
+		o := &offers[i]
+		if !o.failed {
+			o.take = min(max(o.level-even, 0), o.most, rest)
+			rest -= o.take
+		}
+	}
+	for i := range offers {
+		o := &offers[i]
+		more := min(o.most-o.take, rest)
+		o.take += more
+		rest -= more
+	}
+}
+
 func (c *Client) send(now clock.Time, a *account, side int, n units.Tokens) {
 	s := a.slots[side]
 	row := c.table.Rows[s]
@@ -171,12 +221,13 @@
 }
 
 // prefetch returns what to ask for in advance: the demand of the near future, if
-// it covers at least one more request and the bucket is more than half full, so
-// that no other gateway lacks it.
+// it covers at least one more request. It leaves the bucket half full, so that no
+// other gateway lacks tokens.
 func (a *account) prefetch(now clock.Time, side int, n units.Tokens) units.Tokens {
 	v := &a.views[side]
-	ahead := a.demand.tokens(now, prefetchSpan)
-	if ahead < a.demand.mean() || v.estimate(now)-toMilli(n+ahead) < v.burst/2 {
+	spare := (v.estimate(now) - v.burst/2).tokens() - n
+	ahead := min(a.demand.tokens(now, prefetchSpan), spare)
+	if ahead < max(a.demand.mean(), 1) {
 		return 0
 	}
 	return ahead
--- a/rate/bucket.go
+++ b/rate/bucket.go
@@ -13,31 +13,28 @@
 // grants that may still be started. The fill never exceeds the burst, so that a
 // grant which is spent late can't add to a full bucket.
 type Bucket struct {
-	rate  milli // a millisecond
-	burst milli
+	Share
 	level milli
 	held  milli
 	// filled is the time up to which refills have been counted.
 	filled clock.Time
+	// from is when the bucket may be used.
+	from   clock.Time
 	mark   Mark
 	peaks  peaks
 	faults faults
 }
 
-// NewBucket returns a bucket with the slot's half of the limit and the given
-// level.
-func NewBucket(now clock.Time, l Limit, s Slot, level units.Tokens) *Bucket {
-	b := &Bucket{filled: now}
-	b.rate, b.burst = l.half(s)
-	b.level = min(toMilli(level), b.burst)
-	return b
+// NewBucket returns a bucket with the given level, for use from the given time.
+func NewBucket(from clock.Time, s Share, level units.Tokens) *Bucket {
+	return &Bucket{Share: s, level: min(toMilli(level), s.burst), filled: from, from: from}
 }
 
-// SetLimit changes rate and burst. Reservations of before are not refunded,
+// SetShare changes rate and burst. Reservations of before are not refunded,
 // because their room below the new burst is not known.
-func (b *Bucket) SetLimit(now clock.Time, l Limit, s Slot) {
+func (b *Bucket) SetShare(now clock.Time, s Share) {
 	b.refill(now)
-	b.rate, b.burst = l.half(s)
+	b.Share = s
 	b.refill(now)
 	b.mark++
 	b.peaks.queue = append(b.peaks.queue[:0], peak{mark: b.mark, fill: b.burst})
@@ -81,6 +78,9 @@
 // there would be some; -1: never.
 func (b *Bucket) Take(now clock.Time, n units.Tokens) (units.Tokens, clock.Span) {
 	b.refill(now)
+	if now.Before(b.from) {
+		return 0, b.from.Sub(now)
+	}
 	// Grants of coming refills may be started late, all in one moment, so that they
 	// must not exceed the burst together with those before.
 	room := min(b.level+b.rate*milli(MaxWait), b.burst-b.held)
--- a/rate/client.go
+++ b/rate/client.go
@@ -15,6 +15,9 @@
 	// minLife is what must remain of a grant when a request is paid from it, so
 	// that the permit reaches the agent in time.
 	minLife = 200 * clock.Millisecond
+	// recoverSpan is how long after a change of owner requests wait for tokens until
+	// their deadlines, because the new owner's bucket may have started empty.
+	recoverSpan = 10 * clock.Second
 	// waitingMax bounds the requests of one customer that wait for tokens.
 	waitingMax = 1000
 )
@@ -148,9 +151,14 @@
 	if a.limit == l {
 		return
 	}
+	for i := range a.views {
+		c.abandon(a, i)
+	}
 	a.limit = l
+	a.slots = SlotsOf(id, l)
+	a.views = make([]view, len(a.slots))
 	for i := range a.views {
-		a.views[i].reset(now, l, a.slots[i])
+		a.reset(now, i)
 	}
 }
 
@@ -165,7 +173,10 @@
 	for _, a := range c.accounts {
 		for i, s := range a.slots {
 			if old.Rows[s].Epoch != t.Rows[s].Epoch {
-				a.views[i].reset(now, a.limit, s)
+				a.reset(now, i)
+				if old.Version > 0 {
+					a.recovered = now.Add(recoverSpan)
+				}
 			}
 		}
 	}
--- a/rate/owner.go
+++ b/rate/owner.go
@@ -18,7 +18,7 @@
 	self     units.VMID
 	table    *Table
 	slots    map[Slot]*ownedSlot
-	limits   map[units.CustomerID]Limit
+	limits   map[units.CustomerID]limited
 	grants   map[grantKey]*issued
 	expiring queue[*issued]
 	phantoms queue[phantom]
@@ -73,30 +73,57 @@
 	return &Owner{
 		self:   self,
 		slots:  make(map[Slot]*ownedSlot),
-		limits: make(map[units.CustomerID]Limit),
+		limits: make(map[units.CustomerID]limited),
 		grants: make(map[grantKey]*issued),
 		fleet:  newFleet(),
 	}
 }
 
+// limited is the limit of a customer with its slots.
+type limited struct {
+	Limit
+	slots []Slot
+	// added slots have come with the latest change. They may be used from the given
+	// time.
+	added []Slot
+	from  clock.Time
+}
+
+// limitSettle is the time in which a change of limits is in force everywhere. Until
+// then, owners may still hold the shares of fewer slots.
+const limitSettle = 10 * clock.Second
+
+// share returns what a slot holds, if the customer has the slot.
+func (l limited) share(s Slot) (Share, bool) {
+	i := slices.Index(l.slots, s)
+	if i < 0 {
+		return Share{}, false
+	}
+	return l.part(i, len(l.slots)), true
+}
+
 // SetLimit sets the limit of a customer. One without a limit is granted nothing.
 func (o *Owner) SetLimit(now clock.Time, c units.CustomerID, l Limit) {
-	if o.limits[c] == l {
+	old, known := o.limits[c]
+	if known && old.Limit == l {
 		return
 	}
-	o.limits[c] = l
-	for _, s := range SlotsOf(c) {
-		if b := o.existing(s, c); b != nil {
-			b.SetLimit(now, l, s)
-		}
+	next := limited{Limit: l, slots: SlotsOf(c, l), from: now.Add(limitSettle)}
+	if known {
+		next.added = slices.DeleteFunc(slices.Clone(next.slots), func(s Slot) bool { return slices.Contains(old.slots, s) })
 	}
-}
-
-func (o *Owner) existing(s Slot, c units.CustomerID) *Bucket {
-	if w := o.slots[s]; w != nil {
-		return w.buckets[c]
+	o.limits[c] = next
+	for _, s := range old.slots {
+		w := o.slots[s]
+		if w == nil || w.buckets[c] == nil {
+			continue
+		}
+		if x, ok := next.share(s); ok {
+			w.buckets[c].SetShare(now, x)
+		} else {
+			delete(w.buckets, c)
+		}
 	}
-	return nil
 }
 
 // Acquire grants tokens to a client.
@@ -143,11 +170,16 @@
 	if b := w.buckets[c]; b != nil {
 		return b
 	}
-	l, ok := o.limits[c]
+	l := o.limits[c]
+	x, ok := l.share(w.slot)
 	if !ok || w.active == 0 {
 		return nil
 	}
-	b := NewBucket(w.active, l, w.slot, 0)
+	from := w.active
+	if slices.Contains(l.added, w.slot) {
+		from = max(from, l.from)
+	}
+	b := NewBucket(from, x, 0)
 	b.faults = o.faults
 	if o.faults.fullStart {
 		b.level = b.burst
--- a/rate/rate.go
+++ b/rate/rate.go
@@ -1,8 +1,8 @@
 // Package rate bounds what each customer starts across all VMs: in every window
 // at most rate x window + burst tokens.
 //
-// A customer has two slots, each owned by one gateway that keeps half of the
-// customer's rate and burst in a Bucket. An Owner issues grants to the Clients
+// A customer has two slots, or more if its burst is large, each owned by one
+// gateway that keeps an equal share of the customer's rate and burst in a Bucket. An Owner issues grants to the Clients
 // of all gateways. A Client combines grants into a Ticket for a request, from
 // which the process makes a Permit for the chosen agent. The Fence of the agent
 // checks the Permit when the request arrives there; this is the start.
@@ -12,6 +12,8 @@
 package rate
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/units"
 )
@@ -127,13 +129,40 @@
 	return units.Tokens(t)
 }
 
-// half returns the share of one of a customer's two slots.
-func (l Limit) half(s Slot) (rate, burst milli) {
-	rate = milli(l.Rate) / 2
-	burst = toMilli(l.Burst) / 2
-	if s%SlotsPerShard == 1 {
-		rate = milli(l.Rate) - rate
-		burst = toMilli(l.Burst) - burst
+// Share is the part of a customer's limit that one of its slots holds.
+type Share struct {
+	rate  milli // a millisecond
+	burst milli
+}
+
+// part returns the share of slot i of n. The shares add up to the limit exactly.
+func (l Limit) part(i, n int) Share {
+	cut := func(m milli, i int) milli { return m/milli(n)*milli(i) + m%milli(n)*milli(i)/milli(n) }
+	rate, burst := milli(l.Rate), toMilli(l.Burst)
+	return Share{rate: cut(rate, i+1) - cut(rate, i), burst: cut(burst, i+1) - cut(burst, i)}
+}
+
+const (
+	// partBurst is the burst that a slot holds at least when a customer has more
+	// than two: many times the cost of a request, so that no request lacks tokens
+	// because they are spread.
+	partBurst units.Tokens = 32_000
+	// partsMax is the largest number of shards of a customer.
+	partsMax = 64
+)
+
+// SlotsOf returns the slots of a customer: both slots of one shard, or of several
+// shards for a large burst, so that no owner has to answer all its requests.
+func SlotsOf(c units.CustomerID, l Limit) []Slot {
+	parts := 1
+	for parts < partsMax && l.Burst/units.Tokens(2*parts*SlotsPerShard) >= partBurst {
+		parts *= 2
+	}
+	first := xxhash.Sum64String(string(c)) % Shards
+	out := make([]Slot, 0, parts*SlotsPerShard)
+	for i := range parts {
+		shard := (first + uint64(i*Shards/partsMax)) % Shards
+		out = append(out, Slot(shard*SlotsPerShard), Slot(shard*SlotsPerShard+1))
 	}
-	return rate, burst
+	return out
 }
--- a/rate/sim_test.go
+++ b/rate/sim_test.go
@@ -237,6 +237,12 @@
 	return g
 }
 
+func (g *simGate) limit(c units.CustomerID, l Limit) {
+	g.owner.SetLimit(g.clock(), c, l)
+	g.client.SetLimit(g.clock(), c, l)
+	g.pump()
+}
+
 func (s *sim) addAgent(ppm int64) *simAgent {
 	a := &simAgent{id: units.UpstreamID(fmt.Sprintf("agent-%d", len(s.agents)))}
 	a.process = process{s: s, ppm: ppm, offset: micro(s.rnd.Int64N(1000)) * microSecond}
--- a/rate/table.go
+++ b/rate/table.go
@@ -12,7 +12,9 @@
 
 // Slots of the table of owners.
 const (
-	Shards        = 16
+	// Shards is half the number of gateways in two years. With 16, one owner would
+	// answer a tenth of all requests and exceed its control bytes.
+	Shards        = 160
 	SlotsPerShard = 2
 	Slots         = Shards * SlotsPerShard
 )
@@ -20,12 +22,6 @@
 // Slot is the number of a slot, below Slots.
 type Slot uint16
 
-// SlotsOf returns the two slots of a customer.
-func SlotsOf(c units.CustomerID) [SlotsPerShard]Slot {
-	first := Slot(xxhash.Sum64String(string(c))%Shards) * SlotsPerShard
-	return [SlotsPerShard]Slot{first, first + 1}
-}
-
 // Row is the owner of one slot. The epoch rises by one with each change of owner.
 type Row struct {
 	Owner units.VMID
@@ -86,7 +82,7 @@
 		zones: make(map[units.VMID]units.Zone),
 		load:  make(map[units.VMID]int),
 		// A quarter above the mean: an exact balance would move more slots.
-		limit: (Slots*5+len(live)*4-1)/(len(live)*4) + 1,
+		limit: (Slots*5 + len(live)*4 - 1) / (len(live) * 4),
 	}
 	for _, g := range live {
 		a.zones[g.ID] = g.Zone
