rate: find the fullest slot without ordering all of them

Cause: a request of a customer with 128 slots took 75 µs. Change: one pass finds a slot that covers the lack.

--- a/rate/ask.go
+++ b/rate/ask.go
@@ -118,12 +118,19 @@
 	for _, r := range a.queue {
 		lack += r.Cost
 	}
+	if lack <= 0 {
+		return
+	}
+	if side, ok := a.fullest(now, int(c.next), toMilli(lack)); ok {
+		c.send(now, a, side, lack)
+		return
+	}
 	offers := a.offers(now, int(c.next))
 	var total milli
 	for _, o := range offers {
 		total += o.most
 	}
-	if lack <= 0 || toMilli(first) > total {
+	if toMilli(first) > total {
 		return
 	}
 	split(offers, toMilli(lack))
@@ -144,6 +151,20 @@
 	take   milli
 }
 
+// fullest returns the fullest slot if its bucket covers the lack, the usual case,
+// without the cost of ordering all slots.
+func (a *account) fullest(now clock.Time, rotate int, lack milli) (side int, ok bool) {
+	level := lack - 1
+	for i := range a.views {
+		n := (i + rotate) % len(a.views)
+		v := &a.views[n]
+		if e := v.estimate(now); !v.failed && e > level && v.offer(now) >= lack {
+			side, level, ok = n, e, true
+		}
+	}
+	return side, ok
+}
+
 // offers returns the offers, fullest first. Equal ones are rotated, so that gateways
 // do not all start with the same slot.
 func (a *account) offers(now clock.Time, rotate int) []offer {
--- a/rate/bench_test.go
+++ b/rate/bench_test.go
@@ -83,10 +83,17 @@
 	}
 }
 
-// BenchmarkRequest is one request through client, owner and fence in one process.
+// BenchmarkRequest is one request through client, owner and fence in one process,
+// at two distances between requests.
 func BenchmarkRequest(b *testing.B) {
+	for _, gap := range []clock.Span{1, 100} {
+		b.Run(fmt.Sprintf("gap=%dms", gap), func(b *testing.B) { benchmarkRequest(b, gap) })
+	}
+}
+
+func benchmarkRequest(b *testing.B, gap clock.Span) {
 	table := (&Table{}).Assign([]Gateway{{ID: "g", Zone: "a"}})
-	limit := Limit{Rate: 1 << 30, Burst: 1 << 40}
+	limit := Limit{Rate: 4_000_000, Burst: 8_000_000} // 64 shards
 	o, c, f := NewOwner("g"), NewClient(1), NewFence()
 	o.Learn(1, table)
 	o.SetLimit(1, "x", limit)
@@ -94,9 +101,10 @@
 	c.SetLimit(1, "x", limit)
 	f.Learn(table, true)
 	now := clock.Time(10_000)
+	o.Tick(now)
 	b.ReportAllocs()
 	for i := range b.N {
-		now += clock.Time(i & 1)
+		now = now.Add(gap)
 		id := RequestID(i)
 		c.Request(now, Request{ID: id, Customer: "x", Cost: 1000, Deadline: now.Add(clock.Second)})
 		c.Tick(now)
