bench, place: measure placement against baselines and an offline plan

Cause: nothing showed how placement fares under bursts, surges and the absence of a zone, and the planner exchanged copies that served little. Change: bench plays the same demand against static placement, least recently used loading, place.Planner with measured demand, and a search that knows the demand. The planner spreads single copies first, searches all flows of a busy replica for relief, makes room only when the budget allows the load, evicts a base model with its adapters, averages short demand over 10 s, and limits copies in a second zone by demand and time; these had been more than half of all loads.

--- /dev/null
+++ b/bench/bench_test.go
@@ -0,0 +1,46 @@
+package bench_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/bench"
+)
+
+// check runs the site for a shorter time than the command does and holds the targets
+// of the design page.
+func check(t *testing.T, s bench.Site) {
+	o := bench.Options{Site: s, Seed: 1, Length: 2 * bench.MinLength}
+	table := bench.Run(o)
+	var b strings.Builder
+	assert.NilError(t, table.Write(&b))
+	t.Logf("\n%s", &b)
+	planner, offline := table.Result(bench.Planner), table.Result(bench.Offline)
+	assert.Assert(t, planner.PerAccelerator >= 0.9*offline.PerAccelerator)
+	assert.Assert(t, float64(planner.Moves) <= 1.5*float64(offline.Moves))
+	assert.Equal(t, planner.Refused, 0, "orders beyond memory or the budget")
+	for _, name := range []string{bench.Static, bench.Recent} {
+		baseline := table.Result(name)
+		assert.Assert(t, planner.PerAccelerator > baseline.PerAccelerator, name)
+		assert.Assert(t, planner.Worst > baseline.Worst, name)
+		assert.Assert(t, planner.Absence > baseline.Absence, name)
+	}
+}
+
+// Guards against placement that falls behind an offline plan or a baseline, or that
+// needs many more moves.
+func TestSoudniMost(t *testing.T) { check(t, bench.SoudniMost) }
+
+// Guards against the same at the sizes of the other site.
+func TestCouncil(t *testing.T) { check(t, bench.Council) }
+
+// Guards against a run that its seed does not reproduce.
+func TestReproducible(t *testing.T) {
+	o := bench.Options{Site: bench.SoudniMost, Seed: 7, Length: bench.MinLength}
+	var first, second strings.Builder
+	assert.NilError(t, bench.Run(o).Write(&first))
+	assert.NilError(t, bench.Run(o).Write(&second))
+	assert.Equal(t, first.String(), second.String())
+}
--- /dev/null
+++ b/cmds/bench.go
@@ -0,0 +1,39 @@
+package cmds
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/magnolialever/magnolialever/bench"
+	"github.com/magnolialever/magnolialever/clock"
+)
+
+type benchCommand struct {
+	Seed   uint64        `long:"seed" description:"Seed of the demand" default:"1"`
+	Length time.Duration `long:"length" description:"Simulated time" default:"1h"`
+	Site   string        `long:"site" description:"Site to measure" choice:"court" choice:"council" choice:"all" default:"all"`
+}
+
+func init() {
+	register("bench", "Measure the decisions on placement",
+		"Runs the planner, two baselines and an offline plan on the same demand in simulated time, and prints a table.",
+		&benchCommand{})
+}
+
+// Execute prints a table for each site.
+func (c *benchCommand) Execute([]string) error {
+	if c.Length < bench.MinLength.Duration() {
+		return usage(fmt.Errorf("--length must be at least %v", bench.MinLength.Duration()))
+	}
+	sites := map[string][]bench.Site{
+		"court": {bench.SoudniMost}, "council": {bench.Council}, "all": {bench.SoudniMost, bench.Council},
+	}
+	for _, s := range sites[c.Site] {
+		t := bench.Run(bench.Options{Site: s, Seed: c.Seed, Length: clock.FromDuration(c.Length)})
+		if err := t.Write(os.Stdout); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/place/meter.go
+++ b/place/meter.go
@@ -10,7 +10,7 @@
 
 const (
 	// shortSpan and longSpan are the times after which an observation counts for 1/e.
-	shortSpan = 5 * clock.Second
+	shortSpan = 10 * clock.Second
 	longSpan  = 5 * clock.Minute
 	// waitingSpan is how long a count of waiting requests is valid without another
 	// one. Gateways repeat it every second; a message that says 0 may be lost.
--- a/place/plan.go
+++ b/place/plan.go
@@ -76,20 +76,32 @@
 const (
 	// highUse is the share of a replica's speed above which a model on it gets
 	// another copy, so that a burst finds room.
-	highUse = 0.75
-	// lowUse is the share below which a replica may take on another copy. The gap to
-	// highUse keeps copies from moving back and forth.
-	lowUse = 0.6
+	highUse = 0.8
 	// minGain is the share of a replica's speed that a new copy must take over to be
 	// worth its load.
-	minGain = 0.05
+	minGain = 0.1
+	// evictionCost is the share of a replica's speed that making room costs, so that a
+	// copy is not exchanged for one that helps about as much.
+	evictionCost = 0.02
 	// pendingSpan is how long an order without effect is taken to be under way; then
 	// it counts as lost and may be sent again.
 	pendingSpan = 20 * clock.Second
 	// settleSpan keeps a new copy from being evicted before it can have helped.
 	settleSpan = 30 * clock.Second
+	// maxSearches bounds the search for further copies in one round, which the budget
+	// for loads does not let go far anyway. Those used most come first.
+	maxSearches = 256
+	// spreadSpan is the time between two copies of a target for the loss of a zone.
+	spreadSpan = 10 * clock.Minute
+	// spreadShare is the share of a replica's speed that a target must take on the long
+	// average to get one. Without these two, copies for the loss of a zone were more
+	// than half of all loads in package bench.
+	spreadShare = 0.015
 	// idleUse is the demand in tokens a second below which a target counts as unused.
 	idleUse = 0.5
+	// keepFactor is how much more a target must be wanted to displace the last copy of
+	// one that nobody has asked for in the last seconds.
+	keepFactor = 2.0
 	// burstBudget is the number of loads that a quiet time saves up.
 	burstBudget = 4.0
 	// firstBudget is the number of loads that a new planner may start at once. The one
@@ -125,13 +137,15 @@
 	loaded  map[place]clock.Time
 	// failed is when an order for the place was refused last.
 	failed map[place]clock.Time
+	// spread is when a copy in a second zone was loaded last.
+	spread map[units.ModelID]clock.Time
 }
 
 // NewPlanner returns a Planner that stays inside the budget.
 func NewPlanner(b Budget) *Planner {
 	return &Planner{
 		budget: b, credit: firstBudget,
-		pending: map[place]pending{}, loaded: map[place]clock.Time{}, failed: map[place]clock.Time{},
+		pending: map[place]pending{}, loaded: map[place]clock.Time{}, failed: map[place]clock.Time{}, spread: map[units.ModelID]clock.Time{},
 	}
 }
 
@@ -184,6 +198,9 @@
 	// copies lists the usable replicas that have or load a target.
 	copies   map[units.ModelID][]*replica
 	loads    int
+	searches int
+	// promised counts loads for which this round makes room.
+	promised int
 	commands []Command
 }
 
@@ -222,8 +239,16 @@
 		r.add(one)
 	}
 	r.settlePending()
+	// Targets with one copy leave no choice; the others go where that leaves room.
 	for _, t := range r.order {
-		r.spread(t.ID)
+		if len(r.copies[t.ID]) == 1 {
+			r.spread(t.ID)
+		}
+	}
+	for _, t := range r.order {
+		if len(r.copies[t.ID]) > 1 {
+			r.spread(t.ID)
+		}
 	}
 	return r
 }
@@ -332,11 +357,20 @@
 	return slices.ContainsFunc(r.copies[base], func(v *replica) bool { return v.has[base] })
 }
 
+// hosts returns the replicas that may take the target: an adapter needs its base
+// model.
+func (r *round) hosts(t Target) []*replica {
+	if t.Base == "" {
+		return r.replicas
+	}
+	return r.copies[t.Base]
+}
+
 // roomiest returns the least used replica below the share that can take the target.
 func (r *round) roomiest(t Target, share float64) *replica {
 	var best *replica
-	for _, v := range r.replicas {
-		if r.canTake(v, t) && v.free >= t.Bytes && v.share() < share && (best == nil || v.roomier(best)) {
+	for _, v := range r.hosts(t) {
+		if v.free >= t.Bytes && v.share() < share && (best == nil || v.roomier(best)) && r.canTake(v, t) {
 			best = v
 		}
 	}
@@ -388,8 +422,8 @@
 	var best []Target
 	var from *replica
 	bestCost := 0.0
-	for _, v := range r.replicas {
-		if !r.canTake(v, t) || v.Capacity < t.Bytes {
+	for _, v := range r.hosts(t) {
+		if v.Capacity < t.Bytes || !r.canTake(v, t) {
 			continue
 		}
 		victims, cost, ok := r.victims(v, t)
@@ -403,6 +437,8 @@
 	for _, o := range best {
 		r.unload(from, o)
 	}
+	// The room is not for another target of this round too.
+	from.free -= t.Bytes
 }
 
 func (r *round) unload(v *replica, t Target) {
@@ -415,7 +451,9 @@
 type eviction struct {
 	target   Target
 	adapters []Target
-	bytes    units.Bytes
+	// waits is set while adapters are being unloaded, before which the target can't go.
+	waits bool
+	bytes units.Bytes
 	// cost is the work that it displaces, in tokens a second.
 	cost float64
 }
@@ -441,7 +479,7 @@
 			chosen[o.ID] = true
 			list = append(list, o)
 		}
-		if len(e.adapters) == 0 && !chosen[e.target.ID] {
+		if len(e.adapters) == 0 && !e.waits && !chosen[e.target.ID] {
 			chosen[e.target.ID] = true
 			list = append(list, e.target)
 		}
@@ -480,7 +518,11 @@
 	}
 	for id, resident := range v.has {
 		a, known := r.targets[id]
-		if !known || a.Base != o.ID || v.leaving[id] {
+		if !known || a.Base != o.ID {
+			continue
+		}
+		if v.leaving[id] {
+			e.waits = true
 			continue
 		}
 		if !resident || !r.expendable(v, id, t) {
@@ -508,7 +550,7 @@
 			return true
 		}
 	}
-	return r.wanted(id) < idleUse && r.wanted(t.ID) >= idleUse
+	return r.demand[id].Waiting == 0 && r.demand[id].Short < idleUse && r.wanted(t.ID) >= idleUse && r.wanted(t.ID) > keepFactor*r.wanted(id)
 }
 
 // settling reports whether a copy is too new to go. It may go at once when nobody
@@ -528,74 +570,92 @@
 		return cmp.Or(-cmp.Compare(a.share(), b.share()), cmp.Compare(a.ID, b.ID))
 	})
 	for _, v := range busy {
-		if v.share() < highUse {
+		if v.share() < highUse || r.searches > maxSearches || r.planner.credit < float64(1+r.promised) {
 			return
 		}
-		if id, ok := v.largestFlow(); ok && v.flow[id] >= minGain*float64(v.Speed) {
-			r.relieve(v, r.targets[id])
+		for _, id := range v.flows() {
+			if r.relieve(v, r.targets[id]) {
+				break
+			}
 		}
 	}
 }
 
-// largestFlow returns the target that causes most work on v.
-func (v *replica) largestFlow() (units.ModelID, bool) {
-	var best units.ModelID
+// flows returns the targets whose work on v is worth another copy, the largest first.
+func (v *replica) flows() []units.ModelID {
+	var list []units.ModelID
 	for id, f := range v.flow {
-		if best == "" || f > v.flow[best] || (f == v.flow[best] && id < best) {
-			best = id
+		if f >= minGain*float64(v.Speed) {
+			list = append(list, id)
 		}
 	}
-	return best, best != ""
+	slices.SortFunc(list, func(a, b units.ModelID) int {
+		return cmp.Or(-cmp.Compare(v.flow[a], v.flow[b]), cmp.Compare(a, b))
+	})
+	return list
 }
 
-func (r *round) relieve(v *replica, t Target) {
+// relieve orders another copy of t, and reports whether one is on its way.
+func (r *round) relieve(v *replica, t Target) bool {
 	if r.loadingSomewhere(t.ID) {
-		return
-	}
-	if t.Base != "" && r.roomiest(t, lowUse) == nil {
-		// The other replicas with the base model are busy too, so the base model needs
-		// another copy first.
+		return true
+	}
+	r.searches++
+	to, gain := r.relief(v, t, v.flow[t.ID])
+	if to == nil && t.Base != "" {
+		// No other replica with the base model can help, so the base model needs another
+		// copy first.
+		if r.loadingSomewhere(t.Base) {
+			return true
+		}
+		to, gain = r.relief(v, r.targets[t.Base], v.flow[t.ID])
 		t = r.targets[t.Base]
 	}
-	to := r.roomiest(t, lowUse)
 	if to == nil {
-		to = r.cheapest(t)
-		if to == nil {
-			return
-		}
+		return false
+	}
+	if to.free < t.Bytes {
 		victims, _, _ := r.victims(to, t)
 		for _, o := range victims {
 			r.unload(to, o)
 		}
-		return
-	}
-	if r.load(to, t) {
-		moved := v.flow[t.ID] / 2
-		v.use -= moved
-		to.use += moved
+		to.free -= t.Bytes
+		r.promised++
+	} else if !r.load(to, t) {
+		return false
 	}
+	v.use -= gain
+	to.use += gain
+	return true
 }
 
-// loadingSomewhere tells whether a copy is on its way, whose effect must be awaited.
-func (r *round) loadingSomewhere(id units.ModelID) bool {
-	return slices.ContainsFunc(r.copies[id], func(v *replica) bool { return !v.has[id] })
-}
-
-// cheapest returns the replica below lowUse where room for a further copy of t
-// displaces least work, if that is less than the copy would take over.
-func (r *round) cheapest(t Target) *replica {
-	var best *replica
-	bestCost := 0.0
-	for _, v := range r.replicas {
-		if !r.canTake(v, t) || v.share() >= lowUse {
+// relief returns the replica on which a further copy of t takes over most of the flow
+// of v, less the work that making room displaces, and what it takes over.
+func (r *round) relief(v *replica, t Target, flow float64) (to *replica, gain float64) {
+	best := 0.0
+	for _, u := range r.hosts(t) {
+		moved := min(flow/2, (v.share()-u.share())*float64(u.Speed)/2)
+		if u == v || moved < minGain*float64(u.Speed) || moved <= best || !r.canTake(u, t) {
 			continue
 		}
-		_, cost, ok := r.victims(v, t)
-		if ok && cost < r.wanted(t.ID)/2 && (best == nil || cost < bestCost) {
-			best, bestCost = v, cost
+		net := moved
+		if u.free < t.Bytes {
+			_, cost, ok := r.victims(u, t)
+			if !ok {
+				continue
+			}
+			net -= cost + evictionCost*float64(u.Speed)
+		}
+		if net >= minGain*float64(u.Speed) && net > best {
+			to, gain, best = u, moved, net
 		}
 	}
-	return best
+	return to, gain
+}
+
+// loadingSomewhere tells whether a copy is on its way, whose effect must be awaited.
+func (r *round) loadingSomewhere(id units.ModelID) bool {
+	return slices.ContainsFunc(r.copies[id], func(v *replica) bool { return !v.has[id] })
 }
 
 // spreadZones uses free memory for a copy in a second availability zone, so that a
@@ -609,15 +669,20 @@
 		if len(copies) == 0 || r.loadingSomewhere(t.ID) || len(zonesOf(copies)) > 1 {
 			continue
 		}
+		if then, ok := r.planner.spread[t.ID]; ok && r.now.Sub(then) < spreadSpan {
+			continue
+		}
 		zone := copies[0].Zone
 		var best *replica
-		for _, v := range r.replicas {
-			if v.Zone != zone && r.canTake(v, t) && v.free >= t.Bytes && (best == nil || v.free > best.free) {
+		for _, v := range r.hosts(t) {
+			wanted := r.demand[t.ID].Long >= spreadShare*float64(v.Speed)
+			if wanted && v.Zone != zone && v.free >= t.Bytes && (best == nil || v.free > best.free) && r.canTake(v, t) {
 				best = v
 			}
 		}
 		if best != nil {
 			r.load(best, t)
+			r.planner.spread[t.ID] = r.now
 		}
 	}
 }
