rate, agent: number grants beyond int, order calls in a test

Cause: a gateway whose first grant number exceeded the range of int panicked in the choice among slots; TestDeadline assumed that calls on two streams keep their order. Change: the rotation is taken modulo; the test waits until the first call runs.

--- a/agent/call_test.go
+++ b/agent/call_test.go
@@ -189,11 +189,15 @@
 
 // Guards against requests that wait for an answer after nobody needs it any more.
 func TestDeadline(t *testing.T) {
+	running := make(chan struct{}, 2)
 	r := newRig(t, http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
 		_, _ = io.Copy(io.Discard, q.Body)
+		running <- struct{}{}
 		<-q.Context().Done()
 	}), func(o *agent.Options) { o.Limits.Running, o.Limits.StartAllowance = 1, 1 })
 	first := r.call(&wire.Call{Attempt: "a1", Kind: "service", Idempotent: true, Timeout: 300})
+	// Calls on two streams may overtake each other.
+	<-running
 	second := r.call(&wire.Call{Attempt: "a2", Kind: "service", Idempotent: true, Timeout: 50})
 	a := read(t, second)
 	assert.Equal(t, a.refuse.GetCode(), "deadline_unreachable")
--- a/rate/ask.go
+++ b/rate/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/magnolialever/magnolialever/clock"
@@ -121,11 +122,11 @@
 	if lack <= 0 {
 		return
 	}
-	if side, ok := a.fullest(now, int(c.next), toMilli(lack)); ok {
+	if side, ok := a.fullest(now, c.rotation(), toMilli(lack)); ok {
 		c.send(now, a, side, lack)
 		return
 	}
-	offers := a.offers(now, int(c.next))
+	offers := a.offers(now, c.rotation())
 	var total milli
 	for _, o := range offers {
 		total += o.most
@@ -141,6 +142,10 @@
 	}
 }
 
+// rotation spreads the choice among equal slots. Grants are numbered from a random
+// number, which may exceed the range of int.
+func (c *Client) rotation() int { return int(c.next % math.MaxInt32) }
+
 // offer is what one slot may grant.
 type offer struct {
 	side  int
