agent: relay configuration with syncer and check permits with rate.Fence

Cause: gateways send configuration as differences, which the agent's own relay would have stored as whole values; a second check of permits opened a restarted agent with the table of any gateway. Change: the agent runs syncer without a store, checks permits with rate.Fence, and reads the table of owners from the store at its start; rate encodes the table.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -98,6 +98,9 @@
 	TLS      *tls.Config
 	Upstream Upstream
 	Limits   Limits
+	// Owners reads the table of rate slot owners from the store. Without it, tables of
+	// gateways count as current.
+	Owners OwnersReader
 	// Free admits calls that cost nothing without a permit, such as those of open
 	// routes of services.
 	Free bool
--- a/agent/control.go
+++ b/agent/control.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/syncer"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -35,6 +36,12 @@
 	}
 }
 
+// Push implements syncer.Link. The exchange of configuration repeats what is lost.
+func (c *control) Push(f *wire.Frame) error {
+	c.push(f)
+	return nil
+}
+
 // control serves a stream of control messages. A stream that starts with Ping also
 // gets what the agent announces.
 func (s *Server) control(ctx context.Context, peer wire.Identity, st *wire.Stream, first *wire.Frame) {
@@ -48,6 +55,8 @@
 	s.handle(ctx, c, first)
 	if first.GetPing() != nil {
 		s.owner.do(func() { s.state.join(c) })
+		s.config.Attach(syncer.Peer{ID: units.VMID(peer.ID), Gateway: true, Link: c})
+		defer s.config.Detach(units.VMID(peer.ID), c)
 	}
 	for {
 		f, err := st.Recv()
@@ -65,7 +74,10 @@
 func (s *state) join(c *control) {
 	s.controls[c] = struct{}{}
 	c.push(s.loadFrame())
-	c.push(s.versions())
+	if s.table != nil {
+		c.push(s.table.Frame())
+		c.push(s.versions())
+	}
 	if f := s.suspectsFrame(s.clock.Now()); len(f.GetSuspects().Suspect) > 0 {
 		c.push(f)
 	}
@@ -97,9 +109,10 @@
 		// A load from a gateway asks for the agent's own.
 		s.owner.do(func() { c.push(s.state.loadFrame()) })
 	case *wire.Frame_Versions:
-		s.owner.do(func() { s.state.compare(c, b.Versions) })
+		s.config.Deliver(units.VMID(c.peer.ID), f)
+		s.owner.do(func() { s.state.ledger.Learn(units.Fence(b.Versions.Fence)) })
 	case *wire.Frame_Config:
-		s.owner.do(func() { s.state.configs.update(b.Config) })
+		s.config.Deliver(units.VMID(c.peer.ID), f)
 	case *wire.Frame_Owners:
 		s.owner.do(func() { s.state.own(c, b.Owners) })
 	case *wire.Frame_Order:
@@ -121,36 +134,6 @@
 	}
 }
 
-// compare hands newer configuration to a gateway that has older, and asks for what
-// the agent lacks.
-func (s *state) compare(c *control, v *wire.Versions) {
-	s.ledger.Learn(units.Fence(v.Fence))
-	lacking, missing := s.configs.newer(v)
-	for _, own := range lacking {
-		c.push(&wire.Frame{Body: &wire.Frame_Config{Config: own}})
-	}
-	if v.Owners < s.owners.version {
-		c.push(&wire.Frame{Body: &wire.Frame_Owners{Owners: s.owners.table}})
-	}
-	if missing || v.Owners != s.owners.version {
-		c.push(s.versions())
-	}
-}
-
-// own takes a table of owners and acknowledges the version in force.
-func (s *state) own(c *control, t *wire.Owners) {
-	if !s.owners.update(t) {
-		c.push(s.versions())
-		return
-	}
-	for other := range s.controls {
-		other.push(s.versions())
-	}
-	if _, ok := s.controls[c]; !ok {
-		c.push(s.versions())
-	}
-}
-
 // query answers for an attempt that must not be repeated. One that waits in the
 // queue has been received and may still run.
 func (s *state) query(q *wire.Query) *wire.Outcome {
--- a/agent/job.go
+++ b/agent/job.go
@@ -73,7 +73,7 @@
 	if r := s.outcomes.check(j.call); r != nil && j.once() {
 		return r
 	}
-	if r := s.owners.check(now, j.call, s.free); r != nil {
+	if r := s.checkPermit(now, j.call); r != nil {
 		return r
 	}
 	if r := s.checkTarget(j); r != nil {
--- a/agent/owners.go
+++ b/agent/owners.go
@@ -1,70 +1,105 @@
 package agent
 
 import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"k8s.io/klog/v2"
+
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/rate"
+	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/store"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
 
-// staleWait gives the table of owners time to arrive before the next try.
-const staleWait = 100 * clock.Millisecond
+const (
+	// staleWait gives the table of owners time to arrive before the next try.
+	staleWait = 100 * clock.Millisecond
+	// ownersRetry is the mean time between two tries to read the table at the start.
+	// It bounds the calls when all agents start during an outage of the store.
+	ownersRetry = 500 * time.Millisecond
+)
+
+// OwnersReader reads the table of rate slot owners from the store.
+type OwnersReader func(ctx context.Context) (*rate.Table, error)
 
-// owners is the table of rate slot owners. It only moves forward.
-type owners struct {
-	version int64
-	epochs  map[uint32]int64
-	table   *wire.Owners
+// StoredOwners returns a reader for the platform's key-value service.
+func StoredOwners(kv store.KV) OwnersReader {
+	return func(ctx context.Context) (*rate.Table, error) {
+		e, err := kv.Get(ctx, rate.OwnersKey)
+		if err != nil {
+			return nil, fmt.Errorf("read owners: %w", err)
+		}
+		return rate.DecodeTable(e.Value)
+	}
 }
 
-// update takes a table and reports whether it is newer.
-func (o *owners) update(t *wire.Owners) bool {
-	if t.Version <= o.version {
-		return false
+// readOwners opens the fence with the table of the store. Tables of gateways don't
+// open it: a gateway that lags could bring a former owner back into force.
+func (s *Server) readOwners(ctx context.Context) {
+	for ctx.Err() == nil {
+		t, err := s.options.Owners(ctx)
+		if err == nil {
+			s.owner.do(func() { s.state.learn(t, true) })
+			return
+		}
+		klog.V(1).Infof("agent: owners of rate slots are not known yet: %v", err)
+		stats.Event("owners_unread")
+		select {
+		case <-ctx.Done():
+		case <-time.After(ownersRetry/2 + rand.N(ownersRetry)):
+		}
 	}
-	if o.epochs == nil {
-		o.epochs = map[uint32]int64{}
+}
+
+// learn takes over a table of owners and reports whether it is newer than all before.
+func (s *state) learn(t *rate.Table, current bool) bool {
+	newer := t.Version > s.fence.Version()
+	s.fence.Learn(t, current)
+	if newer {
+		s.table = t
+		s.acknowledge()
 	}
-	for _, sl := range t.Slot {
-		o.epochs[sl.Slot] = max(o.epochs[sl.Slot], sl.Epoch)
+	return newer
+}
+
+// acknowledge tells all gateways the version of the table.
+func (s *state) acknowledge() {
+	for c := range s.controls {
+		c.push(s.versions())
 	}
-	o.version, o.table = t.Version, t
-	return true
 }
 
-// check decides whether the permit covers the start of the call at the given time.
-func (o *owners) check(now clock.Time, c *wire.Call, free bool) *refusal {
-	p := c.Permit
-	if c.Cost == 0 && len(p.GetPaid()) == 0 && free {
+// own takes a table from a gateway.
+func (s *state) own(c *control, w *wire.Owners) {
+	if !s.learn(rate.TableOf(w), s.options.Owners == nil) {
+		c.push(s.versions())
+	}
+}
+
+// checkPermit decides whether the permit covers the start of the call now.
+func (s *state) checkPermit(now clock.Time, c *wire.Call) *refusal {
+	if c.Cost == 0 && len(c.Permit.GetPaid()) == 0 && s.free {
 		// Such a permit, if any, only limits the time of the start.
-		if p.GetExpires() != 0 && now.After(clock.Time(p.Expires)) {
+		if p := c.Permit; p != nil && p.Expires != 0 && now.After(clock.Time(p.Expires)) {
 			return notRun(units.PermitExpired, "permit has expired")
 		}
 		return nil
 	}
-	if p == nil || now.After(clock.Time(p.Expires)) {
-		return notRun(units.PermitExpired, "permit is missing or has expired")
-	}
-	if o.table == nil {
-		// A new agent can't tell which epochs are over.
-		return stale("owners of rate slots are not known yet")
-	}
-	paid := int64(0)
-	for _, g := range p.Paid {
-		if g.Epoch < o.epochs[g.Slot] {
-			return stale("permit is paid by a former owner")
-		}
-		if g.Tokens > 0 {
-			paid += g.Tokens
-		}
-	}
-	if paid < c.Cost || len(p.Paid) == 0 {
-		return stale("permit does not cover the cost")
+	switch code := s.fence.Start(now, units.AttemptID(c.Attempt), rate.PermitOf(c.Permit), units.Tokens(c.Cost)); code {
+	case "":
+		return nil
+	case units.InProgress:
+		return &refusal{code: code, ran: true, message: "attempt has been decided before"}
+	case units.PermitStale:
+		r := notRun(code, "permit is not valid with the known owners of rate slots")
+		r.wait = staleWait
+		return r
+	default:
+		return notRun(code, "permit has expired")
 	}
-	return nil
-}
-
-func stale(message string) *refusal {
-	r := notRun(units.PermitStale, message)
-	r.wait = staleWait
-	return r
 }
--- a/agent/server.go
+++ b/agent/server.go
@@ -16,6 +16,8 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/syncer"
+	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
 
@@ -39,6 +41,8 @@
 	engine  *engine
 	owner   *owner
 	state   *state
+	// config relays the configuration between gateways.
+	config *syncer.Syncer
 	// sessions waits for the end of open sessions; open counts them.
 	sessions sync.WaitGroup
 	open     atomic.Int64
@@ -74,6 +78,7 @@
 		engine:  newEngine(o.Upstream.Address),
 		owner:   newOwner(),
 		state:   newState(o),
+		config:  syncer.New(syncer.Options{Self: units.VMID(o.Node.ID), Clock: o.Clock}),
 	}
 	s.lifetime, s.end = context.WithCancel(ctx)
 	return s, nil
@@ -96,6 +101,10 @@
 	g.Go(func() error { return s.accept(work) })
 	g.Go(func() error { return s.serveAdmin(work) })
 	g.Go(func() error { s.watch(work); return nil })
+	g.Go(func() error { return ignoreCancel(s.config.Run(work)) })
+	if s.options.Owners != nil {
+		g.Go(func() error { s.readOwners(work); return nil })
+	}
 	if s.options.Upstream.Kind == Engine {
 		g.Go(func() error { s.poll(work); return nil })
 	}
@@ -115,6 +124,14 @@
 	return nil
 }
 
+// ignoreCancel drops the error of a part that ended because it was told to.
+func ignoreCancel(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
 // drain refuses new work and waits for the requests in progress.
 func (s *Server) drain() {
 	s.owner.do(s.state.leave)
--- a/agent/state.go
+++ b/agent/state.go
@@ -4,6 +4,7 @@
 	"github.com/magnolialever/magnolialever/admit"
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/place"
+	"github.com/magnolialever/magnolialever/rate"
 	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
@@ -45,8 +46,8 @@
 	crash     crash
 
 	// Of the fleet.
-	owners   owners
-	configs  configs
+	fence    *rate.Fence
+	table    *rate.Table
 	suspects *retry.Suspects
 
 	// Of requests.
@@ -70,6 +71,7 @@
 		adapters:  admit.NewLimit(o.Limits.Running),
 		ledger:    place.NewLedger(place.Options{Capacity: o.Upstream.Capacity, Lag: ledgerLag}),
 		awaiting:  map[string][]*control{},
+		fence:     rate.NewFence(),
 		suspects:  retry.NewSuspects(),
 		outcomes:  newOutcomes(),
 		jobs:      map[units.AttemptID]*job{},
@@ -120,11 +122,10 @@
 	return &wire.Frame{Body: &wire.Frame_Leave{Leave: &wire.Leave{Id: s.options.Node.ID}}}
 }
 
-// versions tells a gateway what the agent has; it acknowledges the owners' table.
+// versions acknowledges the table of owners and tells the fencing number.
 func (s *state) versions() *wire.Frame {
 	return &wire.Frame{Body: &wire.Frame_Versions{Versions: &wire.Versions{
-		Version:   s.configs.versions(),
-		Owners:    s.owners.version,
+		Owners:    s.fence.Version(),
 		Confirmed: -1,
 		Fence:     int64(s.ledger.Fence()),
 	}}}
--- a/cmds/agent.go
+++ b/cmds/agent.go
@@ -10,6 +10,7 @@
 
 	"github.com/magnolialever/magnolialever/agent"
 	"github.com/magnolialever/magnolialever/config"
+	"github.com/magnolialever/magnolialever/store"
 )
 
 func init() {
@@ -38,7 +39,9 @@
 	if err != nil {
 		return usage(err)
 	}
-	o.Secret = []byte(fleet.Secret)
+	kv := store.New(store.Options{Address: fleet.Store})
+	defer kv.Close()
+	o.Secret, o.Owners = []byte(fleet.Secret), agent.StoredOwners(kv)
 	o.Upstream, o.Free, o.Limits = settings.Upstream, settings.Free, settings.Limits
 	s, err := agent.New(o)
 	if err != nil {
--- a/coord/leader.go
+++ b/coord/leader.go
@@ -153,7 +153,7 @@
 	if next == t {
 		return nil
 	}
-	b, err := encodeTable(next)
+	b, err := rate.EncodeTable(next)
 	if err != nil {
 		return err
 	}
@@ -161,7 +161,7 @@
 		return nil
 	}
 	// The revision makes the write safe also when the lease was lost since the check.
-	_, err = kv.Swap(ctx, ownersKey, revision, b, 0)
+	_, err = kv.Swap(ctx, rate.OwnersKey, revision, b, 0)
 	if errors.Is(err, store.ErrConflict) {
 		return nil
 	}
--- a/devel/devel.go
+++ b/devel/devel.go
@@ -19,6 +19,7 @@
 	"github.com/magnolialever/magnolialever/fakes/vms"
 	"github.com/magnolialever/magnolialever/fakes/weight"
 	"github.com/magnolialever/magnolialever/gate"
+	"github.com/magnolialever/magnolialever/store"
 	"github.com/magnolialever/magnolialever/units"
 )
 
@@ -61,6 +62,7 @@
 	Gateways []*coord.Gateway
 
 	options Options
+	kv      *store.Client
 	parts   []*part
 }
 
@@ -113,6 +115,7 @@
 	if f.VMs, err = vms.New(vms.Options{}); err != nil {
 		return fmt.Errorf("open VM list: %w", err)
 	}
+	f.kv = store.New(store.Options{Address: f.Store.Addr()})
 	f.add("store", f.Store.Run)
 	f.add("weight store", f.Weights.Run)
 	f.add("VM list", f.VMs.Run)
@@ -160,6 +163,7 @@
 		Node:     config.Node{ID: id, Zone: string(f.zone(i)), Peer: anyPort, Admin: anyPort},
 		Secret:   []byte(secret),
 		Upstream: u,
+		Owners:   agent.StoredOwners(f.kv),
 	})
 	if err != nil {
 		return fmt.Errorf("open agent: %w", err)
@@ -210,6 +214,7 @@
 	for i := len(f.parts) - 1; i >= 0; i-- {
 		err = errors.Join(err, f.parts[i].stop())
 	}
+	f.kv.Close()
 	return err
 }
 
