--- a/place/bench_test.go
+++ b/place/bench_test.go
@@ -10,6 +10,7 @@
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/place"
 	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/wire"
 )
 
 // large returns a fleet with a share of a model's memory on each replica, and its
@@ -58,7 +59,7 @@
 				now := clock.Time(300_000)
 				b.ReportAllocs()
 				b.ResetTimer()
-				began := processor()
+				began, bytes := processor(), 0
 				for range b.N {
 					b.StopTimer()
 					for range targets / 10 {
@@ -72,6 +73,10 @@
 					list := p.Plan(now, place.World{Targets: f.targets, Replicas: f.replicas, Demand: demand})
 					b.StopTimer()
 					for _, c := range list {
+						bytes += wire.Size(&wire.Frame{Body: &wire.Frame_Order{Order: &wire.Order{
+							Id: "123456-1234", Fence: 123456, Op: string(c.Op), Target: string(c.Target.ID),
+							Base: string(c.Target.Base), Bytes: int64(c.Target.Bytes) << 30, Version: "12",
+						}}})
 						f.apply(now, c)
 					}
 					now = now.Add(clock.Second)
@@ -79,6 +84,7 @@
 				}
 				b.StopTimer()
 				b.ReportMetric(float64((processor()-began).Microseconds())/float64(b.N)/1000, "cpu-ms/round")
+				b.ReportMetric(float64(bytes)/float64(b.N), "order-bytes/round")
 			})
 		}
 	}
