--- a/coord/place.go
+++ b/coord/place.go
@@ -297,7 +297,7 @@
 	delete(p.open, r.Id)
 	c := o.command
 	if r.Code == "" {
-		p.planner.Done(c)
+		p.planner.Done(now, c)
 		return
 	}
 	// With a stale fencing number another gateway holds the lease.
--- a/devel/place_test.go
+++ b/devel/place_test.go
@@ -167,3 +167,16 @@
 	})
 	checkEngines(t, f)
 }
+
+// Guards against models that stay away, or memory that is overcommitted, when engines
+// carry out orders late and answers are lost.
+func TestOrdersLostAndLate(t *testing.T) {
+	f := startEmpty(t, 2*modelBytes, 4, 0)
+	for _, e := range f.Engines {
+		e.Update(func(v *engine.Faults) { v.LoseOrders, v.OrderDelayMillis = 1, 300 })
+	}
+	for i := range 4 {
+		eventually(t, "model is resident", func() bool { return holders(f, units.ModelID(fmt.Sprint("m", i))) > 0 })
+	}
+	checkEngines(t, f)
+}
--- a/place/plan.go
+++ b/place/plan.go
@@ -152,10 +152,15 @@
 // SetBudget changes the limits of the weight store.
 func (p *Planner) SetBudget(b Budget) { p.budget = b }
 
-// Done tells the planner that an order was carried out.
-func (p *Planner) Done(c Command) {
-	if o, ok := p.pending[c.place()]; ok && o.op == Unload && c.Op == Unload {
-		delete(p.pending, c.place())
+// Done tells the planner that an order was carried out, which the next reports show.
+func (p *Planner) Done(now clock.Time, c Command) {
+	o, ok := p.pending[c.place()]
+	if !ok || o.op != c.Op {
+		return
+	}
+	delete(p.pending, c.place())
+	if c.Op == Load {
+		p.loaded[c.place()] = now
 	}
 }
 
@@ -180,9 +185,16 @@
 		p.credit = min(p.credit+now.Sub(p.last).Seconds()*p.budget.Rate, burstBudget)
 	}
 	p.last, p.started = now, true
-	for at, then := range p.failed {
-		if now.Sub(then) >= failedSpan {
-			delete(p.failed, at)
+	forget(now, p.failed, failedSpan)
+	forget(now, p.loaded, settleSpan)
+	forget(now, p.spread, spreadSpan)
+}
+
+// forget drops the entries that the span has made irrelevant.
+func forget[K comparable](now clock.Time, m map[K]clock.Time, span clock.Span) {
+	for k, then := range m {
+		if now.Sub(then) >= span {
+			delete(m, k)
 		}
 	}
 }
@@ -556,8 +568,7 @@
 // settling reports whether a copy is too new to go. It may go at once when nobody
 // asks for it and requests wait for t.
 func (r *round) settling(v *replica, id units.ModelID, t Target) bool {
-	since, ok := r.planner.loaded[place{v.ID, id}]
-	if !ok || r.now.Sub(since) >= settleSpan {
+	if _, ok := r.planner.loaded[place{v.ID, id}]; !ok {
 		return false
 	}
 	return r.wanted(id) >= idleUse || r.demand[t.ID].Waiting == 0
@@ -597,7 +608,7 @@
 
 // relieve orders another copy of t, and reports whether one is on its way.
 func (r *round) relieve(v *replica, t Target) bool {
-	if r.loadingSomewhere(t.ID) {
+	if r.loadingSomewhere(t.ID) && r.suffice(t.ID) {
 		return true
 	}
 	r.searches++
@@ -653,6 +664,17 @@
 	return to, gain
 }
 
+// suffice tells whether the copies, with those on their way, could serve the target if
+// they had nothing else to do. A surge beyond that does not wait for one load after
+// the other.
+func (r *round) suffice(id units.ModelID) bool {
+	speed := units.Tokens(0)
+	for _, v := range r.copies[id] {
+		speed += v.Speed
+	}
+	return max(r.demand[id].Short, r.demand[id].Long) <= highUse*float64(speed)
+}
+
 // loadingSomewhere tells whether a copy is on its way, whose effect must be awaited.
 func (r *round) loadingSomewhere(id units.ModelID) bool {
 	return slices.ContainsFunc(r.copies[id], func(v *replica) bool { return !v.has[id] })
@@ -669,7 +691,7 @@
 		if len(copies) == 0 || r.loadingSomewhere(t.ID) || len(zonesOf(copies)) > 1 {
 			continue
 		}
-		if then, ok := r.planner.spread[t.ID]; ok && r.now.Sub(then) < spreadSpan {
+		if _, ok := r.planner.spread[t.ID]; ok {
 			continue
 		}
 		zone := copies[0].Zone
--- a/place/plan_test.go
+++ b/place/plan_test.go
@@ -21,6 +21,9 @@
 	loads    int
 	loadTime clock.Span
 	refused  int
+	// unloadTime is how long memory stays in use after an unload has begun.
+	unloadTime clock.Span
+	freeing    []underway
 }
 
 type underway struct {
@@ -41,7 +44,8 @@
 	case c.Op == place.Unload:
 		if j := slices.Index(r.Resident, c.Target.ID); j >= 0 {
 			r.Resident = slices.Delete(r.Resident, j, j+1)
-			r.Free += c.Target.Bytes
+			f.freeing = append(f.freeing, underway{i, c.Target, now.Add(f.unloadTime)})
+			f.free(now)
 		}
 	case slices.Contains(r.Resident, c.Target.ID), slices.Contains(r.Loading, c.Target.ID):
 	case r.Free < c.Target.Bytes:
@@ -54,7 +58,19 @@
 	}
 }
 
+// free returns the memory of unloads that are over.
+func (f *fleet) free(now clock.Time) {
+	f.freeing = slices.DeleteFunc(f.freeing, func(u underway) bool {
+		if now.Before(u.done) {
+			return false
+		}
+		f.replicas[u.replica].Free += u.target.Bytes
+		return true
+	})
+}
+
 func (f *fleet) finish(now clock.Time) {
+	f.free(now)
 	f.loading = slices.DeleteFunc(f.loading, func(u underway) bool {
 		if now.Before(u.done) {
 			return false
@@ -137,7 +153,11 @@
 	f.run(p, 300_000, 315_000, demand)
 	t.Logf("copies before %d, after 15 s %d", before, f.copies("m03"))
 	assert.Assert(t, f.copies("m03") >= 2)
-	f.run(p, 315_000, 360_000, demand)
+	demand["m03"] = place.Demand{Short: 9000, Long: 900}
+	f.run(p, 315_000, 330_000, demand)
+	t.Logf("copies for 9,000 tokens a second after 15 s: %d", f.copies("m03"))
+	assert.Assert(t, f.copies("m03") >= 6)
+	f.run(p, 330_000, 375_000, demand)
 	for _, o := range f.targets {
 		assert.Assert(t, f.copies(o.ID) >= 1, o.ID)
 	}
@@ -199,3 +219,48 @@
 		assert.Equal(t, f.refused, 0, "the planner ordered loads that don't fit")
 	})
 }
+
+// Guards against a base model that is unloaded under its adapters, and loads into
+// memory that an unload has not freed yet, when unloads are slow and replicas come and
+// go.
+func TestSlowUnloads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := soudniMost()
+		for i := range f.replicas {
+			f.replicas[i].Free, f.replicas[i].Capacity = 48, 48
+		}
+		f.loadTime = 2 * clock.Second
+		f.unloadTime = clock.Span(rapid.IntRange(0, 5).Draw(t, "unload time")) * clock.Second
+		p := place.NewPlanner(budget)
+		demand := map[units.ModelID]place.Demand{}
+		for now := clock.Time(0); now < 90_000; now += 1000 {
+			if now >= 30_000 && rapid.IntRange(0, 4).Draw(t, "shift") == 0 {
+				o := rapid.SampledFrom(f.targets).Draw(t, "target")
+				demand[o.ID] = place.Demand{Short: float64(rapid.IntRange(0, 3000).Draw(t, "demand")), Waiting: rapid.IntRange(0, 2).Draw(t, "waiting")}
+			}
+			if rapid.IntRange(0, 19).Draw(t, "mark") == 0 {
+				r := &f.replicas[rapid.IntRange(0, 8).Draw(t, "replica")]
+				r.Usable = !r.Usable
+			}
+			f.finish(now)
+			for _, c := range p.Plan(now, place.World{Targets: f.targets, Replicas: f.replicas, Demand: demand}) {
+				if c.Op == place.Unload {
+					f.checkUnload(t, c)
+				}
+				f.apply(now, c)
+			}
+		}
+		assert.Equal(t, f.refused, 0, "the planner ordered loads that don't fit")
+	})
+}
+
+// checkUnload checks that no adapter on the replica needs the target.
+func (f *fleet) checkUnload(t *rapid.T, c place.Command) {
+	i := slices.IndexFunc(f.replicas, func(r place.Replica) bool { return r.ID == c.Replica })
+	for _, o := range f.targets {
+		if o.Base == c.Target.ID {
+			r := &f.replicas[i]
+			assert.Assert(t, !slices.Contains(r.Resident, o.ID) && !slices.Contains(r.Loading, o.ID), "%s needs %s", o.ID, o.Base)
+		}
+	}
+}
