system: give each listener a loopback address of its own

Cause: a gateway failed to start because another process had taken its port between the choice and the use. Change: each address has its own IP in 127.0.0.0/8.

--- a/system/harness_test.go
+++ b/system/harness_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -183,10 +184,15 @@
 
 func zone(i int) string { return fmt.Sprint("zone-", string(rune('a'+i%3))) }
 
-// free returns an address of loopback that nobody listens on.
+var hosts atomic.Int64
+
+// free returns an address of loopback that nobody listens on. Each has an IP address of
+// its own: on 127.0.0.1, another process could take the port before its use.
 func free(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := hosts.Add(1)
+	ip := fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, n/250, 1+n%250)
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	assert.NilError(t, err)
 	defer l.Close()
 	return l.Addr().String()
