cmds, devel: run a sample fleet with dev

Cause: a stranger had no way to try the system. Change: dev runs gateways, agents and stand-ins, creates customer, key, model and adapter through the operators' interface and prints curl lines.

--- /dev/null
+++ b/devel/sample.go
@@ -0,0 +1,158 @@
+package devel
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/magnolialever/magnolialever/fakes/engine"
+	"github.com/magnolialever/magnolialever/opsapi"
+	"github.com/magnolialever/magnolialever/tree"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// Entries of the sample.
+const (
+	sampleTeam     = "court"
+	sampleCustomer = "district-court"
+	sampleModel    = "captions"
+	sampleAdapter  = "captions-legal"
+	sampleKey      = "hearing-room-1"
+
+	sampleModelBytes   = 16 << 30
+	sampleAdapterBytes = 1 << 28
+	sampleRate         = 2_000
+	sampleBurst        = 20_000
+
+	readyPoll    = 20 * time.Millisecond
+	readyTimeout = 30 * time.Second
+)
+
+// Errors of the sample.
+var (
+	errRefused  = errors.New("operators' interface refused the sample")
+	errNotReady = errors.New("fleet is not ready in time")
+)
+
+// Sample is what CreateSample has created.
+type Sample struct {
+	// Key is the secret of the sample key.
+	Key string
+	// Public and Operators are addresses of the first gateway.
+	Public    string
+	Operators string
+	service   units.ServiceID
+}
+
+// administrator is the bootstrap credential as the client of the operators'
+// interface wants it.
+type administrator struct{}
+
+// Operator implements opsapi.SecuritySource.
+func (administrator) Operator(context.Context, opsapi.OperationName) (opsapi.Operator, error) {
+	return opsapi.Operator{Token: Bootstrap}, nil
+}
+
+// CreateSample creates a customer, a model, an adapter and a key through the operators'
+// interface and waits until the fleet serves them.
+func (f *Fleet) CreateSample(ctx context.Context) (*Sample, error) {
+	g := f.Gateways[0]
+	s := &Sample{Public: g.Gate().Addr().String(), Operators: g.Operators().String(), service: f.options.Service}
+	c, err := opsapi.NewClient("http://"+s.Operators, administrator{})
+	if err != nil {
+		return nil, fmt.Errorf("operators' client: %w", err)
+	}
+	if err := f.putSample(ctx, c); err != nil {
+		return nil, err
+	}
+	r, err := c.IssueKey(ctx, &opsapi.IssueKey{
+		Attempt: opsapi.Attempt(uuid.NewString()), ID: sampleKey, Customer: sampleCustomer,
+	}, opsapi.IssueKeyParams{Team: sampleTeam})
+	if err != nil {
+		return nil, fmt.Errorf("issue sample key: %w", err)
+	}
+	k, ok := r.(*opsapi.IssuedKey)
+	if !ok {
+		return nil, fmt.Errorf("issue sample key: %w: %T", errRefused, r)
+	}
+	s.Key = k.Secret
+	return s, f.await(ctx)
+}
+
+func (f *Fleet) putSample(ctx context.Context, c *opsapi.Client) error {
+	value, err := tree.Encode(&tree.Team{
+		Customers: []tree.Customer{{ID: sampleCustomer, Rate: sampleRate, Burst: sampleBurst}},
+		Models:    []tree.Model{{ID: sampleModel, Bytes: sampleModelBytes}},
+		Adapters:  []tree.Adapter{{ID: sampleAdapter, Base: sampleModel, Bytes: sampleAdapterBytes}},
+		Services: []tree.Service{{
+			ID: f.options.Service, Idempotent: []tree.Route{{Method: "GET", Path: "/*"}},
+		}},
+	})
+	if err != nil {
+		return fmt.Errorf("encode sample: %w", err)
+	}
+	put := &opsapi.PutTeam{Attempt: opsapi.Attempt(uuid.NewString()), Value: value}
+	r, err := c.PutTeam(ctx, put, opsapi.PutTeamParams{Team: sampleTeam})
+	if err != nil {
+		return fmt.Errorf("write sample: %w", err)
+	}
+	if _, ok := r.(*opsapi.Accepted); !ok {
+		return fmt.Errorf("write sample: %w: %T", errRefused, r)
+	}
+	return nil
+}
+
+// await waits until the fleet is ready and the sample's adapter is loaded somewhere.
+func (f *Fleet) await(ctx context.Context) error {
+	end := time.Now().Add(readyTimeout)
+	for !f.Ready() || !f.loaded(sampleAdapter) {
+		if time.Now().After(end) {
+			return errNotReady
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for the fleet: %w", ctx.Err())
+		case <-time.After(readyPoll):
+		}
+	}
+	return nil
+}
+
+// loaded reports whether an engine has the target.
+func (f *Fleet) loaded(id units.ModelID) bool {
+	for _, e := range f.Engines {
+		for _, m := range e.Models() {
+			if m.ID == id && m.State == engine.Resident {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Guide returns commands that use the sample.
+func (s *Sample) Guide() string {
+	return fmt.Sprintf(`The fleet is ready. Try:
+
+# a chat answer
+curl -s http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' -H 'Content-Type: application/json' \
+  -d '{"model":"%[3]s","messages":[{"role":"user","content":"Good morning"}],"max_tokens":16}'
+
+# a stream from the adapter
+curl -sN http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' -H 'Content-Type: application/json' \
+  -d '{"model":"%[4]s","messages":[{"role":"user","content":"Good morning"}],"max_tokens":16,"stream":true}'
+
+# a plain call that must not be repeated: the second time gives the stored answer
+curl -s http://%[1]s/svc/%[5]s/book -X POST -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: booking-1' \
+  -H 'Content-Type: application/json' -d '{"case":7}'
+
+# an operator's change: take an availability zone out, and back
+export MAGNOLIALEVER_ADDRESS=http://%[6]s MAGNOLIALEVER_CREDENTIAL=%[7]s
+curl -s http://%[6]s/ops/v1/teams/%[8]s -H "Authorization: Bearer $MAGNOLIALEVER_CREDENTIAL"
+go run . zone out zone-b && go run . status && go run . zone back zone-b
+
+`, s.Public, s.Key, sampleModel, sampleAdapter, s.service, s.Operators, Bootstrap, sampleTeam)
+}
