place, gate: make the tests of late orders and of waits stricter

Cause: mutations of four checks passed the tests: a base model unloaded in the round of its adapters, memory promised to a load on its way, a last copy in use, and a wait after its caller has gone. Change: orders arrive late in the property test, which checks each unload against the state before the round, and a test cancels a caller with a long deadline.

--- a/gate/demand_test.go
+++ b/gate/demand_test.go
@@ -66,8 +66,8 @@
 	assert.Assert(t, d.asked["absent"] > 0)
 }
 
-// Guards against a wait beyond the deadline, for a caller that has gone, or for a
-// target that the customer's rate does not admit to be counted.
+// Guards against a wait beyond the deadline, and against demand that is counted although
+// the customer's rate does not admit it.
 func TestWaitEnds(t *testing.T) {
 	d := newCounted()
 	s := start(t, func(o *gate.Options) {
@@ -84,6 +84,12 @@
 	_, err = client(s, key).Chat.Completions.New(context.Background(), chat("small"))
 	assert.Equal(t, errorOf(t, err).Code, string(units.RateExceeded))
 	assert.Equal(t, len(d.asked), 0)
+}
+
+// Guards against a wait that goes on after its caller has gone.
+func TestWaitOfGoneCaller(t *testing.T) {
+	d := newCounted()
+	s := start(t, func(o *gate.Options) { o.Demand = d }, newStandIn(t, "a1", answerTokens(1)))
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		for d.waits("absent") == 0 {
@@ -91,7 +97,7 @@
 		}
 		cancel()
 	}()
-	_, err = client(s, key).Chat.Completions.New(ctx, chat("absent"))
+	_, err := client(s, key).Chat.Completions.New(ctx, chat("absent"))
 	assert.Assert(t, err != nil)
 	eventually(t, func() bool { return d.waits("absent") == 0 })
 }
--- a/place/plan_test.go
+++ b/place/plan_test.go
@@ -220,10 +220,16 @@
 	})
 }
 
-// Guards against a base model that is unloaded under its adapters, and loads into
-// memory that an unload has not freed yet, when unloads are slow and replicas come and
-// go.
-func TestSlowUnloads(t *testing.T) {
+// late is an order on its way to its agent.
+type late struct {
+	command place.Command
+	at      clock.Time
+}
+
+// Guards against a base model that is unloaded under its adapters, loads into memory
+// that is not free yet or promised to another load, and the unload of a last copy that
+// is in use, when orders are late, unloads are slow, and replicas come and go.
+func TestLateOrders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := soudniMost()
 		for i := range f.replicas {
@@ -231,10 +237,12 @@
 		}
 		f.loadTime = 2 * clock.Second
 		f.unloadTime = clock.Span(rapid.IntRange(0, 5).Draw(t, "unload time")) * clock.Second
+		delay := clock.Span(rapid.IntRange(0, 2).Draw(t, "delay")) * clock.Second
 		p := place.NewPlanner(budget)
 		demand := map[units.ModelID]place.Demand{}
+		var queue []late
 		for now := clock.Time(0); now < 90_000; now += 1000 {
-			if now >= 30_000 && rapid.IntRange(0, 4).Draw(t, "shift") == 0 {
+			if now >= 30_000 && rapid.IntRange(0, 2).Draw(t, "shift") == 0 {
 				o := rapid.SampledFrom(f.targets).Draw(t, "target")
 				demand[o.ID] = place.Demand{Short: float64(rapid.IntRange(0, 3000).Draw(t, "demand")), Waiting: rapid.IntRange(0, 2).Draw(t, "waiting")}
 			}
@@ -243,17 +251,40 @@
 				r.Usable = !r.Usable
 			}
 			f.finish(now)
+			for len(queue) > 0 && !queue[0].at.After(now) {
+				f.apply(now, queue[0].command)
+				queue = queue[1:]
+			}
 			for _, c := range p.Plan(now, place.World{Targets: f.targets, Replicas: f.replicas, Demand: demand}) {
 				if c.Op == place.Unload {
 					f.checkUnload(t, c)
+					d := demand[c.Target.ID]
+					last := f.copies(c.Target.ID)-unloads(queue, c.Target.ID) == 1
+					assert.Assert(t, !last || d.Short < 1 && d.Waiting == 0, "last copy of %s unloaded", c.Target.ID)
 				}
-				f.apply(now, c)
+				queue = append(queue, late{c, now.Add(delay)})
+			}
+			if delay == 0 {
+				for _, o := range queue {
+					f.apply(now, o.command)
+				}
+				queue = nil
 			}
 		}
 		assert.Equal(t, f.refused, 0, "the planner ordered loads that don't fit")
 	})
 }
 
+func unloads(queue []late, id units.ModelID) int {
+	n := 0
+	for _, o := range queue {
+		if o.command.Op == place.Unload && o.command.Target.ID == id {
+			n++
+		}
+	}
+	return n
+}
+
 // checkUnload checks that no adapter on the replica needs the target.
 func (f *fleet) checkUnload(t *rapid.T, c place.Command) {
 	i := slices.IndexFunc(f.replicas, func(r place.Replica) bool { return r.ID == c.Replica })
