once: record calls that must not be repeated in the store

Gateways had no implementation of gate.Once, so calls with an Idempotency-Key were refused. Records are created by compare-and-swap before dispatch, name the agent and its incarnation, and a repeated call asks that agent. Call.incarnation is set, so that an agent that has restarted since does not run the call. The query string is part of the fingerprint of a call: without it a call with another query got the answer of the first. Answers too large to be kept are stored without the body.

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -61,6 +61,7 @@
 	suspects *Suspects
 	placer   *placer
 	demand   *demand
+	queries  *queries
 	version  atomic.Int64
 }
 
@@ -81,6 +82,7 @@
 		done:     make(chan struct{}),
 		outboxes: newOutboxes(),
 		demand:   newDemand(),
+		queries:  newQueries(),
 	}
 	c.placer = newPlacer(c)
 	c.leader = newLeader(c)
--- a/coord/gateway.go
+++ b/coord/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/config"
 	"github.com/magnolialever/magnolialever/gate"
+	"github.com/magnolialever/magnolialever/once"
 	"github.com/magnolialever/magnolialever/store"
 	"github.com/magnolialever/magnolialever/syncer"
 	"github.com/magnolialever/magnolialever/tree"
@@ -68,6 +69,7 @@
 		Peers:     g.coord,
 		Refuse:    g.refuse,
 		Demand:    g.coord.Demand(),
+		Once:      once.New(once.Options{Store: g.store, Agents: g.coord.Outcomes(), Clock: c}),
 		Clock:     c,
 	})
 	if err != nil {
--- a/coord/outbox.go
+++ b/coord/outbox.go
@@ -71,6 +71,12 @@
 	}
 }
 
+// has reports whether the process is connected.
+func (o *outboxes) has(id string) bool {
+	_, ok := o.boxes[id]
+	return ok
+}
+
 func (o *outboxes) broadcast(f *wire.Frame) {
 	for id := range o.boxes {
 		o.push(id, f)
--- a/coord/peers.go
+++ b/coord/peers.go
@@ -45,6 +45,9 @@
 	case *wire.Frame_Suspects:
 		c.suspects.Receive(b.Suspects)
 		return
+	case *wire.Frame_Outcome:
+		c.queries.deliver(units.UpstreamID(from.ID), b.Outcome)
+		return
 	case *wire.Frame_Versions:
 		c.options.Syncer.Deliver(units.VMID(from.ID), f)
 		if from.Role != wire.Agent || b.Versions.Owners == 0 {
--- a/gate/answer.go
+++ b/gate/answer.go
@@ -171,10 +171,11 @@
 	a.writer.WriteHeader(a.status)
 }
 
-// stored returns the complete answer, or nil when it is too large to be kept.
+// stored returns the complete answer, without the body when it is too large to be
+// kept.
 func (a *answer) stored() *Stored {
 	if len(a.kept) > maxHeldBytes {
-		return nil
+		return &Stored{Status: a.status, Header: a.header, Cut: true}
 	}
 	return &Stored{Status: a.status, Header: a.header, Body: a.kept}
 }
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -20,9 +20,11 @@
 	clock    clock.Clock
 	stall    clock.Span
 	id       units.AttemptID
-	ctx      context.Context
-	stream   *wire.Stream
-	started  clock.Time
+	// incarnation of the agent in the record of a call that must not be repeated.
+	incarnation uint64
+	ctx         context.Context
+	stream      *wire.Stream
+	started     clock.Time
 	// confirm is called when the agent has shown that it started the request.
 	confirm func()
 	result  Result
@@ -58,6 +60,7 @@
 	defer stop()
 	a.arm(a.request.query.Deadline.Add(graceSpan))
 	call := a.request.call(a.id, a.started, a.upstream.permit(permit), a.answer.next)
+	call.Incarnation = a.incarnation
 	a.answer.begin()
 	// The call may arrive even if sending it failed: yamux still sends what waits in
 	// its queue. So it may have run.
--- a/gate/once.go
+++ b/gate/once.go
@@ -13,6 +13,8 @@
 	Status int
 	Header []*wire.Header
 	Body   []byte
+	// Cut is set when the body was too large to be kept.
+	Cut bool
 }
 
 // OnceCall names one attempt of a call that must not be repeated.
@@ -22,6 +24,8 @@
 	Key      string
 	Attempt  units.AttemptID
 	Upstream units.UpstreamID
+	// Incarnation of the upstream's agent; another one does not run the attempt.
+	Incarnation uint64
 	// Fingerprint tells a repeated call from another call with the same key.
 	Fingerprint uint64
 }
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -254,6 +255,9 @@
 		stall:    s.options.Gate.Limits.Stall,
 		confirm:  r.reservation.Started,
 	}
+	if r.request.once != "" {
+		a.incarnation = u.report.Load().load.Incarnation
+	}
 	if done, p := r.begin(ctx, a); done || p != nil {
 		return p
 	}
@@ -307,6 +311,11 @@
 	if s == nil {
 		return false, nil
 	}
+	if s.Cut {
+		r.stuck = true
+		message := fmt.Sprintf("the call is done with status %d, but its answer was too large to be stored", s.Status)
+		return false, &Problem{Code: units.OutcomeUnknown, Message: message, Ran: true}
+	}
 	stats.Event("answer_replayed")
 	return true, a.fail(r.answer.replay(s))
 }
@@ -317,6 +326,7 @@
 		Key:         r.request.once,
 		Attempt:     a.id,
 		Upstream:    a.upstream.id,
+		Incarnation: a.incarnation,
 		Fingerprint: r.request.query.Fingerprint,
 	}
 }
--- a/gate/service.go
+++ b/gate/service.go
@@ -60,7 +60,7 @@
 			Target:      name,
 			Service:     true,
 			Class:       class,
-			Fingerprint: fingerprint(x.caller.Customer, r.Method+" "+rest, body.data),
+			Fingerprint: fingerprint(x.caller.Customer, r.Method+" "+name+target, body.data),
 			Deadline:    s.deadline(x.arrived, class),
 			Idempotent:  route.Idempotent,
 		},
--- /dev/null
+++ b/once/keeper.go
@@ -0,0 +1,216 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"k8s.io/klog/v2"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/gate"
+	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/store"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+const (
+	// Retention is how long a record is kept at least; a call repeated later runs again.
+	Retention = 24 * clock.Hour
+	// leaseUse is how long a gateway binds new records to the same lease. One lease for
+	// each record would double the calls to the store; the controller would have to
+	// list all records to remove old ones.
+	leaseUse = clock.Hour
+	// defaultTimeout bounds the wait for an agent. Agents answer at once.
+	defaultTimeout = 2 * clock.Second
+)
+
+// Agents asks agents for outcomes.
+type Agents interface {
+	// Outcome asks the agent for the outcome of the attempt of the record. It returns
+	// Unknown when the agent does not answer.
+	Outcome(ctx context.Context, r Record) (Outcome, *Answer)
+}
+
+// Options configure a Keeper.
+type Options struct {
+	Store  store.KV
+	Agents Agents
+	Clock  clock.Clock
+	// Timeout bounds the wait for an agent; 0 means 2 s.
+	Timeout clock.Span
+}
+
+// Keeper implements gate.Once with records in the store. It is safe for concurrent
+// use.
+type Keeper struct {
+	options Options
+	lease   lease
+
+	mu sync.Mutex
+	// live are the attempts in progress at this gateway with the revisions of their
+	// records.
+	live map[units.AttemptID]units.Revision
+}
+
+var _ gate.Once = (*Keeper)(nil)
+
+// New returns a Keeper.
+func New(o Options) *Keeper {
+	if o.Clock == nil {
+		o.Clock = clock.System{}
+	}
+	if o.Timeout == 0 {
+		o.Timeout = defaultTimeout
+	}
+	k := &Keeper{options: o, live: map[units.AttemptID]units.Revision{}}
+	k.lease = lease{store: o.Store, clock: o.Clock}
+	return k
+}
+
+// Begin implements gate.Once.
+func (k *Keeper) Begin(ctx context.Context, c gate.OnceCall) (*gate.Stored, error) {
+	f := NewFlow(started(&c))
+	key := Key(c.Customer, c.Key)
+	for {
+		switch f.Step {
+		case Create, Replace:
+			k.write(ctx, key, &f)
+		case Read:
+			k.read(ctx, key, &f)
+		case Ask:
+			k.ask(ctx, key, &f)
+		case Run:
+			return nil, nil
+		case Replay:
+			return f.Answer.stored(), nil
+		default:
+			stats.Event("once_" + string(f.Problem.Code))
+			return nil, f.Problem
+		}
+	}
+}
+
+// write performs Create and Replace.
+func (k *Keeper) write(ctx context.Context, key string, f *Flow) {
+	old := f.Revision()
+	if f.Step == Create {
+		old = 0
+	}
+	r := f.Own()
+	at, err := k.swap(ctx, key, old, &r)
+	switch {
+	case err == nil:
+		k.mu.Lock()
+		k.live[r.Attempt] = at
+		k.mu.Unlock()
+		f.Wrote(Done)
+	case errors.Is(err, store.ErrConflict):
+		f.Wrote(Conflict)
+	default:
+		klog.Warningf("once: can't record an attempt: %v", err)
+		f.Wrote(Gone)
+	}
+}
+
+// swap writes a record that lasts for the retention time.
+func (k *Keeper) swap(ctx context.Context, key string, old units.Revision, r *Record) (units.Revision, error) {
+	b, err := r.encode()
+	if err != nil {
+		return 0, err
+	}
+	for range 2 {
+		var id store.LeaseID
+		if id, err = k.lease.get(ctx); err != nil {
+			return 0, fmt.Errorf("lease for records: %w", err)
+		}
+		var at units.Revision
+		if at, err = k.options.Store.Swap(ctx, key, old, b, id); err == nil {
+			return at, nil
+		}
+		if !errors.Is(err, store.ErrMissing) {
+			break
+		}
+		// The lease has lapsed early, as after a pause of the process.
+		k.lease.drop(id)
+	}
+	return 0, fmt.Errorf("write record: %w", err)
+}
+
+func (k *Keeper) read(ctx context.Context, key string, f *Flow) {
+	e, err := k.options.Store.Get(ctx, key)
+	if errors.Is(err, store.ErrMissing) {
+		f.Missing()
+		return
+	}
+	var r Record
+	if err == nil {
+		r, err = decode(e.Value)
+	}
+	if err != nil {
+		klog.Warningf("once: can't read a record: %v", err)
+		f.Failed()
+		return
+	}
+	k.mu.Lock()
+	_, live := k.live[r.Attempt]
+	k.mu.Unlock()
+	f.Found(r, e.Revision, live)
+}
+
+// ask performs Ask, and stores an answer that only the agent has.
+func (k *Keeper) ask(ctx context.Context, key string, f *Flow) {
+	limited, cancel := context.WithTimeout(ctx, k.options.Timeout.Duration())
+	defer cancel()
+	r := f.Seen()
+	o, a := k.options.Agents.Outcome(limited, r)
+	if o == Ended && a == nil {
+		o = Unknown
+	}
+	f.Told(o, a)
+	if o == Ended {
+		k.finish(ctx, key, f.Revision(), &r, a)
+	}
+}
+
+// finish stores the answer of an attempt. When that fails, a repeated call asks the
+// agent again.
+func (k *Keeper) finish(ctx context.Context, key string, old units.Revision, r *Record, a *Answer) {
+	done := *r
+	done.Answer = a
+	// Another gateway may have stored the same answer.
+	if _, err := k.swap(ctx, key, old, &done); err != nil && !errors.Is(err, store.ErrConflict) {
+		stats.Event("once_answer_not_stored")
+		klog.Warningf("once: can't store an answer: %v", err)
+	}
+}
+
+// End implements gate.Once. An attempt with an unknown outcome stays recorded as
+// started: its agent may still learn the outcome.
+func (k *Keeper) End(ctx context.Context, c gate.OnceCall, s *gate.Stored, ran bool) {
+	k.mu.Lock()
+	at, ok := k.live[c.Attempt]
+	k.mu.Unlock()
+	if !ok {
+		return
+	}
+	defer k.forget(c.Attempt)
+	key := Key(c.Customer, c.Key)
+	switch {
+	case s != nil:
+		r := started(&c)
+		k.finish(ctx, key, at, &r, answerOf(s))
+	case !ran:
+		// A record that stays costs a later attempt a question to the agent, no more.
+		if err := k.options.Store.Delete(ctx, key, at); err != nil {
+			klog.V(1).Infof("once: can't remove the record of an attempt that did not run: %v", err)
+		}
+	}
+}
+
+func (k *Keeper) forget(a units.AttemptID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.live, a)
+}
