work: run deferred work from the store

Gateways had no implementation of gate.Work, so deferred work was refused. An entry is stored before it is accepted; a gateway claims entries by compare-and-swap and renews one claim for all that it holds. Answers are bound to a lease that several keys share. The time limit and the backoff are decisions of a board without input or output. Execute reports an answer that is too large to be stored, which no other run would change.

--- a/coord/gateway.go
+++ b/coord/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/magnolialever/magnolialever/tree"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/vmlist"
+	"github.com/magnolialever/magnolialever/work"
 )
 
 // isolatedWait is what callers of an isolated gateway are told to wait; the balancer
@@ -40,6 +41,7 @@
 	syncer   *syncer.Syncer
 	coord    *Coord
 	picker   *Picker
+	work     *work.Queue
 	gate     *gate.Server
 }
 
@@ -55,6 +57,11 @@
 		Self: self, Zone: units.Zone(s.Node.Zone), Store: g.store, Syncer: g.syncer, Clock: c,
 		Reports: func() []gate.Report { return g.gate.Reports() },
 	})
+	g.work = work.New(work.Options{
+		Store: g.store, Clock: c,
+		Execute: func(ctx context.Context, j gate.Job) (*gate.Stored, error) { return g.gate.Execute(ctx, j) },
+		Ready:   func() bool { return !g.gate.Leaving() && g.refuse() == nil },
+	})
 	g.picker = NewPicker(units.Zone(s.Node.Zone), rand.Uint64())
 	var err error
 	g.gate, err = gate.New(gate.Options{
@@ -70,6 +77,7 @@
 		Refuse:    g.refuse,
 		Demand:    g.coord.Demand(),
 		Once:      once.New(once.Options{Store: g.store, Agents: g.coord.Outcomes(), Clock: c}),
+		Work:      g.work,
 		Clock:     c,
 	})
 	if err != nil {
@@ -92,7 +100,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	control, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	parts := []func(context.Context) error{g.coord.Run, g.vms.Run, g.syncer.Run, g.follow}
+	parts := []func(context.Context) error{g.coord.Run, g.vms.Run, g.syncer.Run, g.follow, g.work.Run}
 	ends := make(chan error, len(parts))
 	for _, run := range parts {
 		go func() { ends <- run(control) }()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -165,6 +165,9 @@
 	return ids
 }
 
+// Leaving reports whether the graceful stop has begun.
+func (s *Server) Leaving() bool { return s.leaving.Load() }
+
 // Running returns the number of requests in progress.
 func (s *Server) Running() int { return s.running.count() }
 
--- a/gate/work.go
+++ b/gate/work.go
@@ -15,7 +15,8 @@
 // and base64 adds a third.
 const maxJobBytes = 700 << 10
 
-var errJob = errors.New("the answer is too large to be stored")
+// ErrJobTooLarge is returned by Execute when the answer is too large to be stored.
+var ErrJobTooLarge = errors.New("the answer is too large to be stored")
 
 // Job is a request that runs without a waiting caller.
 type Job struct {
@@ -56,6 +57,9 @@
 	a := &answer{writer: newWriter(c, s.options.Gate.Limits.Write), arrived: time.Now()}
 	r := &relay{server: s, request: q, answer: a}
 	if p := r.run(q.ctx); p != nil {
+		if c.full {
+			return nil, ErrJobTooLarge
+		}
 		return nil, p
 	}
 	return &Stored{Status: a.status, Header: a.header, Body: c.body}, nil
@@ -65,6 +69,8 @@
 type collector struct {
 	header http.Header
 	body   []byte
+	// full is set when the body exceeds what can be stored.
+	full bool
 }
 
 // Header implements http.ResponseWriter.
@@ -81,7 +87,8 @@
 // Write implements http.ResponseWriter.
 func (c *collector) Write(data []byte) (int, error) {
 	if len(c.body)+len(data) > maxJobBytes {
-		return 0, errJob
+		c.full = true
+		return 0, ErrJobTooLarge
 	}
 	c.body = append(c.body, data...)
 	return len(data), nil
--- a/once/keeper.go
+++ b/once/keeper.go
@@ -18,10 +18,6 @@
 const (
 	// Retention is how long a record is kept at least; a call repeated later runs again.
 	Retention = 24 * clock.Hour
-	// leaseUse is how long a gateway binds new records to the same lease. One lease for
-	// each record would double the calls to the store; the controller would have to
-	// list all records to remove old ones.
-	leaseUse = clock.Hour
 	// defaultTimeout bounds the wait for an agent. Agents answer at once.
 	defaultTimeout = 2 * clock.Second
 )
@@ -46,7 +42,7 @@
 // use.
 type Keeper struct {
 	options Options
-	lease   lease
+	records *store.Shared
 
 	mu sync.Mutex
 	// live are the attempts in progress at this gateway with the revisions of their
@@ -64,9 +60,11 @@
 	if o.Timeout == 0 {
 		o.Timeout = defaultTimeout
 	}
-	k := &Keeper{options: o, live: map[units.AttemptID]units.Revision{}}
-	k.lease = lease{store: o.Store, clock: o.Clock}
-	return k
+	return &Keeper{
+		options: o,
+		records: store.NewShared(o.Store, o.Clock, Retention),
+		live:    map[units.AttemptID]units.Revision{},
+	}
 }
 
 // Begin implements gate.Once.
@@ -120,22 +118,11 @@
 	if err != nil {
 		return 0, err
 	}
-	for range 2 {
-		var id store.LeaseID
-		if id, err = k.lease.get(ctx); err != nil {
-			return 0, fmt.Errorf("lease for records: %w", err)
-		}
-		var at units.Revision
-		if at, err = k.options.Store.Swap(ctx, key, old, b, id); err == nil {
-			return at, nil
-		}
-		if !errors.Is(err, store.ErrMissing) {
-			break
-		}
-		// The lease has lapsed early, as after a pause of the process.
-		k.lease.drop(id)
+	at, err := k.records.Swap(ctx, key, old, b)
+	if err != nil {
+		return 0, fmt.Errorf("write record: %w", err)
 	}
-	return 0, fmt.Errorf("write record: %w", err)
+	return at, nil
 }
 
 func (k *Keeper) read(ctx context.Context, key string, f *Flow) {
--- /dev/null
+++ b/work/queue.go
@@ -0,0 +1,264 @@
+package work
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"k8s.io/klog/v2"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/gate"
+	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/store"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+// Limits bound the work of a gateway. A value of 0 takes the default.
+type Limits struct {
+	// Running is the number of entries that run at the same time, 8.
+	Running int
+	// Open is the number of entries of a customer that are not done, 5,000.
+	Open int
+	// Claim is how long a claim must stay unchanged for others to take its entries, 40 s.
+	// Night work can wait that long, and a claim is renewed four times meanwhile.
+	Claim clock.Span
+	// Spread is the longest delay between two gateways that claim the same entry, 1 s.
+	Spread clock.Span
+	// Due is the time after which an entry is given up, 12 h: the morning after.
+	Due clock.Span
+	// Retention is how long an answer is kept at least, 24 h.
+	Retention clock.Span
+}
+
+func (l *Limits) setDefaults() {
+	orDefault(&l.Running, 8)
+	orDefault(&l.Open, 5000)
+	orDefault(&l.Claim, 40*clock.Second)
+	orDefault(&l.Spread, clock.Second)
+	orDefault(&l.Due, 12*clock.Hour)
+	orDefault(&l.Retention, 24*clock.Hour)
+}
+
+func orDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+// renewals is how often a claim is renewed within its span.
+const renewals = 4
+
+// Options configure a Queue.
+type Options struct {
+	Store store.KV
+	// Execute runs a job with the customer's rate.
+	Execute func(context.Context, gate.Job) (*gate.Stored, error)
+	Clock   clock.Clock
+	// Calendar returns the ms since 1970; nil means that of the system.
+	Calendar func() int64
+	// Ready, if set, reports whether the gateway takes new requests.
+	Ready  func() bool
+	Limits Limits
+}
+
+// Queue implements gate.Work. It is safe for concurrent use.
+type Queue struct {
+	options Options
+	self    HolderID
+	answers *store.Shared
+	wake    chan struct{}
+	// group counts the places taken.
+	group    sync.WaitGroup
+	claimed  units.Revision
+	renewed  clock.Time
+	interval clock.Span
+
+	mu    sync.Mutex
+	board *Board
+	// running is set while Run takes entries.
+	running bool
+}
+
+var _ gate.Work = (*Queue)(nil)
+
+// New returns a Queue; Run runs its entries.
+func New(o Options) *Queue {
+	o.Limits.setDefaults()
+	if o.Clock == nil {
+		o.Clock = clock.System{}
+	}
+	if o.Calendar == nil {
+		o.Calendar = func() int64 { return time.Now().UnixMilli() }
+	}
+	self := HolderID(uuid.NewString())
+	return &Queue{
+		options:  o,
+		self:     self,
+		answers:  store.NewShared(o.Store, o.Clock, o.Limits.Retention),
+		wake:     make(chan struct{}, 1),
+		interval: o.Limits.Claim / renewals,
+		board:    NewBoard(self, o.Limits, rand.Int64N),
+	}
+}
+
+// Submit implements gate.Work.
+func (q *Queue) Submit(ctx context.Context, j gate.Job) (string, error) {
+	id := ID(uuid.NewString())
+	h, err := q.accept(ctx, id, &j)
+	if err != nil {
+		return "", err
+	}
+	if h != nil {
+		// The body is valid only during the call.
+		b := *h.entry.Job
+		b.Body = append([]byte(nil), b.Body...)
+		h.entry.Job = &b
+		go q.run(context.WithoutCancel(ctx), h)
+	}
+	return string(id), nil
+}
+
+// accept stores a new entry. It returns the entry as held when this process runs it.
+func (q *Queue) accept(ctx context.Context, id ID, j *gate.Job) (*held, error) {
+	e := newEntry(j, q.options.Calendar()+int64(q.options.Limits.Due))
+	mine, p := q.reserve(id, e.Customer)
+	if p != nil {
+		return nil, p
+	}
+	if mine {
+		e.State, e.Holder = Running, q.self
+	}
+	at, err := q.swap(ctx, id, 0, &e)
+	if err != nil {
+		if mine {
+			q.release(id)
+		}
+		return nil, submitProblem(err)
+	}
+	q.mu.Lock()
+	q.board.Seen(q.options.Clock.Now(), id, &e, at)
+	q.mu.Unlock()
+	if !mine {
+		return nil, nil
+	}
+	return &held{id: id, entry: e, revision: at}, nil
+}
+
+// reserve takes a place for a new entry if this process can run it.
+func (q *Queue) reserve(id ID, c units.CustomerID) (mine bool, p *gate.Problem) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.board.Open(c) >= q.options.Limits.Open {
+		return false, &gate.Problem{Code: units.QueueFull, Message: "the customer has too much deferred work"}
+	}
+	if !q.running || !q.ready() || !q.board.Reserve(id) {
+		return false, nil
+	}
+	q.group.Add(1)
+	return true, nil
+}
+
+func (q *Queue) ready() bool { return q.options.Ready == nil || q.options.Ready() }
+
+func submitProblem(err error) *gate.Problem {
+	klog.Warningf("work: can't store an entry: %v", err)
+	switch {
+	case errors.Is(err, store.ErrTooLarge):
+		return &gate.Problem{Code: units.BodyTooLarge, Message: "the request is too large to be deferred"}
+	case errors.Is(err, store.ErrUnknown):
+		// An entry that the store has, or yet gets, is run.
+		return &gate.Problem{Code: units.StoreUnavailable, Message: "the request may have been stored", Ran: true}
+	default:
+		return &gate.Problem{Code: units.StoreUnavailable, Message: "the request can't be stored"}
+	}
+}
+
+// Get implements gate.Work.
+func (q *Queue) Get(ctx context.Context, c units.CustomerID, id string) (*gate.Stored, error) {
+	n, ok := idOf(key(ID(id)))
+	if !ok {
+		return nil, notFound(id)
+	}
+	v, err := q.options.Store.Get(ctx, key(n))
+	if errors.Is(err, store.ErrMissing) {
+		return nil, notFound(id)
+	}
+	var e Entry
+	if err == nil {
+		e, err = decode(v.Value)
+	}
+	if err != nil {
+		klog.Warningf("work: can't read an entry: %v", err)
+		return nil, &gate.Problem{Code: units.StoreUnavailable, Message: "deferred work can't be read"}
+	}
+	switch {
+	case e.Customer != c:
+		return nil, notFound(id)
+	case e.Failure != nil:
+		return nil, &gate.Problem{Code: e.Failure.Code, Message: e.Failure.Message, Ran: e.Failure.Ran}
+	case e.Answer != nil:
+		return &gate.Stored{Status: e.Answer.Status, Header: toWire(e.Answer.Header), Body: e.Answer.Body}, nil
+	default:
+		return stateOf(id, e.State), nil
+	}
+}
+
+func notFound(id string) *gate.Problem {
+	return &gate.Problem{
+		Code: units.InvalidRequest, Message: fmt.Sprintf("there is no deferred work %q", id), Status: http.StatusNotFound,
+	}
+}
+
+// stateOf returns what the customer gets while there is no answer. An id with the
+// form of a stored one needs no quoting in JSON.
+func stateOf(id string, s State) *gate.Stored {
+	return &gate.Stored{
+		Status: http.StatusAccepted,
+		Header: []*wire.Header{{Name: "Content-Type", Value: "application/json"}},
+		Body:   fmt.Appendf(nil, `{"id":%q,"object":"deferred","status":%q}`, id, s),
+	}
+}
+
+// swap writes an entry that is not done.
+func (q *Queue) swap(ctx context.Context, id ID, old units.Revision, e *Entry) (units.Revision, error) {
+	b, err := e.encode()
+	if err != nil {
+		return 0, err
+	}
+	at, err := q.options.Store.Swap(ctx, key(id), old, b, 0)
+	return at, q.wrap(err)
+}
+
+// wrap notes that the store did not answer.
+func (q *Queue) wrap(err error) error {
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknown) {
+		stats.Event("work_store_unavailable")
+		q.mu.Lock()
+		q.board.Interrupted(q.options.Clock.Now())
+		q.mu.Unlock()
+	}
+	return fmt.Errorf("store work: %w", err)
+}
+
+// release returns the place of an entry. Run waits for all places.
+func (q *Queue) release(id ID) {
+	defer q.group.Done()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.board.Release(id)
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
