--- a/devel/once_test.go
+++ b/devel/once_test.go
@@ -1,9 +1,9 @@
 package devel_test
 
 import (
-	"bytes"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -42,9 +42,15 @@
 
 // book books over a gateway; the service counts the runs by name.
 func book(t *testing.T, f *devel.Fleet, gateway int, key, name string) booked {
+	t.Helper()
+	return bookText(t, f, gateway, key, name, name)
+}
+
+// bookText books with a body, which the answer repeats.
+func bookText(t *testing.T, f *devel.Fleet, gateway int, key, name, body string) booked {
 	t.Helper()
 	url := "http://" + f.Gateways[gateway].Gate().Addr().String() + "/svc/booking/interpreter"
-	r, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(name)))
+	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	assert.NilError(t, err)
 	r.Header.Set("Authorization", "Bearer secret-key")
 	r.Header.Set(plain.CallHeader, name)
@@ -131,3 +137,26 @@
 	eventually(t, "store is back", func() bool { return book(t, f, 1, "a", "refused").status == http.StatusOK })
 	assert.Equal(t, f.Services[0].Runs("refused"), 1)
 }
+
+// Guards against a repeated booking that gets a part of its answer because the whole
+// was too large for the store (900 KB) or for the gateway (2 MB).
+func TestBookingLargeAnswer(t *testing.T) {
+	f := startBooking(t)
+	for name, size := range map[string]int{"small": 600 << 10, "large": 900 << 10, "huge": 2 << 20} {
+		body := strings.Repeat("x", size)
+		first := bookText(t, f, 0, name, name, body)
+		assert.Equal(t, first.status, http.StatusOK)
+		assert.Assert(t, strings.Contains(first.body, body))
+		// Until the record is written, the agent may still have the whole answer.
+		eventually(t, "record is written", func() bool {
+			again := bookText(t, f, 1, name, name, body)
+			if again.status == http.StatusOK {
+				assert.Assert(t, again == first)
+				return name == "small"
+			}
+			assert.Equal(t, again.status, http.StatusConflict)
+			return strings.Contains(again.body, "too large to be stored")
+		})
+		assert.Equal(t, f.Services[0].Runs(name), 1)
+	}
+}
