gate: drop the static directory from the settings, answer live requests in 5 s

Cause: since the gateway follows the operators' tree, the section static of gate.json had no effect; captions that start after 30 s are of no use.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -54,7 +54,7 @@
 		o.Clock = clock.System{}
 	}
 	if o.Directory == nil {
-		o.Directory = o.Gate.Static.directory()
+		o.Directory = &Static{}
 	}
 	if o.Picker == nil {
 		o.Picker = LeastOutstanding{}
--- a/gate/settings.go
+++ b/gate/settings.go
@@ -15,8 +15,6 @@
 	Agents []string `json:"agents"`
 	// Gateways are the peer addresses of other gateways, as IP:port.
 	Gateways []string `json:"gateways"`
-	// Callers, models and services that don't come from the operators' tree.
-	Static StaticSettings `json:"static"`
 	// Limits of the listeners; a value of 0 takes the default.
 	Limits Limits `json:"limits"`
 }
@@ -72,7 +70,7 @@
 	Requests:         4096,
 	CustomerRequests: 2048,
 	BufferBytes:      256 << 20,
-	Live:             30 * clock.Second,
+	Live:             5 * clock.Second,
 	Normal:           5 * clock.Minute,
 	Night:            clock.Hour,
 }
@@ -116,7 +114,6 @@
 	for _, a := range s.Gateways {
 		config.CheckAddress("gateways", a, report)
 	}
-	s.Static.check(report)
 	s.Limits.check(report)
 }
 
