once: store answers that the store did not take at their end

When the store was out at the end of a call, only the agent had the answer, and only for ten minutes.

--- a/coord/gateway.go
+++ b/coord/gateway.go
@@ -41,6 +41,7 @@
 	syncer   *syncer.Syncer
 	coord    *Coord
 	picker   *Picker
+	once     *once.Keeper
 	work     *work.Queue
 	gate     *gate.Server
 }
@@ -62,6 +63,7 @@
 		Execute: func(ctx context.Context, j gate.Job) (*gate.Stored, error) { return g.gate.Execute(ctx, j) },
 		Ready:   func() bool { return !g.gate.Leaving() && g.refuse() == nil },
 	})
+	g.once = once.New(once.Options{Store: g.store, Agents: g.coord.Outcomes(), Clock: c})
 	g.picker = NewPicker(units.Zone(s.Node.Zone), rand.Uint64())
 	var err error
 	g.gate, err = gate.New(gate.Options{
@@ -76,7 +78,7 @@
 		Peers:     g.coord,
 		Refuse:    g.refuse,
 		Demand:    g.coord.Demand(),
-		Once:      once.New(once.Options{Store: g.store, Agents: g.coord.Outcomes(), Clock: c}),
+		Once:      g.once,
 		Work:      g.work,
 		Clock:     c,
 	})
@@ -100,7 +102,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	control, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	parts := []func(context.Context) error{g.coord.Run, g.vms.Run, g.syncer.Run, g.follow, g.work.Run}
+	parts := []func(context.Context) error{g.coord.Run, g.vms.Run, g.syncer.Run, g.follow, g.once.Run, g.work.Run}
 	ends := make(chan error, len(parts))
 	for _, run := range parts {
 		go func() { ends <- run(control) }()
--- a/once/keeper.go
+++ b/once/keeper.go
@@ -43,6 +43,7 @@
 type Keeper struct {
 	options Options
 	records *store.Shared
+	backlog backlog
 
 	mu sync.Mutex
 	// live are the attempts in progress at this gateway with the revisions of their
@@ -161,15 +162,16 @@
 	}
 }
 
-// finish stores the answer of an attempt. When that fails, a repeated call asks the
-// agent again.
+// finish stores the answer of an attempt. Until it is stored, a repeated call asks the
+// agent.
 func (k *Keeper) finish(ctx context.Context, key string, old units.Revision, r *Record, a *Answer) {
 	done := *r
 	done.Answer = a
 	// Another gateway may have stored the same answer.
 	if _, err := k.swap(ctx, key, old, &done); err != nil && !errors.Is(err, store.ErrConflict) {
-		stats.Event("once_answer_not_stored")
-		klog.Warningf("once: can't store an answer: %v", err)
+		stats.Event("once_answer_unsaved")
+		klog.Warningf("once: can't store an answer yet: %v", err)
+		k.backlog.add(unsaved{key, old, done})
 	}
 }
 
--- a/once/keeper_test.go
+++ b/once/keeper_test.go
@@ -163,3 +163,22 @@
 	assert.Equal(t, code, units.Code(""))
 	assert.Equal(t, r.agents.asked, 1)
 }
+
+// Guards against an answer that is lost because the store was out when the call ended:
+// the agent forgets it after some minutes.
+func TestAnswerStoredAfterOutage(t *testing.T) {
+	r := newRig(t)
+	_, code, _ := r.begin(r.keeper, booking("a1"))
+	assert.Equal(t, code, units.Code(""))
+	ctx, cancel := context.WithCancel(context.Background())
+	end := make(chan error, 1)
+	go func() { end <- r.keeper.Run(ctx) }()
+	r.store.SetOutage(true)
+	r.keeper.End(context.Background(), booking("a1"), booked, true)
+	r.store.SetOutage(false)
+	cancel()
+	assert.NilError(t, <-end)
+	s, _, _ := r.begin(r.open(), booking("a2"))
+	assert.DeepEqual(t, s, booked)
+	assert.Equal(t, r.agents.asked, 0)
+}
