--- a/llmapi/oas_schemas_gen.go
+++ b/llmapi/oas_schemas_gen.go
@@ -367,6 +367,23 @@
 	return s.Data.Read(p)
 }
 
+// GetDeferredAcceptedRawApplicationJSON represents raw HTTP response for GetDeferred application/json.
+type GetDeferredAcceptedRawApplicationJSON struct {
+	Response *http.Response `json:"-"`
+}
+
+// GetResponse returns the value of Response.
+func (s *GetDeferredAcceptedRawApplicationJSON) GetResponse() *http.Response {
+	return s.Response
+}
+
+// SetResponse sets the value of Response.
+func (s *GetDeferredAcceptedRawApplicationJSON) SetResponse(val *http.Response) {
+	s.Response = val
+}
+
+func (*GetDeferredAcceptedRawApplicationJSON) getDeferredRes() {}
+
 // GetDeferredDefaultRawApplicationJSON represents raw HTTP response for GetDeferred application/json.
 type GetDeferredDefaultRawApplicationJSON struct {
 	Response *http.Response `json:"-"`
@@ -526,3 +543,17 @@
 	}
 	return d
 }
+
+type State struct {
+	Data io.Reader
+}
+
+// Read reads data from the Data reader.
+//
+// Kept to satisfy the io.Reader interface.
+func (s State) Read(p []byte) (n int, err error) {
+	if s.Data == nil {
+		return 0, io.EOF
+	}
+	return s.Data.Read(p)
+}
