route, gate: free the allowance of ended requests, wait for services too

The router kept counting an ended request against the cold-start allowance when its report came within 5 ms of the start, and the gateway waited only for models. Ruled out: the at-most-once record, which had not been created.

--- a/gate/demand.go
+++ b/gate/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,15 +54,32 @@
 // awaits reports whether the request should wait for an upstream: its target is
 // resident nowhere, or only where the cold-start limit allows no further request.
 func (r *relay) awaits() bool {
-	return r.server.options.Demand != nil && r.request.kind == kindModel
+	if r.request.kind == kindService {
+		return r.offered()
+	}
+	return r.server.options.Demand != nil
+}
+
+// offered reports whether a connected upstream offers the service, so that it will take
+// the request when it has room.
+func (r *relay) offered() bool {
+	now := r.server.clock.Now()
+	return slices.ContainsFunc(*r.server.agents.up.Load(), func(u *upstream) bool {
+		return u.usable(now) && u.offers(kindService, r.request.query.Target)
+	})
 }
 
 // await waits until an upstream takes the target, at most until the limit. It
 // returns nil when none does.
 func (r *relay) await(ctx context.Context) *upstream {
 	q := &r.request.query
-	end := r.server.options.Demand.Waits(units.ModelID(q.Target))
-	defer end()
+	limit := r.limit()
+	if r.request.kind == kindModel {
+		end := r.server.options.Demand.Waits(units.ModelID(q.Target))
+		defer end()
+	} else {
+		limit = r.capacityLimit()
+	}
 	stats.Event("load_awaited")
 	for {
 		// The channel is taken before the upstreams are read, so that no change between
@@ -70,7 +88,7 @@
 		if u := r.pick(); u != nil {
 			return u
 		}
-		left := r.limit().Sub(r.server.clock.Now())
+		left := limit.Sub(r.server.clock.Now())
 		if left <= 0 || ctx.Err() != nil {
 			stats.Event("load_awaited_in_vain")
 			return nil
--- a/route/route.go
+++ b/route/route.go
@@ -241,8 +241,13 @@
 // Ended records that a request that started on the upstream has ended. The report
 // that came with the answer must be recorded after it.
 func (r *Router) Ended(id units.UpstreamID) {
-	if v, ok := r.views[id]; ok && v.outstanding > 0 {
-		v.outstanding--
+	v, ok := r.views[id]
+	if !ok || v.outstanding == 0 {
+		return
+	}
+	v.outstanding--
+	if extra := len(v.own) - v.outstanding; extra > 0 {
+		v.own = slices.Delete(v.own, 0, extra)
 	}
 }
 
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -152,3 +152,23 @@
 		})
 	}
 }
+
+// Guards against a request that occupies the allowance of a cold upstream after its
+// end, because the report that came with its answer was too early to include it.
+func TestEndedRequestFreesAllowance(t *testing.T) {
+	r := route.New(route.Options{Zone: "a"})
+	l := report("u1", "a", 1, "m")
+	l.Allowance = 1
+	r.Report(10, l)
+	w := route.Want{Target: "m", Cost: 10}
+	c, err := r.Pick(10, w)
+	assert.NilError(t, err)
+	r.Started(10, c.Upstream, w)
+	_, err = r.Pick(11, w)
+	assert.Assert(t, errors.Is(err, route.ErrCold))
+	r.Ended(c.Upstream)
+	l.Sequence = 2
+	r.Report(12, l)
+	_, err = r.Pick(13, w)
+	assert.NilError(t, err)
+}
