gate, coord: report attempts of unknown fate as lost

Cause: a stream that broke without any answer was reported as started, which freed its tokens from the burst although the agent could still start it. Change: a reservation ends with Lost when the agent has not answered at all. Result: TestSettle asks for it in the case of a broken stream and passes.

--- a/coord/limit.go
+++ b/coord/limit.go
@@ -98,6 +98,13 @@
 	r.coord.post(settled{r.id, started, used})
 }
 
+// Lost implements gate.Reservation.
+func (r *reservation) Lost() { r.coord.post(lost{r.id}) }
+
+type lost struct{ id rate.RequestID }
+
+func (e lost) apply(s *state) { s.client.Lost(s.now(), e.id) }
+
 type settled struct {
 	id      rate.RequestID
 	started bool
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -118,6 +118,7 @@
 
 func (a *attempt) mine(id string) bool {
 	if id == string(a.id) {
+		a.result.Answered = true
 		return true
 	}
 	stats.Event("frame_of_other_attempt")
--- a/gate/decide.go
+++ b/gate/decide.go
@@ -50,6 +50,8 @@
 	Code units.Code
 	// Ran is false only when the upstream has not received the request.
 	Ran bool
+	// Answered is set when the agent has answered the attempt in any way.
+	Answered bool
 	// First is the span to the first part of the answer; 0 when there was none.
 	First clock.Span
 	// Total is the span of the whole attempt.
@@ -91,6 +93,9 @@
 	// Settle ends the reservation; it is called once. Started is false when no
 	// upstream has started the request.
 	Settle(started bool, used units.Tokens)
+	// Lost ends the reservation instead of Settle when it is unknown whether the
+	// request was started; it may still be.
+	Lost()
 }
 
 // Limiter gives permission to start. It is called by many goroutines.
@@ -185,6 +190,8 @@
 
 func (unlimited) Started() {}
 
+func (unlimited) Lost() {}
+
 func (unlimited) Settle(bool, units.Tokens) {}
 
 // RetryOnce is a Retrier that allows one retry of a request that did not run or
--- a/gate/limits_test.go
+++ b/gate/limits_test.go
@@ -96,6 +96,7 @@
 type settlement struct {
 	cost, used units.Tokens
 	started    bool
+	lost       bool
 }
 
 type entry struct {
@@ -113,11 +114,16 @@
 
 func (*entry) Started() {}
 
+func (e *entry) Lost() {
+	e.ledger.settled <- settlement{cost: e.cost, used: e.cost, started: true, lost: true}
+}
+
 func (e *entry) Settle(started bool, used units.Tokens) {
-	e.ledger.settled <- settlement{e.cost, used, started}
+	e.ledger.settled <- settlement{cost: e.cost, used: used, started: started}
 }
 
-// Guards against tokens that are credited although they may have been used, and
+// Guards against tokens that are credited or reported as started although that is not
+// known, and
 // against permits that are valid for longer than the limiter said.
 func TestSettle(t *testing.T) {
 	const full = -1
@@ -151,14 +157,14 @@
 			s := start(t, func(o *gate.Options) { o.Limiter = l }, a)
 			_, _ = client(s, key).Chat.Completions.New(context.Background(), chat("small"))
 			got := <-l.settled
-			want := settlement{got.cost, tt.used, tt.started}
+			want := settlement{got.cost, tt.used, tt.started, name == "broken"}
 			if tt.used == full {
 				want.used = got.cost
 			}
 			assert.Equal(t, got, want)
 			assert.Assert(t, got.cost > 1024 && <-permits <= 300)
 			if name == "stale permit" {
-				assert.Equal(t, <-l.settled, settlement{got.cost, 7, true})
+				assert.Equal(t, <-l.settled, settlement{cost: got.cost, used: 7, started: true})
 			}
 		})
 	}
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -194,10 +194,12 @@
 }
 
 // settle ends the reservation unless the next attempt can use it.
-func (r *relay) settle(p *Problem, used units.Tokens) {
+func (r *relay) settle(p *Problem, result *Result) {
 	switch {
 	case p == nil:
-		r.reservation.Settle(true, used)
+		r.reservation.Settle(true, result.Used)
+	case p.Ran && !result.Answered:
+		r.reservation.Lost()
 	case p.Ran:
 		// What a broken attempt has used is not known, so it counts in full.
 		r.reservation.Settle(true, r.request.query.Cost)
@@ -268,7 +270,7 @@
 	u.outstanding.Add(-1)
 	s.options.Picker.Ended(s.clock.Now(), u.id, &r.request.query, a.result)
 	r.end(ctx, a, p)
-	r.settle(p, a.result.Used)
+	r.settle(p, &a.result)
 	if p == nil {
 		r.ran = true
 		return nil
