--- a/coord/bench_test.go
+++ b/coord/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/magnolialever/magnolialever/units"
@@ -51,3 +52,63 @@
 		})
 	}
 }
+
+// discard is a link that takes all frames; blocked ones take none until released.
+type discard struct{ release chan struct{} }
+
+func (d discard) Push(*wire.Frame) error {
+	if d.release != nil {
+		<-d.release
+	}
+	return nil
+}
+
+// BenchmarkOutboxes shows the heap of the queues to all peers, when they are empty
+// and when slow peers have let them fill with frames of their own.
+func BenchmarkOutboxes(b *testing.B) {
+	for _, peers := range []int{10, 100, 970} {
+		for _, full := range []bool{false, true} {
+			b.Run(fmt.Sprintf("peers=%d/full=%v", peers, full), func(b *testing.B) {
+				var held uint64
+				for b.Loop() {
+					held = heldByOutboxes(peers, full)
+				}
+				b.ReportMetric(float64(held)/float64(peers), "bytes/peer")
+			})
+		}
+	}
+}
+
+func heldByOutboxes(peers int, full bool) uint64 {
+	before := memory()
+	o := newOutboxes()
+	l := discard{}
+	if full {
+		l.release = make(chan struct{})
+	}
+	for i := range peers {
+		id := fmt.Sprint("peer-", i)
+		o.open(id, l)
+		for k := range outboxLength {
+			if !full {
+				break
+			}
+			o.push(id, &wire.Frame{Body: &wire.Frame_Acquire{Acquire: &wire.Acquire{Id: uint64(k), Customer: "customer-0001", Tokens: 1000}}})
+		}
+	}
+	held := memory() - before
+	if full {
+		close(l.release)
+	}
+	o.stop()
+	o.group.Wait()
+	return held
+}
+
+// memory returns the bytes of heap and stacks in use after a collection.
+func memory() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
--- a/devel/devel_test.go
+++ b/devel/devel_test.go
@@ -19,7 +19,7 @@
 	"github.com/magnolialever/magnolialever/units"
 )
 
-func eventually(t *testing.T, what string, f func() bool) {
+func eventually(t testing.TB, what string, f func() bool) {
 	t.Helper()
 	for range 500 {
 		if f() {
@@ -44,7 +44,7 @@
 	return res.StatusCode, string(b), res.Header
 }
 
-func start(t *testing.T, change func(*devel.Options)) *devel.Fleet {
+func start(t testing.TB, change func(*devel.Options)) *devel.Fleet {
 	t.Helper()
 	o := devel.Default()
 	o.Engine.Models = []engine.Model{{ID: "m", Bytes: 1 << 30}}
@@ -58,7 +58,7 @@
 	return f
 }
 
-func write(t *testing.T, f *devel.Fleet, v *tree.Team, old units.Revision) units.Revision {
+func write(t testing.TB, f *devel.Fleet, v *tree.Team, old units.Revision) units.Revision {
 	t.Helper()
 	kv := store.New(store.Options{Address: f.Store.Addr()})
 	defer kv.Close()
--- a/tree/bench_test.go
+++ b/tree/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -86,3 +87,32 @@
 		})
 	}
 }
+
+// BenchmarkSnapshot shows the heap that one snapshot holds, and the bytes of the
+// teams' values of which it is made.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, z := range sizes {
+		b.Run(fmt.Sprintf("models=%d/adapters=%d/keys=%d", z.models, z.adapters, z.keys), func(b *testing.B) {
+			var held, values uint64
+			for b.Loop() {
+				before := heap()
+				s, _ := fill(b, z.models, z.adapters, z.keys)
+				held, values = heap()-before, 0
+				for _, v := range s.Versions() {
+					values += uint64(len(s.Data(v.Team)))
+				}
+				runtime.KeepAlive(s)
+			}
+			b.ReportMetric(float64(held)/1024, "KB-held")
+			b.ReportMetric(float64(values)/1024, "KB-values")
+		})
+	}
+}
+
+// heap returns the bytes in use after a collection.
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
