coord: let the control loop of an idle gateway sleep

Cause: the time of the next tick of a client without requests does not fit a time.Duration. The wait overflowed, so the timer of the control loop fired at once and an idle gateway used a whole core.

Change: the wait is at most a minute.

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -33,6 +33,9 @@
 	tickInterval = 50 * time.Millisecond
 	// eventQueue lets traffic hand over events while the loop is busy.
 	eventQueue = 1024
+	// maxWake is the longest wait for the next tick of the client. The time of a client
+	// without requests is so far away that it does not fit a time.Duration.
+	maxWake = clock.Minute
 )
 
 // Options configure a Coord.
@@ -141,10 +144,14 @@
 			s.client.Tick(c.clock.Now())
 		}
 		s.flush()
-		wake.Reset(max(s.client.Next().Sub(c.clock.Now()), 1).Duration())
+		wake.Reset(wakeAfter(c.clock.Now(), s.client.Next()))
 	}
 }
 
+func wakeAfter(now, next clock.Time) time.Duration {
+	return min(max(next.Sub(now), 1), maxWake).Duration()
+}
+
 // post hands an event to the loop; it reports false after the loop has ended.
 func (c *Coord) post(e event) bool {
 	select {
