wire, devel: measure the memory of sessions and the calls to the store over two minutes

Cause: watches and lists are renewed at intervals of up to two minutes, which a short measurement does not see.

Change: two benchmarks.

--- a/devel/bench_test.go
+++ b/devel/bench_test.go
@@ -23,6 +23,8 @@
 	settleSpan  = 2 * time.Second
 	measureSpan = 4 * time.Second
 	outageSpan  = 3 * time.Second
+	// callsSpan covers a whole period of lists and watches.
+	callsSpan = 120 * time.Second
 )
 
 // tap relays the connections to one address and counts their bytes.
@@ -249,3 +251,30 @@
 	b.ReportMetric(float64(last.Total()-z.Total())/g, "second-second-calls/gateway")
 	b.ReportMetric(float64(end.Total()-last.Total())/g, "third-second-calls/gateway")
 }
+
+// BenchmarkStoreCalls counts the calls of idle fleets over longer than the renewal of
+// watches and lists takes. The three fleets run at the same time.
+func BenchmarkStoreCalls(b *testing.B) {
+	for b.Loop() {
+		var fleets []*tapped
+		var before []keyval.Calls
+		for _, gateways := range []int{1, 2, 4} {
+			fleets = append(fleets, startTapped(b, gateways, 1))
+		}
+		time.Sleep(settleSpan)
+		for _, w := range fleets {
+			before = append(before, w.Store.Calls())
+		}
+		time.Sleep(callsSpan)
+		for i, w := range fleets {
+			c := w.Store.Calls()
+			name := fmt.Sprintf("/s-of-%d", len(w.Gateways))
+			b.ReportMetric(float64(c.Total()-before[i].Total())/callsSpan.Seconds(), "calls"+name)
+			b.ReportMetric(float64(c.Range-before[i].Range)/callsSpan.Seconds(), "reads"+name)
+			b.ReportMetric(float64(c.Watch-before[i].Watch)/callsSpan.Seconds(), "watches"+name)
+		}
+		for _, w := range fleets {
+			w.stop(b)
+		}
+	}
+}
--- a/wire/bench_test.go
+++ b/wire/bench_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"net"
+	"runtime"
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/magnolialever/magnolialever/wire"
 )
 
@@ -73,3 +77,68 @@
 func pongFrame(n int) *wire.Frame {
 	return &wire.Frame{Body: &wire.Frame_Pong{Pong: &wire.Pong{Id: uint64(n), Now: 86_400_000}}}
 }
+
+// BenchmarkSession shows the heap and stacks of one end of a session with an open
+// control stream, on connections through loopback.
+func BenchmarkSession(b *testing.B) {
+	for _, n := range []int{10, 50, 200} {
+		b.Run(fmt.Sprint("sessions=", n), func(b *testing.B) {
+			var held uint64
+			for b.Loop() {
+				held = heldBySessions(b, n)
+			}
+			b.ReportMetric(float64(held)/1024/float64(2*n), "KB/end")
+		})
+	}
+}
+
+func heldBySessions(b *testing.B, n int) uint64 {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	defer l.Close()
+	before := inUse()
+	ends := make([]*wire.Session, 0, 2*n)
+	streams := make([]*wire.Stream, 0, 2*n)
+	for range n {
+		accepted := make(chan *wire.Session, 1)
+		go func() {
+			defer close(accepted)
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if s, err := wire.Accept(c, options("a", wire.Agent, "s")); err == nil {
+				accepted <- s
+			}
+		}()
+		s, err := wire.Dial(b.Context(), l.Addr().String(), options("g", wire.Gateway, "s"))
+		assert.NilError(b, err)
+		t := <-accepted
+		assert.Assert(b, t != nil)
+		out, err := s.Open()
+		assert.NilError(b, err)
+		assert.NilError(b, out.Send(pingFrame(1)))
+		in, err := t.Accept()
+		assert.NilError(b, err)
+		_, err = in.Recv()
+		assert.NilError(b, err)
+		assert.NilError(b, in.Send(pongFrame(1)))
+		_, err = out.Recv()
+		assert.NilError(b, err)
+		ends, streams = append(ends, s, t), append(streams, out, in)
+	}
+	held := inUse() - before
+	runtime.KeepAlive(streams)
+	for _, s := range ends {
+		_ = s.Close()
+	}
+	return held
+}
+
+// inUse returns the bytes of heap and stacks in use after a collection.
+func inUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
