--- a/system/harness_test.go
+++ b/system/harness_test.go
@@ -35,6 +35,8 @@
 const (
 	secret = "0123456789abcdef"
 	key    = "key-of-the-court"
+	// bootstrap is the credential of the fleet administrator.
+	bootstrap = "credential-of-the-administrator"
 	// readyTimeout covers the start of all processes on a busy machine.
 	readyTimeout = 20 * time.Second
 	modelBytes   = 1 << 30
@@ -65,6 +67,8 @@
 	id     string
 	cmd    *exec.Cmd
 	public string
+	// ops is the address of a gateway for operators.
+	ops    string
 	peer   string
 	admin  string
 	log    bytes.Buffer
@@ -234,12 +238,12 @@
 }
 
 func (f *fleet) gateway(id string, i int) *process {
-	public := free(f.t)
+	public, ops := free(f.t), free(f.t)
 	p := f.spawn("gateway", id, i, map[string]any{
 		"gate.json": map[string]any{"public": public, "limits": map[string]any{"notice": 50}},
-		"ops.json":  map[string]any{"address": "127.0.0.1:0"},
+		"ops.json":  map[string]any{"address": ops, "bootstrap": bootstrap},
 	})
-	p.public = public
+	p.public, p.ops = public, ops
 	f.vms.Set(vms.VM{ID: id, Role: vms.Entry, Address: p.peer, Zone: zone(i), State: vms.Live})
 	return p
 }
