route: count only own requests that still run against a cold start

Own requests that no report includes yet filled the cold-start limit until a report more than 5 ms younger came, also after they had ended. Fast calls of plain services in cold start were refused with no_upstream for up to a second each time, although the upstream was idle.

The limit now counts at most the own requests in progress.

--- a/route/route.go
+++ b/route/route.go
@@ -378,6 +378,9 @@
 	return w.Base == "" || v.resident[w.Base]
 }
 
+// hasRoom reports whether the cold-start limit leaves room. Own requests that have
+// ended use none, even if they are younger than reportDelay.
 func (v *view) hasRoom() bool {
-	return v.load.Allowance == 0 || v.load.Running+v.load.Waiting+len(v.own) < v.load.Allowance
+	unreported := min(len(v.own), v.outstanding)
+	return v.load.Allowance == 0 || v.load.Running+v.load.Waiting+unreported < v.load.Allowance
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -126,6 +126,30 @@
 	assert.Equal(t, c.Estimate, clock.Span(64))
 }
 
+// Guards against refusals of an upstream in cold start that is idle: a request that
+// ended before a report could include it counted as running until the next report.
+func TestColdUpstreamIsFreeAgain(t *testing.T) {
+	r := route.New(route.Options{Zone: "a"})
+	cold := report("u1", "a", 1, "m")
+	cold.Allowance = 2
+	r.Report(1, cold)
+	w := route.Want{Target: "m", Cost: 1}
+	for i := range clock.Time(2) {
+		_, err := r.Pick(100+i, w)
+		assert.NilError(t, err)
+		r.Started(100+i, "u1", w)
+	}
+	_, err := r.Pick(102, w)
+	assert.Assert(t, errors.Is(err, route.ErrCold))
+	for range 2 {
+		r.Ended("u1")
+	}
+	cold.Sequence = 2
+	r.Report(103, cold)
+	_, err = r.Pick(103, w)
+	assert.NilError(t, err)
+}
+
 // The target is the control limit of 2.7 % of a core at 9 requests/s for each
 // gateway: 3 ms a choice; the bound keeps choices far below a request's own cost.
 func BenchmarkPick(b *testing.B) {
