--- a/place/plan_test.go
+++ b/place/plan_test.go
@@ -177,6 +177,23 @@
 	}
 }
 
+// Guards against the unload of the last copy of a model that callers ask for, and
+// against a model in demand that never displaces one that nobody asks for.
+func TestLastCopyStaysWhileWanted(t *testing.T) {
+	f := &fleet{
+		replicas: []place.Replica{{ID: "u0", Zone: "z0", Capacity: 16, Speed: 2000, Usable: true, Resident: []units.ModelID{"m0"}}},
+		targets:  []place.Target{{ID: "m0", Bytes: 16}, {ID: "m1", Bytes: 16}},
+		loadTime: clock.Second,
+	}
+	p := place.NewPlanner(budget)
+	demand := map[units.ModelID]place.Demand{"m0": {Short: 10, Long: 10}, "m1": {Short: 900, Long: 900, Waiting: 1}}
+	f.run(p, 0, 120_000, demand)
+	assert.Equal(t, f.copies("m0"), 1, "the last copy of a model in demand was unloaded")
+	demand["m0"] = place.Demand{}
+	f.run(p, 120_000, 240_000, demand)
+	assert.Equal(t, f.copies("m1"), 1)
+}
+
 // Guards against overcommitted memory, loads beyond the budget, and the unload of a
 // last copy for a target that is not wanted more, with orders lost and doubled.
 func TestPlanInvariants(t *testing.T) {
