--- a/gate/refusal_test.go
+++ b/gate/refusal_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/openai/openai-go/v3"
@@ -74,6 +75,25 @@
 	}
 }
 
+// Guards against "not run" for a request whose first attempt may have run and whose
+// second one was refused.
+func TestRefusedAfterRunning(t *testing.T) {
+	var calls atomic.Int64
+	either := func(c *agentCall) {
+		if calls.Add(1) == 1 {
+			c.refuse("upstream_failed", true, 0)
+			return
+		}
+		c.refuse("queue_full", false, 0)
+	}
+	s := start(t, nil, newStandIn(t, "a1", either), newStandIn(t, "a2", either))
+	_, err := client(s, key).Chat.Completions.New(context.Background(), chat("small"))
+	e := errorOf(t, err)
+	assert.Equal(t, calls.Load(), int64(2))
+	assert.Equal(t, e.Code, string(units.QueueFull))
+	assert.Equal(t, e.Response.Header.Get("X-Run"), "may-have-run")
+}
+
 // send sends a request as it is and returns the answer with its body.
 func send(t *testing.T, s *gate.Server, method, path, body string, header ...string) (*http.Response, string) {
 	t.Helper()
