--- a/agent/server.go
+++ b/agent/server.go
@@ -17,6 +17,7 @@
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/syncer"
+	"github.com/magnolialever/magnolialever/tree"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -90,6 +91,9 @@
 // AdminAddr returns the address of the health checks and counters.
 func (s *Server) AdminAddr() net.Addr { return s.admin.Addr() }
 
+// Snapshot returns the configuration that the agent has and relays.
+func (s *Server) Snapshot() *tree.Snapshot { return s.config.Snapshot() }
+
 // Run serves until ctx is done and then stops gracefully: it announces that it
 // leaves, refuses new work and finishes what runs, at most for Limits.Stop.
 func (s *Server) Run(ctx context.Context) error {
--- a/route/route.go
+++ b/route/route.go
@@ -246,6 +246,7 @@
 		return
 	}
 	v.outstanding--
+	// A request that has ended takes no room, even if it is younger than reportDelay.
 	if extra := len(v.own) - v.outstanding; extra > 0 {
 		v.own = slices.Delete(v.own, 0, extra)
 	}
@@ -383,9 +384,7 @@
 	return w.Base == "" || v.resident[w.Base]
 }
 
-// hasRoom reports whether the cold-start limit leaves room. Own requests that have
-// ended use none, even if they are younger than reportDelay.
+// hasRoom reports whether the cold-start limit leaves room.
 func (v *view) hasRoom() bool {
-	unreported := min(len(v.own), v.outstanding)
-	return v.load.Allowance == 0 || v.load.Running+v.load.Waiting+unreported < v.load.Allowance
+	return v.load.Allowance == 0 || v.load.Running+v.load.Waiting+len(v.own) < v.load.Allowance
 }
