--- a/devel/bench_test.go
+++ b/devel/bench_test.go
@@ -172,7 +172,7 @@
 // a second and gateway, and the processor time of the whole process, which includes
 // the stand-ins and the relays that count.
 func BenchmarkIdleFleet(b *testing.B) {
-	for _, z := range []struct{ gateways, agents int }{{1, 4}, {2, 4}, {4, 4}, {1, 16}, {2, 16}, {4, 16}, {4, 32}} {
+	for _, z := range []struct{ gateways, agents int }{{1, 4}, {2, 4}, {4, 4}, {8, 4}, {1, 16}, {2, 16}, {4, 16}, {4, 32}} {
 		b.Run(fmt.Sprintf("gateways=%d/agents=%d", z.gateways, z.agents), func(b *testing.B) {
 			for b.Loop() {
 				benchIdle(b, z.gateways, z.agents)
