syncer, coord, gate: take no request before the configuration is known

Cause: a gateway that had just reached a peer could answer 401 to a valid key until the values arrived, and was ready for the balancer meanwhile; Ready stayed false for a process younger than the confirmation it got from a peer. Change: Ready is a flag that a complete comparison sets; the gateway refuses with isolated and fails the readiness check until then and while it is cut off. Result: the outage test, which now also asks that no valid key is refused, passes; it passed before too, since the start counts as isolated until a peer answers.

--- a/coord/gateway.go
+++ b/coord/gateway.go
@@ -129,6 +129,10 @@
 
 // refuse implements gate.Options.Refuse.
 func (g *Gateway) refuse() *gate.Problem {
+	if !g.syncer.Ready() {
+		// Without a configuration, every key would count as wrong.
+		return &gate.Problem{Code: units.Isolated, Message: "the gateway has no configuration yet", Wait: isolatedWait}
+	}
 	if g.syncer.Isolated(g.clock.Now()) {
 		return &gate.Problem{
 			Code: units.Isolated, Message: "the gateway reaches neither the store nor most other gateways", Wait: isolatedWait,
--- a/gate/admin.go
+++ b/gate/admin.go
@@ -15,6 +15,12 @@
 			reply(w, http.StatusServiceUnavailable, "leaving\n")
 			return
 		}
+		if f := s.options.Refuse; f != nil {
+			if p := f(); p != nil {
+				reply(w, http.StatusServiceUnavailable, string(p.Code)+"\n")
+				return
+			}
+		}
 		reply(w, http.StatusOK, "ready\n")
 	})
 	m.Handle("GET /debug/vars", expvar.Handler())
--- a/syncer/state.go
+++ b/syncer/state.go
@@ -53,6 +53,7 @@
 	// confirmed is the last time at which the snapshot was as new as the store's
 	// values, as far as known; 0 when never.
 	confirmed clock.Time
+	ready     bool
 	reach     reach
 }
 
@@ -137,6 +138,7 @@
 		}
 	}
 	s.confirmed = max(s.confirmed, sent)
+	s.ready = true
 	return s.announce(now, changed, func(*peer) bool { return true })
 }
 
@@ -250,8 +252,13 @@
 		}
 	}
 	s.confirmed = max(s.confirmed, now.Add(-clock.Span(v.Confirmed)))
+	// The confirmation may be older than this process, whose clock started at its start.
+	s.ready = s.ready || v.Complete
 }
 
+// Ready reports whether the snapshot has ever been as new as the store's values.
+func (s *State) Ready() bool { return s.ready }
+
 // answer sends the values that the peer requested.
 func (s *State) answer(to units.VMID, v *wire.Versions) []Message {
 	var l []Message
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -68,7 +68,7 @@
 
 	snapshot  atomic.Pointer[tree.Snapshot]
 	reachable atomic.Int64
-	confirmed atomic.Int64
+	ready     atomic.Bool
 }
 
 // New returns a Syncer, which works while Run does.
@@ -93,7 +93,7 @@
 func (s *Syncer) Isolated(now clock.Time) bool { return now.After(clock.Time(s.reachable.Load())) }
 
 // Ready reports whether the snapshot has ever been as new as the store's values.
-func (s *Syncer) Ready() bool { return s.confirmed.Load() != 0 }
+func (s *Syncer) Ready() bool { return s.ready.Load() }
 
 // Run keeps the snapshot current until the context ends. It may be called once.
 func (s *Syncer) Run(ctx context.Context) error {
@@ -149,7 +149,7 @@
 
 func (s *Syncer) publish() {
 	s.reachable.Store(int64(s.state.ReachableUntil()))
-	s.confirmed.Store(int64(s.state.confirmed))
+	s.ready.Store(s.state.Ready())
 	if s.snapshot.Load() == s.state.Snapshot() {
 		return
 	}
--- a/system/failure_test.go
+++ b/system/failure_test.go
@@ -152,7 +152,8 @@
 }
 
 // Guards against an outage of the store that stops traffic, and against a gateway
-// that starts during the outage and does not get the configuration from its peers.
+// that starts during the outage and does not get the configuration from its peers, or
+// refuses a valid key because it has none yet.
 func TestStoreOutage(t *testing.T) {
 	f := start(t, defaults())
 	f.store.SetOutage(true)
@@ -165,6 +166,7 @@
 	f.gateways = append(f.gateways, late)
 	f.eventually(readyTimeout, "late gateway serves", func() bool {
 		a, err := late.ask("late", 1)
+		assert.Assert(t, a.status != http.StatusUnauthorized, a.body)
 		return err == nil && a.status == http.StatusOK
 	})
 }
