--- a/gate/relay.go
+++ b/gate/relay.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/retry"
-	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 )
 
@@ -20,6 +15,8 @@
 	// capacityWait is the mean wait after a refusal for lack of capacity. Answers that
 	// end on the upstream usually end the wait before.
 	capacityWait = 40 * time.Millisecond
+	// recordedWait replaces capacityWait for calls that must not be repeated.
+	recordedWait = 500 * time.Millisecond
 	// capacitySpan bounds the wait for capacity. A caller that is told early can try
 	// again later or elsewhere.
 	capacitySpan = 3 * clock.Second
@@ -57,19 +54,6 @@
 	return p
 }
 
-// reserve takes the cost from the customer's rate. Calls of plain services cost no
-// tokens.
-func (r *relay) reserve(ctx context.Context) (Reservation, *Problem) {
-	if r.request.query.Cost == 0 {
-		return unlimited{expires: r.server.clock.Now().Add(permitSpan)}, nil
-	}
-	v, err := r.server.options.Limiter.Reserve(ctx, &r.request.query)
-	if err != nil {
-		return nil, problemOf(err)
-	}
-	return v, nil
-}
-
 func (r *relay) attempts(ctx context.Context) *Problem {
 	for {
 		if p := r.quarantine(); p != nil {
@@ -115,102 +99,6 @@
 	return nil
 }
 
-// choose returns the upstream for the next attempt, and waits if that can help.
-func (r *relay) choose(ctx context.Context) (*upstream, *Problem) {
-	u := r.pick()
-	if u == nil && r.awaits() {
-		u = r.await(ctx)
-		if cause := context.Cause(ctx); u == nil && cause != nil {
-			return nil, problemOf(cause)
-		}
-	}
-	if u == nil {
-		return nil, problem(units.NoUpstream, "no upstream is available for "+r.request.query.Target)
-	}
-	return u, nil
-}
-
-// repeats waits for the next attempt and reports whether there is one. Refusals
-// whose reason passes by itself cost the upstream nothing, so they count as no failure
-// and end with the time for them.
-func (r *relay) repeats(ctx context.Context, p *Problem) bool {
-	if !transient(p) {
-		return r.again(ctx, p)
-	}
-	if !r.server.clock.Now().Before(r.capacityLimit()) {
-		return false
-	}
-	stats.Event("capacity_awaited")
-	changed := r.server.changed.wait()
-	waitFor(ctx, changed, capacityWait/2+rand.N(capacityWait))
-	return ctx.Err() == nil
-}
-
-func transient(p *Problem) bool {
-	return !p.Ran && (p.Code == units.ColdLimit || p.Code == units.Quarantine)
-}
-
-// capacityLimit returns when waiting for capacity ends.
-func (r *relay) capacityLimit() clock.Time {
-	if r.answer.sent {
-		return r.limit()
-	}
-	return min(r.limit(), r.request.arrived.Add(capacitySpan))
-}
-
-// limit returns when waiting for an upstream ends: before the deadline of the start,
-// or some time after an answer in progress broke.
-func (r *relay) limit() clock.Time {
-	if r.answer.sent {
-		return r.broken.Add(resumeSpan)
-	}
-	return r.request.query.Deadline
-}
-
-// renew makes sure that the next attempt has tokens and a valid permit. A
-// reservation pays for one attempt that may have run, and for any number that did
-// not.
-func (r *relay) renew(ctx context.Context) (p *Problem) {
-	if r.reservation != nil {
-		if r.server.clock.Now().Before(r.reservation.Permit().Expires) {
-			return nil
-		}
-		r.reservation.Settle(false, 0)
-	}
-	if r.reservation, p = r.reserve(ctx); p == nil {
-		r.asked()
-	}
-	return p
-}
-
-// asked counts the request once, after the customer's rate has admitted it: what is
-// refused must not displace the models of others.
-func (r *relay) asked() {
-	if r.counted || r.request.kind != kindModel || r.server.options.Demand == nil {
-		return
-	}
-	r.counted = true
-	r.server.options.Demand.Asked(units.ModelID(r.request.query.Target), r.request.query.Cost)
-}
-
-// settle ends the reservation unless the next attempt can use it.
-func (r *relay) settle(p *Problem, result *Result) {
-	switch {
-	case p == nil:
-		r.reservation.Settle(true, result.Used)
-	case p.Ran && !result.Answered:
-		r.reservation.Lost()
-	case p.Ran:
-		// What a broken attempt has used is not known, so it counts in full.
-		r.reservation.Settle(true, r.request.query.Cost)
-	case p.Code == units.PermitExpired || p.Code == units.PermitStale:
-		r.reservation.Settle(false, 0)
-	default:
-		return
-	}
-	r.reservation = nil
-}
-
 // final returns the problem that the caller gets: the last refusal tells more than
 // that there is no other upstream.
 func (r *relay) final(last, p *Problem) *Problem {
@@ -222,31 +110,6 @@
 	return &q
 }
 
-// again reports whether another attempt may start, after the wait for it.
-func (r *relay) again(ctx context.Context, p *Problem) bool {
-	if ctx.Err() != nil || r.answer.writer.failed || r.stuck {
-		return false
-	}
-	// Without a record nothing tells the next attempt from the first.
-	if !r.request.query.Idempotent && r.request.once == "" {
-		return false
-	}
-	if r.answer.sent && (!r.answer.resumable || r.answer.next == 0) {
-		return false
-	}
-	now := r.server.clock.Now()
-	wait, ok := r.server.options.Retrier.Retry(now, &r.request.query, r.failure)
-	if !ok || !now.Add(wait).Before(r.request.query.Deadline) && !r.answer.sent {
-		return false
-	}
-	pause(ctx, wait.Duration())
-	if ctx.Err() != nil {
-		return false
-	}
-	stats.Retry(p.Code)
-	return true
-}
-
 func (r *relay) attempt(ctx context.Context, u *upstream) *Problem {
 	s := r.server
 	a := &attempt{
@@ -296,98 +159,6 @@
 	return p
 }
 
-// begin records the attempt of a call that must not be repeated. It is done when
-// the answer of an earlier attempt has been sent.
-func (r *relay) begin(ctx context.Context, a *attempt) (done bool, p *Problem) {
-	if r.request.once == "" {
-		return false, nil
-	}
-	if r.server.options.Once == nil {
-		r.stuck = true
-		return false, problem(units.StoreUnavailable, "calls with an Idempotency-Key can't be recorded")
-	}
-	s, err := r.server.options.Once.Begin(ctx, r.record(a))
-	if err != nil {
-		r.stuck = true
-		return false, problemOf(err)
-	}
-	if s == nil {
-		return false, nil
-	}
-	if s.Cut {
-		r.stuck = true
-		message := fmt.Sprintf("the call is done with status %d, but its answer was too large to be stored", s.Status)
-		return false, &Problem{Code: units.OutcomeUnknown, Message: message, Ran: true}
-	}
-	stats.Event("answer_replayed")
-	return true, a.fail(r.answer.replay(s))
-}
-
-func (r *relay) record(a *attempt) OnceCall {
-	return OnceCall{
-		Customer:    r.request.query.Customer,
-		Key:         r.request.once,
-		Attempt:     a.id,
-		Upstream:    a.upstream.id,
-		Incarnation: a.incarnation,
-		Fingerprint: r.request.query.Fingerprint,
-	}
-}
-
-// end completes the record of the attempt.
-func (r *relay) end(ctx context.Context, a *attempt, p *Problem) {
-	if r.request.once == "" {
-		return
-	}
-	var s *Stored
-	if p == nil {
-		s = r.answer.stored()
-	}
-	r.server.options.Once.End(context.WithoutCancel(ctx), r.record(a), s, p == nil || p.Ran)
-}
-
-// choice is the memory of one choice; it is kept for later ones.
-type choice struct {
-	candidates []Candidate
-	upstreams  []*upstream
-}
-
-var choices = sync.Pool{New: func() any { return &choice{} }}
-
-func (r *relay) pick() *upstream {
-	c := choices.Get().(*choice)
-	defer choices.Put(c)
-	c.candidates, c.upstreams = c.candidates[:0], c.upstreams[:0]
-	now := r.server.clock.Now()
-	for _, u := range *r.server.agents.up.Load() {
-		if !u.usable(now) || !u.offers(r.request.kind, r.request.query.Target) {
-			continue
-		}
-		c.candidates = append(c.candidates, r.candidate(u))
-		c.upstreams = append(c.upstreams, u)
-	}
-	if len(c.candidates) == 0 {
-		return nil
-	}
-	i := r.server.options.Picker.Pick(now, &r.request.query, c.candidates)
-	if i < 0 {
-		return nil
-	}
-	return c.upstreams[i]
-}
-
-func (r *relay) candidate(u *upstream) Candidate {
-	report := u.report.Load()
-	return Candidate{
-		Upstream:    u.id,
-		Zone:        u.zone,
-		Load:        report.load,
-		Heard:       report.heard,
-		Outstanding: int(u.outstanding.Load()),
-		Failed:      slices.Contains(r.failed, u.id),
-	}
-}
-
 // deadline returns when an answer of the class has to start.
 func (s *Server) deadline(arrived clock.Time, c units.Class) clock.Time {
 	l := &s.options.Gate.Limits
