--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -4,8 +4,10 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"os"
+	"strconv"
 
 	"github.com/jessevdk/go-flags"
 	"k8s.io/klog/v2"
@@ -71,10 +73,26 @@
 			return report(err)
 		}
 	}
+	p.CommandHandler = func(c flags.Commander, rest []string) error {
+		if err := setVerbosity(o.Verbose); err != nil {
+			return err
+		}
+		return c.Execute(rest)
+	}
 	_, err := p.ParseArgs(args)
 	return report(err)
 }
 
+// setVerbosity sets the level of detail of the logs.
+func setVerbosity(level int) error {
+	s := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(s)
+	if err := s.Set("v", strconv.Itoa(level)); err != nil {
+		return usage(fmt.Errorf("set log level: %w", err))
+	}
+	return nil
+}
+
 func report(err error) int {
 	if err == nil {
 		return exitOK
