--- a/coord/coord.go
+++ b/coord/coord.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -306,6 +305,3 @@
 	s.owner.SetLimit(s.now(), id, l)
 	s.client.SetLimit(s.now(), id, l)
 }
-
-// wrapStore gives an error of the store a few words of context.
-func wrapStore(what string, err error) error { return fmt.Errorf("%s: %w", what, err) }
--- a/coord/leader.go
+++ b/coord/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -180,7 +181,7 @@
 		return nil
 	}
 	if err != nil {
-		return wrapStore("write owners", err)
+		return fmt.Errorf("write owners: %w", err)
 	}
 	d.leader.coord.post(tableStored{next})
 	return nil
--- a/coord/ops.go
+++ b/coord/ops.go
@@ -126,6 +126,6 @@
 	case errors.Is(err, store.ErrUnknown):
 		return opsrv.ErrUnknown
 	default:
-		return wrapStore("call the store", err)
+		return fmt.Errorf("call the store: %w", err)
 	}
 }
--- a/coord/owners.go
+++ b/coord/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/magnolialever/magnolialever/rate"
 	"github.com/magnolialever/magnolialever/stats"
@@ -17,7 +18,7 @@
 		return nil, 0, nil
 	}
 	if err != nil {
-		return nil, 0, wrapStore("read owners", err)
+		return nil, 0, fmt.Errorf("read owners: %w", err)
 	}
 	t, err := rate.DecodeTable(e.Value)
 	return t, e.Revision, err
