--- a/gate/bench_test.go
+++ b/gate/bench_test.go
@@ -175,9 +175,13 @@
 
 func (l *load) quantile(q float64) float64 { return float64(l.first.ValueAtQuantile(q)) / 1000 }
 
+// benchRatio is the goal for the requests/s of one gateway beside direct calls.
+const benchRatio = 0.4
+
 // BenchmarkGateway reports requests a second of both ways and, at half of the
 // gateway's requests a second, the time to the first byte that the gateway adds.
-// Goals: ratio at least 0.4, added at most 0.3 ms at the median and 1 ms at p99.
+// Goals: ratio at least 0.4, which it enforces, added at most 0.3 ms at the median and
+// 1 ms at p99, which a shared machine can't tell.
 func BenchmarkGateway(b *testing.B) {
 	// As the command gateway does; all parts of the benchmark share one heap.
 	defer debug.SetGCPercent(debug.SetGCPercent(400))
@@ -189,6 +193,7 @@
 			alone := start(b, nil, benchAgents(b, fromScript)...)
 			direct, through := newLoad(url, body), newLoad("http://"+s.Addr().String(), body)
 			scripted := newLoad("http://"+alone.Addr().String(), body)
+			ratio := 0.0
 			for b.Loop() {
 				direct.closed()
 				through.closed()
@@ -199,13 +204,17 @@
 				b.ReportMetric(scripted.closed()/d, "ratio-scripted-agent")
 				b.ReportMetric(d, "direct-req/s")
 				b.ReportMetric(t, "gate-req/s")
-				b.ReportMetric(t/d, "ratio")
+				ratio = t / d
+				b.ReportMetric(ratio, "ratio")
 				b.ReportMetric(direct.quantile(50), "direct-p50-ms")
 				b.ReportMetric(direct.quantile(99), "direct-p99-ms")
 				b.ReportMetric(through.quantile(50)-direct.quantile(50), "added-p50-ms")
 				b.ReportMetric(through.quantile(99)-direct.quantile(99), "added-p99-ms")
 			}
 			assert.Equal(b, direct.failed.Load()+through.failed.Load(), int64(0))
+			if ratio < benchRatio {
+				b.Errorf("%.2f of the requests/s of direct calls, goal %.1f", ratio, benchRatio)
+			}
 		})
 	}
 }
