fakes: share the server and the faults of three stand-ins

Cause: vms, weight and plain each repeated the same listener and fault methods. Change: serve.Base holds them; the stand-ins embed it. Behaviour and tests unchanged.

--- a/fakes/plain/fault.go
+++ b/fakes/plain/fault.go
@@ -22,7 +22,6 @@
 // faultRoutes adds the methods of the server that tests of separate processes
 // need.
 func (s *Server) faultRoutes(m *http.ServeMux) {
-	m.Handle("/fault", &s.faults)
 	m.HandleFunc("POST /fault/crash", func(w http.ResponseWriter, r *http.Request) {
 		var q crashRequest
 		if !serve.Read(w, r, &q) {
--- a/fakes/plain/plain.go
+++ b/fakes/plain/plain.go
@@ -3,8 +3,6 @@
 package plain
 
 import (
-	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -72,8 +70,7 @@
 // Server is the stand-in.
 type Server struct {
 	options Options
-	web     *serve.Server
-	faults  serve.Faults[Faults]
+	serve.Base[Faults]
 
 	mu      sync.Mutex
 	calls   []*Call
@@ -83,9 +80,6 @@
 
 // New opens the listener.
 func New(o Options) (*Server, error) {
-	if o.Address == "" {
-		o.Address = "127.0.0.1:0"
-	}
 	if o.Restart == 0 {
 		o.Restart = defaultRestart
 	}
@@ -93,37 +87,23 @@
 	m := http.NewServeMux()
 	m.HandleFunc("/", s.serve)
 	s.faultRoutes(m)
-	web, err := serve.Listen(o.Address, m)
-	if err != nil {
-		return nil, fmt.Errorf("plain service stand-in: %w", err)
+	if err := s.Open("plain service", o.Address, m); err != nil {
+		return nil, err
 	}
-	s.web = web
 	return s, nil
 }
 
-// Addr returns the address of the listener.
-func (s *Server) Addr() string { return s.web.Addr() }
-
-// Run serves until the context is done.
-func (s *Server) Run(ctx context.Context) error { return s.web.Run(ctx) }
-
-// Faults returns the faults in force.
-func (s *Server) Faults() Faults { return s.faults.Get() }
-
-// Update changes the faults.
-func (s *Server) Update(change func(*Faults)) { s.faults.Update(change) }
-
 // Crash cuts all connections and comes back after the span; with a span of 0 it
 // stays down until Restart. What calls did is kept, as in a data base.
 func (s *Server) Crash(down clock.Span) {
 	s.mu.Lock()
 	s.crashes++
 	s.mu.Unlock()
-	s.web.Down(down)
+	s.Web().Down(down)
 }
 
 // Restart ends a crash without a time limit.
-func (s *Server) Restart() { s.web.Up() }
+func (s *Server) Restart() { s.Web().Up() }
 
 // Runs returns how often the call with the id has run.
 func (s *Server) Runs(id string) int {
@@ -196,7 +176,7 @@
 	}
 	a := s.run(c)
 	// The call has run; a caller that leaves does not change that.
-	time.Sleep((s.options.Time + s.faults.Get().DelayMillis).Duration())
+	time.Sleep((s.options.Time + s.Faults().DelayMillis).Duration())
 	if s.take(func(f *Faults) *int { return &f.LoseAnswers }) {
 		serve.Abort()
 	}
@@ -228,7 +208,7 @@
 // take reports whether one of the counted faults is due.
 func (s *Server) take(field func(*Faults) *int) bool {
 	due := false
-	s.faults.Update(func(f *Faults) {
+	s.Update(func(f *Faults) {
 		if n := field(f); *n > 0 {
 			*n--
 			due = true
--- a/fakes/vms/vms.go
+++ b/fakes/vms/vms.go
@@ -2,8 +2,6 @@
 package vms
 
 import (
-	"context"
-	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -58,8 +56,7 @@
 
 // Server is the stand-in.
 type Server struct {
-	web    *serve.Server
-	faults serve.Faults[Faults]
+	serve.Base[Faults]
 
 	mu sync.Mutex
 	// versions are the lists that a reader may still get, oldest first.
@@ -69,37 +66,19 @@
 
 // New opens the listener.
 func New(o Options) (*Server, error) {
-	if o.Address == "" {
-		o.Address = "127.0.0.1:0"
-	}
 	s := &Server{versions: []version{{vms: append([]VM{}, o.VMs...)}}}
-	s.faults.Update(func(f *Faults) { f.LagMillis = o.Lag })
+	s.Update(func(f *Faults) { f.LagMillis = o.Lag })
 	m := http.NewServeMux()
 	m.HandleFunc("GET /vms", s.list)
-	m.Handle("/fault", &s.faults)
 	m.HandleFunc("POST /fault/set", s.serveSet)
 	m.HandleFunc("POST /fault/remove", s.serveRemove)
 	m.HandleFunc("GET /fault/calls", s.serveCalls)
-	web, err := serve.Listen(o.Address, m)
-	if err != nil {
-		return nil, fmt.Errorf("vm list stand-in: %w", err)
+	if err := s.Open("vm list", o.Address, m); err != nil {
+		return nil, err
 	}
-	s.web = web
 	return s, nil
 }
 
-// Addr returns the address of the listener.
-func (s *Server) Addr() string { return s.web.Addr() }
-
-// Run serves until the context is done.
-func (s *Server) Run(ctx context.Context) error { return s.web.Run(ctx) }
-
-// Faults returns the faults in force.
-func (s *Server) Faults() Faults { return s.faults.Get() }
-
-// Update changes the faults.
-func (s *Server) Update(change func(*Faults)) { s.faults.Update(change) }
-
 // SetOutage starts or ends an outage.
 func (s *Server) SetOutage(on bool) { s.Update(func(f *Faults) { f.Outage = on }) }
 
@@ -156,7 +135,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	limit := clock.System{}.Now().Add(-s.faults.Get().LagMillis)
+	limit := clock.System{}.Now().Add(-s.Faults().LagMillis)
 	n := 0
 	for i, v := range s.versions {
 		if !v.at.After(limit) {
@@ -168,7 +147,7 @@
 }
 
 func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
-	f := s.faults.Get()
+	f := s.Faults()
 	if f.Outage {
 		serve.Abort()
 	}
--- a/fakes/weight/weight.go
+++ b/fakes/weight/weight.go
@@ -3,8 +3,6 @@
 package weight
 
 import (
-	"context"
-	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -59,9 +57,8 @@
 // Server is the stand-in.
 type Server struct {
 	options Options
-	web     *serve.Server
-	faults  serve.Faults[Faults]
-	limit   *rate.Limiter
+	serve.Base[Faults]
+	limit *rate.Limiter
 
 	mu     sync.Mutex
 	counts Counts
@@ -70,9 +67,6 @@
 
 // New opens the listener.
 func New(o Options) (*Server, error) {
-	if o.Address == "" {
-		o.Address = "127.0.0.1:0"
-	}
 	if o.Rate == 0 {
 		o.Rate = defaultRate
 	}
@@ -85,30 +79,15 @@
 	s := &Server{options: o, limit: rate.NewLimiter(rate.Limit(o.Rate), o.Burst)}
 	m := http.NewServeMux()
 	m.HandleFunc("GET /weights/{id}", s.load)
-	m.Handle("/fault", &s.faults)
 	m.HandleFunc("GET /fault/counts", func(w http.ResponseWriter, _ *http.Request) {
 		serve.Write(w, http.StatusOK, s.Counts())
 	})
-	web, err := serve.Listen(o.Address, m)
-	if err != nil {
-		return nil, fmt.Errorf("weight store stand-in: %w", err)
+	if err := s.Open("weight store", o.Address, m); err != nil {
+		return nil, err
 	}
-	s.web = web
 	return s, nil
 }
 
-// Addr returns the address of the listener.
-func (s *Server) Addr() string { return s.web.Addr() }
-
-// Run serves until the context is done.
-func (s *Server) Run(ctx context.Context) error { return s.web.Run(ctx) }
-
-// Faults returns the faults in force.
-func (s *Server) Faults() Faults { return s.faults.Get() }
-
-// Update changes the faults.
-func (s *Server) Update(change func(*Faults)) { s.faults.Update(change) }
-
 // SetOutage starts or ends an outage.
 func (s *Server) SetOutage(on bool) { s.Update(func(f *Faults) { f.Outage = on }) }
 
@@ -140,7 +119,7 @@
 }
 
 func (s *Server) load(w http.ResponseWriter, r *http.Request) {
-	if s.faults.Get().Outage {
+	if s.Faults().Outage {
 		serve.Abort()
 	}
 	if !s.enter() {
@@ -150,13 +129,13 @@
 	}
 	defer s.leave()
 	cut := -1
-	s.faults.Update(func(f *Faults) {
+	s.Update(func(f *Faults) {
 		if f.CutLoads > 0 {
 			f.CutLoads--
 			cut = parts / 2
 		}
 	})
-	pause := s.options.Time.Duration() * time.Duration(max(s.faults.Get().Slow, 1)) / parts
+	pause := s.options.Time.Duration() * time.Duration(max(s.Faults().Slow, 1)) / parts
 	t := time.NewTimer(pause)
 	defer t.Stop()
 	part := make([]byte, partBytes)
