--- /dev/null
+++ b/view/view.go
@@ -0,0 +1,179 @@
+// Package view holds what a gateway believes of the world: the configuration, the
+// upstreams, the zones that are out and the other gateways, each with its age. It
+// performs no I/O. A State belongs to one goroutine, which publishes snapshots.
+package view
+
+import (
+	"maps"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+const (
+	// outageSpan is the time without an answer of the store after which entries may
+	// have lapsed though their writers live.
+	outageSpan = clock.Second
+	// returnSpan is the time after an outage within which entries of live upstreams come
+	// back.
+	returnSpan = 2200 * clock.Millisecond
+)
+
+// Entry is an upstream as last described.
+type Entry struct {
+	*fleet.Upstream
+	// Seen is when the description was received.
+	Seen clock.Time
+	// WarmAt is when the upstream is expected to be warm.
+	WarmAt clock.Time
+	// GoneAt is when an entry that lapsed during an outage is given up; 0 is never.
+	GoneAt clock.Time
+}
+
+// IsCold reports whether the upstream is cold.
+func (e *Entry) IsCold(now clock.Time) bool { return now.Before(e.WarmAt) }
+
+// Snapshot is the belief at one time. It is not changed once published.
+type Snapshot struct {
+	// Config is nil until a configuration is known.
+	Config    *fleet.Config
+	Upstreams map[units.UpstreamID]*Entry
+	// Out are the zones that get nothing new.
+	Out      map[units.Zone]bool
+	Revision units.Revision
+	// Full is set once everything was read.
+	Full bool
+}
+
+// State is the belief under construction.
+type State struct {
+	snap Snapshot
+	// confirmed is when the store was last known to agree.
+	confirmed clock.Time
+	// returned is when the store answered again after the last outage.
+	returned clock.Time
+	// outage is set between the start of an outage and the end of returnSpan.
+	outage bool
+}
+
+// New returns an empty State.
+func New() *State {
+	return &State{snap: Snapshot{Upstreams: map[units.UpstreamID]*Entry{}, Out: map[units.Zone]bool{}}}
+}
+
+// Snapshot returns a copy that does not change.
+func (s *State) Snapshot() *Snapshot {
+	out := s.snap
+	out.Upstreams = maps.Clone(s.snap.Upstreams)
+	out.Out = maps.Clone(s.snap.Out)
+	return &out
+}
+
+// Revision is the revision up to which changes have been applied.
+func (s *State) Revision() units.Revision { return s.snap.Revision }
+
+// Confirmed is when the store was last known to agree with the belief.
+func (s *State) Confirmed() clock.Time { return s.confirmed }
+
+// Answered notes that the belief holds up to the revision, as of the time at. The time
+// now is when the answer arrived.
+func (s *State) Answered(now, at clock.Time, rev units.Revision) {
+	if s.confirmed != 0 && now.Sub(s.confirmed) > outageSpan {
+		s.outage, s.returned = true, now
+	}
+	if s.outage && now.Sub(s.returned) > returnSpan {
+		s.outage = false
+	}
+	s.confirmed = max(s.confirmed, at)
+	s.snap.Revision = max(s.snap.Revision, rev)
+}
+
+// SetConfig takes a configuration over and reports whether it is newer. An older
+// version never replaces a newer one.
+func (s *State) SetConfig(c *fleet.Config) bool {
+	if s.snap.Config != nil && c.Version <= s.snap.Config.Version {
+		return false
+	}
+	s.snap.Config = c
+	return true
+}
+
+// SetUpstream takes a description over.
+func (s *State) SetUpstream(now clock.Time, u *fleet.Upstream) {
+	e := &Entry{Upstream: u, Seen: now}
+	if u.Cold > 0 {
+		e.WarmAt = now.Add(u.Cold)
+	}
+	if old, ok := s.snap.Upstreams[u.ID]; ok && old.WarmAt.After(e.WarmAt) && u.Born == old.Born && u.Cold > 0 {
+		e.WarmAt = old.WarmAt
+	}
+	s.snap.Upstreams[u.ID] = e
+}
+
+// Remove handles the removal of a description. During an outage of the store and a
+// short time after, descriptions of live upstreams may lapse; they stay until then.
+func (s *State) Remove(now clock.Time, id units.UpstreamID) {
+	e, ok := s.snap.Upstreams[id]
+	if !ok {
+		return
+	}
+	if s.outage && !e.Draining && now.Sub(s.returned) < returnSpan {
+		lapsed := *e
+		lapsed.GoneAt = s.returned.Add(returnSpan)
+		s.snap.Upstreams[id] = &lapsed
+		return
+	}
+	delete(s.snap.Upstreams, id)
+}
+
+// Expire drops lapsed upstreams that did not come back and reports whether any was.
+func (s *State) Expire(now clock.Time) bool {
+	found := false
+	for id, e := range s.snap.Upstreams {
+		if e.GoneAt != 0 && !now.Before(e.GoneAt) {
+			delete(s.snap.Upstreams, id)
+			found = true
+		}
+	}
+	return found
+}
+
+// SetOut marks a zone as out or back. Upstreams of a zone that comes back count as
+// cold until they describe themselves again.
+func (s *State) SetOut(now clock.Time, z units.Zone, out bool) {
+	if out {
+		s.snap.Out[z] = true
+		return
+	}
+	if !s.snap.Out[z] {
+		return
+	}
+	delete(s.snap.Out, z)
+	for id, e := range s.snap.Upstreams {
+		if e.Zone == z {
+			cold := *e
+			cold.WarmAt = max(e.WarmAt, now.Add(coldAfterReturn))
+			s.snap.Upstreams[id] = &cold
+		}
+	}
+}
+
+// coldAfterReturn is how long the upstreams of a zone that comes back count as cold
+// unless they say otherwise.
+const coldAfterReturn = 3 * clock.Second
+
+// Keep drops all upstreams and zones that a full read did not name.
+func (s *State) Keep(now clock.Time, upstreams map[units.UpstreamID]bool, out map[units.Zone]bool) {
+	for id, e := range s.snap.Upstreams {
+		if !upstreams[id] && e.GoneAt == 0 {
+			s.Remove(now, id)
+		}
+	}
+	for z := range s.snap.Out {
+		if !out[z] {
+			s.SetOut(now, z, false)
+		}
+	}
+	s.snap.Full = true
+}
