--- a/cmds/client_test.go
+++ b/cmds/client_test.go
@@ -22,15 +22,15 @@
 	"github.com/magnolialever/magnolialever/units"
 )
 
-// platform is a store in memory with the configuration in force.
-type platform struct {
+// standins is a store in memory with the configuration in force.
+type standins struct {
 	mu       sync.Mutex
 	snapshot *tree.Snapshot
 	revision units.Revision
 	lost     int // answers of changes that are still to be lost
 }
 
-func (p *platform) Get(_ context.Context, team units.TeamID) (syncer.Entry, error) {
+func (p *standins) Get(_ context.Context, team units.TeamID) (syncer.Entry, error) {
 	s := p.Snapshot()
 	if s.Team(team) == nil {
 		return syncer.Entry{}, opsrv.ErrMissing
@@ -38,9 +38,9 @@
 	return syncer.Entry{Team: team, Revision: s.Revision(team), Value: s.Data(team)}, nil
 }
 
-func (*platform) List(context.Context) ([]syncer.Entry, error) { return nil, nil }
+func (*standins) List(context.Context) ([]syncer.Entry, error) { return nil, nil }
 
-func (p *platform) Swap(_ context.Context, team units.TeamID, old units.Revision, v []byte) (units.Revision, error) {
+func (p *standins) Swap(_ context.Context, team units.TeamID, old units.Revision, v []byte) (units.Revision, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.snapshot.Revision(team) != old {
@@ -52,15 +52,15 @@
 	return p.revision, err
 }
 
-func (p *platform) Snapshot() *tree.Snapshot {
+func (p *standins) Snapshot() *tree.Snapshot {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.snapshot
 }
 
-func (*platform) Wrote(syncer.Entry) {}
+func (*standins) Wrote(syncer.Entry) {}
 
-func (p *platform) Nodes(context.Context) ([]syncer.Node, error) {
+func (p *standins) Nodes(context.Context) ([]syncer.Node, error) {
 	v := syncer.NodeVersion{Version: tree.Version{Team: "a", Revision: 1}}
 	old := syncer.NodeVersion{Version: tree.Version{Team: "a"}}
 	return []syncer.Node{
@@ -69,7 +69,7 @@
 	}, nil
 }
 
-func (p *platform) serve(t *testing.T, h http.Handler) string {
+func (p *standins) serve(t *testing.T, h http.Handler) string {
 	t.Helper()
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.mu.Lock()
@@ -89,9 +89,9 @@
 	return s.URL
 }
 
-func start(t *testing.T) *platform {
+func start(t *testing.T) *standins {
 	t.Helper()
-	p := &platform{snapshot: tree.Empty()}
+	p := &standins{snapshot: tree.Empty()}
 	h, err := opsrv.New(opsrv.Options{Store: p, Config: p, Bootstrap: "secret", Now: time.Now})
 	assert.NilError(t, err)
 	t.Setenv("MAGNOLIALEVER_ADDRESS", p.serve(t, h))
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,151 @@
+// Package entry is the gateway process on an entry VM of a platform that lists the
+// upstreams and keeps the configuration itself. It calls upstreams directly, without
+// agents beside them.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+
+	"k8s.io/klog/v2"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/feed"
+	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/member"
+	"github.com/magnolialever/magnolialever/peers"
+	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/quota"
+	"github.com/magnolialever/magnolialever/relay"
+	"github.com/magnolialever/magnolialever/retry"
+	"github.com/magnolialever/magnolialever/sched"
+	"github.com/magnolialever/magnolialever/view"
+)
+
+// mailbox is the number of messages that may wait for the control loop.
+const mailbox = 256
+
+// Gateway is one gateway process.
+type Gateway struct {
+	boot   *platform.Boot
+	clock  clock.Clock
+	store  *platform.Store
+	relay  *relay.Server
+	limits *limiter
+	peers  *peers.Peers
+	feed   *feed.Feed
+	trust  trust
+	inbox  chan message
+	life   uint64
+}
+
+// New returns a Gateway for the settings.
+func New(b *platform.Boot) (*Gateway, error) {
+	g := &Gateway{
+		boot: b, clock: clock.Boot{}, store: platform.NewStore(b.Store),
+		limits: &limiter{quota: quota.New()}, inbox: make(chan message, mailbox), life: rand.Uint64(),
+	}
+	g.relay = relay.New(relay.Options{
+		Clock:   g.clock,
+		Table:   sched.New(b.Zone, sched.ColdLimit{Over: b.Bounds.ColdOver, Slack: b.Bounds.ColdSlack}),
+		Limiter: g.limits,
+		Retries: retry.Limit{
+			Ratio: b.Bounds.RetryRatio, Slack: b.Bounds.RetrySlack, Span: b.Bounds.RetryWindow,
+		},
+		KeysUsable: g.trust.usable,
+	})
+	p, err := peers.Listen(peers.Options{
+		Clock: g.clock, VM: b.VM, Address: net.JoinHostPort(b.IP, strconv.Itoa(b.FirstPort)),
+		Received: func(d peers.Digest) { g.post(digestReceived{d}) },
+	})
+	if err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
+	g.peers = p
+	g.feed = feed.New(feed.Options{
+		Clock: g.clock, Store: g.store,
+		Changed:   func(s *view.Snapshot) { g.post(viewChanged{s}) },
+		Confirmed: func(at clock.Time) { g.post(storeConfirmed{at}) },
+		Own:       func(i platform.Item) { g.post(keyChanged{i}) },
+		OwnKeys:   func(keys map[string]bool) { g.post(keysRead{keys}) },
+	})
+	return g, nil
+}
+
+// message is a message to the control loop.
+type message interface{}
+
+// Messages to the control loop.
+type (
+	// viewChanged brings a new belief.
+	viewChanged struct{ snapshot *view.Snapshot }
+	// storeConfirmed says that the belief held at the time.
+	storeConfirmed struct{ at clock.Time }
+	// keyChanged brings an item of the system's own.
+	keyChanged struct{ item platform.Item }
+	// keysRead names all keys after a full read.
+	keysRead struct{ keys map[string]bool }
+	// digestReceived brings a digest of another gateway.
+	digestReceived struct{ digest peers.Digest }
+)
+
+func (g *Gateway) post(m message) { g.inbox <- m }
+
+// limiter makes a Quota safe for concurrent use.
+type limiter struct {
+	mu    sync.Mutex
+	quota *quota.Quota
+}
+
+// Take implements relay.Limiter.
+func (l *limiter) Take(now clock.Time, c *fleet.Customer, tokens float64) (bool, clock.Span) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.quota.Take(now, c, tokens)
+}
+
+// Run serves until the context is done and then stops gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	klog.InfoS("entry: start", "vm", g.boot.VM, "zone", g.boot.Zone, "first", g.boot.FirstStart, "life", g.life)
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	c := newControl(g)
+	parts := []func(context.Context) error{
+		c.run,
+		func(ctx context.Context) error { g.feed.Run(ctx); return nil },
+		g.peers.Run,
+		newPresence(g).run,
+	}
+	ends := make(chan error, len(parts))
+	for _, part := range parts {
+		go func() { ends <- part(work) }()
+	}
+	err := g.serve(ctx, c)
+	cancel()
+	for range parts {
+		err = errors.Join(err, <-ends)
+	}
+	klog.InfoS("entry: stop", "vm", g.boot.VM, "err", err)
+	if err != nil {
+		return fmt.Errorf("entry: %w", err)
+	}
+	return nil
+}
+
+func (g *Gateway) address() string {
+	return net.JoinHostPort(g.boot.IP, strconv.Itoa(g.boot.FirstPort))
+}
+
+// self describes this gateway for the others.
+func (g *Gateway) self() member.Gateway {
+	return member.Gateway{VM: g.boot.VM, Address: g.address(), Zone: g.boot.Zone}
+}
+
+// none is a lease that was not granted.
+const none = platform.LeaseID(0)
+
--- /dev/null
+++ b/relay/exchange.go
@@ -0,0 +1,299 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+
+	"k8s.io/klog/v2"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/sched"
+	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/view"
+)
+
+const (
+	// maxBody bounds the body of a request where the configuration names no limit.
+	maxBody = 4 << 20
+	// maxSends bounds the upstreams that one request is offered to, refusals included.
+	maxSends = 4
+	// givesUp, targetsUp and gapsUp say when a caller leaves a stream that does not
+	// begin: after a fixed time, a multiple of the objective or of the pause, whichever
+	// is longest.
+	givesUp   = 2 * clock.Second
+	targetsUp = 4
+	gapsUp    = 8
+	// startShare is the part of that time within which a request has to start.
+	startShare = 0.8
+)
+
+// exchange is one request of a caller and its answer.
+type exchange struct {
+	s       *Server
+	w       http.ResponseWriter
+	r       *http.Request
+	view    *view.Snapshot
+	arrived clock.Time
+
+	ask      fleet.Ask
+	route    *fleet.Route
+	service  *fleet.Service
+	customer *fleet.Customer
+	body     []byte
+	// limit is the longest time until the final answer.
+	limit clock.Span
+
+	// sends counts offers to upstreams and runs those that may have run.
+	sends, runs int
+	avoid       []units.UpstreamID
+	// begun is set once the head of the answer was sent.
+	begun bool
+	// finished is set once the final answer was sent, aborted where it must not look
+	// complete.
+	finished, aborted bool
+	stream   events
+	kept     *plainAnswer
+	upstream units.UpstreamID
+	reason   string
+}
+
+// check finds the route and the customer and reads the body.
+func (x *exchange) check() *refusal {
+	x.ask = platform.ReadAsk(x.r.Header)
+	c := x.view.Config
+	if c == nil {
+		return noConfig
+	}
+	route, ok := c.Route(x.r.Host, x.r.URL.EscapedPath())
+	if !ok {
+		return noRoute
+	}
+	x.route = route
+	if p := x.authenticate(c); p != nil {
+		return p
+	}
+	x.limit = route.Timeout
+	if x.ask.Patience > 0 && (x.limit <= 0 || x.ask.Patience < x.limit) {
+		x.limit = x.ask.Patience
+	}
+	if x.limit <= 0 {
+		x.limit = clock.Minute
+	}
+	if x.service, ok = x.split(c); !ok {
+		return &refusal{status: http.StatusServiceUnavailable, code: units.NoUpstream, after: clock.Second}
+	}
+	return x.readBody(c)
+}
+
+func (x *exchange) authenticate(c *fleet.Config) *refusal {
+	if len(c.Customers()) == 0 || x.route.Public {
+		return nil
+	}
+	u, ok := c.Customer(x.ask.Key)
+	if !x.s.KeysUsable(x.arrived) {
+		return staleKeys
+	}
+	if !ok {
+		return badKey
+	}
+	x.customer = u
+	return nil
+}
+
+// split chooses the service of a route by weight.
+func (x *exchange) split(c *fleet.Config) (*fleet.Service, bool) {
+	total := 0
+	for _, b := range x.route.Backends {
+		total += b.Weight
+	}
+	if total <= 0 {
+		return nil, false
+	}
+	n := rand.IntN(total)
+	for _, b := range x.route.Backends {
+		if n < b.Weight {
+			return c.Service(b.Service)
+		}
+		n -= b.Weight
+	}
+	return nil, false
+}
+
+func (x *exchange) readBody(c *fleet.Config) *refusal {
+	limit := c.Limits.BodyBytes
+	if limit <= 0 {
+		limit = maxBody
+	}
+	if x.r.ContentLength > limit {
+		return largeInput
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	if err != nil {
+		if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
+			return largeInput
+		}
+		return badBody
+	}
+	x.body = data
+	return nil
+}
+
+// rank is the priority of the request; 0 is the most urgent.
+func (x *exchange) rank() int {
+	if x.customer != nil && x.customer.Priority != nil {
+		return *x.customer.Priority
+	}
+	return x.route.Priority
+}
+
+// serve takes the request from the customer's rate and offers it to upstreams until it
+// is answered.
+func (x *exchange) serve(ctx context.Context) {
+	if x.customer != nil {
+		ok, after := x.s.Limiter.Take(x.arrived, x.customer, x.ask.Cost(x.customer))
+		if !ok {
+			x.refuse(&refusal{status: http.StatusTooManyRequests, code: units.RateExceeded, after: after})
+			return
+		}
+	}
+	x.s.request(x.service.Name)
+	if x.ask.Model != "" && x.s.Used != nil {
+		x.s.Used(x.service.Name, x.ask.Model, x.ask.Adapter, x.ask.Prompt+x.ask.Output())
+	}
+	for !x.finished {
+		x.offer(ctx)
+	}
+}
+
+// offer sends the request to one upstream, or ends it.
+func (x *exchange) offer(ctx context.Context) {
+	if x.sends > 0 && (x.sends >= maxSends || !x.s.mayRepeat(x.service.Name)) {
+		x.giveUp("repeats")
+		return
+	}
+	k := x.place(ctx)
+	if k == nil {
+		return
+	}
+	x.upstream = k.Upstream.ID
+	x.avoid = append(x.avoid, k.Upstream.ID)
+	outcome := x.attempt(ctx, k)
+	x.s.mu.Lock()
+	x.s.Table.End(x.s.Clock.Now(), k, outcome)
+	x.s.mu.Unlock()
+	if outcome != sched.Served && outcome != sched.Left {
+		klog.V(1).InfoS("relay: attempt failed", "request", x.ask.ID, "upstream", k.Upstream.ID, "outcome", outcome, "reason", x.reason, "revision", x.view.Revision)
+	}
+}
+
+// place waits for an upstream. It returns nil once the request was ended.
+func (x *exchange) place(ctx context.Context) *sched.Ticket {
+	now := x.s.Clock.Now()
+	w := sched.Want{
+		Service: x.service, Model: x.ask.Model, Adapter: x.ask.Adapter,
+		Prompt: x.ask.Prompt, Output: x.ask.Output(), Parts: x.ask.Parts,
+		Rank: x.rank(), Due: x.arrived.Add(x.route.Target), Until: x.lastStart(), Avoid: x.avoid,
+	}
+	x.s.mu.Lock()
+	k := x.s.Table.Add(now, w)
+	x.s.mu.Unlock()
+	select {
+	case <-k.Ready:
+	case <-ctx.Done():
+		x.s.mu.Lock()
+		waiting := x.s.Table.Cancel(k)
+		x.s.mu.Unlock()
+		if waiting {
+			x.reason = "waiting"
+			x.end(ctx)
+			return nil
+		}
+		<-k.Ready
+	}
+	if k.Refused != nil {
+		x.reason = "no place"
+		x.noPlace(k.Refused)
+		return nil
+	}
+	return k
+}
+
+// lastStart is the last time at which a start is of use: later the caller has left.
+func (x *exchange) lastStart() clock.Time {
+	span := x.limit
+	if x.route.Stream {
+		span = min(span, max(givesUp, targetsUp*x.route.Target, gapsUp*x.route.MaxGap))
+	}
+	return x.arrived.Add(clock.Span(float64(span) * startShare))
+}
+
+// noPlace ends a request that no upstream takes.
+func (x *exchange) noPlace(r *sched.Refusal) {
+	if x.runs > 0 || x.begun {
+		x.giveUp(string(r.Code))
+		return
+	}
+	x.refuse(&refusal{status: http.StatusServiceUnavailable, code: r.Code, after: r.After})
+}
+
+// giveUp ends a request that can't be sent again: with the failure that an upstream
+// answered, if there is one.
+func (x *exchange) giveUp(reason string) {
+	x.reason = reason
+	switch {
+	case x.begun:
+		x.cut()
+	case x.kept != nil:
+		x.deliver(x.kept)
+	case x.runs > 0:
+		x.refuse(broken)
+	default:
+		x.refuse(&refusal{status: http.StatusServiceUnavailable, code: units.NoUpstream, after: 200 * clock.Millisecond})
+	}
+}
+
+// end ends a request at its time limit, or after its caller has left.
+func (x *exchange) end(ctx context.Context) {
+	x.finished = true
+	if x.r.Context().Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		stats.Event("callers_left")
+		return
+	}
+	x.finished = false
+	switch {
+	case x.begun:
+		x.cut()
+	case x.kept != nil:
+		x.deliver(x.kept)
+	case x.runs > 0:
+		x.refuse(timedOut)
+	default:
+		x.refuse(&refusal{status: http.StatusServiceUnavailable, code: units.DeadlineMissed, after: 200 * clock.Millisecond})
+	}
+}
+
+// refuse answers with a refusal of the gateway's own.
+func (x *exchange) refuse(p *refusal) {
+	x.finished = true
+	if x.s.drain.Load() {
+		p = &refusal{p.status, p.code, p.after, true}
+	}
+	p.write(x.w, x.ask.ID)
+	klog.InfoS("relay: refused", "request", x.ask.ID, "code", p.code, "status", p.status, "after", p.after,
+		"model", x.ask.Model, "adapter", x.ask.Adapter, "sends", x.sends, "runs", x.runs, "upstream", x.upstream, "reason", x.reason,
+		"took", x.s.Clock.Now().Sub(x.arrived), "revision", x.view.Revision)
+}
+
+// cut breaks a stream off without its end, so that it does not look complete.
+func (x *exchange) cut() {
+	x.finished, x.aborted = true, true
+	stats.Event("streams_cut")
+	klog.InfoS("relay: stream cut", "request", x.ask.ID, "upstream", x.upstream, "events", x.stream.count, "reason", x.reason,
+		"took", x.s.Clock.Now().Sub(x.arrived))
+}
