reside, duty, entry: load models and adapters on demand by one holder

One gateway now holds a lease for orders, its revision is the epoch, and plans from the demand that all gateways tell in their digests.

The planner now estimates the use of each upstream and leaves last copies alone.

--- a/entry/control.go
+++ b/entry/control.go
@@ -38,11 +38,15 @@
 	gateways  int
 	leaving   chan struct{}
 	left      bool
+	holder    *holder
+	// facts are news about upstreams that their descriptions do not show yet.
+	facts []fact
 }
 
 func newControl(g *Gateway) *control {
 	c := &control{g: g, members: member.NewList(), snapshot: &view.Snapshot{}, leaving: make(chan struct{}, 1)}
 	c.members.Set(g.self())
+	c.holder = newHolder(g, c)
 	return c
 }
 
@@ -57,6 +61,7 @@
 			c.handle(m)
 		case <-c.leaving:
 			c.left = true
+			c.holder.leave(ctx)
 			c.sendDigest(c.g.clock.Now())
 		case <-t.C:
 			c.onTick()
@@ -69,7 +74,7 @@
 	switch m := m.(type) {
 	case viewChanged:
 		c.snapshot = m.snapshot
-		c.g.relay.SetView(m.snapshot)
+		c.publish(now)
 	case storeConfirmed:
 		c.confirmed = max(c.confirmed, m.at)
 		c.updateTrust(now)
@@ -79,11 +84,25 @@
 		c.keys(now, m.keys)
 	case digestReceived:
 		c.digest(now, m.digest)
+	case missed:
+		c.miss(now)
+	case dutyTaken:
+		c.holder.taken(now, m)
+	case dutyKept:
+		c.holder.renewed(m)
+	case orderEnded:
+		c.holder.ended(now, m)
+	case reportRead:
+		c.holder.reported(now, m)
 	}
 }
 
 // key handles a key of the system's own.
 func (c *control) key(now clock.Time, m keyChanged) {
+	if m.item.Key == dutyKey {
+		c.holder.key(m.item)
+		return
+	}
 	vm, ok := member.VM(m.item.Key)
 	if !ok || vm == c.g.boot.VM {
 		return
@@ -108,10 +127,17 @@
 		}
 	}
 	c.members.Keep(now, named)
+	if !keys[dutyKey] {
+		c.holder.duty.Seen(c.snapshot.Revision, "")
+	}
 }
 
-// digest takes over what another gateway lends.
+// digest takes over what another gateway lends and tells.
 func (c *control) digest(now clock.Time, d peers.Digest) {
+	c.hear(now, d)
+	if d.Urgent() {
+		c.holder.plan(now)
+	}
 	c.g.limits.mu.Lock()
 	defer c.g.limits.mu.Unlock()
 	for _, l := range d.GetLoans() {
@@ -136,6 +162,7 @@
 	}
 	c.g.relay.SetOthers(c.others())
 	c.g.relay.Tick()
+	c.holder.tick(now)
 	if now.Sub(c.sent) >= digestEvery+clock.Span(c.gateways)*digestPerPeer {
 		c.sendDigest(now)
 	}
@@ -201,6 +228,8 @@
 		})
 	}
 	c.addQuota(now, d)
+	c.addNeeds(now, d)
+	c.addNews(now, d)
 	var to []string
 	for _, m := range c.members.All() {
 		if m.VM != c.g.boot.VM {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,8 +22,10 @@
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/quota"
 	"github.com/magnolialever/magnolialever/relay"
+	"github.com/magnolialever/magnolialever/reside"
 	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/sched"
+	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
 )
 
@@ -40,15 +42,21 @@
 	peers  *peers.Peers
 	feed   *feed.Feed
 	trust  trust
+	meter  meter
 	inbox  chan message
 	life   uint64
+	// work is done when the parts of the gateway have to end; calls counts calls that
+	// are under way.
+	work  context.Context
+	calls sync.WaitGroup
 }
 
 // New returns a Gateway for the settings.
 func New(b *platform.Boot) (*Gateway, error) {
 	g := &Gateway{
 		boot: b, clock: clock.Boot{}, store: platform.NewStore(b.Store),
-		limits: &limiter{quota: quota.New()}, inbox: make(chan message, mailbox), life: rand.Uint64(),
+		limits: &limiter{quota: quota.New(b.FirstStart, b.Bounds.QuotaOver)}, inbox: make(chan message, mailbox), life: rand.Uint64(),
+		meter: meter{meter: reside.NewMeter()}, work: context.Background(),
 	}
 	g.relay = relay.New(relay.Options{
 		Clock:   g.clock,
@@ -58,6 +66,13 @@
 			Ratio: b.Bounds.RetryRatio, Slack: b.Bounds.RetrySlack, Span: b.Bounds.RetryWindow,
 		},
 		KeysUsable: g.trust.usable,
+		Missing: func(s units.ServiceID, m units.ModelID, adapter string) {
+			g.meter.missed(g.clock.Now(), reside.Target{Service: s, Model: m, Adapter: adapter})
+			g.post(missed{})
+		},
+		Used: func(s units.ServiceID, m units.ModelID, adapter string, work float64) {
+			g.meter.used(g.clock.Now(), reside.Target{Service: s, Model: m, Adapter: adapter}, work)
+		},
 	})
 	p, err := peers.Listen(peers.Options{
 		Clock: g.clock, VM: b.VM, Address: net.JoinHostPort(b.IP, strconv.Itoa(b.FirstPort)),
@@ -94,7 +109,42 @@
 	digestReceived struct{ digest peers.Digest }
 )
 
-func (g *Gateway) post(m message) { g.inbox <- m }
+// post hands a message to the control loop. Messages after its end are dropped.
+func (g *Gateway) post(m message) {
+	select {
+	case g.inbox <- m:
+	case <-g.work.Done():
+	}
+}
+
+// start runs a call beside the control loop, to which it posts its result.
+func (g *Gateway) start(call func(ctx context.Context)) {
+	g.calls.Go(func() { call(g.work) })
+}
+
+// meter makes a reside.Meter safe for concurrent use.
+type meter struct {
+	mu    sync.Mutex
+	meter *reside.Meter
+}
+
+func (m *meter) used(now clock.Time, t reside.Target, work float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.meter.Used(now, t, work)
+}
+
+func (m *meter) missed(now clock.Time, t reside.Target) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.meter.Missed(now, t)
+}
+
+func (m *meter) needs(now clock.Time) map[reside.Target]reside.Need {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.meter.Needs(now)
+}
 
 // limiter makes a Quota safe for concurrent use.
 type limiter struct {
@@ -114,6 +164,7 @@
 	klog.InfoS("entry: start", "vm", g.boot.VM, "zone", g.boot.Zone, "first", g.boot.FirstStart, "life", g.life)
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	g.work = work
 	c := newControl(g)
 	parts := []func(context.Context) error{
 		c.run,
@@ -130,6 +181,7 @@
 	for range parts {
 		err = errors.Join(err, <-ends)
 	}
+	g.calls.Wait()
 	klog.InfoS("entry: stop", "vm", g.boot.VM, "err", err)
 	if err != nil {
 		return fmt.Errorf("entry: %w", err)
@@ -148,4 +200,3 @@
 
 // none is a lease that was not granted.
 const none = platform.LeaseID(0)
-
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	// pause lies between two watches. Descriptions of upstreams change all the time, and
-	// each call is paid for; the pause collects changes.
-	pause = 450 * time.Millisecond
-	// wait is how long a watch waits for a change.
+	// pause lies between two watches. Each call is paid for; the pause collects changes
+	// that come close together.
+	pause = 300 * time.Millisecond
+	// wait is how long a watch waits for a change. It bounds the age of the belief.
 	wait = clock.Second
 	// firstRetry and maxRetry bound the delay after a failed call.
 	firstRetry = 150 * time.Millisecond
@@ -173,6 +173,9 @@
 			return false
 		}
 		klog.InfoS("feed: configuration", "version", c.Config.Version, "revision", i.Revision)
+		for _, u := range c.Config.Customers() {
+			klog.InfoS("feed: customer", "version", c.Config.Version, "customer", u.ID, "rate", u.Rate, "burst", u.Burst)
+		}
 	case c.Upstream != nil:
 		f.state.SetUpstream(now, c.Upstream)
 	case c.Gone != "":
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -28,8 +28,6 @@
 	Cold clock.Span
 	// Leaves is the time until a draining upstream is gone; 0 is unknown.
 	Leaves clock.Span
-	// Orders is the number of orders that the upstream has accepted since its start.
-	Orders int64
 	// Born is the Unix time of the start in milliseconds; 0 is unknown.
 	Born int64
 	// Models are the resident models.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -30,6 +31,11 @@
 	At clock.Time
 }
 
+// Urgent reports whether requests at the gateway miss a model or adapter.
+func (d Digest) Urgent() bool {
+	return slices.ContainsFunc(d.GetNeeds(), func(n *wire.ModelNeed) bool { return n.GetMissed() > 0 })
+}
+
 // Options are what a Peers needs.
 type Options struct {
 	Clock   clock.Clock
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -18,9 +18,11 @@
 	// minBurst is the least share of a burst, as a time at the share of the rate. Below
 	// it, single large requests could never pass.
 	minBurst = 2 * clock.Second
-	// firstFill is the part of its burst that a gateway starts with: the process before
-	// it may have used the rest.
-	firstFill = 0.25
+	// restartFill is the part of its burst that a gateway starts with after a restart: the
+	// process before it may have used the rest.
+	restartFill = 0.25
+	// overShare is the part of the tolerance for rates that is used.
+	overShare = 0.7
 	// demandSpan is the time over which demand is averaged.
 	demandSpan = clock.Second
 	// LoanSpan is how long the borrower may use a loan after it was received.
@@ -93,11 +95,23 @@
 // Quota bounds the customers of one gateway. It is not safe for concurrent use.
 type Quota struct {
 	gateways int
+	// fill is the part of its burst that an account starts with.
+	fill float64
+	// over is the share by which rates may be exceeded. It makes up for buckets that are
+	// full at one gateway while another refuses.
+	over     float64
 	accounts map[units.CustomerID]*account
 }
 
-// New returns a Quota for a gateway that is alone.
-func New() *Quota { return &Quota{gateways: 1, accounts: map[units.CustomerID]*account{}} }
+// New returns a Quota for a gateway that is alone. The first process of a gateway owns
+// its whole burst.
+func New(first bool, over float64) *Quota {
+	fill := restartFill
+	if first {
+		fill = 1
+	}
+	return &Quota{gateways: 1, fill: fill, over: over * overShare, accounts: map[units.CustomerID]*account{}}
+}
 
 // SetGateways sets the number of gateways that share each customer's rate.
 func (q *Quota) SetGateways(n int) { q.gateways = max(n, 1) }
@@ -110,10 +124,10 @@
 	}
 	n := float64(q.gateways)
 	a.unlimited, a.perRequest = c.Rate <= 0, c.PerRequest
-	a.rate = c.Rate / n
+	a.rate = c.Rate * (1 + q.over) / n
 	a.burst = max(c.Burst/n, a.rate*minBurst.Seconds())
 	if a.level < 0 && !ok {
-		a.level = a.burst * firstFill
+		a.level = a.burst * q.fill
 	}
 	return a
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -209,6 +209,8 @@
 // deliver sends a complete answer to the caller.
 func (x *exchange) deliver(p *plainAnswer) {
 	x.finished = true
+	x.first = x.s.Clock.Now()
+	x.served(p.status)
 	h := x.w.Header()
 	platform.CopyAnswer(h, p.header)
 	h.Set("Content-Length", strconv.Itoa(len(p.body)))
@@ -234,6 +236,7 @@
 		x.finished = true
 		x.begin(a)
 		a.done()
+		x.served(a.status)
 		return sched.Served
 	}
 	a.abort()
@@ -270,8 +273,9 @@
 		if n > 0 {
 			if first {
 				first = false
+				x.first = x.s.Clock.Now()
 				x.s.mu.Lock()
-				x.s.Table.First(x.s.Clock.Now(), k)
+				x.s.Table.First(x.first, k)
 				x.s.mu.Unlock()
 			}
 			if err := x.pass(a, flush, buf[:n]); err != nil {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/reside"
 	"github.com/magnolialever/magnolialever/sched"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
@@ -57,10 +58,12 @@
 	// finished is set once the final answer was sent, aborted where it must not look
 	// complete.
 	finished, aborted bool
-	stream   events
-	kept     *plainAnswer
-	upstream units.UpstreamID
-	reason   string
+	stream            events
+	kept              *plainAnswer
+	upstream          units.UpstreamID
+	reason            string
+	// placed is when the last upstream was chosen, first when its answer began.
+	placed, first clock.Time
 }
 
 // check finds the route and the customer and reads the body.
@@ -156,15 +159,15 @@
 // is answered.
 func (x *exchange) serve(ctx context.Context) {
 	if x.customer != nil {
-		ok, after := x.s.Limiter.Take(x.arrived, x.customer, x.ask.Cost(x.customer))
+		ok, after := x.s.Limiter.Take(x.arrived, x.customer, x.cost())
 		if !ok {
 			x.refuse(&refusal{status: http.StatusTooManyRequests, code: units.RateExceeded, after: after})
 			return
 		}
 	}
 	x.s.request(x.service.Name)
-	if x.ask.Model != "" && x.s.Used != nil {
-		x.s.Used(x.service.Name, x.ask.Model, x.ask.Adapter, x.ask.Prompt+x.ask.Output())
+	if x.ask.Model != "" {
+		x.s.Used(x.service.Name, x.ask.Model, x.ask.Adapter, reside.Work(x.ask.Prompt, x.ask.Output()))
 	}
 	for !x.finished {
 		x.offer(ctx)
@@ -181,7 +184,7 @@
 	if k == nil {
 		return
 	}
-	x.upstream = k.Upstream.ID
+	x.upstream, x.placed = k.Upstream.ID, x.s.Clock.Now()
 	x.avoid = append(x.avoid, k.Upstream.ID)
 	outcome := x.attempt(ctx, k)
 	x.s.mu.Lock()
@@ -203,6 +206,9 @@
 	x.s.mu.Lock()
 	k := x.s.Table.Add(now, w)
 	x.s.mu.Unlock()
+	if k.Missing {
+		x.s.Missing(x.service.Name, x.ask.Model, x.ask.Adapter)
+	}
 	select {
 	case <-k.Ready:
 	case <-ctx.Done():
@@ -278,6 +284,21 @@
 	}
 }
 
+// cost is the number of tokens that the request takes from its customer's rate.
+func (x *exchange) cost() float64 {
+	if x.customer == nil {
+		return 0
+	}
+	return x.ask.Cost(x.customer)
+}
+
+// served notes a request that was answered by an upstream.
+func (x *exchange) served(status int) {
+	klog.InfoS("relay: served", "request", x.ask.ID, "status", status, "upstream", x.upstream, "customer", x.customerID(),
+		"cost", x.cost(), "model", x.ask.Model, "adapter", x.ask.Adapter, "sends", x.sends, "runs", x.runs, "events", x.stream.count,
+		"placed", x.placed.Sub(x.arrived), "first", x.first.Sub(x.arrived), "took", x.s.Clock.Now().Sub(x.arrived), "revision", x.view.Revision)
+}
+
 // refuse answers with a refusal of the gateway's own.
 func (x *exchange) refuse(p *refusal) {
 	x.finished = true
@@ -286,7 +307,7 @@
 	}
 	p.write(x.w, x.ask.ID)
 	klog.InfoS("relay: refused", "request", x.ask.ID, "code", p.code, "status", p.status, "after", p.after,
-		"model", x.ask.Model, "adapter", x.ask.Adapter, "sends", x.sends, "runs", x.runs, "upstream", x.upstream, "reason", x.reason,
+		"customer", x.customerID(), "cost", x.cost(), "model", x.ask.Model, "adapter", x.ask.Adapter, "sends", x.sends, "runs", x.runs, "upstream", x.upstream, "reason", x.reason,
 		"took", x.s.Clock.Now().Sub(x.arrived), "revision", x.view.Revision)
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -36,7 +36,7 @@
 	// Missing is told of requests for a model or adapter that no upstream holds.
 	Missing func(s units.ServiceID, m units.ModelID, adapter string)
 	// Used is told of the work that requests for a model or adapter bring.
-	Used func(s units.ServiceID, m units.ModelID, adapter string, tokens units.Tokens)
+	Used func(s units.ServiceID, m units.ModelID, adapter string, work float64)
 }
 
 // Server handles requests of callers.
--- /dev/null
+++ b/reside/plan.go
@@ -0,0 +1,524 @@
+package reside
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// Target names a model or an adapter of a service.
+type Target struct {
+	Service units.ServiceID
+	Model   units.ModelID
+	Adapter string
+}
+
+// Need is the demand of a model or adapter over all gateways.
+type Need struct {
+	// Tokens is the work asked for, in prompt tokens a second.
+	Tokens float64
+	// Missed counts requests of late that nothing could serve.
+	Missed int
+}
+
+// World is the input of one planning round.
+type World struct {
+	Services map[units.ServiceID]*fleet.Service
+	Needs    map[Target]Need
+	// Out are the zones that get nothing new.
+	Out map[units.Zone]bool
+	// Load is the number of requests that run on each upstream.
+	Load map[units.UpstreamID]int
+}
+
+const (
+	// capacity is the work that one engine does in a second, in prompt tokens.
+	capacity = 22_000.0
+	// highUse is the share of the capacity on each of its copies above which a model gets
+	// another.
+	highUse = 0.45
+	// lowUse is the share of that use below which an upstream is worth a copy.
+	lowUse = 0.7
+	// keepNew is how long a new copy is not displaced.
+	keepNew = 5 * clock.Second
+	// keepLast is how long the last copy of a model stays after its last request, where a
+	// model that nothing holds is asked for.
+	keepLast = 12 * clock.Second
+	// intentSpan is how long an upstream is kept for the model that room was made for.
+	intentSpan = 6 * clock.Second
+	// loadBurst is the number of loads from the weight store that may begin at once.
+	loadBurst = 3.0
+	// loadShare is the part of the weight store's rate that is used.
+	loadShare = 0.9
+	// maxLoadSeconds bounds the loads under way, as a time at the store's rate. Beyond it
+	// each load takes longer.
+	maxLoadSeconds = 3.5
+	// adapterKeep is how long an adapter that was just loaded is not displaced.
+	adapterKeep = 800 * clock.Millisecond
+)
+
+// Planner decides on orders.
+type Planner struct {
+	ledger *Ledger
+	// credit is the number of loads from the weight store that may begin.
+	credit map[units.ServiceID]float64
+	last   clock.Time
+	// asked is when a target was last asked for.
+	asked map[Target]clock.Time
+	// intents are the models that upstreams make room for.
+	intents map[units.UpstreamID]intent
+}
+
+type intent struct {
+	model units.ModelID
+	until clock.Time
+}
+
+// NewPlanner returns a Planner over the ledger.
+func NewPlanner(l *Ledger) *Planner {
+	return &Planner{
+		ledger: l, credit: map[units.ServiceID]float64{}, asked: map[Target]clock.Time{},
+		intents: map[units.UpstreamID]intent{},
+	}
+}
+
+// Plan returns the orders to give now. Each counts as sent.
+func (p *Planner) Plan(now clock.Time, w World) []Command {
+	span := clock.Span(0)
+	if p.last != 0 {
+		span = now.Sub(p.last)
+	}
+	p.last = now
+	for t, n := range w.Needs {
+		if n.Tokens > 1 || n.Missed > 0 {
+			p.asked[t] = now
+		}
+	}
+	var out []Command
+	for _, id := range sortedServices(w.Services) {
+		s := w.Services[id]
+		if s.Engine == nil {
+			continue
+		}
+		if c, ok := p.credit[id]; !ok {
+			p.credit[id] = 1
+		} else {
+			p.credit[id] = min(c+span.Seconds()*s.Engine.LoadsPerSecond*loadShare, loadBurst)
+		}
+		r := p.newRound(now, &w, s)
+		r.fulfil()
+		r.coverModels()
+		r.coverAdapters()
+		r.balance()
+		out = append(out, r.out...)
+	}
+	return out
+}
+
+func sortedServices(m map[units.ServiceID]*fleet.Service) []units.ServiceID {
+	out := make([]units.ServiceID, 0, len(m))
+	for id := range m {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// round is the state of one planning round for one service.
+type round struct {
+	p       *Planner
+	now     clock.Time
+	w       *World
+	service *fleet.Service
+	engine  *fleet.Engine
+	sites   []*site
+	ids     map[*site]units.UpstreamID
+	// needs is the demand of each model with its adapters.
+	needs map[units.ModelID]Need
+	// recent are the models asked for within keepLast.
+	recent map[units.ModelID]bool
+	// copies lists the sites that hold or load a model and take requests.
+	copies map[units.ModelID][]*site
+	// use is the expected work of each site, in prompt tokens a second.
+	use   map[*site]float64
+	loads int
+	out   []Command
+	used  map[*site]bool
+}
+
+func (p *Planner) newRound(now clock.Time, w *World, s *fleet.Service) *round {
+	r := &round{
+		p: p, now: now, w: w, service: s, engine: s.Engine,
+		ids: map[*site]units.UpstreamID{}, copies: map[units.ModelID][]*site{}, used: map[*site]bool{},
+		needs: map[units.ModelID]Need{}, recent: map[units.ModelID]bool{},
+	}
+	for id, one := range p.ledger.sites {
+		e := one.entry
+		if e.Service != s.Name || e.Draining || w.Out[e.Zone] {
+			continue
+		}
+		r.ids[one] = id
+		r.sites = append(r.sites, one)
+	}
+	slices.SortFunc(r.sites, func(a, b *site) int { return cmp.Compare(r.ids[a], r.ids[b]) })
+	for _, one := range r.sites {
+		r.addCopies(one)
+	}
+	for t, n := range w.Needs {
+		if t.Service == s.Name {
+			sum := r.needs[t.Model]
+			sum.Tokens += n.Tokens
+			sum.Missed += n.Missed
+			r.needs[t.Model] = sum
+		}
+	}
+	for t, at := range p.asked {
+		if t.Service == s.Name && now.Sub(at) < keepLast {
+			r.recent[t.Model] = true
+		}
+	}
+	r.fill()
+	return r
+}
+
+func (r *round) addCopies(s *site) {
+	for m, c := range s.models {
+		if s.busy != nil && s.busy.Unload && s.busy.Model == m {
+			continue
+		}
+		if c.loading {
+			r.loads++
+		}
+		r.copies[m] = append(r.copies[m], s)
+	}
+}
+
+// fillRounds is the number of times that the work of all models is divided anew.
+const fillRounds = 3
+
+// fill estimates the work of each site: each model's work goes to its copies so that
+// they are used as evenly as the other models allow.
+func (r *round) fill() {
+	r.use = map[*site]float64{}
+	part := map[units.ModelID]map[*site]float64{}
+	for range fillRounds {
+		for _, m := range r.engine.Models {
+			copies := r.copies[m.Name]
+			work := r.needs[m.Name].Tokens
+			if len(copies) == 0 || work <= 0 {
+				continue
+			}
+			for s, n := range part[m.Name] {
+				r.use[s] -= n
+			}
+			part[m.Name] = level(copies, r.use, work)
+			for s, n := range part[m.Name] {
+				r.use[s] += n
+			}
+		}
+	}
+}
+
+// level divides work among sites so that the least used are filled first.
+func level(sites []*site, use map[*site]float64, work float64) map[*site]float64 {
+	order := slices.Clone(sites)
+	slices.SortStableFunc(order, func(a, b *site) int { return cmp.Compare(use[a], use[b]) })
+	out := map[*site]float64{}
+	// Raises the level of the first n sites until the work is used up.
+	total := 0.0
+	for n := 1; n <= len(order); n++ {
+		total += use[order[n-1]]
+		height := (work + total) / float64(n)
+		if n < len(order) && height > use[order[n]] {
+			continue
+		}
+		for _, s := range order[:n] {
+			out[s] = max(height-use[s], 0)
+		}
+		break
+	}
+	return out
+}
+
+// fulfil loads the models that upstreams have made room for.
+func (r *round) fulfil() {
+	for _, s := range r.sites {
+		id := r.ids[s]
+		i, ok := r.p.intents[id]
+		if !ok {
+			continue
+		}
+		m, known := r.engine.Model(i.model)
+		_, has := s.models[i.model]
+		if !known || has || !r.now.Before(i.until) {
+			delete(r.p.intents, id)
+			continue
+		}
+		if s.idle(r.now) && !r.used[s] && r.fits(s, m) && r.affordable(s, m.Name) {
+			delete(r.p.intents, id)
+			r.load(s, m.Name)
+		}
+	}
+}
+
+// coming is the number of copies of the model that are being loaded or made room for.
+func (r *round) coming(m units.ModelID) int {
+	n := 0
+	for _, s := range r.copies[m] {
+		if s.models[m] != nil && s.models[m].loading {
+			n++
+		}
+	}
+	for _, i := range r.p.intents {
+		if i.model == m {
+			n++
+		}
+	}
+	return n
+}
+
+// coverModels loads models that are asked for and that nothing holds, the most wanted
+// first.
+func (r *round) coverModels() {
+	var missing []units.ModelID
+	for _, m := range r.engine.Models {
+		n := r.needs[m.Name]
+		if len(r.copies[m.Name]) == 0 && (n.Missed > 0 || n.Tokens > 1) && r.coming(m.Name) == 0 {
+			missing = append(missing, m.Name)
+		}
+	}
+	slices.SortStableFunc(missing, func(a, b units.ModelID) int {
+		return cmp.Compare(r.needs[b].Tokens, r.needs[a].Tokens)
+	})
+	for _, m := range missing {
+		r.addCopy(m, true, math.Inf(1))
+	}
+}
+
+// balance adds copies of models of which each copy is used too much.
+func (r *round) balance() {
+	type hot struct {
+		model units.ModelID
+		use   float64
+	}
+	var list []hot
+	for _, m := range r.engine.Models {
+		copies := r.copies[m.Name]
+		if len(copies) == 0 || r.needs[m.Name].Tokens <= 0 {
+			continue
+		}
+		least := math.Inf(1)
+		for _, s := range copies {
+			least = min(least, r.use[s])
+		}
+		wanted := int(math.Ceil(r.needs[m.Name].Tokens / (highUse * capacity)))
+		if least > highUse*capacity && r.coming(m.Name) < max(wanted-len(copies)+r.coming(m.Name), 1) {
+			list = append(list, hot{m.Name, least})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b hot) int { return cmp.Compare(b.use, a.use) })
+	for _, h := range list {
+		if r.coming(h.model) < maxComing {
+			r.addCopy(h.model, false, h.use)
+		}
+	}
+}
+
+// maxComing bounds the copies of one model under way.
+const maxComing = 3
+
+// affordable reports whether the weight store's budget allows a load.
+func (r *round) affordable(s *site, m units.ModelID) bool {
+	if float64(r.loads) >= max(maxLoadSeconds*r.engine.LoadsPerSecond, 1) && r.engine.LoadsPerSecond > 0 {
+		return false
+	}
+	return s.keeps(m) || r.engine.LoadsPerSecond <= 0 || r.p.credit[r.service.Name] >= 1
+}
+
+// addCopy loads one more copy of the model on the upstream that is used least, or makes
+// room for it there.
+func (r *round) addCopy(id units.ModelID, missing bool, use float64) {
+	m, ok := r.engine.Model(id)
+	if !ok {
+		return
+	}
+	var best *site
+	var victim units.ModelID
+	bestCost := math.Inf(1)
+	for _, s := range r.sites {
+		if _, has := s.models[id]; has || r.used[s] || !s.idle(r.now) || !r.affordable(s, id) {
+			continue
+		}
+		if _, busy := r.p.intents[r.ids[s]]; busy || (!missing && r.use[s] > use*lowUse) {
+			continue
+		}
+		v, ok := r.room(s, m, missing)
+		if !ok {
+			continue
+		}
+		cost := r.use[s] / capacity
+		if v != "" {
+			cost += victimCost
+		}
+		if !s.keeps(id) {
+			cost += storeCost
+		}
+		if cost < bestCost {
+			best, victim, bestCost = s, v, cost
+		}
+	}
+	if best == nil {
+		return
+	}
+	if victim == "" {
+		r.load(best, id)
+		return
+	}
+	r.p.intents[r.ids[best]] = intent{id, r.now.Add(intentSpan)}
+	r.command(best, Command{Unload: true, Model: victim})
+	r.copies[victim] = slices.DeleteFunc(r.copies[victim], func(s *site) bool { return s == best })
+}
+
+const (
+	// victimCost and storeCost are what an unload and a load from the weight store cost,
+	// as a share of the capacity of an upstream.
+	victimCost = 0.15
+	storeCost  = 0.3
+)
+
+func (r *round) fits(s *site, m fleet.Model) bool {
+	reserve := float64(min(m.Adapters, r.engine.AdapterSlots)) * m.AdapterMegabytes
+	return s.usedMegabytes(r.engine)+m.Megabytes+reserve <= r.engine.Megabytes
+}
+
+// room returns the model that has to go from the upstream for another to fit; ok is
+// false where nothing may go. The last copy of a model goes only for a model that
+// nothing holds, and only where nobody has asked for it lately.
+func (r *round) room(s *site, m fleet.Model, missing bool) (units.ModelID, bool) {
+	if r.fits(s, m) {
+		return "", true
+	}
+	var victim units.ModelID
+	least := math.Inf(1)
+	for id, c := range s.models {
+		if c.loading || r.now.Sub(c.since) < keepNew && !missing {
+			continue
+		}
+		rest := len(r.copies[id]) - 1
+		cost := r.needs[id].Tokens / max(float64(rest), 0.5)
+		switch {
+		case rest > 0 && (missing || cost < highUse*capacity):
+		case rest <= 0 && missing && !r.recent[id]:
+			cost += capacity
+		default:
+			continue
+		}
+		if cost < least || (cost == least && id < victim) {
+			victim, least = id, cost
+		}
+	}
+	return victim, victim != ""
+}
+
+func (r *round) load(s *site, id units.ModelID) {
+	if !s.keeps(id) {
+		r.p.credit[r.service.Name]--
+	}
+	r.loads++
+	r.command(s, Command{Model: id, FromStore: !s.keeps(id)})
+	r.copies[id] = append(r.copies[id], s)
+}
+
+func (r *round) command(s *site, c Command) {
+	r.used[s] = true
+	c.Upstream, c.Service, c.Expected = r.ids[s], r.service.Name, s.orders
+	s.sending = true
+	r.out = append(r.out, c)
+}
+
+// coverAdapters loads adapters that are asked for and that no copy of their model
+// holds.
+func (r *round) coverAdapters() {
+	var wanted []Target
+	for t, n := range r.w.Needs {
+		if t.Service == r.service.Name && t.Adapter != "" && (n.Missed > 0 || n.Tokens > 1) && !r.held(t) {
+			wanted = append(wanted, t)
+		}
+	}
+	slices.SortFunc(wanted, func(a, b Target) int {
+		return cmp.Or(cmp.Compare(r.w.Needs[b].Missed, r.w.Needs[a].Missed),
+			cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+	})
+	for _, t := range wanted {
+		r.addAdapter(t)
+	}
+}
+
+func (r *round) held(t Target) bool {
+	return slices.ContainsFunc(r.copies[t.Model], func(s *site) bool {
+		c, ok := s.models[t.Model]
+		if !ok {
+			return false
+		}
+		_, ok = c.adapters[t.Adapter]
+		return ok
+	})
+}
+
+// addAdapter loads an adapter beside a copy of its model, in place of the one that was
+// not asked for longest if need be.
+func (r *round) addAdapter(t Target) {
+	m, ok := r.engine.Model(t.Model)
+	if !ok {
+		return
+	}
+	var best *site
+	bestCost := math.Inf(1)
+	for _, s := range r.copies[t.Model] {
+		c, has := s.models[t.Model]
+		if !has || c.loading || r.used[s] || !s.free(r.now) {
+			continue
+		}
+		cost := float64(r.w.Load[r.ids[s]]) + 2*float64(s.adapters())
+		if s.adapters() >= r.engine.AdapterSlots {
+			if _, ok := r.oldest(s); !ok {
+				continue
+			}
+			cost += 100
+		}
+		if cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	switch {
+	case best == nil:
+	case best.adapters() >= r.engine.AdapterSlots:
+		v, _ := r.oldest(best)
+		r.command(best, Command{Unload: true, Model: v.Model, Adapter: v.Adapter})
+	case best.usedMegabytes(r.engine)+m.AdapterMegabytes <= r.engine.Megabytes:
+		r.command(best, Command{Model: t.Model, Adapter: t.Adapter})
+	}
+}
+
+// oldest returns the adapter of the upstream that was not asked for longest.
+func (r *round) oldest(s *site) (Target, bool) {
+	var best Target
+	bestAt := clock.Time(math.MaxInt64)
+	for model, c := range s.models {
+		for name, since := range c.adapters {
+			t := Target{r.service.Name, model, name}
+			at := r.p.asked[t]
+			if r.now.Sub(since) < adapterKeep || r.now.Sub(at) < adapterKeep && at != 0 {
+				continue
+			}
+			if at < bestAt || (at == bestAt && name < best.Adapter) {
+				best, bestAt = t, at
+			}
+		}
+	}
+	return best, best.Adapter != ""
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -43,6 +43,8 @@
 	Ready chan struct{}
 	// Refused is set where the request can't be served in time.
 	Refused *Refusal
+	// Missing is set where no upstream held the model when the request was added.
+	Missing bool
 	state   *upstream
 	sent    clock.Time
 	// backlog is the part of the prompt that counts until the first event.
@@ -62,9 +64,6 @@
 const (
 	// MaxWaiting bounds the requests that wait at one gateway.
 	MaxWaiting = 256
-	// loadWait is the share of the time left that a request may wait for its model to be
-	// loaded.
-	loadWait = 0.5
 	// shortRetry is what a caller is told where room is expected soon.
 	shortRetry = 300 * clock.Millisecond
 	// emptyRetry is what a caller is told where a service has no upstream.
@@ -135,6 +134,7 @@
 		t.start(now, k, c)
 		return k
 	}
+	k.Missing = k.Model != "" && c.members > 0 && c.holders == 0
 	if r := t.hopeless(now, k, c); r != nil {
 		k.Refused = r
 		close(k.Ready)
@@ -162,10 +162,27 @@
 		return &Refusal{units.QueueFull, shortRetry}
 	case c.holders == 0 && c.tried > 0 && k.Model == "":
 		return &Refusal{units.NoUpstream, shortRetry}
+	case k.Missing && left < t.loadTime(k):
+		return &Refusal{units.ModelLoading, t.loadTime(k)}
 	}
 	return nil
 }
 
+// loadTime is how long the model of the request takes to be loaded at most; adapters
+// take some milliseconds.
+func (t *Table) loadTime(k *Ticket) clock.Span {
+	for _, e := range t.snap.Upstreams {
+		if e.Service == k.Service.Name && !e.Draining && e.Holds(k.Model, "") {
+			return 0
+		}
+	}
+	if k.Service.Engine == nil {
+		return 0
+	}
+	m, _ := k.Service.Engine.Model(k.Model)
+	return m.StoreLoad
+}
+
 // Cancel takes a waiting ticket back. It reports false if the ticket was started
 // already.
 func (t *Table) Cancel(k *Ticket) bool {
--- a/units/code.go
+++ b/units/code.go
@@ -17,6 +17,7 @@
 	DeadlineMissed   Code = "deadline_unreachable"
 	ColdLimit        Code = "cold_limit"
 	NoUpstream       Code = "no_upstream"
+	ModelLoading     Code = "model_loading"
 	Isolated         Code = "isolated"
 	Draining         Code = "draining"
 	StoreUnavailable Code = "store_unavailable"
