view: tell an outage of the store by failed calls

A watch that waits a second without events left 1.3 s between two confirmations, which counted as an outage; entries that were removed then stayed usable for 2.2 s. Ruled out: a missed event (the log shows the removal 3 ms after the store's answer).

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -90,6 +90,7 @@
 		f.full = false
 		return 0
 	}
+	f.state.Failed()
 	stats.Event("store_failed")
 	if !f.lost {
 		klog.InfoS("feed: store does not answer", "err", err, "revision", f.state.Revision())
@@ -178,8 +179,11 @@
 		}
 	case c.Upstream != nil:
 		f.state.SetUpstream(now, c.Upstream)
+		klog.InfoS("feed: upstream", "upstream", c.Upstream.ID, "draining", c.Upstream.Draining, "cold", c.Upstream.Cold,
+			"models", len(c.Upstream.Models), "revision", i.Revision)
 	case c.Gone != "":
 		f.state.Remove(now, c.Gone)
+		klog.InfoS("feed: upstream is gone", "upstream", c.Gone, "revision", i.Revision)
 	case c.Out != "":
 		f.state.SetOut(now, c.Out, true)
 		klog.InfoS("feed: zone is out", "zone", c.Out, "revision", i.Revision)
--- a/view/view.go
+++ b/view/view.go
@@ -11,14 +11,9 @@
 	"github.com/magnolialever/magnolialever/units"
 )
 
-const (
-	// outageSpan is the time without an answer of the store after which entries may
-	// have lapsed though their writers live.
-	outageSpan = clock.Second
-	// returnSpan is the time after an outage within which entries of live upstreams come
-	// back.
-	returnSpan = 2200 * clock.Millisecond
-)
+// returnSpan is the time after an outage of the store within which entries of live
+// upstreams come back.
+const returnSpan = 2200 * clock.Millisecond
 
 // Entry is an upstream as last described.
 type Entry struct {
@@ -51,10 +46,10 @@
 	snap Snapshot
 	// confirmed is when the store was last known to agree.
 	confirmed clock.Time
-	// returned is when the store answered again after the last outage.
+	// failing is set while calls to the store fail.
+	failing bool
+	// returned is when the store answered again after the last outage; 0 is never.
 	returned clock.Time
-	// outage is set between the start of an outage and the end of returnSpan.
-	outage bool
 }
 
 // New returns an empty State.
@@ -76,19 +71,26 @@
 // Confirmed is when the store was last known to agree with the belief.
 func (s *State) Confirmed() clock.Time { return s.confirmed }
 
+// Failed notes that a call to the store failed. Entries may lapse meanwhile though
+// their writers live.
+func (s *State) Failed() { s.failing = true }
+
 // Answered notes that the belief holds up to the revision, as of the time at. The time
 // now is when the answer arrived.
 func (s *State) Answered(now, at clock.Time, rev units.Revision) {
-	if s.confirmed != 0 && now.Sub(s.confirmed) > outageSpan {
-		s.outage, s.returned = true, now
-	}
-	if s.outage && now.Sub(s.returned) > returnSpan {
-		s.outage = false
+	if s.failing {
+		s.failing, s.returned = false, now
 	}
 	s.confirmed = max(s.confirmed, at)
 	s.snap.Revision = max(s.snap.Revision, rev)
 }
 
+// returning reports whether entries of live upstreams may still be missing after an
+// outage.
+func (s *State) returning(now clock.Time) bool {
+	return s.returned != 0 && now.Sub(s.returned) < returnSpan
+}
+
 // SetConfig takes a configuration over and reports whether it is newer. An older
 // version never replaces a newer one.
 func (s *State) SetConfig(c *fleet.Config) bool {
@@ -118,7 +120,7 @@
 	if !ok {
 		return
 	}
-	if s.outage && !e.Draining && now.Sub(s.returned) < returnSpan {
+	if s.returning(now) && !e.Draining {
 		lapsed := *e
 		lapsed.GoneAt = s.returned.Add(returnSpan)
 		s.snap.Upstreams[id] = &lapsed
--- /dev/null
+++ b/view/view_test.go
@@ -0,0 +1,85 @@
+package view_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/view"
+)
+
+func upstream(id units.UpstreamID) *fleet.Upstream {
+	return &fleet.Upstream{ID: id, Service: "app", Address: "10.0.0.1:80", Zone: "zone-a", Slots: 4}
+}
+
+func has(s *view.State, id units.UpstreamID) bool {
+	_, ok := s.Snapshot().Upstreams[id]
+	return ok
+}
+
+// Guards against requests to an upstream that has left: a watch that waits without
+// events was taken for an outage, and the removed entry stayed for two seconds.
+func TestRemovedAtOnceWhileQuiet(t *testing.T) {
+	s := view.New()
+	s.Answered(1000, 1000, 1)
+	s.SetUpstream(1000, upstream("one"))
+	s.Answered(2900, 2900, 1)
+	s.Answered(4800, 4800, 2)
+	s.Remove(4800, "one")
+	assert.Assert(t, !has(s, "one"))
+}
+
+// Guards against a fleet that is emptied by the first read after an outage: entries of
+// live upstreams lapse meanwhile and are back within two seconds.
+func TestLapsedEntriesStayAfterOutage(t *testing.T) {
+	s := view.New()
+	s.Answered(1000, 1000, 1)
+	s.SetUpstream(1000, upstream("one"))
+	s.SetUpstream(1000, upstream("two"))
+	s.Failed()
+	s.Answered(6000, 6000, 5)
+	s.Keep(6000, map[units.UpstreamID]bool{}, nil)
+	assert.Assert(t, has(s, "one") && has(s, "two"))
+	s.SetUpstream(7000, upstream("two"))
+	assert.Assert(t, s.Expire(8300))
+	assert.Assert(t, !has(s, "one"), "an entry that did not come back is gone")
+	assert.Assert(t, has(s, "two"))
+}
+
+// Guards against an upstream that reported that it leaves and comes back to life when
+// its entry lapses during an outage.
+func TestDrainingEntryDoesNotReturn(t *testing.T) {
+	s := view.New()
+	u := upstream("one")
+	u.Draining = true
+	s.SetUpstream(1000, u)
+	s.Failed()
+	s.Answered(6000, 6000, 5)
+	s.Remove(6000, "one")
+	assert.Assert(t, !has(s, "one"))
+}
+
+// Guards against a configuration that goes back when reads overtake each other.
+func TestConfigNeverGoesBack(t *testing.T) {
+	s := view.New()
+	assert.Assert(t, s.SetConfig(fleet.NewConfig(7)))
+	assert.Assert(t, !s.SetConfig(fleet.NewConfig(4)))
+	assert.Equal(t, s.Snapshot().Config.Version, int64(7))
+}
+
+// Guards against full load on a zone that comes back cold, until its upstreams have
+// described themselves again.
+func TestZoneReturnsCold(t *testing.T) {
+	s := view.New()
+	s.SetUpstream(1000, upstream("one"))
+	s.SetOut(2000, "zone-a", true)
+	assert.Assert(t, s.Snapshot().Out["zone-a"])
+	s.SetOut(9000, "zone-a", false)
+	now := clock.Time(9500)
+	assert.Assert(t, s.Snapshot().Upstreams["one"].IsCold(now))
+	s.SetUpstream(now, upstream("one"))
+	assert.Assert(t, !s.Snapshot().Upstreams["one"].IsCold(now))
+}
