quota: pass tokens on instead of lending rates

Cause: with lent rates the shares of a burst stayed where they were, so a gateway with most of a customer's callers refused while others were full, and the sum of bursts could exceed the bound after a quiet time (twice the burst over all gateways). A gateway now gives tokens away, which count once; a lost message loses them.

--- a/entry/control.go
+++ b/entry/control.go
@@ -132,7 +132,7 @@
 	}
 }
 
-// digest takes over what another gateway lends and tells.
+// digest takes over what another gateway gives and tells.
 func (c *control) digest(now clock.Time, d peers.Digest) {
 	c.hear(now, d)
 	if d.Urgent() {
@@ -140,10 +140,10 @@
 	}
 	c.g.limits.mu.Lock()
 	defer c.g.limits.mu.Unlock()
-	for _, l := range d.GetLoans() {
+	for _, l := range d.GetGifts() {
 		if units.VMID(l.GetTo()) == c.g.boot.VM {
-			c.g.limits.quota.Borrow(now, units.VMID(d.GetVm()), quota.Loan{
-				Customer: units.CustomerID(l.GetCustomer()), To: c.g.boot.VM, Rate: l.GetRate(),
+			c.g.limits.quota.Receive(now, quota.Gift{
+				Customer: units.CustomerID(l.GetCustomer()), To: c.g.boot.VM, Tokens: l.GetTokens(),
 			})
 		}
 	}
@@ -239,23 +239,26 @@
 	c.g.peers.Send(d, to)
 }
 
-// addQuota adds the demand of customers and the loans to other gateways.
+// addQuota adds the demand of customers and tokens for other gateways.
 func (c *control) addQuota(now clock.Time, d *wire.Digest) {
+	if c.snapshot.Config == nil {
+		return
+	}
 	others := map[units.VMID][]quota.Demand{}
 	for _, o := range c.g.peers.Fresh() {
 		vm := units.VMID(o.GetVm())
 		for _, q := range o.GetDemands() {
 			others[vm] = append(others[vm], quota.Demand{
-				Customer: units.CustomerID(q.GetCustomer()), Wanted: q.GetWanted(), Rate: q.GetRate(),
+				Customer: units.CustomerID(q.GetCustomer()), Wanted: q.GetWanted(), Level: q.GetLevel(),
 			})
 		}
 	}
 	c.g.limits.mu.Lock()
 	defer c.g.limits.mu.Unlock()
-	for _, q := range c.g.limits.quota.Demands(now) {
-		d.Demands = append(d.Demands, &wire.CustomerDemand{Customer: string(q.Customer), Wanted: q.Wanted, Rate: q.Rate})
+	for _, q := range c.g.limits.quota.Pass(now, c.snapshot.Config.Customers(), others) {
+		d.Gifts = append(d.Gifts, &wire.CustomerGift{Customer: string(q.Customer), To: string(q.To), Tokens: q.Tokens})
 	}
-	for _, l := range c.g.limits.quota.Lend(now, others) {
-		d.Loans = append(d.Loans, &wire.CustomerLoan{Customer: string(l.Customer), To: string(l.To), Rate: l.Rate})
+	for _, q := range c.g.limits.quota.Demands(now) {
+		d.Demands = append(d.Demands, &wire.CustomerDemand{Customer: string(q.Customer), Wanted: q.Wanted, Level: q.Level})
 	}
 }
