reside: bring models back that nothing holds

A model whose last copy was lost with its upstream was loaded only once it was asked for, which takes 4 to 6 s from the weight store. It now comes back while the store has loads to spare.

--- a/reside/plan.go
+++ b/reside/plan.go
@@ -54,6 +54,9 @@
 	loadBurst = 3.0
 	// loadShare is the part of the weight store's rate that is used.
 	loadShare = 0.9
+	// spareCredit is the number of loads that has to be left for a model that nobody asks
+	// for.
+	spareCredit = 2.0
 	// maxLoadSeconds bounds the loads under way, as a time at the store's rate. Beyond it
 	// each load takes longer.
 	maxLoadSeconds = 3.5
@@ -281,13 +284,13 @@
 	return n
 }
 
-// coverModels loads models that are asked for and that nothing holds, the most wanted
-// first.
+// coverModels loads models that nothing holds, the most wanted first. Those that nobody
+// asks for come back while the weight store has loads to spare, since demand moves to
+// them without notice.
 func (r *round) coverModels() {
 	var missing []units.ModelID
 	for _, m := range r.engine.Models {
-		n := r.needs[m.Name]
-		if len(r.copies[m.Name]) == 0 && (n.Missed > 0 || n.Tokens > 1) && r.coming(m.Name) == 0 {
+		if len(r.copies[m.Name]) == 0 && r.coming(m.Name) == 0 {
 			missing = append(missing, m.Name)
 		}
 	}
@@ -295,7 +298,11 @@
 		return cmp.Compare(r.needs[b].Tokens, r.needs[a].Tokens)
 	})
 	for _, m := range missing {
-		r.addCopy(m, true, math.Inf(1))
+		n := r.needs[m]
+		wanted := n.Missed > 0 || n.Tokens > 1
+		if wanted || r.p.credit[r.service.Name] >= spareCredit {
+			r.addCopy(m, wanted, math.Inf(1))
+		}
 	}
 }
 
