reside: give copies first where most work can't be served

Copies now go where most work is not served, missing models included.

Also takes out code that nothing used (crash notes, dropped connections) and what the linter found.

--- a/entry/holder.go
+++ b/entry/holder.go
@@ -59,7 +59,7 @@
 		err      error
 	}
 	// missed says that nothing holds what a request asks for.
-	missed struct{ target reside.Target }
+	missed struct{}
 )
 
 // holder gives orders to upstreams while this gateway has the duty. The control loop
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -151,9 +151,8 @@
 
 // AddRoute adds a route. Routes of a host are kept with the longest prefix first.
 func (c *Config) AddRoute(r *Route) {
-	l := append(c.routes[r.Host], r)
-	slices.SortStableFunc(l, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
-	c.routes[r.Host] = l
+	c.routes[r.Host] = append(c.routes[r.Host], r)
+	slices.SortStableFunc(c.routes[r.Host], func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 }
 
 // AddService adds a service.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -68,7 +68,7 @@
 
 // Run receives digests until the context is done.
 func (p *Peers) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
+	stop := context.AfterFunc(ctx, func() { closeQuietly(p.conn) })
 	defer stop()
 	buf := make([]byte, maxDatagram)
 	for {
@@ -83,6 +83,9 @@
 	}
 }
 
+// closeQuietly closes a connection whose state no longer matters.
+func closeQuietly(c net.Conn) { _ = c.Close() }
+
 func (p *Peers) receive(data []byte) {
 	d := &wire.Digest{}
 	if err := proto.Unmarshal(data, d); err != nil || d.GetVm() == "" {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"time"
 
@@ -228,7 +227,7 @@
 	if x.begun {
 		x.stream.resume()
 	}
-	err := x.pump(ctx, k, a)
+	err := x.pump(k, a)
 	if err == nil && x.stream.partial() {
 		err = io.ErrUnexpectedEOF
 	}
@@ -261,7 +260,7 @@
 var errCaller = errors.New("caller is gone")
 
 // pump passes events on until the stream ends.
-func (x *exchange) pump(ctx context.Context, k *sched.Ticket, a *answer) error {
+func (x *exchange) pump(k *sched.Ticket, a *answer) error {
 	buf := make([]byte, readBuffer)
 	flush := http.NewResponseController(x.w)
 	first := true
@@ -330,6 +329,3 @@
 	}
 	x.w.WriteHeader(a.status)
 }
-
-// isTimeout reports whether an error is the end of a deadline.
-func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/relay/call.go
+++ b/relay/call.go
@@ -68,9 +68,6 @@
 // errStray means that a connection carried too many answers to other requests.
 var errStray = errors.New("answers to other requests")
 
-// errFirst means that no answer began in time.
-var errFirst = errors.New("no answer in time")
-
 // call sends the request and reads the head of the answer. An error that wraps
 // errNotSent says that the upstream can't have received the request.
 func (p *pool) call(ctx context.Context, address string, r *request, first time.Time) (*answer, error) {
@@ -82,7 +79,7 @@
 	if !reused && p.dialed != nil {
 		p.dialed()
 	}
-	stop := context.AfterFunc(ctx, func() { c.Close() })
+	stop := context.AfterFunc(ctx, func() { c.drop() })
 	a := &answer{pool: p, address: address, conn: c, stop: stop}
 	if err := a.send(data, first); err != nil {
 		a.abort()
@@ -120,7 +117,7 @@
 // answer to an earlier request late.
 func (a *answer) readHead(r *request) error {
 	for range maxStray {
-		res, err := a.readOne(r)
+		res, err := a.readOne(r) //nolint:bodyclose // closing the connection ends the body
 		if err != nil {
 			return err
 		}
@@ -169,7 +166,7 @@
 // done gives the connection back after a complete body.
 func (a *answer) done() {
 	if !a.stop() {
-		a.conn.Close()
+		a.conn.drop()
 		return
 	}
 	if a.writing != nil {
@@ -182,7 +179,7 @@
 		}
 	}
 	if !a.keep || a.conn.in.Buffered() > 0 {
-		a.conn.Close()
+		a.conn.drop()
 		return
 	}
 	a.pool.put(a.address, a.conn, a.Idle)
@@ -191,7 +188,7 @@
 // abort closes the connection, which cancels the request at the upstream.
 func (a *answer) abort() {
 	a.stop()
-	a.conn.Close()
+	a.conn.drop()
 }
 
 // span converts a time of the project's clock for deadlines of connections.
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -62,6 +61,9 @@
 	return n, err
 }
 
+// drop closes a connection whose state no longer matters.
+func (c *conn) drop() { _ = c.Close() }
+
 // silent reports whether an idle connection is open and has nothing to read. Bytes
 // that came without a request belong to none.
 func (c *conn) silent() bool {
@@ -107,7 +109,7 @@
 		if c.silent() {
 			return c, true, nil
 		}
-		c.Close()
+		c.drop()
 	}
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	n, err := d.DialContext(ctx, "tcp", address)
@@ -131,7 +133,7 @@
 			p.idle[address] = l
 			return c
 		}
-		c.Close()
+		c.drop()
 	}
 	delete(p.idle, address)
 	return nil
@@ -145,13 +147,13 @@
 	}
 	c.until = p.clock.Now().Add(clock.Span(float64(keep) * idleShare))
 	if err := c.SetDeadline(time.Time{}); err != nil {
-		c.Close()
+		c.drop()
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[address]) >= maxIdle {
-		c.Close()
+		c.drop()
 		return
 	}
 	p.idle[address] = append(p.idle[address], c)
@@ -168,7 +170,7 @@
 			if now.Before(c.until) {
 				keep = append(keep, c)
 			} else {
-				c.Close()
+				c.drop()
 			}
 		}
 		if len(keep) == 0 {
@@ -178,15 +180,3 @@
 		}
 	}
 }
-
-// drop closes all idle connections to an address.
-func (p *pool) drop(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[address] {
-		c.Close()
-	}
-	delete(p.idle, address)
-}
-
-var _ io.Reader = (*conn)(nil)
--- a/relay/event.go
+++ b/relay/event.go
@@ -15,15 +15,12 @@
 	// skip is the number up to which events of a resumed stream are repetitions.
 	skip    int64
 	hasSkip bool
-	// next, if set, is the identifier that the next event must have.
+	// count is the number of events delivered.
 	count int
 }
 
 var eventEnd = []byte("\n\n")
 
-// maxEvent bounds one event.
-const maxEvent = 1 << 20
-
 // add takes bytes of the stream and returns the whole events among them, which stay
 // valid until the next call.
 func (e *events) add(p []byte) []byte {
@@ -35,7 +32,7 @@
 	end := bytes.LastIndex(data, eventEnd)
 	if end < 0 {
 		if len(e.rest) == 0 {
-			e.rest = append(e.rest[:0], data...)
+			e.rest = append(e.rest, data...)
 		}
 		return nil
 	}
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -33,7 +33,6 @@
 	largeInput = &refusal{status: http.StatusRequestEntityTooLarge, code: units.BodyTooLarge, closes: true}
 	timedOut   = &refusal{status: http.StatusGatewayTimeout, code: units.UpstreamTimeout}
 	broken     = &refusal{status: http.StatusBadGateway, code: units.UpstreamFailed}
-	suspicious = &refusal{status: http.StatusUnprocessableEntity, code: units.CrashSuspect}
 )
 
 type refusalBody struct {
--- a/relay/server.go
+++ b/relay/server.go
@@ -51,14 +51,13 @@
 	mu       sync.Mutex // guards the fields below and Table
 	windows  map[units.ServiceID]*retry.Window
 	gateways int
-	suspects *retry.Suspects
 }
 
 // New returns a Server that knows no configuration yet.
 func New(o Options) *Server {
 	s := &Server{
 		Options: o, pool: newPool(o.Clock), gateways: 1,
-		windows: map[units.ServiceID]*retry.Window{}, suspects: retry.NewSuspects(),
+		windows: map[units.ServiceID]*retry.Window{},
 	}
 	s.view.Store(&view.Snapshot{})
 	return s
--- a/reside/ledger.go
+++ b/reside/ledger.go
@@ -17,9 +17,9 @@
 	// incomingSpan is how long an adapter that was ordered may be on its way.
 	incomingSpan = 3 * clock.Second
 	// busyPause is the time before an upstream that refused an order is asked again.
-	busyPause = 250 * clock.Millisecond
+	busyPause = 150 * clock.Millisecond
 	// errorPause is the time before an upstream that did not answer is asked again.
-	errorPause = 500 * clock.Millisecond
+	errorPause = 100 * clock.Millisecond
 )
 
 // Command is one order.
--- a/reside/plan.go
+++ b/reside/plan.go
@@ -37,10 +37,10 @@
 
 const (
 	// capacity is the work that one engine does in a second, in prompt tokens.
-	capacity = 22_000.0
+	capacity = 40_000.0
 	// highUse is the share of the capacity on each of its copies above which a model gets
 	// another.
-	highUse = 0.45
+	highUse = 0.25
 	// lowUse is the share of that use below which an upstream is worth a copy.
 	lowUse = 0.7
 	// keepNew is how long a new copy is not displaced.
@@ -117,6 +117,7 @@
 		r.coverModels()
 		r.coverAdapters()
 		r.balance()
+		r.restore()
 		out = append(out, r.out...)
 	}
 	return out
@@ -284,24 +285,51 @@
 	return n
 }
 
-// coverModels loads models that nothing holds, the most wanted first. Those that nobody
-// asks for come back while the weight store has loads to spare, since demand moves to
-// them without notice.
+// coverModels adds copies where requests can't be served, the most work first: of models
+// that nothing holds, and of those whose copies can't keep up.
 func (r *round) coverModels() {
-	var missing []units.ModelID
+	type gap struct {
+		model   units.ModelID
+		work    float64
+		missing bool
+	}
+	var gaps []gap
 	for _, m := range r.engine.Models {
-		if len(r.copies[m.Name]) == 0 && r.coming(m.Name) == 0 {
-			missing = append(missing, m.Name)
+		n, copies := r.needs[m.Name], r.copies[m.Name]
+		if len(copies) == 0 {
+			if (n.Missed > 0 || n.Tokens > 1) && r.coming(m.Name) == 0 {
+				gaps = append(gaps, gap{m.Name, n.Tokens, true})
+			}
+			continue
+		}
+		if over := r.excess(copies); over > 0 && r.coming(m.Name) < maxComing {
+			gaps = append(gaps, gap{m.Name, min(over, n.Tokens), false})
 		}
 	}
-	slices.SortStableFunc(missing, func(a, b units.ModelID) int {
-		return cmp.Compare(r.needs[b].Tokens, r.needs[a].Tokens)
-	})
-	for _, m := range missing {
-		n := r.needs[m]
-		wanted := n.Missed > 0 || n.Tokens > 1
-		if wanted || r.p.credit[r.service.Name] >= spareCredit {
-			r.addCopy(m, wanted, math.Inf(1))
+	slices.SortStableFunc(gaps, func(a, b gap) int { return cmp.Compare(b.work, a.work) })
+	for _, g := range gaps {
+		r.addCopy(g.model, g.missing, math.Inf(1))
+	}
+}
+
+// excess is the work of the sites that is more than they can do, if none has room.
+func (r *round) excess(sites []*site) float64 {
+	over := 0.0
+	for _, s := range sites {
+		if r.use[s] <= capacity {
+			return 0
+		}
+		over += r.use[s] - capacity
+	}
+	return over
+}
+
+// restore brings back models that nobody asks for and that nothing holds, while the
+// weight store has loads to spare: demand moves to them without notice.
+func (r *round) restore() {
+	for _, m := range r.engine.Models {
+		if len(r.copies[m.Name]) == 0 && r.coming(m.Name) == 0 && r.p.credit[r.service.Name] >= spareCredit {
+			r.addCopy(m.Name, false, math.Inf(1))
 		}
 	}
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -243,7 +243,7 @@
 	u := k.state
 	u.backlog -= k.backlog
 	k.backlog = 0
-	u.heard(now)
+	u.alive()
 	if k.Model != "" {
 		u.pace.observe(float64(now.Sub(k.sent)), k.expected)
 	}
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"slices"
+
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/units"
@@ -43,11 +45,12 @@
 	full   clock.Time
 	// warm is when the upstream stops to count as cold, as far as this gateway suspects.
 	warm clock.Time
-	// probing is set while the one attempt after a failure is under way.
-	recent   []clock.Time
-	absent   map[held]clock.Time
+	// recent are the times of the requests of the last coldWindow.
+	recent []clock.Time
+	// absent are models that the upstream denied to hold, until when.
+	absent map[held]clock.Time
+	// replaced is set where another upstream has the address.
 	replaced bool
-	last     clock.Time
 	prefixes map[prefix]clock.Time
 }
 
@@ -83,13 +86,8 @@
 }
 
 func (u *upstream) sent(now clock.Time) {
-	keep := u.recent[:0]
-	for _, at := range u.recent {
-		if now.Sub(at) <= coldWindow {
-			keep = append(keep, at)
-		}
-	}
-	u.recent = append(keep, now)
+	u.recent = slices.DeleteFunc(u.recent, func(at clock.Time) bool { return now.Sub(at) > coldWindow })
+	u.recent = append(u.recent, now)
 }
 
 func (u *upstream) lately(now clock.Time) int {
@@ -102,8 +100,8 @@
 	return n
 }
 
-func (u *upstream) heard(now clock.Time) {
-	u.last = now
+// alive notes that the upstream answered.
+func (u *upstream) alive() {
 	u.strike = 0
 	u.down = 0
 }
@@ -111,13 +109,13 @@
 func (u *upstream) ended(now clock.Time, k *Ticket, o Outcome) {
 	switch o {
 	case Served:
-		u.heard(now)
+		u.alive()
 		u.failed *= 1 - failWeight
 	case Failed:
-		u.heard(now)
+		u.alive()
 		u.failed += (1 - u.failed) * failWeight
 	case Full:
-		u.heard(now)
+		u.alive()
 		u.full = now.Add(fullSpan)
 	case Absent:
 		u.absent[held{k.Model, k.Adapter}] = now.Add(absentSpan)
