--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,279 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/entry"
+	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/platform/fakes"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+const key = "secret"
+
+// site is a store, a replica of each service and gateways.
+type site struct {
+	t     *testing.T
+	store *fakes.Store
+	app   *fakes.Replica
+	llm   *fakes.Replica
+	gates []*gate
+}
+
+type gate struct {
+	boot  *platform.Boot
+	stop  context.CancelFunc
+	ended chan error
+}
+
+func answers(r *fakes.Request) { r.Answer("200 OK", "done") }
+
+func streams(r *fakes.Request) { r.Stream(1, 3, true) }
+
+func newSite(t *testing.T, gateways int) *site {
+	t.Helper()
+	s := &site{t: t, store: fakes.NewStore()}
+	var err error
+	s.app, err = fakes.NewReplica("app-1", answers)
+	assert.NilError(t, err)
+	s.llm, err = fakes.NewReplica("llm-1", streams)
+	assert.NilError(t, err)
+	s.llm.Hold("small")
+	s.store.Put(fakes.ConfigKey, fakes.Config(1, key))
+	s.describe("ready")
+	for i := range gateways {
+		s.gates = append(s.gates, s.start(fmt.Sprint("gate-", i)))
+	}
+	t.Cleanup(func() {
+		for _, g := range s.gates {
+			g.stop()
+		}
+		for _, g := range s.gates {
+			assert.NilError(t, <-g.ended)
+		}
+		s.app.Close()
+		s.llm.Close()
+		s.store.Close()
+	})
+	for _, g := range s.gates {
+		s.eventually("gateway is ready", func() bool { return s.ready(g) == http.StatusOK })
+	}
+	return s
+}
+
+func (s *site) describe(state string) {
+	s.store.Put(fakes.ServerKey+"app-1", s.app.Describe(fakes.App, "zone-a", state))
+	s.store.Put(fakes.ServerKey+"llm-1", s.llm.Describe(fakes.Engine, "zone-a", state))
+}
+
+// ports returns a free TCP address and the first of two free ports.
+func ports(t *testing.T) (string, int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	for first := 20_000 + time.Now().Nanosecond()%20_000; ; first += 2 {
+		u, err := net.ListenPacket("udp4", fmt.Sprintf("127.0.0.1:%d", first))
+		if err != nil {
+			continue
+		}
+		m, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+entry.MetricsOffset))
+		u.Close()
+		if err == nil {
+			m.Close()
+			return l.Addr().String(), first
+		}
+	}
+}
+
+func (s *site) start(name string) *gate {
+	s.t.Helper()
+	public, first := ports(s.t)
+	ready, _ := ports(s.t)
+	b := &platform.Boot{
+		VM: units.VMID(name), Zone: "zone-a", IP: "127.0.0.1", FirstStart: true, Public: public, Ready: ready,
+		FirstPort: first, LastPort: first + 1, Store: s.store.Addr(), MinLease: clock.Second,
+		Limits: platform.VMLimits{MemoryMegabytes: 284},
+		Bounds: platform.Bounds{
+			Grace: 5 * clock.Second, Revoke: 2500 * clock.Millisecond, Lease: 300, RetryRatio: 0.2, RetrySlack: 50,
+			RetryWindow: 10 * clock.Second, QuotaOver: 0.1, ColdOver: 1.5, ColdSlack: 5,
+		},
+	}
+	g, err := entry.New(b)
+	assert.NilError(s.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	one := &gate{b, cancel, make(chan error, 1)}
+	go func() { one.ended <- g.Run(ctx) }()
+	return one
+}
+
+func (s *site) eventually(what string, ok func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	s.t.Fatalf("not within 10 s: %s", what)
+}
+
+func (s *site) ready(g *gate) int {
+	res, err := http.Get("http://" + g.boot.Ready + "/readiness")
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	return res.StatusCode
+}
+
+func (s *site) send(g *gate, path, secret, model string) (int, string) {
+	q, err := http.NewRequest(http.MethodPost, "http://"+g.boot.Public+path, strings.NewReader("body"))
+	assert.NilError(s.t, err)
+	q.Header, q.Host = fakes.Ask("id"+path, secret, model, 4000), fakes.Host
+	res, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return res.StatusCode, string(data)
+}
+
+func (s *site) status(g *gate, path, secret string) int {
+	status, _ := s.send(g, path, secret, "")
+	return status
+}
+
+// Guards against a path that does not serve from end to end, configurations that are not
+// taken over or go back, and withdrawn keys that go on working.
+func TestServesAndFollowsConfiguration(t *testing.T) {
+	s := newSite(t, 2)
+	g := s.gates[0]
+	status, body := s.send(g, "/once/a", key, "")
+	assert.Equal(t, status, http.StatusOK, body)
+	status, body = s.send(g, "/talk/a", key, "small")
+	assert.Equal(t, status, http.StatusOK, body)
+	assert.Equal(t, body, fakes.Event(1)+fakes.Event(2)+fakes.Event(3))
+	assert.Equal(t, s.status(g, "/once/a", "other"), http.StatusUnauthorized)
+	s.store.Put(fakes.ConfigKey, fakes.Config(5, "other"))
+	s.eventually("new key works", func() bool { return s.status(g, "/once/a", "other") == http.StatusOK })
+	assert.Equal(t, s.status(g, "/once/a", key), http.StatusUnauthorized)
+	s.store.Put(fakes.ConfigKey, fakes.Config(4, key))
+	s.store.PutBytes(fakes.ConfigKey, []byte("{broken"))
+	time.Sleep(700 * time.Millisecond)
+	assert.Equal(t, s.status(g, "/once/a", "other"), http.StatusOK, "the newest valid version stays in force")
+}
+
+// Guards against models that are asked for and never loaded, and against several
+// gateways that give orders.
+func TestModelsAreLoadedOnDemand(t *testing.T) {
+	s := newSite(t, 3)
+	s.eventually("one gateway holds the duty", func() bool { return s.store.Value("duties/orders") != nil })
+	time.Sleep(400 * time.Millisecond)
+	status, body := s.send(s.gates[1], "/talk/b", key, "small/a1")
+	assert.Equal(t, status, http.StatusOK, body)
+	assert.DeepEqual(t, s.llm.Orders(), []string{"model_load small a1"})
+	s.send(s.gates[2], "/talk/c", key, "large")
+	s.eventually("model is ordered", func() bool { return slices.Contains(s.llm.Orders(), "model_load large") })
+	s.describe("ready")
+	s.eventually("model is served", func() bool {
+		status, _ := s.send(s.gates[2], "/talk/c", key, "large")
+		return status == http.StatusOK
+	})
+}
+
+// Guards against requests to upstreams that leave or whose zone is out.
+func TestLeavingUpstreamsGetNothing(t *testing.T) {
+	s := newSite(t, 1)
+	g := s.gates[0]
+	assert.Equal(t, s.status(g, "/once/a", key), http.StatusOK)
+	s.describe("draining")
+	s.eventually("nothing serves", func() bool { return s.status(g, "/once/a", key) == http.StatusServiceUnavailable })
+	s.describe("ready")
+	s.eventually("it serves again", func() bool { return s.status(g, "/once/a", key) == http.StatusOK })
+	s.store.Put(fakes.EvacuateKey+"zone-a", map[string]any{})
+	s.eventually("zone is out", func() bool { return s.status(g, "/once/a", key) == http.StatusServiceUnavailable })
+	s.store.Delete(fakes.EvacuateKey + "zone-a")
+	s.eventually("zone is back", func() bool { return s.status(g, "/once/a", key) == http.StatusOK })
+	s.store.Delete(fakes.ServerKey + "app-1")
+	s.eventually("its entry is gone", func() bool { return s.status(g, "/once/a", key) == http.StatusServiceUnavailable })
+}
+
+// Guards against keys that are used without end while the store turns a lone gateway
+// away, and against a gateway that does not come back with the store.
+func TestLoneGatewayWithoutStore(t *testing.T) {
+	s := newSite(t, 1)
+	g := s.gates[0]
+	s.store.SetStatus(http.StatusServiceUnavailable)
+	begin := time.Now()
+	for s.status(g, "/once/a", key) == http.StatusOK {
+		assert.Assert(t, time.Since(begin) < g.boot.Bounds.Revoke.Duration(), "the key is used beyond the bound")
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, s.ready(g), http.StatusServiceUnavailable)
+	s.store.SetStatus(0)
+	s.eventually("it serves again", func() bool { return s.status(g, "/once/a", key) == http.StatusOK })
+}
+
+// Guards against a fleet that stops while the store is down for all gateways.
+func TestOutageOfStoreIsServedThrough(t *testing.T) {
+	s := newSite(t, 3)
+	time.Sleep(700 * time.Millisecond)
+	s.store.SetStatus(http.StatusServiceUnavailable)
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for i, g := range s.gates {
+			assert.Equal(t, s.status(g, "/once/a", key), http.StatusOK, "gateway %d", i)
+		}
+	}
+}
+
+// Guards against requests that are cut by a planned stop, and a gateway that says that
+// it is ready while it stops.
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	s := newSite(t, 2)
+	g := s.gates[0]
+	type end struct {
+		status int
+		body   string
+	}
+	ends := make(chan end, 1)
+	release := make(chan struct{})
+	slow, err := fakes.NewReplica("slow-1", func(r *fakes.Request) {
+		r.Stream(1, 2, false)
+		<-release
+		r.Chunk(fakes.Event(3))
+		r.Write("0\r\n\r\n")
+	})
+	assert.NilError(t, err)
+	defer slow.Close()
+	slow.Hold("large")
+	s.store.Put(fakes.ServerKey+"slow-1", slow.Describe(fakes.Engine, "zone-a", "ready"))
+	go func() {
+		var e end
+		for e.status != http.StatusOK {
+			e.status, e.body = s.send(g, "/stream/a", key, "large")
+		}
+		ends <- e
+	}()
+	s.eventually("stream runs", func() bool { return len(slow.Got()) > 0 })
+	g.stop()
+	s.eventually("it is not ready", func() bool { return s.ready(g) == http.StatusServiceUnavailable })
+	assert.Equal(t, s.status(g, "/once/a", key), http.StatusOK, "new requests are served until callers know")
+	close(release)
+	e := <-ends
+	assert.Equal(t, e.body, fakes.Event(1)+fakes.Event(2)+fakes.Event(3))
+}
--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,43 @@
+package member_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/member"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// Guards against shares that grow while a gateway that is cut off from the store still
+// uses its own.
+func TestLostGatewayStillCounts(t *testing.T) {
+	l := member.NewList()
+	for _, vm := range []units.VMID{"one", "two", "three"} {
+		l.Set(member.Gateway{VM: vm, Address: "10.0.0.1:1"})
+	}
+	l.Remove(1000, "two")
+	l.Keep(2000, map[units.VMID]bool{"one": true, "three": true})
+	assert.Equal(t, l.Count(20_000), 3)
+	assert.Equal(t, len(l.All()), 3)
+	assert.Equal(t, l.Count(31_001), 2)
+	l.Set(member.Gateway{VM: "two", Address: "10.0.0.2:1"})
+	assert.Equal(t, l.Count(31_002), 3)
+}
+
+// Guards against keys of other writers that stop a gateway.
+func TestDecodeRefusesBadKeys(t *testing.T) {
+	for _, bad := range []string{"", "null", "{}", `{"vm":"a"}`, `{"vm":3,"address":"a"}`} {
+		_, err := member.Decode([]byte(bad))
+		assert.Assert(t, err != nil, bad)
+	}
+	g := member.Gateway{VM: "one", Address: "10.0.0.1:7600", Zone: "zone-a"}
+	data, err := g.Encode()
+	assert.NilError(t, err)
+	back, err := member.Decode(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, back, g)
+	vm, ok := member.VM(member.Key("one"))
+	assert.Assert(t, ok)
+	assert.Equal(t, vm, units.VMID("one"))
+}
