--- a/duty/duty.go
+++ b/duty/duty.go
@@ -12,9 +12,9 @@
 
 const (
 	// TTL is the lifetime of the lease.
-	TTL = 2 * clock.Second
+	TTL = 1600 * clock.Millisecond
 	// KeepEvery is the interval at which it is renewed.
-	KeepEvery = 600 * clock.Millisecond
+	KeepEvery = 500 * clock.Millisecond
 	// margin is taken off the lease on the holder's clock, for the way of an order.
 	margin = 300 * clock.Millisecond
 )
@@ -22,9 +22,11 @@
 // Holder is the state of one duty at one gateway.
 type Holder struct {
 	self units.VMID
-	// turn is the least time between the orders of two holders.
-	turn  clock.Span
-	epoch units.Epoch
+	// turn is the least time between the orders of two holders that take turns.
+	turn clock.Span
+	// fenced is set where replicas refuse an older epoch.
+	fenced bool
+	epoch  units.Epoch
 	// until is when the lease ends at the latest, on this gateway's clock.
 	until clock.Time
 	// from is when the first order may be given.
@@ -32,39 +34,56 @@
 	// other is the gateway that holds the key; empty where nobody does.
 	other units.VMID
 	known bool
+	// lost is when this gateway last lost the duty; 0 is never.
+	lost clock.Time
 }
 
 // New returns a Holder that does not hold the duty.
-func New(self units.VMID, turn clock.Span) *Holder { return &Holder{self: self, turn: turn} }
+func New(self units.VMID, turn clock.Span, fenced bool) *Holder {
+	return &Holder{self: self, turn: turn, fenced: fenced}
+}
 
 // Seen notes who holds the key as of the revision; nobody if empty. Events from before
 // the gateway's own epoch are late.
-func (h *Holder) Seen(rev units.Revision, vm units.VMID) {
+func (h *Holder) Seen(now clock.Time, rev units.Revision, vm units.VMID) {
 	if h.epoch != 0 && int64(rev) <= int64(h.epoch) {
 		return
 	}
+	h.drop(now)
 	h.other, h.known = vm, true
-	h.epoch = 0
 }
 
-// Wants reports whether the gateway should try to take the duty.
+// drop ends the own epoch.
+func (h *Holder) drop(now clock.Time) {
+	if h.epoch != 0 {
+		h.epoch, h.lost = 0, now
+	}
+}
+
+// Wants reports whether the gateway should try to take the duty. One that has lost it
+// leaves it to others first, so that two holders do not take turns.
 func (h *Holder) Wants(now clock.Time) bool {
-	return h.known && h.other == "" && !h.Holds(now)
+	return h.known && h.other == "" && !h.Holds(now) && (h.lost == 0 || now.Sub(h.lost) >= h.turn)
 }
 
-// Taken notes that the key was created. The lease was asked for at the time begin.
+// Taken notes that the key was created. The lease was asked for at the time begin. The
+// lease of the holder before has ended; where replicas do not refuse an older epoch,
+// its last order has to be a turn ago besides.
 func (h *Holder) Taken(now, begin clock.Time, epoch units.Epoch, ttl clock.Span) {
 	h.epoch, h.other = epoch, h.self
 	h.until = begin.Add(ttl - margin)
-	h.from = now.Add(h.turn)
+	h.from = now
+	if !h.fenced {
+		h.from = now.Add(h.turn)
+	}
 }
 
 // Kept notes that the lease was renewed by a call that began at the time.
 func (h *Holder) Kept(begin clock.Time, ttl clock.Span) { h.until = begin.Add(ttl - margin) }
 
 // Lost notes that the lease has ended or that a later holder has given orders.
-func (h *Holder) Lost() {
-	h.epoch = 0
+func (h *Holder) Lost(now clock.Time) {
+	h.drop(now)
 	h.other = ""
 }
 
--- a/entry/control.go
+++ b/entry/control.go
@@ -128,7 +128,7 @@
 	}
 	c.members.Keep(now, named)
 	if !keys[dutyKey] {
-		c.holder.duty.Seen(c.snapshot.Revision, "")
+		c.holder.duty.Seen(now, c.snapshot.Revision, "")
 	}
 }
 
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -83,7 +83,7 @@
 func newHolder(g *Gateway, c *control) *holder {
 	l := reside.NewLedger()
 	return &holder{
-		g: g, c: c, duty: duty.New(g.boot.VM, g.boot.Bounds.Lease), ledger: l, planner: reside.NewPlanner(l),
+		g: g, c: c, duty: duty.New(g.boot.VM, g.boot.Bounds.Lease, g.boot.Bounds.Fenced), ledger: l, planner: reside.NewPlanner(l),
 		orders: platform.NewOrders(),
 	}
 }
@@ -94,7 +94,7 @@
 	if i.Deleted {
 		vm = ""
 	}
-	h.duty.Seen(i.Revision, vm)
+	h.duty.Seen(h.g.clock.Now(), i.Revision, vm)
 }
 
 // tick takes or renews the duty and plans.
@@ -161,7 +161,7 @@
 		h.duty.Kept(m.begin, h.ttl)
 	case errors.Is(m.err, platform.ErrNoLease):
 		klog.InfoS("entry: duty lost", "err", m.err)
-		h.duty.Lost()
+		h.duty.Lost(h.g.clock.Now())
 	default:
 		klog.InfoS("entry: duty not renewed", "err", m.err)
 	}
@@ -173,7 +173,7 @@
 	if !h.duty.Holds(h.g.clock.Now()) {
 		return
 	}
-	h.duty.Lost()
+	h.duty.Lost(h.g.clock.Now())
 	lease := h.lease
 	h.g.start(func(context.Context) {
 		end, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
@@ -264,7 +264,7 @@
 		"adapter", m.command.Adapter, "expected", m.command.Expected, "epoch", m.epoch, "begun", m.begun, "err", m.err)
 	h.ledger.Answered(now, m.command, r)
 	if errors.Is(m.err, platform.ErrFenced) {
-		h.duty.Lost()
+		h.duty.Lost(h.g.clock.Now())
 	}
 	e, ok := h.c.snapshot.Upstreams[m.command.Upstream]
 	if !ok {
