--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -55,5 +55,35 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return g.Run(ctx)
+	reloaded := reloadOnHangup(ctx, g)
+	err = g.Run(ctx)
+	stop()
+	<-reloaded
+	return err
+}
+
+// reloadOnHangup reads the settings again at each SIGHUP until the context is done. Bad
+// settings leave those in force.
+func reloadOnHangup(ctx context.Context, g *entry.Gateway) <-chan struct{} {
+	done := make(chan struct{})
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	go func() {
+		defer close(done)
+		defer signal.Stop(hangup)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangup:
+				b, err := platform.LoadBoot()
+				if err != nil {
+					klog.Errorf("entry: settings are not reloaded: %v", err)
+					continue
+				}
+				g.Reload(b)
+			}
+		}
+	}()
+	return done
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -212,7 +212,7 @@
 		}
 		others = append(others, w)
 	}
-	c.g.trust.set(trustedUntil(now, c.confirmed, c.lost(now), c.version(), others, c.g.boot.Bounds.Revoke))
+	c.g.trust.set(trustedUntil(now, c.confirmed, c.lost(now), c.version(), others, c.g.bounds.Load().Revoke))
 }
 
 func (c *control) sendDigest(now clock.Time) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"k8s.io/klog/v2"
 
@@ -34,7 +35,9 @@
 
 // Gateway is one gateway process.
 type Gateway struct {
-	boot   *platform.Boot
+	boot *platform.Boot
+	// bounds are those of the newest settings.
+	bounds atomic.Pointer[platform.Bounds]
 	clock  clock.Clock
 	store  *platform.Store
 	relay  *relay.Server
@@ -74,6 +77,7 @@
 			g.meter.used(g.clock.Now(), reside.Target{Service: s, Model: m, Adapter: adapter}, work)
 		},
 	})
+	g.bounds.Store(&b.Bounds)
 	p, err := peers.Listen(peers.Options{
 		Clock: g.clock, VM: b.VM, Address: net.JoinHostPort(b.IP, strconv.Itoa(b.FirstPort)),
 		Received: func(d peers.Digest) { g.post(digestReceived{d}) },
@@ -92,6 +96,20 @@
 	return g, nil
 }
 
+// Reload takes over settings that changed while the process runs: the platform's bounds
+// on keys and on a planned stop. The others hold until the next start.
+func (g *Gateway) Reload(b *platform.Boot) {
+	g.bounds.Store(&b.Bounds)
+	klog.InfoS("entry: reload", "revoke", b.Bounds.Revoke, "grace", b.Bounds.Grace, "restart", restartNeeded(g.boot, b))
+}
+
+// restartNeeded reports whether settings differ that hold until the next start.
+func restartNeeded(old, now *platform.Boot) bool {
+	a, b := *old, *now
+	a.Bounds, b.Bounds = platform.Bounds{}, platform.Bounds{}
+	return a != b
+}
+
 // message is a message to the control loop.
 type message interface{}
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -118,7 +118,7 @@
 	klog.InfoS("entry: stopping", "active", g.relay.Active())
 	g.relay.Drain()
 	c.leaving <- struct{}{}
-	cut := begin.Add(clock.Span(float64(g.boot.Bounds.Grace) * cutShare))
+	cut := begin.Add(clock.Span(float64(g.bounds.Load().Grace) * cutShare))
 	for g.clock.Now().Before(begin.Add(settleSpan)) {
 		time.Sleep(drainPoll)
 	}
