reside: forget room that was made on a lost upstream

TestRoomOnLostUpstream fails without the change. Orders for adapters also went to upstreams that carry out a model order, which refuse them (30 of 40 orders in 2 s); they now go to idle ones.

--- a/reside/plan.go
+++ b/reside/plan.go
@@ -101,6 +101,7 @@
 			p.asked[t] = now
 		}
 	}
+	p.dropIntents(now, w.Out)
 	var out []Command
 	for _, id := range sortedServices(w.Services) {
 		s := w.Services[id]
@@ -123,6 +124,16 @@
 	return out
 }
 
+// dropIntents forgets intents that are too old or whose upstream takes nothing new.
+func (p *Planner) dropIntents(now clock.Time, out map[units.Zone]bool) {
+	for id, i := range p.intents {
+		s, ok := p.ledger.sites[id]
+		if !ok || !now.Before(i.until) || s.entry.Draining || out[s.entry.Zone] {
+			delete(p.intents, id)
+		}
+	}
+}
+
 func sortedServices(m map[units.ServiceID]*fleet.Service) []units.ServiceID {
 	out := make([]units.ServiceID, 0, len(m))
 	for id := range m {
@@ -257,8 +268,7 @@
 			continue
 		}
 		m, known := r.engine.Model(i.model)
-		_, has := s.models[i.model]
-		if !known || has || !r.now.Before(i.until) {
+		if _, has := s.models[i.model]; has || !known {
 			delete(r.p.intents, id)
 			continue
 		}
@@ -515,7 +525,8 @@
 	bestCost := math.Inf(1)
 	for _, s := range r.copies[t.Model] {
 		c, has := s.models[t.Model]
-		if !has || c.loading || r.used[s] || !s.free(r.now) {
+		// An upstream refuses orders for adapters while one for a model is under way.
+		if !has || c.loading || r.used[s] || !s.idle(r.now) {
 			continue
 		}
 		cost := float64(r.w.Load[r.ids[s]]) + 2*float64(s.adapters())
--- a/reside/reside_test.go
+++ b/reside/reside_test.go
@@ -306,3 +306,22 @@
 	assert.Equal(t, m.Needs(12_000)[target].Missed, 0)
 	assert.Equal(t, len(m.Needs(60_000)), 0)
 }
+
+// Guards against a model that is never loaded because the upstream that made room for it
+// was lost before it could load it.
+func TestRoomOnLostUpstream(t *testing.T) {
+	for lost := range 6 {
+		p := newPlant(t, 6, 18)
+		p.play(1, 6000)
+		p.engines["e5"].gone = true
+		p.need(name(15), "", 20_000, 1)
+		for now := clock.Time(6001); now < 9000; now += 50 {
+			p.play(now, now+1)
+			if g := p.engines[units.UpstreamID(fmt.Sprint("e", lost))]; g.busy != nil && g.busy.Unload {
+				g.gone = true
+			}
+		}
+		p.play(9001, 24_001)
+		assert.Assert(t, p.copies(name(15)) > 0, "upstream %d was lost", lost)
+	}
+}
