--- /dev/null
+++ b/clock/sleep.go
@@ -0,0 +1,19 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for the duration and reports whether it passed before the context was
+// done.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -251,7 +251,7 @@
 			Expected: one.Expected, Holder: h.g.boot.VM, Epoch: epoch,
 		})
 		if m.err == nil && one.Adapter != "" && !one.Unload {
-			pause(ctx, adapterDelay)
+			clock.Sleep(ctx, adapterDelay)
 		}
 		h.g.post(m)
 	})
--- a/entry/presence.go
+++ b/entry/presence.go
@@ -39,7 +39,7 @@
 			klog.InfoS("entry: own key is not renewed", "err", err)
 			delay = presenceRetry + rand.N(presenceRetry)
 		}
-		pause(ctx, delay)
+		clock.Sleep(ctx, delay)
 	}
 	if p.lease == none {
 		return nil
@@ -79,12 +79,3 @@
 	p.lease = lease
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/fakes/engine/batch.go
+++ b/fakes/engine/batch.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -116,10 +115,10 @@
 		length, next := s.fill()
 		switch next {
 		case doStep:
-			sleep(ctx, length)
+			clock.Sleep(ctx, length.Duration())
 			s.step()
 		case doHang:
-			sleep(ctx, hangPoll)
+			clock.Sleep(ctx, hangPoll.Duration())
 		case doCrash:
 			s.Crash(s.options.Restart)
 		case doWait:
@@ -131,15 +130,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d clock.Span) {
-	t := time.NewTimer(d.Duration())
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // fill starts waiting sequences and returns the length of the next step.
 func (s *Server) fill() (clock.Span, next) {
 	s.mu.Lock()
--- a/fakes/engine/orders.go
+++ b/fakes/engine/orders.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 
+	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fakes/serve"
 	"github.com/magnolialever/magnolialever/units"
 )
@@ -64,7 +65,7 @@
 	}
 	ctx, cancel := s.lifetime()
 	defer cancel()
-	sleep(ctx, s.faults.Get().OrderDelayMillis)
+	clock.Sleep(ctx, s.faults.Get().OrderDelayMillis.Duration())
 	e := s.execute(ctx, &o)
 	if s.take(func(f *Faults) *int { return &f.LoseOrders }) {
 		serve.Abort()
@@ -163,7 +164,7 @@
 
 	e := s.fetch(ctx, m)
 	if e == nil {
-		sleep(ctx, s.options.LoadTime)
+		clock.Sleep(ctx, s.options.LoadTime.Duration())
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -193,7 +194,7 @@
 		case !busy:
 			return s.execute(ctx, o)
 		}
-		sleep(ctx, hangPoll)
+		clock.Sleep(ctx, hangPoll.Duration())
 	}
 	return errRestarted
 }
@@ -218,7 +219,7 @@
 		s.kill(m.ID)
 	}
 	s.mu.Unlock()
-	sleep(ctx, s.options.UnloadTime)
+	clock.Sleep(ctx, s.options.UnloadTime.Duration())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.instance != instance {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -72,7 +72,7 @@
 		if f.state.Expire(f.Clock.Now()) {
 			f.Changed(f.state.Snapshot())
 		}
-		sleep(ctx, f.next(err))
+		clock.Sleep(ctx, f.next(err))
 	}
 }
 
@@ -196,12 +196,3 @@
 	}
 	return true
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/gate/link.go
+++ b/gate/link.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -36,7 +37,7 @@
 		}
 		stats.Event("link_ended")
 		klog.V(1).Infof("gate: session with %s %s ended: %v", l.links.role, l.address, err)
-		pause(ctx, backoff/2+rand.N(backoff))
+		clock.Sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, lastBackoff)
 	}
 }
@@ -60,12 +61,3 @@
 	defer u.close(l.links)
 	return true, u.run(ctx, l.links)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/gate/peers.go
+++ b/gate/peers.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -35,7 +36,7 @@
 		}
 		if err != nil {
 			klog.Errorf("gate: peer listener: %v", err)
-			pause(ctx, firstBackoff)
+			clock.Sleep(ctx, firstBackoff)
 			continue
 		}
 		if p.count.Add(1) > maxPeerSessions {
--- a/gate/repeat.go
+++ b/gate/repeat.go
@@ -68,7 +68,7 @@
 	if !ok || !now.Add(wait).Before(r.request.query.Deadline) && !r.answer.sent {
 		return false
 	}
-	pause(ctx, wait.Duration())
+	clock.Sleep(ctx, wait.Duration())
 	if ctx.Err() != nil {
 		return false
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -241,21 +241,12 @@
 	a.abort()
 	x.reason = err.Error()
 	if ctx.Err() != nil || errors.Is(err, errCaller) {
-		x.leave(ctx)
+		x.end(ctx)
 		return sched.Left
 	}
 	return x.again(ctx)
 }
 
-// leave ends a stream whose caller left or whose time is over.
-func (x *exchange) leave(ctx context.Context) {
-	if x.r.Context().Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		x.finished = true
-		return
-	}
-	x.end(ctx)
-}
-
 // errCaller means that the caller does not take the answer.
 var errCaller = errors.New("caller is gone")
 
@@ -294,7 +285,7 @@
 func (x *exchange) nextBy() time.Time {
 	now := x.s.Clock.Now()
 	end := x.arrived.Add(x.limit)
-	if x.repeatable() || (x.route.Repeat == fleet.Resumable && x.runs < x.route.Attempts) {
+	if x.route.Repeat == fleet.Resumable && x.runs < x.route.Attempts {
 		end = min(end, now.Add(silence))
 	}
 	return span(now, end)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -248,39 +248,43 @@
 	x.refuse(&refusal{status: http.StatusServiceUnavailable, code: r.Code, after: r.After})
 }
 
-// giveUp ends a request that can't be sent again: with the failure that an upstream
-// answered, if there is one.
+// soon is when a caller should come back whose request found no place in time.
+const soon = 200 * clock.Millisecond
+
+// Refusals of requests that have not run.
+var (
+	noUpstream = &refusal{status: http.StatusServiceUnavailable, code: units.NoUpstream, after: soon}
+	tooLate    = &refusal{status: http.StatusServiceUnavailable, code: units.DeadlineMissed, after: soon}
+)
+
+// giveUp ends a request that can't be sent again.
 func (x *exchange) giveUp(reason string) {
 	x.reason = reason
-	switch {
-	case x.begun:
-		x.cut()
-	case x.kept != nil:
-		x.deliver(x.kept)
-	case x.runs > 0:
-		x.refuse(broken)
-	default:
-		x.refuse(&refusal{status: http.StatusServiceUnavailable, code: units.NoUpstream, after: 200 * clock.Millisecond})
-	}
+	x.fail(broken, noUpstream)
 }
 
 // end ends a request at its time limit, or after its caller has left.
 func (x *exchange) end(ctx context.Context) {
-	x.finished = true
 	if x.r.Context().Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		x.finished = true
 		stats.Event("callers_left")
 		return
 	}
-	x.finished = false
+	x.fail(timedOut, tooLate)
+}
+
+// fail ends a request with the failure that an upstream answered, if there is one. The
+// refusal depends on whether the request may have run.
+func (x *exchange) fail(ran, notRun *refusal) {
 	switch {
 	case x.begun:
 		x.cut()
 	case x.kept != nil:
 		x.deliver(x.kept)
 	case x.runs > 0:
-		x.refuse(timedOut)
+		x.refuse(ran)
 	default:
-		x.refuse(&refusal{status: http.StatusServiceUnavailable, code: units.DeadlineMissed, after: 200 * clock.Millisecond})
+		x.refuse(notRun)
 	}
 }
 
--- a/store/holder.go
+++ b/store/holder.go
@@ -119,7 +119,7 @@
 		t, err := h.acquire(ctx)
 		if err != nil {
 			klog.V(1).Infof("store: contend for %s: %v", h.options.Key, err)
-			pause(ctx, h.options.TTL/renewShare+rand.N(h.options.TTL/renewShare))
+			clock.Sleep(ctx, (h.options.TTL/renewShare + rand.N(h.options.TTL/renewShare)).Duration())
 			continue
 		}
 		h.set(t)
@@ -184,7 +184,7 @@
 		if !now.Before(t.until) {
 			return errLost
 		}
-		if !pause(ctx, min(wait, t.until.Sub(now))) {
+		if !clock.Sleep(ctx, min(wait, t.until.Sub(now)).Duration()) {
 			return ctx.Err()
 		}
 		renewed, err := h.renew(ctx, t)
--- a/store/watch.go
+++ b/store/watch.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"k8s.io/klog/v2"
 
@@ -65,7 +64,7 @@
 		if err != nil && ctx.Err() == nil {
 			klog.V(1).Infof("store: watch of %s ended: %v", w.prefix, err)
 		}
-		if err != nil && !pause(ctx, wait/2+rand.N(wait)) {
+		if err != nil && !clock.Sleep(ctx, (wait/2+rand.N(wait)).Duration()) {
 			return
 		}
 		wait = min(2*wait, maxWatchPause)
@@ -196,14 +195,3 @@
 	w.last = at
 	return nil
 }
-
-func pause(ctx context.Context, s clock.Span) bool {
-	t := time.NewTimer(s.Duration())
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/store/write.go
+++ b/store/write.go
@@ -104,7 +104,7 @@
 	c.count.readbacks.Add(1)
 	stats.Event("store_readback")
 	for range resends {
-		if !pause(ctx, resendPause) {
+		if !clock.Sleep(ctx, resendPause.Duration()) {
 			break
 		}
 		if err = c.call(ctx, path, in, out); err == nil {
--- a/syncer/store.go
+++ b/syncer/store.go
@@ -128,7 +128,7 @@
 		if time.Since(started) > retryMax {
 			wait = retryMin
 		}
-		sleep(ctx, wait/2+rand.N(wait))
+		clock.Sleep(ctx, wait/2+rand.N(wait))
 		wait = min(2*wait, retryMax)
 	}
 }
@@ -170,12 +170,3 @@
 	s.do(func(now clock.Time) []Message { return s.state.Listed(now, sent, l) })
 	return revision, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
