platform, fleet: decode only what is used, histograms of the new gateway

Settings, headers and fields that nothing reads are not decoded any more (bounds that the product does not need, loads in answers, idle limits, sizes of pages), and the store client loses a call that nobody makes.

--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -41,7 +41,7 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	debug.SetMemoryLimit(int64(float64(b.Limits.MemoryMegabytes<<20) * entryMemoryShare))
+	debug.SetMemoryLimit(int64(float64(b.MemoryMegabytes<<20) * entryMemoryShare))
 	logs, stopLogs := context.WithCancel(context.Background())
 	s := sink.New(os.Stdout, entryLogRate)
 	written := make(chan struct{})
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -94,6 +94,3 @@
 func (h *Holder) May(now clock.Time) (units.Epoch, bool) {
 	return h.epoch, h.Holds(now) && !now.Before(h.from)
 }
-
-// Other is the gateway that holds the duty; empty where nobody is known to.
-func (h *Holder) Other() units.VMID { return h.other }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,10 +26,14 @@
 	"github.com/magnolialever/magnolialever/reside"
 	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/sched"
+	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
 )
 
+// storeCall is the time of calls to the store; a watch waits up to a second.
+var storeCall = stats.NewHistogram("entry_store_call_ms")
+
 // mailbox is the number of messages that may wait for the control loop.
 const mailbox = 256
 
@@ -78,6 +82,7 @@
 		},
 	})
 	g.bounds.Store(&b.Bounds)
+	g.store.OnCall = func(_ string, took clock.Span, _ error) { storeCall.Record(took.Duration()) }
 	p, err := peers.Listen(peers.Options{
 		Clock: g.clock, VM: b.VM, Address: net.JoinHostPort(b.IP, strconv.Itoa(b.FirstPort)),
 		Received: func(d peers.Digest) { g.post(digestReceived{d}) },
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -104,7 +104,7 @@
 	b := &platform.Boot{
 		VM: units.VMID(name), Zone: "zone-a", IP: "127.0.0.1", FirstStart: true, Public: public, Ready: ready,
 		FirstPort: first, LastPort: first + 1, Store: s.store.Addr(), MinLease: clock.Second,
-		Limits: platform.VMLimits{MemoryMegabytes: 284},
+		MemoryMegabytes: 284,
 		Bounds: platform.Bounds{
 			Grace: 5 * clock.Second, Revoke: 2500 * clock.Millisecond, Lease: 300, RetryRatio: 0.2, RetrySlack: 50,
 			RetryWindow: 10 * clock.Second, QuotaOver: 0.1, ColdOver: 1.5, ColdSlack: 5,
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -57,9 +57,8 @@
 	Name units.ModelID
 	// Megabytes is the size of the weights.
 	Megabytes float64
-	// StoreLoad, DiskLoad and HostLoad are the times of a load from the weight store,
-	// from a copy on the disk and from a copy in the memory of the host.
-	StoreLoad, DiskLoad, HostLoad clock.Span
+	// StoreLoad is the time of a load from the weight store.
+	StoreLoad clock.Span
 	// Adapters is the number of adapters, named a1, a2 and so on.
 	Adapters int
 	// AdapterMegabytes is the size of one adapter.
@@ -72,8 +71,6 @@
 	Slots int
 	// Memory is the number of tokens that running requests and cached prefixes share.
 	Memory units.Tokens
-	// Stride is the number of tokens in one event of a stream.
-	Stride int
 	Models []Model
 	// Megabytes is the memory for weights and adapters.
 	Megabytes float64
@@ -95,10 +92,6 @@
 // Service is a group of upstreams that serve the same routes.
 type Service struct {
 	Name units.ServiceID
-	// MaxConns is the number of connections that one upstream accepts.
-	MaxConns int
-	// ColdFor is how long an upstream stays cold after a start.
-	ColdFor clock.Span
 	// ColdRate is the number of requests a second that a cold upstream bears; 0 is no
 	// limit.
 	ColdRate float64
@@ -120,21 +113,14 @@
 	PerRequest bool
 }
 
-// Limits bound what a caller may send and how long its connection may stay idle.
-type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout clock.Span
-	IdleTimeout   clock.Span
-}
-
 // Config is one version of the operators' configuration.
 type Config struct {
-	Version  int64
-	Limits   Limits
-	services map[units.ServiceID]*Service
-	routes   map[string][]*Route
-	keys     map[string]*Customer
+	Version int64
+	// BodyBytes bounds the body of a request; 0 is unknown.
+	BodyBytes int64
+	services  map[units.ServiceID]*Service
+	routes    map[string][]*Route
+	keys      map[string]*Customer
 	// customers is the number of customers; without any, requests need no key.
 	customers []*Customer
 }
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -26,8 +26,6 @@
 	Draining bool
 	// Cold is how much longer the upstream said that it stays cold.
 	Cold clock.Span
-	// Leaves is the time until a draining upstream is gone; 0 is unknown.
-	Leaves clock.Span
 	// Born is the Unix time of the start in milliseconds; 0 is unknown.
 	Born int64
 	// Models are the resident models.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -129,7 +129,7 @@
 }
 
 func (x *exchange) readBody(c *fleet.Config) *refusal {
-	limit := c.Limits.BodyBytes
+	limit := c.BodyBytes
 	if limit <= 0 {
 		limit = maxBody
 	}
@@ -296,8 +296,18 @@
 	return x.ask.Cost(x.customer)
 }
 
+// Latencies of requests that were answered by an upstream, from their arrival.
+var (
+	placeTime = stats.NewHistogram("relay_place_ms")
+	firstTime = stats.NewHistogram("relay_first_event_ms")
+	wholeTime = stats.NewHistogram("relay_whole_ms")
+)
+
 // served notes a request that was answered by an upstream.
 func (x *exchange) served(status int) {
+	placeTime.Record(x.placed.Sub(x.arrived).Duration())
+	firstTime.Record(x.first.Sub(x.arrived).Duration())
+	wholeTime.Record(x.s.Clock.Now().Sub(x.arrived).Duration())
 	klog.InfoS("relay: served", "request", x.ask.ID, "status", status, "upstream", x.upstream, "customer", x.customerID(),
 		"cost", x.cost(), "model", x.ask.Model, "adapter", x.ask.Adapter, "sends", x.sends, "runs", x.runs, "events", x.stream.count,
 		"placed", x.placed.Sub(x.arrived), "first", x.first.Sub(x.arrived), "took", x.s.Clock.Now().Sub(x.arrived), "revision", x.view.Revision)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -54,7 +54,7 @@
 	assert.NilError(t, err)
 	c, err := platform.DecodeConfig(data)
 	assert.NilError(t, err)
-	s := &view.Snapshot{Config: c, Upstreams: map[units.UpstreamID]*view.Entry{}, Full: true}
+	s := &view.Snapshot{Config: c, Upstreams: map[units.UpstreamID]*view.Entry{}}
 	for _, p := range replicas {
 		for _, service := range []string{fakes.App, fakes.Engine} {
 			id := units.UpstreamID(p.Instance)
--- a/reside/reside_test.go
+++ b/reside/reside_test.go
@@ -50,7 +50,7 @@
 	e := &fleet.Engine{Slots: 64, Memory: 100_000, Megabytes: 230_000, AdapterSlots: 4, LoadsPerSecond: 1.6}
 	for i := range models {
 		e.Models = append(e.Models, fleet.Model{
-			Name: name(i), Megabytes: 70_000, StoreLoad: 4 * clock.Second, DiskLoad: 800, Adapters: 10, AdapterMegabytes: 60,
+			Name: name(i), Megabytes: 70_000, StoreLoad: 4 * clock.Second, Adapters: 10, AdapterMegabytes: 60,
 		})
 	}
 	p := &plant{
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -18,7 +18,7 @@
 
 func engine(slots int) *fleet.Service {
 	return &fleet.Service{
-		Name: "engines", ColdFor: 3 * clock.Second, ColdRate: 15,
+		Name: "engines", ColdRate: 15,
 		Engine: &fleet.Engine{
 			Slots: slots, Memory: 100_000,
 			Models: []fleet.Model{{Name: model, StoreLoad: 4 * clock.Second}, {Name: "rare", StoreLoad: 4 * clock.Second}},
--- a/view/view.go
+++ b/view/view.go
@@ -37,8 +37,6 @@
 	// Out are the zones that get nothing new.
 	Out      map[units.Zone]bool
 	Revision units.Revision
-	// Full is set once everything was read.
-	Full bool
 }
 
 // State is the belief under construction.
@@ -177,5 +175,4 @@
 			s.SetOut(now, z, false)
 		}
 	}
-	s.snap.Full = true
 }
