rate: fewer reports on buckets that have plenty

A slot now holds 128,000 tokens of burst before a customer gets more, reports are collected for 600 ms while the bucket is half full with 96 mean requests or more, starts go with the ends then, and a question covers 500 ms in advance in place of 300.

--- a/rate/ask.go
+++ b/rate/ask.go
@@ -22,8 +22,8 @@
 	shortBackoffMax = 100 * clock.Millisecond
 	// prefetchSpan is the demand that one question covers in advance, and
 	// prefetchKeep how long unused tokens are kept.
-	prefetchSpan = 300 * clock.Millisecond
-	prefetchKeep = 500 * clock.Millisecond
+	prefetchSpan = 500 * clock.Millisecond
+	prefetchKeep = 700 * clock.Millisecond
 	demandSpan   = 2 * clock.Second
 )
 
--- a/rate/client.go
+++ b/rate/client.go
@@ -102,6 +102,7 @@
 // holding is a grant at the client.
 type holding struct {
 	id      GrantID
+	account *account
 	owner   units.VMID
 	slot    Slot
 	epoch   units.Epoch
@@ -233,7 +234,7 @@
 
 // hold keeps a grant for the waiting requests.
 func (c *Client) hold(now clock.Time, q *ask, g Grant) {
-	h := &holding{id: g.ID, owner: q.owner, slot: q.slot, epoch: q.epoch, free: g.Tokens, ready: now, expires: q.sent.Add(TTL)}
+	h := &holding{id: g.ID, account: q.account, owner: q.owner, slot: q.slot, epoch: q.epoch, free: g.Tokens, ready: now, expires: q.sent.Add(TTL)}
 	if g.Wait > 0 && !c.faults.ignoreWait {
 		h.ready = now.Add(driftUp(g.Wait))
 	}
@@ -254,7 +255,7 @@
 	t.started = true
 	for _, p := range t.parts {
 		p.from.told.Started += p.tokens
-		c.report(now, startDelay, p.from)
+		c.report(now, p.from.startDelay(now), p.from)
 	}
 }
 
@@ -285,7 +286,7 @@
 		n := min(unused, p.tokens)
 		unused -= n
 		p.from.told.Unused += n
-		c.finishPart(now, startDelay, p)
+		c.finishPart(now, p.from.finishDelay(now), p)
 	}
 }
 
@@ -298,7 +299,7 @@
 	}
 	delete(c.tickets, id)
 	for _, p := range t.parts {
-		c.finishPart(now, startDelay, p)
+		c.finishPart(now, p.from.finishDelay(now), p)
 	}
 }
 
--- a/rate/rate.go
+++ b/rate/rate.go
@@ -146,7 +146,7 @@
 	// partBurst is the burst that a slot holds at least when a customer has more
 	// than two: many times the cost of a request, so that no request lacks tokens
 	// because they are spread.
-	partBurst units.Tokens = 32_000
+	partBurst units.Tokens = 128_000
 	// partsMax is the largest number of shards of a customer.
 	partsMax = 64
 )
--- a/rate/refusal_test.go
+++ b/rate/refusal_test.go
@@ -4,6 +4,9 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/units"
 )
 
 // Targets of the design.
@@ -63,3 +66,43 @@
 	o := newWorkload(2, future, 4*microSecond).run(slots{}, false)
 	assert.Assert(t, o.bytesMax <= nodeBytes, "%.0f bytes/s", o.bytesMax)
 }
+
+// Guards the same with other arrivals, in which owners are of several parts of large
+// customers, or send much themselves.
+func TestNodeBytesFutureSeeds(t *testing.T) {
+	for seed := uint64(3); seed <= 5; seed++ {
+		o := newWorkload(seed, future, 4*microSecond).run(slots{}, false)
+		assert.Check(t, o.bytesMax <= nodeBytes, "seed %d: %.0f bytes/s", seed, o.bytesMax)
+	}
+}
+
+// Guards against reports that come late to a bucket from which others wait for tokens,
+// and against many reports on one that has plenty.
+func TestReportsWaitWhilePlenty(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		burst  units.Tokens
+		reject clock.Span
+		delay  clock.Span
+	}{
+		{"plenty", 4_000_000, plentyDelay - 1, plentyDelay},
+		{"scarce", 2_000, reportDelay - 1, reportDelay},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := NewClient(1)
+			c.Learn(0, (&Table{}).Assign([]Gateway{{ID: "gw-0", Zone: "a"}}))
+			c.SetLimit(0, "customer", Limit{Rate: x.burst / 4, Burst: x.burst})
+			c.Request(1, Request{ID: 1, Customer: "customer", Cost: 900, Deadline: 1000})
+			for _, m := range c.Sends() {
+				q := m.Message.(Acquire)
+				c.Grant(2, Grant{ID: q.ID, Tokens: q.Tokens, Level: x.burst/units.Tokens(len(SlotsOf("customer", Limit{Burst: x.burst}))) - q.Tokens})
+			}
+			assert.Equal(t, len(c.Verdicts()), 1)
+			c.Finish(3, 1, 500)
+			c.Tick(clock.Time(3).Add(x.reject))
+			assert.Equal(t, len(c.Sends()), 0)
+			c.Tick(clock.Time(3).Add(x.delay))
+			assert.Equal(t, len(c.Sends()), 1)
+		})
+	}
+}
--- a/rate/report.go
+++ b/rate/report.go
@@ -8,14 +8,50 @@
 )
 
 const (
-	// startDelay is how long reports of starts and settlements are collected.
-	startDelay = 100 * clock.Millisecond
+	// reportDelay is how long reports of starts and settlements are collected.
+	reportDelay = 100 * clock.Millisecond
+	// plentyDelay replaces reportDelay while the bucket has plenty: no other gateway
+	// waits for what is refunded.
+	plentyDelay = 600 * clock.Millisecond
+	// plentyPart is the part of its burst, and plentyRequests the number of mean
+	// requests, from which on a bucket has plenty.
+	plentyPart     = 2
+	plentyRequests = 96
 	// returnDelay is shorter, because returned tokens are missing elsewhere.
 	returnDelay = 20 * clock.Millisecond
 	// settledMax bounds the reports of one message.
 	settledMax = 256
 )
 
+// plenty tells whether the grant's bucket holds enough for all gateways to go on
+// without what this grant gives back.
+func (h *holding) plenty(now clock.Time) bool {
+	i := slices.Index(h.account.slots, h.slot)
+	if i < 0 {
+		return false
+	}
+	v := &h.account.views[i]
+	least := max(v.burst/plentyPart, toMilli(plentyRequests*h.account.demand.mean()))
+	return v.known && v.estimate(now) >= least
+}
+
+// startDelay returns how long a report of a start is collected. With plenty it goes
+// with that of the end: at the latest after TTL the owner takes the tokens as started.
+func (h *holding) startDelay(now clock.Time) clock.Span {
+	if h.plenty(now) {
+		return TTL
+	}
+	return reportDelay
+}
+
+// finishDelay returns how long a report of an end is collected.
+func (h *holding) finishDelay(now clock.Time) clock.Span {
+	if h.plenty(now) {
+		return plentyDelay
+	}
+	return reportDelay
+}
+
 // batch holds the reports for one owner.
 type batch struct {
 	to      units.VMID
