retry, relay, peers: refuse requests that crash their upstreams

Cause: nothing remembered such a request. Each time it came again, at any gateway, it could crash as many upstreams as its route has attempts.

retry.Crashes blames a request when its answer broke off at an upstream whose process is found to have ended within 5 s, by its description or by a refused connection. After two such crashes the request is refused as not run. Digests carry suspects to the other gateways.

Ruled out: counting each broken answer (resets and cut links are no crash); refusing after one crash (all its neighbours would be refused); three crashes (one more upstream lost, which breaks some twenty other answers).

Before: TestCrashingRequestIsRefused does not compile; with the check taken out it sees 502 on each further try.

--- a/entry/control.go
+++ b/entry/control.go
@@ -135,6 +135,9 @@
 // digest takes over what another gateway gives and tells.
 func (c *control) digest(now clock.Time, d peers.Digest) {
 	c.hear(now, d)
+	for _, w := range d.GetSuspects() {
+		c.g.relay.Suspect(suspect(now, w))
+	}
 	if d.Urgent() {
 		c.holder.plan(now)
 	}
@@ -230,6 +233,7 @@
 	c.addQuota(now, d)
 	c.addNeeds(now, d)
 	c.addNews(now, d)
+	d.Suspects = suspectsOf(now, c.g.relay.Suspects())
 	var to []string
 	for _, m := range c.members.All() {
 		if m.VM != c.g.boot.VM {
--- a/entry/news.go
+++ b/entry/news.go
@@ -6,6 +6,7 @@
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/peers"
 	"github.com/magnolialever/magnolialever/reside"
+	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
 	"github.com/magnolialever/magnolialever/wire"
@@ -73,6 +74,29 @@
 	return f.upstream == o.upstream && f.born == o.born && f.model == o.model && f.adapter == o.adapter && f.orders == o.orders
 }
 
+func suspectsOf(now clock.Time, list []retry.Suspect) []*wire.Suspect {
+	out := make([]*wire.Suspect, 0, len(list))
+	for _, s := range list {
+		w := &wire.Suspect{Fingerprint: uint64(s.Fingerprint), Ttl: int64(s.Expires.Sub(now))}
+		for _, c := range s.Crashes {
+			w.Crash = append(w.Crash, uint64(c))
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+func suspect(now clock.Time, w *wire.Suspect) retry.Suspect {
+	s := retry.Suspect{
+		Fingerprint: retry.Fingerprint(w.GetFingerprint()),
+		Expires:     now.Add(min(clock.Span(w.GetTtl()), retry.SuspectSpan)),
+	}
+	for _, c := range w.GetCrash() {
+		s.Crashes = append(s.Crashes, retry.CrashID(c))
+	}
+	return s
+}
+
 // miss tells the holder of the duty at once that requests miss something.
 func (c *control) miss(now clock.Time) {
 	if c.holder.duty.Holds(now) {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/magnolialever/magnolialever/clock"
@@ -109,6 +110,9 @@
 		return sched.Left
 	}
 	if errors.Is(err, errNotSent) {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			x.s.closed(x.upstream)
+		}
 		// The upstream received nothing, so this was no arrival there.
 		if x.sends >= maxSends {
 			x.giveUp("unreachable")
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/reside"
+	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/sched"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
@@ -47,6 +48,8 @@
 	service  *fleet.Service
 	customer *fleet.Customer
 	body     []byte
+	// fingerprint is the same when the caller sends the request again.
+	fingerprint retry.Fingerprint
 	// limit is the longest time until the final answer.
 	limit clock.Span
 
@@ -91,7 +94,15 @@
 	if x.service, ok = x.split(c); !ok {
 		return &refusal{status: http.StatusServiceUnavailable, code: units.NoUpstream, after: clock.Second}
 	}
-	return x.readBody(c)
+	if p := x.readBody(c); p != nil {
+		return p
+	}
+	x.fingerprint = retry.FingerprintOf(x.customerID(), x.r.Method+" "+x.r.RequestURI, x.body)
+	if x.s.rejects(x.fingerprint) {
+		x.reason = "crashed upstreams"
+		return suspected
+	}
+	return nil
 }
 
 func (x *exchange) authenticate(c *fleet.Config) *refusal {
@@ -180,6 +191,10 @@
 		x.giveUp("repeats")
 		return
 	}
+	if x.runs > 0 && x.s.rejects(x.fingerprint) {
+		x.giveUp("crashed upstreams")
+		return
+	}
 	k := x.place(ctx)
 	if k == nil {
 		return
@@ -187,9 +202,7 @@
 	x.upstream, x.placed = k.Upstream.ID, x.s.Clock.Now()
 	x.avoid = append(x.avoid, k.Upstream.ID)
 	outcome := x.attempt(ctx, k)
-	x.s.mu.Lock()
-	x.s.Table.End(x.s.Clock.Now(), k, outcome)
-	x.s.mu.Unlock()
+	x.s.outcome(x.fingerprint, k, outcome)
 	if outcome != sched.Served && outcome != sched.Left {
 		klog.V(1).InfoS("relay: attempt failed", "request", x.ask.ID, "upstream", k.Upstream.ID, "outcome", outcome, "reason", x.reason, "revision", x.view.Revision)
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -50,6 +50,7 @@
 
 	mu       sync.Mutex // guards the fields below and Table
 	windows  map[units.ServiceID]*retry.Window
+	crashes  *retry.Crashes
 	gateways int
 }
 
@@ -57,7 +58,7 @@
 func New(o Options) *Server {
 	s := &Server{
 		Options: o, pool: newPool(o.Clock), gateways: 1,
-		windows: map[units.ServiceID]*retry.Window{},
+		windows: map[units.ServiceID]*retry.Window{}, crashes: retry.NewCrashes(),
 	}
 	s.view.Store(&view.Snapshot{})
 	return s
@@ -68,7 +69,9 @@
 	s.view.Store(v)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Table.SetView(s.Clock.Now(), v)
+	now := s.Clock.Now()
+	s.Table.SetView(now, v)
+	s.ended(now, v)
 }
 
 // SetGateways sets the number of gateways that share limits.
--- /dev/null
+++ b/retry/crash.go
@@ -0,0 +1,110 @@
+package retry
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+const (
+	// crashSpan is how long after an answer broke off the end of its upstream counts as
+	// a crash that the request may have caused.
+	crashSpan = 5 * clock.Second
+	// maxOpenBreaks bounds the broken answers of one upstream that are remembered.
+	maxOpenBreaks = 256
+)
+
+// process is one start of an upstream.
+type process struct {
+	id   units.UpstreamID
+	born int64
+}
+
+// broken is an answer that broke off.
+type broken struct {
+	fingerprint Fingerprint
+	at          clock.Time
+}
+
+// Crashes finds requests that crash their upstreams where nobody reports crashes: an
+// answer breaks off and the upstream's process is found to have ended soon after.
+// Answers that break off for other reasons, such as a reset connection, count for
+// nothing.
+type Crashes struct {
+	suspects *Suspects
+	open     map[process][]broken
+}
+
+// NewCrashes returns an empty Crashes.
+func NewCrashes() *Crashes {
+	return &Crashes{suspects: NewSuspects(), open: map[process][]broken{}}
+}
+
+// Broke notes that an answer to the request broke off at the process of the upstream.
+func (c *Crashes) Broke(now clock.Time, f Fingerprint, u units.UpstreamID, born int64) {
+	p := process{u, born}
+	list := slices.DeleteFunc(c.open[p], func(b broken) bool { return now.Sub(b.at) > crashSpan })
+	if len(list) >= maxOpenBreaks {
+		list = list[1:]
+	}
+	c.open[p] = append(list, broken{f, now})
+}
+
+// Check asks which processes have ended, of those at which answers broke off lately,
+// and returns how many requests became suspects by it.
+func (c *Crashes) Check(now clock.Time, ended func(u units.UpstreamID, born int64) bool) int {
+	found := 0
+	for p, list := range c.open {
+		list = slices.DeleteFunc(list, func(b broken) bool { return now.Sub(b.at) > crashSpan })
+		if len(list) > 0 && ended(p.id, p.born) {
+			found += c.crashed(now, p, list)
+			list = nil
+		}
+		if len(list) == 0 {
+			delete(c.open, p)
+			continue
+		}
+		c.open[p] = list
+	}
+	return found
+}
+
+// Ended notes that the upstream's process has ended, as its port is closed.
+func (c *Crashes) Ended(now clock.Time, u units.UpstreamID) int {
+	return c.Check(now, func(id units.UpstreamID, _ int64) bool { return id == u })
+}
+
+func (c *Crashes) crashed(now clock.Time, p process, list []broken) int {
+	for _, b := range list {
+		c.suspects.Crashed(now, b.fingerprint, p.crash())
+	}
+	return len(list)
+}
+
+// crash identifies the crash of the process for all gateways.
+func (p process) crash() CrashID {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(p.id))
+	return CrashID(d.Sum64() ^ uint64(p.born))
+}
+
+// Rejects reports whether the request has crashed too many upstreams to run again.
+func (c *Crashes) Rejects(now clock.Time, f Fingerprint) bool {
+	return c.suspects.Verdict(now, f) == Reject
+}
+
+// Succeeded clears a request that ran to its end.
+func (c *Crashes) Succeeded(f Fingerprint) { c.suspects.Succeeded(f) }
+
+// Merge adds what another gateway knows.
+func (c *Crashes) Merge(now clock.Time, s Suspect) { c.suspects.Merge(now, s) }
+
+// List returns at most n suspects, those that end last first.
+func (c *Crashes) List(now clock.Time, n int) []Suspect {
+	list := c.suspects.List(now)
+	slices.SortFunc(list, func(a, b Suspect) int { return int(b.Expires - a.Expires) })
+	return list[:min(n, len(list))]
+}
