reside: loads under way up to the weight store's rate times the load time

The planner's gaps, printed in a trial, show them in each round; all orders waited, since 7 loads were under way and the bound was 3.5 s of the store's rate, 6.3. Loads take 5 s there: 9 run at once without slowing each other.

Ruled out: the holder of the duty (one throughout), the credit of the rate (3 of 3 unused), intents (none before 19 s).

--- a/reside/plan.go
+++ b/reside/plan.go
@@ -57,9 +57,6 @@
 	// spareCredit is the number of loads that has to be left for a model that nobody asks
 	// for.
 	spareCredit = 2.0
-	// maxLoadSeconds bounds the loads under way, as a time at the store's rate. Beyond it
-	// each load takes longer.
-	maxLoadSeconds = 3.5
 	// adapterKeep is how long an adapter that was just loaded is not displaced.
 	adapterKeep = 800 * clock.Millisecond
 )
@@ -378,12 +375,28 @@
 
 // affordable reports whether the weight store's budget allows a load.
 func (r *round) affordable(s *site, m units.ModelID) bool {
-	if float64(r.loads) >= max(maxLoadSeconds*r.engine.LoadsPerSecond, 1) && r.engine.LoadsPerSecond > 0 {
+	if r.loads >= r.maxLoads() {
 		return false
 	}
 	return s.keeps(m) || r.engine.LoadsPerSecond <= 0 || r.p.credit[r.service.Name] >= 1
 }
 
+// maxLoads is the number of loads under way at which the weight store is fully used: its
+// rate times the duration of the shortest load. With more, each takes longer.
+func (r *round) maxLoads() int {
+	if r.engine.LoadsPerSecond <= 0 {
+		return math.MaxInt
+	}
+	shortest := math.Inf(1)
+	for _, m := range r.engine.Models {
+		shortest = min(shortest, m.StoreLoad.Seconds())
+	}
+	if math.IsInf(shortest, 1) {
+		return 1
+	}
+	return max(int(r.engine.LoadsPerSecond*shortest), 1)
+}
+
 // addCopy loads one more copy of the model on the upstream that is used least, or makes
 // room for it there.
 func (r *round) addCopy(id units.ModelID, missing bool, use float64) {
