reside: only loads from the weight store count against its bound

A load from a copy on disk or in memory takes nothing of the weight store. After a crash most loads are of that kind.

--- a/reside/plan.go
+++ b/reside/plan.go
@@ -156,7 +156,8 @@
 	// copies lists the sites that hold or load a model and take requests.
 	copies map[units.ModelID][]*site
 	// use is the expected work of each site, in prompt tokens a second.
-	use   map[*site]float64
+	use map[*site]float64
+	// loads is the number of loads from the weight store under way.
 	loads int
 	out   []Command
 	used  map[*site]bool
@@ -202,7 +203,7 @@
 		if s.busy != nil && s.busy.Unload && s.busy.Model == m {
 			continue
 		}
-		if c.loading {
+		if c.loading && (s.busy == nil || s.busy.FromStore) {
 			r.loads++
 		}
 		r.copies[m] = append(r.copies[m], s)
@@ -375,18 +376,15 @@
 
 // affordable reports whether the weight store's budget allows a load.
 func (r *round) affordable(s *site, m units.ModelID) bool {
-	if r.loads >= r.maxLoads() {
-		return false
+	if s.keeps(m) || r.engine.LoadsPerSecond <= 0 {
+		return true
 	}
-	return s.keeps(m) || r.engine.LoadsPerSecond <= 0 || r.p.credit[r.service.Name] >= 1
+	return r.loads < r.maxLoads() && r.p.credit[r.service.Name] >= 1
 }
 
 // maxLoads is the number of loads under way at which the weight store is fully used: its
 // rate times the duration of the shortest load. With more, each takes longer.
 func (r *round) maxLoads() int {
-	if r.engine.LoadsPerSecond <= 0 {
-		return math.MaxInt
-	}
 	shortest := math.Inf(1)
 	for _, m := range r.engine.Models {
 		shortest = min(shortest, m.StoreLoad.Seconds())
@@ -485,8 +483,8 @@
 func (r *round) load(s *site, id units.ModelID) {
 	if !s.keeps(id) {
 		r.p.credit[r.service.Name]--
+		r.loads++
 	}
-	r.loads++
 	r.command(s, Command{Model: id, FromStore: !s.keeps(id)})
 	r.copies[id] = append(r.copies[id], s)
 }
