reside: missing models first, where room is

Their loads waited for unloads of busy models, which end when the requests that run there end (3 to 6 s), while upstreams that came back empty at 17.5 s and 18 s took further copies of models that were held already: an intent for a model kept it from being loaded elsewhere, and the gaps were ordered by work alone.

A model that nothing holds now comes before one whose copies are used too much, and is loaded where room is even if another upstream makes room for it.

--- a/reside/plan.go
+++ b/reside/plan.go
@@ -293,8 +293,8 @@
 	return n
 }
 
-// coverModels adds copies where requests can't be served, the most work first: of models
-// that nothing holds, and of those whose copies can't keep up.
+// coverModels adds copies where requests can't be served: first of models that nothing
+// holds, then of those whose copies can't keep up, each the most work first.
 func (r *round) coverModels() {
 	type gap struct {
 		model   units.ModelID
@@ -305,7 +305,7 @@
 	for _, m := range r.engine.Models {
 		n, copies := r.needs[m.Name], r.copies[m.Name]
 		if len(copies) == 0 {
-			if (n.Missed > 0 || n.Tokens > 1) && r.coming(m.Name) == 0 {
+			if n.Missed > 0 || n.Tokens > 1 {
 				gaps = append(gaps, gap{m.Name, n.Tokens, true})
 			}
 			continue
@@ -314,12 +314,71 @@
 			gaps = append(gaps, gap{m.Name, min(over, n.Tokens), false})
 		}
 	}
-	slices.SortStableFunc(gaps, func(a, b gap) int { return cmp.Compare(b.work, a.work) })
+	// Requests for a model that nothing holds are refused, while those for one whose
+	// copies are used too much are late.
+	slices.SortStableFunc(gaps, func(a, b gap) int {
+		return cmp.Or(compareTrueFirst(a.missing, b.missing), cmp.Compare(b.work, a.work))
+	})
 	for _, g := range gaps {
+		if g.missing && r.intended(g.model) {
+			r.addQuickly(g.model)
+			continue
+		}
 		r.addCopy(g.model, g.missing, math.Inf(1))
 	}
 }
 
+func compareTrueFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// intended reports whether an upstream makes room for the model.
+func (r *round) intended(id units.ModelID) bool {
+	for _, i := range r.p.intents {
+		if i.model == id {
+			return true
+		}
+	}
+	return false
+}
+
+// addQuickly loads a model that nothing holds on an upstream that has room, in place of
+// the one that makes room: an unload waits for all requests that run on the victim.
+func (r *round) addQuickly(id units.ModelID) {
+	m, ok := r.engine.Model(id)
+	if !ok {
+		return
+	}
+	var best *site
+	for _, s := range r.sites {
+		if r.used[s] || !s.idle(r.now) || !r.affordable(s, id) || !r.fits(s, m) {
+			continue
+		}
+		if _, busy := r.p.intents[r.ids[s]]; busy {
+			continue
+		}
+		if best == nil || r.use[s] < r.use[best] {
+			best = s
+		}
+	}
+	if best == nil {
+		return
+	}
+	for u, i := range r.p.intents {
+		if i.model == id {
+			delete(r.p.intents, u)
+		}
+	}
+	r.load(best, id)
+}
+
 // excess is the work of the sites that is more than they can do, if none has room.
 func (r *round) excess(sites []*site) float64 {
 	over := 0.0
--- a/reside/reside_test.go
+++ b/reside/reside_test.go
@@ -29,6 +29,8 @@
 	silent int
 	orders int
 	late   []lateOrder
+	// slow is the time of an unload, which waits for the requests that run.
+	slow clock.Span
 }
 
 type lateOrder struct {
@@ -54,7 +56,7 @@
 		})
 	}
 	p := &plant{
-		t: t, service: &fleet.Service{Name: service, Engine: e}, engines: map[units.UpstreamID]*engine{},
+		t: t, service: &fleet.Service{Name: service, Engine: e}, engines: map[units.UpstreamID]*engine{}, slow: 300 * clock.Millisecond,
 		ledger: reside.NewLedger(), needs: map[reside.Target]reside.Need{},
 	}
 	p.planner = reside.NewPlanner(p.ledger)
@@ -163,11 +165,12 @@
 		g.models[c.Model][c.Adapter] = true
 	default:
 		g.busy = &c
-		g.until = now + 300
+		g.until = now.Add(p.slow)
 		if !c.Unload {
 			g.until = now + 800
 			if !g.disk[c.Model] {
-				g.until = now + 4000
+				m, _ := p.service.Engine.Model(c.Model)
+				g.until = now.Add(m.StoreLoad)
 				p.loads = append(p.loads, now)
 			}
 		}
@@ -325,3 +328,54 @@
 		assert.Assert(t, p.copies(name(15)) > 0, "upstream %d was lost", lost)
 	}
 }
+
+// Guards against a model that is missed for the whole of a slow unload, while upstreams
+// that came back empty take further copies of models that are held already.
+func TestMissingModelIsLoadedFirst(t *testing.T) {
+	for back := clock.Time(7000); back < 12_000; back += 1000 {
+		p := newPlant(t, 6, 9)
+		for i := range 9 {
+			p.need(name(i), "", 90_000, 0)
+		}
+		p.engines["e4"].gone, p.engines["e5"].gone = true, true
+		p.play(1, 6000)
+		p.slow = 8 * clock.Second
+		// Nothing holds the model; the others ask for more than their copies can do.
+		missing := units.ModelID("m99")
+		p.service.Engine.Models = append(p.service.Engine.Models, fleet.Model{
+			Name: missing, Megabytes: 70_000, StoreLoad: 4 * clock.Second, Adapters: 10, AdapterMegabytes: 60,
+		})
+		p.need(missing, "", 20_000, 9)
+		p.play(6001, back)
+		for _, id := range []units.UpstreamID{"e4", "e5"} {
+			p.engines[id] = &engine{models: map[units.ModelID]map[string]bool{}, disk: map[units.ModelID]bool{}, seen: back}
+		}
+		p.play(back, back+5500)
+		assert.Assert(t, p.copies(missing) > 0, "back at %d", back)
+		p.play(back+5500, 40_000)
+		p.checkLoads()
+	}
+}
+
+// Guards against a weight store that stays idle while models are missing: it carries its
+// rate times the duration of a load at once.
+func TestLoadsUpToTheStoreRate(t *testing.T) {
+	p := newPlant(t, 12, 12)
+	for _, g := range p.engines {
+		clear(g.models)
+	}
+	for i := range p.service.Engine.Models {
+		p.service.Engine.Models[i].StoreLoad = 6 * clock.Second
+	}
+	for i := range 12 {
+		p.need(name(i), "", 20_000, 1)
+	}
+	p.play(1, 11_900)
+	held := 0
+	for i := range 12 {
+		held += min(p.copies(name(i)), 1)
+	}
+	// Loads that begin within 5.9 s end in time, 1.6 a second at a share of 0.9.
+	assert.Assert(t, held >= 9, "%d models held", held)
+	p.checkLoads()
+}
