relay, entry: bounds on bodies under way and on callers' connections

Cause: only the operators' limit of one body bounded what bodies take, and nothing the connections; both could use up a gateway (284 MB, 4,100 descriptors) by accident.

Bodies take at most 64 MB, counted as their buffers grow, so that a length that was only announced holds nothing. A body has to arrive within the time limit of its request. Of 1,800 connections of callers, the one without a request for longest makes room for a new one.

Ruled out: netutil.LimitListener (connections beyond the bound wait unaccepted while the gateway says that it is ready); reserving the announced length (twenty callers that send nothing would use up all room).

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -72,6 +72,7 @@
 	if err != nil {
 		return err
 	}
+	public.http.ConnState = newCallers(maxCallers).changed
 	admin := []*listener{}
 	for name, one := range map[string]struct {
 		address string
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 
@@ -48,6 +47,8 @@
 	service  *fleet.Service
 	customer *fleet.Customer
 	body     []byte
+	// held is the room that the body takes, in bytes.
+	held int64
 	// fingerprint is the same when the caller sends the request again.
 	fingerprint retry.Fingerprint
 	// limit is the longest time until the final answer.
@@ -94,7 +95,7 @@
 	if x.service, ok = x.split(c); !ok {
 		return &refusal{status: http.StatusServiceUnavailable, code: units.NoUpstream, after: clock.Second}
 	}
-	if p := x.readBody(c); p != nil {
+	if p := x.readBody(c.BodyBytes); p != nil {
 		return p
 	}
 	x.fingerprint = retry.FingerprintOf(x.customerID(), x.r.Method+" "+x.r.RequestURI, x.body)
@@ -139,25 +140,6 @@
 	return nil, false
 }
 
-func (x *exchange) readBody(c *fleet.Config) *refusal {
-	limit := c.BodyBytes
-	if limit <= 0 {
-		limit = maxBody
-	}
-	if x.r.ContentLength > limit {
-		return largeInput
-	}
-	data, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	if err != nil {
-		if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-			return largeInput
-		}
-		return badBody
-	}
-	x.body = data
-	return nil
-}
-
 // rank is the priority of the request; 0 is the most urgent.
 func (x *exchange) rank() int {
 	if x.customer != nil && x.customer.Priority != nil {
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -31,6 +31,7 @@
 	badKey     = &refusal{status: http.StatusUnauthorized, code: units.InvalidKey}
 	badBody    = &refusal{status: http.StatusBadRequest, code: units.InvalidRequest, closes: true}
 	largeInput = &refusal{status: http.StatusRequestEntityTooLarge, code: units.BodyTooLarge, closes: true}
+	noRoom     = &refusal{status: http.StatusServiceUnavailable, code: units.QueueFull, after: roomRetry, closes: true}
 	suspected  = &refusal{status: http.StatusServiceUnavailable, code: units.CrashSuspect, after: clock.Minute}
 	timedOut   = &refusal{status: http.StatusGatewayTimeout, code: units.UpstreamTimeout}
 	broken     = &refusal{status: http.StatusBadGateway, code: units.UpstreamFailed}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -41,9 +41,16 @@
 }
 
 func newRig(t testing.TB, replicas ...*fakes.Replica) *rig {
+	t.Helper()
+	return newRoomyRig(t, 0, replicas...)
+}
+
+// newRoomyRig returns a rig with a bound on the bytes of bodies under way.
+func newRoomyRig(t testing.TB, held int64, replicas ...*fakes.Replica) *rig {
 	t.Helper()
 	r := &rig{t: t, keysOK: true}
 	r.server = relay.New(relay.Options{
+		Held:  held,
 		Clock: clock.System{}, Table: sched.New("zone-a", sched.ColdLimit{Over: 1.5, Slack: 5}), Limiter: unlimited{},
 		Retries:    retry.Limit{Ratio: 0.2, Slack: 50, Span: 10 * clock.Second},
 		KeysUsable: func(clock.Time) bool { return r.keysOK },
--- a/relay/server.go
+++ b/relay/server.go
@@ -35,6 +35,8 @@
 	KeysUsable func(now clock.Time) bool
 	// Missing is told of requests for a model or adapter that no upstream holds.
 	Missing func(s units.ServiceID, m units.ModelID, adapter string)
+	// Held bounds the bytes of request bodies under way; 0 is MaxHeld.
+	Held int64
 	// Used is told of the work that requests for a model or adapter bring.
 	Used func(s units.ServiceID, m units.ModelID, adapter string, work float64)
 }
@@ -45,6 +47,7 @@
 	view  atomic.Pointer[view.Snapshot]
 	pool  *pool
 	drain atomic.Bool
+	room  room
 	// active counts requests under way.
 	active atomic.Int64
 
@@ -60,6 +63,10 @@
 		Options: o, pool: newPool(o.Clock), gateways: 1,
 		windows: map[units.ServiceID]*retry.Window{}, crashes: retry.NewCrashes(),
 	}
+	s.room.most = o.Held
+	if s.room.most <= 0 {
+		s.room.most = MaxHeld
+	}
 	s.view.Store(&view.Snapshot{})
 	return s
 }
@@ -116,6 +123,7 @@
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	x := &exchange{s: s, w: w, r: r, arrived: s.Clock.Now(), view: s.view.Load()}
+	defer func() { s.room.give(x.held) }()
 	if s.drain.Load() {
 		w.Header().Set("Connection", "close")
 	}
