sched: start requests only in the first 0.45 of the time until their callers leave

The first event then takes 0.2 to 1.5 s, so most of these callers are gone when it comes, and their slots and prompts were spent in vain; those refused have a third of the time less for a second try.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -30,8 +30,6 @@
 	givesUp   = 2 * clock.Second
 	targetsUp = 4
 	gapsUp    = 8
-	// startShare is the part of that time within which a request has to start.
-	startShare = 0.8
 )
 
 // exchange is one request of a caller and its answer.
@@ -225,13 +223,13 @@
 	return k
 }
 
-// lastStart is the last time at which a start is of use: later the caller has left.
+// lastStart is the last time at which a start is of use.
 func (x *exchange) lastStart() clock.Time {
 	span := x.limit
 	if x.route.Stream {
 		span = min(span, max(givesUp, targetsUp*x.route.Target, gapsUp*x.route.MaxGap))
 	}
-	return x.arrived.Add(clock.Span(float64(span) * startShare))
+	return sched.LastStart(x.arrived, span)
 }
 
 // noPlace ends a request that no upstream takes.
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -150,6 +150,17 @@
 	return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Due, b.Due))
 }
 
+// startShare is the part of the time until its caller leaves within which a request has to
+// start. On upstreams that are so loaded that requests wait, the first event takes about as
+// long again; one that starts later works for nobody.
+const startShare = 0.45
+
+// LastStart returns the last time at which the start of a request is of use whose caller
+// leaves after the span.
+func LastStart(arrived clock.Time, leaves clock.Span) clock.Time {
+	return arrived.Add(clock.Span(float64(leaves) * startShare))
+}
+
 // hopeless returns a refusal where waiting does not help.
 func (t *Table) hopeless(now clock.Time, k *Ticket, c choice) *Refusal {
 	left := k.Until.Sub(now)
