relay: an upstream's failure does not end a stream that it was to continue

The first upstream of a resumable stream crashed; the second, one of those that fail part of their requests, answered 500. That answer was delivered as for a plain request: its text went into the begun stream, which then ended as if complete.

Such an answer is now dropped. The stream is offered once more where attempts are left, and else cut, so that it does not look complete.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -67,9 +67,21 @@
 	if x.route.Stream && a.status == http.StatusOK {
 		return x.relay(ctx, k, a)
 	}
+	if x.begun {
+		return x.notContinued(ctx, a)
+	}
 	return x.plain(ctx, a)
 }
 
+// notContinued handles an answer that is no stream where one was to go on. Nothing of it may
+// reach the caller, whose stream is not complete.
+func (x *exchange) notContinued(ctx context.Context, a *answer) sched.Outcome {
+	x.discard(a)
+	x.reason = "status " + strconv.Itoa(a.status) + " in place of the rest of the stream"
+	x.again(ctx)
+	return sched.Failed
+}
+
 func (x *exchange) customerID() units.CustomerID {
 	if x.customer == nil {
 		return ""
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -291,6 +291,26 @@
 	assert.Equal(t, total(one, two), 1)
 }
 
+// Guards against a stream that ends as if complete, or with the text of an error, when the
+// upstream that is to go on with it answers with a failure (hunt-1fc8-7 of lsatcc-magnolia).
+func TestFailureDoesNotEndStream(t *testing.T) {
+	for _, status := range []string{"500 Internal Server Error", "404 Not Found", "201 Created"} {
+		script := func(r *fakes.Request) {
+			if r.After != "" {
+				r.Answer(status, "error")
+				return
+			}
+			r.Stream(1, 3, false)
+			r.Cut()
+		}
+		one, two := replica(t, "one", script), replica(t, "two", script)
+		got := newRig(t, one, two).talk("/talk/a")
+		assert.Check(t, errors.Is(got.err, io.ErrUnexpectedEOF), "%s: ended as complete, %v", status, got.err)
+		assert.Check(t, got.body == events(1, 3), "%s: %q", status, got.body)
+		assert.Check(t, total(one, two) == 2, status)
+	}
+}
+
 // Guards against work for callers that have left.
 func TestLeavingCallerCancels(t *testing.T) {
 	ended := make(chan time.Time, 1)
