--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -76,7 +76,7 @@
 // notContinued handles an answer that is no stream where one was to go on. Nothing of it may
 // reach the caller, whose stream is not complete.
 func (x *exchange) notContinued(ctx context.Context, a *answer) sched.Outcome {
-	x.discard(a)
+	a.abort()
 	x.reason = "status " + strconv.Itoa(a.status) + " in place of the rest of the stream"
 	x.again(ctx)
 	return sched.Failed
