sched, relay, entry: refuse requests that still wait at half of the grace time

A gateway got SIGTERM at 7.0 s; a request of a caller that stays 16 s without an event came at 8.1 s, waited for a place, and its connection was cut at 14.2 s, nine tenths of the grace time later, without an answer.

A stopping gateway now refuses what has not started 4 s after SIGTERM (half of the grace time), as not run, so that its caller can go elsewhere.

TestWaitingEndsAtBound does not compile before; without the loop over the queue it fails with one ticket in place of two.

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -29,6 +29,9 @@
 	settleSpan = 2800 * clock.Millisecond
 	// cutShare is the part of the grace time after which streams that are left are cut.
 	cutShare = 0.9
+	// startShare is the part of the grace time after which requests that still wait are
+	// refused: those that start later would be cut.
+	startShare = 0.5
 	// drainPoll is the interval at which a stopping gateway looks for the last request.
 	drainPoll = 20 * time.Millisecond
 	// adminTimeout bounds a call to the readiness and metrics addresses.
@@ -117,9 +120,10 @@
 func (g *Gateway) stop(c *control, public *listener) error {
 	begin := g.clock.Now()
 	klog.InfoS("entry: stopping", "active", g.relay.Active())
-	g.relay.Drain()
+	grace := float64(g.bounds.Load().Grace)
+	g.relay.Drain(begin.Add(clock.Span(grace * startShare)))
 	c.leaving <- struct{}{}
-	cut := begin.Add(clock.Span(float64(g.bounds.Load().Grace) * cutShare))
+	cut := begin.Add(clock.Span(grace * cutShare))
 	for g.clock.Now().Before(begin.Add(settleSpan)) {
 		time.Sleep(drainPoll)
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -112,8 +112,14 @@
 	s.Table.Pump(s.Clock.Now())
 }
 
-// Drain makes the server close each connection after its next answer.
-func (s *Server) Drain() { s.drain.Store(true) }
+// Drain makes the server close each connection after its next answer, and refuse requests
+// that have not started by the time, so that their callers can go elsewhere.
+func (s *Server) Drain(lastStart clock.Time) {
+	s.drain.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Table.Bound(lastStart)
+}
 
 // Active is the number of requests under way.
 func (s *Server) Active() int64 { return s.active.Load() }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -78,6 +78,8 @@
 	snap     *view.Snapshot
 	ups      map[units.UpstreamID]*upstream
 	queue    []*Ticket
+	// bound is the last start of all requests; 0 is none.
+	bound clock.Time
 }
 
 // ColdLimit says how exactly the limit of cold upstreams has to be kept over all
@@ -129,6 +131,9 @@
 // Add asks for an upstream. The ticket is started, waits, or is refused.
 func (t *Table) Add(now clock.Time, w Want) *Ticket {
 	k := &Ticket{Want: w, Ready: make(chan struct{})}
+	if t.bound > 0 {
+		k.Until = min(k.Until, t.bound)
+	}
 	c := t.choose(now, &k.Want)
 	if c.best != nil {
 		t.start(now, k, c)
@@ -155,6 +160,14 @@
 // long again; one that starts later works for nobody.
 const startShare = 0.45
 
+// Bound makes requests that have not started by then be refused, also those that come later.
+func (t *Table) Bound(until clock.Time) {
+	t.bound = until
+	for _, k := range t.queue {
+		k.Until = min(k.Until, until)
+	}
+}
+
 // LastStart returns the last time at which the start of a request is of use whose caller
 // leaves after the span.
 func LastStart(arrived clock.Time, leaves clock.Span) clock.Time {
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -91,6 +91,24 @@
 	}
 }
 
+// Guards against requests that wait in a stopping gateway until their connections are cut
+// (hunt-d3af-7 of lsatcc-magnolia): they are refused at the bound, as not run.
+func TestWaitingEndsAtBound(t *testing.T) {
+	s := engine(1)
+	table := newTable(entry("one", "zone-a", 1))
+	running := table.Add(100, want(s, 100))
+	waits := table.Add(110, want(s, 110))
+	table.Bound(600)
+	later := table.Add(200, want(s, 200))
+	assert.Equal(t, len(table.Pump(599)), 0)
+	assert.Equal(t, len(table.Pump(600)), 2)
+	for _, k := range []*sched.Ticket{waits, later} {
+		assert.Equal(t, k.Refused.Code, units.DeadlineMissed)
+	}
+	assert.Assert(t, table.Add(700, want(s, 700)).Refused != nil)
+	table.End(800, running, sched.Served)
+}
+
 // Guards against requests that wait in vain: they are refused as soon as they can't be
 // served, and no later than their last useful start.
 func TestHopelessRequestsAreRefused(t *testing.T) {
