gate: an answer that broke waits for an upstream; relay: errors of refused bodies are logged

A broken answer was given up at once, though resumeSpan gives it 30 s.

A request whose answer broke now waits: 30 s if the caller has a part of it, else 3 s from the break. TestBrokenAnswerWaitsForUpstream fails before (502) and passes after.

--- a/gate/demand.go
+++ b/gate/demand.go
@@ -51,9 +51,12 @@
 	}
 }
 
-// awaits reports whether the request should wait for an upstream: its target is
-// resident nowhere, or only where the cold-start limit allows no further request.
+// awaits reports whether the request should wait for an upstream: its answer broke, or its
+// target is resident nowhere, or only where the cold-start limit allows no further request.
 func (r *relay) awaits() bool {
+	if r.ran {
+		return true
+	}
 	if r.request.kind == kindService {
 		return r.offered()
 	}
@@ -74,10 +77,13 @@
 func (r *relay) await(ctx context.Context) *upstream {
 	q := &r.request.query
 	limit := r.limit()
-	if r.request.kind == kindModel {
+	switch {
+	case r.request.kind == kindModel && r.server.options.Demand != nil:
 		end := r.server.options.Demand.Waits(units.ModelID(q.Target))
 		defer end()
-	} else {
+	case r.ran && !r.answer.sent:
+		limit = min(limit, r.broken.Add(capacitySpan))
+	default:
 		limit = r.capacityLimit()
 	}
 	stats.Event("load_awaited")
--- a/gate/stream_test.go
+++ b/gate/stream_test.go
@@ -263,3 +263,34 @@
 	assert.ErrorContains(t, err, "draining")
 	assert.Assert(t, errors.Is(stopErr, gate.ErrLeft))
 }
+
+// Guards against an answer that is given up because no upstream is connected at the moment
+// at which its own broke: it goes on when one is back.
+func TestBrokenAnswerWaitsForUpstream(t *testing.T) {
+	const length = 6
+	for _, from := range []int64{0, 3} {
+		var a *standIn
+		broke := make(chan struct{}, 1)
+		a = newStandIn(t, "a1", func(c *agentCall) {
+			_ = c.head(200, events)
+			for i := max(c.Resume-1, 0); i < length; i++ {
+				if i == from && len(broke) == 0 {
+					broke <- struct{}{}
+					a.session.Load().Close()
+					return
+				}
+				_ = c.part(i, token(i))
+			}
+			_ = c.part(length, endEvent)
+			c.done()
+		})
+		s := start(t, func(o *gate.Options) { o.Retrier = patient{} }, a)
+		st := client(s, key).Chat.Completions.NewStreaming(context.Background(), chat("small"))
+		var text strings.Builder
+		for st.Next() {
+			text.WriteString(st.Current().Choices[0].Delta.Content)
+		}
+		assert.NilError(t, st.Err(), "broken at event %d", from)
+		assert.Equal(t, text.String(), tokens(length))
+	}
+}
--- a/relay/body.go
+++ b/relay/body.go
@@ -8,7 +8,10 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/stats"
 )
 
 const (
@@ -73,11 +76,14 @@
 // unread bytes is reset, and the caller may never see the refusal.
 func (x *exchange) discardBody(in io.Reader) {
 	c := http.NewResponseController(x.w)
-	if err := c.SetReadDeadline(time.Now().Add(discardSpan)); err != nil {
-		return
+	err := c.SetReadDeadline(time.Now().Add(discardSpan))
+	if err == nil {
+		_, err = io.Copy(io.Discard, in)
+	}
+	if err != nil {
+		stats.Event("bodies_not_discarded")
+		klog.V(1).InfoS("relay: body of a refused request is not read to its end", "request", x.ask.ID, "err", err)
 	}
-	// What can't be read is reset, as without the discarding.
-	_, _ = io.Copy(io.Discard, in)
 }
 
 // readBody reads the body within its time and size.
@@ -95,6 +101,7 @@
 	c := http.NewResponseController(x.w)
 	end := span(x.s.Clock.Now(), x.arrived.Add(x.limit))
 	if err := c.SetReadDeadline(end); err != nil {
+		x.reason = err.Error()
 		return badBody
 	}
 	data, held, err := x.s.room.read(in, x.r.ContentLength)
@@ -112,6 +119,7 @@
 	}
 	x.body = data
 	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		x.reason = err.Error()
 		return badBody
 	}
 	return nil
