--- a/elect/elect.go
+++ b/elect/elect.go
@@ -91,6 +91,9 @@
 	h.holder = ""
 }
 
+// Holder returns the gateway that owns the key as far as known; empty if none does.
+func (h *Elector) Holder() units.VMID { return h.holder }
+
 // Holds reports whether this gateway has the lease, less leaseMargin.
 func (h *Elector) Holds(now clock.Time) bool { return h.epoch != 0 && now.Before(h.leaseEnd) }
 
--- a/entry/controller.go
+++ b/entry/controller.go
@@ -9,7 +9,6 @@
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/peers"
-	"github.com/magnolialever/magnolialever/quota"
 	"github.com/magnolialever/magnolialever/sched"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
@@ -19,10 +18,6 @@
 const (
 	// tickInterval is the interval between two ticks of the control loop.
 	tickInterval = 40 * time.Millisecond
-	// digestInterval is the interval between two digests. digestIntervalPerGateway is added for
-	// each gateway, so that the rate of digests that a gateway receives stays bounded.
-	digestInterval           = 160 * clock.Millisecond
-	digestIntervalPerGateway = 12 * clock.Millisecond
 	// storeLostAfter is the age of the store's last confirmation above which the store counts as
 	// lost.
 	storeLostAfter = 1800 * clock.Millisecond
@@ -39,10 +34,14 @@
 	// confirmedAt is when the view was last known to be current.
 	confirmedAt  clock.Time
 	digestSentAt clock.Time
+	// demandSentAt is when the last digest was sent to the leader.
+	demandSentAt clock.Time
 	// digestNumber is the number of the last digest, from 1.
 	digestNumber uint64
-	// gatewayCount is the last number of live gateways that was applied.
-	gatewayCount int
+	// gatewayCount is the last number of gateways that was applied, membersVersion the version of
+	// members that was.
+	gatewayCount   int
+	membersVersion uint64
 	// drainRequested receives a value when a planned stop begins.
 	drainRequested chan struct{}
 	draining       bool
@@ -50,6 +49,8 @@
 	// residencyChanges are recent loads and unloads that the upstreams' descriptions may not show
 	// yet.
 	residencyChanges []residencyChange
+	// announcedAt is when this gateway last announced changes to the others.
+	announcedAt clock.Time
 }
 
 func newController(g *Gateway) *controller {
@@ -84,6 +85,9 @@
 	switch m := m.(type) {
 	case viewChanged:
 		c.snapshot = m.snapshot
+		if m.snapshot.Config != nil {
+			c.gateway.limiter.setCustomers(m.snapshot.Config.Customers())
+		}
 		c.publishView(now)
 	case storeConfirmed:
 		c.confirmedAt = max(c.confirmedAt, m.at)
@@ -94,6 +98,8 @@
 		c.handleFullRead(now, m.keys)
 	case digestReceived:
 		c.handleDigest(now, m.digest)
+	case residencyChanged:
+		c.mergeResidencyChanges(now, m.changes)
 	case targetMissed:
 		c.handleMiss(now)
 	case leaseAcquired:
@@ -145,46 +151,50 @@
 	}
 }
 
-// handleDigest merges the residency changes, crash suspects and quota transfers of another gateway,
-// and plans at once if that gateway had misses.
+// handleDigest merges the crash suspects of another gateway, and plans at once if that gateway had
+// misses.
 func (c *controller) handleDigest(now clock.Time, d peers.Digest) {
-	c.mergeResidencyChanges(now, d)
 	for _, w := range d.GetSuspects() {
 		c.gateway.relay.MergeSuspect(decodeSuspect(now, w))
 	}
 	if d.HasMisses() {
 		c.orders.plan(now)
 	}
-	c.gateway.limiter.mu.Lock()
-	defer c.gateway.limiter.mu.Unlock()
-	for _, t := range d.GetGifts() {
-		if units.VMID(t.GetTo()) == c.gateway.settings.VM {
-			c.gateway.limiter.quota.Receive(now, quota.Transfer{
-				Customer: units.CustomerID(t.GetCustomer()), To: c.gateway.settings.VM, Tokens: t.GetTokens(),
-			})
-		}
-	}
 }
 
 func (c *controller) onTick() {
 	now := c.gateway.clock.Now()
 	c.updateKeyValidity(now)
-	if n := c.members.Count(now); n != c.gatewayCount {
-		klog.InfoS("entry: gateways", "count", n, "before", c.gatewayCount)
-		c.gatewayCount = n
-		c.gateway.relay.SetGateways(n)
-		c.gateway.limiter.mu.Lock()
-		c.gateway.limiter.quota.SetGateways(n)
-		c.gateway.limiter.mu.Unlock()
-	}
+	c.applyMembers(now)
+	c.gateway.limiter.onTick(now)
 	c.gateway.relay.SetOtherLoads(c.otherLoads())
+	c.announceChanges(now)
 	c.gateway.relay.Tick()
 	c.orders.onTick(now)
-	if now.Sub(c.digestSentAt) >= digestInterval+clock.Span(c.gatewayCount)*digestIntervalPerGateway {
+	c.gateway.leads.Store(c.orders.elector.Holds(now))
+	if now.Sub(c.digestSentAt) >= peers.DigestInterval(c.gatewayCount) {
 		c.sendDigest(now)
 	}
 }
 
+// applyMembers passes changes of the list of gateways on to the parts that share limits.
+func (c *controller) applyMembers(now clock.Time) {
+	n := c.members.Count(now)
+	if c.members.Version() == c.membersVersion {
+		return
+	}
+	c.membersVersion = c.members.Version()
+	if n != c.gatewayCount {
+		klog.InfoS("entry: gateways", "count", n, "before", c.gatewayCount)
+	}
+	c.gatewayCount = n
+	c.gateway.peers.SetGateways(n)
+	c.gateway.relay.SetGateways(c.gateway.settings.VM, c.members.All())
+	registered := c.members.Registered()
+	c.gateway.limiter.setGateways(n, registered)
+	c.orders.setGateways(registered)
+}
+
 // otherLoads returns the sum of the other gateways' loads at each upstream.
 func (c *controller) otherLoads() map[units.UpstreamID]sched.Load {
 	sum := map[units.UpstreamID]sched.Load{}
@@ -215,6 +225,9 @@
 // updateKeyValidity extends the time until which API keys are accepted, from this gateway's and the
 // other gateways' last confirmations by the store.
 func (c *controller) updateKeyValidity(now clock.Time) {
+	// A report of a lost store that is older than this proves nothing: the store may have answered
+	// others again, and a key may be withdrawn by now.
+	revocationDelay := c.gateway.bounds.Load().RevocationDelay
 	byVM := map[units.VMID]peers.Digest{}
 	for _, d := range c.gateway.peers.FreshDigests() {
 		byVM[units.VMID(d.GetVm())] = d
@@ -224,7 +237,8 @@
 		if m.VM == c.gateway.settings.VM {
 			continue
 		}
-		d, fresh := byVM[m.VM]
+		d, ok := byVM[m.VM]
+		fresh := ok && now.Sub(d.ReceivedAt) < revocationDelay-outageValidity-validityMargin
 		status := storeStatus{fresh: fresh}
 		if fresh {
 			status.configVersion, status.storeLost = d.GetConfig(), d.GetLost()
@@ -232,13 +246,38 @@
 		}
 		others = append(others, status)
 	}
-	c.gateway.keyValidity.set(keysValidUntil(now, c.confirmedAt, c.storeLost(now), c.configVersion(), others,
-		c.gateway.bounds.Load().RevocationDelay))
+	c.gateway.keyValidity.set(keysValidUntil(now, c.confirmedAt, c.storeLost(now), c.configVersion(), others, revocationDelay))
 }
 
-// sendDigest sends a digest of this gateway's state to all other gateways.
+// sendDigest sends a digest of this gateway's state to all other gateways. Only the leader gets the
+// demand for models, which is by far the largest part.
 func (c *controller) sendDigest(now clock.Time) {
+	leader := c.orders.elector.Holder()
+	var to []string
+	for _, m := range c.members.All() {
+		if m.VM != c.gateway.settings.VM && m.VM != leader {
+			to = append(to, m.Address)
+		}
+	}
 	c.digestSentAt = now
+	d := c.newDigest(now)
+	c.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_Digest{Digest: d}}, to...)
+	c.sendDemand(now, d)
+}
+
+// sendDemand adds the demand for models to a digest and sends it to the leader.
+func (c *controller) sendDemand(now clock.Time, d *wire.Digest) {
+	leader, ok := c.members.Get(c.orders.elector.Holder())
+	if !ok || leader.VM == c.gateway.settings.VM {
+		return
+	}
+	c.demandSentAt = now
+	c.addDemand(now, d)
+	c.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_Digest{Digest: d}}, leader.Address)
+}
+
+// newDigest returns a digest without the demand for models.
+func (c *controller) newDigest(now clock.Time) *wire.Digest {
 	c.digestNumber++
 	d := &wire.Digest{
 		Vm: string(c.gateway.settings.VM), Life: c.gateway.incarnation, Number: c.digestNumber, Zone: string(c.gateway.settings.Zone),
@@ -249,40 +288,6 @@
 			Upstream: string(s.Upstream), Running: int32(s.Running), Tokens: int64(s.Tokens), Backlog: int64(s.Backlog),
 		})
 	}
-	c.addQuota(now, d)
-	c.addDemand(now, d)
-	c.addResidencyChanges(now, d)
 	d.Suspects = encodeSuspects(now, c.gateway.relay.Suspects())
-	var to []string
-	for _, m := range c.members.All() {
-		if m.VM != c.gateway.settings.VM {
-			to = append(to, m.Address)
-		}
-	}
-	c.gateway.peers.Send(d, to)
-}
-
-// addQuota adds this gateway's demand of each customer, and transfers of its surplus tokens to
-// gateways with more demand.
-func (c *controller) addQuota(now clock.Time, d *wire.Digest) {
-	if c.snapshot.Config == nil {
-		return
-	}
-	others := map[units.VMID][]quota.Demand{}
-	for _, digest := range c.gateway.peers.FreshDigests() {
-		vm := units.VMID(digest.GetVm())
-		for _, q := range digest.GetDemands() {
-			others[vm] = append(others[vm], quota.Demand{
-				Customer: units.CustomerID(q.GetCustomer()), RequestedRate: q.GetWanted(), Available: q.GetLevel(),
-			})
-		}
-	}
-	c.gateway.limiter.mu.Lock()
-	defer c.gateway.limiter.mu.Unlock()
-	for _, q := range c.gateway.limiter.quota.TransferSurplus(now, c.snapshot.Config.Customers(), others) {
-		d.Gifts = append(d.Gifts, &wire.CustomerGift{Customer: string(q.Customer), To: string(q.To), Tokens: q.Tokens})
-	}
-	for _, q := range c.gateway.limiter.quota.Demands(now) {
-		d.Demands = append(d.Demands, &wire.CustomerDemand{Customer: string(q.Customer), Wanted: q.RequestedRate, Level: q.Available})
-	}
+	return d
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -18,7 +19,6 @@
 	"github.com/magnolialever/magnolialever/assign"
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/feed"
-	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/peers"
 	"github.com/magnolialever/magnolialever/platform"
@@ -29,11 +29,16 @@
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
+	"github.com/magnolialever/magnolialever/wire"
 )
 
 // storeCallTime is the duration of calls to the store. A watch without a change takes a second.
 var storeCallTime = stats.NewHistogram("entry_store_call_ms")
 
+// bodyBudgetPart divides the memory of the process to give the limit on buffered request bodies. A body
+// may be in memory twice while it is sent.
+const bodyBudgetPart = 5
+
 // inboxSize is the number of messages that are buffered for the control loop.
 const inboxSize = 256
 
@@ -51,6 +56,8 @@
 	keyValidity keyValidity
 	demand      demandMeter
 	inbox       chan message
+	// leads is set while this gateway is the leader.
+	leads atomic.Bool
 	// incarnation is a random number that identifies this run of the process.
 	incarnation uint64
 	// background is canceled when the gateway's goroutines have to end. backgroundCalls counts the
@@ -64,14 +71,16 @@
 func New(settings *platform.Settings) (*Gateway, error) {
 	g := &Gateway{
 		settings: settings, clock: clock.Boot{}, store: platform.NewStore(settings.StoreAddress),
-		limiter: &rateLimiter{quota: quota.New(settings.FirstStart, settings.Bounds.QuotaOvershoot)},
-		inbox:   make(chan message, inboxSize), incarnation: rand.Uint64(),
+		inbox: make(chan message, inboxSize), incarnation: rand.Uint64(),
 		demand: demandMeter{meter: assign.NewMeter()}, background: context.Background(),
 	}
+	tolerance := quota.Tolerance{Rate: settings.Bounds.QuotaOvershoot, Tokens: settings.Bounds.QuotaSlack}
+	g.limiter = newRateLimiter(settings.VM, g.clock, quota.New(settings.VM, settings.FirstStart, tolerance), g.incarnation)
 	g.relay = relay.New(relay.Options{
-		Clock:     g.clock,
-		Scheduler: sched.New(settings.Zone, sched.ColdTolerance{Factor: settings.Bounds.ColdFactor, Slack: settings.Bounds.ColdSlack}),
-		Limiter:   g.limiter,
+		Clock:      g.clock,
+		Scheduler:  sched.New(settings.Zone, sched.ColdTolerance{Factor: settings.Bounds.ColdFactor, Slack: settings.Bounds.ColdSlack}),
+		Limiter:    g.limiter,
+		BodyBudget: int64(settings.MemoryMegabytes) << 20 / bodyBudgetPart,
 		Retries: retry.WindowLimit{
 			Ratio: settings.Bounds.RetryRatio, Slack: settings.Bounds.RetrySlack, Span: settings.Bounds.RetryWindow,
 		},
@@ -88,18 +97,20 @@
 	g.store.OnCall = func(_ string, elapsed clock.Span, _ error) { storeCallTime.Record(elapsed.Duration()) }
 	transport, err := peers.Listen(peers.Options{
 		Clock: g.clock, VM: settings.VM, Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
-		OnDigest: func(d peers.Digest) { g.post(digestReceived{d}) },
+		OnDigest:  func(d peers.Digest) { g.post(digestReceived{d}) },
+		OnMessage: g.handleMessage,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
-	g.peers = transport
+	g.peers, g.limiter.peers = transport, transport
 	g.feed = feed.New(feed.Options{
 		Clock: g.clock, Store: g.store,
 		OnChange:    func(s *view.Snapshot) { g.post(viewChanged{s}) },
 		OnConfirm:   func(at clock.Time) { g.post(storeConfirmed{at}) },
 		OnOtherItem: func(i platform.Item) { g.post(itemReceived{i}) },
 		OnFullRead:  func(keys map[string]bool) { g.post(fullReadDone{keys}) },
+		Pause:       g.watchPause,
 	})
 	return g, nil
 }
@@ -135,6 +146,8 @@
 	fullReadDone struct{ keys map[string]bool }
 	// digestReceived has a digest from another gateway.
 	digestReceived struct{ digest peers.Digest }
+	// residencyChanged has loads and unloads that the leader has ordered.
+	residencyChanged struct{ changes []*wire.Residency }
 )
 
 // post sends a message to the control loop and blocks while its inbox is full. Messages are dropped
@@ -146,6 +159,37 @@
 	}
 }
 
+// handleMessage handles a message from another gateway other than a digest. Messages about tokens are
+// handled at once, since a request waits for them.
+func (g *Gateway) handleMessage(m *wire.Datagram, from netip.AddrPort) {
+	if changes := m.GetResidencyChanges(); changes != nil {
+		g.post(residencyChanged{changes.GetChanges()})
+		return
+	}
+	g.limiter.handleMessage(m, from)
+}
+
+const (
+	// leaderWatchPause is the leader's delay between two watches of the store. Orders depend on fresh
+	// descriptions.
+	leaderWatchPause = 300 * clock.Millisecond
+	// watchPauseShare is the part of the shortest delay within which changes have to be in force that
+	// a gateway may spend between two watches.
+	watchPauseShare = 1.0 / 3
+	maxWatchPause   = 1500 * clock.Millisecond
+)
+
+// watchPause returns the delay between two watches of the store. Each call is billed, and all
+// gateways make them, so the delay is as long as the bounds on changes allow.
+func (g *Gateway) watchPause() clock.Span {
+	if g.leads.Load() {
+		return leaderWatchPause
+	}
+	bounds := g.bounds.Load()
+	shortest := min(bounds.DrainDelay, bounds.ConfigDelay)
+	return min(max(clock.Span(float64(shortest)*watchPauseShare), leaderWatchPause), maxWatchPause)
+}
+
 // startCall runs a call in its own goroutine, so that the control loop doesn't block. The call
 // posts its result as a message.
 func (g *Gateway) startCall(call func(ctx context.Context)) {
@@ -176,20 +220,6 @@
 	return m.meter.Demand(now)
 }
 
-// rateLimiter is a quota.Limiter that is safe for concurrent use.
-type rateLimiter struct {
-	mu    sync.Mutex
-	quota *quota.Limiter
-}
-
-// Take implements relay.Limiter: it reports whether the customer may use the tokens now, and if
-// not, after which delay a retry may succeed.
-func (l *rateLimiter) Take(now clock.Time, c *fleet.Customer, tokens float64) (bool, clock.Span) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.quota.Take(now, c, tokens)
-}
-
 // Run serves callers until the context is done and then drains. It returns the errors of all its
 // goroutines, or nil after a graceful stop. It must be called only once.
 func (g *Gateway) Run(ctx context.Context) error {
@@ -228,7 +258,7 @@
 
 // self returns this gateway's entry in the list of gateways.
 func (g *Gateway) self() member.Gateway {
-	return member.Gateway{VM: g.settings.VM, Address: g.digestAddress(), Zone: g.settings.Zone}
+	return member.Gateway{VM: g.settings.VM, Address: g.digestAddress(), Zone: g.settings.Zone, Cores: g.settings.Cores}
 }
 
 // noLease stands for no lease.
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -11,6 +12,7 @@
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/elect"
 	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
@@ -27,8 +29,10 @@
 	adapterActivationTime = 9 * time.Millisecond
 	// acquireRetryDelay is the least time between two attempts to become the leader.
 	acquireRetryDelay = 400 * clock.Millisecond
-	// announceTime is how long a residency change is repeated in the leader's digests.
-	announceTime = 1500 * clock.Millisecond
+	// acquireDelayStep is added for each gateway that is better suited as the leader, up to
+	// maxAcquireDelaySteps of them. Gateways on VMs with more processor time come first.
+	acquireDelayStep     = 100 * clock.Millisecond
+	maxAcquireDelaySteps = 8
 )
 
 // Messages about the leader's lease and about orders.
@@ -78,10 +82,14 @@
 	// renewedAt is when the last renewal, or the acquisition of the lease, started.
 	renewedAt      clock.Time
 	acquireTriedAt clock.Time
-	ledger         *assign.Ledger
-	planner        *assign.Planner
-	plannedAt      clock.Time
-	client         *platform.OrderClient
+	// vacantSince is when the leader's key was found free. acquireDelay is how long this gateway
+	// waits from then, so that the one best suited tries first.
+	vacantSince  clock.Time
+	acquireDelay clock.Span
+	ledger       *assign.Ledger
+	planner      *assign.Planner
+	plannedAt    clock.Time
+	client       *platform.OrderClient
 	// draining is set from the beginning of a planned stop; the gateway then stays out of
 	// elections.
 	draining bool
@@ -111,14 +119,25 @@
 	case o.callPending:
 	case o.elector.Holds(now) && now.Sub(o.renewedAt) >= elect.RenewInterval:
 		o.renewLease(now)
-	case !o.draining && o.elector.ShouldAcquire(now) && now.Sub(o.acquireTriedAt) >= acquireRetryDelay:
-		o.acquireLease(now)
+	case !o.draining && o.elector.ShouldAcquire(now):
+		if now.Sub(max(o.acquireTriedAt.Add(acquireRetryDelay), o.vacantSince.Add(o.acquireDelay))) >= 0 {
+			o.acquireLease(now)
+		}
+	default:
+		o.vacantSince = now
 	}
 	if now.Sub(o.plannedAt) >= planInterval {
 		o.plan(now)
 	}
 }
 
+// setGateways sets the registered gateways, from which acquireDelay follows.
+func (o *orderManager) setGateways(registered []member.Gateway) {
+	ranked := member.Rank(registered, leaderKey)
+	place := slices.IndexFunc(ranked, func(g member.Gateway) bool { return g.VM == o.gateway.settings.VM })
+	o.acquireDelay = acquireDelayStep * clock.Span(min(max(place, 0), maxAcquireDelaySteps))
+}
+
 // acquireLease tries to create the leader's key with a new lease. The result is a leaseAcquired
 // message.
 func (o *orderManager) acquireLease(now clock.Time) {
@@ -259,7 +278,7 @@
 	}
 	if order.Unload {
 		o.controller.recordResidencyChange(now, residencyChange{
-			order.Upstream, e.ProcessStart, order.Model, order.Adapter, true, order.ExpectedOrders + 1, now,
+			order.Upstream, e.ProcessStart, order.Model, order.Adapter, true, order.ExpectedOrders + 1, now, announcement{ordered: true},
 		})
 	}
 	u := e.Upstream
@@ -298,7 +317,7 @@
 		o.controller.discardUnload(m.order)
 	case m.order.Adapter != "" && !m.order.Unload && accepted:
 		o.controller.recordResidencyChange(now, residencyChange{
-			e.ID, e.ProcessStart, m.order.Model, m.order.Adapter, false, m.order.ExpectedOrders + 1, now,
+			e.ID, e.ProcessStart, m.order.Model, m.order.Adapter, false, m.order.ExpectedOrders + 1, now, announcement{ordered: true},
 		})
 		o.plan(now)
 	case m.order.Adapter != "":
@@ -338,6 +357,27 @@
 	acceptedOrders int64
 	// at is when this gateway recorded the change.
 	at clock.Time
+	announcement
+}
+
+// announcement says how often the leader has told the other gateways of a change.
+type announcement struct {
+	// ordered is set if this gateway has ordered the change.
+	ordered       bool
+	announcements int
+	announcedAt   clock.Time
+}
+
+// announcementDue reports whether the change has to be announced now.
+func (a *announcement) announcementDue(now clock.Time) bool {
+	switch {
+	case !a.ordered || a.announcements >= maxAnnouncements:
+		return false
+	case a.announcements == 0:
+		return true
+	default:
+		return now.Sub(a.announcedAt) >= announceRepeatDelay
+	}
 }
 
 // maxDescriptionDelay is the greatest age of a description at its receipt.
--- a/entry/residency.go
+++ b/entry/residency.go
@@ -5,7 +5,6 @@
 
 	"github.com/magnolialever/magnolialever/assign"
 	"github.com/magnolialever/magnolialever/clock"
-	"github.com/magnolialever/magnolialever/peers"
 	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
@@ -13,11 +12,18 @@
 )
 
 const (
-	// minMissDigestInterval is the least time between the last digest and one that is sent because
-	// of a miss.
+	// minMissDigestInterval is the least time between the last digest to the leader and one that is
+	// sent because of a miss.
 	minMissDigestInterval = 15 * clock.Millisecond
 	// residencyChangeTTL is how long a residency change is kept. Descriptions show it by then.
 	residencyChangeTTL = 6 * clock.Second
+	// minAnnounceInterval is the least time between two announcements of loads; it grows by a
+	// millisecond for every gatewaysPerAnnounceMs gateways.
+	minAnnounceInterval   = 10 * clock.Millisecond
+	gatewaysPerAnnounceMs = 3
+	// announceRepeatDelay is when an announcement is repeated, as a datagram may be lost.
+	announceRepeatDelay = 400 * clock.Millisecond
+	maxAnnouncements    = 2
 )
 
 // publishView passes the view of the store to the relay, with the residency changes applied that
@@ -46,7 +52,44 @@
 func (c *controller) recordResidencyChange(now clock.Time, change residencyChange) {
 	c.residencyChanges = append(c.residencyChanges, change)
 	c.publishView(now)
-	c.sendDigest(now)
+	if change.unloaded || now.Sub(c.announcedAt) >= announceInterval(c.gatewayCount) {
+		c.announceChanges(now)
+	}
+}
+
+// announceInterval returns the interval between two announcements of loads among n gateways. It
+// bounds the messages that the leader sends.
+func announceInterval(n int) clock.Span {
+	return minAnnounceInterval + clock.Span(n)/gatewaysPerAnnounceMs
+}
+
+// announceChanges sends the changes that this gateway has ordered and not announced yet to all other
+// gateways, and once more those announced announceRepeatDelay ago.
+func (c *controller) announceChanges(now clock.Time) {
+	m := &wire.ResidencyChanges{}
+	for i := range c.residencyChanges {
+		r := &c.residencyChanges[i]
+		if !r.announcementDue(now) {
+			continue
+		}
+		r.announcements++
+		r.announcedAt = now
+		m.Changes = append(m.Changes, &wire.Residency{
+			Upstream: string(r.upstream), Model: string(r.model), Adapter: r.adapter, Dropped: r.unloaded,
+			Orders: r.acceptedOrders, Born: r.processStart,
+		})
+	}
+	if len(m.Changes) == 0 {
+		return
+	}
+	c.announcedAt = now
+	var to []string
+	for _, g := range c.members.All() {
+		if g.VM != c.gateway.settings.VM {
+			to = append(to, g.Address)
+		}
+	}
+	c.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_ResidencyChanges{ResidencyChanges: m}}, to...)
 }
 
 // discardUnload removes the residency change of an unload that the upstream did not accept.
@@ -57,13 +100,13 @@
 	c.publishView(c.gateway.clock.Now())
 }
 
-// mergeResidencyChanges adds the residency changes in another gateway's digest.
-func (c *controller) mergeResidencyChanges(now clock.Time, digest peers.Digest) {
+// mergeResidencyChanges adds the residency changes that the leader has announced.
+func (c *controller) mergeResidencyChanges(now clock.Time, announced []*wire.Residency) {
 	changed := false
-	for _, residency := range digest.GetNews() {
+	for _, residency := range announced {
 		change := residencyChange{
 			units.UpstreamID(residency.GetUpstream()), residency.GetBorn(), units.ModelID(residency.GetModel()),
-			residency.GetAdapter(), residency.GetDropped(), residency.GetOrders(), now,
+			residency.GetAdapter(), residency.GetDropped(), residency.GetOrders(), now, announcement{},
 		}
 		if !slices.ContainsFunc(c.residencyChanges, change.sameChange) {
 			c.residencyChanges = append(c.residencyChanges, change)
@@ -114,8 +157,8 @@
 		c.orders.plan(now)
 		return
 	}
-	if now.Sub(c.digestSentAt) >= minMissDigestInterval {
-		c.sendDigest(now)
+	if now.Sub(c.demandSentAt) >= minMissDigestInterval {
+		c.sendDemand(now, c.newDigest(now))
 	}
 }
 
@@ -154,18 +197,3 @@
 		})
 	}
 }
-
-// addResidencyChanges adds recent residency changes to a digest if this gateway is the leader.
-func (c *controller) addResidencyChanges(now clock.Time, d *wire.Digest) {
-	if !c.orders.elector.Holds(now) {
-		return
-	}
-	for _, r := range c.residencyChanges {
-		if now.Sub(r.at) < announceTime {
-			d.News = append(d.News, &wire.Residency{
-				Upstream: string(r.upstream), Model: string(r.model), Adapter: r.adapter, Dropped: r.unloaded,
-				Orders: r.acceptedOrders, Born: r.processStart,
-			})
-		}
-	}
-}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -18,9 +18,6 @@
 )
 
 const (
-	// watchPause is the delay between two watches. Each call to the store is billed, so the
-	// delay batches changes that come close together.
-	watchPause = 300 * time.Millisecond
 	// watchTimeout is how long the store holds a watch open without a change. It bounds the
 	// age of the view.
 	watchTimeout = clock.Second
@@ -54,6 +51,9 @@
 	OnOtherItem func(i platform.Item)
 	// OnFullRead is called after a full read with the keys of all items in the store.
 	OnFullRead func(keys map[string]bool)
+	// Pause returns the delay before the next watch. Each call to the store is billed, so the delay
+	// batches changes that come close together.
+	Pause func() clock.Span
 }
 
 // Feed reads the store and follows its changes. It is not safe for concurrent use.
@@ -94,7 +94,7 @@
 			klog.InfoS("feed: store answers again", "revision", f.state.Revision())
 		}
 		f.storeDown, f.retryDelay = false, 0
-		return watchPause
+		return f.Pause().Duration()
 	}
 	if errors.Is(err, platform.ErrCompacted) {
 		klog.InfoS("feed: history after the revision was compacted, reading the full state", "revision", f.state.Revision())
--- a/member/member.go
+++ b/member/member.go
@@ -26,6 +26,8 @@
 	// Address is the host and port where the gateway receives digests.
 	Address string     `json:"address"`
 	Zone    units.Zone `json:"zone"`
+	// Cores is the processor share of the gateway's VM; 0 is unknown.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // Key returns the store key of a gateway.
@@ -69,18 +71,30 @@
 // concurrent use.
 type List struct {
 	gateways map[units.VMID]*member
+	// version increases with each change of the list.
+	version uint64
 }
 
 // NewList returns an empty List.
 func NewList() *List { return &List{gateways: map[units.VMID]*member{}} }
 
+// Version returns a number that increases with each change of the list.
+func (l *List) Version() uint64 { return l.version }
+
 // Set adds or replaces a gateway.
-func (l *List) Set(g Gateway) { l.gateways[g.VM] = &member{Gateway: g} }
+func (l *List) Set(g Gateway) {
+	if m, ok := l.gateways[g.VM]; ok && m.removedAt == 0 && m.Gateway == g {
+		return
+	}
+	l.gateways[g.VM] = &member{Gateway: g}
+	l.version++
+}
 
 // Remove records that the key of a gateway was removed.
 func (l *List) Remove(now clock.Time, vm units.VMID) {
 	if k, ok := l.gateways[vm]; ok && k.removedAt == 0 {
 		k.removedAt = now
+		l.version++
 	}
 }
 
@@ -99,17 +113,36 @@
 	for vm, k := range l.gateways {
 		if k.removedAt != 0 && now.Sub(k.removedAt) >= removeAfter {
 			delete(l.gateways, vm)
+			l.version++
 		}
 	}
 	return max(len(l.gateways), 1)
 }
 
+// Get returns the gateway on a VM, and false if it is not known or its key was removed.
+func (l *List) Get(vm units.VMID) (Gateway, bool) {
+	m, ok := l.gateways[vm]
+	if !ok || m.removedAt != 0 {
+		return Gateway{}, false
+	}
+	return m.Gateway, true
+}
+
+// Registered returns the gateways whose keys exist, in order of VM.
+func (l *List) Registered() []Gateway {
+	return l.collect(func(m *member) bool { return m.removedAt == 0 })
+}
+
 // All returns the current gateways and the removed ones not yet dropped by Count, in order of VM.
 // Removed ones may still be reachable.
-func (l *List) All() []Gateway {
+func (l *List) All() []Gateway { return l.collect(func(*member) bool { return true }) }
+
+func (l *List) collect(include func(m *member) bool) []Gateway {
 	out := make([]Gateway, 0, len(l.gateways))
-	for _, k := range l.gateways {
-		out = append(out, k.Gateway)
+	for _, m := range l.gateways {
+		if include(m) {
+			out = append(out, m.Gateway)
+		}
 	}
 	slices.SortFunc(out, func(a, b Gateway) int { return cmp.Compare(a.VM, b.VM) })
 	return out
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -1,4 +1,5 @@
-// Package peers exchanges load digests between gateways, one UDP datagram per digest.
+// Package peers exchanges messages between gateways over UDP, one datagram per message: digests of
+// their state, and the withdrawals and deposits of rate tokens.
 package peers
 
 import (
@@ -19,13 +20,30 @@
 	"github.com/magnolialever/magnolialever/wire"
 )
 
-// maxDatagram is the maximum size of an encoded digest in bytes. UDP over IPv4 carries at
-// most 65,507 bytes.
-const maxDatagram = 60 << 10
+const (
+	// maxDatagram is the maximum size of an encoded message in bytes. UDP over IPv4 carries at
+	// most 65,507 bytes.
+	maxDatagram = 60 << 10
+	// digestInterval is the interval between two digests. digestIntervalPerGateway is added for
+	// each gateway, so that the rate of digests that a gateway receives stays bounded.
+	digestInterval           = 160 * clock.Millisecond
+	digestIntervalPerGateway = 12 * clock.Millisecond
+	// digestsUntilStale is the number of intervals without a digest after which the last one no
+	// longer counts as the state of its gateway, so that a single lost datagram changes nothing.
+	digestsUntilStale = 2.5
+	// minDigestAge is the least age at which a digest no longer counts. It covers the delays of a
+	// busy gateway.
+	minDigestAge = 900 * clock.Millisecond
+)
+
+// DigestInterval returns the interval between two digests of one gateway among n.
+func DigestInterval(n int) clock.Span { return digestInterval + clock.Span(n)*digestIntervalPerGateway }
 
-// MaxDigestAge is the age from which on a digest no longer counts as the current state of its
-// gateway.
-const MaxDigestAge = 900 * clock.Millisecond
+// maxDigestAge returns the age from which on a digest no longer counts as the current state of its
+// gateway among n.
+func maxDigestAge(n int) clock.Span {
+	return max(clock.Span(digestsUntilStale*float64(DigestInterval(n))), minDigestAge)
+}
 
 // Digest is a received digest.
 type Digest struct {
@@ -50,6 +68,9 @@
 	// OnDigest is called from the receiving goroutine for each digest that is newer than the last
 	// one of its gateway.
 	OnDigest func(d Digest)
+	// OnMessage is called from the receiving goroutine for each message other than a digest, with
+	// its sender's address.
+	OnMessage func(m *wire.Datagram, from netip.AddrPort)
 }
 
 // Transport sends and receives digests over UDP. It is safe for concurrent use.
@@ -58,6 +79,8 @@
 	conn   *net.UDPConn
 	mu     sync.Mutex
 	latest map[units.VMID]Digest
+	// gateways is the number of gateways, from which the interval of digests follows.
+	gateways int
 }
 
 // Listen opens the UDP socket. It returns an error if the address is invalid or can't be
@@ -81,31 +104,40 @@
 	defer stop()
 	buf := make([]byte, maxDatagram)
 	for {
-		n, _, err := p.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
 			return fmt.Errorf("peers: receive: %w", err)
 		}
-		p.receive(buf[:n])
+		p.receive(buf[:n], from)
 	}
 }
 
 // closeIgnoringError closes a connection whose close error has no consequence.
 func closeIgnoringError(c net.Conn) { _ = c.Close() }
 
-// receive decodes a datagram and passes it on unless the digest is local, duplicate or
-// older than the last one of the same incarnation of its gateway.
-func (p *Transport) receive(data []byte) {
-	d := &wire.Digest{}
-	if err := proto.Unmarshal(data, d); err != nil || d.GetVm() == "" {
+// receive decodes a datagram and passes its message on.
+func (p *Transport) receive(data []byte, from netip.AddrPort) {
+	m := &wire.Datagram{}
+	if err := proto.Unmarshal(data, m); err != nil || m.GetBody() == nil {
 		stats.Event("digests_unreadable")
 		klog.V(1).InfoS("peers: ignoring malformed datagram", "bytes", len(data), "err", err)
 		return
 	}
+	if d := m.GetDigest(); d != nil {
+		p.receiveDigest(d)
+		return
+	}
+	p.OnMessage(m, from)
+}
+
+// receiveDigest passes a digest on unless it is local, duplicate or older than the last one of the
+// same incarnation of its gateway.
+func (p *Transport) receiveDigest(d *wire.Digest) {
 	vm := units.VMID(d.GetVm())
-	if vm == p.VM {
+	if vm == "" || vm == p.VM {
 		return
 	}
 	received := Digest{d, p.Clock.Now()}
@@ -120,31 +152,32 @@
 	p.OnDigest(received)
 }
 
-// FreshDigests returns the last digest of each gateway if it is younger than MaxDigestAge.
+// SetGateways sets the number of gateways.
+func (p *Transport) SetGateways(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gateways = n
+}
+
+// FreshDigests returns the last digest of each gateway that has not missed several intervals.
 func (p *Transport) FreshDigests() []Digest {
 	now := p.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make([]Digest, 0, len(p.latest))
 	for _, d := range p.latest {
-		if now.Sub(d.ReceivedAt) < MaxDigestAge {
+		if now.Sub(d.ReceivedAt) < maxDigestAge(p.gateways) {
 			out = append(out, d)
 		}
 	}
 	return out
 }
 
-// Send sends a digest to the addresses, in the form IPv4:port. It is best effort: failures
-// are counted or logged, and not retried.
-func (p *Transport) Send(d *wire.Digest, addresses []string) {
-	data, err := proto.Marshal(d)
-	if err != nil {
-		klog.Errorf("peers: encode digest: %v", err)
-		return
-	}
-	if len(data) > maxDatagram {
-		stats.Event("digests_too_large")
-		klog.Errorf("peers: digest of %d bytes exceeds the datagram limit; not sent", len(data))
+// Send sends a message to the addresses, in the form IPv4:port. It is best effort: failures are
+// counted or logged, and not retried.
+func (p *Transport) Send(m *wire.Datagram, addresses ...string) {
+	data, ok := encode(m)
+	if !ok {
 		return
 	}
 	for _, s := range addresses {
@@ -153,8 +186,34 @@
 			klog.Warningf("peers: skipping invalid address %q: %v", s, err)
 			continue
 		}
-		if _, err := p.conn.WriteToUDPAddrPort(data, a); err != nil {
-			stats.Event("digests_not_sent")
-		}
+		p.write(data, a)
+	}
+}
+
+// Reply sends a message to the sender of another one, like Send.
+func (p *Transport) Reply(m *wire.Datagram, to netip.AddrPort) {
+	if data, ok := encode(m); ok {
+		p.write(data, to)
+	}
+}
+
+// encode encodes a message and reports whether it fits a datagram.
+func encode(m *wire.Datagram) ([]byte, bool) {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		klog.Errorf("peers: encode message: %v", err)
+		return nil, false
+	}
+	if len(data) > maxDatagram {
+		stats.Event("digests_too_large")
+		klog.Errorf("peers: message of %d bytes exceeds the datagram limit; not sent", len(data))
+		return nil, false
+	}
+	return data, true
+}
+
+func (p *Transport) write(data []byte, to netip.AddrPort) {
+	if _, err := p.conn.WriteToUDPAddrPort(data, to); err != nil {
+		stats.Event("digests_not_sent")
 	}
 }
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -45,7 +45,7 @@
 		{Vm: "b", Life: 1, Number: 1}, {Vm: "b", Life: 1, Number: 1}, {Vm: "a", Life: 9, Number: 9},
 		{Vm: "b", Life: 1, Number: 3}, {Vm: "b", Life: 1, Number: 2}, {Vm: "b", Life: 2, Number: 1},
 	} {
-		b.Send(d, []string{address})
+		b.Send(&wire.Datagram{Body: &wire.Datagram_Digest{Digest: d}}, address)
 		time.Sleep(5 * time.Millisecond)
 	}
 	var numbers []uint64
--- /dev/null
+++ b/quota/account.go
@@ -0,0 +1,116 @@
+package quota
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fleet"
+)
+
+// account is the token bucket of one customer at one gateway.
+type account struct {
+	// rate, in tokens per second, and burst, in tokens, are the gateway's equal shares.
+	rate, burst float64
+	// customerBurst is the customer's burst in the last configuration.
+	customerBurst float64
+	// capacity is the level up to which the bucket is refilled: burst, or more at a pool.
+	capacity float64
+	// refillRate is the rate at which the bucket is refilled and receives deposits, for estimates of
+	// when tokens will be available.
+	refillRate float64
+	// available is the number of tokens that can be granted at once. It is negative after a request
+	// above the capacity.
+	available     float64
+	refilledAt    clock.Time
+	requestedRate float64
+	// meanCost is the moving average of the tokens of a request.
+	meanCost      float64
+	rateUpdatedAt clock.Time
+	// Until refusedUntil requests are refused without asking the pools; retryAt is when they are
+	// expected to have tokens.
+	refusedUntil, retryAt clock.Time
+	// deposits counts deposits; they go to the pools in turn.
+	deposits int
+}
+
+// account returns the customer's account, refilled and with its shares updated.
+func (q *Limiter) account(now clock.Time, c *fleet.Customer) *account {
+	a, ok := q.accounts[c.ID]
+	if !ok {
+		// Half of the gateways begin with the second pool, so that both fill up evenly.
+		a = &account{refilledAt: now, rateUpdatedAt: now, deposits: int(xxhash.Sum64String(string(q.self)) % poolsPerCustomer)}
+		q.accounts[c.ID] = a
+	}
+	a.refill(now)
+	a.rate = c.Rate * (1 + q.rateMargin) / float64(q.gateways)
+	a.burst = q.burst(c) / float64(q.gateways)
+	a.capacity, a.refillRate = a.burst, a.rate
+	if _, pooled := q.otherPools(now, c.ID); pooled {
+		a.capacity = q.poolCapacity(c)
+		a.refillRate = max(a.rate, c.Rate*poolBurstShare)
+	}
+	if !ok {
+		a.available = a.burst * q.initialShare
+	}
+	if c.Burst < a.customerBurst {
+		a.available = min(a.available, a.capacity)
+	}
+	a.customerBurst = c.Burst
+	return a
+}
+
+// refill adds tokens at the gateway's share of the rate. A level above the capacity is kept: it
+// consists of tokens that other gateways sent.
+func (a *account) refill(now clock.Time) {
+	span := now.Sub(a.refilledAt)
+	if span <= 0 {
+		return
+	}
+	a.refilledAt = now
+	if a.available < a.capacity {
+		a.available = min(a.available+a.rate*span.Seconds(), a.capacity)
+	}
+}
+
+// recordDemand adds requested tokens to the moving average of the requested rate.
+func (a *account) recordDemand(now clock.Time, tokens float64) {
+	a.decayDemand(now)
+	a.requestedRate += tokens / demandTimeConstant.Seconds()
+	if a.meanCost == 0 {
+		a.meanCost = tokens
+	}
+	a.meanCost += (tokens - a.meanCost) * costWeight
+}
+
+func (a *account) decayDemand(now clock.Time) {
+	if span := now.Sub(a.rateUpdatedAt); span > 0 {
+		a.requestedRate *= max(1-float64(span)/float64(demandTimeConstant), 0)
+		a.rateUpdatedAt = now
+	}
+}
+
+// reserve is what the gateway keeps for its own requests: reserveTime of the requested rate, within a
+// part of its share of the burst. It keeps nothing if that doesn't pay for a request, since the tokens
+// would be of no use at any gateway.
+func (a *account) reserve() float64 {
+	kept := min(a.requestedRate*reserveTime.Seconds(), a.burst*maxReserveShare)
+	if kept < a.meanCost {
+		return 0
+	}
+	return kept
+}
+
+// takeFromFull deducts tokens. A request above the capacity passes once the bucket is full; the level
+// falls below 0 then.
+func (a *account) takeFromFull(tokens, capacity float64) Decision {
+	if a.available >= min(tokens, capacity) {
+		a.available -= tokens
+		return Decision{Granted: true}
+	}
+	return Decision{RetryAfter: a.delayUntil(min(tokens, capacity))}
+}
+
+// delayUntil returns the time until the bucket holds the tokens.
+func (a *account) delayUntil(tokens float64) clock.Span {
+	return clock.Span((tokens-a.available)/max(a.refillRate, 1)*float64(clock.Second)) + clock.Millisecond
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,220 +1,254 @@
 // Package quota limits the token rate of each customer over all gateways. Each gateway refills a
-// bucket at an equal share of the customer's rate and transfers tokens that it does not need to
-// others, so that the sum stays within the limit when gateways crash, freeze or lose their
-// connections. It performs no I/O. It handles customers that exceed their rate several times over,
-// callers that are spread unevenly over the gateways, and bursts at one gateway.
+// bucket at an equal share of the customer's rate. The tokens of a customer are pooled at two
+// gateways: the others deposit there what they don't need and withdraw what a request costs. Tokens
+// are deducted before they are sent, so a lost message loses tokens and never adds any, and the sum
+// stays within the limit whatever gateways believe about each other. The package performs no I/O. It
+// handles many gateways that each see few requests of a customer, customers that exceed their rate
+// several times over, and callers that are spread unevenly over the gateways.
 package quota
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/units"
 )
 
 const (
 	// restartBurstShare is the part of its share of a burst that a gateway starts with after a
-	// restart. The previous process may have used all of it; the tokens that were not refilled
-	// during the restart make up for this part.
-	restartBurstShare = 0.5
-	// usedToleranceShare is the part of the rate tolerance that is used.
-	usedToleranceShare = 0.7
+	// restart. The previous process may have used all of it.
+	restartBurstShare = 0.25
+	// usedToleranceShare is the part of the tolerance that is added to rates and bursts. The rest
+	// covers overdrafts and tokens that are used some time after their refill.
+	usedToleranceShare = 0.3
 	// demandTimeConstant is the time over which the requested rate is averaged.
 	demandTimeConstant = clock.Second
-	// reserveTime of its own requested rate is what a gateway keeps before it transfers tokens;
-	// shortageTime of it is what it lacks tokens for.
-	reserveTime  = 300 * clock.Millisecond
-	shortageTime = 700 * clock.Millisecond
-	// minTransfer is the smallest transfer, in tokens.
-	minTransfer = 20.0
+	// reserveTime of its own requested rate is what a gateway keeps when it deposits tokens, and what
+	// it withdraws beyond a request.
+	reserveTime = 300 * clock.Millisecond
+	// maxReserveShare is the part of its share of the burst that a gateway keeps at most. The rest is
+	// room for what it refills until the next deposit.
+	maxReserveShare = 0.25
+	// rounding is the error in tokens that sums of amounts may have.
+	rounding = 0.001
+	// costWeight is the weight of one request in the moving average of requests' costs.
+	costWeight = 0.1
+	// refusalTTL is how long a gateway refuses a customer's requests without asking again, so that a
+	// customer far above its rate doesn't cost a message for each request.
+	refusalTTL = 40 * clock.Millisecond
 )
 
-// Transfer moves tokens of a customer from one gateway's bucket to another's. The sender deducts
-// them first, so a lost transfer loses tokens and never adds any.
-type Transfer struct {
-	Customer units.CustomerID
-	To       units.VMID
-	Tokens   float64
-}
-
-// Demand is one gateway's requested rate and available tokens for a customer.
-type Demand struct {
-	Customer units.CustomerID
-	// RequestedRate is in tokens per second, refused requests included.
-	RequestedRate float64
-	// Available is the number of tokens that the gateway can grant at once; it can be negative
-	// after a request above the gateway's share of the burst.
-	Available float64
-}
-
-// shortage returns the tokens missing for shortageTime of the requested rate; negative if there
-// are enough.
-func (d *Demand) shortage() float64 { return d.RequestedRate*shortageTime.Seconds() - d.Available }
-
-// surplus returns the tokens beyond reserveTime of the requested rate; negative if there are too
-// few.
-func (d *Demand) surplus() float64 { return d.Available - d.RequestedRate*reserveTime.Seconds() }
-
-// account is the token bucket of one customer at one gateway.
-type account struct {
-	customer *fleet.Customer
-	// rate, in tokens per second, and burst, in tokens, are the gateway's shares.
-	rate, burst   float64
-	available     float64
-	refilledAt    clock.Time
-	requestedRate float64
-	rateUpdatedAt clock.Time
-}
-
 // Limiter limits the customers of one gateway. It is not safe for concurrent use.
 type Limiter struct {
+	self     units.VMID
 	gateways int
+	pools    pools
 	// initialShare is the part of its share of a burst that an account starts with.
 	initialShare float64
-	// rateMargin is the fraction added to rates. It makes up for tokens that are available at one
-	// gateway while another refuses requests.
-	rateMargin float64
-	accounts   map[units.CustomerID]*account
+	// rateMargin is the fraction added to rates, burstMargin the number of tokens added to bursts.
+	// They make up for tokens that are on their way between gateways.
+	rateMargin, burstMargin float64
+	accounts                map[units.CustomerID]*account
+}
+
+// Tolerance is by how much the platform lets customers exceed their limits.
+type Tolerance struct {
+	// Rate is a fraction of the rate.
+	Rate float64
+	// Tokens is the number of tokens beyond that in any window.
+	Tokens float64
 }
 
-// New returns a Limiter that assumes one gateway until SetGateways. The tolerance is the fraction
-// by which rates may be exceeded. With first set, this is the gateway's first process, which
-// starts with its full share of a burst.
-func New(first bool, tolerance float64) *Limiter {
+// New returns a Limiter for the gateway on a VM. It assumes that this is the only gateway until
+// SetGateways. With first set, this is the gateway's first process, which starts with its full share
+// of a burst.
+func New(self units.VMID, first bool, tolerance Tolerance) *Limiter {
 	initialShare := restartBurstShare
 	if first {
 		initialShare = 1
 	}
-	return &Limiter{gateways: 1, initialShare: initialShare, rateMargin: tolerance * usedToleranceShare, accounts: map[units.CustomerID]*account{}}
+	return &Limiter{
+		self: self, gateways: 1, pools: newPools(), initialShare: initialShare,
+		rateMargin: tolerance.Rate * usedToleranceShare, burstMargin: tolerance.Tokens * usedToleranceShare,
+		accounts: map[units.CustomerID]*account{},
+	}
 }
 
-// SetGateways sets the number of gateways that share each customer's rate; values below 1 count as
-// 1.
-func (q *Limiter) SetGateways(n int) { q.gateways = max(n, 1) }
+// SetGateways sets the number of gateways that share each customer's rate, at least 1, and those
+// that may pool tokens.
+func (q *Limiter) SetGateways(n int, candidates []member.Gateway) {
+	q.gateways = max(n, 1)
+	q.pools.setCandidates(candidates)
+}
 
-// account returns the customer's account, refilled and with its shares updated.
-func (q *Limiter) account(now clock.Time, c *fleet.Customer) *account {
-	a, ok := q.accounts[c.ID]
-	if !ok {
-		a = &account{refilledAt: now, rateUpdatedAt: now}
-		q.accounts[c.ID] = a
-	}
-	a.refill(now)
-	a.customer = c
-	a.rate = c.Rate * (1 + q.rateMargin) / float64(q.gateways)
-	a.burst = c.Burst / float64(q.gateways)
-	if !ok {
-		a.available = a.burst * q.initialShare
-	}
-	return a
+// Pools returns the gateways that pool the customer's tokens at present, in the order in which they
+// are asked; this gateway may be one of them.
+func (q *Limiter) Pools(now clock.Time, c units.CustomerID) []units.VMID { return q.pools.of(now, c) }
+
+// RecordSilence records that a gateway did not answer a withdrawal. Others take its place for a while.
+func (q *Limiter) RecordSilence(now clock.Time, vm units.VMID) { q.pools.recordSilence(now, vm) }
+
+// RecordAnswer records that a gateway answered a withdrawal.
+func (q *Limiter) RecordAnswer(vm units.VMID) { q.pools.recordAnswer(vm) }
+
+// Decision is the result of Take.
+type Decision struct {
+	// Granted is set if the tokens were deducted.
+	Granted bool
+	// Withdraw lists the gateways to withdraw Tokens from, one after the other. It is empty if the
+	// decision is final.
+	Withdraw []units.VMID
+	// Tokens is what the request lacks, Extra what this gateway would like to have beyond it.
+	Tokens, Extra float64
+	// RetryAfter is the delay after which a retry can succeed if the tokens are refused.
+	RetryAfter clock.Span
 }
 
-// refill adds tokens at the account's rate up to the share of the burst. Tokens beyond that came
-// from other gateways and are kept.
-func (a *account) refill(now clock.Time) {
-	span := now.Sub(a.refilledAt)
-	if span <= 0 {
-		return
+// Take deducts tokens from the customer's bucket, or says where to withdraw them. Customers without
+// a rate are not limited.
+func (q *Limiter) Take(now clock.Time, c *fleet.Customer, tokens float64) Decision {
+	if c.Rate <= 0 {
+		return Decision{Granted: true}
+	}
+	a := q.account(now, c)
+	a.recordDemand(now, tokens)
+	if a.available >= tokens {
+		a.available -= tokens
+		return Decision{Granted: true}
 	}
-	a.refilledAt = now
-	if a.available < a.burst {
-		a.available = min(a.available+a.rate*span.Seconds(), a.burst)
+	if now.Before(a.refusedUntil) {
+		return Decision{RetryAfter: a.retryAt.Sub(now)}
+	}
+	others, pooled := q.otherPools(now, c.ID)
+	if pooled || len(others) == 0 {
+		if d := a.takeFromFull(tokens, a.capacity); d.Granted || len(others) == 0 {
+			return d
+		}
 	}
+	return Decision{
+		Withdraw: others, Tokens: tokens - max(a.available, 0), Extra: a.reserve(),
+		RetryAfter: a.delayUntil(tokens),
+	}
+}
+
+// TakeWithoutPools decides a request when no pool has answered: it may use the gateway's own share.
+func (q *Limiter) TakeWithoutPools(now clock.Time, c *fleet.Customer, tokens float64) Decision {
+	a := q.account(now, c)
+	return a.takeFromFull(tokens, a.burst)
 }
 
-// decayRate ages the average of the requested rate.
-func (a *account) decayRate(now clock.Time) {
-	if span := now.Sub(a.rateUpdatedAt); span > 0 {
-		a.requestedRate *= max(1-float64(span)/float64(demandTimeConstant), 0)
-		a.rateUpdatedAt = now
+// TakeWithdrawn deducts the tokens of a request after a withdrawal for it was credited. It returns
+// false if concurrent requests have used them.
+func (q *Limiter) TakeWithdrawn(now clock.Time, c *fleet.Customer, tokens float64) bool {
+	a := q.account(now, c)
+	if a.available < tokens-rounding {
+		return false
 	}
+	a.available -= tokens
+	return true
+}
+
+// RecordRefusal records that the pools have refused the customer's tokens until a retry after the
+// delay can succeed.
+func (q *Limiter) RecordRefusal(now clock.Time, c *fleet.Customer, retryAfter clock.Span) {
+	a := q.account(now, c)
+	a.retryAt = now.Add(retryAfter)
+	a.refusedUntil = now.Add(min(retryAfter, refusalTTL))
+}
+
+// Grant is the answer of a pool to a withdrawal.
+type Grant struct {
+	// Tokens were deducted from the pool; 0 if the withdrawal is refused.
+	Tokens float64
+	// Available is what a refusing pool holds. The pools of a customer together may have enough.
+	Available float64
+	// RetryAfter is the delay after which a refused withdrawal may succeed.
+	RetryAfter clock.Span
 }
 
-// Take deducts tokens from the customer's bucket. If there are too few it returns false and the
-// delay after which a retry can succeed. Customers without a rate are not limited.
-func (q *Limiter) Take(now clock.Time, c *fleet.Customer, tokens float64) (bool, clock.Span) {
+// Withdraw deducts tokens of the customer for another gateway, and up to extra more if this pool is
+// well filled. If there are too few, it deducts nothing.
+func (q *Limiter) Withdraw(now clock.Time, c *fleet.Customer, tokens, extra float64) Grant {
 	if c.Rate <= 0 {
-		return true, 0
+		return Grant{Tokens: tokens + extra}
 	}
 	a := q.account(now, c)
-	a.decayRate(now)
-	a.requestedRate += tokens / demandTimeConstant.Seconds()
-	// A request above the share of the burst passes once the share is full. The level may fall
-	// below 0.
-	need := min(tokens, a.burst)
-	if a.available >= need {
-		a.available -= tokens
-		return true, 0
+	d := a.takeFromFull(tokens, a.capacity)
+	if !d.Granted {
+		return Grant{Available: max(a.available, 0), RetryAfter: d.RetryAfter}
 	}
-	return false, clock.Span((need-a.available)/max(a.rate, 1)*float64(clock.Second)) + clock.Millisecond
+	extra = min(extra, max(a.available-a.capacity/2, 0))
+	a.available -= extra
+	return Grant{Tokens: tokens + extra}
 }
 
-// Demands returns the demand of all customers seen so far, in order of ID.
-func (q *Limiter) Demands(now clock.Time) []Demand {
-	out := make([]Demand, 0, len(q.accounts))
-	for id, a := range q.accounts {
-		a.decayRate(now)
-		a.refill(now)
-		out = append(out, Demand{id, a.requestedRate, a.available})
+// Credit adds tokens that a pool granted or that a request did not use.
+func (q *Limiter) Credit(now clock.Time, c *fleet.Customer, tokens float64) {
+	if tokens > 0 && c.Rate > 0 {
+		q.account(now, c).available += tokens
 	}
-	slices.SortFunc(out, func(a, b Demand) int { return cmp.Compare(a.Customer, b.Customer) })
-	return out
 }
 
-// TransferSurplus returns transfers of surplus tokens to gateways that lack some and deducts them
-// at once. The map others holds the last known demands of the other gateways.
-func (q *Limiter) TransferSurplus(now clock.Time, customers []*fleet.Customer, others map[units.VMID][]Demand) []Transfer {
-	var out []Transfer
-	for _, c := range customers {
-		if c.Rate > 0 {
-			out = append(out, q.account(now, c).transferSurplus(now, others)...)
-		}
+// Receive adds tokens that another gateway has deposited. What exceeds the part of the burst that a
+// pool may hold is dropped.
+func (q *Limiter) Receive(now clock.Time, c *fleet.Customer, tokens float64) {
+	if tokens <= 0 || c.Rate <= 0 {
+		return
 	}
-	return out
+	a := q.account(now, c)
+	a.available = max(min(a.available+tokens, q.poolCapacity(c)), a.available)
 }
 
-// transferSurplus covers this gateway's part of the shortages: all gateways with a surplus
-// contribute in proportion to it, so that together they don't exceed the shortage.
-func (a *account) transferSurplus(now clock.Time, others map[units.VMID][]Demand) []Transfer {
-	a.decayRate(now)
-	own := Demand{a.customer.ID, a.requestedRate, a.available}
-	surplus := own.surplus()
-	if surplus < minTransfer {
-		return nil
-	}
-	shortages, totalShortage, totalSurplus := map[units.VMID]float64{}, 0.0, surplus
-	for vm, demands := range others {
-		for _, d := range demands {
-			if d.Customer != a.customer.ID {
-				continue
-			}
-			if n := d.shortage(); n > 0 {
-				shortages[vm] = n
-				totalShortage += n
-			}
-			totalSurplus += max(d.surplus(), 0)
+// burst returns the customer's burst with the margin.
+func (q *Limiter) burst(c *fleet.Customer) float64 { return c.Burst + q.burstMargin }
+
+// poolCapacity returns the number of tokens that a pool may hold.
+func (q *Limiter) poolCapacity(c *fleet.Customer) float64 {
+	return q.burst(c) * max(poolBurstShare, 1/float64(q.gateways))
+}
+
+// Deposit is an amount of a customer's tokens to be sent to a pool.
+type Deposit struct {
+	Customer units.CustomerID
+	Tokens   float64
+}
+
+// Deposits deducts the tokens that this gateway doesn't need and returns them by the pool to send
+// them to. Without a pool the tokens are kept.
+func (q *Limiter) Deposits(now clock.Time, customers []*fleet.Customer) map[units.VMID][]Deposit {
+	out := map[units.VMID][]Deposit{}
+	for _, c := range customers {
+		if c.Rate <= 0 {
+			continue
 		}
-	}
-	share := min(surplus/totalSurplus, surplus/max(totalShortage, 1))
-	var out []Transfer
-	for vm, n := range shortages {
-		if tokens := n * share; tokens >= minTransfer {
-			a.available -= tokens
-			out = append(out, Transfer{a.customer.ID, vm, tokens})
+		a := q.account(now, c)
+		others, pooled := q.otherPools(now, c.ID)
+		if pooled || len(others) == 0 {
+			continue
+		}
+		surplus := a.available - a.reserve()
+		if surplus <= 0 || surplus < a.burst*minDepositShare {
+			continue
 		}
+		a.available -= surplus
+		a.deposits++
+		to := others[a.deposits%len(others)]
+		out[to] = append(out[to], Deposit{c.ID, surplus})
 	}
 	return out
 }
 
-// Receive adds tokens transferred from another gateway, up to the customer's whole burst.
-// Transfers for customers without an account here are dropped.
-func (q *Limiter) Receive(now clock.Time, g Transfer) {
-	a, ok := q.accounts[g.Customer]
-	if !ok || g.Tokens <= 0 {
-		return
+// minDepositShare is the smallest deposit, as a part of the gateway's share of the burst.
+const minDepositShare = 0.1
+
+// otherPools returns the customer's pools without this gateway, and whether it is one of them.
+func (q *Limiter) otherPools(now clock.Time, c units.CustomerID) (others []units.VMID, pooled bool) {
+	for _, vm := range q.pools.of(now, c) {
+		if vm == q.self {
+			pooled = true
+			continue
+		}
+		others = append(others, vm)
 	}
-	a.refill(now)
-	a.available = min(a.available+g.Tokens, a.customer.Burst)
+	return others, pooled
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -1,13 +1,16 @@
 package quota_test
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/quota"
 	"github.com/magnolialever/magnolialever/units"
 )
@@ -18,103 +21,153 @@
 	over   = 0.1
 	window = 8 * clock.Second
 	slack  = 17_000.0
+	// depositInterval is the interval of deposits in the simulation.
+	depositInterval = 500
 )
 
-// cluster is a set of gateways in simulated time that exchange transfers at intervals.
+// cluster is a set of gateways in simulated time that exchange withdrawals and deposits. Messages
+// arrive at once or are lost.
 type cluster struct {
 	customer *fleet.Customer
+	members  []member.Gateway
 	gateways []*quota.Limiter
 	random   *rand.Rand
 	// granted are the tokens granted in each millisecond.
-	granted        map[clock.Time]float64
-	requestedTotal float64
-	grantedTotal   float64
-	down           map[int]bool
-	transferLoss   float64
+	granted map[clock.Time]float64
+	// reference grants what a single gateway would grant. wronglyRefused counts requests that it
+	// granted and the cluster refused.
+	reference                *quota.Limiter
+	requests, wronglyRefused int
+	requested, grantedSum    float64
+	down                     map[int]bool
+	lost                     float64
+	meanTokens               float64
 }
 
 func newCluster(n int, rate, burst float64, seed uint64) *cluster {
 	s := &cluster{
-		customer: &fleet.Customer{ID: "court", Rate: rate, Burst: burst},
-		random:   rand.New(rand.NewPCG(seed, 1)), granted: map[clock.Time]float64{}, down: map[int]bool{},
+		customer: &fleet.Customer{ID: "court", Rate: rate, Burst: burst}, meanTokens: 1200,
+		random: rand.New(rand.NewPCG(seed, 1)), granted: map[clock.Time]float64{}, down: map[int]bool{},
 	}
-	for range n {
-		s.gateways = append(s.gateways, newGateway(n, true))
+	for i := range n {
+		s.members = append(s.members, member.Gateway{
+			VM: units.VMID(fmt.Sprintf("%03d", i)), Zone: units.Zone(rune('a' + i%3)), Cores: 0.1 + 0.7*s.random.Float64(),
+		})
 	}
+	for i := range n {
+		s.gateways = append(s.gateways, s.newGateway(i, true))
+	}
+	s.reference = quota.New("reference", true, quota.Tolerance{Rate: over})
 	return s
 }
 
-func newGateway(n int, first bool) *quota.Limiter {
-	q := quota.New(first, over)
-	q.SetGateways(n)
+func (s *cluster) newGateway(i int, first bool) *quota.Limiter {
+	q := quota.New(s.members[i].VM, first, quota.Tolerance{Rate: over, Tokens: slack})
+	q.SetGateways(len(s.members), s.members)
 	return q
 }
 
-func vmName(i int) units.VMID { return units.VMID(rune('a' + i)) }
+func (s *cluster) index(vm units.VMID) int {
+	return slices.IndexFunc(s.members, func(g member.Gateway) bool { return g.VM == vm })
+}
 
-// exchange sends demands and transfers between the gateways.
-func (s *cluster) exchange(now clock.Time) {
-	demands := map[units.VMID][]quota.Demand{}
-	for i, q := range s.gateways {
-		if !s.down[i] {
-			demands[vmName(i)] = q.Demands(now)
-		}
-	}
+func (s *cluster) isLost() bool { return s.random.Float64() < s.lost }
+
+// deposit lets all gateways send their deposits.
+func (s *cluster) deposit(now clock.Time) {
 	for i, q := range s.gateways {
 		if s.down[i] {
 			continue
 		}
-		others := map[units.VMID][]quota.Demand{}
-		for vm, d := range demands {
-			if vm != vmName(i) {
-				others[vm] = d
-			}
-		}
-		for _, g := range q.TransferSurplus(now, []*fleet.Customer{s.customer}, others) {
-			if s.random.Float64() < s.transferLoss {
+		for vm, deposits := range q.Deposits(now, []*fleet.Customer{s.customer}) {
+			to := s.index(vm)
+			if s.down[to] || s.isLost() {
 				continue
 			}
-			for j := range s.gateways {
-				if vmName(j) == g.To {
-					s.gateways[j].Receive(now, g)
-				}
+			for _, d := range deposits {
+				s.gateways[to].Receive(now, s.customer, d.Tokens)
 			}
 		}
 	}
 }
 
+// take decides a request at gateway i as the entry process does.
+func (s *cluster) take(now clock.Time, i int, tokens float64) bool {
+	q := s.gateways[i]
+	d := q.Take(now, s.customer, tokens)
+	if d.Granted || len(d.Withdraw) == 0 {
+		return d.Granted
+	}
+	c := d.Collect(s.withdrawFor(now, i))
+	switch {
+	case c.Granted && q.TakeWithdrawn(now, s.customer, tokens):
+		return true
+	case c.Answered:
+		q.RecordRefusal(now, s.customer, c.RetryAfter)
+		return false
+	default:
+		return q.TakeWithoutPools(now, s.customer, tokens).Granted
+	}
+}
+
+// withdrawFor returns a function that makes withdrawals for gateway i.
+func (s *cluster) withdrawFor(now clock.Time, i int) quota.WithdrawFunc {
+	return func(vm units.VMID, tokens, extra float64) (quota.Grant, bool) {
+		pool := s.index(vm)
+		if s.down[pool] || s.isLost() {
+			s.gateways[i].RecordSilence(now, vm)
+			return quota.Grant{}, false
+		}
+		g := s.gateways[pool].Withdraw(now, s.customer, tokens, extra)
+		if s.isLost() {
+			s.gateways[i].RecordSilence(now, vm)
+			return quota.Grant{}, false
+		}
+		s.gateways[i].RecordAnswer(vm)
+		s.gateways[i].Credit(now, s.customer, g.Tokens)
+		return g, true
+	}
+}
+
 // sendLoad sends load, in tokens per second, to the gateways by weight.
-func (s *cluster) sendLoad(from, to clock.Time, load float64, weights []float64) {
-	const size = 1200.0
+func (s *cluster) sendLoad(from, to clock.Time, load float64, weight func(i int) float64) {
 	total := 0.0
-	for _, w := range weights {
-		total += w
+	for i := range s.gateways {
+		total += weight(i)
 	}
 	for now := from; now < to; now++ {
-		if now%200 == 0 {
-			s.exchange(now)
-		}
-		if s.random.Float64() > load/size/1000 {
-			continue
-		}
-		at := s.random.Float64() * total
-		i := 0
-		for at > weights[i] {
-			at -= weights[i]
-			i++
-		}
-		if s.down[i] {
-			continue
+		if now%depositInterval == 0 {
+			s.deposit(now)
 		}
-		tokens := size * (0.2 + 1.6*s.random.Float64())
-		s.requestedTotal += tokens
-		if ok, _ := s.gateways[i].Take(now, s.customer, tokens); ok {
-			s.granted[now] += tokens
-			s.grantedTotal += tokens
+		for n := load / s.meanTokens / 1000; n > 0; n-- {
+			if s.random.Float64() > n {
+				continue
+			}
+			at, i := s.random.Float64()*total, 0
+			for at > weight(i) {
+				at -= weight(i)
+				i++
+			}
+			if !s.down[i] {
+				s.request(now, i)
+			}
 		}
 	}
 }
 
+func (s *cluster) request(now clock.Time, i int) {
+	tokens := s.meanTokens * (0.2 + 1.6*s.random.Float64())
+	s.requests++
+	s.requested += tokens
+	granted := s.reference.Take(now, s.customer, tokens).Granted
+	if s.take(now, i, tokens) {
+		s.granted[now] += tokens
+		s.grantedSum += tokens
+	} else if granted {
+		s.wronglyRefused++
+	}
+}
+
 // maxInWindow returns the highest number of tokens granted in any window.
 func (s *cluster) maxInWindow(to clock.Time) float64 {
 	sum, highest := 0.0, 0.0
@@ -129,44 +182,101 @@
 	return (s.customer.Rate*window.Seconds()+s.customer.Burst)*(1+over) + slack
 }
 
+func even(int) float64 { return 1 }
+
+// uneven sends half of the load to an eighth of the gateways.
+func uneven(i int) float64 {
+	if i%8 == 0 {
+		return 7
+	}
+	return 1
+}
+
 // Guards against a customer that gets more than its rate over all gateways when it sends six times
-// as much after an idle period, unevenly, while gateways are killed and restarted and digests are
-// lost.
+// as much after an idle period, unevenly, while gateways are killed, restarted or silent and messages
+// are lost.
 func TestRateHoldsOverAllGateways(t *testing.T) {
-	for seed := range uint64(20) {
-		s := newCluster(5, 60_000, 60_000, seed)
-		s.transferLoss = 0.1
-		weights := []float64{8, 4, 2, 1, 1}
-		s.sendLoad(1, 4000, 6_000, weights)
-		s.sendLoad(4000, 12_000, 360_000, weights)
-		for k := range 4 {
-			at := clock.Time(12_000 + 3000*k)
-			s.down[k] = true
-			s.sendLoad(at, at+600, 360_000, weights)
-			s.down[k] = false
-			s.gateways[k] = newGateway(5, false)
-			s.sendLoad(at+600, at+3000, 360_000, weights)
+	for _, n := range []int{3, 6, 31, 103} {
+		for seed := range uint64(4) {
+			s := newCluster(n, 60_000, 60_000, seed)
+			s.lost = 0.05
+			s.sendLoad(1, 4000, 6_000, uneven)
+			s.sendLoad(4000, 12_000, 360_000, uneven)
+			for k := range 4 {
+				at := clock.Time(12_000 + 3000*k)
+				restarted := s.random.IntN(n)
+				for i := range n {
+					s.down[i] = s.random.Float64() < 0.3
+				}
+				s.down[restarted] = true
+				s.sendLoad(at, at+600, 360_000, uneven)
+				clear(s.down)
+				s.gateways[restarted] = s.newGateway(restarted, false)
+				s.sendLoad(at+600, at+3000, 360_000, uneven)
+			}
+			assert.Assert(t, s.maxInWindow(24_000) <= s.bound(), "%d gateways, seed %d: %.0f tokens, bound %.0f", n, seed, s.maxInWindow(24_000), s.bound())
+			assert.Assert(t, s.grantedSum > 60_000*20*0.8, "%d gateways, seed %d: only %.0f tokens", n, seed, s.grantedSum)
 		}
-		assert.Assert(t, s.maxInWindow(24_000) <= s.bound(), "seed %d: %.0f tokens, bound %.0f", seed, s.maxInWindow(24_000), s.bound())
 	}
 }
 
-// Guards against refusals within the rate when callers are spread unevenly: with equal shares
-// alone, the busiest gateway refuses requests above its fifth.
-func TestUnevenCallersGetTheirRate(t *testing.T) {
-	s := newCluster(5, 60_000, 60_000, 7)
-	s.sendLoad(1, 30_000, 48_000, []float64{8, 4, 2, 1, 1})
-	assert.Assert(t, s.grantedTotal >= 0.99*s.requestedTotal, "%.3f of the tokens were granted", s.grantedTotal/s.requestedTotal)
+// Guards against refusals of customers within their rate: where each gateway has an equal share, a
+// request costs more than the share of one among many gateways.
+func TestRequestsWithinRateAreGranted(t *testing.T) {
+	for _, n := range []int{6, 31, 103} {
+		for _, rate := range []float64{6_000, 60_000, 600_000} {
+			s := newCluster(n, rate, rate, 7)
+			s.sendLoad(1, 2000, 0, uneven)
+			// Long enough for some 1,500 requests at each rate.
+			s.sendLoad(2000, clock.Time(2000+4e9/rate), rate*0.45, uneven)
+			t.Logf("%d gateways, rate %.0f: %d of %d refused", n, rate, s.wronglyRefused, s.requests)
+			assert.Check(t, s.wronglyRefused*1000 <= s.requests, "%d gateways, rate %.0f: %d of %d refused", n, rate, s.wronglyRefused, s.requests)
+		}
+	}
 }
 
-// Guards against a request above a gateway's share of the burst that could never pass.
+// Guards against refusals while the gateway that pools a customer's tokens is dead and others do not
+// know it yet.
+func TestDeadPoolCostsFewRequests(t *testing.T) {
+	for _, n := range []int{6, 31, 103} {
+		requests, wrong := 0, 0
+		for seed := range uint64(10) {
+			s := newCluster(n, 60_000, 60_000, seed)
+			s.sendLoad(1, 10_000, 27_000, even)
+			s.requests, s.wronglyRefused = 0, 0
+			s.down[s.index(s.gateways[0].Pools(10_000, "court")[0])] = true
+			s.sendLoad(10_000, 13_000, 27_000, even)
+			requests, wrong = requests+s.requests, wrong+s.wronglyRefused
+		}
+		assert.Assert(t, wrong*100 <= requests, "%d gateways: %d of %d refused", n, wrong, requests)
+	}
+}
+
+// Guards against a request above a gateway's share of the burst that could never pass, with and
+// without other gateways that answer.
 func TestLargeRequestPasses(t *testing.T) {
-	q := newGateway(30, true)
-	c := &fleet.Customer{ID: "court", Rate: 4200, Burst: 4200}
-	ok, _ := q.Take(1000, c, 4000)
-	assert.Assert(t, ok)
-	ok, after := q.Take(1001, c, 4000)
-	assert.Assert(t, !ok && after > 0)
-	ok, _ = q.Take(clock.Time(1001).Add(after), c, 4000)
-	assert.Assert(t, ok)
+	s := newCluster(30, 4200, 4200, 1)
+	s.sendLoad(1, 4000, 0, even)
+	assert.Assert(t, s.take(4000, 3, 4000))
+	assert.Assert(t, s.take(4001, 4, 4000), "the second pool is still full")
+	assert.Assert(t, !s.take(4002, 5, 4000))
+	pools := s.gateways[0].Pools(4000, "court")
+	alone := 0
+	for slices.Contains(pools, s.members[alone].VM) {
+		alone++
+	}
+	for i := range s.gateways {
+		s.down[i] = i != alone
+	}
+	assert.Assert(t, s.take(6000, alone, 4000), "own share is full")
+	assert.Assert(t, !s.take(6001, alone, 4000))
+}
+
+// Guards against a gateway with a new configuration that keeps the higher level of the old one.
+func TestLowerBurstLimitsLevel(t *testing.T) {
+	q := quota.New("a", true, quota.Tolerance{Rate: over})
+	assert.Assert(t, q.Take(1000, &fleet.Customer{ID: "court", Rate: 1000, Burst: 50_000}, 1).Granted)
+	lower := &fleet.Customer{ID: "court", Rate: 1000, Burst: 5_000}
+	assert.Assert(t, q.Take(1001, lower, 5_000).Granted)
+	assert.Assert(t, !q.Take(1002, lower, 5_000).Granted)
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -158,11 +158,12 @@
 // finished.
 func (x *exchange) serve(ctx context.Context) {
 	if x.customer != nil {
-		ok, retryAfter := x.server.Limiter.Take(x.arrivedAt, x.customer, x.tokenCost())
+		ok, retryAfter := x.server.Limiter.Take(ctx, x.customer, x.tokenCost())
 		if !ok {
 			x.refuse(&refusal{status: http.StatusTooManyRequests, code: units.RateExceeded, retryAfter: retryAfter})
 			return
 		}
+		defer x.refundUnused()
 	}
 	x.server.recordRequest(x.service.Name)
 	if x.callerRequest.Model != "" {
@@ -173,6 +174,13 @@
 	}
 }
 
+// refundUnused returns the customer's tokens if the request has not run.
+func (x *exchange) refundUnused() {
+	if x.runs == 0 {
+		x.server.Limiter.Refund(x.customer, x.tokenCost())
+	}
+}
+
 // tryUpstream makes one attempt at an upstream, or ends the request.
 func (x *exchange) tryUpstream(ctx context.Context) {
 	if x.sends > 0 && (x.sends >= maxSends || !x.server.takeRetry(x.service.Name)) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -31,7 +31,9 @@
 // unlimited is a Limiter without limits.
 type unlimited struct{}
 
-func (unlimited) Take(clock.Time, *fleet.Customer, float64) (bool, clock.Span) { return true, 0 }
+func (unlimited) Take(context.Context, *fleet.Customer, float64) (bool, clock.Span) { return true, 0 }
+
+func (unlimited) Refund(*fleet.Customer, float64) {}
 
 // testGateway is a gateway in front of scripted replicas.
 type testGateway struct {
--- a/relay/server.go
+++ b/relay/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/sched"
 	"github.com/magnolialever/magnolialever/units"
@@ -19,8 +20,11 @@
 // Limiter enforces the rate limits of customers. It has to be safe for concurrent use.
 type Limiter interface {
 	// Take charges tokens to the customer's rate limit. If there are too few, it charges nothing
-	// and returns false and the time after which a retry may succeed.
-	Take(now clock.Time, c *fleet.Customer, tokens float64) (bool, clock.Span)
+	// and returns false and the time after which a retry may succeed. It may wait for other gateways,
+	// but not much longer than until ctx is done.
+	Take(ctx context.Context, c *fleet.Customer, tokens float64) (bool, clock.Span)
+	// Refund returns tokens that were charged for a request that has not run.
+	Refund(c *fleet.Customer, tokens float64)
 }
 
 // Options are the dependencies and limits of a Server. All fields but BodyBudget are required; the
@@ -53,6 +57,9 @@
 	pool       *pool
 	draining   atomic.Bool
 	bodyBudget bodyBudget
+	// responseBudget limits the bytes of upstreams' responses buffered at once. It has the same limit
+	// as bodyBudget, but is separate: an answer must not fail because of requests that wait.
+	responseBudget bodyBudget
 	// active counts requests in progress.
 	active atomic.Int64
 
@@ -72,6 +79,7 @@
 	if s.bodyBudget.limit <= 0 {
 		s.bodyBudget.limit = DefaultBodyBudget
 	}
+	s.responseBudget.limit = s.bodyBudget.limit
 	s.view.Store(&view.Snapshot{})
 	return s
 }
@@ -86,12 +94,12 @@
 	s.checkCrashes(now, v)
 }
 
-// SetGateways sets the number of gateways that share limits, this one included.
-func (s *Server) SetGateways(n int) {
+// SetGateways sets the gateways that share limits, and which of them this is.
+func (s *Server) SetGateways(self units.VMID, gateways []member.Gateway) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.gateways = n
-	s.Scheduler.SetGateways(n)
+	s.gateways = max(len(gateways), 1)
+	s.Scheduler.SetGateways(self, gateways)
 }
 
 // Tick refuses requests that were queued too long and closes expired idle connections. The caller has
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
 )
@@ -106,14 +107,29 @@
 	return float64(used) <= maxMemoryShare*float64(r.Service.Engine.MemoryTokens) || running == 0
 }
 
-// withinColdLimit reports whether one more request keeps this gateway's equal share of the request
-// rate of a cold upstream. Each gateway may always send one per coldWindow.
+// withinColdLimit reports whether one more request keeps this gateway's part of the request rate of a
+// cold upstream.
 func (s *Scheduler) withinColdLimit(now clock.Time, u *upstream, e *view.Entry, r *Request) bool {
 	if r.Service.ColdRate <= 0 || (!e.IsCold(now) && !now.Before(u.coldUntil)) {
 		return true
 	}
-	limit := r.Service.ColdRate*s.coldTolerance.Factor + s.coldTolerance.Slack
-	return u.recentCount(now) < max(int(limit/float64(s.gateways)), 1)
+	return u.recentCount(now) < s.coldPermits(u, r.Service.ColdRate)
+}
+
+// coldPermits returns the number of requests that this gateway may send to a cold upstream within
+// coldWindow. The gateways share the limit; what is left after equal shares goes to the first ones in
+// the rendezvous order of the upstream, so that many gateways together don't exceed the limit.
+func (s *Scheduler) coldPermits(u *upstream, rate float64) int {
+	limit := int(rate*s.coldTolerance.Factor + s.coldTolerance.Slack)
+	n := max(len(s.gateways), 1)
+	permits := limit / n
+	if u.place == unknownPlace {
+		u.place = member.Place(s.gateways, s.self, string(u.id))
+	}
+	if u.place < limit%n {
+		permits++
+	}
+	return permits
 }
 
 // consider scores an eligible upstream and keeps it in c if it has the lowest cost. Equal costs
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -11,6 +11,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
 )
@@ -74,10 +75,12 @@
 type Scheduler struct {
 	zone          units.Zone
 	coldTolerance ColdTolerance
-	gateways      int
-	snap          *view.Snapshot
-	upstreams     map[units.UpstreamID]*upstream
-	queue         []*Attempt
+	// self is the VM of this gateway, gateways are those that share the limits of cold upstreams.
+	self      units.VMID
+	gateways  []member.Gateway
+	snap      *view.Snapshot
+	upstreams map[units.UpstreamID]*upstream
+	queue     []*Attempt
 	// startDeadline bounds LatestStart of all requests; 0 is no bound.
 	startDeadline clock.Time
 }
@@ -91,14 +94,19 @@
 // New returns a Scheduler for a gateway in the zone. It assumes one gateway until SetGateways.
 func New(zone units.Zone, tolerance ColdTolerance) *Scheduler {
 	return &Scheduler{
-		zone: zone, coldTolerance: tolerance, gateways: 1, snap: &view.Snapshot{},
+		zone: zone, coldTolerance: tolerance, snap: &view.Snapshot{},
 		upstreams: map[units.UpstreamID]*upstream{},
 	}
 }
 
-// SetGateways sets the number of gateways that share the cold-start limits of upstreams; values
-// below 1 count as 1.
-func (s *Scheduler) SetGateways(n int) { s.gateways = max(n, 1) }
+// SetGateways sets the gateways that share the cold-start limits of upstreams, and which of them this
+// is.
+func (s *Scheduler) SetGateways(self units.VMID, gateways []member.Gateway) {
+	s.self, s.gateways = self, gateways
+	for _, u := range s.upstreams {
+		u.place = unknownPlace
+	}
+}
 
 // SetView replaces the snapshot of upstreams. It returns the attempts that it started or refused,
 // as Dispatch does.
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/sched"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
@@ -155,16 +156,25 @@
 }
 
 // Guards against a cold upstream that gets more than its limit from all gateways together, in any
-// second.
+// second, also where there are more gateways than the limit.
 func TestColdUpstreamLimit(t *testing.T) {
-	const gateways = 5
+	for _, n := range []int{5, 31, 103} {
+		t.Run(fmt.Sprint(n, " gateways"), func(t *testing.T) { checkColdLimit(t, n) })
+	}
+}
+
+func checkColdLimit(t *testing.T, n int) {
 	s := engine(64)
 	e := entry("one", "zone-a", 64)
 	e.WarmAt = 5000
+	var gateways []member.Gateway
+	for i := range n {
+		gateways = append(gateways, member.Gateway{VM: units.VMID(fmt.Sprint("gate-", i))})
+	}
 	var schedulers []*sched.Scheduler
-	for range gateways {
+	for _, g := range gateways {
 		scheduler := newScheduler(e)
-		scheduler.SetGateways(gateways)
+		scheduler.SetGateways(g.VM, gateways)
 		schedulers = append(schedulers, scheduler)
 	}
 	random := rand.New(rand.NewPCG(3, 4))
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -48,6 +48,9 @@
 	fullUntil clock.Time
 	// coldUntil is when the upstream stops to count as cold after a connection failure.
 	coldUntil clock.Time
+	// place is this gateway's place in the rendezvous order for the cold-start limit; unknownPlace
+	// until it is needed.
+	place int
 	// recent are the start times of requests within the last coldWindow.
 	recent []clock.Time
 	// notLoadedUntil maps models that the upstream answered it has not loaded to the end of their
@@ -59,6 +62,9 @@
 	prefixes map[prefixKey]clock.Time
 }
 
+// unknownPlace is a place that has to be computed.
+const unknownPlace = -1
+
 // target is a model, with an adapter if not empty.
 type target struct {
 	model   units.ModelID
@@ -72,7 +78,7 @@
 
 func newUpstream(id units.UpstreamID) *upstream {
 	return &upstream{
-		id: id, slowdown: slowdown{factor: 1},
+		id: id, slowdown: slowdown{factor: 1}, place: unknownPlace,
 		notLoadedUntil: map[target]clock.Time{}, prefixes: map[prefixKey]clock.Time{},
 	}
 }
