relay: bound answers without end, count events as progress

Cause: an event without its end was kept in memory up to the route's timeout, informational answers and bodies of other requests' answers were read without end, and each byte of a stream counted as progress, so that a stalled upstream was kept by a byte now and then. The rest of a refusal's body of more than 64 KiB could be read as the next answer.

Change: limits on the size of an event, on informational answers and on bodies that are read only to reuse a connection; a longer one closes it. Only whole events are progress.

TestEndlessAnswerIsCutOff (event, other's body, informational), TestTricklingStreamIsResumedElsewhere failed before. TestLongRefusalIsNotTheNextAnswer and TestSlowStreamIsNotCut guard.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -188,7 +188,7 @@
 
 // discardResponse discards a short body, so that the connection can be reused.
 func (x *exchange) discardResponse(res *response) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(res.body, maxHeadBytes)); err != nil {
+	if err := discardShort(res.body); err != nil {
 		res.abort()
 		return
 	}
@@ -202,7 +202,8 @@
 		res.abort()
 		return x.handleCallError(ctx, err)
 	}
-	body, err := io.ReadAll(io.LimitReader(res.body, maxBufferedBytes+1))
+	body, held, err := x.server.responseBudget.readAll(io.LimitReader(res.body, maxBufferedBytes+1), res.length)
+	defer x.server.responseBudget.release(held)
 	if err == nil && len(body) > maxBufferedBytes {
 		err = errors.New("response is too large")
 	}
@@ -281,8 +282,9 @@
 	buf := make([]byte, readBuffer)
 	flusher := http.NewResponseController(x.writer)
 	first := true
+	progressAt := x.server.Clock.Now()
 	for {
-		if err := res.setReadDeadline(x.readDeadline()); err != nil {
+		if err := res.setReadDeadline(x.readDeadline(progressAt)); err != nil {
 			return err
 		}
 		n, err := res.body.Read(buf)
@@ -294,9 +296,13 @@
 				x.server.Scheduler.RecordFirstEvent(x.firstByteAt, scheduled)
 				x.server.mu.Unlock()
 			}
+			delivered := x.stream.delivered
 			if err := x.writeEvents(res, flusher, buf[:n]); err != nil {
 				return err
 			}
+			if x.stream.delivered > delivered {
+				progressAt = x.server.Clock.Now()
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -307,19 +313,24 @@
 	}
 }
 
-// readDeadline returns the wall-clock time by which the next bytes of the stream have to arrive.
-func (x *exchange) readDeadline() time.Time {
+// readDeadline returns the wall-clock time by which the next event of the stream has to be complete;
+// the last one was at progressAt. Bytes alone are no progress: a stalled upstream may send some now
+// and then.
+func (x *exchange) readDeadline(progressAt clock.Time) time.Time {
 	now := x.server.Clock.Now()
 	deadline := x.arrivedAt.Add(x.timeout)
 	if x.route.RetryMode == fleet.Resumable && x.runs < x.route.MaxAttempts {
-		deadline = min(deadline, now.Add(silenceTimeout))
+		deadline = min(deadline, progressAt.Add(silenceTimeout))
 	}
 	return wallTime(now, deadline)
 }
 
 // writeEvents adds bytes of the stream and sends the events that are complete to the caller.
 func (x *exchange) writeEvents(res *response, flusher *http.ResponseController, data []byte) error {
-	complete := x.stream.add(data)
+	complete, err := x.stream.add(data)
+	if err != nil {
+		return err
+	}
 	if len(complete) == 0 {
 		return nil
 	}
--- a/relay/call.go
+++ b/relay/call.go
@@ -22,6 +22,14 @@
 // none of them belongs to the request.
 const maxStrayResponses = 3
 
+const (
+	// maxInformational is the number of informational (1xx) responses accepted before the final one.
+	maxInformational = 8
+	// maxDiscardBytes is the size of a body up to which it is read to its end without being used. It
+	// is cheaper to open another connection than to read a longer one.
+	maxDiscardBytes = 64 << 10
+)
+
 // request is a request to an upstream.
 type request struct {
 	method string
@@ -56,6 +64,8 @@
 	status int
 	header http.Header
 	body   io.Reader
+	// length is the announced length of the body in bytes; negative if unknown.
+	length int64
 	// closeDelimited is set where the body ends with the connection.
 	closeDelimited bool
 	pool           *pool
@@ -130,12 +140,13 @@
 		}
 		p := platform.ParseResponseHeader(res.StatusCode, res.Header)
 		if p.RequestID != "" && p.RequestID != r.id {
-			if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			if err := discardShort(res.Body); err != nil {
 				return fmt.Errorf("skip a response to another request: %w", err)
 			}
 			continue
 		}
 		rs.ResponseHeader, rs.status, rs.header, rs.body = p, res.StatusCode, res.Header, res.Body
+		rs.length = res.ContentLength
 		rs.closeDelimited = res.ContentLength < 0 && len(res.TransferEncoding) == 0 && hasBody(r.method, res.StatusCode)
 		rs.reusable = !res.Close && !rs.closeDelimited && p.RequestID != ""
 		return nil
@@ -148,9 +159,19 @@
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
+// discardShort reads a body to its end, so that the connection can be used again. It fails for a body
+// of more than maxDiscardBytes.
+func discardShort(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardBytes+1))
+	if err == nil && n > maxDiscardBytes {
+		err = errors.New("body is too long")
+	}
+	return err
+}
+
 // readFinalHead reads response heads up to the first that is not informational (1xx).
 func (rs *response) readFinalHead(r *request) (*http.Response, error) {
-	for {
+	for range maxInformational {
 		rs.conn.headBytesLeft = maxHeadBytes
 		res, err := http.ReadResponse(rs.conn.reader, &http.Request{Method: r.method})
 		rs.conn.headBytesLeft = -1
@@ -161,6 +182,7 @@
 			return res, nil
 		}
 	}
+	return nil, errors.New("too many informational responses")
 }
 
 // setReadDeadline sets the wall-clock time by which the next part of the body has to arrive.
--- /dev/null
+++ b/relay/endless_test.go
@@ -0,0 +1,125 @@
+package relay_test
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/platform/fakes"
+)
+
+// flood writes the block to the caller until it closes the connection or limit bytes are written, and
+// returns the number of bytes written.
+func flood(r *fakes.Request, block string, limit int64) int64 {
+	written := int64(0)
+	for written < limit && r.TryWriteRaw(block) == nil {
+		written += int64(len(block))
+	}
+	return written
+}
+
+// floodLimit is far above what a gateway may accept, in bytes.
+const floodLimit = 64 << 20
+
+// Guards against an upstream whose answer never ends, in its head or in its body: the gateway has to
+// close the connection after a bounded number of bytes, and the caller gets no success.
+func TestEndlessAnswerIsCutOff(t *testing.T) {
+	line := "X-More: " + strings.Repeat("a", 500) + "\r\n"
+	block := strings.Repeat("b", 16<<10)
+	for name, c := range map[string]struct {
+		path, start, block string
+		most               int64
+	}{
+		"head":            {"/once/a", "HTTP/1.1 200 OK\r\n", line, 2 << 20},
+		"informational":   {"/once/a", "", "HTTP/1.1 102 Processing\r\n" + line + "\r\n", 2 << 20},
+		"body":            {"/once/a", "HTTP/1.1 200 OK\r\nRequest-Id: id-/once/a\r\nServer-Stamp: s\r\n\r\n", block, 16 << 20},
+		"other's body":    {"/once/a", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: s\r\nContent-Length: 999999999\r\n\r\n", block, 2 << 20},
+		"body of refusal": {"/once/a", "HTTP/1.1 503 Full\r\nRequest-Id: id-/once/a\r\nNot-Executed: 1\r\nContent-Length: 999999999\r\n\r\n", block, 2 << 20},
+		"event": {
+			"/stream/a", "HTTP/1.1 200 OK\r\nRequest-Id: id-/stream/a\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\n",
+			block, 4 << 20,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var written atomic.Int64
+			replica := startReplica(t, "one", func(r *fakes.Request) {
+				r.WriteRaw(c.start)
+				written.Add(flood(r, c.block, floodLimit))
+				r.CloseConnection()
+			})
+			g := newTestGateway(t, replica)
+			var got result
+			if strings.HasPrefix(c.path, "/stream") {
+				got = g.postStream(c.path)
+			} else {
+				got = g.post(c.path, "x")
+			}
+			assert.Assert(t, got.err != nil || got.status >= http.StatusBadRequest, "status %d, %d bytes", got.status, len(got.body))
+			assert.Assert(t, written.Load() < c.most, "the upstream could send %d bytes", written.Load())
+		})
+	}
+}
+
+// Guards against a next answer that is read from the rest of a long body: a connection may only be
+// used again when the whole body was read.
+func TestLongRefusalIsNotTheNextAnswer(t *testing.T) {
+	forged := "HTTP/1.1 200 OK\r\nRequest-Id: id-/read/a\r\nServer-Stamp: s\r\nContent-Length: 6\r\n\r\nforged"
+	padding := strings.Repeat("x", 64<<10)
+	replica := startReplica(t, "one", func(r *fakes.Request) {
+		if r.Number == 1 {
+			r.RejectWithBody(padding, len(padding)+len(forged))
+			time.Sleep(30 * time.Millisecond)
+			r.WriteRaw(forged)
+			return
+		}
+		r.Respond("200 OK", "right")
+	})
+	got := newTestGateway(t, replica).get("/read/a")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "right")
+}
+
+// Guards against a stalled stream that is kept open by a byte now and then: only whole events are
+// progress.
+func TestTricklingStreamIsResumedElsewhere(t *testing.T) {
+	script := func(r *fakes.Request) {
+		if r.LastEventID != "" {
+			r.Stream(3, 6, true)
+			return
+		}
+		r.Stream(1, 2, false)
+		for r.TryChunk("x") == nil {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	one, two := startReplica(t, "one", script), startReplica(t, "two", script)
+	got := newTestGateway(t, one, two).postStream("/talk/a")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventRange(1, 6))
+}
+
+// Guards against slow but sound streams that are cut because they take long in total, or because one
+// event arrives in pieces.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	script := func(r *fakes.Request) {
+		r.Stream(1, 1, false)
+		for _, piece := range []string{"id: 2\n", "data: piece 2", "\n\n"} {
+			time.Sleep(200 * time.Millisecond)
+			r.Chunk(piece)
+		}
+		time.Sleep(500 * time.Millisecond)
+		r.Chunk(fakes.Event(3) + fakes.Event(4))
+		r.WriteRaw("0\r\n\r\n")
+	}
+	replica := startReplica(t, "one", script)
+	got := newTestGateway(t, replica).postStream("/stream/a")
+	assert.Assert(t, !errors.Is(got.err, io.ErrUnexpectedEOF), "%v", got.err)
+	assert.Equal(t, strings.Count(got.body, "data:"), 4)
+	assert.Equal(t, totalRequests(replica), 1)
+}
--- a/relay/event.go
+++ b/relay/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strconv"
 )
 
@@ -17,15 +18,25 @@
 	// ones and are dropped. It applies while skipping is set.
 	skipThrough int64
 	skipping    bool
-	// delivered is the number of events returned by add.
+	// delivered is the number of events returned by add, without those that are only comments.
 	delivered int
 }
 
+// dataField begins the line of an event that holds its data.
+var dataField = []byte("data:")
+
 var eventSeparator = []byte("\n\n")
 
+// maxEventBytes is the maximum size of an event. An upstream in trouble may send bytes without end.
+const maxEventBytes = 256 << 10
+
+// errEventTooLarge means that an event exceeds maxEventBytes.
+var errEventTooLarge = errors.New("event of the stream is too large")
+
 // add appends bytes of the stream and returns the events that are complete now, without repeated
-// ones. The result is valid until the next call.
-func (e *eventSplitter) add(p []byte) []byte {
+// ones. The result is valid until the next call. It fails with errEventTooLarge if the incomplete
+// event exceeds the limit.
+func (e *eventSplitter) add(p []byte) ([]byte, error) {
 	data := p
 	if len(e.pending) > 0 {
 		e.pending = append(e.pending, p...)
@@ -36,12 +47,15 @@
 		if len(e.pending) == 0 {
 			e.pending = append(e.pending, data...)
 		}
-		return nil
+		if len(e.pending) > maxEventBytes {
+			return nil, errEventTooLarge
+		}
+		return nil, nil
 	}
 	end += len(eventSeparator)
 	complete := bytes.Clone(data[:end])
 	e.pending = append([]byte(nil), data[end:]...)
-	return e.filterRepeated(complete)
+	return e.filterRepeated(complete), nil
 }
 
 // filterRepeated drops repeated events and updates lastID and delivered. It overwrites its argument.
@@ -60,7 +74,9 @@
 		if ok {
 			e.lastID = id
 		}
-		e.delivered++
+		if ok || bytes.Contains(event, dataField) {
+			e.delivered++
+		}
 		out = append(out, event...)
 	}
 	return out
