view: an address belongs to the process that started last

Cause: after a zone's upstreams had crashed, their keys stayed for up to three heartbeats, while others had started at their addresses. Change: a description of a known service removes others with its address that started earlier, and a late heartbeat does not bring them back. TestAddressBelongsToLatestProcess.

--- a/view/view.go
+++ b/view/view.go
@@ -100,8 +100,13 @@
 }
 
 // SetUpstream replaces the description of an upstream. While the same process says that it is
-// cold, WarmAt never moves to an earlier time.
+// cold, WarmAt never moves to an earlier time. An address belongs to the process that started last:
+// other upstreams with it have ended, although their keys may not have expired yet.
 func (s *State) SetUpstream(now clock.Time, u *fleet.Upstream) {
+	if !s.claimAddress(u) {
+		delete(s.snap.Upstreams, u.ID)
+		return
+	}
 	e := &Entry{Upstream: u, ReceivedAt: now}
 	if u.ColdFor > 0 {
 		e.WarmAt = now.Add(u.ColdFor)
@@ -112,6 +117,32 @@
 	s.snap.Upstreams[u.ID] = e
 }
 
+// claimAddress removes other upstreams with the same address that started earlier, and reports whether
+// none started later. Entries of unknown services may come from other writers and claim nothing.
+func (s *State) claimAddress(u *fleet.Upstream) bool {
+	if !s.knowsService(u.Service) {
+		return true
+	}
+	for id, e := range s.snap.Upstreams {
+		switch {
+		case id == u.ID || e.Address != u.Address || !s.knowsService(e.Service):
+		case e.ProcessStart > u.ProcessStart:
+			return false
+		case e.ProcessStart < u.ProcessStart:
+			delete(s.snap.Upstreams, id)
+		}
+	}
+	return true
+}
+
+func (s *State) knowsService(id units.ServiceID) bool {
+	if s.snap.Config == nil {
+		return false
+	}
+	_, ok := s.snap.Config.Service(id)
+	return ok
+}
+
 // Remove removes an upstream whose key was deleted. Shortly after a store outage it schedules the
 // removal instead, as entries of live upstreams may have expired; draining upstreams are removed
 // at once.
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -83,3 +83,23 @@
 	s.SetUpstream(now, upstream("one"))
 	assert.Assert(t, !s.Snapshot().Upstreams["one"].IsCold(now))
 }
+
+// Guards against requests and orders to an upstream whose address another one has taken over, while its
+// key has not expired yet, and against a late heartbeat that brings it back.
+func TestAddressBelongsToLatestProcess(t *testing.T) {
+	s := view.New()
+	c := fleet.NewConfig(1)
+	c.AddService(&fleet.Service{Name: "app"})
+	s.SetConfig(c)
+	before, after := upstream("before"), upstream("after")
+	before.ProcessStart, after.ProcessStart = 100, 200
+	s.SetUpstream(1000, before)
+	s.SetUpstream(2000, after)
+	assert.Assert(t, !has(s, "before") && has(s, "after"))
+	s.SetUpstream(3000, before)
+	assert.Assert(t, !has(s, "before") && has(s, "after"))
+	forged := upstream("forged")
+	forged.Service, forged.ProcessStart = "unknown", 300
+	s.SetUpstream(4000, forged)
+	assert.Assert(t, has(s, "after"), "an entry of an unknown service claims no address")
+}
