--- a/assign/ledger.go
+++ b/assign/ledger.go
@@ -95,10 +95,15 @@
 // Ledger tracks the resident models of each upstream and the orders in flight.
 type Ledger struct {
 	states map[units.UpstreamID]*upstreamState
+	// replaced maps upstreams at whose address another one answered to their process start. Their
+	// descriptions may outlive them.
+	replaced map[units.UpstreamID]int64
 }
 
 // NewLedger returns an empty Ledger.
-func NewLedger() *Ledger { return &Ledger{states: map[units.UpstreamID]*upstreamState{}} }
+func NewLedger() *Ledger {
+	return &Ledger{states: map[units.UpstreamID]*upstreamState{}, replaced: map[units.UpstreamID]int64{}}
+}
 
 // UpdateUpstreams replaces the set of upstreams and applies the new descriptions of those that
 // belong to the services in engines. A new process of an upstream starts with an empty, stale
@@ -109,8 +114,13 @@
 			delete(l.states, id)
 		}
 	}
+	for id := range l.replaced {
+		if _, ok := upstreams[id]; !ok {
+			delete(l.replaced, id)
+		}
+	}
 	for id, e := range upstreams {
-		if !engines[e.Service] {
+		if processStart, ok := l.replaced[id]; !engines[e.Service] || (ok && processStart == e.ProcessStart) {
 			continue
 		}
 		s, ok := l.states[id]
@@ -248,6 +258,7 @@
 		s.stale = true
 		s.retryAt = now.Add(errorRetryDelay)
 	case UpstreamGone:
+		l.replaced[o.Upstream] = s.processStart
 		delete(l.states, o.Upstream)
 	}
 }
--- a/assign/plan.go
+++ b/assign/plan.go
@@ -32,6 +32,9 @@
 	Demand map[Target]Demand
 	// ExcludedZones holds the availability zones that get no new models.
 	ExcludedZones map[units.Zone]bool
+	// Unreachable holds the upstreams to which gateways can't connect. They get no orders, and what
+	// they hold doesn't count, so that it is loaded elsewhere before their keys expire.
+	Unreachable map[units.UpstreamID]bool
 	// InFlight is the number of requests in flight at each upstream.
 	InFlight map[units.UpstreamID]int
 }
@@ -181,7 +184,7 @@
 	}
 	for id, u := range p.ledger.states {
 		e := u.entry
-		if e.Service != s.Name || e.Draining || input.ExcludedZones[e.Zone] {
+		if e.Service != s.Name || e.Draining || input.ExcludedZones[e.Zone] || input.Unreachable[id] {
 			continue
 		}
 		r.ids[u] = id
--- /dev/null
+++ b/entry/changes.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/feed"
+	"github.com/magnolialever/magnolialever/member"
+	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+const (
+	// leaderWatchPause is the leader's delay between two watches of the store. Orders depend on fresh
+	// descriptions.
+	leaderWatchPause = 300 * clock.Millisecond
+	// watchPauseShare is the part of the shortest delay within which changes have to be in force that
+	// a gateway may spend between two watches.
+	watchPauseShare = 1.0 / 3
+	maxWatchPause   = 1500 * clock.Millisecond
+	// watchersPerZone is the number of gateways of an availability zone that watch the store and send
+	// its changes to the others there.
+	watchersPerZone = 2
+	// followerPauses is the number of pauses without changes from a watcher after which another
+	// gateway watches the store itself.
+	followerPauses = 2
+	// maxChangesBytes is the size of the items in a message about changes, in bytes. A longer one
+	// might not fit a datagram.
+	maxChangesBytes = 40 << 10
+)
+
+// storeWatch says which part a gateway has in watching the store. It is replaced as a whole.
+type storeWatch struct {
+	// watches is set if this gateway is one of the watchers of its zone.
+	watches bool
+	// followers are the addresses of the gateways of the zone that rely on the watchers.
+	followers []string
+}
+
+// newStoreWatch determines the part of the gateway on a VM. The strongest gateways of each zone are the
+// watchers.
+func newStoreWatch(vm units.VMID, zone units.Zone, registered []member.Gateway) *storeWatch {
+	inZone := slices.DeleteFunc(slices.Clone(registered), func(g member.Gateway) bool { return g.Zone != zone })
+	ranked := member.RankStrongest(inZone, "store watch")
+	w := &storeWatch{}
+	for i, g := range ranked {
+		switch {
+		case i >= watchersPerZone:
+			w.followers = append(w.followers, g.Address)
+		case g.VM == vm:
+			w.watches = true
+		}
+	}
+	return w
+}
+
+// watchPause returns the delay between two watches of the store. Each call is billed, so the delay is
+// as long as the bounds on changes allow.
+func (g *Gateway) watchPause() clock.Span {
+	if g.leads.Load() {
+		return leaderWatchPause
+	}
+	bounds := g.bounds.Load()
+	shortest := min(bounds.DrainDelay, bounds.ConfigDelay)
+	pause := min(max(clock.Span(float64(shortest)*watchPauseShare), leaderWatchPause), maxWatchPause)
+	if w := g.storeWatch.Load(); w != nil && !w.watches {
+		return followerPauses * pause
+	}
+	return pause
+}
+
+// sendChanges sends the changes that a watch has returned to the gateways of the zone that rely on it.
+func (g *Gateway) sendChanges(b feed.Batch) {
+	w := g.storeWatch.Load()
+	if w == nil || !w.watches || len(w.followers) == 0 {
+		return
+	}
+	for _, m := range splitChanges(b, g.clock.Now()) {
+		g.peers.Send(&wire.Datagram{Body: &wire.Datagram_StoreChanges{StoreChanges: m}}, w.followers...)
+	}
+}
+
+// splitChanges encodes a batch as messages that continue each other. The values of items that are too
+// long for a message are omitted.
+func splitChanges(b feed.Batch, now clock.Time) []*wire.StoreChanges {
+	age := int64(now.Sub(b.ConfirmedAt))
+	var out []*wire.StoreChanges
+	m, size := &wire.StoreChanges{After: int64(b.After), AgeMs: age}, 0
+	for _, i := range b.Items {
+		item := encodeItem(i)
+		n := proto.Size(item)
+		if n > maxChangesBytes {
+			item.Value, item.Omitted = nil, true
+			n = proto.Size(item)
+		}
+		if size+n > maxChangesBytes {
+			m.Revision = m.Items[len(m.Items)-1].Revision
+			out = append(out, m)
+			m, size = &wire.StoreChanges{After: m.Revision, AgeMs: age}, 0
+		}
+		m.Items = append(m.Items, item)
+		size += n
+	}
+	m.Revision = int64(b.Revision)
+	return append(out, m)
+}
+
+func encodeItem(i platform.Item) *wire.StoreItem {
+	return &wire.StoreItem{
+		Key: i.Key, Value: i.Value, Revision: int64(i.Revision), CreateRevision: int64(i.CreateRevision), Deleted: i.Deleted,
+	}
+}
+
+// decodeChanges decodes changes that another gateway has read from the store.
+func decodeChanges(m *wire.StoreChanges, now clock.Time) feed.Batch {
+	b := feed.Batch{
+		After: units.Revision(m.GetAfter()), Revision: units.Revision(m.GetRevision()),
+		ConfirmedAt: now.Add(-clock.Span(m.GetAgeMs())),
+	}
+	for _, i := range m.GetItems() {
+		if i.GetOmitted() {
+			b.Omitted = append(b.Omitted, feed.OmittedItem{Key: i.GetKey(), Revision: units.Revision(i.GetRevision())})
+			continue
+		}
+		b.Items = append(b.Items, platform.Item{
+			Key: i.GetKey(), Value: i.GetValue(), Revision: units.Revision(i.GetRevision()),
+			CreateRevision: units.Revision(i.GetCreateRevision()), Deleted: i.GetDeleted(),
+		})
+	}
+	return b
+}
--- /dev/null
+++ b/entry/changes_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"bytes"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/feed"
+	"github.com/magnolialever/magnolialever/member"
+	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// Guards against changes that don't fit a datagram, and against messages between which changes are
+// missing.
+func TestChangesAreSplit(t *testing.T) {
+	b := feed.Batch{After: 100, Revision: 140, ConfirmedAt: 900}
+	for i := range 30 {
+		b.Items = append(b.Items, platform.Item{Key: "servers/x", Value: bytes.Repeat([]byte("v"), 4000), Revision: units.Revision(101 + i)})
+	}
+	b.Items = append(b.Items, platform.Item{Key: "op/config", Value: bytes.Repeat([]byte("v"), 200_000), Revision: 139})
+	after, items, omitted := b.After, 0, 0
+	messages := splitChanges(b, 1000)
+	assert.Assert(t, len(messages) > 2)
+	for _, m := range messages {
+		decoded := decodeChanges(m, 5000)
+		assert.Equal(t, decoded.After, after)
+		assert.Equal(t, decoded.ConfirmedAt, clock.Time(4900))
+		after = decoded.Revision
+		items += len(decoded.Items)
+		omitted += len(decoded.Omitted)
+		size := 0
+		for _, i := range decoded.Items {
+			size += len(i.Value)
+		}
+		assert.Assert(t, size < 60<<10)
+	}
+	assert.Equal(t, after, b.Revision)
+	assert.Equal(t, items, 30)
+	assert.Equal(t, omitted, 1)
+}
+
+// Guards against zones without a watcher and against watches by all gateways.
+func TestWatchersOfZone(t *testing.T) {
+	gateways := []member.Gateway{
+		{VM: "a", Address: "a", Zone: "one", Cores: 0.1}, {VM: "b", Address: "b", Zone: "one", Cores: 0.8},
+		{VM: "c", Address: "c", Zone: "one", Cores: 0.8}, {VM: "d", Address: "d", Zone: "one", Cores: 0.1},
+		{VM: "e", Address: "e", Zone: "two", Cores: 0.1},
+	}
+	watchers := 0
+	for _, g := range gateways {
+		if w := newStoreWatch(g.VM, g.Zone, gateways); w.watches {
+			watchers++
+			assert.Equal(t, len(w.followers), map[units.Zone]int{"one": 2, "two": 0}[g.Zone])
+		}
+	}
+	assert.Equal(t, watchers, 3)
+}
--- a/entry/controller.go
+++ b/entry/controller.go
@@ -21,6 +21,8 @@
 	// storeLostAfter is the age of the store's last confirmation above which the store counts as
 	// lost.
 	storeLostAfter = 1800 * clock.Millisecond
+	// storeLostPauses is the number of pauses between watches that it is at least.
+	storeLostPauses = 1.5
 )
 
 // controller is the state of a gateway's control loop. One goroutine runs the loop and calls all
@@ -70,6 +72,7 @@
 			return nil
 		case m := <-c.gateway.inbox:
 			c.handle(m)
+			c.orders.planIfRequested(c.gateway.clock.Now())
 		case <-c.drainRequested:
 			c.draining = true
 			c.orders.resign(ctx)
@@ -85,6 +88,8 @@
 	switch m := m.(type) {
 	case viewChanged:
 		c.snapshot = m.snapshot
+		// A full read brings the other gateways first: shares of limits depend on their number.
+		c.applyMembers(now)
 		if m.snapshot.Config != nil {
 			c.gateway.limiter.setCustomers(m.snapshot.Config.Customers())
 		}
@@ -151,14 +156,13 @@
 	}
 }
 
-// handleDigest merges the crash suspects of another gateway, and plans at once if that gateway had
-// misses.
+// handleDigest merges the crash suspects of another gateway, and plans soon if that gateway had misses.
 func (c *controller) handleDigest(now clock.Time, d peers.Digest) {
 	for _, w := range d.GetSuspects() {
 		c.gateway.relay.MergeSuspect(decodeSuspect(now, w))
 	}
 	if d.HasMisses() {
-		c.orders.plan(now)
+		c.orders.planSoon()
 	}
 }
 
@@ -167,7 +171,7 @@
 	c.updateKeyValidity(now)
 	c.applyMembers(now)
 	c.gateway.limiter.onTick(now)
-	c.gateway.relay.SetOtherLoads(c.otherLoads())
+	c.gateway.relay.SetOtherLoads(c.otherLoads(), peers.DigestInterval(c.gatewayCount))
 	c.announceChanges(now)
 	c.gateway.relay.Tick()
 	c.orders.onTick(now)
@@ -193,23 +197,25 @@
 	registered := c.members.Registered()
 	c.gateway.limiter.setGateways(n, registered)
 	c.orders.setGateways(registered)
+	c.gateway.storeWatch.Store(newStoreWatch(c.gateway.settings.VM, c.gateway.settings.Zone, registered))
 }
 
 // otherLoads returns the sum of the other gateways' loads at each upstream.
 func (c *controller) otherLoads() map[units.UpstreamID]sched.Load {
-	sum := map[units.UpstreamID]sched.Load{}
+	sum := map[uint32]sched.Load{}
 	for _, d := range c.gateway.peers.FreshDigests() {
 		for _, u := range d.GetShares() {
-			id := units.UpstreamID(u.GetUpstream())
-			load := sum[id]
+			sum[u.GetUpstream()] = sum[u.GetUpstream()].Add(decodeLoad(u))
+		}
+	}
+	out := make(map[units.UpstreamID]sched.Load, len(sum))
+	for id := range c.snapshot.Upstreams {
+		if load, ok := sum[hashUpstream(id)]; ok {
 			load.Upstream = id
-			load.Running += int(u.GetRunning())
-			load.Tokens += units.Tokens(u.GetTokens())
-			load.Backlog += units.Tokens(u.GetBacklog())
-			sum[id] = load
+			out[id] = load
 		}
 	}
-	return sum
+	return out
 }
 
 // configVersion returns the version of the current configuration; 0 if there is none.
@@ -220,7 +226,11 @@
 	return c.snapshot.Config.Version
 }
 
-func (c *controller) storeLost(now clock.Time) bool { return now.Sub(c.confirmedAt) > storeLostAfter }
+// storeLost reports whether the last confirmation is so old that the store counts as lost.
+func (c *controller) storeLost(now clock.Time) bool {
+	limit := max(storeLostAfter, clock.Span(float64(c.gateway.watchPause())*storeLostPauses))
+	return now.Sub(c.confirmedAt) > limit
+}
 
 // updateKeyValidity extends the time until which API keys are accepted, from this gateway's and the
 // other gateways' last confirmations by the store.
@@ -283,10 +293,8 @@
 		Vm: string(c.gateway.settings.VM), Life: c.gateway.incarnation, Number: c.digestNumber, Zone: string(c.gateway.settings.Zone),
 		Config: c.configVersion(), ConfirmedMs: int64(now.Sub(c.confirmedAt)), Lost: c.storeLost(now), Leaving: c.draining,
 	}
-	for _, s := range c.gateway.relay.Loads() {
-		d.Shares = append(d.Shares, &wire.UpstreamShare{
-			Upstream: string(s.Upstream), Running: int32(s.Running), Tokens: int64(s.Tokens), Backlog: int64(s.Backlog),
-		})
+	for _, l := range c.gateway.relay.Loads() {
+		d.Shares = append(d.Shares, encodeLoad(l))
 	}
 	d.Suspects = encodeSuspects(now, c.gateway.relay.Suspects())
 	return d
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,6 +58,8 @@
 	inbox       chan message
 	// leads is set while this gateway is the leader.
 	leads atomic.Bool
+	// storeWatch is nil until the gateways are known.
+	storeWatch atomic.Pointer[storeWatch]
 	// incarnation is a random number that identifies this run of the process.
 	incarnation uint64
 	// background is canceled when the gateway's goroutines have to end. backgroundCalls counts the
@@ -111,6 +113,7 @@
 		OnOtherItem: func(i platform.Item) { g.post(itemReceived{i}) },
 		OnFullRead:  func(keys map[string]bool) { g.post(fullReadDone{keys}) },
 		Pause:       g.watchPause,
+		OnBatch:     g.sendChanges,
 	})
 	return g, nil
 }
@@ -166,28 +169,11 @@
 		g.post(residencyChanged{changes.GetChanges()})
 		return
 	}
-	g.limiter.handleMessage(m, from)
-}
-
-const (
-	// leaderWatchPause is the leader's delay between two watches of the store. Orders depend on fresh
-	// descriptions.
-	leaderWatchPause = 300 * clock.Millisecond
-	// watchPauseShare is the part of the shortest delay within which changes have to be in force that
-	// a gateway may spend between two watches.
-	watchPauseShare = 1.0 / 3
-	maxWatchPause   = 1500 * clock.Millisecond
-)
-
-// watchPause returns the delay between two watches of the store. Each call is billed, and all
-// gateways make them, so the delay is as long as the bounds on changes allow.
-func (g *Gateway) watchPause() clock.Span {
-	if g.leads.Load() {
-		return leaderWatchPause
+	if changes := m.GetStoreChanges(); changes != nil {
+		g.feed.Deliver(decodeChanges(changes, g.clock.Now()))
+		return
 	}
-	bounds := g.bounds.Load()
-	shortest := min(bounds.DrainDelay, bounds.ConfigDelay)
-	return min(max(clock.Span(float64(shortest)*watchPauseShare), leaderWatchPause), maxWatchPause)
+	g.limiter.handleMessage(m, from)
 }
 
 // startCall runs a call in its own goroutine, so that the control loop doesn't block. The call
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -22,8 +22,13 @@
 const (
 	// leaderKey is the key whose owner is the leader that sends orders to upstreams.
 	leaderKey = "duties/orders"
-	// planInterval is the interval between two planning rounds. A miss starts another one at once.
+	// planInterval is the interval between two planning rounds. A miss or the result of an order
+	// starts another one sooner.
 	planInterval = 200 * clock.Millisecond
+	// minPlanInterval is the least interval between rounds; it is longer if planCostRatio times the
+	// duration of the last round is.
+	minPlanInterval = 5 * clock.Millisecond
+	planCostRatio   = 10
 	// adapterActivationTime is how long an upstream takes to activate an adapter after it has
 	// accepted the order.
 	adapterActivationTime = 9 * time.Millisecond
@@ -89,7 +94,11 @@
 	ledger       *assign.Ledger
 	planner      *assign.Planner
 	plannedAt    clock.Time
-	client       *platform.OrderClient
+	// planRequested is set when a round should start before planInterval. planCost is the time that
+	// the last round took.
+	planRequested bool
+	planCost      clock.Span
+	client        *platform.OrderClient
 	// draining is set from the beginning of a planned stop; the gateway then stays out of
 	// elections.
 	draining bool
@@ -126,14 +135,14 @@
 	default:
 		o.vacantSince = now
 	}
-	if now.Sub(o.plannedAt) >= planInterval {
+	if o.planDue(now) {
 		o.plan(now)
 	}
 }
 
 // setGateways sets the registered gateways, from which acquireDelay follows.
 func (o *orderManager) setGateways(registered []member.Gateway) {
-	ranked := member.Rank(registered, leaderKey)
+	ranked := member.RankStrongest(registered, leaderKey)
 	place := slices.IndexFunc(ranked, func(g member.Gateway) bool { return g.VM == o.gateway.settings.VM })
 	o.acquireDelay = acquireDelayStep * clock.Span(min(max(place, 0), maxAcquireDelaySteps))
 }
@@ -219,7 +228,7 @@
 // plan updates the ledger and, if this gateway is the leader, reads missing reports and sends the
 // orders that the planner returns.
 func (o *orderManager) plan(now clock.Time) {
-	o.plannedAt = now
+	o.plannedAt, o.planRequested = now, false
 	if o.controller.snapshot.Config == nil {
 		return
 	}
@@ -239,10 +248,32 @@
 	input := assign.PlanInput{
 		Services: services, Demand: o.controller.totalDemand(now),
 		ExcludedZones: o.controller.snapshot.ExcludedZones, InFlight: o.controller.requestsInFlight(),
+		Unreachable: o.controller.unreachableUpstreams(),
 	}
 	for _, order := range o.planner.Plan(now, input) {
 		o.sendOrder(now, order, epoch)
 	}
+	o.planCost = o.gateway.clock.Now().Sub(now)
+}
+
+// planSoon requests a planning round before planInterval has passed, but not so soon that planning
+// takes more than a part of the processor: many requests miss models at the same time.
+func (o *orderManager) planSoon() { o.planRequested = true }
+
+// planIfRequested starts a planning round if one was requested and is due.
+func (o *orderManager) planIfRequested(now clock.Time) {
+	if o.planRequested && o.planDue(now) {
+		o.plan(now)
+	}
+}
+
+// planDue reports whether a planning round has to start.
+func (o *orderManager) planDue(now clock.Time) bool {
+	interval := planInterval
+	if o.planRequested {
+		interval = min(planInterval, max(o.planCost*planCostRatio, minPlanInterval))
+	}
+	return now.Sub(o.plannedAt) >= interval
 }
 
 // readReport reads an upstream's report. The result is a reportResult message.
@@ -319,9 +350,9 @@
 		o.controller.recordResidencyChange(now, residencyChange{
 			e.ID, e.ProcessStart, m.order.Model, m.order.Adapter, false, m.order.ExpectedOrders + 1, now, announcement{ordered: true},
 		})
-		o.plan(now)
+		o.planSoon()
 	case m.order.Adapter != "":
-		o.plan(now)
+		o.planSoon()
 	}
 }
 
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	// registrationTTL is the TTL of the lease on the gateway's key in the store.
-	registrationTTL = 5 * clock.Second
-	// registrationRenewInterval is the interval between renewals of that lease.
-	registrationRenewInterval = 1600 * time.Millisecond
+	// registrationTTL is the TTL of the lease on the gateway's key in the store. Each renewal is
+	// billed; other gateways notice sooner that this one does not answer.
+	registrationTTL = 8 * clock.Second
+	// registrationRenewals is the number of renewals of that lease within its TTL.
+	registrationRenewals = 3
 	// registrationRetryDelay is the least delay after a failed call; the jitter is at most as long.
 	registrationRetryDelay = 500 * time.Millisecond
 	// revokeTimeout limits the call that revokes a lease at a planned stop.
@@ -30,15 +31,19 @@
 	gateway *Gateway
 	// lease is the lease on the key; noLease if the key is not in the store.
 	lease platform.LeaseID
+	// ttl is the TTL of the lease.
+	ttl clock.Span
 }
 
-func newRegistration(g *Gateway) *registration { return &registration{gateway: g} }
+func newRegistration(g *Gateway) *registration {
+	return &registration{gateway: g, ttl: registrationTTL}
+}
 
 // run renews the registration until the context is done and then removes it from the store. It
 // returns no error.
 func (r *registration) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		delay := registrationRenewInterval
+		delay := (r.ttl / registrationRenewals).Duration()
 		if err := r.renew(ctx); err != nil && ctx.Err() == nil {
 			klog.InfoS("entry: gateway registration not renewed", "err", err)
 			delay = registrationRetryDelay + rand.N(registrationRetryDelay)
@@ -65,7 +70,7 @@
 		}
 		r.lease = noLease
 	}
-	lease, _, err := r.gateway.store.GrantLease(ctx, max(registrationTTL, r.gateway.settings.MinLeaseTTL))
+	lease, ttl, err := r.gateway.store.GrantLease(ctx, max(registrationTTL, r.gateway.settings.MinLeaseTTL))
 	if err != nil {
 		return err
 	}
@@ -80,6 +85,6 @@
 	if err != nil {
 		return err
 	}
-	r.lease = lease
+	r.lease, r.ttl = lease, ttl
 	return nil
 }
--- a/entry/residency.go
+++ b/entry/residency.go
@@ -154,7 +154,7 @@
 // digest.
 func (c *controller) handleMiss(now clock.Time) {
 	if c.orders.elector.Holds(now) {
-		c.orders.plan(now)
+		c.orders.planSoon()
 		return
 	}
 	if now.Sub(c.demandSentAt) >= minMissDigestInterval {
@@ -177,6 +177,37 @@
 	return sum
 }
 
+// minUnreachableZones is the number of availability zones whose gateways must fail to connect to an
+// upstream before it counts as unreachable: a zone may only be cut off from the upstream's.
+const minUnreachableZones = 2
+
+// unreachableUpstreams returns the upstreams to which gateways of several zones could not connect, or
+// of all zones if there are fewer.
+func (c *controller) unreachableUpstreams() map[units.UpstreamID]bool {
+	zones := map[units.UpstreamID]map[units.Zone]bool{}
+	report := func(id units.UpstreamID, z units.Zone) {
+		if zones[id] == nil {
+			zones[id] = map[units.Zone]bool{}
+		}
+		zones[id][z] = true
+	}
+	for _, id := range c.gateway.relay.Unreachable() {
+		report(id, c.gateway.settings.Zone)
+	}
+	known := map[units.Zone]bool{c.gateway.settings.Zone: true}
+	for _, d := range c.gateway.peers.FreshDigests() {
+		known[units.Zone(d.GetZone())] = true
+		for _, id := range d.GetUnreachable() {
+			report(units.UpstreamID(id), units.Zone(d.GetZone()))
+		}
+	}
+	out := map[units.UpstreamID]bool{}
+	for id, z := range zones {
+		out[id] = len(z) >= min(minUnreachableZones, len(known))
+	}
+	return out
+}
+
 // requestsInFlight returns the number of requests in flight at each upstream, over all gateways.
 func (c *controller) requestsInFlight() map[units.UpstreamID]int {
 	sum := map[units.UpstreamID]int{}
@@ -189,8 +220,12 @@
 	return sum
 }
 
-// addDemand adds this gateway's demand for models and adapters to a digest.
+// addDemand adds this gateway's demand for models and adapters, and the upstreams that it can't reach,
+// to a digest.
 func (c *controller) addDemand(now clock.Time, d *wire.Digest) {
+	for _, id := range c.gateway.relay.Unreachable() {
+		d.Unreachable = append(d.Unreachable, string(id))
+	}
 	for t, n := range c.gateway.demand.current(now) {
 		d.Needs = append(d.Needs, &wire.ModelNeed{
 			Service: string(t.Service), Model: string(t.Model), Adapter: t.Adapter, Tokens: n.WorkRate, Missed: int32(n.Misses),
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -24,6 +25,9 @@
 	// minRetryDelay and maxRetry bound the backoff after a failed call, before jitter.
 	minRetryDelay = 150 * time.Millisecond
 	maxRetryDelay = 600 * time.Millisecond
+	// maxGapDelay bounds the random delay before a watch that reads missing changes, as other gateways
+	// miss them too.
+	maxGapDelay = 100 * time.Millisecond
 )
 
 // Store is the part of the platform's store that a Feed reads.
@@ -34,6 +38,8 @@
 	// change it returns no items after the time wait. It fails with an error that wraps
 	// platform.ErrCompacted when the store no longer has the changes after that revision.
 	Watch(ctx context.Context, prefix string, after units.Revision, wait clock.Span) ([]platform.Item, units.Revision, error)
+	// Get returns the item under a key.
+	Get(ctx context.Context, key string) (platform.Item, error)
 }
 
 // Options are the dependencies of a Feed. All of them are required; the functions are called from
@@ -51,11 +57,33 @@
 	OnOtherItem func(i platform.Item)
 	// OnFullRead is called after a full read with the keys of all items in the store.
 	OnFullRead func(keys map[string]bool)
-	// Pause returns the delay before the next watch. Each call to the store is billed, so the delay
-	// batches changes that come close together.
+	// Pause returns the delay before the next watch, from the last confirmation on. Each call to the
+	// store is billed, so the delay batches changes that come close together.
 	Pause func() clock.Span
+	// OnBatch is called after each watch with the changes that it returned, none included.
+	OnBatch func(b Batch)
 }
 
+// Batch holds the changes that one watch of the store has returned.
+type Batch struct {
+	// After is the revision that the changes follow, Revision the one that they lead to.
+	After, Revision units.Revision
+	// ConfirmedAt is when the store was known to be at Revision.
+	ConfirmedAt clock.Time
+	Items       []platform.Item
+	// Omitted are further items whose values have to be read from the store.
+	Omitted []OmittedItem
+}
+
+// OmittedItem is an item without its value.
+type OmittedItem struct {
+	Key      string
+	Revision units.Revision
+}
+
+// maxBatches is the number of delivered batches that are kept until the Feed applies them.
+const maxBatches = 32
+
 // Feed reads the store and follows its changes. It is not safe for concurrent use.
 type Feed struct {
 	Options
@@ -69,11 +97,30 @@
 	// ignoredRevisions holds, by key, the revision of each undecodable entry, so that each
 	// revision is logged once.
 	ignoredRevisions map[string]units.Revision
+	// batches are those that other gateways have sent.
+	batches chan Batch
+	// readRevisions holds, by key, the revision of items that were read because a batch omitted them.
+	readRevisions map[string]units.Revision
+	// batchAt is when the last batch was applied.
+	batchAt clock.Time
 }
 
 // New returns a Feed. Run starts it.
 func New(o Options) *Feed {
-	return &Feed{Options: o, state: view.New(), ignoredRevisions: map[string]units.Revision{}}
+	return &Feed{
+		Options: o, state: view.New(), ignoredRevisions: map[string]units.Revision{}, batches: make(chan Batch, maxBatches),
+		readRevisions: map[string]units.Revision{},
+	}
+}
+
+// Deliver passes on a batch that another gateway has read from the store. It is safe for concurrent
+// use. A batch that can't be kept is dropped; the next watch returns its changes.
+func (f *Feed) Deliver(b Batch) {
+	select {
+	case f.batches <- b:
+	default:
+		stats.Event("store_batches_dropped")
+	}
 }
 
 // Run follows the store until ctx is canceled. It retries failed calls with backoff.
@@ -83,10 +130,106 @@
 		if f.state.Expire(f.Clock.Now()) {
 			f.OnChange(f.state.Snapshot())
 		}
-		clock.Sleep(ctx, f.nextDelay(err))
+		f.applyBatches(ctx, f.nextDelay(err))
+	}
+}
+
+// applyBatches applies delivered batches until the delay has passed since the last one that confirmed
+// the state, or until a batch shows that changes are missing.
+func (f *Feed) applyBatches(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case b := <-f.batches:
+			switch f.applyBatch(ctx, b) {
+			case batchApplied:
+				timer.Reset(f.Pause().Duration())
+			case batchMissing:
+				timer.Reset(rand.N(maxGapDelay))
+			case batchOld:
+			}
+		}
 	}
 }
 
+// batchResult is the result of applyBatch.
+type batchResult uint8
+
+const (
+	// batchOld means that the state has a later confirmation.
+	batchOld batchResult = iota
+	// batchApplied means that the state is as of the batch.
+	batchApplied
+	// batchMissing means that changes between the state and the batch are missing.
+	batchMissing
+)
+
+// applyBatch applies a batch if it continues the state.
+func (f *Feed) applyBatch(ctx context.Context, b Batch) batchResult {
+	revision := f.state.Revision()
+	switch {
+	case !f.synced || b.Revision < revision || (b.Revision == revision && !b.ConfirmedAt.After(f.state.ConfirmedAt())):
+		return batchOld
+	case b.After > revision:
+		return batchMissing
+	}
+	items := make([]platform.Item, 0, len(b.Items))
+	for _, i := range b.Items {
+		if i.Revision > revision {
+			items = append(items, i)
+		}
+	}
+	read, err := f.readOmitted(ctx, revision, b.Omitted)
+	if err != nil {
+		klog.InfoS("feed: changes that another gateway passed on can't be read", "err", err)
+		return batchMissing
+	}
+	items = append(items, read...)
+	f.batchAt = f.Clock.Now()
+	f.applyChanges(items, b.Revision, b.ConfirmedAt)
+	return batchApplied
+}
+
+// readOmitted reads the newest values of items that changed after the revision, each once. An item that
+// was read at a later revision than stated is not read again for that revision.
+func (f *Feed) readOmitted(ctx context.Context, after units.Revision, omitted []OmittedItem) ([]platform.Item, error) {
+	newest := map[string]units.Revision{}
+	for _, o := range omitted {
+		if o.Revision > after && o.Revision > f.readRevisions[o.Key] {
+			newest[o.Key] = max(newest[o.Key], o.Revision)
+		}
+	}
+	var out []platform.Item
+	for key := range newest {
+		i, err := f.Store.Get(ctx, key)
+		if err != nil {
+			return nil, fmt.Errorf("read omitted item: %w", err)
+		}
+		f.readRevisions[key] = i.Revision
+		out = append(out, i)
+	}
+	return out, nil
+}
+
+// applyChanges applies changes that lead to a revision at which the store was known to be.
+func (f *Feed) applyChanges(items []platform.Item, revision units.Revision, at clock.Time) {
+	now := f.Clock.Now()
+	f.state.RecordStoreAnswer(now, at, revision)
+	changed := false
+	for _, i := range items {
+		changed = f.apply(now, i) || changed
+	}
+	if f.state.Expire(now) || changed {
+		f.OnChange(f.state.Snapshot())
+	}
+	f.OnConfirm(at)
+}
+
 // nextDelay returns the delay before the next call, given the result of the last one.
 func (f *Feed) nextDelay(err error) time.Duration {
 	if err == nil {
@@ -101,8 +244,12 @@
 		f.synced = false
 		return 0
 	}
-	f.state.RecordStoreFailure()
 	stats.Event("store_failed")
+	if pause := f.Pause(); f.batchAt != 0 && f.Clock.Now().Sub(f.batchAt) < pause {
+		// Other gateways reach the store; this one waits for their batches.
+		return pause.Duration()
+	}
+	f.state.RecordStoreFailure()
 	if !f.storeDown {
 		klog.InfoS("feed: store does not answer", "err", err, "revision", f.state.Revision())
 	}
@@ -127,15 +274,9 @@
 		// The store responded at the end of the wait, when there was still no change.
 		at = min(started.Add(watchTimeout), now)
 	}
-	f.state.RecordStoreAnswer(now, at, rev)
-	changed := false
-	for _, i := range items {
-		changed = f.apply(now, i) || changed
-	}
-	if changed {
-		f.OnChange(f.state.Snapshot())
-	}
-	f.OnConfirm(at)
+	after := f.state.Revision()
+	f.applyChanges(items, rev, at)
+	f.OnBatch(Batch{After: after, Revision: rev, ConfirmedAt: at, Items: items})
 	return nil
 }
 
--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,162 @@
+package feed_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/feed"
+	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/view"
+)
+
+// scriptedStore is a store that holds items and counts calls. Its watches return nothing.
+type scriptedStore struct {
+	mu       sync.Mutex
+	revision units.Revision
+	items    map[string]platform.Item
+	down     bool
+	calls    map[string]int
+}
+
+var errDown = errors.New("store is down")
+
+func (s *scriptedStore) call(kind string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[kind]++
+	if s.down {
+		return errDown
+	}
+	return nil
+}
+
+func (s *scriptedStore) Range(context.Context, string) ([]platform.Item, units.Revision, error) {
+	return nil, s.revision, s.call("range")
+}
+
+func (s *scriptedStore) Watch(context.Context, string, units.Revision, clock.Span) ([]platform.Item, units.Revision, error) {
+	return nil, s.revision, s.call("watch")
+}
+
+func (s *scriptedStore) Get(_ context.Context, key string) (platform.Item, error) {
+	return s.items[key], s.call("get")
+}
+
+func (s *scriptedStore) count(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[kind]
+}
+
+// follower is a Feed whose own watches are far apart.
+type follower struct {
+	t     *testing.T
+	store *scriptedStore
+	feed  *feed.Feed
+	views chan *view.Snapshot
+	clock clock.System
+}
+
+func newFollower(t *testing.T) *follower {
+	f := &follower{
+		t: t, store: &scriptedStore{revision: 10, calls: map[string]int{}, items: map[string]platform.Item{}},
+		views: make(chan *view.Snapshot, 100),
+	}
+	f.feed = feed.New(feed.Options{
+		Clock: f.clock, Store: f.store, OnChange: func(s *view.Snapshot) { f.views <- s }, OnConfirm: func(clock.Time) {},
+		OnOtherItem: func(platform.Item) {}, OnFullRead: func(map[string]bool) {}, Pause: func() clock.Span { return clock.Minute },
+		OnBatch: func(feed.Batch) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.feed.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	f.next()
+	return f
+}
+
+// next returns the next view.
+func (f *follower) next() *view.Snapshot {
+	f.t.Helper()
+	select {
+	case s := <-f.views:
+		return s
+	case <-time.After(5 * time.Second):
+		f.t.Fatal("no change after 5 s")
+		return nil
+	}
+}
+
+func (f *follower) deliver(after, revision units.Revision, items ...platform.Item) {
+	f.feed.Deliver(feed.Batch{After: after, Revision: revision, ConfirmedAt: f.clock.Now(), Items: items})
+	time.Sleep(2 * time.Millisecond)
+}
+
+func upstream(id string, revision units.Revision) platform.Item {
+	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.1:%d","state":"ready","born":%d}`, 1000+revision, revision)
+	return platform.Item{Key: "servers/" + id, Value: []byte(value), Revision: revision}
+}
+
+// Guards against gateways that each watch the store: a gateway that receives its changes from another
+// one makes no calls, also for changes that it receives twice.
+func TestDeliveredChangesNeedNoCalls(t *testing.T) {
+	f := newFollower(t)
+	f.deliver(10, 12, upstream("one", 11), upstream("two", 12))
+	assert.Equal(t, len(f.next().Upstreams), 2)
+	f.deliver(10, 13, upstream("one", 11), upstream("two", 12), upstream("three", 13))
+	assert.Equal(t, len(f.next().Upstreams), 3)
+	f.deliver(13, 14, platform.Item{Key: "servers/one", Revision: 14, Deleted: true})
+	assert.Equal(t, len(f.next().Upstreams), 2)
+	assert.Equal(t, f.store.count("watch"), 0)
+}
+
+// Guards against a removed upstream that is in use again because changes arrive late or in the wrong
+// order.
+func TestLateChangesDontBringBackUpstreams(t *testing.T) {
+	f := newFollower(t)
+	f.deliver(10, 11, upstream("one", 11))
+	f.next()
+	f.deliver(11, 12, platform.Item{Key: "servers/one", Revision: 12, Deleted: true})
+	assert.Equal(t, len(f.next().Upstreams), 0)
+	f.deliver(10, 11, upstream("one", 11))
+	f.deliver(12, 13, upstream("two", 13))
+	s := f.next()
+	assert.Assert(t, s.Upstreams["one"] == nil && s.Upstreams["two"] != nil)
+}
+
+// Guards against missed changes: after a gap the gateway watches the store itself.
+func TestMissingChangesAreRead(t *testing.T) {
+	f := newFollower(t)
+	f.deliver(11, 12, upstream("two", 12))
+	for range 100 {
+		if f.store.count("watch") > 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the store was not read")
+}
+
+// Guards against a stale value of a key whose value was omitted, and against one read for each mention.
+func TestOmittedValueIsReadOnce(t *testing.T) {
+	f := newFollower(t)
+	f.store.items["servers/big"] = upstream("big", 15)
+	for revision := units.Revision(11); revision < 14; revision++ {
+		f.feed.Deliver(feed.Batch{
+			After: revision - 1, Revision: revision, ConfirmedAt: f.clock.Now(),
+			Omitted: []feed.OmittedItem{{Key: "servers/big", Revision: revision}},
+		})
+		time.Sleep(2 * time.Millisecond)
+	}
+	assert.Assert(t, f.next().Upstreams["big"] != nil)
+	assert.Equal(t, f.store.count("get"), 1)
+	assert.Equal(t, f.store.count("watch"), 0)
+}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -94,6 +94,8 @@
 	Name units.ServiceID
 	// ColdRate is the number of requests per second that a cold upstream can serve; 0 is no limit.
 	ColdRate float64
+	// FirstEventObjective is the shortest latency objective of the service's streams; 0 is none.
+	FirstEventObjective clock.Span
 	// Engine is nil for plain services.
 	Engine *Engine
 }
@@ -141,6 +143,21 @@
 	slices.SortStableFunc(c.routes[r.Host], func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 }
 
+// ShortestObjective returns the shortest latency objective of the streams whose routes lead to the
+// service; 0 if there is none.
+func (c *Config) ShortestObjective(service units.ServiceID) clock.Span {
+	shortest := clock.Span(0)
+	for _, routes := range c.routes {
+		for _, r := range routes {
+			leads := slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service })
+			if r.Stream && leads && r.TargetLatency > 0 && (shortest == 0 || r.TargetLatency < shortest) {
+				shortest = r.TargetLatency
+			}
+		}
+	}
+	return shortest
+}
+
 // AddService adds a service.
 func (c *Config) AddService(s *Service) { c.services[s.Name] = s }
 
--- a/member/rank.go
+++ b/member/rank.go
@@ -52,6 +52,37 @@
 	return -max(g.Cores, minWeight) / math.Log(uniform)
 }
 
+// RankStrongest is Rank for a task that needs processor time: gateways with less of it come after all
+// that have more.
+func RankStrongest(gateways []Gateway, key string) []Gateway {
+	out := Rank(gateways, key)
+	slices.SortStableFunc(out, func(a, b Gateway) int { return cmp.Compare(b.Cores, a.Cores) })
+	return out
+}
+
+// Strongest returns the gateways with at least half of the processor share of the strongest one, or
+// all if these are fewer than n.
+func Strongest(gateways []Gateway, n int) []Gateway {
+	most := 0.0
+	for _, g := range gateways {
+		most = max(most, g.Cores)
+	}
+	var out []Gateway
+	for _, g := range gateways {
+		if g.Cores >= most*strongShare {
+			out = append(out, g)
+		}
+	}
+	if len(out) < n {
+		return gateways
+	}
+	return out
+}
+
+// strongShare is the part of the strongest gateway's processor share from which on a gateway counts as
+// strong.
+const strongShare = 0.5
+
 // SpreadOverZones reorders ranked gateways so that the best ones of all availability zones come
 // first, then the second ones, and so on. Within a zone the order is kept.
 func SpreadOverZones(ranked []Gateway) []Gateway {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -26,8 +26,8 @@
 	maxDatagram = 60 << 10
 	// digestInterval is the interval between two digests. digestIntervalPerGateway is added for
 	// each gateway, so that the rate of digests that a gateway receives stays bounded.
-	digestInterval           = 160 * clock.Millisecond
-	digestIntervalPerGateway = 12 * clock.Millisecond
+	digestInterval           = 120 * clock.Millisecond
+	digestIntervalPerGateway = 5 * clock.Millisecond
 	// digestsUntilStale is the number of intervals without a digest after which the last one no
 	// longer counts as the state of its gateway, so that a single lost datagram changes nothing.
 	digestsUntilStale = 2.5
--- a/quota/pools.go
+++ b/quota/pools.go
@@ -45,7 +45,7 @@
 // setCandidates replaces the gateways to choose from.
 func (p *pools) setCandidates(candidates []member.Gateway) {
 	n := max(len(candidates)/gatewaysPerPool, minPoolGateways)
-	spread := member.SpreadOverZones(member.Rank(candidates, "quota pools"))
+	spread := member.SpreadOverZones(member.Rank(member.Strongest(candidates, n), "quota pools"))
 	p.gateways = spread[:min(n, len(spread))]
 	clear(p.ranked)
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -18,9 +18,10 @@
 	// restartBurstShare is the part of its share of a burst that a gateway starts with after a
 	// restart. The previous process may have used all of it.
 	restartBurstShare = 0.25
-	// usedToleranceShare is the part of the tolerance that is added to rates and bursts. The rest
-	// covers overdrafts and tokens that are used some time after their refill.
-	usedToleranceShare = 0.3
+	// usedRateShare and usedTokensShare are the parts of the tolerance that are added to rates and to
+	// bursts. The rest covers overdrafts and tokens that are used some time after their refill.
+	usedRateShare   = 0.3
+	usedTokensShare = 0.5
 	// demandTimeConstant is the time over which the requested rate is averaged.
 	demandTimeConstant = clock.Second
 	// reserveTime of its own requested rate is what a gateway keeps when it deposits tokens, and what
@@ -69,7 +70,7 @@
 	}
 	return &Limiter{
 		self: self, gateways: 1, pools: newPools(), initialShare: initialShare,
-		rateMargin: tolerance.Rate * usedToleranceShare, burstMargin: tolerance.Tokens * usedToleranceShare,
+		rateMargin: tolerance.Rate * usedRateShare, burstMargin: tolerance.Tokens * usedTokensShare,
 		accounts: map[units.CustomerID]*account{},
 	}
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -279,6 +279,9 @@
 	if x.httpRequest.Context().Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		x.finished = true
 		stats.Event("callers_left")
+		klog.InfoS("relay: caller left", "request", x.callerRequest.RequestID, "upstream", x.upstream, "model", x.callerRequest.Model,
+			"adapter", x.callerRequest.Adapter, "sends", x.sends, "runs", x.runs, "events", x.stream.delivered, "reason", x.reason,
+			"took", x.server.Clock.Now().Sub(x.arrivedAt), "revision", x.view.Revision)
 		return
 	}
 	x.fail(upstreamTimeout, deadlineMissed)
--- a/relay/server.go
+++ b/relay/server.go
@@ -115,14 +115,22 @@
 func (s *Server) Loads() []sched.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.Scheduler.Loads()
+	return s.Scheduler.Loads(s.Clock.Now())
 }
 
-// SetOtherLoads replaces the sums of the other gateways' loads by upstream.
-func (s *Server) SetOtherLoads(m map[units.UpstreamID]sched.Load) {
+// Unreachable returns the upstreams to which this gateway could not connect lately.
+func (s *Server) Unreachable() []units.UpstreamID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Scheduler.SetOtherLoads(m)
+	return s.Scheduler.Unreachable(s.Clock.Now())
+}
+
+// SetOtherLoads replaces the sums of the other gateways' loads by upstream. Each of them reports its
+// loads once in an interval.
+func (s *Server) SetOtherLoads(m map[units.UpstreamID]sched.Load, interval clock.Span) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Scheduler.SetOtherLoads(m, interval)
 	s.Scheduler.Dispatch(s.Clock.Now())
 }
 
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math/rand/v2"
 	"slices"
 
 	"github.com/magnolialever/magnolialever/clock"
@@ -31,20 +32,37 @@
 	plainQueuePerSlot = 1.5
 )
 
-// choice is the best upstream for a request, with counts that explain why there may be none.
-type choice struct {
-	best  *view.Entry
+// candidate is an upstream with the cost of sending it a request.
+type candidate struct {
+	entry *view.Entry
 	state *upstream
 	// estimateMs is the expected time to the first event. costMs is the score, lowest first:
 	// estimateMs plus penalties for the zone and for failures.
 	estimateMs, costMs float64
+	// waitMs is the part of estimateMs for which the prompt waits for others.
+	waitMs float64
 	// uncached is the number of prompt tokens that the upstream has to prefill.
 	uncached units.Tokens
+}
+
+// choice is the best upstream for a request, with counts that explain why there may be none.
+type choice struct {
+	// best has no entry if no upstream can take the request now.
+	best candidate
 	// members counts upstreams of the service that accept new requests, holders those of them that
 	// have loaded the model, avoided those that the request excludes.
 	members, holders, avoided int
+	// overloaded counts the holders at which so many prompts wait that one more would be late.
+	// prefillRate is the sum of their rates in tokens per millisecond, leastShare this gateway's least
+	// share of one of them, and leastExcessMs the time until the first has room.
+	overloaded    int
+	prefillRate   float64
+	leastShare    float64
+	leastExcessMs float64
 }
 
+func (c *choice) found() bool { return c.best.entry != nil }
+
 // choose returns the eligible upstream with the lowest cost.
 func (s *Scheduler) choose(now clock.Time, r *Request) choice {
 	var c choice
@@ -68,11 +86,56 @@
 		if !s.canStart(now, u, e, r) {
 			continue
 		}
-		s.consider(&c, u, e, r)
+		n := s.estimate(u, e, r)
+		if s.meetsObjective(now, &n, r) {
+			c.consider(n)
+		} else {
+			c.addOverloaded(now, &n, r)
+		}
 	}
 	return c
 }
 
+// addOverloaded counts a holder that doesn't meet the objective.
+func (c *choice) addOverloaded(now clock.Time, n *candidate, r *Request) {
+	excess, share := n.waitMs-waitLimitMs(n, r, usedObjectiveShare), n.state.share(now)
+	if c.overloaded == 0 {
+		c.leastExcessMs, c.leastShare = excess, share
+	}
+	c.leastExcessMs, c.leastShare = min(c.leastExcessMs, excess), min(c.leastShare, share)
+	c.overloaded++
+	c.prefillRate += prefillTokensPerMs / n.state.slowdown.factor
+}
+
+// recordWanted adds a request to the wanted rates of all upstreams that have loaded its model.
+func (s *Scheduler) recordWanted(now clock.Time, r *Request) {
+	if r.Service.Engine == nil {
+		return
+	}
+	var holders []*upstream
+	for id, e := range s.snap.Upstreams {
+		if e.Service == r.Service.Name && !e.Draining && !s.snap.ExcludedZones[e.Zone] {
+			if u := s.upstream(id); u.hasLoaded(now, e, r) {
+				holders = append(holders, u)
+			}
+		}
+	}
+	for _, u := range holders {
+		u.wanted.add(now, float64(r.Prompt)/float64(len(holders)))
+	}
+}
+
+// share returns the part of an upstream's room that this gateway may use: by what it wants to send
+// there, compared with the other gateways, but at least an equal part.
+func (u *upstream) share(now clock.Time) float64 {
+	equal := 1 / float64(u.otherLoad.Gateways+1)
+	own := u.wanted.at(now)
+	if own <= 0 {
+		return equal
+	}
+	return max(own/(own+u.otherLoad.WantedRate), equal)
+}
+
 // hasLoaded reports whether the upstream has the requested model and adapter in memory, by its
 // description and by recent NotLoaded outcomes.
 func (u *upstream) hasLoaded(now clock.Time, e *view.Entry, r *Request) bool {
@@ -132,24 +195,92 @@
 	return permits
 }
 
-// consider scores an eligible upstream and keeps it in c if it has the lowest cost. Equal costs
-// are decided by ID.
-func (s *Scheduler) consider(c *choice, u *upstream, e *view.Entry, r *Request) {
-	uncached := max(r.Prompt-u.cachedTokens(r.Model, r.Adapter, r.PromptParts), 0)
+// estimate returns the expected cost of sending a request to an upstream.
+func (s *Scheduler) estimate(u *upstream, e *view.Entry, r *Request) candidate {
+	n := candidate{entry: e, state: u, uncached: max(r.Prompt-u.cachedTokens(r.Model, r.Adapter, r.PromptParts), 0)}
 	running := float64(u.running + u.otherLoad.Running)
-	var estimateMs float64
 	if r.Service.Engine != nil {
-		backlog := float64(u.pendingPrefill+u.otherLoad.Backlog) + float64(uncached)
-		estimateMs = (idleDelayMs + backlog/prefillTokensPerMs + delayPerRunningMs*running) * u.slowdown.factor
+		backlog := float64(u.pendingPrefill + u.otherLoad.Backlog)
+		n.waitMs = (idleDelayMs + backlog/prefillTokensPerMs + delayPerRunningMs*running) * u.slowdown.factor
+		n.estimateMs = n.waitMs + float64(n.uncached)/prefillTokensPerMs*u.slowdown.factor
 	} else {
 		occupancy := running / float64(max(e.Slots, 1))
-		estimateMs = plainServiceMs * (1 + occupancy*occupancy)
+		n.estimateMs = plainServiceMs * (1 + occupancy*occupancy)
 	}
-	costMs := estimateMs + failurePenaltyMs*u.failureRate
+	n.costMs = n.estimateMs + failurePenaltyMs*u.failureRate
 	if e.Zone != s.zone {
-		costMs += crossZoneMs
+		n.costMs += crossZoneMs
+	}
+	return n
+}
+
+const (
+	// usedObjectiveShare is the part of the latency objective up to which prompts may wait at an
+	// upstream.
+	usedObjectiveShare = 1.2
+	// lateObjectiveShare is that part for a request that is late already. It only gets what others leave:
+	// requests that can be on time may wait at other gateways.
+	lateObjectiveShare = 0.4
+	// freeShare is the part of the latency objective up to which prompts may wait at an upstream
+	// without regard to other gateways.
+	freeShare = 0.5
+	// maxCreditPrompts bounds the credit of a gateway, in prompts of the size at hand.
+	maxCreditPrompts = 2.0
+)
+
+// meetsObjective reports whether the prompts at an upstream leave room for one more within the latency
+// objective. Beyond that a request waits here, where more urgent ones can overtake it and it can still
+// go to another upstream, instead of behind prompts that are late already.
+func (s *Scheduler) meetsObjective(now clock.Time, n *candidate, r *Request) bool {
+	u := n.state
+	if r.Service.Engine == nil || r.Service.FirstEventObjective <= 0 || u.running+u.otherLoad.Running == 0 {
+		return true
+	}
+	usedShare := usedObjectiveShare
+	if !now.Before(r.FirstEventDue) {
+		usedShare = lateObjectiveShare
+	}
+	headroomMs := waitLimitMs(n, r, usedShare) - n.waitMs
+	if headroomMs >= 0 && n.waitMs < float64(r.Service.FirstEventObjective)*freeShare {
+		return true
 	}
-	if c.best == nil || costMs < c.costMs || (costMs == c.costMs && e.ID < c.best.ID) {
-		c.best, c.state, c.estimateMs, c.costMs, c.uncached = e, u, estimateMs, costMs, uncached
+	return headroomMs >= 0 && u.hasCredit(now, headroomMs/u.slowdown.factor*prefillTokensPerMs, float64(n.uncached), s.loadInterval)
+}
+
+// waitLimitMs returns how long a prompt may wait for others at an upstream so that its first event
+// uses at most the share of the latency objective. Long prompts, which take most of that themselves,
+// may wait for a part of the objective, as they could never start under load otherwise.
+func waitLimitMs(n *candidate, r *Request, share float64) float64 {
+	objective := float64(r.Service.FirstEventObjective)
+	own := n.estimateMs - n.waitMs
+	return max(objective*share-own, objective*min(share, minWaitShare))
+}
+
+// minWaitShare is the part of the latency objective for which any prompt may wait at an upstream.
+const minWaitShare = 0.25
+
+// hasCredit reports whether this gateway may use a part of the headroom, in prompt tokens. The other gateways see the
+// same headroom until the next reports, so that each of them takes its share of it in each interval and
+// saves it up for a prompt.
+func (u *upstream) hasCredit(now clock.Time, headroom, tokens float64, interval clock.Span) bool {
+	if u.otherLoad.Gateways == 0 || interval <= 0 {
+		return true
+	}
+	share := headroom * u.share(now)
+	if u.creditAt == 0 {
+		// Gateways begin with different credits, so that they don't use them at the same time.
+		u.prefillCredit = rand.Float64() * tokens
+		u.creditAt = now
+	}
+	u.prefillCredit += share * float64(now.Sub(u.creditAt)) / float64(interval)
+	u.prefillCredit = min(u.prefillCredit, max(tokens*maxCreditPrompts, share))
+	u.creditAt = now
+	return u.prefillCredit >= tokens
+}
+
+// consider keeps a candidate if it has the lowest cost. Equal costs are decided by ID.
+func (c *choice) consider(n candidate) {
+	if !c.found() || n.costMs < c.best.costMs || (n.costMs == c.best.costMs && n.entry.ID < c.best.entry.ID) {
+		c.best = n
 	}
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -81,6 +81,8 @@
 	snap      *view.Snapshot
 	upstreams map[units.UpstreamID]*upstream
 	queue     []*Attempt
+	// loadInterval is the interval in which other gateways report their loads.
+	loadInterval clock.Span
 	// startDeadline bounds LatestStart of all requests; 0 is no bound.
 	startDeadline clock.Time
 }
@@ -143,9 +145,10 @@
 	if s.startDeadline > 0 {
 		a.LatestStart = min(a.LatestStart, s.startDeadline)
 	}
+	s.recordWanted(now, &a.Request)
 	c := s.choose(now, &a.Request)
-	if c.best != nil {
-		s.start(now, a, c)
+	if c.found() && !s.mustQueue(now, a) {
+		s.start(now, a, c.best)
 		return a
 	}
 	a.ModelMissing = a.Model != "" && c.members > 0 && c.holders == 0
@@ -160,6 +163,18 @@
 	return a
 }
 
+// mustQueue reports whether requests for the same target wait that go first. Otherwise small requests
+// that arrive would use the room for which a large one waits.
+func (s *Scheduler) mustQueue(now clock.Time, a *Attempt) bool {
+	return slices.ContainsFunc(s.queue, func(q *Attempt) bool {
+		return q.target() == a.target() && compareAttempts(q, a) <= 0 && now.Before(q.FirstEventDue) && len(q.Avoid) == 0
+	})
+}
+
+func (a *Attempt) target() serviceTarget {
+	return serviceTarget{a.Service.Name, target{a.Model, a.Adapter}}
+}
+
 func compareAttempts(a, b *Attempt) int {
 	return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.FirstEventDue, b.FirstEventDue))
 }
@@ -198,9 +213,29 @@
 	case a.ModelMissing && timeLeft < s.loadTime(a):
 		return &Refusal{units.ModelLoading, s.loadTime(a)}
 	}
+	if wait := s.expectedWait(a, c); now.Add(wait).After(a.LatestStart) {
+		return &Refusal{units.DeadlineMissed, max(wait, retryAfterBusy)}
+	}
 	return nil
 }
 
+// expectedWait returns how long a request will wait here because prompts wait at all upstreams that
+// have loaded the model; 0 if that is not the reason. The gateways that send there share what the
+// upstreams prefill.
+func (s *Scheduler) expectedWait(a *Attempt, c choice) clock.Span {
+	if c.overloaded == 0 || c.overloaded < c.holders {
+		return 0
+	}
+	tokens := a.Prompt
+	for _, q := range s.queue {
+		if q.target() == a.target() && compareAttempts(q, a) <= 0 {
+			tokens += q.Prompt
+		}
+	}
+	share := c.prefillRate * c.leastShare
+	return clock.Span(max(c.leastExcessMs, 0) + float64(tokens)/share)
+}
+
 // loadTime returns the longest time to load the requested model from the weight store. It is 0 if
 // only the adapter is missing, as adapters load in milliseconds.
 func (s *Scheduler) loadTime(a *Attempt) clock.Span {
@@ -232,40 +267,72 @@
 func (s *Scheduler) QueueLen() int { return len(s.queue) }
 
 // Dispatch starts queued requests that an upstream can take and refuses those past their latest
-// start. It returns the attempts that were dequeued.
+// start. Requests that can still meet their latency objective go first: under overload those that are
+// late already would make all others late. It returns the attempts that were dequeued.
 func (s *Scheduler) Dispatch(now clock.Time) []*Attempt {
 	var dequeued []*Attempt
-	rest := s.queue[:0]
-	for _, a := range s.queue {
-		c := s.choose(now, &a.Request)
-		switch {
-		case c.best != nil:
-			a.queued = false
-			s.start(now, a, c)
-			dequeued = append(dequeued, a)
-		case !now.Before(a.LatestStart):
-			a.queued = false
-			a.Refused = &Refusal{units.DeadlineMissed, retryAfterBusy}
-			close(a.Ready)
-			dequeued = append(dequeued, a)
-		default:
-			rest = append(rest, a)
+	blocked := map[serviceTarget]bool{}
+	for _, late := range []bool{false, true} {
+		for _, a := range s.queue {
+			if !a.queued || !now.Before(a.FirstEventDue) != late {
+				continue
+			}
+			if s.tryStart(now, a, blocked) || s.expire(now, a) {
+				dequeued = append(dequeued, a)
+			}
 		}
 	}
-	clear(s.queue[len(rest):])
-	s.queue = rest
+	if len(dequeued) > 0 {
+		s.queue = slices.DeleteFunc(s.queue, func(a *Attempt) bool { return !a.queued })
+	}
 	return dequeued
 }
 
-func (s *Scheduler) start(now clock.Time, a *Attempt, c choice) {
+// serviceTarget is what a request asks for.
+type serviceTarget struct {
+	service units.ServiceID
+	target
+}
+
+// tryStart starts a queued request if an upstream can take it. Targets for which none can are added to
+// blocked; requests for them are not tried again.
+func (s *Scheduler) tryStart(now clock.Time, a *Attempt, blocked map[serviceTarget]bool) bool {
+	t := a.target()
+	if blocked[t] {
+		return false
+	}
+	c := s.choose(now, &a.Request)
+	if !c.found() {
+		// Other requests for the target may go to upstreams that this one avoids.
+		blocked[t] = len(a.Avoid) == 0
+		return false
+	}
+	a.queued = false
+	s.start(now, a, c.best)
+	return true
+}
+
+// expire refuses a queued request that is past its latest start.
+func (s *Scheduler) expire(now clock.Time, a *Attempt) bool {
+	if now.Before(a.LatestStart) {
+		return false
+	}
+	a.queued = false
+	a.Refused = &Refusal{units.DeadlineMissed, retryAfterBusy}
+	close(a.Ready)
+	return true
+}
+
+func (s *Scheduler) start(now clock.Time, a *Attempt, c candidate) {
 	u := c.state
-	a.Upstream, a.state, a.startedAt = c.best, u, now
+	a.Upstream, a.state, a.startedAt = c.entry, u, now
 	a.pendingPrefill, a.expectedMs = c.uncached, c.estimateMs
 	a.reservedTokens = a.Prompt + a.Output
 	u.running++
 	u.reservedTokens += a.reservedTokens
 	u.pendingPrefill += a.pendingPrefill
 	u.recordStart(now)
+	u.prefillCredit -= float64(c.uncached)
 	u.recordPrefixes(now, a.Model, a.Adapter, a.PromptParts)
 	close(a.Ready)
 }
@@ -325,21 +392,53 @@
 	Tokens units.Tokens
 	// Backlog is the number of prompt tokens still to be prefilled.
 	Backlog units.Tokens
+	// Gateways is the number of gateways that have requests running at the upstream.
+	Gateways int
+	// WantedRate is the rate of prompt tokens per second of the requests for which the upstream is one
+	// of the possible ones, divided among those.
+	WantedRate float64
+}
+
+// Add returns the sum of two loads at the same upstream.
+func (l Load) Add(other Load) Load {
+	return Load{
+		Upstream: other.Upstream, Running: l.Running + other.Running, Tokens: l.Tokens + other.Tokens,
+		Backlog: l.Backlog + other.Backlog, Gateways: l.Gateways + other.Gateways, WantedRate: l.WantedRate + other.WantedRate,
+	}
 }
 
 // Loads returns the work in flight from this gateway, by upstream in no order.
-func (s *Scheduler) Loads() []Load {
+func (s *Scheduler) Loads(now clock.Time) []Load {
 	out := make([]Load, 0, len(s.upstreams))
 	for id, u := range s.upstreams {
 		if u.running > 0 {
-			out = append(out, Load{id, u.running, u.reservedTokens, u.pendingPrefill})
+			out = append(out, Load{
+				Upstream: id, Running: u.running, Tokens: u.reservedTokens, Backlog: u.pendingPrefill, Gateways: 1,
+				WantedRate: u.wanted.at(now),
+			})
+		}
+	}
+	return out
+}
+
+// unreachableTTL is how long a failed connection tells that an upstream is unreachable.
+const unreachableTTL = 1500 * clock.Millisecond
+
+// Unreachable returns the upstreams to which this gateway could not connect lately, in no order.
+func (s *Scheduler) Unreachable(now clock.Time) []units.UpstreamID {
+	var out []units.UpstreamID
+	for id, u := range s.upstreams {
+		if u.unreachableAt != 0 && now.Sub(u.unreachableAt) < unreachableTTL {
+			out = append(out, id)
 		}
 	}
 	return out
 }
 
-// SetOtherLoads replaces the summed work in flight from the other gateways.
-func (s *Scheduler) SetOtherLoads(loads map[units.UpstreamID]Load) {
+// SetOtherLoads replaces the summed work in flight from the other gateways. Each of them reports it
+// once in an interval.
+func (s *Scheduler) SetOtherLoads(loads map[units.UpstreamID]Load, interval clock.Span) {
+	s.loadInterval = interval
 	for id, u := range s.upstreams {
 		u.otherLoad = loads[id]
 	}
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"slices"
 
 	"github.com/magnolialever/magnolialever/clock"
@@ -38,7 +39,13 @@
 	reservedTokens units.Tokens
 	pendingPrefill units.Tokens
 	otherLoad      Load
-	slowdown       slowdown
+	// prefillCredit is the number of prompt tokens that this gateway may send, as of creditAt, while
+	// other gateways use the upstream too.
+	prefillCredit float64
+	creditAt      clock.Time
+	// wanted is the rate of prompt tokens that this gateway would like to send here.
+	wanted   decayingRate
+	slowdown slowdown
 	// failureRate is the moving average of failed attempts, from 0 to 1.
 	failureRate float64
 	// downUntil ends the backoff after failStreak connection failures in a row.
@@ -46,6 +53,9 @@
 	failStreak int
 	// fullUntil ends the backoff after a refusal for lack of capacity.
 	fullUntil clock.Time
+	// unreachableAt is when a connection could not be made last, unless the upstream answered since;
+	// 0 is never.
+	unreachableAt clock.Time
 	// coldUntil is when the upstream stops to count as cold after a connection failure.
 	coldUntil clock.Time
 	// place is this gateway's place in the rendezvous order for the cold-start limit; unknownPlace
@@ -90,7 +100,7 @@
 	u.replaced = false
 	if restarted {
 		clear(u.prefixes)
-		u.downUntil, u.failStreak, u.failureRate = 0, 0, 0
+		u.downUntil, u.failStreak, u.failureRate, u.unreachableAt = 0, 0, 0, 0
 		u.slowdown = slowdown{factor: 1}
 	}
 	if e.ColdFor == 0 && u.coldUntil != 0 && now.Sub(u.coldUntil.Add(-assumedColdTime)) > clock.Second {
@@ -118,6 +128,7 @@
 func (u *upstream) resetBackoff() {
 	u.failStreak = 0
 	u.downUntil = 0
+	u.unreachableAt = 0
 }
 
 func (u *upstream) recordOutcome(now clock.Time, a *Attempt, o Outcome) {
@@ -135,7 +146,10 @@
 		u.notLoadedUntil[target{a.Model, a.Adapter}] = now.Add(notLoadedBackoff)
 	case Replaced:
 		u.replaced = true
-	case Unreachable, Broken:
+	case Unreachable:
+		u.unreachableAt = now
+		u.recordConnectionFailure(now)
+	case Broken:
 		u.recordConnectionFailure(now)
 	case Canceled:
 	}
@@ -173,6 +187,25 @@
 	return n
 }
 
+// decayingRate is an exponentially decaying average of a rate per second.
+type decayingRate struct {
+	rate float64
+	// updatedAt is when rate was updated.
+	updatedAt clock.Time
+}
+
+// wantedTimeConstant is the time constant of the average.
+const wantedTimeConstant = clock.Second
+
+func (d *decayingRate) add(now clock.Time, amount float64) {
+	d.rate = d.at(now) + amount/wantedTimeConstant.Seconds()
+	d.updatedAt = now
+}
+
+func (d *decayingRate) at(now clock.Time) float64 {
+	return d.rate * math.Exp(-float64(now.Sub(d.updatedAt))/float64(wantedTimeConstant))
+}
+
 // slowdown is the moving average of observed over expected time to the first event.
 type slowdown struct {
 	factor float64
