--- a/elect/elect.go
+++ b/elect/elect.go
@@ -97,6 +97,14 @@
 // Holds reports whether this gateway has the lease, less leaseMargin.
 func (h *Elector) Holds(now clock.Time) bool { return h.epoch != 0 && now.Before(h.leaseEnd) }
 
+// LeaderUntil returns the time until which Holds is true without a renewal; 0 if it is not.
+func (h *Elector) LeaderUntil() clock.Time {
+	if h.epoch == 0 {
+		return 0
+	}
+	return h.leaseEnd
+}
+
 // OrderEpoch returns the current epoch, and whether orders may be sent under it now.
 func (h *Elector) OrderEpoch(now clock.Time) (units.Epoch, bool) {
 	return h.epoch, h.Holds(now) && !now.Before(h.ordersFrom)
--- a/entry/changes.go
+++ b/entry/changes.go
@@ -60,7 +60,7 @@
 // watchPause returns the delay between two watches of the store. Each call is billed, so the delay is
 // as long as the bounds on changes allow.
 func (g *Gateway) watchPause() clock.Span {
-	if g.leads.Load() {
+	if g.isLeader() {
 		return leaderWatchPause
 	}
 	bounds := g.bounds.Load()
--- a/entry/controller.go
+++ b/entry/controller.go
@@ -72,17 +72,25 @@
 			return nil
 		case m := <-c.gateway.inbox:
 			c.handle(m)
+			c.publishLeadership()
 			c.orders.planIfRequested(c.gateway.clock.Now())
 		case <-c.drainRequested:
 			c.draining = true
 			c.orders.resign(ctx)
+			c.publishLeadership()
 			c.sendDigest(c.gateway.clock.Now())
 		case <-t.C:
 			c.onTick()
+			c.publishLeadership()
 		}
 	}
 }
 
+// publishLeadership makes known to other goroutines until when this gateway is the leader.
+func (c *controller) publishLeadership() {
+	c.gateway.leaderUntil.Store(int64(c.orders.elector.LeaderUntil()))
+}
+
 func (c *controller) handle(m message) {
 	now := c.gateway.clock.Now()
 	switch m := m.(type) {
@@ -175,7 +183,6 @@
 	c.announceChanges(now)
 	c.gateway.relay.Tick()
 	c.orders.onTick(now)
-	c.gateway.leads.Store(c.orders.elector.Holds(now))
 	if now.Sub(c.digestSentAt) >= peers.DigestInterval(c.gatewayCount) {
 		c.sendDigest(now)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,8 +56,8 @@
 	keyValidity keyValidity
 	demand      demandMeter
 	inbox       chan message
-	// leads is set while this gateway is the leader.
-	leads atomic.Bool
+	// leaderUntil is the clock.Time until which this gateway is the leader; 0 if it is not.
+	leaderUntil atomic.Int64
 	// storeWatch is nil until the gateways are known.
 	storeWatch atomic.Pointer[storeWatch]
 	// incarnation is a random number that identifies this run of the process.
@@ -176,6 +176,9 @@
 	g.limiter.handleMessage(m, from)
 }
 
+// isLeader reports whether this gateway is the leader. It may be called from any goroutine.
+func (g *Gateway) isLeader() bool { return g.clock.Now().Before(clock.Time(g.leaderUntil.Load())) }
+
 // startCall runs a call in its own goroutine, so that the control loop doesn't block. The call
 // posts its result as a message.
 func (g *Gateway) startCall(call func(ctx context.Context)) {
--- a/entry/residency.go
+++ b/entry/residency.go
@@ -181,29 +181,41 @@
 // upstream before it counts as unreachable: a zone may only be cut off from the upstream's.
 const minUnreachableZones = 2
 
-// unreachableUpstreams returns the upstreams to which gateways of several zones could not connect, or
-// of all zones if there are fewer.
+// unreachableUpstreams returns the upstreams that count as unreachable.
 func (c *controller) unreachableUpstreams() map[units.UpstreamID]bool {
-	zones := map[units.UpstreamID]map[units.Zone]bool{}
-	report := func(id units.UpstreamID, z units.Zone) {
-		if zones[id] == nil {
-			zones[id] = map[units.Zone]bool{}
-		}
-		zones[id][z] = true
+	reports := map[units.Zone][]units.UpstreamID{c.gateway.settings.Zone: c.gateway.relay.Unreachable()}
+	for _, d := range c.gateway.peers.FreshDigests() {
+		zone := units.Zone(d.GetZone())
+		reports[zone] = append(reports[zone], toUpstreamIDs(d.GetUnreachable())...)
 	}
-	for _, id := range c.gateway.relay.Unreachable() {
-		report(id, c.gateway.settings.Zone)
+	return unreachableFromZones(reports)
+}
+
+func toUpstreamIDs(ids []string) []units.UpstreamID {
+	out := make([]units.UpstreamID, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, units.UpstreamID(id))
 	}
-	known := map[units.Zone]bool{c.gateway.settings.Zone: true}
-	for _, d := range c.gateway.peers.FreshDigests() {
-		known[units.Zone(d.GetZone())] = true
-		for _, id := range d.GetUnreachable() {
-			report(units.UpstreamID(id), units.Zone(d.GetZone()))
+	return out
+}
+
+// unreachableFromZones returns the upstreams that gateways of minUnreachableZones could not connect to,
+// or of all zones if there are fewer. The map reports has an entry for each zone with gateways.
+func unreachableFromZones(reports map[units.Zone][]units.UpstreamID) map[units.UpstreamID]bool {
+	zones := map[units.UpstreamID]map[units.Zone]bool{}
+	for zone, ids := range reports {
+		for _, id := range ids {
+			if zones[id] == nil {
+				zones[id] = map[units.Zone]bool{}
+			}
+			zones[id][zone] = true
 		}
 	}
 	out := map[units.UpstreamID]bool{}
-	for id, z := range zones {
-		out[id] = len(z) >= min(minUnreachableZones, len(known))
+	for id, from := range zones {
+		if len(from) >= min(minUnreachableZones, len(reports)) {
+			out[id] = true
+		}
 	}
 	return out
 }
--- a/entry/residency_test.go
+++ b/entry/residency_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/retry"
+	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
 
@@ -21,3 +22,11 @@
 	unbounded := decodeSuspect(0, &wire.Suspect{Fingerprint: 7, Ttl: 1 << 60})
 	assert.Equal(t, unbounded.Expires, clock.Time(0).Add(retry.SuspectTTL))
 }
+
+// Guards against models that are loaded again because one zone is cut off from a sound upstream, or
+// because single gateways can't connect to it.
+func TestOneZoneDoesNotMakeUpstreamUnreachable(t *testing.T) {
+	reports := map[units.Zone][]units.UpstreamID{"one": {"cut", "cut", "dead"}, "two": {"dead"}, "three": nil}
+	assert.DeepEqual(t, unreachableFromZones(reports), map[units.UpstreamID]bool{"dead": true})
+	assert.DeepEqual(t, unreachableFromZones(map[units.Zone][]units.UpstreamID{"one": {"dead"}}), map[units.UpstreamID]bool{"dead": true})
+}
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -14,9 +14,14 @@
 	"github.com/magnolialever/magnolialever/platform/fakes"
 )
 
+// writeBuffer is the size of the upstream's socket buffer in bytes. What the kernel takes would count as
+// read by the gateway otherwise.
+const writeBuffer = 16 << 10
+
 // flood writes the block to the caller until it closes the connection or limit bytes are written, and
 // returns the number of bytes written.
 func flood(r *fakes.Request, block string, limit int64) int64 {
+	r.LimitWriteBuffer(writeBuffer)
 	written := int64(0)
 	for written < limit && r.TryWriteRaw(block) == nil {
 		written += int64(len(block))
@@ -123,3 +128,42 @@
 	assert.Equal(t, strings.Count(got.body, "data:"), 4)
 	assert.Equal(t, totalRequests(replica), 1)
 }
+
+// Guards against a second copy of an answer that is taken for that of the next request, where the first
+// copy had no body, came in chunks or followed an informational answer, and the copy arrives late or in
+// pieces.
+func TestLateCopyIsNotTheNextAnswer(t *testing.T) {
+	for name, answer := range map[string]func(r *fakes.Request){
+		"no content": func(r *fakes.Request) {
+			r.WriteRaw("HTTP/1.1 204 No Content\r\nRequest-Id: " + r.RequestID + "\r\nServer-Stamp: s\r\n\r\n")
+		},
+		"chunked": func(r *fakes.Request) {
+			r.WriteRaw("HTTP/1.1 200 OK\r\nRequest-Id: " + r.RequestID + "\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+			r.Chunk(r.URL.Path)
+			r.WriteRaw("0\r\n\r\n")
+		},
+		"informational": func(r *fakes.Request) {
+			r.WriteRaw("HTTP/1.1 102 Processing\r\n\r\n")
+			r.Respond("200 OK", r.URL.Path)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var last *fakes.Request
+			replica := startReplica(t, "one", func(r *fakes.Request) {
+				if last != nil {
+					// The copy of the answer before arrives when the next one is expected.
+					last.RespondTo(last.RequestID, "copy")
+					time.Sleep(5 * time.Millisecond)
+				}
+				answer(r)
+				last = r
+			})
+			g := newTestGateway(t, replica)
+			for _, path := range []string{"/read/1", "/read/2", "/read/3"} {
+				got := g.get(path)
+				assert.NilError(t, got.err)
+				assert.Assert(t, got.status < 300 && (got.body == path || name == "no content" && got.body == ""), "%s: %d %q", path, got.status, got.body)
+			}
+		})
+	}
+}
