--- a/assign/plan.go
+++ b/assign/plan.go
@@ -44,7 +44,7 @@
 	engineCapacity = 40_000.0
 	// highUtilization is the share of engineCapacity above which, if all copies of a model
 	// exceed it, the model gets another copy.
-	highUtilization = 0.25
+	highUtilization = 0.15
 	// lowUtilization limits the upstreams that can get another copy of an overloaded model: their
 	// work rate is at most this share of that of the model's least-loaded copy.
 	lowUtilization = 0.7
