quota: reserve what a request has while it withdraws the rest

Change: a request's own part is deducted before it asks, and a grant belongs to it; what it does not use is credited, as are grants that arrive too late. TestConcurrentRequestsGetTheirTokens failed before.

--- a/entry/limiter.go
+++ b/entry/limiter.go
@@ -55,8 +55,10 @@
 type withdrawal struct {
 	customer *fleet.Customer
 	sentAt   clock.Time
-	// granted receives the answer.
+	// granted receives the answer, once.
 	granted chan quota.Grant
+	// abandoned is set when no request waits for the answer any longer.
+	abandoned bool
 }
 
 // depositNumber identifies a Deposits message of one gateway.
@@ -103,27 +105,20 @@
 	collected := d.Collect(func(vm units.VMID, tokens, extra float64) (quota.Grant, bool) {
 		return l.withdraw(ctx, vm, c, tokens, extra)
 	})
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.clock.Now()
-	switch {
-	case collected.Granted && l.quota.TakeWithdrawn(now, c, tokens):
-		return true, 0
-	case collected.Answered:
-		l.quota.RecordRefusal(now, c, collected.RetryAfter)
-		return false, collected.RetryAfter
-	default:
+	if !collected.Answered {
 		stats.Event("quota_pools_silent")
-		d = l.quota.TakeWithoutPools(now, c, tokens)
-		return d.Granted, d.RetryAfter
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d = l.quota.Settle(l.clock.Now(), c, d, collected)
+	return d.Granted, d.RetryAfter
 }
 
-// withdraw asks a pool for tokens and credits what it grants. It returns false if the pool does not
-// answer in time.
+// withdraw asks a pool for tokens. It returns false if the pool does not answer in time.
 func (l *rateLimiter) withdraw(ctx context.Context, vm units.VMID, c *fleet.Customer, tokens, extra float64) (quota.Grant, bool) {
 	address, id, w := l.newWithdrawal(vm, c)
 	if address == "" {
+		l.abandon(id)
 		return quota.Grant{}, false
 	}
 	l.peers.Send(&wire.Datagram{Body: &wire.Datagram_Withdrawal{Withdrawal: &wire.Withdrawal{
@@ -133,18 +128,45 @@
 	defer timeout.Stop()
 	select {
 	case g := <-w.granted:
-		l.mu.Lock()
-		l.quota.RecordAnswer(vm)
-		l.mu.Unlock()
-		return g, true
+		return g, l.endWithdrawal(id, vm, true)
 	case <-ctx.Done():
-		return quota.Grant{}, false
 	case <-timeout.C:
-		l.mu.Lock()
+		l.endWithdrawal(id, vm, false)
+	}
+	l.abandon(id)
+	return quota.Grant{}, false
+}
+
+// endWithdrawal records whether the pool on a VM has answered, and returns that.
+func (l *rateLimiter) endWithdrawal(id uint64, vm units.VMID, answered bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if answered {
+		delete(l.withdrawals, id)
+		l.quota.RecordAnswer(vm)
+	} else {
 		l.quota.RecordSilence(l.clock.Now(), vm)
-		l.mu.Unlock()
-		return quota.Grant{}, false
 	}
+	return answered
+}
+
+// abandon makes the gateway credit the answer to a withdrawal for which no request waits any longer.
+func (l *rateLimiter) abandon(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.withdrawals[id]
+	w.abandoned = true
+	select {
+	case g := <-w.granted:
+		l.credit(id, w, g)
+	default:
+	}
+}
+
+// credit adds the tokens of a grant to the gateway's bucket. The caller holds l.mu.
+func (l *rateLimiter) credit(id uint64, w *withdrawal, g quota.Grant) {
+	delete(l.withdrawals, id)
+	l.quota.Credit(l.clock.Now(), w.customer, g.Tokens)
 }
 
 // newWithdrawal registers a withdrawal at the pool on a VM, and returns the pool's address and the
@@ -192,17 +214,25 @@
 	return &wire.TokenGrant{Id: w.GetId(), Tokens: g.Tokens, Available: g.Available, RetryAfterMs: int64(g.RetryAfter)}
 }
 
-// handleGrant credits a grant once and wakes the request that waits for it.
-func (l *rateLimiter) handleGrant(g *wire.TokenGrant) {
+// handleGrant passes a grant to the request that waits for it, or credits it if none does. Each grant
+// counts once.
+func (l *rateLimiter) handleGrant(m *wire.TokenGrant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w, ok := l.withdrawals[g.GetId()]
+	w, ok := l.withdrawals[m.GetId()]
 	if !ok {
 		return
 	}
-	delete(l.withdrawals, g.GetId())
-	l.quota.Credit(l.clock.Now(), w.customer, g.GetTokens())
-	w.granted <- quota.Grant{Tokens: g.GetTokens(), Available: g.GetAvailable(), RetryAfter: clock.Span(g.GetRetryAfterMs())}
+	g := quota.Grant{Tokens: m.GetTokens(), Available: m.GetAvailable(), RetryAfter: clock.Span(m.GetRetryAfterMs())}
+	if w.abandoned {
+		l.credit(m.GetId(), w, g)
+		return
+	}
+	select {
+	case w.granted <- g:
+	default:
+		stats.Event("quota_grants_repeated")
+	}
 }
 
 // handleDeposits credits deposits unless they are a repeated or delayed message.
@@ -230,7 +260,7 @@
 	l.depositedAt = now
 	l.mu.Lock()
 	for id, w := range l.withdrawals {
-		if now.Sub(w.sentAt) > lateGrantTTL {
+		if w.abandoned && now.Sub(w.sentAt) > lateGrantTTL {
 			delete(l.withdrawals, id)
 		}
 	}
--- a/quota/account.go
+++ b/quota/account.go
@@ -110,6 +110,12 @@
 	return Decision{RetryAfter: a.delayUntil(min(tokens, capacity))}
 }
 
+// refuse records that the pools have refused tokens until a retry after the delay can succeed.
+func (a *account) refuse(now clock.Time, retryAfter clock.Span) {
+	a.retryAt = now.Add(retryAfter)
+	a.refusedUntil = now.Add(min(retryAfter, refusalTTL))
+}
+
 // delayUntil returns the time until the bucket holds the tokens.
 func (a *account) delayUntil(tokens float64) clock.Span {
 	return clock.Span((tokens-a.available)/max(a.refillRate, 1)*float64(clock.Second)) + clock.Millisecond
--- a/quota/collect.go
+++ b/quota/collect.go
@@ -5,17 +5,16 @@
 	"github.com/magnolialever/magnolialever/units"
 )
 
-// WithdrawFunc withdraws tokens from the pool on a VM and credits what it grants. It returns false if
-// the pool did not answer.
+// WithdrawFunc withdraws tokens from the pool on a VM. It returns false if the pool did not answer.
 type WithdrawFunc func(vm units.VMID, tokens, extra float64) (Grant, bool)
 
 // Collected is the result of Decision.Collect.
 type Collected struct {
-	// Granted is set if the pools have granted all tokens.
-	Granted bool
+	// Tokens is what the pools have granted.
+	Tokens float64
 	// Answered is set if a pool has answered; otherwise the pools' levels are unknown.
 	Answered bool
-	// RetryAfter is the delay after which a retry can succeed if the tokens are refused.
+	// RetryAfter is the delay after which a retry can succeed if the tokens are too few.
 	RetryAfter clock.Span
 }
 
@@ -31,7 +30,7 @@
 			continue
 		}
 		if g.Tokens > 0 {
-			return Collected{Granted: true, Answered: true}
+			return Collected{Tokens: g.Tokens, Answered: true}
 		}
 		if !out.Answered || g.RetryAfter < out.RetryAfter {
 			out.RetryAfter = g.RetryAfter
@@ -41,25 +40,24 @@
 		total += g.Available
 	}
 	if total >= d.Tokens {
-		out.Granted = d.collectParts(available, withdraw)
+		out.Tokens = d.collectParts(available, withdraw)
 	}
 	return out
 }
 
-// collectParts withdraws the tokens in parts and reports whether it got all of them. What it got
-// otherwise stays with the gateway, which deposits it again.
-func (d *Decision) collectParts(available map[units.VMID]float64, withdraw WithdrawFunc) bool {
-	left := d.Tokens
+// collectParts withdraws the tokens in parts and returns what it got.
+func (d *Decision) collectParts(available map[units.VMID]float64, withdraw WithdrawFunc) float64 {
+	collected := 0.0
 	for _, vm := range d.Withdraw {
-		part := min(left, available[vm])
-		if part <= 0 {
+		part := min(d.Tokens-collected, available[vm])
+		if part <= rounding {
 			continue
 		}
 		g, ok := withdraw(vm, part, 0)
 		if !ok || g.Tokens <= 0 {
-			return false
+			return collected
 		}
-		left -= g.Tokens
+		collected += g.Tokens
 	}
-	return left <= rounding
+	return collected
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -99,6 +99,8 @@
 	// Withdraw lists the gateways to withdraw Tokens from, one after the other. It is empty if the
 	// decision is final.
 	Withdraw []units.VMID
+	// Reserved is the part of the request's tokens that was deducted from the gateway's own bucket.
+	Reserved float64
 	// Tokens is what the request lacks, Extra what this gateway would like to have beyond it.
 	Tokens, Extra float64
 	// RetryAfter is the delay after which a retry can succeed if the tokens are refused.
@@ -126,35 +128,29 @@
 			return d
 		}
 	}
-	return Decision{
-		Withdraw: others, Tokens: tokens - max(a.available, 0), Extra: a.reserve(),
-		RetryAfter: a.delayUntil(tokens),
-	}
+	d := Decision{Withdraw: others, Reserved: max(a.available, 0), Extra: a.reserve(), RetryAfter: a.delayUntil(tokens)}
+	d.Tokens = tokens - d.Reserved
+	a.available -= d.Reserved
+	return d
 }
 
-// TakeWithoutPools decides a request when no pool has answered: it may use the gateway's own share.
-func (q *Limiter) TakeWithoutPools(now clock.Time, c *fleet.Customer, tokens float64) Decision {
+// Settle ends a decision to withdraw tokens with what was collected, and reports whether the request
+// has its tokens. What it does not use is credited. If no pool has answered, the request may use the
+// gateway's own share.
+func (q *Limiter) Settle(now clock.Time, c *fleet.Customer, d Decision, collected Collected) Decision {
 	a := q.account(now, c)
-	return a.takeFromFull(tokens, a.burst)
-}
-
-// TakeWithdrawn deducts the tokens of a request after a withdrawal for it was credited. It returns
-// false if concurrent requests have used them.
-func (q *Limiter) TakeWithdrawn(now clock.Time, c *fleet.Customer, tokens float64) bool {
-	a := q.account(now, c)
-	if a.available < tokens-rounding {
-		return false
+	a.available += d.Reserved + collected.Tokens
+	tokens := d.Reserved + d.Tokens
+	switch {
+	case collected.Tokens >= d.Tokens-rounding:
+		a.available -= tokens
+		return Decision{Granted: true}
+	case !collected.Answered:
+		return a.takeFromFull(tokens, a.burst)
+	default:
+		a.refuse(now, collected.RetryAfter)
+		return Decision{RetryAfter: collected.RetryAfter}
 	}
-	a.available -= tokens
-	return true
-}
-
-// RecordRefusal records that the pools have refused the customer's tokens until a retry after the
-// delay can succeed.
-func (q *Limiter) RecordRefusal(now clock.Time, c *fleet.Customer, retryAfter clock.Span) {
-	a := q.account(now, c)
-	a.retryAt = now.Add(retryAfter)
-	a.refusedUntil = now.Add(min(retryAfter, refusalTTL))
 }
 
 // Grant is the answer of a pool to a withdrawal.
@@ -183,7 +179,7 @@
 	return Grant{Tokens: tokens + extra}
 }
 
-// Credit adds tokens that a pool granted or that a request did not use.
+// Credit adds tokens that a pool granted too late, or that a request did not use.
 func (q *Limiter) Credit(now clock.Time, c *fleet.Customer, tokens float64) {
 	if tokens > 0 && c.Rate > 0 {
 		q.account(now, c).available += tokens
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -98,16 +98,7 @@
 	if d.Granted || len(d.Withdraw) == 0 {
 		return d.Granted
 	}
-	c := d.Collect(s.withdrawFor(now, i))
-	switch {
-	case c.Granted && q.TakeWithdrawn(now, s.customer, tokens):
-		return true
-	case c.Answered:
-		q.RecordRefusal(now, s.customer, c.RetryAfter)
-		return false
-	default:
-		return q.TakeWithoutPools(now, s.customer, tokens).Granted
-	}
+	return q.Settle(now, s.customer, d, d.Collect(s.withdrawFor(now, i))).Granted
 }
 
 // withdrawFor returns a function that makes withdrawals for gateway i.
@@ -124,7 +115,6 @@
 			return quota.Grant{}, false
 		}
 		s.gateways[i].RecordAnswer(vm)
-		s.gateways[i].Credit(now, s.customer, g.Tokens)
 		return g, true
 	}
 }
@@ -280,3 +270,27 @@
 	assert.Assert(t, q.Take(1001, lower, 5_000).Granted)
 	assert.Assert(t, !q.Take(1002, lower, 5_000).Granted)
 }
+
+// Guards against a request whose tokens another one uses while it waits for its pool, and which is
+// refused although the pool has granted them.
+func TestConcurrentRequestsGetTheirTokens(t *testing.T) {
+	s := newCluster(6, 60_000, 60_000, 1)
+	s.sendLoad(1, 4000, 0, even)
+	q := s.gateways[5]
+	const each = 8000
+	var waiting []quota.Decision
+	for range 4 {
+		d := q.Take(4000, s.customer, each)
+		assert.Assert(t, !d.Granted && len(d.Withdraw) > 0)
+		waiting = append(waiting, d)
+	}
+	var collected []quota.Collected
+	for _, d := range waiting {
+		collected = append(collected, d.Collect(s.withdrawFor(4000, 5)))
+	}
+	// A small request arrives before the others continue.
+	q.Take(4001, s.customer, 100)
+	for i, d := range waiting {
+		assert.Assert(t, q.Settle(4001, s.customer, d, collected[i]).Granted, "request %d", i)
+	}
+}
