--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -10,6 +10,7 @@
 	"github.com/magnolialever/magnolialever/feed"
 	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/platform/fakes"
 	"github.com/magnolialever/magnolialever/units"
 )
 
@@ -20,7 +21,7 @@
 	for i := range 30 {
 		b.Items = append(b.Items, platform.Item{Key: "servers/x", Value: bytes.Repeat([]byte("v"), 4000), Revision: units.Revision(101 + i)})
 	}
-	b.Items = append(b.Items, platform.Item{Key: "op/config", Value: bytes.Repeat([]byte("v"), 200_000), Revision: 139})
+	b.Items = append(b.Items, platform.Item{Key: fakes.ConfigKey, Value: bytes.Repeat([]byte("v"), 200_000), Revision: 139})
 	after, items, omitted := b.After, 0, 0
 	messages := splitChanges(b, 1000)
 	assert.Assert(t, len(messages) > 2)
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -29,6 +29,9 @@
 	return written
 }
 
+// refusalWithoutEnd stands for the head of a refusal with a long body.
+const refusalWithoutEnd = "refusal"
+
 // floodLimit is far above what a gateway may accept, in bytes.
 const floodLimit = 64 << 20
 
@@ -43,18 +46,19 @@
 	}{
 		"head":            {"/once/a", "HTTP/1.1 200 OK\r\n", line, 2 << 20},
 		"informational":   {"/once/a", "", "HTTP/1.1 102 Processing\r\n" + line + "\r\n", 2 << 20},
-		"body":            {"/once/a", "HTTP/1.1 200 OK\r\nRequest-Id: id-/once/a\r\nServer-Stamp: s\r\n\r\n", block, 16 << 20},
-		"other's body":    {"/once/a", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: s\r\nContent-Length: 999999999\r\n\r\n", block, 2 << 20},
-		"body of refusal": {"/once/a", "HTTP/1.1 503 Full\r\nRequest-Id: id-/once/a\r\nNot-Executed: 1\r\nContent-Length: 999999999\r\n\r\n", block, 2 << 20},
-		"event": {
-			"/stream/a", "HTTP/1.1 200 OK\r\nRequest-Id: id-/stream/a\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\n",
-			block, 4 << 20,
-		},
+		"body":            {"/once/a", fakes.Head("id-/once/a", "200 OK") + "\r\n", block, 16 << 20},
+		"other's body":    {"/once/a", fakes.Head("other", "200 OK") + "Content-Length: 999999999\r\n\r\n", block, 2 << 20},
+		"body of refusal": {"/once/a", refusalWithoutEnd, block, 2 << 20},
+		"event":           {"/stream/a", fakes.Head("id-/stream/a", "200 OK") + "Content-Type: text/event-stream\r\n\r\n", block, 4 << 20},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var written atomic.Int64
 			replica := startReplica(t, "one", func(r *fakes.Request) {
-				r.WriteRaw(c.start)
+				if c.start == refusalWithoutEnd {
+					r.RejectWithBody("", floodLimit)
+				} else {
+					r.WriteRaw(c.start)
+				}
 				written.Add(flood(r, c.block, floodLimit))
 				r.CloseConnection()
 			})
@@ -74,7 +78,7 @@
 // Guards against a next answer that is read from the rest of a long body: a connection may only be
 // used again when the whole body was read.
 func TestLongRefusalIsNotTheNextAnswer(t *testing.T) {
-	forged := "HTTP/1.1 200 OK\r\nRequest-Id: id-/read/a\r\nServer-Stamp: s\r\nContent-Length: 6\r\n\r\nforged"
+	forged := fakes.Head("id-/read/a", "200 OK") + "Content-Length: 6\r\n\r\nforged"
 	padding := strings.Repeat("x", 64<<10)
 	replica := startReplica(t, "one", func(r *fakes.Request) {
 		if r.Number == 1 {
@@ -135,10 +139,10 @@
 func TestLateCopyIsNotTheNextAnswer(t *testing.T) {
 	for name, answer := range map[string]func(r *fakes.Request){
 		"no content": func(r *fakes.Request) {
-			r.WriteRaw("HTTP/1.1 204 No Content\r\nRequest-Id: " + r.RequestID + "\r\nServer-Stamp: s\r\n\r\n")
+			r.WriteRaw(fakes.Head(r.RequestID, "204 No Content") + "\r\n")
 		},
 		"chunked": func(r *fakes.Request) {
-			r.WriteRaw("HTTP/1.1 200 OK\r\nRequest-Id: " + r.RequestID + "\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+			r.WriteRaw(fakes.Head(r.RequestID, "200 OK") + "Transfer-Encoding: chunked\r\n\r\n")
 			r.Chunk(r.URL.Path)
 			r.WriteRaw("0\r\n\r\n")
 		},
