entry: take test ports below those of outgoing connections

Cause: freePorts took a port that the kernel had chosen, closed it and bound it again later; meanwhile an outgoing connection could take it. No check changes.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,23 +81,39 @@
 	c.store.Put(fakes.UpstreamKeyPrefix+"llm-1", c.llm.Description(fakes.EngineService, "zone-a", state))
 }
 
+// Ports for tests lie below those that the kernel gives to outgoing connections, which could take a port
+// between its choice and its use.
+const (
+	firstTestPort = 10_000
+	testPorts     = 20_000
+)
+
+// nextTestPort is the offset of the next port to try; it begins at a random one for each process.
+var nextTestPort atomic.Int64
+
+func init() { nextTestPort.Store(int64(time.Now().Nanosecond() % testPorts)) }
+
 // freePorts returns a free TCP address and the first port of a free range for traffic between
 // gateways: a UDP port for digests and a TCP port for metrics.
 func freePorts(t *testing.T) (string, int) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	for first := 20_000 + time.Now().Nanosecond()%20_000; ; first += 2 {
-		u, err := net.ListenPacket("udp4", fmt.Sprintf("127.0.0.1:%d", first))
+	for {
+		port := firstTestPort + int(nextTestPort.Add(3)%testPorts)
+		address := fmt.Sprintf("127.0.0.1:%d", port+2)
+		u, err := net.ListenPacket("udp4", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
 		}
-		m, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+entry.MetricsPortOffset))
+		m, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+entry.MetricsPortOffset))
 		u.Close()
+		if err != nil {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		m.Close()
 		if err == nil {
-			m.Close()
-			return l.Addr().String(), first
+			l.Close()
+			return address, port
 		}
 	}
 }
