--- a/entry/controller.go
+++ b/entry/controller.go
@@ -35,6 +35,7 @@
 	snapshot *view.Snapshot
 	// confirmedAt is when the view was last known to be current.
 	confirmedAt  clock.Time
+	keyLog       keyBeliefLog
 	digestSentAt clock.Time
 	// demandSentAt is when the last digest was sent to the leader.
 	demandSentAt clock.Time
@@ -256,14 +257,16 @@
 		}
 		d, ok := byVM[m.VM]
 		fresh := ok && now.Sub(d.ReceivedAt) < revocationDelay-outageValidity-validityMargin
-		status := storeStatus{fresh: fresh}
+		status := storeStatus{gateway: m.VM, fresh: fresh}
 		if fresh {
 			status.configVersion, status.storeLost = d.GetConfig(), d.GetLost()
 			status.confirmedAt = d.ReceivedAt.Add(-clock.Span(d.GetConfirmedMs()))
 		}
 		others = append(others, status)
 	}
-	c.gateway.keyValidity.set(keysValidUntil(now, c.confirmedAt, c.storeLost(now), c.configVersion(), others, revocationDelay))
+	belief := believeKeys(now, c.confirmedAt, c.storeLost(now), c.configVersion(), others, revocationDelay)
+	c.gateway.keyValidity.set(belief.until)
+	c.keyLog.record(now, belief, c.configVersion())
 }
 
 // sendDigest sends a digest of this gateway's state to all other gateways. Only the leader gets the
--- a/feed/batch.go
+++ b/feed/batch.go
@@ -90,6 +90,7 @@
 	case !f.synced || b.Revision < revision || (b.Revision == revision && !b.ConfirmedAt.After(f.state.ConfirmedAt())):
 		return batchOld
 	case b.After > revision:
+		klog.InfoS("feed: changes before those from another gateway are missing", "revision", revision, "after", b.After)
 		return batchMissing
 	}
 	items := make([]platform.Item, 0, len(b.Items))
@@ -105,6 +106,10 @@
 	}
 	items = append(items, read...)
 	f.batchAt = f.Clock.Now()
+	if len(items) > 0 {
+		klog.InfoS("feed: changes from another gateway", "after", b.After, "revision", b.Revision, "items", len(items),
+			"read", len(read), "age", f.batchAt.Sub(b.ConfirmedAt))
+	}
 	f.applyChanges(items, b.Revision, b.ConfirmedAt)
 	return batchApplied
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -159,11 +159,23 @@
 		at = min(started.Add(watchTimeout), now)
 	}
 	after := f.state.Revision()
+	if len(items) > 0 {
+		klog.InfoS("feed: changes", "after", after, "revision", rev, "items", len(items), "bytes", valueBytes(items), "took", now.Sub(started))
+	}
 	f.applyChanges(items, rev, at)
 	f.OnBatch(Batch{After: after, Revision: rev, ConfirmedAt: at, Items: items})
 	return nil
 }
 
+// valueBytes returns the size of the items' values.
+func valueBytes(items []platform.Item) int {
+	n := 0
+	for _, i := range items {
+		n += len(i.Value)
+	}
+	return n
+}
+
 // readAll replaces the state by a full read of the store.
 func (f *Feed) readAll(ctx context.Context) error {
 	started := f.Clock.Now()
--- a/sink/sink.go
+++ b/sink/sink.go
@@ -4,9 +4,11 @@
 package sink
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -18,6 +20,9 @@
 	flushBytes = 16 << 10
 	// reportEvery is the interval between reports of dropped lines.
 	reportEvery = time.Second
+	// reservedLines is the number of lines a second that each place in the code may write beyond the
+	// rate limit, so that frequent lines don't displace rare ones.
+	reservedLines = 5
 )
 
 // Sink is an asynchronous io.Writer for log lines. Its methods are safe for concurrent use;
@@ -29,20 +34,26 @@
 	linesPerSecond int
 	// dropped counts the lines dropped since the last report.
 	dropped atomic.Int64
-	// currentSecond is the Unix time in seconds that linesThisSecond counts.
-	currentSecond   atomic.Int64
-	linesThisSecond atomic.Int64
+
+	mu sync.Mutex // guards the fields below
+	// currentSecond is the Unix time in seconds to which the counts belong.
+	currentSecond int64
+	// sharedLines counts the lines beyond the reserved ones, linesByPlace all lines by the place in the
+	// code that wrote them.
+	sharedLines  int
+	linesByPlace map[string]int
 }
 
-// New returns a Sink that writes at most rate lines per second to out.
+// New returns a Sink that writes at most linesPerSecond to out, besides reservedLines for each place in
+// the code that logs.
 func New(out io.Writer, linesPerSecond int) *Sink {
-	return &Sink{out: out, linesPerSecond: linesPerSecond, lines: make(chan []byte, queueLines)}
+	return &Sink{out: out, linesPerSecond: linesPerSecond, lines: make(chan []byte, queueLines), linesByPlace: map[string]int{}}
 }
 
 // Write queues a copy of one line and never blocks. It drops the line when the queue is full
 // or the rate limit is exceeded. The returned error is always nil.
 func (s *Sink) Write(p []byte) (int, error) {
-	if !s.allowLine(time.Now()) {
+	if !s.allowLine(time.Now().Unix(), p) {
 		s.dropped.Add(1)
 		return len(p), nil
 	}
@@ -54,12 +65,31 @@
 	return len(p), nil
 }
 
-func (s *Sink) allowLine(now time.Time) bool {
-	currentSecond := now.Unix()
-	if s.currentSecond.Swap(currentSecond) != currentSecond {
-		s.linesThisSecond.Store(0)
+// allowLine counts a line that was written in the second and reports whether it is within the limits.
+func (s *Sink) allowLine(second int64, line []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.currentSecond != second {
+		s.currentSecond, s.sharedLines = second, 0
+		clear(s.linesByPlace)
+	}
+	if place := placeOf(line); place != "" {
+		s.linesByPlace[place]++
+		if s.linesByPlace[place] <= reservedLines {
+			return true
+		}
+	}
+	s.sharedLines++
+	return s.sharedLines <= s.linesPerSecond
+}
+
+// placeOf returns the file and line number in the header of a log line; empty if there is no header.
+func placeOf(line []byte) string {
+	header, _, ok := bytes.Cut(line, []byte("] "))
+	if !ok {
+		return ""
 	}
-	return s.linesThisSecond.Add(1) <= int64(s.linesPerSecond)
+	return string(header[bytes.LastIndexByte(header, ' ')+1:])
 }
 
 // Run writes queued lines until ctx is canceled. Before it returns, it writes one last batch
--- a/sink/sink_test.go
+++ b/sink/sink_test.go
@@ -60,3 +60,22 @@
 	assert.Assert(t, lines >= 20 && lines <= 40, "%d lines written, limit 20 per second over at most two seconds", lines)
 	assert.Assert(t, strings.Contains(out.String(), "log lines were omitted"))
 }
+
+// Guards against rare lines that are lost among frequent ones, and against an unbounded volume of lines
+// with a header.
+func TestFrequentLinesDontDisplaceRareOnes(t *testing.T) {
+	const frequent = "I0622 18:17:39.001171    5013 feed.go:219] upstream\n"
+	const rare = "I0622 18:17:39.001171    5013 validity.go:60] keys not accepted\n"
+	var out bytes.Buffer
+	s := sink.New(&out, 20)
+	for range 300 {
+		_, err := s.Write([]byte(frequent))
+		assert.NilError(t, err)
+	}
+	_, err := s.Write([]byte(rare))
+	assert.NilError(t, err)
+	run(s)()
+	assert.Equal(t, strings.Count(out.String(), rare), 1)
+	lines := strings.Count(out.String(), frequent)
+	assert.Assert(t, lines >= 20 && lines <= 50, "%d lines written, limit 25 per second over at most two seconds", lines)
+}
