--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -284,6 +284,28 @@
 	}
 }
 
+// Guards against a withdrawn API key that is accepted without limit because all gateways have lost the
+// store, while the operator reaches it.
+func TestWithdrawnKeyIsRefusedWhenAllLoseStore(t *testing.T) {
+	c := newCluster(t, 3)
+	time.Sleep(700 * time.Millisecond)
+	c.store.SetStatus(http.StatusServiceUnavailable)
+	time.Sleep(100 * time.Millisecond)
+	c.store.Put(fakes.ConfigKey, fakes.Config(5, "other"))
+	refusedFrom := time.Now().Add(c.gateways[0].settings.Bounds.RevocationDelay.Duration())
+	for end := refusedFrom.Add(2 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for i, g := range c.gateways {
+			sentAt := time.Now()
+			status := c.responseStatus(g, "/once/a", apiKey)
+			assert.Assert(t, status != http.StatusOK || sentAt.Before(refusedFrom), "gateway %d accepts the key %v too late", i, sentAt.Sub(refusedFrom))
+		}
+	}
+	c.store.SetStatus(0)
+	for i, g := range c.gateways {
+		c.waitFor(fmt.Sprintf("gateway %d accepts the new key", i), func() bool { return c.responseStatus(g, "/once/a", "other") == http.StatusOK })
+	}
+}
+
 // Guards against requests that are cut off by a planned stop, and a gateway that reports readiness
 // while it drains.
 func TestPlannedStopFinishesRequests(t *testing.T) {
