--- a/entry/controller.go
+++ b/entry/controller.go
@@ -15,15 +15,8 @@
 	"github.com/magnolialever/magnolialever/wire"
 )
 
-const (
-	// tickInterval is the interval between two ticks of the control loop.
-	tickInterval = 40 * time.Millisecond
-	// storeLostAfter is the age of the store's last confirmation above which the store counts as
-	// lost.
-	storeLostAfter = 1800 * clock.Millisecond
-	// storeLostPauses is the number of pauses between watches that it is at least.
-	storeLostPauses = 1.5
-)
+// tickInterval is the interval between two ticks of the control loop.
+const tickInterval = 40 * time.Millisecond
 
 // controller is the state of a gateway's control loop. One goroutine runs the loop and calls all
 // methods.
@@ -234,17 +227,9 @@
 	return c.snapshot.Config.Version
 }
 
-// storeLost reports whether the last confirmation is so old that the store counts as lost.
-func (c *controller) storeLost(now clock.Time) bool {
-	limit := max(storeLostAfter, clock.Span(float64(c.gateway.watchPause())*storeLostPauses))
-	return now.Sub(c.confirmedAt) > limit
-}
-
 // updateKeyValidity extends the time until which API keys are accepted, from this gateway's and the
 // other gateways' last confirmations by the store.
 func (c *controller) updateKeyValidity(now clock.Time) {
-	// A report of a lost store that is older than this proves nothing: the store may have answered
-	// others again, and a key may be withdrawn by now.
 	revocationDelay := c.gateway.bounds.Load().RevocationDelay
 	byVM := map[units.VMID]peers.Digest{}
 	for _, d := range c.gateway.peers.FreshDigests() {
@@ -256,15 +241,13 @@
 			continue
 		}
 		d, ok := byVM[m.VM]
-		fresh := ok && now.Sub(d.ReceivedAt) < revocationDelay-outageValidity-validityMargin
-		status := storeStatus{gateway: m.VM, fresh: fresh}
-		if fresh {
-			status.configVersion, status.storeLost = d.GetConfig(), d.GetLost()
-			status.confirmedAt = d.ReceivedAt.Add(-clock.Span(d.GetConfirmedMs()))
+		if ok {
+			others = append(others, storeStatus{
+				gateway: m.VM, configVersion: d.GetConfig(), confirmedAt: d.ReceivedAt.Add(-clock.Span(d.GetConfirmedMs())),
+			})
 		}
-		others = append(others, status)
 	}
-	belief := believeKeys(now, c.confirmedAt, c.storeLost(now), c.configVersion(), others, revocationDelay)
+	belief := believeKeys(now, c.confirmedAt, c.configVersion(), others, revocationDelay)
 	c.gateway.keyValidity.set(belief.until)
 	c.keyLog.record(now, belief, c.configVersion())
 }
@@ -301,7 +284,7 @@
 	c.digestNumber++
 	d := &wire.Digest{
 		Vm: string(c.gateway.settings.VM), Life: c.gateway.incarnation, Number: c.digestNumber, Zone: string(c.gateway.settings.Zone),
-		Config: c.configVersion(), ConfirmedMs: int64(now.Sub(c.confirmedAt)), Lost: c.storeLost(now), Leaving: c.draining,
+		Config: c.configVersion(), ConfirmedMs: int64(now.Sub(c.confirmedAt)), Leaving: c.draining,
 	}
 	for _, l := range c.gateway.relay.Loads() {
 		d.Shares = append(d.Shares, encodeLoad(l))
--- a/entry/validity.go
+++ b/entry/validity.go
@@ -10,16 +10,9 @@
 	"github.com/magnolialever/magnolialever/units"
 )
 
-const (
-	// validityMargin is subtracted from the time for which API keys are accepted after the store
-	// has confirmed them, because of the network delay to callers and to the store.
-	validityMargin = 300 * clock.Millisecond
-	// outageValidity is how long API keys are accepted after all gateways were last known to have
-	// lost the store. No key can be withdrawn while the store serves nobody.
-	outageValidity = clock.Second
-	// minOutageReports is the least number of other gateways that have to report the loss.
-	minOutageReports = 2
-)
+// validityMargin is subtracted from the time for which API keys are accepted after the store
+// has confirmed them, because of the network delay to callers and to the store.
+const validityMargin = 300 * clock.Millisecond
 
 // keyValidity holds until when customers' API keys are accepted. A withdrawn key must be rejected
 // within platform.Bounds.RevocationDelay, also by a gateway that is disconnected from the store and
@@ -42,7 +35,6 @@
 	fromNobody  validitySource = "none"
 	fromStore   validitySource = "store"
 	fromGateway validitySource = "gateway"
-	fromOutage  validitySource = "outage"
 )
 
 // keyBelief is what a gateway believes about the API keys of its configuration.
@@ -85,10 +77,6 @@
 	configVersion int64
 	// confirmedAt is when the store last confirmed that version to the gateway.
 	confirmedAt clock.Time
-	// storeLost is set if the gateway has lost the store.
-	storeLost bool
-	// fresh is set if the report is recent; otherwise the other fields are not set.
-	fresh bool
 }
 
 // validUntil returns until when keys may be accepted that the store confirmed at a time; 0 if it never
@@ -101,19 +89,15 @@
 }
 
 // believeKeys returns until when this gateway may accept the API keys of its configuration, and why.
-// confirmedAt is when the store last confirmed that configuration to it, 0 for never; a fresh
-// confirmation of the same version by another gateway counts as well. If all gateways have lost the
-// store with the same version, the keys stay valid for outageValidity from now.
-func believeKeys(
-	now, confirmedAt clock.Time, storeLost bool, configVersion int64, others []storeStatus, revocationDelay clock.Span,
-) keyBelief {
+// confirmedAt is when the store last confirmed that configuration to it, 0 for never; a
+// confirmation of the same version by another gateway counts as well. That gateways don't reach the
+// store tells nothing: operators may.
+func believeKeys(now, confirmedAt clock.Time, configVersion int64, others []storeStatus, revocationDelay clock.Span) keyBelief {
 	b := keyBelief{confirmedAt: confirmedAt, source: fromStore}
-	lostByAll := storeLost && len(others) >= minOutageReports
 	for _, o := range others {
-		if o.fresh && o.configVersion == configVersion && o.confirmedAt.After(b.confirmedAt) {
+		if o.configVersion == configVersion && o.confirmedAt.After(b.confirmedAt) {
 			b = keyBelief{confirmedAt: o.confirmedAt, source: fromGateway, gateway: o.gateway}
 		}
-		lostByAll = lostByAll && o.fresh && o.storeLost && o.configVersion == configVersion
 	}
 	switch own := validUntil(confirmedAt, revocationDelay); {
 	case b.confirmedAt == 0:
@@ -122,8 +106,5 @@
 		b.source, b.gateway = fromStore, ""
 	}
 	b.until = validUntil(b.confirmedAt, revocationDelay)
-	if until := now.Add(outageValidity); lostByAll && until.After(b.until) {
-		b.until, b.source, b.gateway = until, fromOutage, ""
-	}
 	return b
 }
