--- a/entry/changes.go
+++ b/entry/changes.go
@@ -21,6 +21,9 @@
 	// a gateway may spend between two watches.
 	watchPauseShare = 1.0 / 3
 	maxWatchPause   = 1500 * clock.Millisecond
+	// confirmShare is the part of the delay of revocation after which the store is asked again whether
+	// the view is current.
+	confirmShare = 0.2
 	// watchersPerZone is the number of gateways of an availability zone that watch the store and send
 	// its changes to the others there.
 	watchersPerZone = 2
@@ -72,6 +75,11 @@
 	return pause
 }
 
+// confirmInterval returns the age of a confirmation by the store from which on it is renewed.
+func (g *Gateway) confirmInterval() clock.Span {
+	return clock.Span(float64(g.bounds.Load().RevocationDelay) * confirmShare)
+}
+
 // sendChanges sends the changes that a watch has returned to the gateways of the zone that rely on it.
 func (g *Gateway) sendChanges(b feed.Batch) {
 	w := g.storeWatch.Load()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -114,6 +114,8 @@
 		OnFullRead:  func(keys map[string]bool) { g.post(fullReadDone{keys}) },
 		Pause:       g.watchPause,
 		OnBatch:     g.sendChanges,
+
+		ConfirmInterval: g.confirmInterval,
 	})
 	return g, nil
 }
--- a/feed/batch.go
+++ b/feed/batch.go
@@ -18,7 +18,7 @@
 type Batch struct {
 	// After is the revision that the changes follow, Revision the one that they lead to.
 	After, Revision units.Revision
-	// ConfirmedAt is when the store was known to be at Revision.
+	// ConfirmedAt is a time at which the store was at Revision or an earlier one; 0 if none is known.
 	ConfirmedAt clock.Time
 	Items       []platform.Item
 	// Omitted are further items whose values have to be read from the store.
@@ -110,7 +110,9 @@
 		klog.InfoS("feed: changes from another gateway", "after", b.After, "revision", b.Revision, "items", len(items),
 			"read", len(read), "age", f.batchAt.Sub(b.ConfirmedAt))
 	}
-	f.applyChanges(items, b.Revision, b.ConfirmedAt)
+	f.applyChanges(items, b.Revision)
+	f.state.RecordStoreRevision(b.ConfirmedAt, b.Revision)
+	f.OnConfirm(f.state.ConfirmedAt())
 	return batchApplied
 }
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -18,8 +18,7 @@
 )
 
 const (
-	// watchTimeout is how long the store holds a watch open without a change. It bounds the
-	// age of the view.
+	// watchTimeout is how long the store holds a watch open without a change.
 	watchTimeout = clock.Second
 	// minRetryDelay and maxRetry bound the backoff after a failed call, before jitter.
 	minRetryDelay = 150 * time.Millisecond
@@ -30,9 +29,13 @@
 type Store interface {
 	// Range returns all items under the prefix and the revision of the store at that time.
 	Range(ctx context.Context, prefix string) ([]platform.Item, units.Revision, error)
-	// Watch returns the changes after a revision, with the revision that they lead to. Without a
-	// change it returns no items after the time wait. It fails with an error that wraps
-	// platform.ErrCompacted when the store no longer has the changes after that revision.
+	// Revision returns the revision of the store. All changes that were acknowledged before the call
+	// have that revision or an earlier one.
+	Revision(ctx context.Context) (units.Revision, error)
+	// Watch returns the first changes after a revision, with the revision that they lead to. Without a
+	// change, or if it does not hear of any, it returns no items after the time wait. It fails with an
+	// error that wraps platform.ErrCompacted when the store no longer has the changes after that
+	// revision.
 	Watch(ctx context.Context, prefix string, after units.Revision, wait clock.Span) ([]platform.Item, units.Revision, error)
 	// Get returns the item under a key.
 	Get(ctx context.Context, key string) (platform.Item, error)
@@ -45,8 +48,7 @@
 	Store Store
 	// OnChange is called with the new view after each change.
 	OnChange func(s *view.Snapshot)
-	// OnConfirm is called after each successful call to the store; the view was current at the
-	// time.
+	// OnConfirm is called with the latest time as of which the view is known to have been current.
 	OnConfirm func(at clock.Time)
 	// OnOtherItem is called for items that are not part of the view, such as the keys of other
 	// gateways.
@@ -56,6 +58,8 @@
 	// Pause returns the delay before the next watch, from the last confirmation on. Each call to the
 	// store is billed, so the delay batches changes that come close together.
 	Pause func() clock.Span
+	// ConfirmInterval returns the least age of a confirmation before the store's revision is read again.
+	ConfirmInterval func() clock.Span
 	// OnBatch is called after each watch with the changes that it returned, none included.
 	OnBatch func(b Batch)
 }
@@ -100,10 +104,11 @@
 	}
 }
 
-// applyChanges applies changes that lead to a revision at which the store was known to be.
-func (f *Feed) applyChanges(items []platform.Item, revision units.Revision, at clock.Time) {
+// applyChanges applies the changes up to a revision.
+func (f *Feed) applyChanges(items []platform.Item, revision units.Revision) {
 	now := f.Clock.Now()
-	f.state.RecordStoreAnswer(now, at, revision)
+	f.state.RecordStoreAnswer(now)
+	f.state.Advance(revision)
 	changed := false
 	for _, i := range items {
 		changed = f.apply(now, i) || changed
@@ -111,7 +116,6 @@
 	if f.state.Expire(now) || changed {
 		f.OnChange(f.state.Snapshot())
 	}
-	f.OnConfirm(at)
 }
 
 // nextDelay returns the delay before the next call, given the result of the last one.
@@ -121,6 +125,9 @@
 			klog.InfoS("feed: store answers again", "revision", f.state.Revision())
 		}
 		f.storeDown, f.retryDelay = false, 0
+		if f.state.Behind() {
+			return minRetryDelay
+		}
 		return f.Pause().Duration()
 	}
 	if errors.Is(err, platform.ErrCompacted) {
@@ -142,28 +149,72 @@
 	return f.retryDelay/2 + rand.N(f.retryDelay/2+1)
 }
 
-// sync makes one call to the store: a full read, or a watch once the state is synced.
+// sync reads the store: all of it, or the next changes once the state is synced.
 func (f *Feed) sync(ctx context.Context) error {
 	if !f.synced {
 		return f.readAll(ctx)
 	}
+	after := f.state.Revision()
+	watched := f.startWatch(ctx, after)
+	readErr := f.readRevision(ctx)
+	w := <-watched
+	if w.err != nil {
+		return w.err
+	}
+	f.applyWatch(w)
+	if readErr == nil {
+		// After a watch that waited, the confirmation from its start is old.
+		readErr = f.readRevision(ctx)
+	}
+	f.OnConfirm(f.state.ConfirmedAt())
+	f.OnBatch(Batch{After: after, Revision: f.state.Revision(), ConfirmedAt: f.state.ConfirmedAt(), Items: w.items})
+	return readErr
+}
+
+// watchResult is the result of a watch.
+type watchResult struct {
+	items    []platform.Item
+	revision units.Revision
+	took     clock.Span
+	err      error
+}
+
+// startWatch watches for changes after the revision in another goroutine and returns the channel that
+// receives the result.
+func (f *Feed) startWatch(ctx context.Context, after units.Revision) <-chan watchResult {
+	watched := make(chan watchResult, 1)
 	started := f.Clock.Now()
-	items, rev, err := f.Store.Watch(ctx, "", f.state.Revision(), watchTimeout)
-	if err != nil {
-		return err
+	go func() {
+		items, revision, err := f.Store.Watch(ctx, "", after, watchTimeout)
+		watched <- watchResult{items, revision, f.Clock.Now().Sub(started), err}
+	}()
+	return watched
+}
+
+// applyWatch applies the changes that a watch has returned.
+func (f *Feed) applyWatch(w watchResult) {
+	if len(w.items) > 0 {
+		klog.InfoS("feed: changes", "after", f.state.Revision(), "revision", w.revision, "items", len(w.items),
+			"bytes", valueBytes(w.items), "took", w.took)
 	}
-	now := f.Clock.Now()
-	at := started
-	if len(items) == 0 {
-		// The store responded at the end of the wait, when there was still no change.
-		at = min(started.Add(watchTimeout), now)
+	f.applyChanges(w.items, w.revision)
+	if f.state.Behind() {
+		klog.InfoS("feed: not all changes received", "revision", f.state.Revision())
 	}
-	after := f.state.Revision()
-	if len(items) > 0 {
-		klog.InfoS("feed: changes", "after", after, "revision", rev, "items", len(items), "bytes", valueBytes(items), "took", now.Sub(started))
+}
+
+// readRevision reads the revision of the store, unless the state was confirmed a short time ago.
+func (f *Feed) readRevision(ctx context.Context) error {
+	started := f.Clock.Now()
+	if started.Sub(f.state.ConfirmedAt()) < f.ConfirmInterval() {
+		return nil
+	}
+	revision, err := f.Store.Revision(ctx)
+	if err != nil {
+		return err
 	}
-	f.applyChanges(items, rev, at)
-	f.OnBatch(Batch{After: after, Revision: rev, ConfirmedAt: at, Items: items})
+	f.state.RecordStoreRevision(started, revision)
+	f.OnConfirm(f.state.ConfirmedAt())
 	return nil
 }
 
@@ -184,7 +235,9 @@
 		return err
 	}
 	now := f.Clock.Now()
-	f.state.RecordStoreAnswer(now, started, rev)
+	f.state.RecordStoreAnswer(now)
+	f.state.Advance(rev)
+	f.state.RecordStoreRevision(started, rev)
 	upstreams, zonesOut, keys := map[units.UpstreamID]bool{}, map[units.Zone]bool{}, map[string]bool{}
 	for _, i := range items {
 		keys[i.Key] = true
@@ -204,7 +257,7 @@
 	f.OnFullRead(keys)
 	f.synced = true
 	f.OnChange(f.state.Snapshot())
-	f.OnConfirm(started)
+	f.OnConfirm(f.state.ConfirmedAt())
 	klog.InfoS("feed: full state read", "items", len(items), "revision", rev)
 	return nil
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -42,6 +42,10 @@
 	return nil, s.revision, s.call("range")
 }
 
+func (s *scriptedStore) Revision(context.Context) (units.Revision, error) {
+	return s.revision, s.call("revision")
+}
+
 func (s *scriptedStore) Watch(context.Context, string, units.Revision, clock.Span) ([]platform.Item, units.Revision, error) {
 	return nil, s.revision, s.call("watch")
 }
@@ -73,7 +77,8 @@
 	f.feed = feed.New(feed.Options{
 		Clock: f.clock, Store: f.store, OnChange: func(s *view.Snapshot) { f.views <- s }, OnConfirm: func(clock.Time) {},
 		OnOtherItem: func(platform.Item) {}, OnFullRead: func(map[string]bool) {}, Pause: func() clock.Span { return clock.Minute },
-		OnBatch: func(feed.Batch) {},
+		ConfirmInterval: func() clock.Span { return clock.Second },
+		OnBatch:         func(feed.Batch) {},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/view/view.go
+++ b/view/view.go
@@ -42,8 +42,12 @@
 // State is the state that reads and watch events of the store update.
 type State struct {
 	snap Snapshot
-	// confirmedAt is the latest time as of which the state matched the store.
+	// confirmedAt is the latest time as of which the state is known to have matched the store.
 	confirmedAt clock.Time
+	// storeAt is a time at which the store was at storeRevision or an earlier one. The state is
+	// confirmed as of that time once it has reached that revision.
+	storeAt       clock.Time
+	storeRevision units.Revision
 	// failing is set while calls to the store fail.
 	failing bool
 	// recoveredAt is when the store answered after the last outage; 0 is never.
@@ -66,21 +70,44 @@
 // Revision returns the store revision up to which changes have been applied.
 func (s *State) Revision() units.Revision { return s.snap.Revision }
 
-// ConfirmedAt returns the latest time as of which the state matched the store.
+// ConfirmedAt returns the latest time as of which the state is known to have matched the store; 0 is
+// never.
 func (s *State) ConfirmedAt() clock.Time { return s.confirmedAt }
 
 // RecordStoreFailure records that a call to the store failed. Entries of live upstreams may expire
 // until it answers.
 func (s *State) RecordStoreFailure() { s.failing = true }
 
-// RecordStoreAnswer records that the state matches the store up to the revision, as of asOf. The
-// answer arrived at now.
-func (s *State) RecordStoreAnswer(now, asOf clock.Time, revision units.Revision) {
+// RecordStoreAnswer records that a call to the store succeeded.
+func (s *State) RecordStoreAnswer(now clock.Time) {
 	if s.failing {
 		s.failing, s.recoveredAt = false, now
 	}
-	s.confirmedAt = max(s.confirmedAt, asOf)
+}
+
+// Advance records that all changes up to the revision have been applied.
+func (s *State) Advance(revision units.Revision) {
 	s.snap.Revision = max(s.snap.Revision, revision)
+	s.confirm()
+}
+
+// RecordStoreRevision records that the store was at the revision, or an earlier one, at a time. While
+// the state has not reached a revision recorded earlier, later ones are ignored: it is reached first.
+func (s *State) RecordStoreRevision(at clock.Time, revision units.Revision) {
+	if s.Behind() {
+		return
+	}
+	s.storeAt, s.storeRevision = at, revision
+	s.confirm()
+}
+
+// Behind reports whether the store is known to have changes that were not applied.
+func (s *State) Behind() bool { return s.snap.Revision < s.storeRevision }
+
+func (s *State) confirm() {
+	if !s.Behind() {
+		s.confirmedAt = max(s.confirmedAt, s.storeAt)
+	}
 }
 
 // mayReregister reports whether live upstreams may not have written their entries again since an
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -24,10 +24,10 @@
 // outage, and the removed entry stayed for two seconds.
 func TestRemovedAtOnceWhileQuiet(t *testing.T) {
 	s := view.New()
-	s.RecordStoreAnswer(1000, 1000, 1)
+	s.RecordStoreAnswer(1000)
 	s.SetUpstream(1000, upstream("one"))
-	s.RecordStoreAnswer(2900, 2900, 1)
-	s.RecordStoreAnswer(4800, 4800, 2)
+	s.RecordStoreAnswer(2900)
+	s.RecordStoreAnswer(4800)
 	s.Remove(4800, "one")
 	assert.Assert(t, !has(s, "one"))
 }
@@ -36,11 +36,11 @@
 // upstreams expire meanwhile and are written again within two seconds.
 func TestLapsedEntriesStayAfterOutage(t *testing.T) {
 	s := view.New()
-	s.RecordStoreAnswer(1000, 1000, 1)
+	s.RecordStoreAnswer(1000)
 	s.SetUpstream(1000, upstream("one"))
 	s.SetUpstream(1000, upstream("two"))
 	s.RecordStoreFailure()
-	s.RecordStoreAnswer(6000, 6000, 5)
+	s.RecordStoreAnswer(6000)
 	s.RemoveUnlisted(6000, map[units.UpstreamID]bool{}, nil)
 	assert.Assert(t, has(s, "one") && has(s, "two"))
 	s.SetUpstream(7000, upstream("two"))
@@ -57,7 +57,7 @@
 	u.Draining = true
 	s.SetUpstream(1000, u)
 	s.RecordStoreFailure()
-	s.RecordStoreAnswer(6000, 6000, 5)
+	s.RecordStoreAnswer(6000)
 	s.Remove(6000, "one")
 	assert.Assert(t, !has(s, "one"))
 }
@@ -103,3 +103,19 @@
 	s.SetUpstream(4000, forged)
 	assert.Assert(t, has(s, "after"), "an entry of an unknown service claims no address")
 }
+
+// Guards against a state that counts as current before it has the changes that the store had.
+func TestConfirmedOnceRevisionIsReached(t *testing.T) {
+	s := view.New()
+	s.RecordStoreRevision(1000, 40)
+	assert.Equal(t, s.ConfirmedAt(), clock.Time(0))
+	s.Advance(39)
+	s.RecordStoreRevision(2000, 80)
+	assert.Equal(t, s.ConfirmedAt(), clock.Time(0))
+	s.Advance(41)
+	assert.Equal(t, s.ConfirmedAt(), clock.Time(1000))
+	s.RecordStoreRevision(3000, 41)
+	assert.Equal(t, s.ConfirmedAt(), clock.Time(3000))
+	s.RecordStoreRevision(2500, 41)
+	assert.Equal(t, s.ConfirmedAt(), clock.Time(3000), "an older confirmation that arrives late changes nothing")
+}
