--- a/feed/batch.go
+++ b/feed/batch.go
@@ -116,8 +116,9 @@
 	return batchApplied
 }
 
-// readOmitted reads the newest values of items that changed after the revision, each once. An item that
-// was read at a later revision than stated is not read again for that revision.
+// readOmitted reads the newest values of items that changed after the revision, each once, or none if one
+// can't be read. An item that was read at a later revision than stated is not read again for that
+// revision.
 func (f *Feed) readOmitted(ctx context.Context, after units.Revision, omitted []OmittedItem) ([]platform.Item, error) {
 	newest := map[string]units.Revision{}
 	for _, o := range omitted {
@@ -131,8 +132,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("read omitted item: %w", err)
 		}
-		f.readRevisions[key] = i.Revision
 		out = append(out, i)
 	}
+	for _, i := range out {
+		f.readRevisions[i.Key] = i.Revision
+	}
 	return out, nil
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -22,8 +22,9 @@
 	mu       sync.Mutex
 	revision units.Revision
 	items    map[string]platform.Item
-	down     bool
 	calls    map[string]int
+	// failing holds the kinds of calls, and the keys, that fail.
+	failing map[string]bool
 }
 
 var errDown = errors.New("store is down")
@@ -32,12 +33,29 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[kind]++
-	if s.down {
+	if s.failing[kind] {
 		return errDown
 	}
 	return nil
 }
 
+// fail makes calls of the kinds, and of the keys, fail, and no others.
+func (s *scriptedStore) fail(kinds ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = map[string]bool{}
+	for _, k := range kinds {
+		s.failing[k] = true
+	}
+}
+
+// put sets the value under a key.
+func (s *scriptedStore) put(i platform.Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items[i.Key] = i
+}
+
 func (s *scriptedStore) Range(context.Context, string) ([]platform.Item, units.Revision, error) {
 	return nil, s.revision, s.call("range")
 }
@@ -51,7 +69,13 @@
 }
 
 func (s *scriptedStore) Get(_ context.Context, key string) (platform.Item, error) {
-	return s.items[key], s.call("get")
+	err := s.call("get")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failing[key] {
+		err = errDown
+	}
+	return s.items[key], err
 }
 
 func (s *scriptedStore) count(kind string) int {
@@ -165,3 +189,24 @@
 	assert.Equal(t, f.store.count("get"), 1)
 	assert.Equal(t, f.store.count("watch"), 0)
 }
+
+// Guards against a change that is lost because another one beside it could not be read.
+func TestOmittedValueIsKeptWhenAnotherFails(t *testing.T) {
+	f := newFollower(t)
+	f.store.fail("watch", "revision", "servers/other")
+	f.store.put(upstream("big", 11))
+	f.store.put(upstream("other", 12))
+	b := feed.Batch{
+		After: 10, Revision: 12, ConfirmedAt: f.clock.Now(),
+		Omitted: []feed.OmittedItem{{Key: "servers/big", Revision: 11}, {Key: "servers/other", Revision: 12}},
+	}
+	for range 8 {
+		// The order in which values are read varies.
+		f.feed.Deliver(b)
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.store.fail("watch", "revision")
+	f.feed.Deliver(b)
+	s := f.next()
+	assert.Assert(t, s.Upstreams["big"] != nil && s.Upstreams["other"] != nil, "revision %d without all of its changes", s.Revision)
+}
