--- a/entry/changes.go
+++ b/entry/changes.go
@@ -33,6 +33,8 @@
 	// maxChangesBytes is the size of the items in a message about changes, in bytes. A longer one
 	// might not fit a datagram.
 	maxChangesBytes = 40 << 10
+	// noConfirmationMs is the age, in milliseconds, of changes that confirm nothing.
+	noConfirmationMs = 1 << 40
 )
 
 // storeWatch says which part a gateway has in watching the store. It is replaced as a whole.
@@ -91,12 +93,11 @@
 	}
 }
 
-// splitChanges encodes a batch as messages that continue each other. The values of items that are too
-// long for a message are omitted.
+// splitChanges encodes a batch as messages that continue each other. Only the last one confirms a view,
+// as the others lack changes. The values of items that are too long for a message are omitted.
 func splitChanges(b feed.Batch, now clock.Time) []*wire.StoreChanges {
-	age := int64(now.Sub(b.ConfirmedAt))
 	var out []*wire.StoreChanges
-	m, size := &wire.StoreChanges{After: int64(b.After), AgeMs: age}, 0
+	m, size := &wire.StoreChanges{After: int64(b.After), AgeMs: noConfirmationMs}, 0
 	for _, i := range b.Items {
 		item := encodeItem(i)
 		n := proto.Size(item)
@@ -107,12 +108,15 @@
 		if size+n > maxChangesBytes {
 			m.Revision = m.Items[len(m.Items)-1].Revision
 			out = append(out, m)
-			m, size = &wire.StoreChanges{After: m.Revision, AgeMs: age}, 0
+			m, size = &wire.StoreChanges{After: m.Revision, AgeMs: noConfirmationMs}, 0
 		}
 		m.Items = append(m.Items, item)
 		size += n
 	}
 	m.Revision = int64(b.Revision)
+	if b.ConfirmedAt != 0 {
+		m.AgeMs = int64(now.Sub(b.ConfirmedAt))
+	}
 	return append(out, m)
 }
 
@@ -126,7 +130,9 @@
 func decodeChanges(m *wire.StoreChanges, now clock.Time) feed.Batch {
 	b := feed.Batch{
 		After: units.Revision(m.GetAfter()), Revision: units.Revision(m.GetRevision()),
-		ConfirmedAt: now.Add(-clock.Span(m.GetAgeMs())),
+	}
+	if m.GetAgeMs() < noConfirmationMs {
+		b.ConfirmedAt = now.Add(-clock.Span(m.GetAgeMs()))
 	}
 	for _, i := range m.GetItems() {
 		if i.GetOmitted() {
--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -14,8 +14,8 @@
 	"github.com/magnolialever/magnolialever/units"
 )
 
-// Guards against changes that don't fit a datagram, and against messages between which changes are
-// missing.
+// Guards against changes that don't fit a datagram, against messages between which changes are missing,
+// and against a message that confirms a view which lacks the changes of later ones.
 func TestChangesAreSplit(t *testing.T) {
 	b := feed.Batch{After: 100, Revision: 140, ConfirmedAt: 900}
 	for i := range 30 {
@@ -28,7 +28,11 @@
 	for _, m := range messages {
 		decoded := decodeChanges(m, 5000)
 		assert.Equal(t, decoded.After, after)
-		assert.Equal(t, decoded.ConfirmedAt, clock.Time(4900))
+		if decoded.Revision == b.Revision {
+			assert.Equal(t, decoded.ConfirmedAt, clock.Time(4900))
+		} else {
+			assert.Equal(t, decoded.ConfirmedAt, clock.Time(0), "a part confirms nothing")
+		}
 		after = decoded.Revision
 		items += len(decoded.Items)
 		omitted += len(decoded.Omitted)
--- a/feed/batch.go
+++ b/feed/batch.go
@@ -60,38 +60,63 @@
 		case <-timer.C:
 			return
 		case b := <-f.batches:
-			switch f.applyBatch(ctx, b) {
-			case batchApplied:
+			switch f.handleBatch(ctx, b) {
+			case batchConfirmed:
 				timer.Reset(f.Pause().Duration())
 			case batchMissing:
 				timer.Reset(rand.N(maxGapDelay))
-			case batchOld:
+			case batchUnconfirmed:
 			}
 		}
 	}
 }
 
-// batchResult is the result of applyBatch.
+// batchResult is the result of handleBatch.
 type batchResult uint8
 
 const (
-	// batchOld means that the state has a later confirmation.
-	batchOld batchResult = iota
-	// batchApplied means that the state is as of the batch.
-	batchApplied
+	// batchUnconfirmed means that the state is not confirmed as of a later time than before.
+	batchUnconfirmed batchResult = iota
+	// batchConfirmed means that it is.
+	batchConfirmed
 	// batchMissing means that changes between the state and the batch are missing.
 	batchMissing
 )
 
-// applyBatch applies a batch if it continues the state.
-func (f *Feed) applyBatch(ctx context.Context, b Batch) batchResult {
-	revision := f.state.Revision()
+// handleBatch applies a batch if it continues the state. What it tells about the store's revision holds
+// in any case.
+func (f *Feed) handleBatch(ctx context.Context, b Batch) batchResult {
+	if !f.synced {
+		return batchUnconfirmed
+	}
+	missing := b.After > f.state.Revision()
+	if missing {
+		klog.InfoS("feed: changes before those from another gateway are missing", "revision", f.state.Revision(), "after", b.After)
+	} else if err := f.applyBatch(ctx, b); err != nil {
+		klog.InfoS("feed: changes that another gateway passed on can't be read", "err", err)
+		missing = true
+	}
+	before := f.state.ConfirmedAt()
+	if b.ConfirmedAt != 0 {
+		f.state.RecordStoreRevision(b.ConfirmedAt, b.Revision)
+		f.OnConfirm(f.state.ConfirmedAt())
+	}
 	switch {
-	case !f.synced || b.Revision < revision || (b.Revision == revision && !b.ConfirmedAt.After(f.state.ConfirmedAt())):
-		return batchOld
-	case b.After > revision:
-		klog.InfoS("feed: changes before those from another gateway are missing", "revision", revision, "after", b.After)
+	case missing:
 		return batchMissing
+	case f.state.ConfirmedAt().After(before):
+		f.batchAt = f.Clock.Now()
+		return batchConfirmed
+	}
+	return batchUnconfirmed
+}
+
+// applyBatch applies the changes of a batch that the state lacks. It fails if the value of one can't be
+// read.
+func (f *Feed) applyBatch(ctx context.Context, b Batch) error {
+	revision := f.state.Revision()
+	if b.Revision < revision {
+		return nil
 	}
 	items := make([]platform.Item, 0, len(b.Items))
 	for _, i := range b.Items {
@@ -101,19 +126,15 @@
 	}
 	read, err := f.readOmitted(ctx, revision, b.Omitted)
 	if err != nil {
-		klog.InfoS("feed: changes that another gateway passed on can't be read", "err", err)
-		return batchMissing
+		return err
 	}
 	items = append(items, read...)
-	f.batchAt = f.Clock.Now()
 	if len(items) > 0 {
 		klog.InfoS("feed: changes from another gateway", "after", b.After, "revision", b.Revision, "items", len(items),
-			"read", len(read), "age", f.batchAt.Sub(b.ConfirmedAt))
+			"read", len(read), "confirmed", b.ConfirmedAt != 0, "age", f.Clock.Now().Sub(b.ConfirmedAt))
 	}
 	f.applyChanges(items, b.Revision)
-	f.state.RecordStoreRevision(b.ConfirmedAt, b.Revision)
-	f.OnConfirm(f.state.ConfirmedAt())
-	return batchApplied
+	return nil
 }
 
 // readOmitted reads the newest values of items that changed after the revision, each once, or none if one
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -81,7 +81,7 @@
 	batches chan Batch
 	// readRevisions holds, by key, the revision of items that were read because a batch omitted them.
 	readRevisions map[string]units.Revision
-	// batchAt is when the last batch was applied.
+	// batchAt is when a batch last confirmed the state.
 	batchAt clock.Time
 }
 
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -93,14 +93,17 @@
 	clock clock.System
 }
 
-func newFollower(t *testing.T) *follower {
+func newFollower(t *testing.T) *follower { return newPausedFollower(t, clock.Minute) }
+
+// newPausedFollower returns a follower whose own watches are the pause apart.
+func newPausedFollower(t *testing.T, pause clock.Span) *follower {
 	f := &follower{
 		t: t, store: &scriptedStore{revision: 10, calls: map[string]int{}, items: map[string]platform.Item{}},
 		views: make(chan *view.Snapshot, 100),
 	}
 	f.feed = feed.New(feed.Options{
 		Clock: f.clock, Store: f.store, OnChange: func(s *view.Snapshot) { f.views <- s }, OnConfirm: func(clock.Time) {},
-		OnOtherItem: func(platform.Item) {}, OnFullRead: func(map[string]bool) {}, Pause: func() clock.Span { return clock.Minute },
+		OnOtherItem: func(platform.Item) {}, OnFullRead: func(map[string]bool) {}, Pause: func() clock.Span { return pause },
 		ConfirmInterval: func() clock.Span { return clock.Second },
 		OnBatch:         func(feed.Batch) {},
 	})
@@ -210,3 +213,13 @@
 	s := f.next()
 	assert.Assert(t, s.Upstreams["big"] != nil && s.Upstreams["other"] != nil, "revision %d without all of its changes", s.Revision)
 }
+
+// Guards against a gateway that relies on changes from others, although none of them confirms its view.
+func TestUnconfirmedChangesDontReplaceWatches(t *testing.T) {
+	f := newPausedFollower(t, 200*clock.Millisecond)
+	for revision := units.Revision(10); f.store.count("watch") == 0; revision++ {
+		assert.Assert(t, revision < 60, "no watch after 50 messages")
+		f.feed.Deliver(feed.Batch{After: revision, Revision: revision + 1, Items: []platform.Item{upstream("one", revision+1)}})
+		time.Sleep(20 * time.Millisecond)
+	}
+}
