--- a/entry/changes.go
+++ b/entry/changes.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/netip"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -33,7 +34,7 @@
 	// maxChangesBytes is the size of the items in a message about changes, in bytes. A longer one
 	// might not fit a datagram.
 	maxChangesBytes = 40 << 10
-	// noConfirmationMs is the age, in milliseconds, of changes that confirm nothing.
+	// noConfirmationMs is the age, in milliseconds, that stands for no confirmation.
 	noConfirmationMs = 1 << 40
 )
 
@@ -89,6 +90,7 @@
 		return
 	}
 	for _, m := range splitChanges(b, g.clock.Now()) {
+		m.Life = g.incarnation
 		g.peers.Send(&wire.Datagram{Body: &wire.Datagram_StoreChanges{StoreChanges: m}}, w.followers...)
 	}
 }
@@ -97,7 +99,7 @@
 // as the others lack changes. The values of items that are too long for a message are omitted.
 func splitChanges(b feed.Batch, now clock.Time) []*wire.StoreChanges {
 	var out []*wire.StoreChanges
-	m, size := &wire.StoreChanges{After: int64(b.After), AgeMs: noConfirmationMs}, 0
+	m, size := newChanges(int64(b.After), now), 0
 	for _, i := range b.Items {
 		item := encodeItem(i)
 		n := proto.Size(item)
@@ -108,31 +110,52 @@
 		if size+n > maxChangesBytes {
 			m.Revision = m.Items[len(m.Items)-1].Revision
 			out = append(out, m)
-			m, size = &wire.StoreChanges{After: m.Revision, AgeMs: noConfirmationMs}, 0
+			m, size = newChanges(m.Revision, now), 0
 		}
 		m.Items = append(m.Items, item)
 		size += n
 	}
-	m.Revision = int64(b.Revision)
-	if b.ConfirmedAt != 0 {
-		m.AgeMs = int64(now.Sub(b.ConfirmedAt))
-	}
+	m.Revision, m.AgeMs = int64(b.Revision), confirmationAge(now, b.ConfirmedAt)
 	return append(out, m)
 }
 
+// confirmationAge returns the age in milliseconds of a confirmation at a time, noConfirmationMs if the
+// time is 0.
+func confirmationAge(now, confirmedAt clock.Time) int64 {
+	if confirmedAt == 0 {
+		return noConfirmationMs
+	}
+	return int64(now.Sub(confirmedAt))
+}
+
+// newChanges returns a message without items that confirms nothing.
+func newChanges(after int64, now clock.Time) *wire.StoreChanges {
+	return &wire.StoreChanges{After: after, AgeMs: noConfirmationMs, SentMs: int64(now)}
+}
+
 func encodeItem(i platform.Item) *wire.StoreItem {
 	return &wire.StoreItem{
 		Key: i.Key, Value: i.Value, Revision: int64(i.Revision), CreateRevision: int64(i.CreateRevision), Deleted: i.Deleted,
 	}
 }
 
-// decodeChanges decodes changes that another gateway has read from the store.
-func decodeChanges(m *wire.StoreChanges, now clock.Time) feed.Batch {
+// receiveChanges decodes changes from a watcher of the zone and dates what they confirm.
+func (g *Gateway) receiveChanges(m *wire.StoreChanges, from netip.AddrPort) feed.Batch {
+	sentAt, ok := g.peers.SentAt(from, m.GetLife(), clock.Time(m.GetSentMs()))
+	if !ok {
+		sentAt = 0
+	}
+	return decodeChanges(m, sentAt)
+}
+
+// decodeChanges decodes changes that another gateway has read from the store. sentAt is a time that is
+// not later than when it sent them, 0 if none is known; they confirm nothing then.
+func decodeChanges(m *wire.StoreChanges, sentAt clock.Time) feed.Batch {
 	b := feed.Batch{
 		After: units.Revision(m.GetAfter()), Revision: units.Revision(m.GetRevision()),
 	}
-	if m.GetAgeMs() < noConfirmationMs {
-		b.ConfirmedAt = now.Add(-clock.Span(m.GetAgeMs()))
+	if sentAt != 0 && m.GetAgeMs() < noConfirmationMs {
+		b.ConfirmedAt = sentAt.Add(-clock.Span(m.GetAgeMs()))
 	}
 	for _, i := range m.GetItems() {
 		if i.GetOmitted() {
--- a/entry/controller.go
+++ b/entry/controller.go
@@ -28,6 +28,7 @@
 	snapshot *view.Snapshot
 	// confirmedAt is when the view was last known to be current.
 	confirmedAt  clock.Time
+	keys         keyBelief
 	keyLog       keyBeliefLog
 	digestSentAt clock.Time
 	// demandSentAt is when the last digest was sent to the leader.
@@ -227,29 +228,27 @@
 	return c.snapshot.Config.Version
 }
 
-// updateKeyValidity extends the time until which API keys are accepted, from this gateway's and the
-// other gateways' last confirmations by the store.
+// updateKeyValidity extends the time until which API keys are accepted, from this gateway's and, if that
+// is old, other gateways' confirmations by the store.
 func (c *controller) updateKeyValidity(now clock.Time) {
 	revocationDelay := c.gateway.bounds.Load().RevocationDelay
-	byVM := map[units.VMID]peers.Digest{}
-	for _, d := range c.gateway.peers.FreshDigests() {
-		byVM[units.VMID(d.GetVm())] = d
+	c.keys.confirm(c.confirmedAt, "")
+	if now.Sub(c.keys.confirmedAt) >= clock.Span(float64(revocationDelay)*ownConfirmationShare) {
+		c.useConfirmations()
 	}
-	var others []storeStatus
-	for _, m := range c.members.All() {
-		if m.VM == c.gateway.settings.VM {
-			continue
-		}
-		d, ok := byVM[m.VM]
-		if ok {
-			others = append(others, storeStatus{
-				gateway: m.VM, configVersion: d.GetConfig(), confirmedAt: d.ReceivedAt.Add(-clock.Span(d.GetConfirmedMs())),
-			})
+	until := c.keys.validUntil(revocationDelay)
+	c.gateway.keyValidity.set(until)
+	c.keyLog.record(now, c.keys, until, c.configVersion())
+}
+
+// useConfirmations uses the confirmations in digests of other gateways. They are dated by the time at
+// which the digest was sent; one that can't be dated yet is not used.
+func (c *controller) useConfirmations() {
+	for _, d := range chooseConfirmers(c.gateway.peers.FreshDigests(), c.keys.confirmedAt, c.configVersion()) {
+		if sentAt, ok := c.gateway.peers.SentAt(d.From, d.GetLife(), clock.Time(d.GetSentMs())); ok {
+			c.keys.confirm(sentAt.Add(-clock.Span(d.GetConfirmedMs())), units.VMID(d.GetVm()))
 		}
 	}
-	belief := believeKeys(now, c.confirmedAt, c.configVersion(), others, revocationDelay)
-	c.gateway.keyValidity.set(belief.until)
-	c.keyLog.record(now, belief, c.configVersion())
 }
 
 // sendDigest sends a digest of this gateway's state to all other gateways. Only the leader gets the
@@ -284,7 +283,7 @@
 	c.digestNumber++
 	d := &wire.Digest{
 		Vm: string(c.gateway.settings.VM), Life: c.gateway.incarnation, Number: c.digestNumber, Zone: string(c.gateway.settings.Zone),
-		Config: c.configVersion(), ConfirmedMs: int64(now.Sub(c.confirmedAt)), Leaving: c.draining,
+		Config: c.configVersion(), ConfirmedMs: confirmationAge(now, c.confirmedAt), SentMs: int64(now), Leaving: c.draining,
 	}
 	for _, l := range c.gateway.relay.Loads() {
 		d.Shares = append(d.Shares, encodeLoad(l))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -99,6 +99,7 @@
 	g.store.OnCall = func(_ string, elapsed clock.Span, _ error) { storeCallTime.Record(elapsed.Duration()) }
 	transport, err := peers.Listen(peers.Options{
 		Clock: g.clock, VM: settings.VM, Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
+		Life:      g.incarnation,
 		OnDigest:  func(d peers.Digest) { g.post(digestReceived{d}) },
 		OnMessage: g.handleMessage,
 	})
@@ -172,7 +173,7 @@
 		return
 	}
 	if changes := m.GetStoreChanges(); changes != nil {
-		g.feed.Deliver(decodeChanges(changes, g.clock.Now()))
+		g.feed.Deliver(g.receiveChanges(changes, from))
 		return
 	}
 	g.limiter.handleMessage(m, from)
--- a/entry/validity.go
+++ b/entry/validity.go
@@ -1,18 +1,28 @@
 package entry
 
 import (
+	"cmp"
+	"slices"
 	"sync/atomic"
 
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/peers"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 )
 
-// validityMargin is subtracted from the time for which API keys are accepted after the store
-// has confirmed them, because of the network delay to callers and to the store.
-const validityMargin = 300 * clock.Millisecond
+const (
+	// validityMargin is subtracted from the time for which API keys are accepted after the store
+	// has confirmed them, because of the network delay to callers and to the store.
+	validityMargin = 300 * clock.Millisecond
+	// ownConfirmationShare is the part of the delay of revocation for which a gateway relies on its own
+	// calls to the store. After that it also uses what other gateways have confirmed.
+	ownConfirmationShare = 1.0 / 3
+	// maxConfirmers is the number of other gateways whose confirmations are looked at.
+	maxConfirmers = 3
+)
 
 // keyValidity holds until when customers' API keys are accepted. A withdrawn key must be rejected
 // within platform.Bounds.RevocationDelay, also by a gateway that is disconnected from the store and
@@ -27,84 +37,76 @@
 
 func (k *keyValidity) set(until clock.Time) { k.validUntil.Store(int64(until)) }
 
-// validitySource is whose word the validity of keys rests on.
-type validitySource string
-
-// Sources of validity, as they appear in the log.
-const (
-	fromNobody  validitySource = "none"
-	fromStore   validitySource = "store"
-	fromGateway validitySource = "gateway"
-)
-
-// keyBelief is what a gateway believes about the API keys of its configuration.
+// keyBelief is what a gateway knows about how current its API keys are. Only the store's word counts,
+// to this gateway or to another one: that gateways are silent or don't reach the store tells nothing.
 type keyBelief struct {
-	// until is the time until which they are accepted.
-	until clock.Time
-	// confirmedAt is when the store last confirmed the configuration as far as known; 0 is never.
+	// confirmedAt is the latest time as of which the store is known not to have had a newer
+	// configuration; 0 is never.
 	confirmedAt clock.Time
-	// source is the store as long as its own confirmation to this gateway suffices.
-	source validitySource
-	// gateway is the other gateway that had the confirmation; empty if source isn't fromGateway.
+	// gateway is the other gateway to which the store confirmed it; empty if it was this one.
 	gateway units.VMID
 }
 
+// confirm records that the store confirmed the configuration as of a time.
+func (b *keyBelief) confirm(at clock.Time, gateway units.VMID) {
+	if at.After(b.confirmedAt) {
+		*b = keyBelief{at, gateway}
+	}
+}
+
+// validUntil returns until when keys are accepted; 0 if the store never confirmed any.
+func (b *keyBelief) validUntil(revocationDelay clock.Span) clock.Time {
+	if b.confirmedAt == 0 {
+		return 0
+	}
+	return b.confirmedAt.Add(revocationDelay - validityMargin)
+}
+
 // keyBeliefLog logs changes of the belief about keys, and nothing while it stays the same.
 type keyBeliefLog struct {
 	accepted bool
-	source   validitySource
+	// others is set while keys rest on another gateway's word.
+	others bool
 }
 
-// record logs the belief at the time if keys are now accepted and were not, or the reverse, or if
-// another source confirms them.
-func (l *keyBeliefLog) record(now clock.Time, b keyBelief, configVersion int64) {
-	accepted := now.Before(b.until)
-	if accepted == l.accepted && (b.source == l.source || !accepted) {
+// record logs the belief at the time if keys are now accepted and were not, or the reverse, or if it
+// begins or ceases to rest on another gateway's word.
+func (l *keyBeliefLog) record(now clock.Time, b keyBelief, until clock.Time, configVersion int64) {
+	accepted, others := now.Before(until), b.gateway != ""
+	if accepted == l.accepted && (others == l.others || !accepted) {
 		return
 	}
-	l.accepted, l.source = accepted, b.source
+	l.accepted, l.others = accepted, others
 	if !accepted {
 		stats.Event("keys_not_accepted")
 	}
-	klog.InfoS("entry: keys", "accepted", accepted, "source", b.source, "gateway", b.gateway, "version", configVersion,
-		"age", now.Sub(b.confirmedAt), "left", b.until.Sub(now))
+	klog.InfoS("entry: keys", "accepted", accepted, "gateway", b.gateway, "version", configVersion,
+		"age", now.Sub(b.confirmedAt), "left", until.Sub(now))
 }
 
-// storeStatus is another gateway's last report about the store.
-type storeStatus struct {
-	gateway units.VMID
-	// configVersion is the version of the configuration that the gateway uses.
-	configVersion int64
-	// confirmedAt is when the store last confirmed that version to the gateway.
-	confirmedAt clock.Time
-}
-
-// validUntil returns until when keys may be accepted that the store confirmed at a time; 0 if it never
-// did.
-func validUntil(confirmedAt clock.Time, revocationDelay clock.Span) clock.Time {
-	if confirmedAt == 0 {
-		return 0
-	}
-	return confirmedAt.Add(revocationDelay - validityMargin)
+// confirmer is the claim of another gateway to have a confirmation by the store.
+type confirmer struct {
+	digest peers.Digest
+	// claimedAt is when the confirmation was at the latest.
+	claimedAt clock.Time
 }
 
-// believeKeys returns until when this gateway may accept the API keys of its configuration, and why.
-// confirmedAt is when the store last confirmed that configuration to it, 0 for never; a
-// confirmation of the same version by another gateway counts as well. That gateways don't reach the
-// store tells nothing: operators may.
-func believeKeys(now, confirmedAt clock.Time, configVersion int64, others []storeStatus, revocationDelay clock.Span) keyBelief {
-	b := keyBelief{confirmedAt: confirmedAt, source: fromStore}
-	for _, o := range others {
-		if o.configVersion == configVersion && o.confirmedAt.After(b.confirmedAt) {
-			b = keyBelief{confirmedAt: o.confirmedAt, source: fromGateway, gateway: o.gateway}
+// chooseConfirmers returns the digests of up to maxConfirmers gateways that may have a later
+// confirmation than the time, latest first. Gateways with a newer configuration than the version confirm
+// nothing: keys may have been withdrawn by it.
+func chooseConfirmers(digests []peers.Digest, after clock.Time, configVersion int64) []peers.Digest {
+	var claims []confirmer
+	for _, d := range digests {
+		claim := confirmer{d, d.ReceivedAt.Add(-clock.Span(d.GetConfirmedMs()))}
+		known := d.GetConfig() != 0 && d.GetConfirmedMs() < noConfirmationMs
+		if known && d.GetConfig() <= configVersion && claim.claimedAt.After(after) {
+			claims = append(claims, claim)
 		}
 	}
-	switch own := validUntil(confirmedAt, revocationDelay); {
-	case b.confirmedAt == 0:
-		b.source = fromNobody
-	case now.Before(own):
-		b.source, b.gateway = fromStore, ""
+	slices.SortFunc(claims, func(x, y confirmer) int { return cmp.Compare(y.claimedAt, x.claimedAt) })
+	var out []peers.Digest
+	for _, c := range claims[:min(len(claims), maxConfirmers)] {
+		out = append(out, c.digest)
 	}
-	b.until = validUntil(b.confirmedAt, revocationDelay)
-	return b
+	return out
 }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -1,5 +1,5 @@
 // Package peers exchanges messages between gateways over UDP, one datagram per message: digests of
-// their state, and the withdrawals and deposits of rate tokens.
+// their state, the withdrawals and deposits of rate tokens, and requests for each other's clocks.
 package peers
 
 import (
@@ -48,8 +48,10 @@
 // Digest is a received digest.
 type Digest struct {
 	*wire.Digest
-	// ReceivedAt is the local time of receipt.
+	// ReceivedAt is the local time at which the digest was read, which may be long after it was sent.
 	ReceivedAt clock.Time
+	// From is the address of the sender.
+	From netip.AddrPort
 }
 
 // HasMisses reports whether the gateway recently had requests for a model or adapter that no
@@ -63,6 +65,8 @@
 	Clock clock.Clock
 	// VM is the id of the local VM, whose digests are ignored on receipt.
 	VM units.VMID
+	// Life identifies this incarnation of the gateway.
+	Life uint64
 	// Address is the UDP address to listen on, in the form IPv4:port.
 	Address string
 	// OnDigest is called from the receiving goroutine for each digest that is newer than the last
@@ -77,6 +81,7 @@
 type Transport struct {
 	Options
 	conn   *net.UDPConn
+	clocks *Clocks
 	mu     sync.Mutex
 	latest map[units.VMID]Digest
 	// gateways is the number of gateways, from which the interval of digests follows.
@@ -94,7 +99,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peers: listen on %s: %w", a, err)
 	}
-	return &Transport{Options: o, conn: c, latest: map[units.VMID]Digest{}}, nil
+	return &Transport{Options: o, conn: c, clocks: newClocks(o.Clock, o.Life), latest: map[units.VMID]Digest{}}, nil
 }
 
 // Run receives digests until ctx is done, and then closes the socket and returns nil. It
@@ -126,21 +131,26 @@
 		klog.V(1).InfoS("peers: ignoring malformed datagram", "bytes", len(data), "err", err)
 		return
 	}
-	if d := m.GetDigest(); d != nil {
-		p.receiveDigest(d)
-		return
+	switch b := m.GetBody().(type) {
+	case *wire.Datagram_Digest:
+		p.receiveDigest(b.Digest, from)
+	case *wire.Datagram_ClockRequest:
+		p.Reply(p.clocks.answer(b.ClockRequest), from)
+	case *wire.Datagram_ClockAnswer:
+		p.clocks.recordAnswer(b.ClockAnswer)
+	default:
+		p.OnMessage(m, from)
 	}
-	p.OnMessage(m, from)
 }
 
 // receiveDigest passes a digest on unless it is local, duplicate or older than the last one of the
 // same incarnation of its gateway.
-func (p *Transport) receiveDigest(d *wire.Digest) {
+func (p *Transport) receiveDigest(d *wire.Digest, from netip.AddrPort) {
 	vm := units.VMID(d.GetVm())
 	if vm == "" || vm == p.VM {
 		return
 	}
-	received := Digest{d, p.Clock.Now()}
+	received := Digest{d, p.Clock.Now(), from}
 	p.mu.Lock()
 	old, ok := p.latest[vm]
 	if ok && old.GetLife() == d.GetLife() && old.GetNumber() >= d.GetNumber() {
