--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -39,6 +39,8 @@
 	httpRequest *http.Request
 	view        *view.Snapshot
 	arrivedAt   clock.Time
+	// keysUsable is set if the API keys of the view were recent enough when the request arrived.
+	keysUsable bool
 
 	callerRequest fleet.Request
 	route         *fleet.Route
@@ -116,7 +118,7 @@
 		return nil
 	}
 	u, ok := c.Customer(x.callerRequest.APIKey)
-	if !x.server.KeysUsable(x.arrivedAt) {
+	if !x.keysUsable {
 		return keysNotUsable
 	}
 	if !ok {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -41,6 +41,17 @@
 	server     *relay.Server
 	httpServer *httptest.Server
 	keysUsable bool
+	// onKeysUsable, if set, is called when the server asks whether keys are usable.
+	onKeysUsable func()
+	// snapshot is the view at the start.
+	snapshot *view.Snapshot
+}
+
+func (r *testGateway) areKeysUsable() bool {
+	if r.onKeysUsable != nil {
+		r.onKeysUsable()
+	}
+	return r.keysUsable
 }
 
 // newTestGateway returns a gateway whose services run on all of the replicas.
@@ -58,7 +69,7 @@
 		BodyBudget: bodyBudget,
 		Clock:      clock.System{}, Scheduler: sched.New("zone-a", sched.ColdTolerance{Factor: 1.5, Slack: 5}), Limiter: unlimited{},
 		Retries:        retry.WindowLimit{Ratio: 0.2, Slack: 50, Span: 10 * clock.Second},
-		KeysUsable:     func(clock.Time) bool { return r.keysUsable },
+		KeysUsable:     func(clock.Time) bool { return r.areKeysUsable() },
 		OnModelMissing: func(units.ServiceID, units.ModelID, string) {},
 		OnModelUse:     func(units.ServiceID, units.ModelID, string, float64) {},
 	})
@@ -78,6 +89,7 @@
 			s.Upstreams[units.UpstreamID(service)+"/"+id] = &view.Entry{Upstream: u}
 		}
 	}
+	r.snapshot = s
 	r.server.SetView(s)
 	r.httpServer = httptest.NewServer(r.server)
 	stop, ended := make(chan struct{}), make(chan struct{})
@@ -393,3 +405,19 @@
 	assert.Equal(t, r.post("/once/b", "x").body, "1")
 	assert.Equal(t, r.post("/once/c", strings.Repeat("x", 2<<20)).status, http.StatusRequestEntityTooLarge)
 }
+
+// Guards against a withdrawn key that is accepted because the validity of keys was extended, with a view
+// that lacks it, between the two looks at view and validity.
+func TestValidityOfNewerKeysIsNotUsedForOlderOnes(t *testing.T) {
+	rep := startReplica(t, "one", func(r *fakes.Request) { r.Respond("200 OK", "done") })
+	r := newTestGateway(t, rep)
+	assert.Equal(t, r.post("/once/a", "").status, http.StatusOK)
+	data, err := json.Marshal(fakes.Config(4, "other"))
+	assert.NilError(t, err)
+	c, err := platform.DecodeConfig(data)
+	assert.NilError(t, err)
+	newer := *r.snapshot
+	newer.Config = c
+	r.onKeysUsable = func() { r.server.SetView(&newer) }
+	assert.Equal(t, r.post("/once/a", "").status, http.StatusUnauthorized)
+}
