--- a/cmds/client_test.go
+++ b/cmds/client_test.go
@@ -60,6 +60,10 @@
 
 func (*fakeStoreWithConfig) MergeWritten(syncer.Entry) {}
 
+func (*fakeStoreWithConfig) AwaitMajority(context.Context, units.TeamID, units.Revision) syncer.Reach {
+	return syncer.Reach{Using: 1, Gateways: 1}
+}
+
 func (p *fakeStoreWithConfig) Nodes(context.Context) ([]syncer.Node, error) {
 	v := syncer.NodeVersion{Version: tree.Version{Team: "a", Revision: 1}}
 	old := syncer.NodeVersion{Version: tree.Version{Team: "a"}}
--- a/coord/peers.go
+++ b/coord/peers.go
@@ -30,12 +30,15 @@
 }
 
 // Answered implements gate.Peers.
-func (c *Coord) Answered(from wire.Identity, sent clock.Time) {
+func (c *Coord) Answered(from wire.Identity, sent clock.Time, versions uint64) {
 	if from.Role == wire.Gateway {
-		c.options.Syncer.GatewayResponded(units.VMID(from.ID), sent)
+		c.options.Syncer.GatewayResponded(units.VMID(from.ID), sent, versions)
 	}
 }
 
+// VersionsHash implements gate.Peers.
+func (c *Coord) VersionsHash() uint64 { return c.options.Syncer.VersionsHash() }
+
 // Receive implements gate.Peers. Frames for the control loop itself are queued.
 func (c *Coord) Receive(from wire.Identity, f *wire.Frame, _ gate.Reply) {
 	switch b := f.Body.(type) {
--- a/gate/control.go
+++ b/gate/control.go
@@ -23,8 +23,11 @@
 	// ended.
 	Connected(to wire.Identity, l Link)
 	Disconnected(to wire.Identity, l Link)
-	// Answered is called for each Pong; sent is when its Ping was sent.
-	Answered(from wire.Identity, sent clock.Time)
+	// Answered is called for each Pong; sent is when its Ping was sent, versions a hash of the
+	// configuration that the peer uses.
+	Answered(from wire.Identity, sent clock.Time, versions uint64)
+	// VersionsHash returns the hash of the configuration that this gateway uses.
+	VersionsHash() uint64
 	// Receive is called for each frame that the gateway does not handle itself.
 	Receive(from wire.Identity, f *wire.Frame, reply Reply)
 }
@@ -32,15 +35,16 @@
 // noPeers is the Peers of a gateway without control traffic.
 type noPeers struct{}
 
-func (noPeers) Connected(wire.Identity, Link)             {}
-func (noPeers) Disconnected(wire.Identity, Link)          {}
-func (noPeers) Answered(wire.Identity, clock.Time)        {}
-func (noPeers) Receive(wire.Identity, *wire.Frame, Reply) {}
+func (noPeers) Connected(wire.Identity, Link)              {}
+func (noPeers) Disconnected(wire.Identity, Link)           {}
+func (noPeers) Answered(wire.Identity, clock.Time, uint64) {}
+func (noPeers) VersionsHash() uint64                       { return 0 }
+func (noPeers) Receive(wire.Identity, *wire.Frame, Reply)  {}
 
 // handleControl answers Pings and hands all other frames to Peers.
 func (s *Server) handleControl(from wire.Identity, f *wire.Frame, reply Reply) {
 	if p := f.GetPing(); p != nil {
-		pong := &wire.Pong{Id: p.Id, Now: int64(s.clock.Now())}
+		pong := &wire.Pong{Id: p.Id, Now: int64(s.clock.Now()), Versions: s.options.Peers.VersionsHash()}
 		_ = reply(&wire.Frame{Body: &wire.Frame_Pong{Pong: pong}}) // a failed Send also ends the session
 		return
 	}
--- a/opsrv/opsrv.go
+++ b/opsrv/opsrv.go
@@ -12,6 +12,7 @@
 	"github.com/magnolialever/magnolialever/opsapi"
 	"github.com/magnolialever/magnolialever/syncer"
 	"github.com/magnolialever/magnolialever/tree"
+	"github.com/magnolialever/magnolialever/units"
 )
 
 // maxBodyBytes is the maximum size of a request body. It is larger than a stored configuration,
@@ -24,6 +25,9 @@
 	Snapshot() *tree.Snapshot
 	// MergeWritten merges a team configuration that was written to the store.
 	MergeWritten(e syncer.Entry)
+	// AwaitMajority waits until more than half of the gateways use the revision of the team, or until
+	// the context is done.
+	AwaitMajority(ctx context.Context, team units.TeamID, revision units.Revision) syncer.Reach
 	// Nodes returns the configuration versions in use on this node and its known peers.
 	Nodes(ctx context.Context) ([]syncer.Node, error)
 }
--- a/opsrv/opsrv_test.go
+++ b/opsrv/opsrv_test.go
@@ -38,7 +38,7 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{t: t, store: newMemoryStore(), config: &mergedConfig{snapshot: tree.Empty()}}
+	f := &fixture{t: t, store: newMemoryStore(), config: &mergedConfig{snapshot: tree.Empty(), reach: syncer.Reach{Using: 1, Gateways: 1}}}
 	h, err := opsrv.New(opsrv.Options{Store: f.store, Config: f.config, BootstrapSecret: bootstrapSecret, Now: time.Now})
 	assert.NilError(t, err)
 	s := httptest.NewServer(h)
@@ -197,6 +197,25 @@
 	assert.Equal(t, w.(*opsapi.Refused).Problems[0].Path, "key")
 }
 
+// Guards against a withdrawal that is confirmed to the operator while most gateways may go on with the key.
+func TestWithdrawalThatReachesFewGatewaysIsWarnedOf(t *testing.T) {
+	f := newFixture(t)
+	f.putTeamA()
+	c := f.client("secret of a")
+	_, err := c.IssueKey(t.Context(), &opsapi.IssueKey{Attempt: "1", ID: "k", Customer: "court"}, opsapi.IssueKeyParams{Team: "a"})
+	assert.NilError(t, err)
+	f.config.reach = syncer.Reach{Using: 1, Gateways: 3}
+	w, err := c.WithdrawKey(t.Context(), &opsapi.WithdrawKey{Attempt: "2"}, opsapi.WithdrawKeyParams{Team: "a", Key: "k"})
+	assert.NilError(t, err)
+	warnings := w.(*opsapi.Accepted).Warnings
+	assert.Equal(t, len(warnings), 1)
+	assert.Assert(t, strings.Contains(warnings[0].Text, "1 of 3 gateways"), warnings[0].Text)
+	f.config.reach = syncer.Reach{Using: 2, Gateways: 3}
+	w, err = c.WithdrawKey(t.Context(), &opsapi.WithdrawKey{Attempt: "3"}, opsapi.WithdrawKeyParams{Team: "a", Key: "k"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(w.(*opsapi.Accepted).Warnings), 0)
+}
+
 // Guards against reads that fail while the store is unavailable, and a status that shows other
 // teams.
 func TestStoreUnavailable(t *testing.T) {
--- a/opsrv/store_test.go
+++ b/opsrv/store_test.go
@@ -128,6 +128,8 @@
 
 // mergedConfig is the configuration of a node that merges each write at once.
 type mergedConfig struct {
+	// reach is what AwaitMajority returns.
+	reach    syncer.Reach
 	mu       sync.Mutex
 	snapshot *tree.Snapshot
 }
@@ -138,6 +140,10 @@
 	return c.snapshot
 }
 
+func (c *mergedConfig) AwaitMajority(context.Context, units.TeamID, units.Revision) syncer.Reach {
+	return c.reach
+}
+
 func (c *mergedConfig) MergeWritten(e syncer.Entry) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/opsrv/team.go
+++ b/opsrv/team.go
@@ -91,7 +91,7 @@
 		Warnings:    []opsapi.Problem{},
 	}
 	if !c.dryRun {
-		a.Warnings = apiProblems(s.warnings(ctx, c.team))
+		a.Warnings = apiProblems(append(s.warnings(ctx, c.team), s.awaitUse(ctx, c.team, o.revision)...))
 	}
 	return a
 }
--- a/opsrv/write.go
+++ b/opsrv/write.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/syncer"
 	"github.com/magnolialever/magnolialever/tree"
@@ -23,6 +25,9 @@
 	retryDelay    = 20 * time.Millisecond
 )
 
+// useTimeout limits the wait until a change is in use.
+const useTimeout = 1500 * time.Millisecond
+
 // result is how a change ended. unknown means that it may have been written.
 type result int
 
@@ -229,3 +234,19 @@
 	}
 	return tree.Conflicts(all, team)
 }
+
+// awaitUse waits until more than half of the gateways use the revision and returns a warning if they don't
+// within useTimeout. Until then a gateway that reaches neither this one nor the store may go on with an
+// older revision, for longer than a withdrawn key is allowed to work.
+func (s *server) awaitUse(ctx context.Context, team units.TeamID, revision units.Revision) []tree.Problem {
+	ctx, cancel := context.WithTimeout(ctx, useTimeout)
+	defer cancel()
+	reach := s.config.AwaitMajority(ctx, team, revision)
+	if reach.Majority() {
+		return nil
+	}
+	stats.Event("ops_change_not_in_use")
+	klog.InfoS("opsrv: change is stored but not used by a majority", "team", team, "revision", revision, "using", reach.Using, "gateways", reach.Gateways)
+	return []tree.Problem{{Path: "", Text: fmt.Sprintf(
+		"stored, but %d of %d gateways are known to use it: the others may still accept withdrawn keys", reach.Using, reach.Gateways)}}
+}
--- a/syncer/state.go
+++ b/syncer/state.go
@@ -34,6 +34,8 @@
 	versions map[units.TeamID]peerVersion
 	// lastMessage is the local time of the last message from the peer.
 	lastMessage clock.Time
+	// comparedAt is when a response with other versions last led to a comparison.
+	comparedAt clock.Time
 }
 
 // State is the protocol of the configuration exchange: it decides what to merge, announce and
@@ -151,9 +153,20 @@
 // StoreResponded records that the store responded to a request sent at the time sent.
 func (s *State) StoreResponded(sent clock.Time) { s.contacts.storeResponded(sent) }
 
-// GatewayResponded records that a gateway responded to a message sent to it at the time sent.
-func (s *State) GatewayResponded(sent clock.Time, from units.VMID) {
-	s.contacts.gatewayResponded(sent, from)
+// GatewayResponded records that a gateway responded to a message sent to it at the time sent. It counts
+// as contact only if the gateway used the same versions as this node: one that is ahead proves that
+// this node has missed a change. Otherwise a comparison is returned, unless one was sent to it lately.
+func (s *State) GatewayResponded(now, sent clock.Time, from units.VMID, versions uint64) []Message {
+	if versions == s.VersionsHash() {
+		s.contacts.gatewayResponded(sent, from)
+		return nil
+	}
+	p, ok := s.peers[from]
+	if !ok || now.Sub(p.comparedAt) < requestTimeout {
+		return nil
+	}
+	p.comparedAt = now
+	return []Message{s.allVersionsMessage(now, from)}
 }
 
 // SetGateways sets the gateways on the VM list, which includes this node if it is a gateway.
--- a/syncer/state_test.go
+++ b/syncer/state_test.go
@@ -231,12 +231,12 @@
 	s.StoreResponded(1000)
 	assert.Assert(t, !s.Isolated(3000))
 	assert.Assert(t, s.Isolated(3001))
-	s.GatewayResponded(2000, "n1")
+	s.GatewayResponded(2000, 2000, "n1", s.VersionsHash())
 	assert.Assert(t, s.Isolated(3500), "two of four gateways are not a majority")
-	s.GatewayResponded(2500, "n2")
+	s.GatewayResponded(2500, 2500, "n2", s.VersionsHash())
 	assert.Assert(t, !s.Isolated(4000))
 	assert.Assert(t, s.Isolated(4001))
-	s.GatewayResponded(4500, "agent")
+	s.GatewayResponded(4500, 4500, "agent", s.VersionsHash())
 	assert.Assert(t, s.Isolated(4600), "agents do not count")
 	s.SetGateways([]units.VMID{"n0"})
 	assert.Assert(t, !s.Isolated(1e9), "a single gateway is its own majority")
@@ -262,7 +262,7 @@
 				s.StoreResponded(now)
 			} else {
 				lastResponse[nodeID(i)] = now
-				s.GatewayResponded(now, nodeID(i))
+				s.GatewayResponded(now, now, nodeID(i), s.VersionsHash())
 			}
 			at := now.Add(clock.Span(rapid.IntRange(0, 4000).Draw(t, "later")))
 			reached := 1
@@ -276,3 +276,69 @@
 		}
 	})
 }
+
+// emptyTeam returns a value of a team, which differs by number.
+func emptyTeam(number int) []byte {
+	return fmt.Appendf(nil, `{"customers":[{"id":"c","rate":%d,"burst":1}]}`, number)
+}
+
+// Guards against a gateway that takes requests without a change that more than half of the gateways use,
+// for any order of writes, deliveries, Pings and Pongs, because the others answer it.
+func TestGatewayBehindMajorityIsIsolated(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(2, 6).Draw(t, "gateways")
+		var ids []units.VMID
+		for i := range count {
+			ids = append(ids, nodeID(i))
+		}
+		before, after := emptyTeam(1), emptyTeam(2)
+		states, changed := make([]*syncer.State, count), make([]bool, count)
+		for i := range states {
+			states[i] = syncer.NewState(ids[i])
+			states[i].SetGateways(ids)
+			states[i].MergeStored(1, syncer.Entry{Team: "a", Revision: 1, Value: before})
+		}
+		now, majorityAt, using := clock.Time(1000), clock.Time(0), 0
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now = now.Add(clock.Span(rapid.IntRange(0, 400).Draw(t, "span")))
+			i, j := rapid.IntRange(0, count-1).Draw(t, "from"), rapid.IntRange(0, count-1).Draw(t, "to")
+			if rapid.IntRange(0, 5).Draw(t, "kind") == 0 && !changed[i] {
+				states[i].MergeStored(now, syncer.Entry{Team: "a", Revision: 2, Value: after})
+				changed[i] = true
+				if using++; majorityAt == 0 && 2*using > count {
+					majorityAt = now
+				}
+				continue
+			}
+			sent, versions := now, states[j].VersionsHash()
+			now = now.Add(clock.Span(rapid.IntRange(0, 900).Draw(t, "delay")))
+			if i != j {
+				states[i].GatewayResponded(now, sent, ids[j], versions)
+			}
+		}
+		if majorityAt == 0 {
+			return
+		}
+		for i, s := range states {
+			at := max(now, majorityAt.Add(2*clock.Second+1))
+			assert.Assert(t, changed[i] || s.Isolated(at), "gateway %d takes requests %d ms after the change was used by a majority", i, at.Sub(majorityAt))
+		}
+	})
+}
+
+// Guards against a withdrawal that counts as in force while gateways that may not learn of it are in
+// contact with each other.
+func TestReachCountsGateways(t *testing.T) {
+	s := syncer.NewState("n0")
+	s.SetGateways([]units.VMID{"n0", "n1", "n2"})
+	s.AddPeer(1, "n1", true)
+	s.AddPeer(1, "agent", false)
+	s.MergeStored(1, syncer.Entry{Team: "a", Revision: 2, Value: emptyTeam(1)})
+	for _, id := range []units.VMID{"agent", "n1"} {
+		assert.Assert(t, !s.Reach("a", 2).Majority(), "%+v", s.Reach("a", 2))
+		s.HandleVersions(2, id, &wire.Versions{Version: []*wire.Version{{Team: "a", Revision: 2}}})
+	}
+	assert.Equal(t, s.Reach("a", 2), syncer.Reach{Using: 2, Gateways: 3})
+	assert.Assert(t, s.Reach("a", 2).Majority())
+	assert.Assert(t, !s.Reach("a", 3).Majority())
+}
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -29,6 +29,8 @@
 	// compareInterval is the mean time between two comparisons of all versions with a peer. It
 	// bounds the traffic in a fleet of 320 nodes and repairs lost announcements.
 	compareInterval = 500 * clock.Millisecond
+	// reachInterval is the interval at which AwaitMajority looks.
+	reachInterval = 10 * time.Millisecond
 )
 
 // Link sends messages to one peer. Push may block until the session ends.
@@ -72,6 +74,7 @@
 	snapshot          atomic.Pointer[tree.Snapshot]
 	reachableDeadline atomic.Int64
 	ready             atomic.Bool
+	versionsHash      atomic.Uint64
 }
 
 // New returns a Syncer; Run starts it.
@@ -163,6 +166,7 @@
 	if s.snapshot.Load() == s.state.Snapshot() {
 		return
 	}
+	s.versionsHash.Store(s.state.VersionsHash())
 	update := Update{Snapshot: s.state.Snapshot(), InvalidatedKeys: s.state.TakeInvalidatedKeys()}
 	s.snapshot.Store(update.Snapshot)
 	for _, c := range s.subscribers {
@@ -238,12 +242,42 @@
 }
 
 // GatewayResponded records that a gateway responded to a message, such as a Ping, that was sent
-// to it at the time sent.
-func (s *Syncer) GatewayResponded(from units.VMID, sent clock.Time) {
-	s.enqueue(func(clock.Time) []Message {
-		s.state.GatewayResponded(sent, from)
-		return nil
-	})
+// to it at the time sent, with the hash of the versions that it uses.
+func (s *Syncer) GatewayResponded(from units.VMID, sent clock.Time, versions uint64) {
+	s.enqueue(func(now clock.Time) []Message { return s.state.GatewayResponded(now, sent, from, versions) })
+}
+
+// VersionsHash returns a hash of the versions in use on this node.
+func (s *Syncer) VersionsHash() uint64 { return s.versionsHash.Load() }
+
+// AwaitMajority waits until more than half of the gateways use the revision of the team, or a later one,
+// or until the context is done, and returns which do.
+func (s *Syncer) AwaitMajority(ctx context.Context, team units.TeamID, revision units.Revision) Reach {
+	ticker := time.NewTicker(reachInterval)
+	defer ticker.Stop()
+	var reach Reach
+	for {
+		result := make(chan Reach, 1)
+		s.enqueue(func(clock.Time) []Message {
+			result <- s.state.Reach(team, revision)
+			return nil
+		})
+		select {
+		case reach = <-result:
+		case <-s.done:
+			return reach
+		case <-ctx.Done():
+			return reach
+		}
+		if reach.Majority() {
+			return reach
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return reach
+		}
+	}
 }
 
 // SetGateways sets the gateways on the VM list, which includes this node if it is a gateway.
