--- a/coord/feed.go
+++ b/coord/feed.go
@@ -6,6 +6,7 @@
 
 	"github.com/magnolialever/magnolialever/store"
 	"github.com/magnolialever/magnolialever/syncer"
+	"github.com/magnolialever/magnolialever/tree"
 	"github.com/magnolialever/magnolialever/units"
 )
 
@@ -49,11 +50,17 @@
 	return out
 }
 
-// Ping implements syncer.Store. A missing key proves that the store is reachable too.
-func (f ConfigStore) Ping(ctx context.Context) error {
-	_, err := f.KV.Get(ctx, leaderKey)
-	if err != nil && !isMissing(err) {
-		return fmt.Errorf("ping store: %w", err)
+// Versions implements syncer.Store.
+func (f ConfigStore) Versions(ctx context.Context) ([]tree.Version, error) {
+	list, _, err := f.KV.ListKeys(ctx, syncer.KeyPrefix)
+	if err != nil {
+		return nil, fmt.Errorf("list versions of team configurations: %w", err)
+	}
+	versions := make([]tree.Version, 0, len(list))
+	for _, e := range list {
+		if team, ok := syncer.TeamFromKey(e.Key); ok {
+			versions = append(versions, tree.Version{Team: team, Revision: e.Revision})
+		}
 	}
-	return nil
+	return versions, nil
 }
--- a/store/read.go
+++ b/store/read.go
@@ -39,6 +39,11 @@
 	return c.list(ctx, prefix, 0, false)
 }
 
+// ListKeys implements KV.
+func (c *Client) ListKeys(ctx context.Context, prefix string) ([]Entry, units.Revision, error) {
+	return c.list(ctx, prefix, 0, true)
+}
+
 // list returns the entries as of the revision, and that revision; 0 means the current one. With
 // keysOnly the values are empty.
 func (c *Client) list(ctx context.Context, prefix string, revision units.Revision,
--- a/store/store.go
+++ b/store/store.go
@@ -63,6 +63,8 @@
 	// List returns the entries whose keys have the prefix, sorted by key, and the revision of
 	// the store at which they were read.
 	List(ctx context.Context, prefix string) ([]Entry, units.Revision, error)
+	// ListKeys is like List, without the values.
+	ListKeys(ctx context.Context, prefix string) ([]Entry, units.Revision, error)
 	// CompareAndSwap writes the value if the key's revision is old, and returns the new
 	// revision; old 0 creates the key. Other results are ErrConflict, ErrUnknownResult,
 	// ErrUnavailable and ErrTooLarge. A lease other than 0 binds the key to the lease; if there
--- a/syncer/state.go
+++ b/syncer/state.go
@@ -138,7 +138,7 @@
 // MergeListed merges all values of the store, from a response to a request sent at the time
 // sent, and returns the announcements.
 func (s *State) MergeListed(now, sent clock.Time, entries []Entry) []Message {
-	s.StoreResponded(sent)
+	s.contacts.storeResponded(sent)
 	var changed []units.TeamID
 	for _, e := range entries {
 		if s.merge(e.Team, e.Revision, e.Value) {
@@ -150,8 +150,18 @@
 	return s.announce(now, changed, func(*peer) bool { return true })
 }
 
-// StoreResponded records that the store responded to a request sent at the time sent.
-func (s *State) StoreResponded(sent clock.Time) { s.contacts.storeResponded(sent) }
+// HandleStoreVersions handles the versions that the store has, from a response to a request sent at the
+// time sent, and reports whether this node has them all. Only then it counts as contact: the watch may
+// have missed changes.
+func (s *State) HandleStoreVersions(sent clock.Time, versions []tree.Version) bool {
+	for _, v := range versions {
+		if s.needsRevision(v.Team, v.Revision) {
+			return false
+		}
+	}
+	s.contacts.storeResponded(sent)
+	return true
+}
 
 // GatewayResponded records that a gateway responded to a message sent to it at the time sent. It counts
 // as contact only if the gateway used the same versions as this node: one that is ahead proves that
--- a/syncer/state_test.go
+++ b/syncer/state_test.go
@@ -228,7 +228,7 @@
 	s := syncer.NewState("n0")
 	assert.Assert(t, s.Isolated(1), "no contact yet")
 	s.SetGateways([]units.VMID{"n0", "n1", "n2", "n3"})
-	s.StoreResponded(1000)
+	assert.Assert(t, s.HandleStoreVersions(1000, nil))
 	assert.Assert(t, !s.Isolated(3000))
 	assert.Assert(t, s.Isolated(3001))
 	s.GatewayResponded(2000, 2000, "n1", s.VersionsHash())
@@ -259,7 +259,7 @@
 			now = now.Add(clock.Span(rapid.IntRange(0, 1500).Draw(t, "span")))
 			if i := rapid.IntRange(0, count).Draw(t, "who"); i == count {
 				lastStore = now
-				s.StoreResponded(now)
+				s.HandleStoreVersions(now, nil)
 			} else {
 				lastResponse[nodeID(i)] = now
 				s.GatewayResponded(now, now, nodeID(i), s.VersionsHash())
--- a/syncer/store.go
+++ b/syncer/store.go
@@ -12,6 +12,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/tree"
 	"github.com/magnolialever/magnolialever/units"
 )
 
@@ -48,15 +49,15 @@
 	// Watch sends the values written at the revision from or later. It closes the channel when
 	// the watch or the context ends. Deletions are not sent.
 	Watch(ctx context.Context, from units.Revision) <-chan Entry
-	// Ping makes the cheapest call that shows whether the store is reachable.
-	Ping(ctx context.Context) error
+	// Versions returns the versions of all values, without the values.
+	Versions(ctx context.Context) ([]tree.Version, error)
 }
 
 const (
 	callTimeout = time.Second
-	// pingInterval and pingMargin let three calls fail before the node counts as isolated.
-	pingInterval = 300 * time.Millisecond
-	pingMargin   = 1200 * clock.Millisecond
+	// checkInterval and checkMargin let three calls fail before the node counts as isolated.
+	checkInterval = 300 * time.Millisecond
+	checkMargin   = 1200 * clock.Millisecond
 	// relistInterval is the minimum time between two full reads, which repair a watch that lost
 	// events without ending. A jitter of up to the same length is added.
 	relistInterval = 60 * time.Second
@@ -74,19 +75,19 @@
 	}
 	go func() {
 		defer close(stopped)
-		pingStopped := make(chan struct{})
-		go s.pingStore(ctx, pingStopped)
+		checkStopped := make(chan struct{})
+		go s.checkStore(ctx, checkStopped)
 		s.followStore(ctx)
-		<-pingStopped
+		<-checkStopped
 	}()
 	return stopped
 }
 
-// pingStore pings the store while the result matters: as long as a majority of the gateways is
-// reachable, it can't isolate the node.
-func (s *Syncer) pingStore(ctx context.Context, stopped chan<- struct{}) {
+// checkStore compares the versions in use with those of the store while the result matters: as long as a
+// majority of the gateways is reachable, it can't isolate the node.
+func (s *Syncer) checkStore(ctx context.Context, stopped chan<- struct{}) {
 	defer close(stopped)
-	ticker := time.NewTicker(pingInterval)
+	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -94,26 +95,39 @@
 			return
 		case <-ticker.C:
 		}
-		if s.Isolated(s.clock.Now().Add(pingMargin)) {
-			s.pingOnce(ctx)
+		if s.Isolated(s.clock.Now().Add(checkMargin)) {
+			s.checkOnce(ctx)
 		}
 	}
 }
 
-func (s *Syncer) pingOnce(ctx context.Context) {
+func (s *Syncer) checkOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := s.clock.Now()
-	if err := s.store.Ping(ctx); err != nil {
-		klog.V(2).Infof("syncer: ping store: %v", err)
+	versions, err := s.store.Versions(ctx)
+	if err != nil {
+		klog.V(2).Infof("syncer: read versions from the store: %v", err)
 		return
 	}
 	s.enqueue(func(clock.Time) []Message {
-		s.state.StoreResponded(sent)
+		if !s.state.HandleStoreVersions(sent, versions) {
+			s.requestRelist()
+		}
 		return nil
 	})
 }
 
+// requestRelist makes the follower read all values, because its watch has missed some.
+func (s *Syncer) requestRelist() {
+	select {
+	case s.relist <- struct{}{}:
+		klog.Warningf("syncer: the watch of the store has missed a change, reading all values")
+		stats.Event("tree_watch_stalled")
+	default:
+	}
+}
+
 // followStore repeats listAndWatch until the context is done, with an exponential backoff after
 // short runs.
 func (s *Syncer) followStore(ctx context.Context) {
@@ -159,6 +173,8 @@
 			s.enqueue(func(now clock.Time) []Message { return s.state.MergeStored(now, e) })
 		case <-relist.C:
 			return nil
+		case <-s.relist:
+			return nil
 		}
 	}
 }
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -63,12 +63,14 @@
 // Syncer runs a State in an event loop and sends its messages. All methods are safe for
 // concurrent use.
 type Syncer struct {
-	clock       clock.Clock
-	store       Store
-	state       *State
-	outboxes    map[units.VMID]*outbox
-	inbox       chan func(now clock.Time) []Message
-	done        chan struct{}
+	clock    clock.Clock
+	store    Store
+	state    *State
+	outboxes map[units.VMID]*outbox
+	inbox    chan func(now clock.Time) []Message
+	done     chan struct{}
+	// relist receives a value when the watch of the store has missed changes.
+	relist      chan struct{}
 	subscribers []chan Update
 
 	snapshot          atomic.Pointer[tree.Snapshot]
@@ -86,6 +88,7 @@
 		outboxes: map[units.VMID]*outbox{},
 		inbox:    make(chan func(clock.Time) []Message, inboxCapacity),
 		done:     make(chan struct{}),
+		relist:   make(chan struct{}, 1),
 	}
 	s.publish()
 	return s
--- a/syncer/syncer_test.go
+++ b/syncer/syncer_test.go
@@ -83,13 +83,24 @@
 	return events
 }
 
-func (m *memoryStore) Ping(context.Context) error {
+func (m *memoryStore) Versions(context.Context) ([]tree.Version, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.unavailable {
-		return errStoreUnavailable
+		return nil, errStoreUnavailable
 	}
-	return nil
+	var versions []tree.Version
+	for _, e := range m.entries {
+		versions = append(versions, tree.Version{Team: e.Team, Revision: e.Revision})
+	}
+	return versions, nil
+}
+
+// stallWatch makes the current watch return nothing more, without an end.
+func (m *memoryStore) stallWatch() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.watch = nil
 }
 
 // directLink delivers frames to another Syncer in the same process.
@@ -182,3 +193,19 @@
 	waitUntil(t, "change is merged and node is not isolated",
 		func() bool { return s.Snapshot().Revision("a") == 1 && !isolated() })
 }
+
+// Guards against a withdrawn key that is accepted because the store answers, although the watch of it has
+// stalled.
+func TestStalledWatchIsNoContact(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	memory := newMemoryStore()
+	s := startSyncer(t, "n0", memory)
+	s.SetGateways([]units.VMID{"n0", "n1"})
+	isolated := func() bool { return s.Isolated(clock.System{}.Now()) }
+	waitUntil(t, "node is ready and not isolated", func() bool { return s.Ready() && !isolated() })
+	memory.stallWatch()
+	memory.put(t, "a", teamWithKeys())
+	time.Sleep(3 * time.Second)
+	assert.Assert(t, isolated() || s.Snapshot().Revision("a") == 1, "the node takes requests without a change of 3 s ago")
+	waitUntil(t, "all values are read again", func() bool { return s.Snapshot().Revision("a") == 1 && !isolated() })
+}
--- a/work/memory_test.go
+++ b/work/memory_test.go
@@ -152,6 +152,10 @@
 	m.delayedWrites = nil
 }
 
+func (m *memoryStore) ListKeys(ctx context.Context, prefix string) ([]store.Entry, units.Revision, error) {
+	return m.List(ctx, prefix)
+}
+
 func (m *memoryStore) List(context.Context, string) ([]store.Entry, units.Revision, error) {
 	return nil, 0, fmt.Errorf("list: %w", store.ErrUnavailable)
 }
