--- a/peers/clocks.go
+++ b/peers/clocks.go
@@ -17,7 +17,7 @@
 	// maxMeasureAge is the age at which a measurement is discarded.
 	maxMeasureAge = clock.Minute
 	// driftDivisor bounds how far two clocks drift apart: by the elapsed time divided by it.
-	driftDivisor = 5000
+	driftDivisor = 1000
 )
 
 // Clocks converts times of other gateways' clocks to this gateway's clock. The time at which a message
