--- a/feed/feed.go
+++ b/feed/feed.go
@@ -154,6 +154,12 @@
 	if !f.synced {
 		return f.readAll(ctx)
 	}
+	if f.storeDown {
+		// One cheap call tells whether the store answers again.
+		if err := f.readRevision(ctx); err != nil {
+			return err
+		}
+	}
 	after := f.state.Revision()
 	watched := f.startWatch(ctx, after)
 	readErr := f.readRevision(ctx)
