--- a/entry/validity.go
+++ b/entry/validity.go
@@ -84,8 +84,8 @@
 		"age", now.Sub(b.confirmedAt), "left", until.Sub(now))
 }
 
-// confirmer is the claim of another gateway to have a confirmation by the store.
-type confirmer struct {
+// claim is that of another gateway to have a confirmation by the store.
+type claim struct {
 	digest peers.Digest
 	// claimedAt is when the confirmation was at the latest.
 	claimedAt clock.Time
@@ -95,17 +95,18 @@
 // confirmation than the time, latest first. Gateways with a newer configuration than the version confirm
 // nothing: keys may have been withdrawn by it.
 func chooseConfirmers(digests []peers.Digest, after clock.Time, configVersion int64) []peers.Digest {
-	var claims []confirmer
+	var claims []claim
 	for _, d := range digests {
-		claim := confirmer{d, d.ReceivedAt.Add(-clock.Span(d.GetConfirmedMs()))}
+		c := claim{d, d.ReceivedAt.Add(-clock.Span(d.GetConfirmedMs()))}
 		known := d.GetConfig() != 0 && d.GetConfirmedMs() < noConfirmationMs
-		if known && d.GetConfig() <= configVersion && claim.claimedAt.After(after) {
-			claims = append(claims, claim)
+		if known && d.GetConfig() <= configVersion && c.claimedAt.After(after) {
+			claims = append(claims, c)
 		}
 	}
-	slices.SortFunc(claims, func(x, y confirmer) int { return cmp.Compare(y.claimedAt, x.claimedAt) })
-	var out []peers.Digest
-	for _, c := range claims[:min(len(claims), maxConfirmers)] {
+	slices.SortFunc(claims, func(x, y claim) int { return cmp.Compare(y.claimedAt, x.claimedAt) })
+	claims = claims[:min(len(claims), maxConfirmers)]
+	out := make([]peers.Digest, 0, len(claims))
+	for _, c := range claims {
 		out = append(out, c.digest)
 	}
 	return out
--- a/relay/server.go
+++ b/relay/server.go
@@ -151,7 +151,10 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	x := s.newExchange(w, r)
+	x := &exchange{server: s, writer: w, httpRequest: r, arrivedAt: s.Clock.Now()}
+	// In this order the view may be newer than the one whose keys are usable, but not older.
+	x.keysUsable = s.KeysUsable(x.arrivedAt)
+	x.view = s.view.Load()
 	defer func() { s.bodyBudget.release(x.bodyBudgetHeld) }()
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
@@ -168,15 +171,6 @@
 	}
 }
 
-// newExchange returns the state of a request that has just arrived. Whether keys are usable is asked before
-// the view is loaded: it may be said of a newer view than the one loaded before, but not the reverse.
-func (s *Server) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
-	x := &exchange{server: s, writer: w, httpRequest: r, arrivedAt: s.Clock.Now()}
-	x.keysUsable = s.KeysUsable(x.arrivedAt)
-	x.view = s.view.Load()
-	return x
-}
-
 // recordRequest counts a request to the service towards its retry budget.
 func (s *Server) recordRequest(id units.ServiceID) {
 	s.mu.Lock()
