--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 
 	"k8s.io/klog/v2"
 
@@ -201,7 +202,10 @@
 	x.tried = append(x.tried, scheduled.Upstream.ID)
 	outcome := x.attempt(ctx, scheduled)
 	x.server.finishAttempt(x.fingerprint, scheduled, outcome)
-	if outcome != sched.Served && outcome != sched.Canceled {
+	if outcome == sched.Broken {
+		klog.InfoS("relay: answer broke off", "request", x.callerRequest.RequestID, "upstream", scheduled.Upstream.ID, "start", scheduled.Upstream.ProcessStart,
+			"events", x.stream.delivered, "parts", partIDs(x.callerRequest.PromptParts), "sends", x.sends, "runs", x.runs, "reason", x.reason)
+	} else if outcome != sched.Served && outcome != sched.Canceled {
 		klog.V(1).InfoS("relay: attempt failed", "request", x.callerRequest.RequestID, "upstream", scheduled.Upstream.ID, "outcome", outcome, "reason", x.reason, "revision", x.view.Revision)
 	}
 }
@@ -349,3 +353,12 @@
 	klog.InfoS("relay: stream cut", "request", x.callerRequest.RequestID, "upstream", x.upstream, "events", x.stream.delivered, "reason", x.reason,
 		"took", x.server.Clock.Now().Sub(x.arrivedAt))
 }
+
+// partIDs returns the ids of a prompt's parts, separated by spaces, for logs.
+func partIDs(parts []fleet.PromptPart) string {
+	ids := make([]string, 0, len(parts))
+	for _, p := range parts {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, " ")
+}
