relay: failing test of a part of prompts that crashes upstreams

Requests that share one part and are otherwise all different crash each upstream that begins to answer them.

--- /dev/null
+++ b/relay/part_test.go
@@ -0,0 +1,86 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/platform/fakes"
+)
+
+// crashOnPart returns a script that ends the replica's process as it begins to answer a request with
+// the part, and streams an answer to all others.
+func crashOnPart(part string, replica func() *fakes.Replica) func(r *fakes.Request) {
+	return func(r *fakes.Request) {
+		time.Sleep(20 * time.Millisecond)
+		if r.HasPromptPart(part) {
+			r.WriteRaw(fakes.Head(r.RequestID, "200 OK") + "Content-Type: text/event-stream\r\n\r\nid: 1\nda")
+			replica().Crash()
+			return
+		}
+		r.Stream(1, 3, true)
+	}
+}
+
+// startPartReplicas starts n replicas that end when they begin to answer a request with the part.
+func startPartReplicas(t *testing.T, n int, part string) []*fakes.Replica {
+	t.Helper()
+	all := make([]*fakes.Replica, n)
+	for i := range all {
+		all[i] = startReplica(t, fmt.Sprint("r", i), crashOnPart(part, func() *fakes.Replica { return all[i] }))
+	}
+	return all
+}
+
+// sendParts sends a request for a stream whose prompt has the parts.
+func (r *testGateway) sendParts(id string, parts ...string) result {
+	r.t.Helper()
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, r.httpServer.URL+"/talk/a", strings.NewReader(id))
+	assert.NilError(r.t, err)
+	req.Header = fakes.RequestHeader(id, key, "small", 4000)
+	fakes.SetPromptParts(req.Header, parts...)
+	req.Host = fakes.Host
+	return r.do(req)
+}
+
+// replicasWith returns the number of replicas that received a request with the part.
+func replicasWith(part string, all []*fakes.Replica) int {
+	n := 0
+	for _, p := range all {
+		for _, r := range p.Requests() {
+			if r.HasPromptPart(part) {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+// Guards against a part of prompts that crashes one upstream after another, in requests that are all
+// different and sent at once or in turn, while sound requests with the same beginning are served.
+func TestPartThatCrashesUpstreamsIsStopped(t *testing.T) {
+	const deadly = "dead1"
+	all := startPartReplicas(t, 8, deadly)
+	r := newTestGateway(t, all...)
+	assert.Equal(t, r.sendParts("first", "shared", "sub", "own-first").status, http.StatusOK)
+	var group sync.WaitGroup
+	for i := range 12 {
+		group.Go(func() { r.sendParts(fmt.Sprint("bad", i), "shared", "sub", deadly, fmt.Sprint("own-bad", i)) })
+	}
+	group.Wait()
+	for i := range 12 {
+		r.sendParts(fmt.Sprint("late", i), "shared", "sub", deadly, fmt.Sprint("own-late", i))
+	}
+	assert.Assert(t, replicasWith(deadly, all) <= 3, "%d upstreams received the part", replicasWith(deadly, all))
+	for i := range 12 {
+		got := r.sendParts(fmt.Sprint("good", i), "shared", "sub", fmt.Sprint("own-good", i))
+		assert.Equal(t, got.status, http.StatusOK, got.body)
+	}
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -138,6 +138,12 @@
 	assert.NilError(r.t, err)
 	req.Header = fakes.RequestHeader("id-"+path, key, model, 4000)
 	req.Host = fakes.Host
+	return r.do(req)
+}
+
+// do sends a caller's request and reads the whole response.
+func (r *testGateway) do(req *http.Request) result {
+	r.t.Helper()
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return result{err: err}
