parts, relay, entry: refuse prompts with a part that crashes upstreams

Cause: a request was known by its customer, target and whole body. No two of these requests are alike, so that each was new. Every request was sent at once and, after a crash, to a second upstream.

Ruled out: that more repeats of one request cause it (each request reached two upstreams at most); that the digest's limit of 32 suspects hides them (no fingerprint was ever suspect); late belief alone: requests that arrive within 0.1 s of each other crash as many.

Why this works: evidence is kept for parts. A part is proven once an answer with it begins, at any gateway. Before that, its owner, one gateway by rendezvous hash, lets two requests with it be on their way in the whole fleet, and one after a crash. Two crashes that no answer refutes refuse the part everywhere. Proven parts beside an unproven one are innocent. A trial after 1 s ends a wrong verdict, the next ones follow after 1, 2, 4 minutes. Crashes are shown by a connection that is refused, not by a broken answer. A gateway that was started or paused passes its questions on until it has heard the others; messages are dated by their sender's clock.

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -159,11 +159,12 @@
 	}
 }
 
-// handleDigest merges the crash suspects of another gateway, and plans soon if that gateway had misses.
+// handleDigest merges the crash suspects and parts of another gateway, and plans soon if that gateway had misses.
 func (c *controller) handleDigest(now clock.Time, d peers.Digest) {
 	for _, w := range d.GetSuspects() {
 		c.gateway.relay.MergeSuspect(decodeSuspect(now, w))
 	}
+	c.gateway.partOwners.merge(d.GetParts(), d.From, d.GetLife(), d.GetSentMs())
 	if d.HasMisses() {
 		c.orders.planSoon()
 	}
@@ -173,6 +174,7 @@
 	now := c.gateway.clock.Now()
 	c.updateKeyValidity(now)
 	c.applyMembers(now)
+	c.gateway.partOwners.onTick(now)
 	c.gateway.limiter.onTick(now)
 	c.gateway.relay.SetOtherLoads(c.otherLoads(), peers.DigestInterval(c.gatewayCount))
 	c.announceChanges(now)
@@ -198,6 +200,7 @@
 	c.gateway.relay.SetGateways(c.gateway.settings.VM, c.members.All())
 	registered := c.members.Registered()
 	c.gateway.limiter.setGateways(n, registered)
+	c.gateway.partOwners.setGateways(registered)
 	c.orders.setGateways(registered)
 	c.gateway.storeWatch.Store(newStoreWatch(c.gateway.settings.VM, c.gateway.settings.Zone, registered))
 }
@@ -288,6 +291,7 @@
 	for _, l := range c.gateway.relay.Loads() {
 		d.Shares = append(d.Shares, encodeLoad(l))
 	}
+	d.Parts = encodePartSuspects(now, c.gateway.parts.Suspects(maxDigestParts))
 	d.Suspects = encodeSuspects(now, c.gateway.relay.Suspects())
 	return d
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/feed"
 	"github.com/magnolialever/magnolialever/member"
+	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/peers"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/quota"
@@ -51,6 +52,8 @@
 	store       *platform.Store
 	relay       *relay.Server
 	limiter     *rateLimiter
+	parts       *parts.Guard
+	partOwners  *partOwners
 	peers       *peers.Transport
 	feed        *feed.Feed
 	keyValidity keyValidity
@@ -78,7 +81,11 @@
 	}
 	tolerance := quota.Tolerance{Rate: settings.Bounds.QuotaOvershoot, Tokens: settings.Bounds.QuotaSlack}
 	g.limiter = newRateLimiter(settings.VM, g.clock, quota.New(settings.VM, settings.FirstStart, tolerance), g.incarnation)
+	g.parts = parts.NewGuard(g.clock)
+	g.partOwners = newPartOwners(settings.VM, g.incarnation, g.clock, g.parts)
+	g.parts.SetOwners(g.partOwners)
 	g.relay = relay.New(relay.Options{
+		Parts:      g.parts,
 		Clock:      g.clock,
 		Scheduler:  sched.New(settings.Zone, sched.ColdTolerance{Factor: settings.Bounds.ColdFactor, Slack: settings.Bounds.ColdSlack}),
 		Limiter:    g.limiter,
@@ -106,7 +113,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
-	g.peers, g.limiter.peers = transport, transport
+	g.peers, g.limiter.peers, g.partOwners.peers = transport, transport, transport
 	g.feed = feed.New(feed.Options{
 		Clock: g.clock, Store: g.store,
 		OnChange:    func(s *view.Snapshot) { g.post(viewChanged{s}) },
@@ -176,7 +183,9 @@
 		g.feed.Deliver(g.receiveChanges(changes, from))
 		return
 	}
-	g.limiter.handleMessage(m, from)
+	if !g.partOwners.handleMessage(m, from) {
+		g.limiter.handleMessage(m, from)
+	}
 }
 
 // isLeader reports whether this gateway is the leader. It may be called from any goroutine.
--- /dev/null
+++ b/parts/guard.go
@@ -0,0 +1,316 @@
+package parts
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/stats"
+)
+
+// busyPoll is the time after which a busy owner is asked again.
+const busyPoll = 25 * time.Millisecond
+
+// Owners passes what a Guard wants to know and to tell to the gateways that own parts. Its methods are
+// called from concurrent requests.
+type Owners interface {
+	// Ask asks the owner of the part whether a request with it may be sent; the span is that of
+	// Ledger.Request.
+	Ask(ctx context.Context, part ID, id Permit) (Reply, clock.Span)
+	// Return tells the owner how a granted request has ended.
+	Return(part ID, id Permit, r Result)
+	// Announce tells all gateways what is known of suspects.
+	Announce(list []Suspect)
+}
+
+// Result is how a granted request ended. The zero value tells nothing of the part.
+type Result struct {
+	// Began is set if an answer to the request began.
+	Began bool
+	// Suspect is set if the upstream crashed: what is known of the part since.
+	Suspect *Suspect
+}
+
+// Guard decides which requests may be sent, by the parts of their prompts. It is safe for concurrent
+// use.
+type Guard struct {
+	clock  clock.Clock
+	owners Owners
+
+	mu     sync.Mutex // guards the fields below
+	ledger *Ledger
+	// asks has a channel for each part about which a request asks the owner. It is closed when the
+	// request has its answer; other requests with the part wait for it.
+	asks map[ID]chan struct{}
+}
+
+// NewGuard returns a Guard that owns all parts until SetOwners is called.
+func NewGuard(c clock.Clock) *Guard {
+	g := &Guard{clock: c, ledger: NewLedger(), asks: map[ID]chan struct{}{}}
+	g.owners = soleOwner{g}
+	return g
+}
+
+// SetOwners sets the way to the owners of parts. It must be called before the Guard is used.
+func (g *Guard) SetOwners(o Owners) { g.owners = o }
+
+// Ticket is the permission to send one request.
+type Ticket struct {
+	guard *Guard
+	parts []ID
+	// granted are the parts whose owner has to learn how the request ended.
+	granted []ID
+	id      Permit
+	sentAt  clock.Time
+	began   bool
+}
+
+// Acquire waits until a request with the parts may be sent. It returns nil and the time after which the
+// caller may come back if one of them is refused, and nil and 0 if ctx is done before.
+func (g *Guard) Acquire(ctx context.Context, list []ID) (*Ticket, clock.Span) {
+	t := &Ticket{guard: g, parts: list, id: Permit(rand.Uint64())}
+	// In this order two requests with the same parts don't wait for each other.
+	for _, part := range slices.Sorted(slices.Values(list)) {
+		granted, retryAfter, ok := g.acquirePart(ctx, part, t.id)
+		if granted {
+			t.granted = append(t.granted, part)
+		}
+		if !ok {
+			t.release()
+			return nil, retryAfter
+		}
+	}
+	t.sentAt = g.clock.Now()
+	return t, 0
+}
+
+// acquirePart waits until a request with the part may be sent. It reports whether the owner counts the
+// request. ok is false if the request must not be sent.
+func (g *Guard) acquirePart(ctx context.Context, part ID, id Permit) (granted bool, retryAfter clock.Span, ok bool) {
+	for {
+		g.mu.Lock()
+		state, wait := g.ledger.State(g.clock.Now(), part)
+		asked := g.asks[part]
+		if asked == nil && !g.isDecided(state, wait) {
+			g.asks[part] = make(chan struct{})
+		}
+		g.mu.Unlock()
+		switch {
+		case state == Proven:
+			return false, 0, true
+		case g.isDecided(state, wait):
+			return false, retryTime(wait), false
+		case asked == nil:
+			return g.askOwner(ctx, part, id)
+		}
+		select {
+		case <-asked:
+		case <-ctx.Done():
+			return false, 0, false
+		}
+	}
+}
+
+// isDecided reports whether the owner of a part in the state need not be asked.
+func (g *Guard) isDecided(state State, wait clock.Span) bool {
+	return state == Proven || (state == Refused && wait > 0)
+}
+
+// askOwner asks the owner of a part until it is no longer busy. Other requests with the part wait
+// meanwhile.
+func (g *Guard) askOwner(ctx context.Context, part ID, id Permit) (granted bool, retryAfter clock.Span, ok bool) {
+	defer g.endAsk(part)
+	for {
+		reply, wait := g.owners.Ask(ctx, part, id)
+		switch reply {
+		case Granted:
+			return true, 0, true
+		case Harmless:
+			g.mu.Lock()
+			g.ledger.RecordHarmless(part)
+			g.mu.Unlock()
+			return false, 0, true
+		case Denied:
+			return false, retryTime(wait), false
+		case Busy:
+			stats.Event("parts_waited")
+		}
+		select {
+		case <-time.After(busyPoll):
+		case <-ctx.Done():
+			return false, 0, false
+		}
+		g.mu.Lock()
+		state, wait := g.ledger.State(g.clock.Now(), part)
+		g.mu.Unlock()
+		if g.isDecided(state, wait) {
+			return false, retryTime(wait), state == Proven
+		}
+	}
+}
+
+// endAsk lets another request ask about the part.
+func (g *Guard) endAsk(part ID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.asks[part])
+	delete(g.asks, part)
+}
+
+// retryTime returns the time after which a refused caller may come back, spread so that callers don't
+// come back together.
+func retryTime(wait clock.Span) clock.Span {
+	wait = max(wait, firstTrialDelay)
+	return wait + clock.Span(rand.Int64N(int64(wait)))
+}
+
+// Refused reports whether one of the ticket's parts is refused now, and the time after which the caller may
+// come back. A part that was refused when the ticket was granted is on trial.
+func (t *Ticket) Refused() (bool, clock.Span) {
+	t.guard.mu.Lock()
+	defer t.guard.mu.Unlock()
+	for _, part := range t.parts {
+		state, wait := t.guard.ledger.State(t.guard.clock.Now(), part)
+		if state == Refused && wait > 0 {
+			return true, retryTime(wait)
+		}
+	}
+	return false, 0
+}
+
+// Sent records that the request is sent to an upstream now.
+func (t *Ticket) Sent() { t.sentAt = t.guard.clock.Now() }
+
+// Began records that an answer to the request has begun. All of its parts are harmless.
+func (t *Ticket) Began() {
+	if t.began {
+		return
+	}
+	t.began = true
+	var refuted []Suspect
+	t.guard.mu.Lock()
+	for _, part := range t.parts {
+		if t.guard.ledger.RecordBegan(part, t.guard.clock.Now()) {
+			s, _ := t.guard.ledger.Get(part)
+			refuted = append(refuted, s)
+		}
+	}
+	t.guard.mu.Unlock()
+	for _, part := range t.granted {
+		t.guard.owners.Return(part, t.id, Result{Began: true})
+	}
+	t.granted = nil
+	if len(refuted) > 0 {
+		t.guard.owners.Announce(refuted)
+	}
+}
+
+// NeedsCause reports whether a part would become suspect if the upstream has crashed: no answer with it
+// has begun since the request was sent.
+func (t *Ticket) NeedsCause() bool {
+	if t.began {
+		return false
+	}
+	t.guard.mu.Lock()
+	defer t.guard.mu.Unlock()
+	return slices.ContainsFunc(t.parts, func(part ID) bool { return t.guard.ledger.proven.beganAt(part).Before(t.sentAt) })
+}
+
+// End ends the attempt for which the ticket was acquired. crash is nil unless the upstream crashed
+// before the answer began. It returns the parts that the crash makes suspect.
+func (t *Ticket) End(crash *Crash) []Suspect {
+	var suspects []Suspect
+	if crash != nil && !t.began {
+		suspects = t.guard.recordCrash(t.parts, *crash)
+	}
+	for _, s := range suspects {
+		if i := slices.Index(t.granted, s.Part); i >= 0 {
+			// The owner learns of the crash together with the end of the permit.
+			t.guard.owners.Return(s.Part, t.id, Result{Suspect: &s})
+			t.granted = slices.Delete(t.granted, i, i+1)
+		}
+	}
+	t.release()
+	if len(suspects) > 0 {
+		t.guard.owners.Announce(suspects)
+	}
+	return suspects
+}
+
+// recordCrash returns the parts of the prompt that the crash makes suspect.
+func (g *Guard) recordCrash(prompt []ID, crash Crash) []Suspect {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var suspects []Suspect
+	for _, part := range g.ledger.RecordCrash(g.clock.Now(), prompt, crash) {
+		s, _ := g.ledger.Get(part)
+		suspects = append(suspects, s)
+	}
+	return suspects
+}
+
+// SentAt returns when the request was sent.
+func (t *Ticket) SentAt() clock.Time { return t.sentAt }
+
+// release returns the permits of the ticket.
+func (t *Ticket) release() {
+	for _, part := range t.granted {
+		t.guard.owners.Return(part, t.id, Result{})
+	}
+	t.granted = nil
+}
+
+// Request decides, as the owner of a part, on another gateway's request.
+func (g *Guard) Request(part ID, id Permit) (Reply, clock.Span) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.Request(g.clock.Now(), part, id)
+}
+
+// Returned ends a permit that this gateway granted as the owner of the part.
+func (g *Guard) Returned(part ID, id Permit, r Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.Began {
+		g.ledger.RecordBegan(part, g.clock.Now())
+	}
+	if r.Suspect != nil {
+		g.ledger.Merge(g.clock.Now(), *r.Suspect)
+	}
+	g.ledger.Return(part, id)
+}
+
+// Merge adds what another gateway knows of a suspect, and reports whether that adds crashes.
+func (g *Guard) Merge(s Suspect) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.Merge(g.clock.Now(), s)
+}
+
+// Suspects returns at most n suspects, the most important first.
+func (g *Guard) Suspects(n int) []Suspect {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.Suspects(g.clock.Now(), n)
+}
+
+// Expire drops permits that have expired. The caller has to call it periodically.
+func (g *Guard) Expire() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ledger.Expire(g.clock.Now())
+}
+
+// soleOwner is the Owners of a gateway without others.
+type soleOwner struct{ guard *Guard }
+
+func (o soleOwner) Ask(_ context.Context, part ID, id Permit) (Reply, clock.Span) {
+	return o.guard.Request(part, id)
+}
+
+func (o soleOwner) Return(part ID, id Permit, r Result) { o.guard.Returned(part, id, r) }
+
+func (soleOwner) Announce([]Suspect) {}
--- /dev/null
+++ b/parts/ledger.go
@@ -0,0 +1,331 @@
+// Package parts limits the damage of prompts with a part that crashes each upstream that begins to
+// answer them. Requests with such a part differ in everything else, so that evidence is kept for the
+// parts. A part is proven harmless once an answer to a prompt with it has begun. Until then only few
+// requests with it may be on their way in the whole fleet, which one gateway, the owner of the part,
+// counts. A part whose requests crashed upstreams is refused, except for rare trials.
+package parts
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/retry"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+const (
+	// maxUnproven is the number of requests with a part that may be on their way while the part is
+	// neither proven nor suspect. A suspect part gets one.
+	maxUnproven = 2
+	// crashLimit is the number of crashes without an answer that begins from which on a part is
+	// refused. Upstreams also end for other reasons, so that one crash is no verdict.
+	crashLimit = 2
+	// provenCrashLimit applies to a part that was proven before.
+	provenCrashLimit = 3
+	// permitTTL is the time after which a request no longer counts as on its way, because it waits or
+	// its gateway is gone. suspectPermitTTL applies while the part is suspect.
+	permitTTL        = 600 * clock.Millisecond
+	suspectPermitTTL = 2 * clock.Second
+	// firstTrialDelay is the time from a verdict to its first trial, which ends a wrong verdict soon.
+	// Each failed trial is an upstream lost: the next one follows after trialDelay, which doubles with
+	// each further one up to maxTrialDelay.
+	firstTrialDelay = clock.Second
+	trialDelay      = clock.Minute
+	maxTrialDelay   = clock.Hour
+	// suspectTTL is the time after its last crash during which a part that is not refused stays suspect.
+	suspectTTL = 10 * clock.Minute
+	// maxSuspects bounds the suspects kept, maxCrashes the crashes kept of each.
+	maxSuspects = 4096
+	maxCrashes  = 12
+)
+
+// EverBegan is the earliest time at which an answer can have begun. It stands for an answer of which only
+// is known that it began.
+const EverBegan = clock.Time(1)
+
+// ID identifies a part of prompts at a service.
+type ID uint64
+
+// NewID returns the ID of the part with a text id, which is unique among the prompts for the service.
+func NewID(service units.ServiceID, part string) ID {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(service) + "\x00" + part)
+	return ID(d.Sum64())
+}
+
+// Crash is the end of an upstream's process before an answer to a prompt with the part began.
+type Crash struct {
+	ID retry.CrashID
+	// SentAt is when the prompt was sent to the upstream.
+	SentAt clock.Time
+}
+
+// Suspect is what is known of a part that was in prompts whose upstream crashed.
+type Suspect struct {
+	Part ID
+	// BeganAt is when an answer to a prompt with the part began last; 0 is never. It refutes all crashes
+	// of prompts that were sent before.
+	BeganAt clock.Time
+	Crashes []Crash
+}
+
+// count returns the number of crashes that no answer refutes.
+func (s *Suspect) count() int {
+	n := 0
+	for _, c := range s.Crashes {
+		if c.SentAt.After(s.BeganAt) {
+			n++
+		}
+	}
+	return n
+}
+
+// condemned reports whether the crashes that no answer refutes suffice to refuse the part.
+func (s *Suspect) condemned() bool {
+	if s.BeganAt != 0 {
+		return s.count() >= provenCrashLimit
+	}
+	return s.count() >= crashLimit
+}
+
+// State tells whether a request with a part may be sent.
+type State uint8
+
+// States of a part.
+const (
+	// Unproven parts need the permission of their owner.
+	Unproven State = iota
+	// Proven parts are harmless.
+	Proven
+	// Refused parts crash upstreams.
+	Refused
+)
+
+// Reply is the answer of a part's owner to a gateway that wants to send a request with the part.
+type Reply uint8
+
+// Replies of an owner.
+const (
+	// Busy means that enough requests with the part are on their way.
+	Busy Reply = iota
+	// Granted means that the request may be sent. Its end has to be reported.
+	Granted
+	// Harmless means that the part is proven.
+	Harmless
+	// Denied means that the part is refused.
+	Denied
+)
+
+// Permit identifies a granted request.
+type Permit uint64
+
+// permit is a granted request on its way.
+type permit struct {
+	id      Permit
+	expires clock.Time
+}
+
+// suspect is a Suspect with what this gateway decides about it.
+type suspect struct {
+	Suspect
+	// trialAt is when a request may be sent although the part is refused.
+	trialAt clock.Time
+	// changedAt is when the last crash was learned.
+	changedAt clock.Time
+}
+
+// Ledger is what a gateway knows of parts, and the permits that it has granted as owner. It performs
+// no I/O and is not safe for concurrent use; the caller passes the time.
+type Ledger struct {
+	proven   provenSet
+	suspects map[ID]*suspect
+	permits  map[ID][]permit
+}
+
+// NewLedger returns a Ledger without knowledge.
+func NewLedger() *Ledger {
+	return &Ledger{proven: newProvenSet(), suspects: map[ID]*suspect{}, permits: map[ID][]permit{}}
+}
+
+// State returns whether a request with the part may be sent. For a refused part it also returns the
+// time until the next trial, which is 0 if a trial may be asked for.
+func (l *Ledger) State(now clock.Time, part ID) (State, clock.Span) {
+	s, ok := l.suspects[part]
+	if ok && s.count() > 0 {
+		if s.condemned() {
+			return Refused, max(s.trialAt.Sub(now), 0)
+		}
+		return Unproven, 0
+	}
+	if l.proven.beganAt(part) != 0 {
+		return Proven, 0
+	}
+	return Unproven, 0
+}
+
+// Request decides, as the owner of the part, on a request with it. The span is the time until the next
+// trial for Denied.
+func (l *Ledger) Request(now clock.Time, part ID, id Permit) (Reply, clock.Span) {
+	state, wait := l.State(now, part)
+	if state == Proven {
+		return Harmless, 0
+	}
+	if state == Refused && wait > 0 {
+		return Denied, wait
+	}
+	limit, ttl := maxUnproven, permitTTL
+	if s, ok := l.suspects[part]; ok && s.count() > 0 {
+		limit, ttl = 1, suspectPermitTTL
+	}
+	current := l.currentPermits(now, part)
+	if len(current) >= limit {
+		if state == Refused {
+			return Denied, suspectPermitTTL
+		}
+		return Busy, 0
+	}
+	l.permits[part] = append(current, permit{id, now.Add(ttl)})
+	return Granted, 0
+}
+
+// currentPermits removes the expired permits of a part and returns the others.
+func (l *Ledger) currentPermits(now clock.Time, part ID) []permit {
+	list := slices.DeleteFunc(l.permits[part], func(p permit) bool { return !now.Before(p.expires) })
+	if len(list) == 0 {
+		delete(l.permits, part)
+		return nil
+	}
+	l.permits[part] = list
+	return list
+}
+
+// Return ends a permit.
+func (l *Ledger) Return(part ID, id Permit) {
+	list := slices.DeleteFunc(l.permits[part], func(p permit) bool { return p.id == id })
+	if len(list) == 0 {
+		delete(l.permits, part)
+		return
+	}
+	l.permits[part] = list
+}
+
+// RecordBegan records that an answer to a prompt with the part began. It reports whether that refutes a
+// crash.
+func (l *Ledger) RecordBegan(part ID, at clock.Time) bool {
+	l.proven.add(part, at)
+	s, ok := l.suspects[part]
+	if !ok {
+		return false
+	}
+	before := s.count()
+	s.BeganAt = max(s.BeganAt, at)
+	return s.count() < before
+}
+
+// RecordHarmless records that the owner of a part knows it as proven. When its answer began is not known
+// here, so that this refutes no crash.
+func (l *Ledger) RecordHarmless(part ID) { l.proven.add(part, EverBegan) }
+
+// RecordCrash records that an upstream crashed before an answer to a prompt with the parts began. If some
+// of them are not proven, the others are innocent. It returns the parts for which this is a new crash that
+// no answer refutes.
+func (l *Ledger) RecordCrash(now clock.Time, prompt []ID, c Crash) []ID {
+	unproven := slices.DeleteFunc(slices.Clone(prompt), func(part ID) bool { return l.proven.beganAt(part) != 0 })
+	if len(unproven) == 0 {
+		unproven = prompt
+	}
+	return slices.DeleteFunc(slices.Clone(unproven), func(part ID) bool {
+		return !l.Merge(now, Suspect{Part: part, Crashes: []Crash{c}})
+	})
+}
+
+// Merge adds what another gateway knows of a suspect. It reports whether there are more crashes that no
+// answer refutes.
+func (l *Ledger) Merge(now clock.Time, other Suspect) bool {
+	s, ok := l.suspects[other.Part]
+	if !ok {
+		l.evict(now)
+		s = &suspect{Suspect: Suspect{Part: other.Part}}
+		l.suspects[other.Part] = s
+	}
+	before := s.count()
+	s.BeganAt = max(s.BeganAt, other.BeganAt, l.proven.beganAt(other.Part))
+	for _, c := range other.Crashes {
+		known := slices.ContainsFunc(s.Crashes, func(k Crash) bool { return k.ID == c.ID })
+		if !known && len(s.Crashes) < maxCrashes {
+			s.Crashes = append(s.Crashes, c)
+		}
+	}
+	after := s.count()
+	if after > before {
+		s.changedAt = now
+		s.trialAt = now.Add(delayOfTrial(after))
+		return true
+	}
+	return false
+}
+
+// delayOfTrial returns the time from a crash, the last of n, to the next trial.
+func delayOfTrial(n int) clock.Span {
+	if n <= crashLimit {
+		return firstTrialDelay
+	}
+	return min(trialDelay<<min(n-crashLimit-1, 10), maxTrialDelay)
+}
+
+// evict makes room for suspects if there are maxSuspects: it drops the less important half.
+func (l *Ledger) evict(now clock.Time) {
+	if len(l.suspects) < maxSuspects {
+		return
+	}
+	list := l.byImportance(now)
+	for _, s := range list[min(maxSuspects/2, len(list)):] {
+		delete(l.suspects, s.Part)
+	}
+}
+
+// byImportance drops suspects that have expired and returns the others: those with the most crashes first,
+// then those that changed last.
+func (l *Ledger) byImportance(now clock.Time) []*suspect {
+	list := make([]*suspect, 0, len(l.suspects))
+	for part, s := range l.suspects {
+		if !s.condemned() && now.Sub(s.changedAt) >= suspectTTL {
+			delete(l.suspects, part)
+			continue
+		}
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b *suspect) int {
+		return cmp.Or(cmp.Compare(b.count(), a.count()), cmp.Compare(b.changedAt, a.changedAt))
+	})
+	return list
+}
+
+// Suspects returns at most n suspects, the most important first.
+func (l *Ledger) Suspects(now clock.Time, n int) []Suspect {
+	list := l.byImportance(now)
+	out := make([]Suspect, 0, min(n, len(list)))
+	for _, s := range list[:min(n, len(list))] {
+		out = append(out, Suspect{s.Part, s.BeganAt, slices.Clone(s.Crashes)})
+	}
+	return out
+}
+
+// Get returns what is known of a suspect, and false if the part is none.
+func (l *Ledger) Get(part ID) (Suspect, bool) {
+	s, ok := l.suspects[part]
+	if !ok {
+		return Suspect{}, false
+	}
+	return Suspect{s.Part, s.BeganAt, slices.Clone(s.Crashes)}, true
+}
+
+// Expire drops permits that have expired.
+func (l *Ledger) Expire(now clock.Time) {
+	for part := range l.permits {
+		l.currentPermits(now, part)
+	}
+}
--- a/peers/clocks_test.go
+++ b/peers/clocks_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -91,8 +90,6 @@
 	return p
 }
 
-func (p *Transport) address() string { return p.conn.LocalAddr().(*net.UDPAddr).AddrPort().String() }
-
 // Guards against a digest that waited in the socket's buffer of a paused process and is taken for a fresh
 // one when it is read.
 func TestDigestIsDatedBySender(t *testing.T) {
@@ -106,7 +103,7 @@
 	go func() { runErrors <- b.Run(ctx) }()
 	send := func(number uint64) clock.Time {
 		now := clock.System{}.Now()
-		b.Send(&wire.Datagram{Body: &wire.Datagram_Digest{Digest: &wire.Digest{Vm: "b", Life: 2, Number: number, SentMs: int64(now)}}}, a.address())
+		b.Send(&wire.Datagram{Body: &wire.Datagram_Digest{Digest: &wire.Digest{Vm: "b", Life: 2, Number: number, SentMs: int64(now)}}}, a.Address())
 		return now
 	}
 	send(1)
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -102,6 +102,9 @@
 	return &Transport{Options: o, conn: c, clocks: newClocks(o.Clock, o.Life), latest: map[units.VMID]Digest{}}, nil
 }
 
+// Address returns the address on which the Transport listens, in the form IPv4:port.
+func (p *Transport) Address() string { return p.conn.LocalAddr().String() }
+
 // Run receives digests until ctx is done, and then closes the socket and returns nil. It
 // returns an error if receiving fails.
 func (p *Transport) Run(ctx context.Context) error {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -121,7 +121,7 @@
 
 // handleCallError handles a call that ended without a complete response.
 func (x *exchange) handleCallError(ctx context.Context, err error) sched.Outcome {
-	x.reason = err.Error()
+	x.reason, x.timedOut = err.Error(), isTimeout(err)
 	if ctx.Err() != nil {
 		x.runs++
 		x.endCanceled(ctx)
@@ -209,7 +209,7 @@
 	}
 	if err != nil {
 		res.abort()
-		x.reason = err.Error()
+		x.reason, x.timedOut = err.Error(), isTimeout(err)
 		if ctx.Err() != nil {
 			x.endCanceled(ctx)
 			return sched.Canceled
@@ -217,6 +217,9 @@
 		return x.retryOrGiveUp(ctx)
 	}
 	res.release()
+	if res.status < http.StatusInternalServerError {
+		x.ticket.Began()
+	}
 	p := &bufferedResponse{res.status, res.header, body}
 	if res.status >= 500 && x.route.RetryMode != fleet.AtMostOnce && x.runs < x.route.MaxAttempts && res.status != http.StatusGatewayTimeout {
 		x.failureResponse = p
@@ -265,7 +268,7 @@
 		return sched.Served
 	}
 	res.abort()
-	x.reason = err.Error()
+	x.reason, x.timedOut = err.Error(), isTimeout(err)
 	if ctx.Err() != nil || errors.Is(err, errCaller) {
 		x.endCanceled(ctx)
 		return sched.Canceled
@@ -301,6 +304,7 @@
 				return err
 			}
 			if x.stream.delivered > delivered {
+				x.ticket.Began()
 				progressAt = x.server.Clock.Now()
 			}
 		}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -5,13 +5,13 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/assign"
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/sched"
@@ -52,6 +52,10 @@
 	bodyBudgetHeld int64
 	// fingerprint identifies the contents of the request: it is the same for retries by the caller.
 	fingerprint retry.Fingerprint
+	// parts identify the parts of the prompt that other requests may share.
+	parts []parts.ID
+	// ticket is the permission for the current attempt.
+	ticket *parts.Ticket
 	// timeout is the longest time from arrival to the end of the response.
 	timeout clock.Span
 
@@ -71,6 +75,8 @@
 	upstream units.UpstreamID
 	// reason is why the last attempt failed, for logs.
 	reason string
+	// timedOut is set if the last attempt failed because the upstream was silent.
+	timedOut bool
 	// assignedAt is when the last upstream was assigned, firstByteAt when its response began.
 	assignedAt, firstByteAt clock.Time
 }
@@ -104,6 +110,7 @@
 	if p := x.readBody(c.MaxBodyBytes); p != nil {
 		return p
 	}
+	x.parts = sharedParts(x.service.Name, x.callerRequest.PromptParts)
 	x.fingerprint = retry.FingerprintOf(x.customerID(), x.httpRequest.Method+" "+x.httpRequest.RequestURI, x.body)
 	if x.server.isCrashSuspect(x.fingerprint) {
 		x.reason = "crashed upstreams"
@@ -194,18 +201,27 @@
 		x.giveUp("crashed upstreams")
 		return
 	}
+	if !x.acquireTicket(ctx) {
+		return
+	}
 	scheduled := x.awaitUpstream(ctx)
 	if scheduled == nil {
+		x.ticket.End(nil)
+		return
+	}
+	if refused, retryAfter := x.ticket.Refused(); refused {
+		x.ticket.End(nil)
+		x.server.cancelAttempt(scheduled)
+		x.refuseSuspect(retryAfter)
 		return
 	}
 	x.upstream, x.assignedAt = scheduled.Upstream.ID, x.server.Clock.Now()
 	x.tried = append(x.tried, scheduled.Upstream.ID)
+	x.ticket.Sent()
 	outcome := x.attempt(ctx, scheduled)
 	x.server.finishAttempt(x.fingerprint, scheduled, outcome)
-	if outcome == sched.Broken {
-		klog.InfoS("relay: answer broke off", "request", x.callerRequest.RequestID, "upstream", scheduled.Upstream.ID, "start", scheduled.Upstream.ProcessStart,
-			"events", x.stream.delivered, "parts", partIDs(x.callerRequest.PromptParts), "sends", x.sends, "runs", x.runs, "reason", x.reason)
-	} else if outcome != sched.Served && outcome != sched.Canceled {
+	x.endTicket(ctx, scheduled, outcome)
+	if outcome != sched.Served && outcome != sched.Canceled {
 		klog.V(1).InfoS("relay: attempt failed", "request", x.callerRequest.RequestID, "upstream", scheduled.Upstream.ID, "outcome", outcome, "reason", x.reason, "revision", x.view.Revision)
 	}
 }
@@ -353,12 +369,3 @@
 	klog.InfoS("relay: stream cut", "request", x.callerRequest.RequestID, "upstream", x.upstream, "events", x.stream.delivered, "reason", x.reason,
 		"took", x.server.Clock.Now().Sub(x.arrivedAt))
 }
-
-// partIDs returns the ids of a prompt's parts, separated by spaces, for logs.
-func partIDs(parts []fleet.PromptPart) string {
-	ids := make([]string, 0, len(parts))
-	for _, p := range parts {
-		ids = append(ids, p.ID)
-	}
-	return strings.Join(ids, " ")
-}
--- /dev/null
+++ b/relay/part.go
@@ -0,0 +1,132 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/parts"
+	"github.com/magnolialever/magnolialever/retry"
+	"github.com/magnolialever/magnolialever/sched"
+	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+const (
+	// processProbes is the number of connections that are tried to find out whether an upstream's process
+	// has ended: its port may close a moment after its connections.
+	processProbes = 3
+	// processProbePause is the pause between two of them.
+	processProbePause = 20 * time.Millisecond
+	// processProbeTimeout bounds one of them.
+	processProbeTimeout = 150 * time.Millisecond
+)
+
+// sharedParts returns the parts of a prompt that other requests may share: all but the last one, which
+// belongs to the request.
+func sharedParts(service units.ServiceID, prompt []fleet.PromptPart) []parts.ID {
+	if len(prompt) < 2 {
+		return nil
+	}
+	ids := make([]parts.ID, 0, len(prompt)-1)
+	for _, p := range prompt[:len(prompt)-1] {
+		ids = append(ids, parts.NewID(service, p.ID))
+	}
+	return ids
+}
+
+// acquireTicket waits until a request with the prompt's parts may be sent. It returns false if it ended
+// the request instead.
+func (x *exchange) acquireTicket(ctx context.Context) bool {
+	wait, cancel := context.WithTimeout(ctx, x.latestStart().Sub(x.server.Clock.Now()).Duration())
+	defer cancel()
+	ticket, retryAfter := x.server.Parts.Acquire(wait, x.parts)
+	switch {
+	case ticket != nil:
+		x.ticket = ticket
+		return true
+	case retryAfter > 0:
+		x.refuseSuspect(retryAfter)
+	case ctx.Err() != nil:
+		x.reason = "waiting for other requests with a part of the prompt"
+		x.endCanceled(ctx)
+	default:
+		x.reason = "other requests with a part of the prompt are on their way"
+		x.fail(upstreamFailed, deadlineMissed)
+	}
+	return false
+}
+
+// refuseSuspect ends a request with a part that crashes upstreams.
+func (x *exchange) refuseSuspect(retryAfter clock.Span) {
+	x.reason = "a part of the prompt crashes upstreams"
+	x.fail(upstreamFailed, &refusal{status: http.StatusServiceUnavailable, code: units.CrashSuspect, retryAfter: retryAfter})
+}
+
+// endTicket ends the ticket of an attempt. If the answer broke off before it began, it finds out whether
+// the upstream's process has ended, which makes the parts of the prompt suspect.
+func (x *exchange) endTicket(ctx context.Context, scheduled *sched.Attempt, outcome sched.Outcome) {
+	if outcome != sched.Broken {
+		x.ticket.End(nil)
+		return
+	}
+	upstream := scheduled.Upstream
+	ended := !x.timedOut && x.ticket.NeedsCause() && processEnded(ctx, upstream.Address)
+	klog.InfoS("relay: answer broke off", "request", x.callerRequest.RequestID, "upstream", upstream.ID, "start", upstream.ProcessStart,
+		"events", x.stream.delivered, "ended", ended, "parts", partIDs(x.callerRequest.PromptParts), "sends", x.sends, "runs", x.runs, "reason", x.reason)
+	if !ended {
+		x.ticket.End(nil)
+		return
+	}
+	x.server.markUpstreamEnded(upstream.ID)
+	crash := parts.Crash{ID: retry.NewCrashID(upstream.ID, upstream.ProcessStart), SentAt: x.ticket.SentAt()}
+	for _, s := range x.ticket.End(&crash) {
+		stats.Event("part_suspects")
+		klog.InfoS("relay: part suspect", "request", x.callerRequest.RequestID, "upstream", upstream.ID, "part", s.Part, "crashes", len(s.Crashes))
+	}
+}
+
+// processEnded reports whether no process listens at the upstream's address.
+func processEnded(ctx context.Context, address string) bool {
+	dialer := net.Dialer{Timeout: processProbeTimeout, KeepAlive: -1}
+	for i := range processProbes {
+		if i > 0 && !clock.Sleep(ctx, processProbePause) {
+			return false
+		}
+		c, err := dialer.DialContext(ctx, "tcp", address)
+		if err == nil {
+			_ = c.Close()
+			continue
+		}
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	return false
+}
+
+// isTimeout reports whether an error means that an upstream was silent for too long.
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// cancelAttempt ends a scheduled attempt that is not sent.
+func (s *Server) cancelAttempt(a *sched.Attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Scheduler.End(s.Clock.Now(), a, sched.Canceled)
+}
+
+// partIDs returns the ids of a prompt's parts, separated by spaces, for logs.
+func partIDs(prompt []fleet.PromptPart) string {
+	ids := make([]string, 0, len(prompt))
+	for _, p := range prompt {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, " ")
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -11,6 +11,7 @@
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/member"
+	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/sched"
 	"github.com/magnolialever/magnolialever/units"
@@ -27,7 +28,7 @@
 	Refund(c *fleet.Customer, tokens float64)
 }
 
-// Options are the dependencies and limits of a Server. All fields but BodyBudget are required; the
+// Options are the dependencies and limits of a Server. All fields but Parts and BodyBudget are required; the
 // functions are called from concurrent requests.
 type Options struct {
 	Clock clock.Clock
@@ -42,6 +43,9 @@
 	KeysUsable func(now clock.Time) bool
 	// OnModelMissing is called for each request for a model or adapter that no upstream has loaded.
 	OnModelMissing func(s units.ServiceID, m units.ModelID, adapter string)
+	// Parts decides which requests may be sent by the parts of their prompts; a Guard without other
+	// gateways if nil.
+	Parts *parts.Guard
 	// BodyBudget is the limit on the bytes of request bodies buffered at once; 0 means
 	// DefaultBodyBudget.
 	BodyBudget int64
@@ -75,6 +79,9 @@
 		Options: o, pool: newPool(o.Clock), gateways: 1,
 		retryWindows: map[units.ServiceID]*retry.Window{}, crashes: retry.NewCrashDetector(),
 	}
+	if s.Parts == nil {
+		s.Parts = parts.NewGuard(o.Clock)
+	}
 	s.bodyBudget.limit = o.BodyBudget
 	if s.bodyBudget.limit <= 0 {
 		s.bodyBudget.limit = DefaultBodyBudget
@@ -108,6 +115,7 @@
 	s.mu.Lock()
 	s.Scheduler.Dispatch(s.Clock.Now())
 	s.mu.Unlock()
+	s.Parts.Expire()
 	s.pool.closeExpired()
 }
 
--- a/retry/crash.go
+++ b/retry/crash.go
@@ -82,16 +82,17 @@
 
 func (c *CrashDetector) recordCrashes(now clock.Time, p incarnation, responses []brokenResponse) int {
 	for _, b := range responses {
-		c.suspects.RecordCrash(now, b.fingerprint, p.crashID())
+		c.suspects.RecordCrash(now, b.fingerprint, NewCrashID(p.upstream, p.start))
 	}
 	return len(responses)
 }
 
-// crashID returns the ID of the crash, which all gateways compute alike.
-func (p incarnation) crashID() CrashID {
+// NewCrashID returns the ID of the end of the upstream's process that began at processStart, which all
+// gateways compute alike.
+func NewCrashID(upstream units.UpstreamID, processStart int64) CrashID {
 	d := xxhash.New()
-	_, _ = d.WriteString(string(p.upstream))
-	return CrashID(d.Sum64() ^ uint64(p.start))
+	_, _ = d.WriteString(string(upstream))
+	return CrashID(d.Sum64() ^ uint64(processStart))
 }
 
 // Rejects reports whether the request has crashed too many upstreams to run again.
