relay, platform: don't take a repeated refusal, or an answer that is no stream, for the answer that is due

Callers could be told 503 "not run" for a request that ran: an upstream refused it, the gateway sent it again on the same connection, and the upstream wrote the refusal once more before it ran the request. Request-Id is the same for both copies. A connection that carried a request is not used for that request again, also where the caller repeats it.

Callers of a stream that broke off could find the text of an error in it: the next upstream answered 200 with a body that is no stream of events. Only such a stream may continue one.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -67,7 +67,7 @@
 		x.reason = "response does not come from the upstream"
 		return x.retryOrGiveUp(ctx)
 	}
-	if x.route.Stream && res.status == http.StatusOK {
+	if x.route.Stream && res.status == http.StatusOK && (res.EventStream || !x.headSent) {
 		return x.relayStream(ctx, scheduled, res)
 	}
 	if x.headSent {
@@ -80,7 +80,7 @@
 // part of it may reach the caller, whose stream is incomplete.
 func (x *exchange) rejectContinuation(ctx context.Context, res *response) sched.Outcome {
 	res.abort()
-	x.reason = "status " + strconv.Itoa(res.status) + " instead of the rest of the stream"
+	x.reason = "status " + strconv.Itoa(res.status) + ", type " + res.header.Get("Content-Type") + " instead of the rest of the stream"
 	x.retryOrGiveUp(ctx)
 	return sched.Failed
 }
--- a/relay/call.go
+++ b/relay/call.go
@@ -88,10 +88,11 @@
 // error the request may have run.
 func (p *pool) call(ctx context.Context, address string, r *request, headDeadline time.Time) (*response, error) {
 	data := r.encode()
-	c, reused, err := p.get(ctx, address)
+	c, reused, err := p.get(ctx, address, r.id)
 	if err != nil {
 		return nil, err
 	}
+	c.recordRequest(r.id)
 	if !reused && p.onDial != nil {
 		p.onDial()
 	}
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -44,6 +45,20 @@
 	headBytesLeft int
 	// expiresAt is when an idle connection is closed.
 	expiresAt clock.Time
+	// carried are the ids of the last requests that were sent on the connection. An upstream in trouble may
+	// write its answer to one of them once more.
+	carried []string
+}
+
+// maxCarried bounds the ids kept of a connection.
+const maxCarried = 64
+
+// recordRequest records that the connection carries the request with the id.
+func (c *conn) recordRequest(id string) {
+	if len(c.carried) >= maxCarried {
+		c.carried = slices.Delete(c.carried, 0, 1)
+	}
+	c.carried = append(c.carried, id)
 }
 
 // Read reads from the connection and fails with errHeadTooLarge at the limit headBytesLeft.
@@ -99,11 +114,12 @@
 
 func newPool(c clock.Clock) *pool { return &pool{clock: c, idleConns: map[string][]*conn{}} }
 
-// get returns a connection to the address and whether it is reused. It connects when there is no
-// usable idle connection; errors wrap errNotSent.
-func (p *pool) get(ctx context.Context, address string) (*conn, bool, error) {
+// get returns a connection to the address for the request with the id, and whether it is reused. It
+// connects when there is no usable idle connection; errors wrap errNotSent. A connection that carried the
+// same request before is not used: an answer there can't be told from a copy of the earlier one.
+func (p *pool) get(ctx context.Context, address, id string) (*conn, bool, error) {
 	for {
-		c := p.takeIdle(address)
+		c := p.takeIdle(address, id)
 		if c == nil {
 			break
 		}
@@ -122,22 +138,19 @@
 	return c, false, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection that has not expired, or nil.
-func (p *pool) takeIdle(address string) *conn {
+// takeIdle removes and returns the most recently used idle connection that has not expired and did not
+// carry the request with the id, or nil.
+func (p *pool) takeIdle(address, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closeExpiredOf(address, p.clock.Now())
 	l := p.idleConns[address]
-	now := p.clock.Now()
-	for len(l) > 0 {
-		c := l[len(l)-1]
-		l = l[:len(l)-1]
-		if now.Before(c.expiresAt) {
-			p.idleConns[address] = l
+	for i := len(l) - 1; i >= 0; i-- {
+		if c := l[i]; !slices.Contains(c.carried, id) {
+			p.idleConns[address] = slices.Delete(l, i, i+1)
 			return c
 		}
-		c.closeNow()
 	}
-	delete(p.idleConns, address)
 	return nil
 }
 
@@ -166,19 +179,25 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	for address, l := range p.idleConns {
-		keep := l[:0]
-		for _, c := range l {
-			if now.Before(c.expiresAt) {
-				keep = append(keep, c)
-			} else {
-				c.closeNow()
-			}
-		}
-		if len(keep) == 0 {
-			delete(p.idleConns, address)
+	for address := range p.idleConns {
+		p.closeExpiredOf(address, now)
+	}
+}
+
+// closeExpiredOf closes the idle connections to an address that have expired. The caller holds p.mu.
+func (p *pool) closeExpiredOf(address string, now clock.Time) {
+	l := p.idleConns[address]
+	keep := l[:0]
+	for _, c := range l {
+		if now.Before(c.expiresAt) {
+			keep = append(keep, c)
 		} else {
-			p.idleConns[address] = keep
+			c.closeNow()
 		}
 	}
+	if len(keep) == 0 {
+		delete(p.idleConns, address)
+		return
+	}
+	p.idleConns[address] = keep
 }
