parts, entry, wire: move the exchange of permits between gateways into package parts

Nothing changes for callers. Gateways with agents need the same decisions about parts of prompts as gateways on the platform; only the way in which messages travel differs. The exchange that finds a part's owner, asks it and merges what others know moves from package entry to package parts and speaks through an interface; entry keeps the datagrams.

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -8,6 +8,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/member"
+	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/peers"
 	"github.com/magnolialever/magnolialever/sched"
 	"github.com/magnolialever/magnolialever/units"
@@ -164,7 +165,7 @@
 	for _, w := range d.GetSuspects() {
 		c.gateway.relay.MergeSuspect(decodeSuspect(now, w))
 	}
-	c.gateway.partOwners.merge(d.GetParts(), d.From, d.GetLife(), d.GetSentMs())
+	c.gateway.partExchange.Merge(d.GetParts(), parts.Sender{VM: units.VMID(d.GetVm()), Address: d.From.String()}, d.GetLife(), d.GetSentMs())
 	if d.HasMisses() {
 		c.orders.planSoon()
 	}
@@ -174,7 +175,7 @@
 	now := c.gateway.clock.Now()
 	c.updateKeyValidity(now)
 	c.applyMembers(now)
-	c.gateway.partOwners.onTick(now)
+	c.gateway.partExchange.OnTick()
 	c.gateway.limiter.onTick(now)
 	c.gateway.relay.SetOtherLoads(c.otherLoads(), peers.DigestInterval(c.gatewayCount))
 	c.announceChanges(now)
@@ -200,7 +201,8 @@
 	c.gateway.relay.SetGateways(c.gateway.settings.VM, c.members.All())
 	registered := c.members.Registered()
 	c.gateway.limiter.setGateways(n, registered)
-	c.gateway.partOwners.setGateways(registered)
+	c.gateway.partTransport.setGateways(registered)
+	c.gateway.partExchange.SetGateways(len(registered))
 	c.orders.setGateways(registered)
 	c.gateway.storeWatch.Store(newStoreWatch(c.gateway.settings.VM, c.gateway.settings.Zone, registered))
 }
@@ -291,7 +293,7 @@
 	for _, l := range c.gateway.relay.Loads() {
 		d.Shares = append(d.Shares, encodeLoad(l))
 	}
-	d.Parts = encodePartSuspects(now, c.gateway.parts.Suspects(maxDigestParts))
+	d.Parts = parts.EncodeSuspects(now, c.gateway.parts.Suspects(maxDigestParts))
 	d.Suspects = encodeSuspects(now, c.gateway.relay.Suspects())
 	return d
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,18 +47,20 @@
 type Gateway struct {
 	settings *platform.Settings
 	// bounds are the bounds of the settings that were loaded last.
-	bounds      atomic.Pointer[platform.Bounds]
-	clock       clock.Clock
-	store       *platform.Store
-	relay       *relay.Server
-	limiter     *rateLimiter
-	parts       *parts.Guard
-	partOwners  *partOwners
-	peers       *peers.Transport
-	feed        *feed.Feed
-	keyValidity keyValidity
-	demand      demandMeter
-	inbox       chan message
+	bounds  atomic.Pointer[platform.Bounds]
+	clock   clock.Clock
+	store   *platform.Store
+	relay   *relay.Server
+	limiter *rateLimiter
+	parts   *parts.Guard
+	// partExchange shares the decisions about parts of prompts with the other gateways.
+	partExchange  *parts.Exchange
+	partTransport *partTransport
+	peers         *peers.Transport
+	feed          *feed.Feed
+	keyValidity   keyValidity
+	demand        demandMeter
+	inbox         chan message
 	// leaderUntil is the clock.Time until which this gateway is the leader; 0 if it is not.
 	leaderUntil atomic.Int64
 	// storeWatch is nil until the gateways are known.
@@ -82,8 +84,11 @@
 	tolerance := quota.Tolerance{Rate: settings.Bounds.QuotaOvershoot, Tokens: settings.Bounds.QuotaSlack}
 	g.limiter = newRateLimiter(settings.VM, g.clock, quota.New(settings.VM, settings.FirstStart, tolerance), g.incarnation)
 	g.parts = parts.NewGuard(g.clock)
-	g.partOwners = newPartOwners(settings.VM, g.incarnation, g.clock, g.parts)
-	g.parts.SetOwners(g.partOwners)
+	g.partTransport = &partTransport{vm: settings.VM}
+	g.partExchange = parts.NewExchange(parts.ExchangeOptions{
+		Clock: g.clock, VM: settings.VM, Life: g.incarnation, Guard: g.parts, Transport: g.partTransport,
+		DigestInterval: peers.DigestInterval,
+	})
 	g.relay = relay.New(relay.Options{
 		Parts:      g.parts,
 		Clock:      g.clock,
@@ -113,7 +118,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
-	g.peers, g.limiter.peers, g.partOwners.peers = transport, transport, transport
+	g.peers, g.limiter.peers, g.partTransport.peers = transport, transport, transport
 	g.feed = feed.New(feed.Options{
 		Clock: g.clock, Store: g.store,
 		OnChange:    func(s *view.Snapshot) { g.post(viewChanged{s}) },
@@ -183,9 +188,11 @@
 		g.feed.Deliver(g.receiveChanges(changes, from))
 		return
 	}
-	if !g.partOwners.handleMessage(m, from) {
-		g.limiter.handleMessage(m, from)
+	if m.GetPart() != nil {
+		g.partExchange.Handle(m.GetPart(), parts.Sender{Address: from.String()})
+		return
 	}
+	g.limiter.handleMessage(m, from)
 }
 
 // isLeader reports whether this gateway is the leader. It may be called from any goroutine.
--- /dev/null
+++ b/parts/exchange.go
@@ -0,0 +1,341 @@
+package parts
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/member"
+	"github.com/magnolialever/magnolialever/retry"
+	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+const (
+	// ownerTimeout is how long a request waits for the answer of one owner of a part.
+	ownerTimeout = 60 * time.Millisecond
+	// maxOwners is the number of gateways that are asked before a gateway decides alone.
+	maxOwners = 3
+	// pauseThreshold is the time between two ticks from which on the process counts as paused: it may have
+	// missed messages.
+	pauseThreshold = 400 * clock.Millisecond
+	// informedSlack is added to two intervals of digests to give the time after which a gateway that was
+	// started or paused knows what the others know.
+	informedSlack = 100 * clock.Millisecond
+)
+
+// Transport is the way from a gateway to the others. Its methods are called from concurrent requests.
+type Transport interface {
+	// Alive returns the gateways that answered lately, this one included.
+	Alive() []member.Gateway
+	// Send sends a message to a gateway, Broadcast to all others. They don't block, and a message may be lost.
+	Send(to units.VMID, m *wire.PartMessage)
+	Broadcast(m *wire.PartMessage)
+	// Reply sends a message to the sender of another one.
+	Reply(from Sender, m *wire.PartMessage)
+	// SentAt returns a time on this gateway's clock that is not later than sent on the sender's, and false
+	// if it is not known.
+	SentAt(from Sender, life uint64, sent clock.Time) (clock.Time, bool)
+}
+
+// Sender identifies the sender of a message: a VM, where it is known, or else an address in the form
+// IPv4:port.
+type Sender struct {
+	VM      units.VMID
+	Address string
+}
+
+// ExchangeOptions configure an Exchange.
+type ExchangeOptions struct {
+	Clock clock.Clock
+	// VM is this gateway, Life its incarnation.
+	VM        units.VMID
+	Life      uint64
+	Guard     *Guard
+	Transport Transport
+	// DigestInterval returns the interval at which each of n gateways tells the others its suspects.
+	DigestInterval func(n int) clock.Span
+}
+
+// Exchange finds the owner of each part of prompts among the gateways and exchanges messages about parts
+// with them. It implements Owners and is safe for concurrent use.
+type Exchange struct {
+	ExchangeOptions
+
+	mu sync.Mutex // guards the fields below
+	// gateways is the number of gateways.
+	gateways int
+	// tickedAt is the time of the last tick, informedAt when this gateway knows what the others know.
+	tickedAt, informedAt clock.Time
+	// asks are the unanswered requests to other gateways, granters the gateways that granted requests.
+	asks     map[partPermit]chan *wire.PartReply
+	granters map[partPermit]units.VMID
+}
+
+// partPermit identifies a request with a part.
+type partPermit struct {
+	part ID
+	id   Permit
+}
+
+// NewExchange returns an Exchange, which the Guard uses from then on.
+func NewExchange(o ExchangeOptions) *Exchange {
+	e := &Exchange{
+		ExchangeOptions: o, gateways: 1, asks: map[partPermit]chan *wire.PartReply{}, granters: map[partPermit]units.VMID{},
+	}
+	o.Guard.SetOwners(e)
+	return e
+}
+
+// SetGateways sets the number of gateways that share the ownership of parts.
+func (e *Exchange) SetGateways(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.gateways <= 1 && n > 1 {
+		// Until now there was nobody to learn from.
+		e.informedAt = e.Clock.Now().Add(e.informTime(n))
+	}
+	e.gateways = n
+}
+
+// OnTick notes pauses of the process. The caller has to call it several times per second.
+func (e *Exchange) OnTick() {
+	now := e.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.tickedAt != 0 && now.Sub(e.tickedAt) > pauseThreshold {
+		e.informedAt = now.Add(e.informTime(e.gateways))
+		klog.InfoS("parts: paused, others decide on parts", "for", now.Sub(e.tickedAt), "until", e.informedAt.Sub(now))
+	}
+	e.tickedAt = now
+}
+
+// informTime returns the time after which a gateway among n has heard from all others.
+func (e *Exchange) informTime(n int) clock.Span { return 2*e.DigestInterval(n) + informedSlack }
+
+// informed reports whether this gateway knows what the others know. The caller holds e.mu.
+func (e *Exchange) informed(now clock.Time) bool {
+	paused := e.tickedAt != 0 && now.Sub(e.tickedAt) > pauseThreshold
+	return e.gateways <= 1 || (!paused && !now.Before(e.informedAt))
+}
+
+// candidates returns the gateways to ask about a part, best first. All gateways agree on the order of those
+// that are alive.
+func (e *Exchange) candidates(part ID) []member.Gateway {
+	ranked := member.Rank(e.Transport.Alive(), strconv.FormatUint(uint64(part), 16))
+	return ranked[:min(len(ranked), maxOwners)]
+}
+
+// Ask implements Owners. If no owner answers, this gateway decides by what it knows.
+func (e *Exchange) Ask(ctx context.Context, part ID, id Permit) (Reply, clock.Span) {
+	for _, g := range e.candidates(part) {
+		if g.VM == e.VM {
+			e.mu.Lock()
+			informed := e.informed(e.Clock.Now())
+			e.mu.Unlock()
+			if informed {
+				return e.Guard.Request(part, id)
+			}
+			continue
+		}
+		if reply, wait, ok := e.askGateway(ctx, g, partPermit{part, id}); ok {
+			return reply, wait
+		}
+	}
+	stats.Event("part_owners_silent")
+	klog.InfoS("parts: no owner of a part answers", "part", part)
+	return e.Guard.Request(part, id)
+}
+
+// askGateway asks another gateway. It returns false if that doesn't answer in time or may have missed
+// crashes.
+func (e *Exchange) askGateway(ctx context.Context, g member.Gateway, p partPermit) (Reply, clock.Span, bool) {
+	answered := make(chan *wire.PartReply, 1)
+	e.mu.Lock()
+	e.asks[p] = answered
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.asks, p)
+	}()
+	e.Transport.Send(g.VM, &wire.PartMessage{Body: &wire.PartMessage_Request{Request: &wire.PartRequest{
+		Permit: uint64(p.id), Part: uint64(p.part),
+	}}})
+	timeout := time.NewTimer(ownerTimeout)
+	defer timeout.Stop()
+	select {
+	case m := <-answered:
+		reply, ok := decodeReply(m.GetReply())
+		if ok && reply == Granted {
+			e.mu.Lock()
+			e.granters[p] = g.VM
+			e.mu.Unlock()
+		}
+		return reply, clock.Span(m.GetWaitMs()), ok
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return 0, 0, false
+}
+
+// decodeReply returns false for an owner that may have missed crashes, and for unknown replies.
+func decodeReply(r wire.PartReply_Reply) (Reply, bool) {
+	switch r {
+	case wire.PartReply_BUSY:
+		return Busy, true
+	case wire.PartReply_GRANTED:
+		return Granted, true
+	case wire.PartReply_HARMLESS:
+		return Harmless, true
+	case wire.PartReply_DENIED:
+		return Denied, true
+	case wire.PartReply_UNINFORMED:
+	}
+	return 0, false
+}
+
+func encodeReply(r Reply) wire.PartReply_Reply {
+	switch r {
+	case Granted:
+		return wire.PartReply_GRANTED
+	case Harmless:
+		return wire.PartReply_HARMLESS
+	case Denied:
+		return wire.PartReply_DENIED
+	case Busy:
+	}
+	return wire.PartReply_BUSY
+}
+
+// Return implements Owners.
+func (e *Exchange) Return(part ID, id Permit, r Result) {
+	p := partPermit{part, id}
+	e.mu.Lock()
+	granter, remote := e.granters[p]
+	delete(e.granters, p)
+	e.mu.Unlock()
+	if !remote {
+		e.Guard.Returned(part, id, r)
+		return
+	}
+	m := &wire.PartReturn{Permit: uint64(id), Part: uint64(part), Began: r.Began}
+	if r.Suspect != nil {
+		m.Crash = e.suspectsMessage([]Suspect{*r.Suspect})
+	}
+	e.Transport.Send(granter, &wire.PartMessage{Body: &wire.PartMessage_End{End: m}})
+}
+
+// Announce implements Owners.
+func (e *Exchange) Announce(list []Suspect) {
+	e.Transport.Broadcast(&wire.PartMessage{Body: &wire.PartMessage_Suspects{Suspects: e.suspectsMessage(list)}})
+}
+
+func (e *Exchange) suspectsMessage(list []Suspect) *wire.PartSuspects {
+	now := e.Clock.Now()
+	return &wire.PartSuspects{Suspects: EncodeSuspects(now, list), Life: e.Life, SentMs: int64(now)}
+}
+
+// Handle handles a message of another gateway.
+func (e *Exchange) Handle(m *wire.PartMessage, from Sender) {
+	switch b := m.GetBody().(type) {
+	case *wire.PartMessage_Request:
+		e.Transport.Reply(from, &wire.PartMessage{Body: &wire.PartMessage_Reply{Reply: e.handleRequest(b.Request)}})
+	case *wire.PartMessage_Reply:
+		e.handleReply(b.Reply)
+	case *wire.PartMessage_End:
+		// The crash counts before another request gets the permit.
+		e.mergeMessage(b.End.GetCrash(), from)
+		e.Guard.Returned(ID(b.End.GetPart()), Permit(b.End.GetPermit()), Result{Began: b.End.GetBegan()})
+	case *wire.PartMessage_Suspects:
+		e.mergeMessage(b.Suspects, from)
+	default:
+		stats.Event("part_message_unknown")
+	}
+}
+
+// handleReply passes an owner's reply to the request that waits for it.
+func (e *Exchange) handleReply(r *wire.PartReply) {
+	e.mu.Lock()
+	answered, ok := e.asks[partPermit{ID(r.GetPart()), Permit(r.GetPermit())}]
+	e.mu.Unlock()
+	if !ok {
+		return
+	}
+	select {
+	case answered <- r:
+	default:
+		stats.Event("part_replies_repeated")
+	}
+}
+
+// handleRequest decides on another gateway's request.
+func (e *Exchange) handleRequest(r *wire.PartRequest) *wire.PartReply {
+	m := &wire.PartReply{Permit: r.GetPermit(), Part: r.GetPart(), Reply: wire.PartReply_UNINFORMED}
+	e.mu.Lock()
+	informed := e.informed(e.Clock.Now())
+	e.mu.Unlock()
+	if informed {
+		reply, wait := e.Guard.Request(ID(r.GetPart()), Permit(r.GetPermit()))
+		m.Reply, m.WaitMs = encodeReply(reply), int64(wait)
+	}
+	return m
+}
+
+// mergeMessage adds the suspects of a message, which may be nil.
+func (e *Exchange) mergeMessage(m *wire.PartSuspects, from Sender) {
+	e.Merge(m.GetSuspects(), from, m.GetLife(), m.GetSentMs())
+}
+
+// Merge adds another gateway's suspects. Where the sender's clock is not known, crashes count as of now and
+// answers that began are ignored, so that nothing refutes a crash that may have come later.
+func (e *Exchange) Merge(list []*wire.PartSuspect, from Sender, life uint64, sentMs int64) {
+	if len(list) == 0 {
+		return
+	}
+	sentAt, dated := e.Transport.SentAt(from, life, clock.Time(sentMs))
+	if !dated {
+		sentAt = e.Clock.Now()
+	}
+	for _, m := range list {
+		s := decodeSuspect(m, sentAt, dated)
+		if e.Guard.Merge(s) {
+			klog.InfoS("parts: suspect at another gateway", "part", s.Part, "crashes", len(s.Crashes), "from", from.VM, "address", from.Address)
+		}
+	}
+}
+
+// EncodeSuspects encodes suspects with ages that count back from now.
+func EncodeSuspects(now clock.Time, list []Suspect) []*wire.PartSuspect {
+	out := make([]*wire.PartSuspect, 0, len(list))
+	for _, s := range list {
+		m := &wire.PartSuspect{Part: uint64(s.Part), Began: s.BeganAt != 0, BeganAgeMs: int64(now.Sub(s.BeganAt))}
+		for _, c := range s.Crashes {
+			m.Crashes = append(m.Crashes, &wire.PartCrash{Id: uint64(c.ID), AgeMs: int64(now.Sub(c.SentAt))})
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// decodeSuspect decodes a suspect whose ages count back from sentAt.
+func decodeSuspect(m *wire.PartSuspect, sentAt clock.Time, dated bool) Suspect {
+	s := Suspect{Part: ID(m.GetPart())}
+	switch {
+	case m.GetBegan() && dated:
+		s.BeganAt = max(sentAt.Add(-clock.Span(m.GetBeganAgeMs())), EverBegan)
+	case m.GetBegan():
+		s.BeganAt = EverBegan
+	}
+	for _, c := range m.GetCrashes() {
+		s.Crashes = append(s.Crashes, Crash{
+			ID: retry.CrashID(c.GetId()), SentAt: max(sentAt.Add(-clock.Span(c.GetAgeMs())), EverBegan+1),
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/parts/exchange_test.go
@@ -0,0 +1,159 @@
+package parts
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/member"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+// exchangeFleet is gateways that exchange messages about parts in one process. Messages arrive at once.
+type exchangeFleet struct {
+	clock     *clock.Manual
+	exchanges []*Exchange
+	// silent are the gateways that receive nothing.
+	silent map[units.VMID]bool
+}
+
+// fleetTransport is the Transport of the gateway vm.
+type fleetTransport struct {
+	fleet *exchangeFleet
+	vm    units.VMID
+}
+
+func (t fleetTransport) Alive() []member.Gateway {
+	var list []member.Gateway
+	for _, e := range t.fleet.exchanges {
+		list = append(list, member.Gateway{VM: e.VM})
+	}
+	return list
+}
+
+func (t fleetTransport) Send(to units.VMID, m *wire.PartMessage) {
+	for _, e := range t.fleet.exchanges {
+		if e.VM == to && !t.fleet.silent[to] {
+			e.Handle(m, Sender{VM: t.vm})
+		}
+	}
+}
+
+func (t fleetTransport) Broadcast(m *wire.PartMessage) {
+	for _, e := range t.fleet.exchanges {
+		if e.VM != t.vm {
+			t.Send(e.VM, m)
+		}
+	}
+}
+
+func (t fleetTransport) Reply(to Sender, m *wire.PartMessage) { t.Send(to.VM, m) }
+
+func (t fleetTransport) SentAt(_ Sender, _ uint64, sent clock.Time) (clock.Time, bool) {
+	return sent, true
+}
+
+// newExchangeFleet returns n gateways that know what the others know.
+func newExchangeFleet(n int) *exchangeFleet {
+	f := &exchangeFleet{clock: clock.NewManual(1000), silent: map[units.VMID]bool{}}
+	for i := range n {
+		vm := units.VMID(fmt.Sprint("gate-", i))
+		f.exchanges = append(f.exchanges, NewExchange(ExchangeOptions{
+			Clock: f.clock, VM: vm, Life: uint64(i + 1), Guard: NewGuard(f.clock), Transport: fleetTransport{f, vm},
+			DigestInterval: func(int) clock.Span { return 100 },
+		}))
+	}
+	for _, e := range f.exchanges {
+		e.SetGateways(n)
+	}
+	f.tick(clock.Second)
+	return f
+}
+
+// tick passes time at gateways that run, without a pause.
+func (f *exchangeFleet) tick(s clock.Span) {
+	for ; s > 0; s -= 100 {
+		f.clock.Advance(100)
+		for _, e := range f.exchanges {
+			e.OnTick()
+		}
+	}
+}
+
+// partOwnedBy returns a part that the gateway owns.
+func (f *exchangeFleet) partOwnedBy(gateway int) ID {
+	for part := ID(1); ; part++ {
+		if f.exchanges[0].candidates(part)[0].VM == f.exchanges[gateway].VM {
+			return part
+		}
+	}
+}
+
+func (f *exchangeFleet) ask(gateway int, part ID, id Permit) Reply {
+	reply, _ := f.exchanges[gateway].Ask(context.Background(), part, id)
+	return reply
+}
+
+// Guards against one request with an unproven part on its way for each gateway: all gateways together get
+// as many permits as one.
+func TestGatewaysShareThePermitsOfAPart(t *testing.T) {
+	f := newExchangeFleet(5)
+	granted := 0
+	for i := range f.exchanges {
+		if f.ask(i, 4711, Permit(i)) == Granted {
+			granted++
+		}
+	}
+	assert.Equal(t, granted, maxUnproven)
+}
+
+// Guards against a gateway that was paused, missed crashes meanwhile and lets requests with the part begin
+// anew, for itself or for others.
+func TestPausedOwnerIsPassedOver(t *testing.T) {
+	f := newExchangeFleet(4)
+	part := f.partOwnedBy(0)
+	list := []Suspect{{Part: part, Crashes: []Crash{{ID: 1, SentAt: 5}, {ID: 2, SentAt: 6}}}}
+	for _, e := range f.exchanges[1:] {
+		e.Guard.Merge(list[0])
+	}
+	// The owner wakes up and has not run its loop yet; the others have.
+	f.clock.Advance(500)
+	for _, e := range f.exchanges[1:] {
+		e.tickedAt = f.clock.Now()
+	}
+	assert.Equal(t, f.ask(1, part, 10), Denied)
+	assert.Equal(t, f.ask(0, part, 11), Denied)
+	f.exchanges[0].OnTick()
+	assert.Equal(t, f.ask(1, part, 12), Denied)
+	assert.Equal(t, f.ask(0, part, 13), Denied)
+	f.exchanges[2].Announce(list)
+	assert.Equal(t, len(f.exchanges[0].Guard.Suspects(1)), 1)
+}
+
+// Guards against requests that fail because the owner of a part has gone.
+func TestSilentOwnerIsPassedOver(t *testing.T) {
+	f := newExchangeFleet(3)
+	part := f.partOwnedBy(0)
+	f.silent[f.exchanges[0].VM] = true
+	assert.Equal(t, f.ask(1, part, 1), Granted)
+}
+
+// Guards against a crash that an older message of an answer refutes, because the message is dated by its
+// reader's clock.
+func TestUndatedAnswerRefutesNoCrash(t *testing.T) {
+	m := EncodeSuspects(5000, []Suspect{{Part: 1, BeganAt: 4000, Crashes: []Crash{{ID: 1, SentAt: 3000}}}})[0]
+	l := NewLedger()
+	for id := range Permit(3) {
+		l.Merge(9000, Suspect{Part: 1, Crashes: []Crash{{ID: 7, SentAt: 8000}, {ID: 8, SentAt: 8100}}})
+		l.Merge(9000, decodeSuspect(m, 9000, false))
+		reply, _ := l.Request(9000, 1, id)
+		assert.Equal(t, reply, Denied)
+	}
+	l.Merge(9100, decodeSuspect(m, 9100, true))
+	state, _ := l.State(9100, 1)
+	assert.Equal(t, state, Unproven, "an answer at 8,100 refutes two crashes")
+}
