parts, relay: keep the permit of a request until its answer begins

Callers lost streams on up to six upstreams to one part of prompts where upstreams are slow to begin or requests wait long in queues; at most three are meant. A permit ended 600 ms after it was granted, whether its request waited, was on its way or had begun: with a first token after 1 s, the owner granted two more requests each 600 ms before the first crash was known.

Shown by TestDeadlyPartEndsFewUpstreamsInAnyFleet with times to the answer up to 1.9 s and times in the queue up to 1.2 s (before: at most 0.3 s and none): six upstreams on.

A request confirms its permit when it is sent. From then on the permit lasts 2 s. A permit that was granted less than 0.1 s ago is extended without an answer; else the owner is asked, which counts only requests that are on their way or were granted a moment ago. Ruled out: to count the waiting ones too, where requests in queues of 1.2 s kept each other waiting until all gave up (TestNewPartIsSentAfterLongQueues).

--- a/parts/exchange.go
+++ b/parts/exchange.go
@@ -132,29 +132,29 @@
 }
 
 // Ask implements Owners. If no owner answers, this gateway decides by what it knows.
-func (e *Exchange) Ask(ctx context.Context, part ID, id Permit) (Reply, clock.Span) {
+func (e *Exchange) Ask(ctx context.Context, part ID, id Permit, stage Stage) (Reply, clock.Span) {
 	for _, g := range e.candidates(part) {
 		if g.VM == e.VM {
 			e.mu.Lock()
 			informed := e.informed(e.Clock.Now())
 			e.mu.Unlock()
 			if informed {
-				return e.Guard.Request(part, id)
+				return e.Guard.Request(part, id, stage)
 			}
 			continue
 		}
-		if reply, wait, ok := e.askGateway(ctx, g, partPermit{part, id}); ok {
+		if reply, wait, ok := e.askGateway(ctx, g, partPermit{part, id}, stage); ok {
 			return reply, wait
 		}
 	}
 	stats.Event("part_owners_silent")
 	klog.InfoS("parts: no owner of a part answers", "part", part)
-	return e.Guard.Request(part, id)
+	return e.Guard.Request(part, id, stage)
 }
 
 // askGateway asks another gateway. It returns false if that doesn't answer in time or may have missed
 // crashes.
-func (e *Exchange) askGateway(ctx context.Context, g member.Gateway, p partPermit) (Reply, clock.Span, bool) {
+func (e *Exchange) askGateway(ctx context.Context, g member.Gateway, p partPermit, stage Stage) (Reply, clock.Span, bool) {
 	answered := make(chan *wire.PartReply, 1)
 	e.mu.Lock()
 	e.asks[p] = answered
@@ -165,7 +165,7 @@
 		delete(e.asks, p)
 	}()
 	e.Transport.Send(g.VM, &wire.PartMessage{Body: &wire.PartMessage_Request{Request: &wire.PartRequest{
-		Permit: uint64(p.id), Part: uint64(p.part),
+		Permit: uint64(p.id), Part: uint64(p.part), Stage: encodeStage(stage),
 	}}})
 	timeout := time.NewTimer(ownerTimeout)
 	defer timeout.Stop()
@@ -213,6 +213,34 @@
 	return wire.PartReply_BUSY
 }
 
+func encodeStage(s Stage) wire.PartRequest_Stage {
+	if s == Sending {
+		return wire.PartRequest_SENDING
+	}
+	return wire.PartRequest_QUEUED
+}
+
+func decodeStage(s wire.PartRequest_Stage) Stage {
+	if s == wire.PartRequest_SENDING {
+		return Sending
+	}
+	return Queued
+}
+
+// Extend implements Owners.
+func (e *Exchange) Extend(part ID, id Permit) {
+	e.mu.Lock()
+	granter, remote := e.granters[partPermit{part, id}]
+	e.mu.Unlock()
+	if !remote {
+		e.Guard.Extend(part, id)
+		return
+	}
+	e.Transport.Send(granter, &wire.PartMessage{Body: &wire.PartMessage_Request{Request: &wire.PartRequest{
+		Permit: uint64(id), Part: uint64(part), Stage: wire.PartRequest_SENT,
+	}}})
+}
+
 // Return implements Owners.
 func (e *Exchange) Return(part ID, id Permit, r Result) {
 	p := partPermit{part, id}
@@ -245,6 +273,10 @@
 func (e *Exchange) Handle(m *wire.PartMessage, from Sender) {
 	switch b := m.GetBody().(type) {
 	case *wire.PartMessage_Request:
+		if b.Request.GetStage() == wire.PartRequest_SENT {
+			e.Guard.Extend(ID(b.Request.GetPart()), Permit(b.Request.GetPermit()))
+			return
+		}
 		e.Transport.Reply(from, &wire.PartMessage{Body: &wire.PartMessage_Reply{Reply: e.handleRequest(b.Request)}})
 	case *wire.PartMessage_Reply:
 		e.handleReply(b.Reply)
@@ -281,7 +313,7 @@
 	informed := e.informed(e.Clock.Now())
 	e.mu.Unlock()
 	if informed {
-		reply, wait := e.Guard.Request(ID(r.GetPart()), Permit(r.GetPermit()))
+		reply, wait := e.Guard.Request(ID(r.GetPart()), Permit(r.GetPermit()), decodeStage(r.GetStage()))
 		m.Reply, m.WaitMs = encodeReply(reply), int64(wait)
 	}
 	return m
--- a/parts/exchange_test.go
+++ b/parts/exchange_test.go
@@ -94,7 +94,7 @@
 }
 
 func (f *exchangeFleet) ask(gateway int, part ID, id Permit) Reply {
-	reply, _ := f.exchanges[gateway].Ask(context.Background(), part, id)
+	reply, _ := f.exchanges[gateway].Ask(context.Background(), part, id, Queued)
 	return reply
 }
 
@@ -150,7 +150,7 @@
 	for id := range Permit(3) {
 		l.Merge(9000, Suspect{Part: 1, Crashes: []Crash{{ID: 7, SentAt: 8000}, {ID: 8, SentAt: 8100}}})
 		l.Merge(9000, decodeSuspect(m, 9000, false))
-		reply, _ := l.Request(9000, 1, id)
+		reply, _ := l.Request(9000, 1, id, Queued)
 		assert.Equal(t, reply, Denied)
 	}
 	l.Merge(9100, decodeSuspect(m, 9100, true))
--- a/parts/fleet_test.go
+++ b/parts/fleet_test.go
@@ -44,13 +44,18 @@
 	return o.fleet.guards[int(part)%len(o.fleet.guards)]
 }
 
-func (o remoteOwners) Ask(_ context.Context, part parts.ID, id parts.Permit) (parts.Reply, clock.Span) {
+func (o remoteOwners) Ask(_ context.Context, part parts.ID, id parts.Permit, stage parts.Stage) (parts.Reply, clock.Span) {
 	time.Sleep(o.fleet.delay)
-	reply, wait := o.owner(part).Request(part, id)
+	reply, wait := o.owner(part).Request(part, id, stage)
 	time.Sleep(o.fleet.delay)
 	return reply, wait
 }
 
+func (o remoteOwners) Extend(part parts.ID, id parts.Permit) {
+	time.Sleep(o.fleet.delay)
+	o.owner(part).Extend(part, id)
+}
+
 func (o remoteOwners) Return(part parts.ID, id parts.Permit, r parts.Result) {
 	time.Sleep(o.fleet.delay)
 	o.owner(part).Returned(part, id, r)
@@ -76,20 +81,36 @@
 	return f.lossEvery > 0 && f.sent%f.lossEvery == 0
 }
 
+// acquire returns the ticket of a request that waits in a queue before it is sent, or nil if it must not be
+// sent.
+func (f *testFleet) acquire(ctx context.Context, gateway int, prompt []parts.ID, queued time.Duration) *parts.Ticket {
+	for ctx.Err() == nil {
+		ticket, _ := f.guards[gateway].Acquire(ctx, prompt)
+		if ticket == nil {
+			return nil
+		}
+		time.Sleep(queued)
+		reply, _ := ticket.Confirm(ctx)
+		if reply == parts.Granted {
+			return ticket
+		}
+		ticket.End(nil)
+		if reply == parts.Denied {
+			return nil
+		}
+	}
+	return nil
+}
+
 // send sends one request from a gateway and reports whether its answer began. A prompt with a deadly part
 // ends the upstream, a process of its own, after a time.
-func (f *testFleet) send(gateway, number int, prompt, fatal []parts.ID, took time.Duration) bool {
+func (f *testFleet) send(gateway, number int, prompt, fatal []parts.ID, queued, took time.Duration) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	ticket, _ := f.guards[gateway].Acquire(ctx, prompt)
+	ticket := f.acquire(ctx, gateway, prompt, queued)
 	if ticket == nil {
 		return false
 	}
-	if refused, _ := ticket.Refused(); refused {
-		ticket.End(nil)
-		return false
-	}
-	ticket.Sent()
 	time.Sleep(took)
 	for _, part := range prompt {
 		if slices.Contains(fatal, part) {
@@ -114,14 +135,17 @@
 		delay := rapid.IntRange(0, 30).Draw(rt, "delay")
 		loss := rapid.SampledFrom([]int{0, 0, 2, 3}).Draw(rt, "loss")
 		gap := rapid.IntRange(20, 200).Draw(rt, "gap between deadly requests")
-		took := rapid.IntRange(10, 300).Draw(rt, "time to the answer")
-		synctest.Test(t, func(t *testing.T) { checkFleet(t, n, delay, loss, gap, took) })
+		queued := rapid.SampledFrom([]int{0, 0, 100, 1200}).Draw(rt, "time in the queue")
+		took := rapid.SampledFrom([]int{10, 100, 300, 1000, 1900}).Draw(rt, "time to the answer")
+		synctest.Test(t, func(t *testing.T) { checkFleet(t, n, delay, loss, gap, queued, took) })
 	})
 }
 
-func checkFleet(t *testing.T, n, delay, loss, gap, took int) {
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func checkFleet(t *testing.T, n, delay, loss, gap, queued, took int) {
 	t.Helper()
-	f := &testFleet{delay: time.Duration(delay) * time.Millisecond, lossEvery: loss, crashes: map[parts.ID]int{}}
+	f := &testFleet{delay: milliseconds(delay), lossEvery: loss, crashes: map[parts.ID]int{}}
 	c := bubbleClock{time.Now()}
 	for i := range n {
 		g := parts.NewGuard(c)
@@ -130,19 +154,19 @@
 	}
 	const first, second, begin, middle parts.ID = 7, 8, 100, 200
 	deadlyParts := []parts.ID{first, second}
-	assert.Assert(t, f.send(0, 1, []parts.ID{begin, middle}, deadlyParts, time.Millisecond))
-	done, sound := make(chan bool), 0
+	assert.Assert(t, f.send(0, 1, []parts.ID{begin, middle}, deadlyParts, 0, time.Millisecond))
+	done, sound := make(chan bool, 1000), 0
 	sent := 0
 	for number := 2; time.Since(c.start) < 4*time.Second; number += 2 {
 		go func() {
-			f.send(number%n, number, []parts.ID{begin, middle, deadlyParts[number/2%2]}, deadlyParts, time.Duration(took)*time.Millisecond)
+			f.send(number%n, number, []parts.ID{begin, middle, deadlyParts[number/2%2]}, deadlyParts, milliseconds(queued), milliseconds(took))
 			done <- false
 		}()
 		go func() {
-			done <- f.send(number/2%n, number+1, []parts.ID{begin, middle}, deadlyParts, time.Duration(took)*time.Millisecond)
+			done <- f.send(number/2%n, number+1, []parts.ID{begin, middle}, deadlyParts, milliseconds(queued), milliseconds(took))
 		}()
 		sent++
-		time.Sleep(time.Duration(gap) * time.Millisecond)
+		time.Sleep(milliseconds(gap))
 		for drained := false; !drained; {
 			select {
 			case ok := <-done:
@@ -170,3 +194,28 @@
 		assert.Assert(t, crashes <= 3, "part %d: %d upstreams", part, crashes)
 	}
 }
+
+// Guards against sound requests with a new part that keep each other waiting where queues are long: each of
+// them is sent.
+func TestNewPartIsSentAfterLongQueues(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &testFleet{delay: time.Millisecond, crashes: map[parts.ID]int{}}
+		c := bubbleClock{time.Now()}
+		for i := range 3 {
+			g := parts.NewGuard(c)
+			g.SetOwners(remoteOwners{f, i})
+			f.guards = append(f.guards, g)
+		}
+		const number = 12
+		done := make(chan bool, number)
+		for i := range number {
+			go func() {
+				time.Sleep(milliseconds(50 * i))
+				done <- f.send(i%3, i, []parts.ID{5}, nil, milliseconds(700+100*i), milliseconds(50))
+			}()
+		}
+		for range number {
+			assert.Assert(t, <-done)
+		}
+	})
+}
--- a/parts/guard.go
+++ b/parts/guard.go
@@ -11,15 +11,22 @@
 	"github.com/magnolialever/magnolialever/stats"
 )
 
-// busyPoll is the time after which a busy owner is asked again.
-const busyPoll = 25 * time.Millisecond
+const (
+	// busyPoll is the time after which a busy owner is asked again.
+	busyPoll = 25 * time.Millisecond
+	// confirmMargin is the time left of reserveTime below which the owner is asked again before the request
+	// is sent. It covers the way of the message that extends the permit.
+	confirmMargin = 50 * clock.Millisecond
+)
 
 // Owners passes what a Guard wants to know and to tell to the gateways that own parts. Its methods are
 // called from concurrent requests.
 type Owners interface {
 	// Ask asks the owner of the part whether a request with it may be sent; the span is that of
 	// Ledger.Request.
-	Ask(ctx context.Context, part ID, id Permit) (Reply, clock.Span)
+	Ask(ctx context.Context, part ID, id Permit, stage Stage) (Reply, clock.Span)
+	// Extend tells the owner that a granted request is sent now.
+	Extend(part ID, id Permit)
 	// Return tells the owner how a granted request has ended.
 	Return(part ID, id Permit, r Result)
 	// Announce tells all gateways what is known of suspects.
@@ -61,35 +68,40 @@
 type Ticket struct {
 	guard *Guard
 	parts []ID
-	// granted are the parts whose owner has to learn how the request ended.
-	granted []ID
+	// granted are the permits whose owner has to learn how the request ended.
+	granted []grantedPermit
 	id      Permit
 	sentAt  clock.Time
 	began   bool
 }
 
+// grantedPermit is the permit for a part, granted after askedAt.
+type grantedPermit struct {
+	part    ID
+	askedAt clock.Time
+}
+
 // Acquire waits until a request with the parts may be sent. It returns nil and the time after which the
 // caller may come back if one of them is refused, and nil and 0 if ctx is done before.
 func (g *Guard) Acquire(ctx context.Context, list []ID) (*Ticket, clock.Span) {
 	t := &Ticket{guard: g, parts: list, id: Permit(rand.Uint64())}
 	// In this order two requests with the same parts don't wait for each other.
 	for _, part := range slices.Sorted(slices.Values(list)) {
-		granted, retryAfter, ok := g.acquirePart(ctx, part, t.id)
-		if granted {
-			t.granted = append(t.granted, part)
+		askedAt, retryAfter, ok := g.acquirePart(ctx, part, t.id)
+		if askedAt != 0 {
+			t.granted = append(t.granted, grantedPermit{part, askedAt})
 		}
 		if !ok {
 			t.release()
 			return nil, retryAfter
 		}
 	}
-	t.sentAt = g.clock.Now()
 	return t, 0
 }
 
-// acquirePart waits until a request with the part may be sent. It reports whether the owner counts the
-// request. ok is false if the request must not be sent.
-func (g *Guard) acquirePart(ctx context.Context, part ID, id Permit) (granted bool, retryAfter clock.Span, ok bool) {
+// acquirePart waits until a request with the part may be sent. askedAt is when the owner was asked if it
+// counts the request, else 0. ok is false if the request must not be sent.
+func (g *Guard) acquirePart(ctx context.Context, part ID, id Permit) (askedAt clock.Time, retryAfter clock.Span, ok bool) {
 	for {
 		g.mu.Lock()
 		state, wait := g.ledger.State(g.clock.Now(), part)
@@ -100,16 +112,16 @@
 		g.mu.Unlock()
 		switch {
 		case state == Proven:
-			return false, 0, true
+			return 0, 0, true
 		case g.isDecided(state, wait):
-			return false, retryTime(wait), false
+			return 0, retryTime(wait), false
 		case asked == nil:
 			return g.askOwner(ctx, part, id)
 		}
 		select {
 		case <-asked:
 		case <-ctx.Done():
-			return false, 0, false
+			return 0, 0, false
 		}
 	}
 }
@@ -120,38 +132,44 @@
 }
 
 // askOwner asks the owner of a part until it is no longer busy. Other requests with the part wait
-// meanwhile.
-func (g *Guard) askOwner(ctx context.Context, part ID, id Permit) (granted bool, retryAfter clock.Span, ok bool) {
+// meanwhile. It returns the same as acquirePart.
+func (g *Guard) askOwner(ctx context.Context, part ID, id Permit) (askedAt clock.Time, retryAfter clock.Span, ok bool) {
 	defer g.endAsk(part)
 	for {
-		reply, wait := g.owners.Ask(ctx, part, id)
+		askedAt := g.clock.Now()
+		reply, wait := g.owners.Ask(ctx, part, id, Queued)
 		switch reply {
 		case Granted:
-			return true, 0, true
+			return askedAt, 0, true
 		case Harmless:
-			g.mu.Lock()
-			g.ledger.RecordHarmless(part)
-			g.mu.Unlock()
-			return false, 0, true
+			g.recordHarmless(part)
+			return 0, 0, true
 		case Denied:
-			return false, retryTime(wait), false
+			return 0, retryTime(wait), false
 		case Busy:
 			stats.Event("parts_waited")
 		}
 		select {
 		case <-time.After(busyPoll):
 		case <-ctx.Done():
-			return false, 0, false
+			return 0, 0, false
 		}
 		g.mu.Lock()
 		state, wait := g.ledger.State(g.clock.Now(), part)
 		g.mu.Unlock()
 		if g.isDecided(state, wait) {
-			return false, retryTime(wait), state == Proven
+			return 0, retryTime(wait), state == Proven
 		}
 	}
 }
 
+// recordHarmless records that the owner of a part knows it as proven.
+func (g *Guard) recordHarmless(part ID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ledger.RecordHarmless(part)
+}
+
 // endAsk lets another request ask about the part.
 func (g *Guard) endAsk(part ID) {
 	g.mu.Lock()
@@ -167,9 +185,38 @@
 	return wait + clock.Span(rand.Int64N(int64(wait)))
 }
 
-// Refused reports whether one of the ticket's parts is refused now, and the time after which the caller may
-// come back. A part that was refused when the ticket was granted is on trial.
-func (t *Ticket) Refused() (bool, clock.Span) {
+// Confirm has to be called right before the request is sent. It returns Granted if the request may be sent.
+// Denied means that a part was refused meanwhile, with the time after which the caller may come back, and
+// Busy that a permit has ended meanwhile, so that the request needs a new ticket. A part that was refused
+// when the ticket was granted is on trial.
+func (t *Ticket) Confirm(ctx context.Context) (Reply, clock.Span) {
+	if refused, retryAfter := t.refused(); refused {
+		return Denied, retryAfter
+	}
+	for _, p := range slices.Clone(t.granted) {
+		if reply, wait := t.confirmPart(ctx, p); reply == Busy || reply == Denied {
+			return reply, retryTime(wait)
+		}
+	}
+	t.sentAt = t.guard.clock.Now()
+	return Granted, 0
+}
+
+// confirmPart extends a permit, and asks for it again if others may have it meanwhile.
+func (t *Ticket) confirmPart(ctx context.Context, p grantedPermit) (Reply, clock.Span) {
+	if t.guard.clock.Now().Sub(p.askedAt) < reserveTime-confirmMargin {
+		t.guard.owners.Extend(p.part, t.id)
+		return Granted, 0
+	}
+	reply, wait := t.guard.owners.Ask(ctx, p.part, t.id, Sending)
+	if reply == Harmless {
+		t.guard.recordHarmless(p.part)
+	}
+	return reply, wait
+}
+
+// refused reports whether one of the ticket's parts is refused now.
+func (t *Ticket) refused() (bool, clock.Span) {
 	t.guard.mu.Lock()
 	defer t.guard.mu.Unlock()
 	for _, part := range t.parts {
@@ -181,9 +228,6 @@
 	return false, 0
 }
 
-// Sent records that the request is sent to an upstream now.
-func (t *Ticket) Sent() { t.sentAt = t.guard.clock.Now() }
-
 // Began records that an answer to the request has begun. All of its parts are harmless.
 func (t *Ticket) Began() {
 	if t.began {
@@ -199,8 +243,8 @@
 		}
 	}
 	t.guard.mu.Unlock()
-	for _, part := range t.granted {
-		t.guard.owners.Return(part, t.id, Result{Began: true})
+	for _, p := range t.granted {
+		t.guard.owners.Return(p.part, t.id, Result{Began: true})
 	}
 	t.granted = nil
 	if len(refuted) > 0 {
@@ -227,7 +271,7 @@
 		suspects = t.guard.recordCrash(t.parts, *crash)
 	}
 	for _, s := range suspects {
-		if i := slices.Index(t.granted, s.Part); i >= 0 {
+		if i := slices.IndexFunc(t.granted, func(p grantedPermit) bool { return p.part == s.Part }); i >= 0 {
 			// The owner learns of the crash together with the end of the permit.
 			t.guard.owners.Return(s.Part, t.id, Result{Suspect: &s})
 			t.granted = slices.Delete(t.granted, i, i+1)
@@ -257,17 +301,24 @@
 
 // release returns the permits of the ticket.
 func (t *Ticket) release() {
-	for _, part := range t.granted {
-		t.guard.owners.Return(part, t.id, Result{})
+	for _, p := range t.granted {
+		t.guard.owners.Return(p.part, t.id, Result{})
 	}
 	t.granted = nil
 }
 
 // Request decides, as the owner of a part, on another gateway's request.
-func (g *Guard) Request(part ID, id Permit) (Reply, clock.Span) {
+func (g *Guard) Request(part ID, id Permit, stage Stage) (Reply, clock.Span) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ledger.Request(g.clock.Now(), part, id)
+	return g.ledger.Request(g.clock.Now(), part, id, stage)
+}
+
+// Extend records, as the owner of a part, that a request that was granted is sent now.
+func (g *Guard) Extend(part ID, id Permit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ledger.Extend(g.clock.Now(), part, id)
 }
 
 // Returned ends a permit that this gateway granted as the owner of the part.
@@ -307,10 +358,12 @@
 // soleOwner is the Owners of a gateway without others.
 type soleOwner struct{ guard *Guard }
 
-func (o soleOwner) Ask(_ context.Context, part ID, id Permit) (Reply, clock.Span) {
-	return o.guard.Request(part, id)
+func (o soleOwner) Ask(_ context.Context, part ID, id Permit, stage Stage) (Reply, clock.Span) {
+	return o.guard.Request(part, id, stage)
 }
 
+func (o soleOwner) Extend(part ID, id Permit) { o.guard.Extend(part, id) }
+
 func (o soleOwner) Return(part ID, id Permit, r Result) { o.guard.Returned(part, id, r) }
 
 func (soleOwner) Announce([]Suspect) {}
--- a/parts/ledger.go
+++ b/parts/ledger.go
@@ -25,10 +25,14 @@
 	crashLimit = 2
 	// provenCrashLimit applies to a part that was proven before.
 	provenCrashLimit = 3
-	// permitTTL is the time after which a request no longer counts as on its way, because it waits or
-	// its gateway is gone. suspectPermitTTL applies while the part is suspect.
-	permitTTL        = 600 * clock.Millisecond
-	suspectPermitTTL = 2 * clock.Second
+	// permitTTL is the time after which a permit ends whose request has not been sent, because it waits or
+	// its gateway is gone. sentPermitTTL applies from the time at which the request is sent, and while the
+	// part is suspect: it covers the time until an answer begins.
+	permitTTL     = 600 * clock.Millisecond
+	sentPermitTTL = 2 * clock.Second
+	// reserveTime is the time after which a permit whose request has not been sent gives way to a request
+	// that is to be sent at once, so that requests in long queues don't keep each other waiting.
+	reserveTime = 150 * clock.Millisecond
 	// firstTrialDelay is the time from a verdict to its first trial, which ends a wrong verdict soon.
 	// Each failed trial is an upstream lost: the next one follows after trialDelay, which doubles with
 	// each further one up to maxTrialDelay.
@@ -122,10 +126,28 @@
 // Permit identifies a granted request.
 type Permit uint64
 
+// Stage is how far a request with a permit has come.
+type Stage uint8
+
+// Stages of a request.
+const (
+	// Queued requests wait for an upstream.
+	Queued Stage = iota
+	// Sending means that the request is sent as soon as the owner grants it.
+	Sending
+)
+
 // permit is a granted request on its way.
 type permit struct {
-	id      Permit
-	expires clock.Time
+	id                 Permit
+	grantedAt, expires clock.Time
+	// sent is set if the request has been sent.
+	sent bool
+}
+
+// holds reports whether the permit counts against another request in the stage.
+func (p permit) holds(now clock.Time, other Stage) bool {
+	return other == Queued || p.sent || now.Sub(p.grantedAt) < reserveTime
 }
 
 // suspect is a Suspect with what this gateway decides about it.
@@ -168,7 +190,7 @@
 
 // Request decides, as the owner of the part, on a request with it. The span is the time until the next
 // trial for Denied.
-func (l *Ledger) Request(now clock.Time, part ID, id Permit) (Reply, clock.Span) {
+func (l *Ledger) Request(now clock.Time, part ID, id Permit, stage Stage) (Reply, clock.Span) {
 	state, wait := l.State(now, part)
 	if state == Proven {
 		return Harmless, 0
@@ -178,19 +200,41 @@
 	}
 	limit, ttl := maxUnproven, permitTTL
 	if s, ok := l.suspects[part]; ok && s.count() > 0 {
-		limit, ttl = 1, suspectPermitTTL
+		limit, ttl = 1, sentPermitTTL
+	}
+	if stage == Sending {
+		ttl = sentPermitTTL
 	}
-	current := l.currentPermits(now, part)
-	if len(current) >= limit {
+	others, holding := l.withoutPermit(now, part, id), 0
+	for _, p := range others {
+		if p.holds(now, stage) {
+			holding++
+		}
+	}
+	if holding >= limit {
 		if state == Refused {
-			return Denied, suspectPermitTTL
+			return Denied, sentPermitTTL
 		}
 		return Busy, 0
 	}
-	l.permits[part] = append(current, permit{id, now.Add(ttl)})
+	l.permits[part] = append(others, permit{id: id, grantedAt: now, expires: now.Add(ttl), sent: stage == Sending})
 	return Granted, 0
 }
 
+// Extend records that the request of a permit has been sent, so that the permit lasts until its answer has
+// begun. A request whose permit has ended counts again.
+func (l *Ledger) Extend(now clock.Time, part ID, id Permit) {
+	if state, _ := l.State(now, part); state != Proven {
+		p := permit{id: id, grantedAt: now, expires: now.Add(sentPermitTTL), sent: true}
+		l.permits[part] = append(l.withoutPermit(now, part, id), p)
+	}
+}
+
+// withoutPermit returns the current permits of a part other than id.
+func (l *Ledger) withoutPermit(now clock.Time, part ID, id Permit) []permit {
+	return slices.DeleteFunc(slices.Clone(l.currentPermits(now, part)), func(p permit) bool { return p.id == id })
+}
+
 // currentPermits removes the expired permits of a part and returns the others.
 func (l *Ledger) currentPermits(now clock.Time, part ID) []permit {
 	list := slices.DeleteFunc(l.permits[part], func(p permit) bool { return !now.Before(p.expires) })
--- a/parts/ledger_test.go
+++ b/parts/ledger_test.go
@@ -82,23 +82,23 @@
 	}
 	delays := []clock.Span{clock.Second, clock.Minute, 2 * clock.Minute, 4 * clock.Minute}
 	for i, delay := range delays {
-		reply, wait := l.Request(now, deadly, 1)
+		reply, wait := l.Request(now, deadly, 1, parts.Queued)
 		assert.Equal(t, reply, parts.Denied)
 		assert.Equal(t, wait, delay)
 		now = now.Add(delay)
-		reply, _ = l.Request(now, deadly, parts.Permit(10+i))
+		reply, _ = l.Request(now, deadly, parts.Permit(10+i), parts.Queued)
 		assert.Equal(t, reply, parts.Granted)
-		reply, _ = l.Request(now, deadly, 3)
+		reply, _ = l.Request(now, deadly, 3, parts.Queued)
 		assert.Equal(t, reply, parts.Denied, "one trial at a time")
 		l.RecordCrash(now+100, []parts.ID{deadly}, crashAt(retry.CrashID(20+i), now))
 		l.Return(deadly, parts.Permit(10+i))
 		now += 100
 	}
 	now = now.Add(clock.Hour)
-	reply, _ := l.Request(now, deadly, 5)
+	reply, _ := l.Request(now, deadly, 5, parts.Queued)
 	assert.Equal(t, reply, parts.Granted)
 	l.RecordBegan(deadly, now+10)
-	reply, _ = l.Request(now+20, deadly, 6)
+	reply, _ = l.Request(now+20, deadly, 6, parts.Queued)
 	assert.Equal(t, reply, parts.Harmless)
 }
 
@@ -106,12 +106,12 @@
 func TestPermitsExpire(t *testing.T) {
 	l := parts.NewLedger()
 	for i := range parts.Permit(2) {
-		reply, _ := l.Request(1, session, i)
+		reply, _ := l.Request(1, session, i, parts.Queued)
 		assert.Equal(t, reply, parts.Granted)
 	}
-	reply, _ := l.Request(2, session, 3)
+	reply, _ := l.Request(2, session, 3, parts.Queued)
 	assert.Equal(t, reply, parts.Busy)
-	reply, _ = l.Request(700, session, 3)
+	reply, _ = l.Request(700, session, 3, parts.Queued)
 	assert.Equal(t, reply, parts.Granted)
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -209,15 +209,11 @@
 		x.ticket.End(nil)
 		return
 	}
-	if refused, retryAfter := x.ticket.Refused(); refused {
-		x.ticket.End(nil)
-		x.server.cancelAttempt(scheduled)
-		x.refuseSuspect(retryAfter)
+	if !x.confirmTicket(ctx, scheduled) {
 		return
 	}
 	x.upstream, x.assignedAt = scheduled.Upstream.ID, x.server.Clock.Now()
 	x.tried = append(x.tried, scheduled.Upstream.ID)
-	x.ticket.Sent()
 	outcome := x.attempt(ctx, scheduled)
 	x.server.finishAttempt(x.fingerprint, scheduled, outcome)
 	x.endTicket(ctx, scheduled, outcome)
--- a/relay/part.go
+++ b/relay/part.go
@@ -66,6 +66,23 @@
 	return false
 }
 
+// confirmTicket reports whether the request may be sent to the upstream that was assigned. If not, the
+// request is ended, or left for another attempt because too many with its parts are on their way.
+func (x *exchange) confirmTicket(ctx context.Context, scheduled *sched.Attempt) bool {
+	reply, retryAfter := x.ticket.Confirm(ctx)
+	if reply == parts.Granted {
+		return true
+	}
+	x.ticket.End(nil)
+	x.server.cancelAttempt(scheduled)
+	if reply == parts.Denied {
+		x.refuseSuspect(retryAfter)
+		return false
+	}
+	stats.Event("part_permits_ended")
+	return false
+}
+
 // refuseSuspect ends a request with a part that crashes upstreams.
 func (x *exchange) refuseSuspect(retryAfter clock.Span) {
 	x.reason = "a part of the prompt crashes upstreams"
