parts, entry: let verdicts outlive a restart of all gateways

Cause: what gateways knew of parts was in their memory only. After a restart of all, no owner counted as informed, and each gateway decided alone: permits for each gateway. A crash was held against all parts without an answer so far, also where a refused part in the same prompt explains it; a trial could have two refused parts.

An owner that was restarted a moment ago answers all the same and says so; its answer counts where no other does. Refused parts explain a crash. A trial has one refused part, unless none has come alone for a minute.

Shown by TestVerdictOutlivesAllGateways (fails where verdicts are not written), TestRestartedGatewaysShareThePermitsOfAPart, TestRefusedPartExplainsCrash, TestTrialHasOneRefusedPart, TestVerdictFromStore.

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -122,13 +122,17 @@
 	}
 }
 
-// handleItem handles an item that is not part of the view: the leader's key or another gateway's
+// handleItem handles an item that is not part of the view: the leader's key, a verdict or another gateway's
 // registration.
 func (c *controller) handleItem(now clock.Time, m itemReceived) {
 	if m.item.Key == leaderKey {
 		c.orders.handleItem(m.item)
 		return
 	}
+	if part, ok := parts.ParseVerdictKey(m.item.Key); ok {
+		c.handleVerdict(part, m.item)
+		return
+	}
 	vm, ok := member.ParseKey(m.item.Key)
 	if !ok || vm == c.gateway.settings.VM {
 		return
--- /dev/null
+++ b/entry/verdicts_test.go
@@ -0,0 +1,90 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/platform/fakes"
+)
+
+// addCrashingEngines adds n upstreams that end when they begin to answer a request with the part.
+func (c *cluster) addCrashingEngines(n int, part string) []*fakes.Replica {
+	all := make([]*fakes.Replica, n)
+	for i := range all {
+		name := fmt.Sprint("crash-", i)
+		replica, err := fakes.NewReplica(name, func(r *fakes.Request) {
+			if r.HasPromptPart(part) {
+				all[i].Crash()
+				return
+			}
+			r.Stream(1, 3, true)
+		})
+		assert.NilError(c.t, err)
+		c.t.Cleanup(replica.Close)
+		all[i] = replica
+		replica.AddModel("small")
+		c.store.Put(fakes.UpstreamKeyPrefix+name, replica.Description(fakes.EngineService, "zone-a", "ready"))
+	}
+	return all
+}
+
+// sendParts sends a request whose prompt has the parts and returns the status.
+func (c *cluster) sendParts(g *testGateway, id string, ids ...string) int {
+	req, err := http.NewRequest(http.MethodPost, "http://"+g.settings.PublicAddress+"/talk/a", strings.NewReader(id))
+	assert.NilError(c.t, err)
+	req.Header, req.Host = fakes.RequestHeader(id, apiKey, "small", 4000), fakes.Host
+	fakes.SetPromptParts(req.Header, ids...)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	return res.StatusCode
+}
+
+// crashed returns the number of replicas that received a request with the part.
+func crashed(all []*fakes.Replica, part string) int {
+	n := 0
+	for _, p := range all {
+		for _, r := range p.Requests() {
+			if r.HasPromptPart(part) {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+// Guards against a part that crashes upstreams anew after a restart of all gateways: they read the verdict
+// before they serve.
+func TestVerdictOutlivesAllGateways(t *testing.T) {
+	c := newCluster(t, 0)
+	c.store.Put(fakes.UpstreamKeyPrefix+"llm-1", c.llm.Description(fakes.EngineService, "zone-a", "draining"))
+	const deadly = "dead1"
+	all := c.addCrashingEngines(8, deadly)
+	first := c.startGateway("gate-0")
+	c.waitFor("gateway is ready", func() bool { return c.readyStatus(first) == http.StatusOK })
+	assert.Equal(t, c.sendParts(first, "sound", "shared", "own"), http.StatusOK)
+	for i := range 6 {
+		c.sendParts(first, fmt.Sprint("bad", i), "shared", deadly, fmt.Sprint("own", i))
+	}
+	before := crashed(all, deadly)
+	assert.Assert(t, before >= 2 && before <= 3, "%d upstreams ended", before)
+	c.waitFor("verdict is written", func() bool { return len(c.store.Keys("parts/")) == 1 })
+	first.stop()
+	assert.NilError(t, <-first.runErr)
+
+	second := c.startGateway("gate-0")
+	c.gateways = append(c.gateways, second)
+	c.waitFor("gateway is ready", func() bool { return c.readyStatus(second) == http.StatusOK })
+	for i := range 3 {
+		assert.Equal(t, c.sendParts(second, fmt.Sprint("late", i), "shared", deadly, fmt.Sprint("own-late", i)), http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, crashed(all, deadly), before)
+	assert.Equal(t, c.sendParts(second, "sound2", "shared", "own2"), http.StatusOK)
+}
--- a/parts/exchange.go
+++ b/parts/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -72,9 +73,9 @@
 	gateways int
 	// tickedAt is the time of the last tick, informedAt when this gateway knows what the others know.
 	tickedAt, informedAt clock.Time
-	// asks are the unanswered requests to other gateways, granters the gateways that granted requests.
+	// asks are the unanswered requests to other gateways, granters the other gateways that granted requests.
 	asks     map[partPermit]chan *wire.PartReply
-	granters map[partPermit]units.VMID
+	granters map[partPermit][]units.VMID
 }
 
 // partPermit identifies a request with a part.
@@ -86,7 +87,7 @@
 // NewExchange returns an Exchange, which the Guard uses from then on.
 func NewExchange(o ExchangeOptions) *Exchange {
 	e := &Exchange{
-		ExchangeOptions: o, gateways: 1, asks: map[partPermit]chan *wire.PartReply{}, granters: map[partPermit]units.VMID{},
+		ExchangeOptions: o, gateways: 1, asks: map[partPermit]chan *wire.PartReply{}, granters: map[partPermit][]units.VMID{},
 	}
 	o.Guard.SetOwners(e)
 	return e
@@ -131,30 +132,55 @@
 	return ranked[:min(len(ranked), maxOwners)]
 }
 
-// Ask implements Owners. If no owner answers, this gateway decides by what it knows.
+// ownerReply is an owner's answer to a request.
+type ownerReply struct {
+	reply Reply
+	wait  clock.Span
+	// informed is not set if the owner was started or paused a moment ago and may have missed crashes.
+	informed bool
+}
+
+// Ask implements Owners. If no owner that knows what the others know answers, the first of the others counts:
+// after a restart of all gateways they share the permits of a part as well. If none answers at all, this
+// gateway decides by what it knows.
 func (e *Exchange) Ask(ctx context.Context, part ID, id Permit, stage Stage) (Reply, clock.Span) {
+	var uninformed *ownerReply
 	for _, g := range e.candidates(part) {
-		if g.VM == e.VM {
-			e.mu.Lock()
-			informed := e.informed(e.Clock.Now())
-			e.mu.Unlock()
-			if informed {
-				return e.Guard.Request(part, id, stage)
-			}
-			continue
+		r, ok := e.askCandidate(ctx, g, partPermit{part, id}, stage)
+		if ok && r.informed {
+			return r.reply, r.wait
 		}
-		if reply, wait, ok := e.askGateway(ctx, g, partPermit{part, id}, stage); ok {
-			return reply, wait
+		if ok && uninformed == nil {
+			uninformed = &r
 		}
 	}
+	if uninformed != nil {
+		return uninformed.reply, uninformed.wait
+	}
 	stats.Event("part_owners_silent")
 	klog.InfoS("parts: no owner of a part answers", "part", part)
 	return e.Guard.Request(part, id, stage)
 }
 
-// askGateway asks another gateway. It returns false if that doesn't answer in time or may have missed
-// crashes.
-func (e *Exchange) askGateway(ctx context.Context, g member.Gateway, p partPermit, stage Stage) (Reply, clock.Span, bool) {
+// askCandidate asks a gateway, which may be this one. It returns false if that doesn't answer in time.
+func (e *Exchange) askCandidate(ctx context.Context, g member.Gateway, p partPermit, stage Stage) (ownerReply, bool) {
+	if g.VM == e.VM {
+		return e.decide(p, stage), true
+	}
+	return e.askGateway(ctx, g, p, stage)
+}
+
+// decide decides as the owner of a part.
+func (e *Exchange) decide(p partPermit, stage Stage) ownerReply {
+	e.mu.Lock()
+	informed := e.informed(e.Clock.Now())
+	e.mu.Unlock()
+	reply, wait := e.Guard.Request(p.part, p.id, stage)
+	return ownerReply{reply, wait, informed}
+}
+
+// askGateway asks another gateway. It returns false if that doesn't answer in time.
+func (e *Exchange) askGateway(ctx context.Context, g member.Gateway, p partPermit, stage Stage) (ownerReply, bool) {
 	answered := make(chan *wire.PartReply, 1)
 	e.mu.Lock()
 	e.asks[p] = answered
@@ -173,18 +199,16 @@
 	case m := <-answered:
 		reply, ok := decodeReply(m.GetReply())
 		if ok && reply == Granted {
-			e.mu.Lock()
-			e.granters[p] = g.VM
-			e.mu.Unlock()
+			e.addGranter(p, g.VM)
 		}
-		return reply, clock.Span(m.GetWaitMs()), ok
+		return ownerReply{reply, clock.Span(m.GetWaitMs()), !m.GetUninformed()}, ok
 	case <-timeout.C:
 	case <-ctx.Done():
 	}
-	return 0, 0, false
+	return ownerReply{}, false
 }
 
-// decodeReply returns false for an owner that may have missed crashes, and for unknown replies.
+// decodeReply returns false for unknown replies.
 func decodeReply(r wire.PartReply_Reply) (Reply, bool) {
 	switch r {
 	case wire.PartReply_BUSY:
@@ -195,7 +219,6 @@
 		return Harmless, true
 	case wire.PartReply_DENIED:
 		return Denied, true
-	case wire.PartReply_UNINFORMED:
 	}
 	return 0, false
 }
@@ -227,36 +250,55 @@
 	return Queued
 }
 
+// addGranter records that a gateway has granted a request. Several may have, if the first was not informed.
+func (e *Exchange) addGranter(p partPermit, vm units.VMID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !slices.Contains(e.granters[p], vm) {
+		e.granters[p] = append(e.granters[p], vm)
+	}
+}
+
+// grantersOf returns the other gateways that granted a request.
+func (e *Exchange) grantersOf(p partPermit) []units.VMID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.granters[p])
+}
+
 // Extend implements Owners.
 func (e *Exchange) Extend(part ID, id Permit) {
-	e.mu.Lock()
-	granter, remote := e.granters[partPermit{part, id}]
-	e.mu.Unlock()
-	if !remote {
+	granters := e.grantersOf(partPermit{part, id})
+	if len(granters) == 0 {
 		e.Guard.Extend(part, id)
 		return
 	}
-	e.Transport.Send(granter, &wire.PartMessage{Body: &wire.PartMessage_Request{Request: &wire.PartRequest{
-		Permit: uint64(id), Part: uint64(part), Stage: wire.PartRequest_SENT,
-	}}})
+	for _, g := range granters {
+		e.Transport.Send(g, &wire.PartMessage{Body: &wire.PartMessage_Request{Request: &wire.PartRequest{
+			Permit: uint64(id), Part: uint64(part), Stage: wire.PartRequest_SENT,
+		}}})
+	}
 }
 
 // Return implements Owners.
 func (e *Exchange) Return(part ID, id Permit, r Result) {
 	p := partPermit{part, id}
+	granters := e.grantersOf(p)
 	e.mu.Lock()
-	granter, remote := e.granters[p]
 	delete(e.granters, p)
 	e.mu.Unlock()
-	if !remote {
-		e.Guard.Returned(part, id, r)
+	// This gateway may have granted the request too.
+	e.Guard.Returned(part, id, r)
+	if len(granters) == 0 {
 		return
 	}
 	m := &wire.PartReturn{Permit: uint64(id), Part: uint64(part), Began: r.Began}
 	if r.Suspect != nil {
 		m.Crash = e.suspectsMessage([]Suspect{*r.Suspect})
 	}
-	e.Transport.Send(granter, &wire.PartMessage{Body: &wire.PartMessage_End{End: m}})
+	for _, g := range granters {
+		e.Transport.Send(g, &wire.PartMessage{Body: &wire.PartMessage_End{End: m}})
+	}
 }
 
 // Announce implements Owners.
@@ -308,15 +350,10 @@
 
 // handleRequest decides on another gateway's request.
 func (e *Exchange) handleRequest(r *wire.PartRequest) *wire.PartReply {
-	m := &wire.PartReply{Permit: r.GetPermit(), Part: r.GetPart(), Reply: wire.PartReply_UNINFORMED}
-	e.mu.Lock()
-	informed := e.informed(e.Clock.Now())
-	e.mu.Unlock()
-	if informed {
-		reply, wait := e.Guard.Request(ID(r.GetPart()), Permit(r.GetPermit()), decodeStage(r.GetStage()))
-		m.Reply, m.WaitMs = encodeReply(reply), int64(wait)
+	d := e.decide(partPermit{ID(r.GetPart()), Permit(r.GetPermit())}, decodeStage(r.GetStage()))
+	return &wire.PartReply{
+		Permit: r.GetPermit(), Part: r.GetPart(), Reply: encodeReply(d.reply), WaitMs: int64(d.wait), Uninformed: !d.informed,
 	}
-	return m
 }
 
 // mergeMessage adds the suspects of a message, which may be nil.
--- a/parts/exchange_test.go
+++ b/parts/exchange_test.go
@@ -157,3 +157,22 @@
 	state, _ := l.State(9100, 1)
 	assert.Equal(t, state, Unproven, "an answer at 8,100 refutes two crashes")
 }
+
+// Guards against permits of each gateway for itself after all of them were restarted: none is informed, and
+// together they grant as many requests as one.
+func TestRestartedGatewaysShareThePermitsOfAPart(t *testing.T) {
+	f := newExchangeFleet(5)
+	granted := 0
+	for i, e := range f.exchanges {
+		e.informedAt = f.clock.Now().Add(clock.Second)
+		if f.ask(i, 4711, Permit(i)) == Granted {
+			granted++
+		}
+	}
+	for i := range f.exchanges {
+		if f.ask(i, 4711, Permit(10+i)) == Granted {
+			granted++
+		}
+	}
+	assert.Equal(t, granted, maxUnproven)
+}
--- a/parts/guard.go
+++ b/parts/guard.go
@@ -47,6 +47,9 @@
 	clock  clock.Clock
 	owners Owners
 
+	// onVerdict is called with verdicts that this gateway has reached or ended.
+	onVerdict func(Verdict)
+
 	mu     sync.Mutex // guards the fields below
 	ledger *Ledger
 	// asks has a channel for each part about which a request asks the owner. It is closed when the
@@ -56,7 +59,7 @@
 
 // NewGuard returns a Guard that owns all parts until SetOwners is called.
 func NewGuard(c clock.Clock) *Guard {
-	g := &Guard{clock: c, ledger: NewLedger(), asks: map[ID]chan struct{}{}}
+	g := &Guard{clock: c, ledger: NewLedger(), asks: map[ID]chan struct{}{}, onVerdict: func(Verdict) {}}
 	g.owners = soleOwner{g}
 	return g
 }
@@ -64,6 +67,28 @@
 // SetOwners sets the way to the owners of parts. It must be called before the Guard is used.
 func (g *Guard) SetOwners(o Owners) { g.owners = o }
 
+// OnVerdict sets the function that is called with each verdict that this gateway has reached or ended. It must
+// not block. It must be set before the Guard is used.
+func (g *Guard) OnVerdict(f func(Verdict)) { g.onVerdict = f }
+
+// Restore adds a verdict from the store, unless this gateway knows more of the part. It reports whether it
+// did.
+func (g *Guard) Restore(v Verdict) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.Restore(g.clock.Now(), v)
+}
+
+// reportVerdicts calls onVerdict for the suspects.
+func (g *Guard) reportVerdicts(list []Suspect) {
+	for _, s := range list {
+		g.mu.Lock()
+		v := g.ledger.Verdict(s.Part)
+		g.mu.Unlock()
+		g.onVerdict(v)
+	}
+}
+
 // Ticket is the permission to send one request.
 type Ticket struct {
 	guard *Guard
@@ -85,6 +110,9 @@
 // caller may come back if one of them is refused, and nil and 0 if ctx is done before.
 func (g *Guard) Acquire(ctx context.Context, list []ID) (*Ticket, clock.Span) {
 	t := &Ticket{guard: g, parts: list, id: Permit(rand.Uint64())}
+	if !g.mayTry(list) {
+		return nil, retryTime(trialDelay)
+	}
 	// In this order two requests with the same parts don't wait for each other.
 	for _, part := range slices.Sorted(slices.Values(list)) {
 		askedAt, retryAfter, ok := g.acquirePart(ctx, part, t.id)
@@ -99,6 +127,13 @@
 	return t, 0
 }
 
+// mayTry is Ledger.mayTry.
+func (g *Guard) mayTry(list []ID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.mayTry(g.clock.Now(), list)
+}
+
 // acquirePart waits until a request with the part may be sent. askedAt is when the owner was asked if it
 // counts the request, else 0. ok is false if the request must not be sent.
 func (g *Guard) acquirePart(ctx context.Context, part ID, id Permit) (askedAt clock.Time, retryAfter clock.Span, ok bool) {
@@ -249,6 +284,7 @@
 	t.granted = nil
 	if len(refuted) > 0 {
 		t.guard.owners.Announce(refuted)
+		t.guard.reportVerdicts(refuted)
 	}
 }
 
@@ -280,6 +316,7 @@
 	t.release()
 	if len(suspects) > 0 {
 		t.guard.owners.Announce(suspects)
+		t.guard.reportVerdicts(suspects)
 	}
 	return suspects
 }
--- /dev/null
+++ b/parts/guard_test.go
@@ -0,0 +1,33 @@
+package parts_test
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/parts"
+)
+
+// Guards against a sound part that stays refused because a deadly one fails its trials: a request with two
+// refused parts is no trial.
+func TestTrialHasOneRefusedPart(t *testing.T) {
+	c := clock.NewManual(1000)
+	g := parts.NewGuard(c)
+	for _, part := range []parts.ID{session, deadly} {
+		g.Merge(parts.Suspect{Part: part, Crashes: []parts.Crash{{ID: 1, SentAt: 900}, {ID: 2, SentAt: 910}}})
+	}
+	c.Advance(2 * clock.Second)
+	ticket, wait := g.Acquire(context.Background(), []parts.ID{session, deadly})
+	assert.Assert(t, ticket == nil && wait >= clock.Second)
+	ticket, _ = g.Acquire(context.Background(), []parts.ID{session})
+	assert.Assert(t, ticket != nil)
+	ticket.Began()
+	ticket.End(nil)
+	// Parts that never come alone get a trial all the same, later.
+	g.Merge(parts.Suspect{Part: session, Crashes: []parts.Crash{{ID: 3, SentAt: c.Now() + 1}, {ID: 4, SentAt: c.Now() + 2}, {ID: 5, SentAt: c.Now() + 3}}})
+	c.Advance(5 * clock.Minute)
+	ticket, _ = g.Acquire(context.Background(), []parts.ID{session, deadly})
+	assert.Assert(t, ticket != nil)
+}
--- a/parts/ledger.go
+++ b/parts/ledger.go
@@ -274,18 +274,71 @@
 func (l *Ledger) RecordHarmless(part ID) { l.proven.add(part, EverBegan) }
 
 // RecordCrash records that an upstream crashed before an answer to a prompt with the parts began. If some
-// of them are not proven, the others are innocent. It returns the parts for which this is a new crash that
-// no answer refutes.
+// of them are refused, or else not proven, the others are innocent. It returns the parts for which this is a
+// new crash that no answer refutes.
 func (l *Ledger) RecordCrash(now clock.Time, prompt []ID, c Crash) []ID {
-	unproven := slices.DeleteFunc(slices.Clone(prompt), func(part ID) bool { return l.proven.beganAt(part) != 0 })
-	if len(unproven) == 0 {
-		unproven = prompt
-	}
-	return slices.DeleteFunc(slices.Clone(unproven), func(part ID) bool {
+	return slices.DeleteFunc(l.blamed(now, prompt), func(part ID) bool {
 		return !l.Merge(now, Suspect{Part: part, Crashes: []Crash{c}})
 	})
 }
 
+// blamed returns the parts of a prompt that explain a crash.
+func (l *Ledger) blamed(now clock.Time, prompt []ID) []ID {
+	var refused, unproven []ID
+	for _, part := range prompt {
+		if state, _ := l.State(now, part); state == Refused {
+			refused = append(refused, part)
+		}
+		if l.proven.beganAt(part) == 0 {
+			unproven = append(unproven, part)
+		}
+	}
+	switch {
+	case len(refused) > 0:
+		return refused
+	case len(unproven) > 0:
+		return unproven
+	}
+	return slices.Clone(prompt)
+}
+
+// Restore adds a verdict from the store, unless this gateway knows more of the part. It reports whether it
+// did.
+func (l *Ledger) Restore(now clock.Time, v Verdict) bool {
+	if _, known := l.suspects[v.Part]; known || l.proven.beganAt(v.Part) != 0 {
+		return false
+	}
+	s := Suspect{Part: v.Part}
+	for i := range min(v.Crashes, maxCrashes) {
+		// All gateways compute the same ids, so that the crashes count once.
+		s.Crashes = append(s.Crashes, Crash{ID: retry.CrashID(uint64(v.Part) + uint64(i)), SentAt: now})
+	}
+	return l.Merge(now, s)
+}
+
+// Verdict returns the verdict on a part; its Crashes are 0 if the part is not refused.
+func (l *Ledger) Verdict(part ID) Verdict {
+	if s, ok := l.suspects[part]; ok && s.condemned() {
+		return Verdict{part, s.count()}
+	}
+	return Verdict{Part: part}
+}
+
+// mayTry reports whether a request with several refused parts may be a trial. A failed one would speak
+// against the sound ones among them, so that it comes only where no trial of one part alone has come.
+func (l *Ledger) mayTry(now clock.Time, prompt []ID) bool {
+	refused, overdue := 0, 0
+	for _, part := range prompt {
+		if state, _ := l.State(now, part); state == Refused {
+			refused++
+			if now.Sub(l.suspects[part].trialAt) >= trialDelay {
+				overdue++
+			}
+		}
+	}
+	return refused <= 1 || overdue == refused
+}
+
 // Merge adds what another gateway knows of a suspect. It reports whether there are more crashes that no
 // answer refutes.
 func (l *Ledger) Merge(now clock.Time, other Suspect) bool {
--- a/parts/ledger_test.go
+++ b/parts/ledger_test.go
@@ -129,3 +129,32 @@
 	assert.Assert(t, len(l.Suspects(30_000, 1_000_000)) <= 4096)
 	assert.Equal(t, l.Suspects(30_000, 1)[0].Part, deadly)
 }
+
+// Guards against a sound part that is refused with a deadly one, because both were in a trial: the refused
+// part explains the crash.
+func TestRefusedPartExplainsCrash(t *testing.T) {
+	l := parts.NewLedger()
+	for i := range retry.CrashID(2) {
+		l.RecordCrash(100, []parts.ID{deadly}, crashAt(i, 50))
+	}
+	for i := range retry.CrashID(3) {
+		l.RecordCrash(200, []parts.ID{session, deadly}, crashAt(10+i, 150))
+	}
+	assert.Equal(t, state(l, 200, session), parts.Unproven)
+	assert.Equal(t, len(l.Suspects(200, 9)), 1)
+}
+
+// Guards against a verdict that is lost with all gateways, and against one from the store that an answer has
+// refuted.
+func TestVerdictFromStore(t *testing.T) {
+	l := parts.NewLedger()
+	assert.Assert(t, l.Restore(100, parts.Verdict{Part: deadly, Crashes: 3}))
+	assert.Assert(t, !l.Restore(200, parts.Verdict{Part: deadly, Crashes: 3}))
+	assert.Equal(t, state(l, 100, deadly), parts.Refused)
+	reply, wait := l.Request(30_100, deadly, 1, parts.Queued)
+	assert.Equal(t, reply, parts.Denied)
+	assert.Equal(t, wait, 30*clock.Second, "the next trial is not sooner than without a restart")
+	l.RecordBegan(session, 90)
+	assert.Assert(t, !l.Restore(100, parts.Verdict{Part: session, Crashes: 2}))
+	assert.Equal(t, state(l, 100, session), parts.Proven)
+}
