gate, coord, parts: refuse prompts with a message that crashes upstreams, at gateways with agents too

Callers of gateways with agents got 502 and 503 while one engine after the other crashed on a message that requests share: 38 crashes of 8 engines for 24 requests at three gateways (TestMessageThatCrashesEnginesIsStopped on the code before; at most three are meant).

A request was known by customer, target and whole body; no two of these requests are alike.

Now the parts of a prompt are its messages but the last one, each by itself, or the leading 1, 2, 4, 8 and 16 KiB of a prompt without messages. The decisions are those of package parts, by the same code: owner by rendezvous hash, permits, verdicts in the store, trials. Messages travel over the sessions between gateways; crashes are those that agents report. A gateway that connects is told the suspects. Messages are dated by the clock readings that pings give. The keeper of verdicts moves from package entry to parts and serves both ways in.

Not told apart: beginnings of prompts without messages that are shorter than the next power of two. What an agent calls a crash is a broken connection to the engine, which may be a reset; a wrong verdict ends with its first trial after a second.

go test ./gate ./agent ./coord ./system ./parts ./entry passed.

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/gate"
+	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/rate"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/store"
@@ -55,13 +57,18 @@
 
 // Coord is the control loop of one gateway.
 type Coord struct {
-	options          Options
-	clock            clock.Clock
-	events           chan event
-	done             chan struct{}
-	outboxes         *outboxes
-	elector          *elector
-	suspects         *Suspects
+	options  Options
+	clock    clock.Clock
+	events   chan event
+	done     chan struct{}
+	outboxes *outboxes
+	elector  *elector
+	suspects *Suspects
+	// parts decides by the parts of prompts; partExchange shares its decisions with other gateways.
+	parts            *parts.Guard
+	partExchange     *parts.Exchange
+	partTransport    *partTransport
+	verdicts         *parts.Keeper
 	placer           *placer
 	demand           *demand
 	outcomeQueries   *outcomeQueries
@@ -90,9 +97,19 @@
 	c.placer = newPlacer(c)
 	c.elector = newElector(c)
 	c.suspects = NewSuspects(c.clock, func(f *wire.Frame) { c.post(broadcastFrame{f}) })
+	c.parts = parts.NewGuard(c.clock)
+	c.verdicts = parts.NewKeeper(c.parts, verdictStore{o.Store})
+	c.partTransport = newPartTransport(c)
+	c.partExchange = parts.NewExchange(parts.ExchangeOptions{
+		Clock: c.clock, VM: o.Self, Life: rand.Uint64(), Guard: c.parts, Transport: c.partTransport,
+		DigestInterval: func(int) clock.Span { return partsInterval },
+	})
 	return c
 }
 
+// Parts returns the decisions by the parts of prompts, shared with the other gateways.
+func (c *Coord) Parts() *parts.Guard { return c.parts }
+
 // Done returns a channel that is closed when Run returns.
 func (c *Coord) Done() <-chan struct{} { return c.done }
 
@@ -117,18 +134,18 @@
 	defer close(c.done)
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchDone := make(chan struct{})
-	go func() {
-		defer close(watchDone)
-		c.watchSlotTable(runCtx)
-	}()
+	var watches sync.WaitGroup
+	watches.Go(func() { c.watchSlotTable(runCtx) })
+	watches.Go(func() { c.watchVerdicts(runCtx) })
+	keeperDone := make(chan error, 1)
+	go func() { keeperDone <- c.verdicts.Run(runCtx) }()
 	electorDone := make(chan error, 1)
 	go func() { electorDone <- c.elector.run(runCtx) }()
 	c.loop(runCtx)
 	cancel()
 	c.outboxes.stop()
-	<-watchDone
-	return <-electorDone
+	watches.Wait()
+	return errors.Join(<-keeperDone, <-electorDone)
 }
 
 func (c *Coord) loop(ctx context.Context) {
@@ -201,6 +218,8 @@
 
 func (s *state) tick() {
 	s.owner.Tick(s.now())
+	s.coord.partExchange.OnTick()
+	s.coord.parts.Expire()
 	s.sendDemand()
 }
 
@@ -276,6 +295,7 @@
 		}
 	}
 	s.owner.SetFleet(s.now(), e.list.RequestedAt, agents, gateways)
+	s.coord.partExchange.SetGateways(len(gateways))
 }
 
 // SetSnapshot replaces the configuration.
--- a/coord/gateway.go
+++ b/coord/gateway.go
@@ -78,6 +78,7 @@
 		Limiter:        NewLimiter(g.coord),
 		Retrier:        NewRetrier(rand.Uint64()),
 		Suspects:       g.coord.Suspects(),
+		Parts:          g.coord.Parts(),
 		Peers:          g.coord,
 		AdmissionCheck: g.checkAdmission,
 		Demand:         g.coord.Demand(),
--- a/coord/peers.go
+++ b/coord/peers.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/gate"
+	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/rate"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/syncer"
@@ -16,6 +17,7 @@
 	c.options.Syncer.AddPeer(syncer.Peer{ID: units.VMID(peer.ID), Gateway: gateway, Link: l})
 	if gateway {
 		c.elector.setConnected(units.VMID(peer.ID), true)
+		c.partTransport.connected(units.VMID(peer.ID), l)
 	}
 	c.post(connected{peer, l})
 }
@@ -25,13 +27,15 @@
 	c.options.Syncer.RemovePeer(units.VMID(peer.ID), l)
 	if peer.Role == wire.Gateway {
 		c.elector.setConnected(units.VMID(peer.ID), false)
+		c.partTransport.disconnected(units.VMID(peer.ID), l)
 	}
 	c.post(disconnected{peer, l})
 }
 
 // Answered implements gate.Peers.
-func (c *Coord) Answered(from wire.Identity, sent clock.Time, versions uint64) {
+func (c *Coord) Answered(from wire.Identity, sent, peerNow clock.Time, versions uint64) {
 	if from.Role == wire.Gateway {
+		c.partTransport.answered(units.VMID(from.ID), sent, peerNow)
 		c.options.Syncer.GatewayResponded(units.VMID(from.ID), sent, versions)
 	}
 }
@@ -53,6 +57,11 @@
 	case *wire.Frame_Suspects:
 		c.suspects.Receive(b.Suspects)
 		return
+	case *wire.Frame_PromptPart:
+		if from.Role == wire.Gateway {
+			c.partExchange.Handle(b.PromptPart, parts.Sender{VM: units.VMID(from.ID)})
+		}
+		return
 	case *wire.Frame_Outcome:
 		c.outcomeQueries.deliver(units.UpstreamID(from.ID), b.Outcome)
 		return
@@ -79,6 +88,9 @@
 	if s.slotTable != nil {
 		s.push(e.peer.ID, s.slotTable.Frame())
 	}
+	if e.peer.Role == wire.Gateway {
+		s.sendSuspects(e.peer.ID)
+	}
 	s.announce(e.peer.ID)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,7 +56,7 @@
 	// partExchange shares the decisions about parts of prompts with the other gateways.
 	partExchange  *parts.Exchange
 	partTransport *partTransport
-	verdicts      *verdictStore
+	verdicts      *parts.Keeper
 	peers         *peers.Transport
 	feed          *feed.Feed
 	keyValidity   keyValidity
@@ -85,8 +85,7 @@
 	tolerance := quota.Tolerance{Rate: settings.Bounds.QuotaOvershoot, Tokens: settings.Bounds.QuotaSlack}
 	g.limiter = newRateLimiter(settings.VM, g.clock, quota.New(settings.VM, settings.FirstStart, tolerance), g.incarnation)
 	g.parts = parts.NewGuard(g.clock)
-	g.verdicts = newVerdictStore(g.store)
-	g.parts.OnVerdict(g.verdicts.add)
+	g.verdicts = parts.NewKeeper(g.parts, verdictStore{g.store})
 	g.partTransport = &partTransport{vm: settings.VM}
 	g.partExchange = parts.NewExchange(parts.ExchangeOptions{
 		Clock: g.clock, VM: settings.VM, Life: g.incarnation, Guard: g.parts, Transport: g.partTransport,
@@ -244,7 +243,7 @@
 		func(ctx context.Context) error { g.feed.Run(ctx); return nil },
 		g.peers.Run,
 		newRegistration(g).run,
-		g.verdicts.run,
+		g.verdicts.Run,
 	}
 	errs := make(chan error, len(tasks))
 	for _, task := range tasks {
--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,6 +29,9 @@
 	startedAt   clock.Time
 	// onConfirmed is called for the response head, which shows that the agent started the request.
 	onConfirmed func()
+	// onBegan is called once an answer has begun: for the first event of a stream, or a complete response
+	// without a failure of the upstream.
+	onBegan func()
 	// onResponded, if set, is called when the upstream has sent the complete response.
 	onResponded func()
 	result      AttemptResult
@@ -113,7 +117,7 @@
 			if a.onResponded != nil {
 				a.onResponded()
 			}
-			return true, a.responseProblem(a.response.finish())
+			return true, a.finish()
 		}
 	case *wire.Frame_Refuse:
 		if a.isCurrent(b.Refuse.Attempt) {
@@ -141,7 +145,24 @@
 		a.result.TimeToFirstPart = max(a.clock.Now().Sub(a.startedAt), 1)
 	}
 	a.extendDeadline()
-	return a.responseProblem(a.response.handlePart(p))
+	if p := a.responseProblem(a.response.handlePart(p)); p != nil {
+		return p
+	}
+	if a.response.isEventStream && a.response.status == http.StatusOK {
+		a.onBegan()
+	}
+	return nil
+}
+
+// finish completes the response.
+func (a *attempt) finish() *Problem {
+	if p := a.responseProblem(a.response.finish()); p != nil {
+		return p
+	}
+	if a.response.status < http.StatusInternalServerError {
+		a.onBegan()
+	}
+	return nil
 }
 
 // handleRefusal returns the problem of a refusal. The request may also have run if part of a
--- a/gate/body.go
+++ b/gate/body.go
@@ -23,6 +23,8 @@
 	choices int64
 	// prefixHashes are the hashes of the prompt's leading blocks; see hashPrefix.
 	prefixHashes []uint64
+	// partHashes are the hashes of the parts of the prompt that other requests may share.
+	partHashes []uint64
 }
 
 // parseBody checks that the body is exactly one JSON object and reads the fields that the gateway
@@ -71,10 +73,17 @@
 	case "n":
 		f.choices, err = readOptional(d, d.Int64)
 		f.choices = min(max(f.choices, 1), maxChoices)
-	case "messages", "prompt":
+	case "messages":
+		var raw jx.Raw
+		if raw, err = d.Raw(); err == nil {
+			f.prefixHashes = hashPrefix(raw)
+			f.partHashes, err = messageHashes(raw)
+		}
+	case "prompt":
 		var raw jx.Raw
 		raw, err = d.Raw()
 		f.prefixHashes = hashPrefix(raw)
+		f.partHashes = leadingHashes(f.prefixHashes)
 	default:
 		err = d.Skip()
 	}
--- a/gate/control.go
+++ b/gate/control.go
@@ -23,9 +23,9 @@
 	// ended.
 	Connected(to wire.Identity, l Link)
 	Disconnected(to wire.Identity, l Link)
-	// Answered is called for each Pong; sent is when its Ping was sent, versions a hash of the
-	// configuration that the peer uses.
-	Answered(from wire.Identity, sent clock.Time, versions uint64)
+	// Answered is called for each Pong; sent is when its Ping was sent, peerNow the peer's clock since
+	// then, versions a hash of the configuration that the peer uses.
+	Answered(from wire.Identity, sent, peerNow clock.Time, versions uint64)
 	// VersionsHash returns the hash of the configuration that this gateway uses.
 	VersionsHash() uint64
 	// Receive is called for each frame that the gateway does not handle itself.
@@ -35,11 +35,11 @@
 // noPeers is the Peers of a gateway without control traffic.
 type noPeers struct{}
 
-func (noPeers) Connected(wire.Identity, Link)              {}
-func (noPeers) Disconnected(wire.Identity, Link)           {}
-func (noPeers) Answered(wire.Identity, clock.Time, uint64) {}
-func (noPeers) VersionsHash() uint64                       { return 0 }
-func (noPeers) Receive(wire.Identity, *wire.Frame, Reply)  {}
+func (noPeers) Connected(wire.Identity, Link)                          {}
+func (noPeers) Disconnected(wire.Identity, Link)                       {}
+func (noPeers) Answered(wire.Identity, clock.Time, clock.Time, uint64) {}
+func (noPeers) VersionsHash() uint64                                   { return 0 }
+func (noPeers) Receive(wire.Identity, *wire.Frame, Reply)              {}
 
 // handleControl answers Pings and hands all other frames to Peers.
 func (s *Server) handleControl(from wire.Identity, f *wire.Frame, reply Reply) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -13,6 +13,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/config"
+	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -34,6 +35,9 @@
 	Limiter   Limiter
 	Retrier   Retrier
 	Suspects  Suspects
+	// Parts decides which requests may be sent by the parts of their prompts; a Guard without other
+	// gateways if nil.
+	Parts *parts.Guard
 	// Once records calls with an Idempotency-Key; without it they are refused.
 	Once Once
 	// Jobs stores deferred jobs; without it such requests are refused.
@@ -70,6 +74,9 @@
 	if o.Suspects == nil {
 		o.Suspects = noSuspects{}
 	}
+	if o.Parts == nil {
+		o.Parts = parts.NewGuard(o.Clock)
+	}
 	if o.Peers == nil {
 		o.Peers = noPeers{}
 	}
@@ -182,19 +189,19 @@
 func (s *Server) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	parts := &group{}
-	parts.start(func() { s.agents.run(work) })
-	parts.start(func() { s.gateways.run(work) })
-	parts.start(func() { s.peers.run(work) })
-	parts.start(s.public.serve)
-	parts.start(s.admin.serve)
+	tasks := &group{}
+	tasks.start(func() { s.agents.run(work) })
+	tasks.start(func() { s.gateways.run(work) })
+	tasks.start(func() { s.peers.run(work) })
+	tasks.start(s.public.serve)
+	tasks.start(s.admin.serve)
 	klog.Infof("gate: serving callers on %s, gateways on %s, admin on %s", s.Addr(), s.PeerAddr(), s.AdminAddr())
 	<-ctx.Done()
 	err := s.stop()
 	s.public.shutdown()
 	cancel()
 	s.admin.shutdown()
-	parts.wait()
+	tasks.wait()
 	klog.Infof("gate: stopped")
 	return err
 }
--- a/gate/peers_test.go
+++ b/gate/peers_test.go
@@ -34,7 +34,7 @@
 
 func (r *peerRecorder) VersionsHash() uint64 { return 7 }
 
-func (r *peerRecorder) Answered(from wire.Identity, _ clock.Time, _ uint64) {
+func (r *peerRecorder) Answered(from wire.Identity, _, _ clock.Time, _ uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.pongReceived[from.ID] = true
--- a/gate/policy.go
+++ b/gate/policy.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
@@ -21,6 +22,8 @@
 	Fingerprint uint64
 	// PrefixHashes are the hashes of the prompt's leading blocks, for prefix cache affinity.
 	PrefixHashes []uint64
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []parts.ID
 	// Deadline is when the response has to start.
 	Deadline clock.Time
 	// Idempotent requests may be retried after an attempt that may have run.
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/units"
 )
@@ -44,6 +45,8 @@
 	brokenAt clock.Time
 	// demandCounted is set when the request has been counted as demand.
 	demandCounted bool
+	// ticket is the permission for the current attempt; nil if there is none.
+	ticket *parts.Ticket
 	// reservation is nil when the next attempt needs a new one.
 	reservation Reservation
 }
@@ -63,14 +66,18 @@
 		if p := r.checkSuspect(); p != nil {
 			return r.finalProblem(nil, p)
 		}
-		u, p := r.chooseUpstream(ctx)
-		if p == nil {
-			p = r.ensureReservation(ctx)
-		}
+		u, p := r.prepareAttempt(ctx)
 		if p != nil {
+			r.endTicket(nil)
 			return r.finalProblem(r.lastProblem, p)
 		}
-		if p = r.runAttempt(ctx, u); p == nil {
+		if u == nil {
+			r.endTicket(nil)
+			continue
+		}
+		p = r.runAttempt(ctx, u)
+		r.endTicket(nil)
+		if p == nil {
 			r.reportSuccess()
 			return nil
 		}
@@ -81,6 +88,26 @@
 	}
 }
 
+// prepareAttempt waits until an attempt may be sent to the upstream that it returns. Without an upstream and
+// a problem, it has to be called again.
+func (r *relay) prepareAttempt(ctx context.Context) (*upstream, *Problem) {
+	if p := r.acquireTicket(ctx); p != nil {
+		return nil, p
+	}
+	u, p := r.chooseUpstream(ctx)
+	if p == nil {
+		p = r.ensureReservation(ctx)
+	}
+	if p != nil {
+		return nil, p
+	}
+	confirmed, p := r.confirmTicket(ctx)
+	if !confirmed {
+		u = nil
+	}
+	return u, p
+}
+
 // reportSuccess informs the policies of a complete response.
 func (r *relay) reportSuccess() {
 	info := &r.request.info
@@ -128,6 +155,7 @@
 		clock:        s.clock,
 		stallTimeout: s.options.Settings.Limits.StallTimeout,
 		onConfirmed:  r.reservation.Started,
+		onBegan:      r.ticket.Began,
 	}
 	if r.request.idempotencyKey != "" {
 		a.incarnation = u.report.Load().load.Incarnation
@@ -143,6 +171,7 @@
 	s.options.Picker.Ended(s.clock.Now(), u.id, &r.request.info, a.result)
 	r.endOnce(ctx, a, p)
 	r.settleReservation(p, &a.result)
+	r.endTicket(a)
 	if p == nil {
 		r.mayHaveRun = true
 		return nil
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -209,7 +209,7 @@
 	}
 	now := u.clock.Now()
 	u.clockReading.Store(&clockReading{sample: rate.NewClockSample(now, clock.Time(p.Now)), receivedAt: now})
-	u.server.options.Peers.Answered(u.session.Peer(), last.sentAt, p.Versions)
+	u.server.options.Peers.Answered(u.session.Peer(), last.sentAt, clock.Time(p.Now), p.Versions)
 }
 
 // updateLoad stores the load report unless a newer one has arrived already: reports come both on
--- a/parts/verdict.go
+++ b/parts/verdict.go
@@ -7,8 +7,8 @@
 	"strings"
 )
 
-// verdictPrefix is the prefix of the keys of verdicts in the store.
-const verdictPrefix = "parts/"
+// VerdictPrefix is the prefix of the keys of verdicts in the store.
+const VerdictPrefix = "parts/"
 
 // Verdict says that a part is refused. Verdicts are kept in the store, so that they outlive the gateways.
 type Verdict struct {
@@ -18,7 +18,7 @@
 }
 
 // Key returns the store key of the verdict.
-func (v Verdict) Key() string { return verdictPrefix + strconv.FormatUint(uint64(v.Part), 16) }
+func (v Verdict) Key() string { return VerdictPrefix + strconv.FormatUint(uint64(v.Part), 16) }
 
 // Encode returns the verdict as JSON, the value of its key.
 func (v Verdict) Encode() ([]byte, error) {
@@ -31,7 +31,7 @@
 
 // ParseVerdictKey returns the part that a store key belongs to, and false for other keys.
 func ParseVerdictKey(key string) (ID, bool) {
-	hex, ok := strings.CutPrefix(key, verdictPrefix)
+	hex, ok := strings.CutPrefix(key, VerdictPrefix)
 	part, err := strconv.ParseUint(hex, 16, 64)
 	return ID(part), ok && err == nil
 }
