agent: don't take an answer that an upstream repeats for the next one

Callers of gateways with agents could get the answer to another caller's request: an engine or service wrote an answer twice on a kept connection, and the second copy was read as the answer to the next idempotent request there. The same holds for a refusal.

Nothing in the published API of engines tells answers apart, so that only the connection can: an agent opens one for each request, as it did for calls that must run at most once. It runs beside its upstream, so that a connection costs little; what that is was not measured. The engine's load reports and orders get the same.

--- a/agent/engine.go
+++ b/agent/engine.go
@@ -107,11 +107,9 @@
 }
 
 func newEngineClient(address string) *engineClient {
-	return &engineClient{address: address, http: &http.Client{Transport: newTransport(false)}}
+	return &engineClient{address: address, http: &http.Client{Transport: newTransport()}}
 }
 
-func (e *engineClient) close() { e.http.CloseIdleConnections() }
-
 // readLoad reads the engine's load report.
 func (e *engineClient) readLoad(ctx context.Context) (*engineLoad, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout.Duration())
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -20,44 +20,33 @@
 
 const (
 	dialTimeout    = time.Second
-	idleTimeout    = 30 * time.Second
 	chunkBytes     = 32 << 10
 	maxHeaderBytes = 64 << 10
 )
 
 // forwarder sends requests to the upstream.
 type forwarder struct {
-	address string
-	// pooled reuses connections. It is used for idempotent calls.
-	pooled *http.Transport
-	// unpooled opens a connection per request, for calls that must not run twice: on a
-	// reused connection net/http retries some failed requests, among them those with an
-	// Idempotency-Key.
-	unpooled *http.Transport
+	address   string
+	transport *http.Transport
 }
 
 func newForwarder(address string) *forwarder {
-	return &forwarder{address: address, pooled: newTransport(false), unpooled: newTransport(true)}
+	return &forwarder{address: address, transport: newTransport()}
 }
 
-// newTransport returns a transport that neither requests nor removes compression.
-func newTransport(disableKeepAlives bool) *http.Transport {
+// newTransport returns a transport that neither requests nor removes compression. It opens a connection for
+// each request: what an upstream sends after its answer could be taken for the next one, and on a connection
+// in use again net/http repeats some requests that failed.
+func newTransport() *http.Transport {
 	d := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DialContext:            d.DialContext,
 		DisableCompression:     true,
-		DisableKeepAlives:      disableKeepAlives,
-		MaxIdleConnsPerHost:    defaultRunning,
-		IdleConnTimeout:        idleTimeout,
+		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
-func (f *forwarder) close() {
-	f.pooled.CloseIdleConnections()
-	f.unpooled.CloseIdleConnections()
-}
-
 // responseWriter receives a response. An error means that the gateway no longer reads
 // and cancels the call.
 type responseWriter interface {
@@ -87,11 +76,7 @@
 	if err != nil {
 		return tokenCounts{}, notRun(units.InvalidRequest, err.Error())
 	}
-	transport := f.pooled
-	if !c.Idempotent {
-		transport = f.unpooled
-	}
-	resp, err := transport.RoundTrip(req)
+	resp, err := f.transport.RoundTrip(req)
 	if err != nil {
 		return tokenCounts{}, failedCall(ctx, err, connected.Load())
 	}
--- a/agent/server.go
+++ b/agent/server.go
@@ -121,8 +121,6 @@
 	err := g.Wait()
 	s.sessions.Wait()
 	s.runningOrders.Wait()
-	s.forwarder.close()
-	s.engine.close()
 	klog.Infof("agent: stopped")
 	if err != nil {
 		return fmt.Errorf("serve: %w", err)
--- a/gate/stream_test.go
+++ b/gate/stream_test.go
@@ -295,3 +295,39 @@
 		assert.Equal(t, text.String(), tokenText(tokenCount))
 	}
 }
+
+// Guards against the text of an error in the middle of a stream: the next upstream answers a stream that broke
+// off with a failure, a refusal or another kind of body.
+func TestAnswerThatIsNoStreamDoesNotResumeOne(t *testing.T) {
+	for _, head := range []struct {
+		status      uint32
+		contentType string
+	}{{200, "application/json"}, {500, "text/plain"}, {503, eventStream}, {400, "application/json"}, {429, "application/json"}} {
+		t.Run(fmt.Sprint(head.status), func(t *testing.T) {
+			first := func(c *agentCall) {
+				_ = c.sendHead(200, eventStream)
+				_ = c.sendPart(0, tokenEvent(0))
+				c.stream.Close()
+			}
+			second := func(c *agentCall) {
+				_ = c.sendHead(head.status, head.contentType)
+				_ = c.sendPart(1, "error text that is no event\n\n")
+				c.sendDone()
+			}
+			calls := make(chan callHandler, 8)
+			calls <- first
+			for range 7 {
+				calls <- second
+			}
+			nextHandler := func(c *agentCall) { (<-calls)(c) }
+			s := startGateway(t, nil, newFakeAgent(t, "a1", nextHandler), newFakeAgent(t, "a2", nextHandler))
+			st := newClient(s, testKey).Chat.Completions.NewStreaming(context.Background(), chatParams("small"))
+			text := ""
+			for st.Next() {
+				text += st.Current().Choices[0].Delta.Content
+			}
+			assert.ErrorContains(t, st.Err(), "upstream_failed")
+			assert.Equal(t, text, tokenText(1))
+		})
+	}
+}
