notice, relay, sched, platform: send nothing to an upstream that says it leaves or wants a pause

Upstreams say in their answers that they leave (Server-Leaving) or want nothing for some seconds (503 with Retry-After). Neither header was read: an upstream that leaves got requests until the store said so, and one that asked for a pause got the next request 60 ms later; callers were told to come back after 0.2 s.

What an upstream told this gateway is kept for its process, apart from the view, so that neither a store that still says ready nor a later view changes it. Leaving ends with the process. A later answer never ends a pause sooner. Both are looked at when an upstream is chosen and once more right before the request is written, after a dial. Reports and orders are held back too; placement counts an upstream that leaves as absent, one with a pause not. If all upstreams that hold a model want a pause that the request can't wait for, it is refused at once with the shortest pause left, up to a quarter longer so that callers don't come back together. Pauses are at most an hour; dates, negative and malformed values say nothing.

--- a/entry/orders.go
+++ b/entry/orders.go
@@ -109,7 +109,9 @@
 	return &orderManager{
 		gateway: g, controller: c,
 		elector: elect.New(g.settings.VM, g.settings.Bounds.LeaseTTL, g.settings.Bounds.Fenced),
-		ledger:  ledger, planner: assign.NewPlanner(ledger), client: platform.NewOrderClient(g.isLeader),
+		ledger:  ledger, planner: assign.NewPlanner(ledger), client: platform.NewOrderClient(platform.OrderOptions{
+			IsLeader: g.isLeader, Accepts: g.relay.Accepts, OnNotice: g.relay.RecordNotice,
+		}),
 	}
 }
 
@@ -364,7 +366,7 @@
 	case m.err == nil:
 		return assign.AlreadyApplied
 	case errors.Is(m.err, platform.ErrOrderConflict), errors.Is(m.err, platform.ErrStaleEpoch),
-		errors.Is(m.err, platform.ErrInvalidOrder), errors.Is(m.err, platform.ErrNotLeader):
+		errors.Is(m.err, platform.ErrInvalidOrder), errors.Is(m.err, platform.ErrNotLeader), errors.Is(m.err, platform.ErrNotAccepted):
 		return assign.Refused
 	case errors.Is(m.err, platform.ErrUpstreamReplaced):
 		return assign.UpstreamGone
--- a/entry/residency.go
+++ b/entry/residency.go
@@ -188,7 +188,13 @@
 		zone := units.Zone(d.GetZone())
 		reports[zone] = append(reports[zone], toUpstreamIDs(d.GetUnreachable())...)
 	}
-	return unreachableFromZones(reports)
+	unreachable := unreachableFromZones(reports)
+	for id, e := range c.snapshot.Upstreams {
+		if c.gateway.relay.Leaving(e.Upstream) {
+			unreachable[id] = true
+		}
+	}
+	return unreachable
 }
 
 func toUpstreamIDs(ids []string) []units.UpstreamID {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -47,6 +47,7 @@
 			Upstream: scheduled.Upstream.ID, Customer: x.customerID(), Timeout: deadline.Sub(now),
 			LastEventID: x.lastEventID(), Priority: x.enginePriority(),
 		}),
+		accepts: func() bool { return x.server.Accepts(scheduled.Upstream.Upstream) },
 	}
 	headDeadline := deadline
 	if x.canRunAgain() {
@@ -57,6 +58,7 @@
 	if err != nil {
 		return x.handleCallError(ctx, err)
 	}
+	x.server.recordNotice(scheduled.Upstream.Upstream, res)
 	if outcome, handled := x.handleNotRun(scheduled, res); handled {
 		return outcome
 	}
@@ -127,6 +129,12 @@
 		x.endCanceled(ctx)
 		return sched.Canceled
 	}
+	if errors.Is(err, errNotAccepted) {
+		// The upstream got nothing, and the request may go there after a pause.
+		x.sends--
+		x.allowAgain(x.upstream)
+		return sched.Canceled
+	}
 	if errors.Is(err, errNotSent) {
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			x.server.markUpstreamEnded(x.upstream)
--- a/relay/call.go
+++ b/relay/call.go
@@ -40,6 +40,9 @@
 	id     string
 	header http.Header
 	body   []byte
+	// accepts reports whether the upstream may still get the request; it is asked right before the request is
+	// written.
+	accepts func() bool
 }
 
 // encode returns the request in the wire format of HTTP/1.1.
@@ -92,6 +95,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if !r.accepts() {
+		p.put(address, c, 0)
+		return nil, fmt.Errorf("%w: %w", errNotAccepted, errNotSent)
+	}
 	c.recordRequest(r.id)
 	if !reused && p.onDial != nil {
 		p.onDial()
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -37,6 +37,9 @@
 // errNotSent means that no byte of the request can have reached the upstream.
 var errNotSent = errors.New("request not sent")
 
+// errNotAccepted means that the upstream has said meanwhile that it leaves or wants a pause.
+var errNotAccepted = errors.New("upstream wants no requests")
+
 // conn is a connection to an upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
--- a/relay/server.go
+++ b/relay/server.go
@@ -11,6 +11,7 @@
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/member"
+	"github.com/magnolialever/magnolialever/notice"
 	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/sched"
@@ -57,8 +58,10 @@
 // Server is the http.Handler for callers. Its methods are safe for concurrent use.
 type Server struct {
 	Options
-	view       atomic.Pointer[view.Snapshot]
-	pool       *pool
+	view atomic.Pointer[view.Snapshot]
+	pool *pool
+	// notices are what upstreams told this gateway.
+	notices    *notice.Board
 	draining   atomic.Bool
 	bodyBudget bodyBudget
 	// responseBudget limits the bytes of upstreams' responses buffered at once. It has the same limit
@@ -76,7 +79,7 @@
 // New returns a Server without a configuration; it refuses requests until SetView is called.
 func New(o Options) *Server {
 	s := &Server{
-		Options: o, pool: newPool(o.Clock), gateways: 1,
+		Options: o, pool: newPool(o.Clock), gateways: 1, notices: o.Scheduler.Notices(),
 		retryWindows: map[units.ServiceID]*retry.Window{}, crashes: retry.NewCrashDetector(),
 	}
 	if s.Parts == nil {
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -5,6 +5,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/member"
+	"github.com/magnolialever/magnolialever/notice"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
 )
@@ -51,6 +52,9 @@
 	// members counts upstreams of the service that accept new requests, holders those of them that
 	// have loaded the model, avoided those that the request excludes.
 	members, holders, avoided int
+	// paused counts the holders that asked for a pause, of which leastPause is the shortest that is left.
+	paused     int
+	leastPause clock.Span
 	// overloaded counts the holders at which so many prompts wait that one more would be late.
 	// prefillRate is the sum of their rates in tokens per millisecond, leastShare this gateway's least
 	// share of one of them, and leastExcessMs the time until the first has room.
@@ -62,6 +66,22 @@
 
 func (c *choice) found() bool { return c.best.entry != nil }
 
+// allPaused reports whether all holders asked for a pause.
+func (c *choice) allPaused() bool { return c.holders > 0 && c.paused == c.holders }
+
+// addPaused counts a holder that asked for a pause.
+func (c *choice) addPaused(left clock.Span) {
+	if c.paused == 0 || left < c.leastPause {
+		c.leastPause = left
+	}
+	c.paused++
+}
+
+// process returns the process that a description is of.
+func process(e *view.Entry) notice.Process {
+	return notice.Process{Upstream: e.ID, Start: e.ProcessStart}
+}
+
 // choose returns the eligible upstream with the lowest cost.
 func (s *Scheduler) choose(now clock.Time, r *Request) choice {
 	var c choice
@@ -70,7 +90,7 @@
 			continue
 		}
 		u := s.upstream(id)
-		if u.replaced {
+		if u.replaced || s.notices.Leaving(process(e)) {
 			continue
 		}
 		c.members++
@@ -82,6 +102,10 @@
 			continue
 		}
 		c.holders++
+		if left := s.notices.Pause(now, process(e)); left > 0 {
+			c.addPaused(left)
+			continue
+		}
 		if !s.canStart(now, u, e, r) {
 			continue
 		}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -7,11 +7,13 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/member"
+	"github.com/magnolialever/magnolialever/notice"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
 )
@@ -85,6 +87,8 @@
 	loadInterval clock.Span
 	// startDeadline bounds LatestStart of all requests; 0 is no bound.
 	startDeadline clock.Time
+	// notices are what upstreams told this gateway.
+	notices *notice.Board
 }
 
 // ColdTolerance is the tolerance of the request rate of a cold upstream, over all gateways. In any
@@ -97,10 +101,13 @@
 func New(zone units.Zone, tolerance ColdTolerance) *Scheduler {
 	return &Scheduler{
 		zone: zone, coldTolerance: tolerance, snap: &view.Snapshot{},
-		upstreams: map[units.UpstreamID]*upstream{},
+		upstreams: map[units.UpstreamID]*upstream{}, notices: notice.NewBoard(),
 	}
 }
 
+// Notices returns what upstreams told this gateway; the caller records there what it hears from them.
+func (s *Scheduler) Notices() *notice.Board { return s.notices }
+
 // SetGateways sets the gateways that share the cold-start limits of upstreams, and which of them this
 // is.
 func (s *Scheduler) SetGateways(self units.VMID, gateways []member.Gateway) {
@@ -212,6 +219,8 @@
 		return &Refusal{units.NoUpstream, retryAfterBusy}
 	case a.ModelMissing && timeLeft < s.loadTime(a):
 		return &Refusal{units.ModelLoading, s.loadTime(a)}
+	case c.allPaused() && c.leastPause > timeLeft:
+		return &Refusal{units.QueueFull, spread(c.leastPause)}
 	}
 	if wait := s.expectedWait(a, c); now.Add(wait).After(a.LatestStart) {
 		return &Refusal{units.DeadlineMissed, max(wait, retryAfterBusy)}
@@ -219,6 +228,10 @@
 	return nil
 }
 
+// spread returns the time after which a caller should retry when a pause ends, so that callers don't come back
+// together.
+func spread(pause clock.Span) clock.Span { return pause + clock.Span(rand.Int64N(int64(pause)/4+1)) }
+
 // expectedWait returns how long a request will wait here because prompts wait at all upstreams that
 // have loaded the model; 0 if that is not the reason. The gateways that send there share what the
 // upstreams prefill.
@@ -319,6 +332,9 @@
 	}
 	a.queued = false
 	a.Refused = &Refusal{units.DeadlineMissed, retryAfterBusy}
+	if c := s.choose(now, &a.Request); c.allPaused() {
+		a.Refused.RetryAfter = spread(c.leastPause)
+	}
 	close(a.Ready)
 	return true
 }
