--- a/coord/parts.go
+++ b/coord/parts.go
@@ -85,7 +85,8 @@
 func (t *partTransport) Alive() []member.Gateway {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := []member.Gateway{{VM: t.self}}
+	list := make([]member.Gateway, 0, 1+len(t.links))
+	list = append(list, member.Gateway{VM: t.self})
 	for vm := range t.links {
 		list = append(list, member.Gateway{VM: vm})
 	}
--- a/parts/guard.go
+++ b/parts/guard.go
@@ -325,8 +325,9 @@
 func (g *Guard) recordCrash(prompt []ID, crash Crash) []Suspect {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var suspects []Suspect
-	for _, part := range g.ledger.RecordCrash(g.clock.Now(), prompt, crash) {
+	blamed := g.ledger.RecordCrash(g.clock.Now(), prompt, crash)
+	suspects := make([]Suspect, 0, len(blamed))
+	for _, part := range blamed {
 		s, _ := g.ledger.Get(part)
 		suspects = append(suspects, s)
 	}
