agent, gate, notice: send nothing to an engine or service during the pause that it asks for

Callers of gateways with agents were sent to an engine that had refused with Retry-After again and again; the header was not read. Where all upstreams asked for a pause, callers heard the longest or the last one.

The agent is the one place through which all gateways reach the upstream, so it keeps what that said, by the same package as gateways on the platform, and refuses calls with the time left, queued ones too, once more right before a call is sent. Gateways keep the shortest of the times that a request was refused with, up to a quarter longer. A service's 429 pauses nobody: it may concern one customer.

--- a/agent/forward.go
+++ b/agent/forward.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/magnolialever/magnolialever/notice"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -28,10 +29,10 @@
 type forwarder struct {
 	address   string
 	transport *http.Transport
-}
-
-func newForwarder(address string) *forwarder {
-	return &forwarder{address: address, transport: newTransport()}
+	// pause refuses a call right before it is sent if the upstream wants a pause.
+	pause func() *refusal
+	// onNotice is called with what the upstream says of itself in a response.
+	onNotice func(n notice.Notice)
 }
 
 // newTransport returns a transport that neither requests nor removes compression. It opens a connection for
@@ -76,11 +77,15 @@
 	if err != nil {
 		return tokenCounts{}, notRun(units.InvalidRequest, err.Error())
 	}
+	if r := f.pause(); r != nil {
+		return tokenCounts{}, r
+	}
 	resp, err := f.transport.RoundTrip(req)
 	if err != nil {
 		return tokenCounts{}, failedCall(ctx, err, connected.Load())
 	}
 	defer resp.Body.Close()
+	f.onNotice(parseNotice(resp, c.Kind != kindService))
 	m := newMeter(c)
 	if req := m.checkStatus(resp); req != nil {
 		return tokenCounts{}, req
--- a/agent/job.go
+++ b/agent/job.go
@@ -80,6 +80,9 @@
 	if r := s.checkPermit(now, j.call); r != nil {
 		return r
 	}
+	if r := s.checkPause(now); r != nil {
+		return r
+	}
 	if r := s.checkTarget(j); r != nil {
 		return r
 	}
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -164,6 +164,9 @@
 		st.ledger.EngineRestarted()
 		st.coldStartLimit.Reset()
 	}
+	if st.engineInstance != l.Instance {
+		st.engineRun++
+	}
 	st.engineInstance = l.Instance
 	observed, freeBefore := st.ledger.Observed(), st.ledger.Free()
 	residentBefore, _ := st.ledger.Targets()
--- a/agent/server.go
+++ b/agent/server.go
@@ -76,12 +76,14 @@
 		clock:         o.Clock,
 		peerListener:  peer,
 		adminListener: admin,
-		forwarder:     newForwarder(o.Upstream.Address),
 		engine:        newEngineClient(o.Upstream.Address),
 		loop:          newEventLoop(),
 		state:         newState(o),
 		configSync:    syncer.New(syncer.Options{Self: units.VMID(o.Node.ID), Clock: o.Clock}),
 	}
+	s.forwarder = &forwarder{
+		address: o.Upstream.Address, transport: newTransport(), pause: s.checkPause, onNotice: s.recordNotice,
+	}
 	s.lifetime, s.endLifetime = context.WithCancel(ctx)
 	return s, nil
 }
--- a/agent/state.go
+++ b/agent/state.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/magnolialever/magnolialever/admit"
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/notice"
 	"github.com/magnolialever/magnolialever/place"
 	"github.com/magnolialever/magnolialever/rate"
 	"github.com/magnolialever/magnolialever/retry"
@@ -49,7 +50,11 @@
 	unreachable bool
 	// engineInstance identifies the run of the engine in the last load report.
 	engineInstance string
-	lastCrash      crash
+	// engineRun counts the runs of the engine that were seen.
+	engineRun int64
+	// notices are what the upstream said of itself.
+	notices   *notice.Board
+	lastCrash crash
 
 	// Shared with gateways.
 	permitFence *rate.Fence
@@ -80,6 +85,7 @@
 		orderWaiters:   map[string][]*controlStream{},
 		permitFence:    rate.NewFence(),
 		suspects:       retry.NewSuspects(),
+		notices:        notice.NewBoard(),
 		attempts:       newAttemptLog(),
 		jobs:           map[units.AttemptID]*job{},
 	}
--- a/gate/refusal_test.go
+++ b/gate/refusal_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -148,3 +149,19 @@
 	}
 	assert.Equal(t, a.calls.Load(), int64(0))
 }
+
+// Guards against callers that wait for the longest of the pauses that all upstreams asked for.
+func TestCallersHearShortestPause(t *testing.T) {
+	refuseFor := func(pause int64) callHandler {
+		return func(c *agentCall) { c.sendRefuse("queue_full", false, pause) }
+	}
+	s := startGateway(t, nil, newFakeAgent(t, "a1", refuseFor(60_000)), newFakeAgent(t, "a2", refuseFor(4_000)))
+	for range 6 {
+		_, err := newClient(s, testKey).Chat.Completions.New(context.Background(), chatParams("small"))
+		e := apiErrorOf(t, err)
+		assert.Equal(t, e.StatusCode, 503)
+		after, err := strconv.Atoi(e.Response.Header.Get("Retry-After"))
+		assert.NilError(t, err)
+		assert.Assert(t, after >= 4 && after <= 5, "%d s", after)
+	}
+}
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
@@ -39,6 +40,9 @@
 	// retryBlocked is set when the record of the call with an Idempotency-Key allows no further
 	// attempt.
 	retryBlocked bool
+	// leastRetryAfter is the shortest time after which an upstream that refused the request said to retry; 0 if
+	// none did.
+	leastRetryAfter clock.Span
 	// lastProblem is why the last attempt failed; nil before the first failure.
 	lastProblem *Problem
 	// brokenAt is when the last failed attempt that may have run ended.
@@ -140,6 +144,11 @@
 	}
 	q := *p
 	q.MayHaveRun = q.MayHaveRun || r.mayHaveRun
+	if q.RetryAfter > 0 && r.leastRetryAfter > 0 {
+		least := min(q.RetryAfter, r.leastRetryAfter)
+		// Callers should not come back together.
+		q.RetryAfter = least + clock.Span(rand.Int64N(int64(least)/4+1))
+	}
 	return &q
 }
 
@@ -180,6 +189,9 @@
 		f, c := retry.Fingerprint(r.request.info.Fingerprint), retry.CrashID(a.result.CrashID)
 		s.options.Suspects.Crashed(f, c)
 	}
+	if !p.MayHaveRun && p.RetryAfter > 0 && (r.leastRetryAfter == 0 || p.RetryAfter < r.leastRetryAfter) {
+		r.leastRetryAfter = p.RetryAfter
+	}
 	if p.MayHaveRun {
 		r.mayHaveRun, r.brokenAt = true, s.clock.Now()
 	}
