syncer: don't lose a change of the configuration that is merged while a gateway subscribes

Subscribe only queued the subscription for the event loop.

Evidence: the last answer of gateway 1 is "unknown service booking", that of gateway 0 is 200; nothing is logged in between. TestSubscriberMissesNoChange queues a change, subscribes and then runs the loop: the change is not reported before, and is now.

--- a/devel/once_test.go
+++ b/devel/once_test.go
@@ -29,7 +29,15 @@
 	writeTeam(t, f, v, 0)
 	waitFor(t, "fleet is ready", f.Ready)
 	for i := range f.Gateways {
-		waitFor(t, "key works", func() bool { return book(t, f, i, "", "probe").status == http.StatusOK })
+		last := bookResponse{}
+		waitFor(t, "key works", func() bool {
+			r := book(t, f, i, "", "probe")
+			if r != last {
+				t.Log("gateway", i, r)
+			}
+			last = r
+			return r.status == http.StatusOK
+		})
 	}
 	return f
 }
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -70,7 +71,9 @@
 	inbox    chan func(now clock.Time) []Message
 	done     chan struct{}
 	// relist receives a value when the watch of the store has missed changes.
-	relist      chan struct{}
+	relist chan struct{}
+
+	mu          sync.Mutex // guards subscribers, and that each of them gets all snapshots from then on
 	subscribers []chan Update
 
 	snapshot          atomic.Pointer[tree.Snapshot]
@@ -171,6 +174,8 @@
 	}
 	s.versionsHash.Store(s.state.VersionsHash())
 	update := Update{Snapshot: s.state.Snapshot(), InvalidatedKeys: s.state.TakeInvalidatedKeys()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.snapshot.Store(update.Snapshot)
 	for _, c := range s.subscribers {
 		replaceUpdate(c, update)
@@ -196,14 +201,13 @@
 	}
 }
 
-// Subscribe returns a channel that receives the update for the next change. An update that was
-// not received yet is merged into the next one.
+// Subscribe returns a channel that receives the update for each change of the snapshot from now on. An
+// update that was not received yet is merged into the next one.
 func (s *Syncer) Subscribe() <-chan Update {
 	updates := make(chan Update, 1)
-	s.enqueue(func(clock.Time) []Message {
-		s.subscribers = append(s.subscribers, updates)
-		return nil
-	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subscribers = append(s.subscribers, updates)
 	return updates
 }
 
--- a/syncer/syncer_test.go
+++ b/syncer/syncer_test.go
@@ -209,3 +209,26 @@
 	assert.Assert(t, isolated() || s.Snapshot().Revision("a") == 1, "the node takes requests without a change of 3 s ago")
 	waitUntil(t, "all values are read again", func() bool { return s.Snapshot().Revision("a") == 1 && !isolated() })
 }
+
+// Guards against a change that is merged between a look at the snapshot and the subscription: nobody learns of
+// it until the next change.
+func TestSubscriberMissesNoChange(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	s := syncer.New(syncer.Options{Self: "n1", Clock: clock.System{}})
+	data, err := tree.Encode(teamWithKeys())
+	assert.NilError(t, err)
+	s.HandleFrame("n0", &wire.Frame{Body: &wire.Frame_Config{Config: &wire.Config{Team: "a", Revision: 1, Value: data}}})
+	updates := s.Subscribe()
+	assert.Equal(t, s.Snapshot().Revision("a"), units.Revision(0))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	select {
+	case u := <-updates:
+		assert.Equal(t, u.Snapshot.Revision("a"), units.Revision(1))
+	case <-time.After(2 * time.Second):
+		t.Error("the change is not reported")
+	}
+	cancel()
+	assert.Assert(t, errors.Is(<-done, context.Canceled))
+}
