--- a/entry/verdicts_test.go
+++ b/entry/verdicts_test.go
@@ -46,20 +46,6 @@
 	return res.StatusCode
 }
 
-// crashed returns the number of replicas that received a request with the part.
-func crashed(all []*fakes.Replica, part string) int {
-	n := 0
-	for _, p := range all {
-		for _, r := range p.Requests() {
-			if r.HasPromptPart(part) {
-				n++
-				break
-			}
-		}
-	}
-	return n
-}
-
 // Guards against a part that crashes upstreams anew after a restart of all gateways: they read the verdict
 // before they serve.
 func TestVerdictOutlivesAllGateways(t *testing.T) {
@@ -73,7 +59,7 @@
 	for i := range 6 {
 		c.sendParts(first, fmt.Sprint("bad", i), "shared", deadly, fmt.Sprint("own", i))
 	}
-	before := crashed(all, deadly)
+	before := fakes.CountWithPart(deadly, all)
 	assert.Assert(t, before >= 2 && before <= 3, "%d upstreams ended", before)
 	c.waitFor("verdict is written", func() bool { return len(c.store.Keys("parts/")) == 1 })
 	first.stop()
@@ -85,6 +71,6 @@
 	for i := range 3 {
 		assert.Equal(t, c.sendParts(second, fmt.Sprint("late", i), "shared", deadly, fmt.Sprint("own-late", i)), http.StatusServiceUnavailable)
 	}
-	assert.Equal(t, crashed(all, deadly), before)
+	assert.Equal(t, fakes.CountWithPart(deadly, all), before)
 	assert.Equal(t, c.sendParts(second, "sound2", "shared", "own2"), http.StatusOK)
 }
--- a/gate/parts.go
+++ b/gate/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/jx"
@@ -45,19 +46,11 @@
 func promptParts(target units.ModelID, hashes []uint64) []parts.ID {
 	ids := make([]parts.ID, 0, len(hashes))
 	for _, h := range hashes {
-		ids = append(ids, parts.NewID(units.ServiceID(target), string(appendUint64(nil, h))))
+		ids = append(ids, parts.NewID(units.ServiceID(target), strconv.FormatUint(h, 16)))
 	}
 	return ids
 }
 
-func appendUint64(b []byte, n uint64) []byte {
-	for range 8 {
-		b = append(b, byte(n))
-		n >>= 8
-	}
-	return b
-}
-
 // acquireTicket waits until a request with the prompt's parts may be sent.
 func (r *relay) acquireTicket(ctx context.Context) *Problem {
 	wait, cancel := context.WithTimeout(ctx, r.capacityDeadline().Sub(r.server.clock.Now()).Duration())
--- a/relay/part_test.go
+++ b/relay/part_test.go
@@ -49,20 +49,6 @@
 	return r.do(req)
 }
 
-// replicasWith returns the number of replicas that received a request with the part.
-func replicasWith(part string, all []*fakes.Replica) int {
-	n := 0
-	for _, p := range all {
-		for _, r := range p.Requests() {
-			if r.HasPromptPart(part) {
-				n++
-				break
-			}
-		}
-	}
-	return n
-}
-
 // Guards against a part of prompts that crashes one upstream after another, in requests that are all
 // different and sent at once or in turn, while sound requests with the same beginning are served.
 func TestPartThatCrashesUpstreamsIsStopped(t *testing.T) {
@@ -78,7 +64,7 @@
 	for i := range 12 {
 		r.sendParts(fmt.Sprint("late", i), "shared", "sub", deadly, fmt.Sprint("own-late", i))
 	}
-	assert.Assert(t, replicasWith(deadly, all) <= 3, "%d upstreams received the part", replicasWith(deadly, all))
+	assert.Assert(t, fakes.CountWithPart(deadly, all) <= 3, "%d upstreams received the part", fakes.CountWithPart(deadly, all))
 	for i := range 12 {
 		got := r.sendParts(fmt.Sprint("good", i), "shared", "sub", fmt.Sprint("own-good", i))
 		assert.Equal(t, got.status, http.StatusOK, got.body)
