parts: let a gateway that wakes up wait for the others before it decides on a part

Cause: it knew that it had been paused and asked others, but it counts nobody as alive who has not been heard for 0.9 s, and itself was the only candidate left; its own answer counted where no other did.

Now a gateway that was started or paused a moment ago and hears nobody answers busy, so that its requests wait until it has heard the others or has been awake for two intervals of digests and 0.1 s. Owners that are restarted but answer still count, so that a restart of all costs no wait. Shown by TestWokenGatewayWaitsForOthers (granted before).

--- a/parts/exchange.go
+++ b/parts/exchange.go
@@ -132,6 +132,12 @@
 	return ranked[:min(len(ranked), maxOwners)]
 }
 
+// hasOtherOwner reports whether another gateway owns the part.
+func (e *Exchange) hasOtherOwner(part ID) bool {
+	list := e.candidates(part)
+	return len(list) > 0 && list[0].VM != e.VM
+}
+
 // ownerReply is an owner's answer to a request.
 type ownerReply struct {
 	reply Reply
@@ -140,41 +146,61 @@
 	informed bool
 }
 
-// Ask implements Owners. If no owner that knows what the others know answers, the first of the others counts:
-// after a restart of all gateways they share the permits of a part as well. If none answers at all, this
-// gateway decides by what it knows.
+// Ask implements Owners. An owner that knows what the others know decides. If none answers, the first of the
+// others counts: after a restart of all gateways they share the permits of a part as well. A gateway that was
+// started or paused a moment ago and hears nobody waits; later it decides by what it knows.
 func (e *Exchange) Ask(ctx context.Context, part ID, id Permit, stage Stage) (Reply, clock.Span) {
-	var uninformed *ownerReply
-	for _, g := range e.candidates(part) {
-		r, ok := e.askCandidate(ctx, g, partPermit{part, id}, stage)
+	informed := e.isInformed()
+	counts, heard := e.askOwners(ctx, partPermit{part, id}, stage, informed)
+	switch {
+	case counts != nil:
+		return counts.reply, counts.wait
+	case !heard && !informed:
+		stats.Event("part_owners_awaited")
+		return Busy, 0
+	case !heard && e.hasOtherOwner(part):
+		stats.Event("part_owners_silent")
+		klog.InfoS("parts: no owner of a part answers", "part", part)
+	}
+	return e.Guard.Request(part, id, stage)
+}
+
+// askOwners asks the owners of a part one after the other, until one that is informed answers. It returns the
+// answer that counts, nil if this gateway has to decide, and whether another gateway answered.
+func (e *Exchange) askOwners(ctx context.Context, p partPermit, stage Stage, informed bool) (counts *ownerReply, heard bool) {
+	selfFirst := false
+	for _, g := range e.candidates(p.part) {
+		if g.VM == e.VM {
+			if informed {
+				return nil, heard
+			}
+			selfFirst = !heard
+			continue
+		}
+		r, ok := e.askGateway(ctx, g, p, stage)
 		if ok && r.informed {
-			return r.reply, r.wait
+			return &r, true
 		}
-		if ok && uninformed == nil {
-			uninformed = &r
+		if ok && !heard {
+			counts, heard = &r, true
 		}
 	}
-	if uninformed != nil {
-		return uninformed.reply, uninformed.wait
+	if selfFirst {
+		return nil, heard
 	}
-	stats.Event("part_owners_silent")
-	klog.InfoS("parts: no owner of a part answers", "part", part)
-	return e.Guard.Request(part, id, stage)
+	return counts, heard
 }
 
-// askCandidate asks a gateway, which may be this one. It returns false if that doesn't answer in time.
-func (e *Exchange) askCandidate(ctx context.Context, g member.Gateway, p partPermit, stage Stage) (ownerReply, bool) {
-	if g.VM == e.VM {
-		return e.decide(p, stage), true
-	}
-	return e.askGateway(ctx, g, p, stage)
+// isInformed reports whether this gateway knows what the others know.
+func (e *Exchange) isInformed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.informed(e.Clock.Now())
 }
 
 // decide decides as the owner of a part.
 func (e *Exchange) decide(p partPermit, stage Stage) ownerReply {
-	e.mu.Lock()
-	informed := e.informed(e.Clock.Now())
-	e.mu.Unlock()
+	informed := e.isInformed()
 	reply, wait := e.Guard.Request(p.part, p.id, stage)
 	return ownerReply{reply, wait, informed}
 }
--- a/parts/exchange_test.go
+++ b/parts/exchange_test.go
@@ -17,8 +17,8 @@
 type exchangeFleet struct {
 	clock     *clock.Manual
 	exchanges []*Exchange
-	// silent are the gateways that receive nothing.
-	silent map[units.VMID]bool
+	// silent are the gateways that receive nothing, deaf those that have heard nobody lately.
+	silent, deaf map[units.VMID]bool
 }
 
 // fleetTransport is the Transport of the gateway vm.
@@ -30,7 +30,9 @@
 func (t fleetTransport) Alive() []member.Gateway {
 	var list []member.Gateway
 	for _, e := range t.fleet.exchanges {
-		list = append(list, member.Gateway{VM: e.VM})
+		if e.VM == t.vm || !t.fleet.deaf[t.vm] {
+			list = append(list, member.Gateway{VM: e.VM})
+		}
 	}
 	return list
 }
@@ -59,7 +61,7 @@
 
 // newExchangeFleet returns n gateways that know what the others know.
 func newExchangeFleet(n int) *exchangeFleet {
-	f := &exchangeFleet{clock: clock.NewManual(1000), silent: map[units.VMID]bool{}}
+	f := &exchangeFleet{clock: clock.NewManual(1000), silent: map[units.VMID]bool{}, deaf: map[units.VMID]bool{}}
 	for i := range n {
 		vm := units.VMID(fmt.Sprint("gate-", i))
 		f.exchanges = append(f.exchanges, NewExchange(ExchangeOptions{
@@ -134,6 +136,29 @@
 	assert.Equal(t, len(f.exchanges[0].Guard.Suspects(1)), 1)
 }
 
+// Guards against a gateway that wakes up, has heard nobody yet and sends a trial that others have just failed.
+func TestWokenGatewayWaitsForOthers(t *testing.T) {
+	f := newExchangeFleet(4)
+	const part ID = 4711
+	f.deaf[f.exchanges[0].VM] = true
+	f.clock.Advance(2500)
+	assert.Equal(t, f.ask(0, part, 1), Busy)
+	f.exchanges[0].OnTick()
+	assert.Equal(t, f.ask(0, part, 2), Busy)
+	// Cut off from all others, it goes on by what it knows.
+	f.tick(clock.Second)
+	assert.Equal(t, f.ask(0, part, 3), Granted)
+}
+
+// Guards against requests that fail at a gateway that does not know itself to be registered yet.
+func TestGatewayWithoutOthersDecides(t *testing.T) {
+	f := newExchangeFleet(1)
+	e := f.exchanges[0]
+	f.exchanges = nil
+	reply, _ := e.Ask(context.Background(), 1, 1, Queued)
+	assert.Equal(t, reply, Granted)
+}
+
 // Guards against requests that fail because the owner of a part has gone.
 func TestSilentOwnerIsPassedOver(t *testing.T) {
 	f := newExchangeFleet(3)
