parts: don't keep a verdict that answers have ended

Cause: fifteen upstreams of a zone ended at 23.0 s, five of them with a part that most requests have. Two gateways counted three and four crashes and wrote a verdict. Answers that began elsewhere ended it within milliseconds, but only an answer of the writer's own that lowered the count removed it from the store.

Now a verdict is written once it has held for a second, and looked at again then. One that others have ended is removed by the gateway that wrote it.

Shown by TestEndedVerdictIsNotKept (fails if verdicts that others end are not reported).

--- a/parts/guard.go
+++ b/parts/guard.go
@@ -47,8 +47,8 @@
 	clock  clock.Clock
 	owners Owners
 
-	// onVerdict is called with verdicts that this gateway has reached or ended.
-	onVerdict func(Verdict)
+	// onVerdict is OnVerdict's function.
+	onVerdict func(v Verdict, own bool)
 
 	mu     sync.Mutex // guards the fields below
 	ledger *Ledger
@@ -59,7 +59,7 @@
 
 // NewGuard returns a Guard that owns all parts until SetOwners is called.
 func NewGuard(c clock.Clock) *Guard {
-	g := &Guard{clock: c, ledger: NewLedger(), asks: map[ID]chan struct{}{}, onVerdict: func(Verdict) {}}
+	g := &Guard{clock: c, ledger: NewLedger(), asks: map[ID]chan struct{}{}, onVerdict: func(Verdict, bool) {}}
 	g.owners = soleOwner{g}
 	return g
 }
@@ -67,9 +67,29 @@
 // SetOwners sets the way to the owners of parts. It must be called before the Guard is used.
 func (g *Guard) SetOwners(o Owners) { g.owners = o }
 
-// OnVerdict sets the function that is called with each verdict that this gateway has reached or ended. It must
-// not block. It must be set before the Guard is used.
-func (g *Guard) OnVerdict(f func(Verdict)) { g.onVerdict = f }
+// OnVerdict sets the function that is called with each verdict that is reached or ended by a crash or an answer
+// of this gateway's own (own is set), and with each that others have ended. It must not block. It must be set
+// before the Guard is used.
+func (g *Guard) OnVerdict(f func(v Verdict, own bool)) { g.onVerdict = f }
+
+// Verdict returns the verdict on a part; its Crashes are 0 if the part is not refused.
+func (g *Guard) Verdict(part ID) Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.Verdict(part)
+}
+
+// learn applies what others know of a part, and reports a verdict that this ends.
+func (g *Guard) learn(part ID, apply func()) {
+	g.mu.Lock()
+	before := g.ledger.Verdict(part)
+	apply()
+	after := g.ledger.Verdict(part)
+	g.mu.Unlock()
+	if before.Crashes > 0 && after.Crashes == 0 {
+		g.onVerdict(after, false)
+	}
+}
 
 // Restore adds a verdict from the store, unless this gateway knows more of the part. It reports whether it
 // did.
@@ -82,10 +102,7 @@
 // reportVerdicts calls onVerdict for the suspects.
 func (g *Guard) reportVerdicts(list []Suspect) {
 	for _, s := range list {
-		g.mu.Lock()
-		v := g.ledger.Verdict(s.Part)
-		g.mu.Unlock()
-		g.onVerdict(v)
+		g.onVerdict(g.Verdict(s.Part), true)
 	}
 }
 
@@ -361,22 +378,22 @@
 
 // Returned ends a permit that this gateway granted as the owner of the part.
 func (g *Guard) Returned(part ID, id Permit, r Result) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if r.Began {
-		g.ledger.RecordBegan(part, g.clock.Now())
-	}
-	if r.Suspect != nil {
-		g.ledger.Merge(g.clock.Now(), *r.Suspect)
-	}
-	g.ledger.Return(part, id)
+	g.learn(part, func() {
+		if r.Began {
+			g.ledger.RecordBegan(part, g.clock.Now())
+		}
+		if r.Suspect != nil {
+			g.ledger.Merge(g.clock.Now(), *r.Suspect)
+		}
+		g.ledger.Return(part, id)
+	})
 }
 
 // Merge adds what another gateway knows of a suspect, and reports whether that adds crashes.
 func (g *Guard) Merge(s Suspect) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.ledger.Merge(g.clock.Now(), s)
+	added := false
+	g.learn(s.Part, func() { added = g.ledger.Merge(g.clock.Now(), s) })
+	return added
 }
 
 // Suspects returns at most n suspects, the most important first.
--- a/parts/keeper.go
+++ b/parts/keeper.go
@@ -17,6 +17,11 @@
 	VerdictTTL = 10 * clock.Minute
 	// maxVerdicts bounds the verdicts that wait to be written; each needs several upstreams that crashed.
 	maxVerdicts = 64
+	// verdictDelay is the time for which a verdict has to hold before it is written: where many upstreams
+	// end at once for another reason, answers end it soon.
+	verdictDelay = clock.Second
+	// verdictPoll is the interval at which verdicts that are due are looked for while some wait.
+	verdictPoll = 200 * time.Millisecond
 	// verdictRetryDelay is the least delay after a failed call; the jitter is at most as long.
 	verdictRetryDelay = 500 * time.Millisecond
 )
@@ -37,31 +42,50 @@
 
 	mu sync.Mutex // guards the fields below
 	// pending are the verdicts to write, by part.
-	pending map[ID]Verdict
-	// stored are the parts with a verdict in the store.
-	stored map[ID]bool
+	pending map[ID]pendingVerdict
+	// stored are the parts with a verdict in the store, written those with one that this gateway wrote.
+	stored, written map[ID]bool
+}
+
+// pendingVerdict is a verdict that is written from a time on.
+type pendingVerdict struct {
+	Verdict
+	due clock.Time
 }
 
 // NewKeeper returns a Keeper of the verdicts that the Guard reaches.
 func NewKeeper(g *Guard, s VerdictStore) *Keeper {
-	k := &Keeper{guard: g, store: s, added: make(chan struct{}, 1), pending: map[ID]Verdict{}, stored: map[ID]bool{}}
+	k := &Keeper{
+		guard: g, store: s, added: make(chan struct{}, 1),
+		pending: map[ID]pendingVerdict{}, stored: map[ID]bool{}, written: map[ID]bool{},
+	}
 	g.OnVerdict(k.add)
 	return k
 }
 
-// add adds a verdict that this gateway has reached or ended. It does not block.
-func (k *Keeper) add(v Verdict) {
+// add adds a verdict that is reached or ended. It does not block. A verdict that others have ended is removed
+// by the gateway that wrote it.
+func (k *Keeper) add(v Verdict, own bool) {
+	now := k.guard.clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	_, waiting := k.pending[v.Part]
-	switch {
-	case v.Crashes == 0 && !waiting && !k.stored[v.Part]:
+	if v.Crashes == 0 {
+		delete(k.pending, v.Part)
+		if k.written[v.Part] || own && k.stored[v.Part] {
+			k.push(pendingVerdict{v, now})
+		}
 		return
-	case !waiting && len(k.pending) >= maxVerdicts:
+	}
+	if _, waiting := k.pending[v.Part]; !waiting && len(k.pending) >= maxVerdicts {
 		stats.Event("part_verdicts_dropped")
 		klog.InfoS("parts: verdict not kept, too many wait", "part", v.Part, "crashes", v.Crashes)
 		return
 	}
+	k.push(pendingVerdict{v, now.Add(verdictDelay)})
+}
+
+// push adds a pending verdict. The caller holds k.mu.
+func (k *Keeper) push(v pendingVerdict) {
 	k.pending[v.Part] = v
 	select {
 	case k.added <- struct{}{}:
@@ -84,20 +108,33 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.stored, part)
+	delete(k.written, part)
 }
 
-// next returns a verdict to write, and false if there is none.
-func (k *Keeper) next() (Verdict, bool) {
+// next returns a verdict that is due, and false if there is none. waiting is set if some are not due yet.
+func (k *Keeper) next() (v pendingVerdict, due, waiting bool) {
+	now := k.guard.clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, v := range k.pending {
-		return v, true
+	for part, v := range k.pending {
+		switch {
+		case now.Before(v.due):
+			waiting = true
+			continue
+		case v.Crashes > 0 && k.guard.Verdict(part).Crashes == 0:
+			// An answer has ended it meanwhile.
+			delete(k.pending, part)
+			continue
+		case v.Crashes > 0:
+			k.written[part] = true
+		}
+		return v, true, true
 	}
-	return Verdict{}, false
+	return pendingVerdict{}, false, waiting
 }
 
 // done removes a verdict that was written, unless there is a newer one on the same part.
-func (k *Keeper) done(v Verdict) {
+func (k *Keeper) done(v pendingVerdict) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.pending[v.Part] == v {
@@ -108,25 +145,33 @@
 // Run writes verdicts until the context is done. It returns no error.
 func (k *Keeper) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		v, ok := k.next()
-		if !ok {
+		v, due, waiting := k.next()
+		switch {
+		case !due && waiting:
+			clock.Sleep(ctx, verdictPoll)
+		case !due:
 			select {
 			case <-k.added:
 			case <-ctx.Done():
 			}
-			continue
-		}
-		if err := k.write(ctx, v); err != nil {
-			klog.InfoS("parts: verdict not written", "part", v.Part, "crashes", v.Crashes, "err", err)
-			clock.Sleep(ctx, verdictRetryDelay+rand.N(verdictRetryDelay))
-			continue
+		default:
+			k.writeDue(ctx, v)
 		}
-		klog.InfoS("parts: verdict written", "part", v.Part, "crashes", v.Crashes)
-		k.done(v)
 	}
 	return nil
 }
 
+// writeDue writes a verdict that is due. After a failure it waits; the verdict stays pending.
+func (k *Keeper) writeDue(ctx context.Context, v pendingVerdict) {
+	if err := k.write(ctx, v.Verdict); err != nil {
+		klog.InfoS("parts: verdict not written", "part", v.Part, "crashes", v.Crashes, "err", err)
+		clock.Sleep(ctx, verdictRetryDelay+rand.N(verdictRetryDelay))
+		return
+	}
+	klog.InfoS("parts: verdict written", "part", v.Part, "crashes", v.Crashes)
+	k.done(v)
+}
+
 // write writes a verdict, or removes one that has ended.
 func (k *Keeper) write(ctx context.Context, v Verdict) error {
 	if v.Crashes == 0 {
--- /dev/null
+++ b/parts/keeper_test.go
@@ -0,0 +1,82 @@
+package parts_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/parts"
+)
+
+// memoryVerdicts is a VerdictStore in memory.
+type memoryVerdicts struct {
+	mu      sync.Mutex
+	puts    int
+	current map[parts.ID]parts.Verdict
+}
+
+func (m *memoryVerdicts) Put(_ context.Context, v parts.Verdict) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.puts++
+	m.current[v.Part] = v
+	return nil
+}
+
+func (m *memoryVerdicts) Remove(_ context.Context, v parts.Verdict) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.current, v.Part)
+	return nil
+}
+
+// Guards against a sound part that stays refused after a restart of all gateways, because many upstreams ended at
+// once: a verdict that answers end, at this gateway or at another one, is not written, or is removed.
+func TestEndedVerdictIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := bubbleClock{time.Now()}
+		g, store := parts.NewGuard(c), &memoryVerdicts{current: map[parts.ID]parts.Verdict{}}
+		k := parts.NewKeeper(g, store)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- k.Run(ctx) }()
+		refuse := func() {
+			now := c.Now()
+			ticket, _ := g.Acquire(ctx, []parts.ID{deadly})
+			assert.Assert(t, ticket != nil)
+			reply, _ := ticket.Confirm(ctx)
+			assert.Equal(t, reply, parts.Granted)
+			g.Merge(parts.Suspect{Part: deadly, Crashes: []parts.Crash{{ID: 1, SentAt: now}, {ID: 2, SentAt: now}}})
+			time.Sleep(time.Millisecond)
+			ticket.End(&parts.Crash{ID: 3, SentAt: now})
+			assert.Equal(t, g.Verdict(deadly).Crashes, 3)
+		}
+		// Others end it within the delay.
+		refuse()
+		g.Merge(parts.Suspect{Part: deadly, BeganAt: c.Now()})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, store.puts, 0)
+		// Others end it after it was written.
+		later := c.Now()
+		g.Merge(parts.Suspect{Part: deadly, Crashes: []parts.Crash{{ID: 4, SentAt: later + 1}, {ID: 5, SentAt: later + 1}}})
+		time.Sleep(2 * time.Millisecond)
+		ticket, _ := g.Acquire(ctx, []parts.ID{deadly})
+		assert.Assert(t, ticket != nil)
+		ticket.Confirm(ctx)
+		time.Sleep(time.Millisecond)
+		ticket.End(&parts.Crash{ID: 6, SentAt: ticket.SentAt()})
+		assert.Equal(t, g.Verdict(deadly).Crashes, 3)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(store.current), 1)
+		g.Merge(parts.Suspect{Part: deadly, BeganAt: c.Now() + clock.Time(1)})
+		time.Sleep(time.Second)
+		assert.Equal(t, len(store.current), 0)
+		cancel()
+		assert.NilError(t, <-done)
+	})
+}
