parts: don't lose upstreams to a part at each gateway that is cut off

What callers saw: sound requests beside a part that crashes upstreams failed on more of them than necessary while gateways were cut off from each other.

Cause: a gateway that hears no other decided with the same limits as the whole fleet. Each side of a cut let two requests with the part begin, refused it after two crashes and sent a trial a second later, so that each cost three upstreams.

Ruled out: the store as a way round. Gateways cut off in these ways reach the store neither: "verdict not written" until the cut heals.

Why the fix works: the one that decides knows how many of the registered gateways it hears. With at most half of them it allows one request with an unproven part at a time and refuses the part after one crash less; unless it hears all, no trial follows within a minute. So the side with most gateways loses two and each other side one.

--- a/parts/exchange.go
+++ b/parts/exchange.go
@@ -162,7 +162,21 @@
 		stats.Event("part_owners_silent")
 		klog.InfoS("parts: no owner of a part answers", "part", part)
 	}
-	return e.Guard.Request(part, id, stage)
+	return e.Guard.Request(part, id, stage, e.reach())
+}
+
+// reach returns how many of the gateways this one hears.
+func (e *Exchange) reach() Reach {
+	alive := len(e.Transport.Alive())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case alive >= e.gateways:
+		return ReachAll
+	case 2*alive > e.gateways:
+		return ReachMost
+	}
+	return ReachFew
 }
 
 // askOwners asks the owners of a part one after the other, until one that is informed answers. It returns the
@@ -201,7 +215,7 @@
 // decide decides as the owner of a part.
 func (e *Exchange) decide(p partPermit, stage Stage) ownerReply {
 	informed := e.isInformed()
-	reply, wait := e.Guard.Request(p.part, p.id, stage)
+	reply, wait := e.Guard.Request(p.part, p.id, stage, e.reach())
 	return ownerReply{reply, wait, informed}
 }
 
--- a/parts/exchange_test.go
+++ b/parts/exchange_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/member"
+	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -19,6 +20,8 @@
 	exchanges []*Exchange
 	// silent are the gateways that receive nothing, deaf those that have heard nobody lately.
 	silent, deaf map[units.VMID]bool
+	// cut are the gateways that exchange nothing with any other.
+	cut map[units.VMID]bool
 }
 
 // fleetTransport is the Transport of the gateway vm.
@@ -30,7 +33,7 @@
 func (t fleetTransport) Alive() []member.Gateway {
 	var list []member.Gateway
 	for _, e := range t.fleet.exchanges {
-		if e.VM == t.vm || !t.fleet.deaf[t.vm] {
+		if e.VM == t.vm || !t.fleet.deaf[t.vm] && !t.fleet.separated(e.VM, t.vm) {
 			list = append(list, member.Gateway{VM: e.VM})
 		}
 	}
@@ -39,12 +42,15 @@
 
 func (t fleetTransport) Send(to units.VMID, m *wire.PartMessage) {
 	for _, e := range t.fleet.exchanges {
-		if e.VM == to && !t.fleet.silent[to] {
+		if e.VM == to && !t.fleet.silent[to] && !t.fleet.separated(to, t.vm) {
 			e.Handle(m, Sender{VM: t.vm})
 		}
 	}
 }
 
+// separated reports whether two gateways exchange nothing.
+func (f *exchangeFleet) separated(a, b units.VMID) bool { return a != b && (f.cut[a] || f.cut[b]) }
+
 func (t fleetTransport) Broadcast(m *wire.PartMessage) {
 	for _, e := range t.fleet.exchanges {
 		if e.VM != t.vm {
@@ -61,7 +67,7 @@
 
 // newExchangeFleet returns n gateways that know what the others know.
 func newExchangeFleet(n int) *exchangeFleet {
-	f := &exchangeFleet{clock: clock.NewManual(1000), silent: map[units.VMID]bool{}, deaf: map[units.VMID]bool{}}
+	f := &exchangeFleet{clock: clock.NewManual(1000), silent: map[units.VMID]bool{}, deaf: map[units.VMID]bool{}, cut: map[units.VMID]bool{}}
 	for i := range n {
 		vm := units.VMID(fmt.Sprint("gate-", i))
 		f.exchanges = append(f.exchanges, NewExchange(ExchangeOptions{
@@ -150,6 +156,55 @@
 	assert.Equal(t, f.ask(0, part, 3), Granted)
 }
 
+// crashAll lets two requests with a part arrive at a gateway and ends an upstream for each that is granted. It
+// returns their number.
+func (f *exchangeFleet) crashAll(gateway int, part ID, first Permit) int {
+	e := f.exchanges[gateway]
+	var granted []Permit
+	for id := first; id < first+2; id++ {
+		if f.ask(gateway, part, id) == Granted {
+			e.Extend(part, id)
+			granted = append(granted, id)
+		}
+	}
+	for _, id := range granted {
+		for _, s := range e.Guard.recordCrash([]ID{part}, Crash{ID: retry.CrashID(id), SentAt: f.clock.Now()}) {
+			e.Return(part, id, Result{Suspect: &s})
+			e.Announce([]Suspect{s})
+		}
+	}
+	return len(granted)
+}
+
+// Guards against gateways that are cut off and each lose as many upstreams to a part as the whole fleet.
+func TestCutOffGatewaysLoseOneUpstreamEach(t *testing.T) {
+	f := newExchangeFleet(6)
+	const part ID = 4711
+	for _, e := range f.exchanges[:4] {
+		f.cut[e.VM] = true
+	}
+	lost := make([]int, len(f.exchanges))
+	for step := range 30 {
+		for i := range f.exchanges {
+			lost[i] += f.crashAll(i, part, Permit(100*step+2*i))
+		}
+		f.tick(clock.Second)
+	}
+	assert.DeepEqual(t, lost[:4], []int{1, 1, 1, 1})
+	assert.Equal(t, lost[4]+lost[5], 1)
+}
+
+// Guards against a trial that ends one more upstream while gateways that are not heard lose some too.
+func TestTrialWaitsWhileGatewaysAreNotHeard(t *testing.T) {
+	for reach, wait := range map[Reach]clock.Span{ReachAll: 0, ReachMost: trialDelay - 2000, ReachFew: trialDelay - 2000} {
+		l := NewLedger()
+		l.Merge(1000, Suspect{Part: 1, Crashes: []Crash{{ID: 7, SentAt: 900}, {ID: 8, SentAt: 950}}})
+		reply, left := l.Request(3000, 1, 1, Queued, reach)
+		assert.Equal(t, reply == Granted, wait == 0)
+		assert.Equal(t, left, wait)
+	}
+}
+
 // Guards against requests that fail at a gateway that does not know itself to be registered yet.
 func TestGatewayWithoutOthersDecides(t *testing.T) {
 	f := newExchangeFleet(1)
@@ -175,7 +230,7 @@
 	for id := range Permit(3) {
 		l.Merge(9000, Suspect{Part: 1, Crashes: []Crash{{ID: 7, SentAt: 8000}, {ID: 8, SentAt: 8100}}})
 		l.Merge(9000, decodeSuspect(m, 9000, false))
-		reply, _ := l.Request(9000, 1, id, Queued)
+		reply, _ := l.Request(9000, 1, id, Queued, ReachAll)
 		assert.Equal(t, reply, Denied)
 	}
 	l.Merge(9100, decodeSuspect(m, 9100, true))
--- a/parts/fleet_test.go
+++ b/parts/fleet_test.go
@@ -46,7 +46,7 @@
 
 func (o remoteOwners) Ask(_ context.Context, part parts.ID, id parts.Permit, stage parts.Stage) (parts.Reply, clock.Span) {
 	time.Sleep(o.fleet.delay)
-	reply, wait := o.owner(part).Request(part, id, stage)
+	reply, wait := o.owner(part).Request(part, id, stage, parts.ReachAll)
 	time.Sleep(o.fleet.delay)
 	return reply, wait
 }
--- a/parts/guard.go
+++ b/parts/guard.go
@@ -362,11 +362,11 @@
 	t.granted = nil
 }
 
-// Request decides, as the owner of a part, on another gateway's request.
-func (g *Guard) Request(part ID, id Permit, stage Stage) (Reply, clock.Span) {
+// Request decides, as the owner of a part that hears some of the gateways, on a request of any gateway.
+func (g *Guard) Request(part ID, id Permit, stage Stage, reach Reach) (Reply, clock.Span) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ledger.Request(g.clock.Now(), part, id, stage)
+	return g.ledger.Request(g.clock.Now(), part, id, stage, reach)
 }
 
 // Extend records, as the owner of a part, that a request that was granted is sent now.
@@ -414,7 +414,7 @@
 type soleOwner struct{ guard *Guard }
 
 func (o soleOwner) Ask(_ context.Context, part ID, id Permit, stage Stage) (Reply, clock.Span) {
-	return o.guard.Request(part, id, stage)
+	return o.guard.Request(part, id, stage, ReachAll)
 }
 
 func (o soleOwner) Extend(part ID, id Permit) { o.guard.Extend(part, id) }
--- a/parts/ledger.go
+++ b/parts/ledger.go
@@ -87,14 +87,17 @@
 	return n
 }
 
-// condemned reports whether the crashes that no answer refutes suffice to refuse the part.
-func (s *Suspect) condemned() bool {
+// crashLimit returns the number of crashes that no answer refutes from which on the part is refused.
+func (s *Suspect) crashLimit() int {
 	if s.BeganAt != 0 {
-		return s.count() >= provenCrashLimit
+		return provenCrashLimit
 	}
-	return s.count() >= crashLimit
+	return crashLimit
 }
 
+// condemned reports whether the part is refused.
+func (s *Suspect) condemned() bool { return s.count() >= s.crashLimit() }
+
 // State tells whether a request with a part may be sent.
 type State uint8
 
@@ -137,6 +140,20 @@
 	Sending
 )
 
+// Reach is how many of the gateways the one that decides on a part hears. Those that it does not hear may
+// decide as well.
+type Reach uint8
+
+// Reaches of a gateway.
+const (
+	// ReachAll means that it hears all gateways.
+	ReachAll Reach = iota
+	// ReachMost means that it hears more than half of them, itself included.
+	ReachMost
+	// ReachFew means that it hears at most half of them.
+	ReachFew
+)
+
 // permit is a granted request on its way.
 type permit struct {
 	id                 Permit
@@ -190,15 +207,18 @@
 
 // Request decides, as the owner of the part, on a request with it. The span is the time until the next
 // trial for Denied.
-func (l *Ledger) Request(now clock.Time, part ID, id Permit, stage Stage) (Reply, clock.Span) {
-	state, wait := l.State(now, part)
+func (l *Ledger) Request(now clock.Time, part ID, id Permit, stage Stage, reach Reach) (Reply, clock.Span) {
+	state, _ := l.State(now, part)
 	if state == Proven {
 		return Harmless, 0
 	}
-	if state == Refused && wait > 0 {
+	if wait := l.untilTrial(now, part, reach); wait > 0 {
 		return Denied, wait
 	}
 	limit, ttl := maxUnproven, permitTTL
+	if reach == ReachFew {
+		limit = 1
+	}
 	if s, ok := l.suspects[part]; ok && s.count() > 0 {
 		limit, ttl = 1, sentPermitTTL
 	}
@@ -221,6 +241,28 @@
 	return Granted, 0
 }
 
+// untilTrial returns the time until a request with a part may be sent that crashed upstreams; 0 if it may be
+// sent now. Gateways that are not heard may lose upstreams to the part as well, so that a gateway that hears few
+// refuses the part after one crash less, and trials come late unless all are heard.
+func (l *Ledger) untilTrial(now clock.Time, part ID, reach Reach) clock.Span {
+	s, ok := l.suspects[part]
+	if !ok {
+		return 0
+	}
+	limit := s.crashLimit()
+	if reach == ReachFew {
+		limit--
+	}
+	if s.count() < limit {
+		return 0
+	}
+	trialAt := s.trialAt
+	if reach != ReachAll {
+		trialAt = max(trialAt, s.changedAt.Add(trialDelay))
+	}
+	return max(trialAt.Sub(now), 0)
+}
+
 // Extend records that the request of a permit has been sent, so that the permit lasts until its answer has
 // begun. A request whose permit has ended counts again.
 func (l *Ledger) Extend(now clock.Time, part ID, id Permit) {
--- a/parts/ledger_test.go
+++ b/parts/ledger_test.go
@@ -82,23 +82,23 @@
 	}
 	delays := []clock.Span{clock.Second, clock.Minute, 2 * clock.Minute, 4 * clock.Minute}
 	for i, delay := range delays {
-		reply, wait := l.Request(now, deadly, 1, parts.Queued)
+		reply, wait := l.Request(now, deadly, 1, parts.Queued, parts.ReachAll)
 		assert.Equal(t, reply, parts.Denied)
 		assert.Equal(t, wait, delay)
 		now = now.Add(delay)
-		reply, _ = l.Request(now, deadly, parts.Permit(10+i), parts.Queued)
+		reply, _ = l.Request(now, deadly, parts.Permit(10+i), parts.Queued, parts.ReachAll)
 		assert.Equal(t, reply, parts.Granted)
-		reply, _ = l.Request(now, deadly, 3, parts.Queued)
+		reply, _ = l.Request(now, deadly, 3, parts.Queued, parts.ReachAll)
 		assert.Equal(t, reply, parts.Denied, "one trial at a time")
 		l.RecordCrash(now+100, []parts.ID{deadly}, crashAt(retry.CrashID(20+i), now))
 		l.Return(deadly, parts.Permit(10+i))
 		now += 100
 	}
 	now = now.Add(clock.Hour)
-	reply, _ := l.Request(now, deadly, 5, parts.Queued)
+	reply, _ := l.Request(now, deadly, 5, parts.Queued, parts.ReachAll)
 	assert.Equal(t, reply, parts.Granted)
 	l.RecordBegan(deadly, now+10)
-	reply, _ = l.Request(now+20, deadly, 6, parts.Queued)
+	reply, _ = l.Request(now+20, deadly, 6, parts.Queued, parts.ReachAll)
 	assert.Equal(t, reply, parts.Harmless)
 }
 
@@ -106,12 +106,12 @@
 func TestPermitsExpire(t *testing.T) {
 	l := parts.NewLedger()
 	for i := range parts.Permit(2) {
-		reply, _ := l.Request(1, session, i, parts.Queued)
+		reply, _ := l.Request(1, session, i, parts.Queued, parts.ReachAll)
 		assert.Equal(t, reply, parts.Granted)
 	}
-	reply, _ := l.Request(2, session, 3, parts.Queued)
+	reply, _ := l.Request(2, session, 3, parts.Queued, parts.ReachAll)
 	assert.Equal(t, reply, parts.Busy)
-	reply, _ = l.Request(700, session, 3, parts.Queued)
+	reply, _ = l.Request(700, session, 3, parts.Queued, parts.ReachAll)
 	assert.Equal(t, reply, parts.Granted)
 }
 
@@ -151,7 +151,7 @@
 	assert.Assert(t, l.Restore(100, parts.Verdict{Part: deadly, Crashes: 3}))
 	assert.Assert(t, !l.Restore(200, parts.Verdict{Part: deadly, Crashes: 3}))
 	assert.Equal(t, state(l, 100, deadly), parts.Refused)
-	reply, wait := l.Request(30_100, deadly, 1, parts.Queued)
+	reply, wait := l.Request(30_100, deadly, 1, parts.Queued, parts.ReachAll)
 	assert.Equal(t, reply, parts.Denied)
 	assert.Equal(t, wait, 30*clock.Second, "the next trial is not sooner than without a restart")
 	l.RecordBegan(session, 90)
