parts: count a trial as failed until its end is known

What callers saw: one more upstream lost to a part where the gateway that sent a trial was killed in the same moment.

Cause: the permit of a trial ended after two seconds like any other, and the next trial followed, though nobody had told how the first had ended. The gateway that had seen its upstream end was gone.

Why the fix works: granting a trial sets the next one a minute later; the crash or the answer of the trial replaces that, and a trial that ends without either lets the next one follow after a second. Right before it is sent, a request now compares the crashes for which a part is refused with those known when it was granted, so that a trial passes and a verdict that came meanwhile holds, also one whose next trial is due.

Open: the gateway that granted the trial may be gone as well; its successor knows nothing of it.

TestTrialWithUnknownEndCountsAsFailed fails with the new time of the next trial taken out ("granted" at 20 s).

--- a/parts/guard.go
+++ b/parts/guard.go
@@ -112,6 +112,8 @@
 	parts []ID
 	// granted are the permits whose owner has to learn how the request ended.
 	granted []grantedPermit
+	// crashes are the numbers of crashes for which parts were refused already when the ticket was granted.
+	crashes map[ID]int
 	id      Permit
 	sentAt  clock.Time
 	began   bool
@@ -126,7 +128,7 @@
 // Acquire waits until a request with the parts may be sent. It returns nil and the time after which the
 // caller may come back if one of them is refused, and nil and 0 if ctx is done before.
 func (g *Guard) Acquire(ctx context.Context, list []ID) (*Ticket, clock.Span) {
-	t := &Ticket{guard: g, parts: list, id: Permit(rand.Uint64())}
+	t := &Ticket{guard: g, parts: list, id: Permit(rand.Uint64()), crashes: map[ID]int{}}
 	if !g.mayTry(list) {
 		return nil, retryTime(trialDelay)
 	}
@@ -140,6 +142,9 @@
 			t.release()
 			return nil, retryAfter
 		}
+		if v := g.Verdict(part); v.Crashes > 0 {
+			t.crashes[part] = v.Crashes
+		}
 	}
 	return t, 0
 }
@@ -267,13 +272,14 @@
 	return reply, wait
 }
 
-// refused reports whether one of the ticket's parts is refused now.
+// refused reports whether one of the ticket's parts is refused now for more crashes than when the ticket was
+// granted, and returns the time until its next trial.
 func (t *Ticket) refused() (bool, clock.Span) {
 	t.guard.mu.Lock()
 	defer t.guard.mu.Unlock()
 	for _, part := range t.parts {
-		state, wait := t.guard.ledger.State(t.guard.clock.Now(), part)
-		if state == Refused && wait > 0 {
+		if t.guard.ledger.Verdict(part).Crashes > t.crashes[part] {
+			_, wait := t.guard.ledger.State(t.guard.clock.Now(), part)
 			return true, retryTime(wait)
 		}
 	}
@@ -385,7 +391,7 @@
 		if r.Suspect != nil {
 			g.ledger.Merge(g.clock.Now(), *r.Suspect)
 		}
-		g.ledger.Return(part, id)
+		g.ledger.Return(g.clock.Now(), part, id)
 	})
 }
 
--- a/parts/ledger.go
+++ b/parts/ledger.go
@@ -170,8 +170,10 @@
 // suspect is a Suspect with what this gateway decides about it.
 type suspect struct {
 	Suspect
-	// trialAt is when a request may be sent although the part is refused.
+	// trialAt is when a request may be sent although the part is refused. trial is the last one that was
+	// granted here, until its end is known; 0 is none.
 	trialAt clock.Time
+	trial   Permit
 	// changedAt is when the last crash was learned.
 	changedAt clock.Time
 }
@@ -212,7 +214,7 @@
 	if state == Proven {
 		return Harmless, 0
 	}
-	if wait := l.untilTrial(now, part, reach); wait > 0 {
+	if wait := l.untilTrial(now, part, reach); wait > 0 && !l.isTrial(part, id) {
 		return Denied, wait
 	}
 	limit, ttl := maxUnproven, permitTTL
@@ -238,9 +240,20 @@
 		return Busy, 0
 	}
 	l.permits[part] = append(others, permit{id: id, grantedAt: now, expires: now.Add(ttl), sent: stage == Sending})
+	if state == Refused {
+		// It counts as failed until its end is known: its gateway may be gone with what it saw.
+		s := l.suspects[part]
+		s.trial, s.trialAt = id, now.Add(trialDelay)
+	}
 	return Granted, 0
 }
 
+// isTrial reports whether a request is the trial of a refused part.
+func (l *Ledger) isTrial(part ID, id Permit) bool {
+	s, ok := l.suspects[part]
+	return ok && s.trial == id && id != 0
+}
+
 // untilTrial returns the time until a request with a part may be sent that crashed upstreams; 0 if it may be
 // sent now. Gateways that are not heard may lose upstreams to the part as well, so that a gateway that hears few
 // refuses the part after one crash less, and trials come late unless all are heard.
@@ -288,8 +301,12 @@
 	return list
 }
 
-// Return ends a permit.
-func (l *Ledger) Return(part ID, id Permit) {
+// Return ends a permit. A trial of which no crash is known by then told nothing, so that another may follow soon.
+func (l *Ledger) Return(now clock.Time, part ID, id Permit) {
+	if l.isTrial(part, id) {
+		s := l.suspects[part]
+		s.trial, s.trialAt = 0, min(s.trialAt, now.Add(firstTrialDelay))
+	}
 	list := slices.DeleteFunc(l.permits[part], func(p permit) bool { return p.id == id })
 	if len(list) == 0 {
 		delete(l.permits, part)
@@ -401,7 +418,7 @@
 	after := s.count()
 	if after > before {
 		s.changedAt = now
-		s.trialAt = now.Add(delayOfTrial(after))
+		s.trial, s.trialAt = 0, now.Add(delayOfTrial(after))
 		return true
 	}
 	return false
--- a/parts/ledger_test.go
+++ b/parts/ledger_test.go
@@ -91,7 +91,7 @@
 		reply, _ = l.Request(now, deadly, 3, parts.Queued, parts.ReachAll)
 		assert.Equal(t, reply, parts.Denied, "one trial at a time")
 		l.RecordCrash(now+100, []parts.ID{deadly}, crashAt(retry.CrashID(20+i), now))
-		l.Return(deadly, parts.Permit(10+i))
+		l.Return(now+100, deadly, parts.Permit(10+i))
 		now += 100
 	}
 	now = now.Add(clock.Hour)
@@ -102,6 +102,26 @@
 	assert.Equal(t, reply, parts.Harmless)
 }
 
+// Guards against one more upstream lost to a part because the gateway that sent a trial is gone with what it saw, and
+// against a sound part that stays refused because its trial was not sent.
+func TestTrialWithUnknownEndCountsAsFailed(t *testing.T) {
+	l := parts.NewLedger()
+	for i := range retry.CrashID(2) {
+		l.RecordCrash(1000, []parts.ID{deadly}, crashAt(i, 900))
+	}
+	request := func(now clock.Time, id parts.Permit) parts.Reply {
+		reply, _ := l.Request(now, deadly, id, parts.Queued, parts.ReachAll)
+		return reply
+	}
+	assert.Equal(t, request(2000, 1), parts.Granted)
+	l.Return(2500, deadly, 1)
+	assert.Equal(t, request(3000, 2), parts.Denied)
+	assert.Equal(t, request(3600, 2), parts.Granted)
+	assert.Equal(t, request(3700, 2), parts.Granted, "the trial asks again before it is sent")
+	assert.Equal(t, request(20_000, 3), parts.Denied)
+	assert.Equal(t, request(70_000, 4), parts.Granted)
+}
+
 // Guards against a part whose requests wait for others that are lost with their gateway.
 func TestPermitsExpire(t *testing.T) {
 	l := parts.NewLedger()
