parts: let a verdict from the store count beside a crash that a gateway knows of

What callers saw: one more upstream lost to a part at a gateway that hears no other.

Cause: a verdict from the store was ignored by each gateway that had the part among its suspects, also with a single crash, which refuses nothing.

Evidence: found by reading; TestVerdictFromStoreCountsBesideOwnCrash failed before.

Why the fix works: a verdict is ignored only if an answer with the part began, or as many crashes are known.

--- a/parts/ledger.go
+++ b/parts/ledger.go
@@ -361,10 +361,11 @@
 	return slices.Clone(prompt)
 }
 
-// Restore adds a verdict from the store, unless this gateway knows more of the part. It reports whether it
-// did.
+// Restore adds a verdict from the store, unless an answer with the part began that this gateway knows of, or it
+// knows of as many crashes. It reports whether it did.
 func (l *Ledger) Restore(now clock.Time, v Verdict) bool {
-	if _, known := l.suspects[v.Part]; known || l.proven.beganAt(v.Part) != 0 {
+	known, ok := l.suspects[v.Part]
+	if l.proven.beganAt(v.Part) != 0 || ok && (known.BeganAt != 0 || known.count() >= v.Crashes) {
 		return false
 	}
 	s := Suspect{Part: v.Part}
--- a/parts/ledger_test.go
+++ b/parts/ledger_test.go
@@ -178,3 +178,13 @@
 	assert.Assert(t, !l.Restore(100, parts.Verdict{Part: session, Crashes: 2}))
 	assert.Equal(t, state(l, 100, session), parts.Proven)
 }
+
+// Guards against a verdict in the store that a gateway ignores because it knows of one crash itself, so that it loses
+// one more upstream.
+func TestVerdictFromStoreCountsBesideOwnCrash(t *testing.T) {
+	l := parts.NewLedger()
+	l.RecordCrash(100, []parts.ID{deadly}, crashAt(1, 50))
+	assert.Assert(t, l.Restore(200, parts.Verdict{Part: deadly, Crashes: 2}))
+	assert.Equal(t, state(l, 200, deadly), parts.Refused)
+	assert.Assert(t, !l.Restore(300, parts.Verdict{Part: deadly, Crashes: 2}))
+}
