notice: take only decimal numbers of seconds for a pause

What callers saw: nothing yet; an upstream whose Retry-After says "Inf" would have got no requests for an hour.

Cause: strconv.ParseFloat also reads infinities and hexadecimal numbers.

Evidence: TestNotices with "Inf", "infinity" and "0x1p9" failed before (a pause of an hour, and of 512 s).

Why the fix works: values with characters other than those of decimal numbers ask for no pause.

--- a/notice/parse.go
+++ b/notice/parse.go
@@ -22,11 +22,15 @@
 	return pause
 }
 
-// parseSeconds returns a number of seconds, with or without a fraction, rounded up to milliseconds and at most
-// maxPause. It returns 0 for other values.
+// parseSeconds returns a decimal number of seconds, with or without a fraction or an exponent, rounded up to
+// milliseconds and at most maxPause. It returns 0 for other values.
 func parseSeconds(s string) clock.Span {
-	seconds, err := strconv.ParseFloat(strings.TrimSpace(s), 64)
-	if err != nil && !errors.Is(err, strconv.ErrRange) || math.IsNaN(seconds) || seconds <= 0 {
+	s = strings.TrimSpace(s)
+	if strings.Trim(s, "+-.0123456789eE") != "" {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(s, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) || seconds <= 0 {
 		return 0
 	}
 	return clock.Span(math.Ceil(min(seconds, maxPause.Seconds()) * float64(clock.Second)))
