entry, parts: count gateways whose keys have lapsed when a part is decided on

What callers saw: upstreams lost to a part on the side of a cut that still reaches the store, some seconds after the cut.

Cause: how many gateways there are was taken from the keys in the store. Those of the gateways that are cut off lapse, and the side with the store then takes itself for the whole fleet, with its limits and trials.

Why the fix works: gateways whose keys lapsed less than 30 s ago count, as they do where limits are divided, and are asked if they are heard. "parts: gateways heard" logs each change.

Open: after 30 s a side that reaches the store counts as the whole fleet again.

TestGatewaysWithLapsedKeysStillCountForParts failed before (502 instead of a refusal).

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -202,11 +202,11 @@
 	}
 	c.gatewayCount = n
 	c.gateway.peers.SetGateways(n)
-	c.gateway.relay.SetGateways(c.gateway.settings.VM, c.members.All())
-	registered := c.members.Registered()
+	all, registered := c.members.All(), c.members.Registered()
+	c.gateway.relay.SetGateways(c.gateway.settings.VM, all)
 	c.gateway.limiter.setGateways(n, registered)
-	c.gateway.partTransport.setGateways(registered)
-	c.gateway.partExchange.SetGateways(len(registered))
+	c.gateway.partTransport.setGateways(all)
+	c.gateway.partExchange.SetGateways(n)
 	c.orders.setGateways(registered)
 	c.gateway.storeWatch.Store(newStoreWatch(c.gateway.settings.VM, c.gateway.settings.Zone, registered))
 }
--- a/entry/parts.go
+++ b/entry/parts.go
@@ -26,7 +26,7 @@
 	gateways map[units.VMID]member.Gateway
 }
 
-// setGateways replaces the registered gateways.
+// setGateways replaces the gateways, those included whose keys have lapsed a moment ago: they may still serve.
 func (t *partTransport) setGateways(list []member.Gateway) {
 	gateways := make(map[units.VMID]member.Gateway, len(list))
 	for _, g := range list {
--- a/entry/verdicts_test.go
+++ b/entry/verdicts_test.go
@@ -5,10 +5,13 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/platform/fakes"
+	"github.com/magnolialever/magnolialever/units"
 )
 
 // addCrashingEngines adds n upstreams that end when they begin to answer a request with the part.
@@ -74,3 +77,34 @@
 	assert.Equal(t, fakes.CountWithPart(deadly, all), before)
 	assert.Equal(t, c.sendParts(second, "sound2", "shared", "own2"), http.StatusOK)
 }
+
+// Guards against a side of a cut that takes itself for the whole fleet, and loses more upstreams to a part, once the keys
+// of the gateways on the other side have lapsed.
+func TestGatewaysWithLapsedKeysStillCountForParts(t *testing.T) {
+	c := newCluster(t, 0)
+	c.store.Put(fakes.UpstreamKeyPrefix+"llm-1", c.llm.Description(fakes.EngineService, "zone-a", "draining"))
+	const deadly = "dead1"
+	all := c.addCrashingEngines(6, deadly)
+	var keys []string
+	for i := range 2 {
+		cutOff := member.Gateway{VM: units.VMID(fmt.Sprint("cut-", i)), Address: fmt.Sprint("127.0.0.1:", 9+i), Zone: "zone-b"}
+		value, err := cutOff.Encode()
+		assert.NilError(t, err)
+		keys = append(keys, member.Key(cutOff.VM))
+		c.store.PutBytes(member.Key(cutOff.VM), value)
+	}
+	g := c.startGateway("gate-0")
+	c.waitFor("gateway is ready", func() bool { return c.readyStatus(g) == http.StatusOK })
+	assert.Equal(t, c.sendParts(g, "sound", "shared", "own"), http.StatusOK)
+	c.sendParts(g, "bad", "shared", deadly, "own-bad")
+	for _, key := range keys {
+		c.store.Delete(key)
+	}
+	c.waitFor("keys have lapsed", func() bool { return len(c.store.Keys("gateways/")) == 1 })
+	for i := range 4 {
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, c.sendParts(g, fmt.Sprint("bad", i), "shared", deadly, fmt.Sprint("own", i)), http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, fakes.CountWithPart(deadly, all), 1)
+	assert.Equal(t, c.sendParts(g, "sound2", "shared", "own2"), http.StatusOK)
+}
--- a/parts/exchange.go
+++ b/parts/exchange.go
@@ -76,6 +76,8 @@
 	mu sync.Mutex // guards the fields below
 	// gateways is the number of gateways.
 	gateways int
+	// reach is that of the last tick.
+	reach Reach
 	// tickedAt is the time of the last tick, informedAt when this gateway knows what the others know.
 	tickedAt, informedAt clock.Time
 	// asks are the unanswered requests to other gateways, granters the other gateways that granted requests.
@@ -122,6 +124,10 @@
 		klog.InfoS("parts: paused, others decide on parts", "for", now.Sub(e.tickedAt), "until", e.informedAt.Sub(now))
 	}
 	e.tickedAt = now
+	if heard, reach := e.heard(); reach != e.reach {
+		klog.InfoS("parts: gateways heard", "heard", heard, "of", e.gateways, "before", e.reach, "reach", reach)
+		e.reach = reach
+	}
 }
 
 // informTime returns the time after which a gateway among n has heard from all others.
@@ -169,7 +175,7 @@
 		// Other gateways that hear no owner may decide as well.
 		return e.Guard.Request(part, id, stage, ReachFew)
 	}
-	return e.Guard.Request(part, id, stage, e.reach())
+	return e.Guard.Request(part, id, stage, e.currentReach())
 }
 
 // decision says who decides on a request with a part.
@@ -217,18 +223,25 @@
 	return d
 }
 
-// reach returns how many of the gateways this one hears.
-func (e *Exchange) reach() Reach {
-	alive := len(e.Transport.Alive())
+// currentReach returns how many of the gateways this one hears.
+func (e *Exchange) currentReach() Reach {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	_, reach := e.heard()
+	return reach
+}
+
+// heard returns the number of gateways that this one hears, itself included, and what follows. The caller
+// holds e.mu.
+func (e *Exchange) heard() (int, Reach) {
+	alive := len(e.Transport.Alive())
 	switch {
 	case alive >= e.gateways:
-		return ReachAll
+		return alive, ReachAll
 	case 2*alive > e.gateways:
-		return ReachMost
+		return alive, ReachMost
 	}
-	return ReachFew
+	return alive, ReachFew
 }
 
 // isInformed reports whether this gateway knows what the others know.
@@ -241,7 +254,7 @@
 // decide decides as the owner of a part.
 func (e *Exchange) decide(p partPermit, stage Stage) ownerReply {
 	informed := e.isInformed()
-	reply, wait := e.Guard.Request(p.part, p.id, stage, e.reach())
+	reply, wait := e.Guard.Request(p.part, p.id, stage, e.currentReach())
 	return ownerReply{reply, wait, informed}
 }
 
--- a/parts/ledger.go
+++ b/parts/ledger.go
@@ -154,6 +154,19 @@
 	ReachFew
 )
 
+// String returns the name of the reach for logs.
+func (r Reach) String() string {
+	switch r {
+	case ReachAll:
+		return "all"
+	case ReachMost:
+		return "most"
+	case ReachFew:
+		return "few"
+	}
+	return "unknown"
+}
+
 // permit is a granted request on its way.
 type permit struct {
 	id                 Permit
