parts, relay, gate: refuse models and adapters that crash upstreams

What callers saw: requests for an adapter that crashes each upstream that begins to answer them ended one upstream after the other, and sound requests for its model failed.

Cause: the same class as with parts of prompts. Evidence was kept for the exact request and for parts of its prompt; what such requests share is the adapter.

Why the fix works: the model or adapter of a request is suspect, refused and tried again like its parts, at both ways in, with the same verdicts in the store. Requests need no permit for it until it is refused, so that requests for a model that is being loaded wait where they are counted; the upstreams that have loaded it bound what it ends at once. An answer that begins refutes, as with parts.

Ruled out: a permit for the model as for a part, as requests would wait before the scheduler has seen that a model is missing.

Open: an order to load a model that ends each upstream that loads it.

--- a/coord/verdicts_test.go
+++ b/coord/verdicts_test.go
@@ -37,7 +37,7 @@
 	go func() { done <- first.verdicts.Run(ctx) }()
 	const deadly parts.ID = 7
 	for i := range retry.CrashID(2) {
-		ticket, _ := first.parts.Acquire(ctx, []parts.ID{deadly})
+		ticket, _ := first.parts.Acquire(ctx, parts.Prompt{Parts: []parts.ID{deadly}})
 		assert.Assert(t, ticket != nil)
 		reply, _ := ticket.Confirm(ctx)
 		assert.Equal(t, reply, parts.Granted)
@@ -55,6 +55,6 @@
 	second := newPartsCoord(kv)
 	_, err = second.readVerdicts(context.Background())
 	assert.NilError(t, err)
-	ticket, wait := second.parts.Acquire(context.Background(), []parts.ID{deadly})
+	ticket, wait := second.parts.Acquire(context.Background(), parts.Prompt{Parts: []parts.ID{deadly}})
 	assert.Assert(t, ticket == nil && wait > 0)
 }
--- a/gate/models.go
+++ b/gate/models.go
@@ -129,7 +129,7 @@
 			Cost:         f.cost(len(data), generates),
 			Fingerprint:  fingerprint(c.Customer, f.model, data),
 			PrefixHashes: f.prefixHashes,
-			Parts:        promptParts(units.ModelID(f.model), f.partHashes),
+			Prompt:       promptOf(units.ModelID(f.model), f.partHashes),
 			Deadline:     s.startDeadline(now, class),
 			Idempotent:   true,
 		},
--- a/gate/parts.go
+++ b/gate/parts.go
@@ -42,26 +42,27 @@
 	return hashes
 }
 
-// promptParts returns the parts of a prompt for a model or adapter that other requests may share.
-func promptParts(target units.ModelID, hashes []uint64) []parts.ID {
-	ids := make([]parts.ID, 0, len(hashes))
+// promptOf returns what a request for a model or adapter shares with others; hashes are those of the parts of its
+// prompt.
+func promptOf(target units.ModelID, hashes []uint64) parts.Prompt {
+	p := parts.Prompt{Target: parts.NewTargetID(units.ServiceID(target), "")}
 	for _, h := range hashes {
-		ids = append(ids, parts.NewID(units.ServiceID(target), strconv.FormatUint(h, 16)))
+		p.Parts = append(p.Parts, parts.NewID(units.ServiceID(target), strconv.FormatUint(h, 16)))
 	}
-	return ids
+	return p
 }
 
 // acquireTicket waits until a request with the prompt's parts may be sent.
 func (r *relay) acquireTicket(ctx context.Context) *Problem {
 	wait, cancel := context.WithTimeout(ctx, r.capacityDeadline().Sub(r.server.clock.Now()).Duration())
 	defer cancel()
-	ticket, retryAfter := r.server.options.Parts.Acquire(wait, r.request.info.Parts)
+	ticket, retryAfter := r.server.options.Parts.Acquire(wait, r.request.info.Prompt)
 	switch {
 	case ticket != nil:
 		r.ticket = ticket
 		return nil
 	case retryAfter > 0:
-		return &Problem{Code: units.CrashSuspect, Message: "a part of the prompt crashes upstreams", RetryAfter: retryAfter}
+		return &Problem{Code: units.CrashSuspect, Message: "a part of the prompt, or the model or adapter, crashes upstreams", RetryAfter: retryAfter}
 	case context.Cause(ctx) != nil:
 		return asProblem(context.Cause(ctx))
 	}
@@ -76,7 +77,7 @@
 	case parts.Granted:
 		return true, nil
 	case parts.Denied:
-		return false, &Problem{Code: units.CrashSuspect, Message: "a part of the prompt crashes upstreams", RetryAfter: retryAfter}
+		return false, &Problem{Code: units.CrashSuspect, Message: "a part of the prompt, or the model or adapter, crashes upstreams", RetryAfter: retryAfter}
 	}
 	stats.Event("part_permits_ended")
 	return false, nil
--- a/gate/policy.go
+++ b/gate/policy.go
@@ -22,8 +22,8 @@
 	Fingerprint uint64
 	// PrefixHashes are the hashes of the prompt's leading blocks, for prefix cache affinity.
 	PrefixHashes []uint64
-	// Parts are the parts of the prompt that other requests may share.
-	Parts []parts.ID
+	// Prompt is what the request shares with others.
+	Prompt parts.Prompt
 	// Deadline is when the response has to start.
 	Deadline clock.Time
 	// Idempotent requests may be retried after an attempt that may have run.
--- a/parts/fleet_test.go
+++ b/parts/fleet_test.go
@@ -85,7 +85,7 @@
 // sent.
 func (f *testFleet) acquire(ctx context.Context, gateway int, prompt []parts.ID, queued time.Duration) *parts.Ticket {
 	for ctx.Err() == nil {
-		ticket, _ := f.guards[gateway].Acquire(ctx, prompt)
+		ticket, _ := f.guards[gateway].Acquire(ctx, parts.Prompt{Parts: prompt})
 		if ticket == nil {
 			return nil
 		}
--- a/parts/guard.go
+++ b/parts/guard.go
@@ -109,6 +109,7 @@
 // Ticket is the permission to send one request.
 type Ticket struct {
 	guard *Guard
+	// parts are the parts of the prompt and the target.
 	parts []ID
 	// granted are the permits whose owner has to learn how the request ended.
 	granted []grantedPermit
@@ -125,15 +126,20 @@
 	askedAt clock.Time
 }
 
-// Acquire waits until a request with the parts may be sent. It returns nil and the time after which the
-// caller may come back if one of them is refused, and nil and 0 if ctx is done before.
-func (g *Guard) Acquire(ctx context.Context, list []ID) (*Ticket, clock.Span) {
-	t := &Ticket{guard: g, parts: list, id: Permit(rand.Uint64()), crashes: map[ID]int{}}
-	if !g.mayTry(list) {
+// Acquire waits until a request with the prompt may be sent. It returns nil and the time after which the
+// caller may come back if a part or the target is refused, and nil and 0 if ctx is done before.
+func (g *Guard) Acquire(ctx context.Context, p Prompt) (*Ticket, clock.Span) {
+	t := &Ticket{guard: g, parts: p.all(), id: Permit(rand.Uint64()), crashes: map[ID]int{}}
+	if !g.mayTry(t.parts) {
 		return nil, retryTime(trialDelay)
 	}
+	needed := slices.Clone(p.Parts)
+	if g.Verdict(p.Target).Crashes > 0 {
+		needed = append(needed, p.Target)
+	}
 	// In this order two requests with the same parts don't wait for each other.
-	for _, part := range slices.Sorted(slices.Values(list)) {
+	slices.Sort(needed)
+	for _, part := range needed {
 		askedAt, retryAfter, ok := g.acquirePart(ctx, part, t.id)
 		if askedAt != 0 {
 			t.granted = append(t.granted, grantedPermit{part, askedAt})
--- a/parts/guard_test.go
+++ b/parts/guard_test.go
@@ -19,15 +19,15 @@
 		g.Merge(parts.Suspect{Part: part, Crashes: []parts.Crash{{ID: 1, SentAt: 900}, {ID: 2, SentAt: 910}}})
 	}
 	c.Advance(2 * clock.Second)
-	ticket, wait := g.Acquire(context.Background(), []parts.ID{session, deadly})
+	ticket, wait := g.Acquire(context.Background(), parts.Prompt{Parts: []parts.ID{session, deadly}})
 	assert.Assert(t, ticket == nil && wait >= clock.Second)
-	ticket, _ = g.Acquire(context.Background(), []parts.ID{session})
+	ticket, _ = g.Acquire(context.Background(), parts.Prompt{Parts: []parts.ID{session}})
 	assert.Assert(t, ticket != nil)
 	ticket.Began()
 	ticket.End(nil)
 	// Parts that never come alone get a trial all the same, later.
 	g.Merge(parts.Suspect{Part: session, Crashes: []parts.Crash{{ID: 3, SentAt: c.Now() + 1}, {ID: 4, SentAt: c.Now() + 2}, {ID: 5, SentAt: c.Now() + 3}}})
 	c.Advance(5 * clock.Minute)
-	ticket, _ = g.Acquire(context.Background(), []parts.ID{session, deadly})
+	ticket, _ = g.Acquire(context.Background(), parts.Prompt{Parts: []parts.ID{session, deadly}})
 	assert.Assert(t, ticket != nil)
 }
--- a/parts/keeper_test.go
+++ b/parts/keeper_test.go
@@ -54,7 +54,7 @@
 		go func() { done <- k.Run(ctx) }()
 		refuse := func() {
 			now := c.Now()
-			ticket, _ := g.Acquire(ctx, []parts.ID{deadly})
+			ticket, _ := g.Acquire(ctx, parts.Prompt{Parts: []parts.ID{deadly}})
 			assert.Assert(t, ticket != nil)
 			reply, _ := ticket.Confirm(ctx)
 			assert.Equal(t, reply, parts.Granted)
@@ -73,7 +73,7 @@
 		later := c.Now()
 		g.Merge(parts.Suspect{Part: deadly, Crashes: []parts.Crash{{ID: 4, SentAt: later + 1}, {ID: 5, SentAt: later + 1}}})
 		time.Sleep(2 * time.Millisecond)
-		ticket, _ := g.Acquire(ctx, []parts.ID{deadly})
+		ticket, _ := g.Acquire(ctx, parts.Prompt{Parts: []parts.ID{deadly}})
 		assert.Assert(t, ticket != nil)
 		ticket.Confirm(ctx)
 		time.Sleep(time.Millisecond)
--- a/parts/ledger.go
+++ b/parts/ledger.go
@@ -60,6 +60,26 @@
 	return ID(d.Sum64())
 }
 
+// NewTargetID returns the ID of a model or adapter of a service.
+func NewTargetID(service units.ServiceID, target string) ID { return NewID(service, "\x00"+target) }
+
+// Prompt is what a request shares with others and may crash upstreams.
+type Prompt struct {
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []ID
+	// Target is the model or adapter; 0 is none. Evidence for it is kept as for parts, but requests need no
+	// permits for it unless it is refused: the upstreams that have loaded it bound those that it ends at once.
+	Target ID
+}
+
+// all returns the parts and the target.
+func (p Prompt) all() []ID {
+	if p.Target == 0 {
+		return p.Parts
+	}
+	return append(slices.Clone(p.Parts), p.Target)
+}
+
 // Crash is the end of an upstream's process before an answer to a prompt with the part began.
 type Crash struct {
 	ID retry.CrashID
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -52,8 +52,8 @@
 	bodyBudgetHeld int64
 	// fingerprint identifies the contents of the request: it is the same for retries by the caller.
 	fingerprint retry.Fingerprint
-	// parts identify the parts of the prompt that other requests may share.
-	parts []parts.ID
+	// prompt is what the request shares with others.
+	prompt parts.Prompt
 	// ticket is the permission for the current attempt.
 	ticket *parts.Ticket
 	// timeout is the longest time from arrival to the end of the response.
@@ -110,7 +110,7 @@
 	if p := x.readBody(c.MaxBodyBytes); p != nil {
 		return p
 	}
-	x.parts = sharedParts(x.service.Name, x.callerRequest.PromptParts)
+	x.prompt = promptOf(x.service.Name, &x.callerRequest)
 	x.fingerprint = retry.FingerprintOf(x.customerID(), x.httpRequest.Method+" "+x.httpRequest.RequestURI, x.body)
 	if x.server.isCrashSuspect(x.fingerprint) {
 		x.reason = "crashed upstreams"
--- a/relay/part.go
+++ b/relay/part.go
@@ -31,17 +31,17 @@
 	processProbeTimeout = 150 * time.Millisecond
 )
 
-// sharedParts returns the parts of a prompt that other requests may share: all but the last one, which
-// belongs to the request.
-func sharedParts(service units.ServiceID, prompt []fleet.PromptPart) []parts.ID {
-	if len(prompt) < 2 {
-		return nil
+// promptOf returns what the request shares with others: all parts of its prompt but the last one, which belongs
+// to the request, and its model or adapter.
+func promptOf(service units.ServiceID, r *fleet.Request) parts.Prompt {
+	p := parts.Prompt{}
+	for _, part := range r.PromptParts[:max(len(r.PromptParts)-1, 0)] {
+		p.Parts = append(p.Parts, parts.NewID(service, part.ID))
 	}
-	ids := make([]parts.ID, 0, len(prompt)-1)
-	for _, p := range prompt[:len(prompt)-1] {
-		ids = append(ids, parts.NewID(service, p.ID))
+	if r.Model != "" {
+		p.Target = parts.NewTargetID(service, string(r.Model)+"/"+r.Adapter)
 	}
-	return ids
+	return p
 }
 
 // acquireTicket waits until a request with the prompt's parts may be sent. It returns false if it ended
@@ -49,7 +49,7 @@
 func (x *exchange) acquireTicket(ctx context.Context) bool {
 	wait, cancel := context.WithTimeout(ctx, x.latestStart().Sub(x.server.Clock.Now()).Duration())
 	defer cancel()
-	ticket, retryAfter := x.server.Parts.Acquire(wait, x.parts)
+	ticket, retryAfter := x.server.Parts.Acquire(wait, x.prompt)
 	switch {
 	case ticket != nil:
 		x.ticket = ticket
@@ -85,7 +85,7 @@
 
 // refuseSuspect ends a request with a part that crashes upstreams.
 func (x *exchange) refuseSuspect(retryAfter clock.Span) {
-	x.reason = "a part of the prompt crashes upstreams"
+	x.reason = "a part of the prompt, or the model or adapter, crashes upstreams"
 	x.fail(upstreamFailed, &refusal{status: http.StatusServiceUnavailable, code: units.CrashSuspect, retryAfter: retryAfter})
 }
 
--- a/relay/part_test.go
+++ b/relay/part_test.go
@@ -70,3 +70,33 @@
 		assert.Equal(t, got.status, http.StatusOK, got.body)
 	}
 }
+
+// Guards against an adapter that crashes one upstream after another, in requests whose prompts have nothing in common,
+// while sound requests for its model are served.
+func TestAdapterThatCrashesUpstreamsIsStopped(t *testing.T) {
+	const deadly = "small/a1"
+	all := make([]*fakes.Replica, 8)
+	for i := range all {
+		all[i] = startReplica(t, fmt.Sprint("r", i), func(r *fakes.Request) {
+			if r.Header.Get("Model") == deadly {
+				all[i].Crash()
+				return
+			}
+			r.Stream(1, 3, true)
+		})
+	}
+	r := newTestGateway(t, all...)
+	for i := range 16 {
+		assert.Equal(t, r.send(context.Background(), http.MethodPost, "/talk/a", "small", fmt.Sprint("good", i)).status, http.StatusOK)
+		assert.Assert(t, r.send(context.Background(), http.MethodPost, "/talk/a", deadly, fmt.Sprint("bad", i)).status != http.StatusOK)
+	}
+	ended := 0
+	for _, p := range all {
+		for _, q := range p.Requests() {
+			if q.Header.Get("Model") == deadly {
+				ended++
+			}
+		}
+	}
+	assert.Assert(t, ended <= 3, "%d upstreams received a request for the adapter", ended)
+}
