assign: hold back models that end the upstreams that load them

What callers saw: nothing yet; a model that ends each engine that loads it would have been ordered at one upstream after the other, without end, and all models there lost each time.

Why the fix works: an upstream that ends between an order to load a model and its first sight as resident counts against the model.

Open: the history is the leader's; its successor starts anew and may lose two more.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -36,6 +36,9 @@
 	unreachable, replaced map[units.UpstreamID]bool
 	// ordersTo counts the orders by engine.
 	ordersTo map[units.UpstreamID]int
+	// deadly is the model whose loads end the engines, ended the number of engines that it ended.
+	deadly units.ModelID
+	ended  int
 }
 
 // lateOrder is an unanswered order that will be executed.
@@ -54,6 +57,8 @@
 	// reportedAt is the time of the last description.
 	reportedAt clock.Time
 	lost       bool
+	// restarts is the number of processes before the current one.
+	restarts int64
 }
 
 // newCluster returns a cluster with three models loaded on each engine.
@@ -88,7 +93,7 @@
 		if e.lost {
 			continue
 		}
-		u := &fleet.Upstream{ID: id, Service: service, Zone: "a", ProcessStart: 1, Models: e.residents()}
+		u := &fleet.Upstream{ID: id, Service: service, Zone: "a", ProcessStart: 1 + e.restarts, Models: e.residents()}
 		for m := range e.onDisk {
 			u.OnDisk = append(u.OnDisk, m)
 		}
@@ -137,9 +142,13 @@
 		if e.activeOrder == nil || now < e.activeUntil {
 			continue
 		}
-		if e.activeOrder.Unload {
+		switch {
+		case e.activeOrder.Unload:
 			delete(e.models, e.activeOrder.Model)
-		} else {
+		case e.activeOrder.Model == c.deadly:
+			c.ended++
+			e.models, e.acceptedOrders, e.restarts = map[units.ModelID]map[string]bool{}, 0, e.restarts+1
+		default:
 			e.models[e.activeOrder.Model] = map[string]bool{}
 			e.onDisk[e.activeOrder.Model] = true
 		}
@@ -430,3 +439,37 @@
 	c.run(1, 4000)
 	assert.Assert(t, c.ordersTo["e0"] <= 1, "%d orders", c.ordersTo["e0"])
 }
+
+// Guards against a model that ends one upstream after another as they load it, while the models that are lost with
+// them are loaded again.
+func TestModelThatEndsUpstreamsAsTheyLoadIsHeldBack(t *testing.T) {
+	c := newCluster(t, 9, 18)
+	c.service.Engine.Models = append(c.service.Engine.Models, fleet.Model{Name: "deadly", WeightMegabytes: 70_000, StoreLoadTime: 4 * clock.Second})
+	c.deadly = "deadly"
+	c.setDemand(c.deadly, "", 5000, 3)
+	c.run(1, 60_001)
+	assert.Assert(t, c.ended >= 1 && c.ended <= 3, "%d engines ended", c.ended)
+	for i := range 18 {
+		assert.Assert(t, c.copies(modelName(i)) > 0, "model %d", i)
+	}
+	c.deadly = ""
+	c.run(60_001, 130_001)
+	assert.Assert(t, c.copies("deadly") > 0, "it is loaded once the engines were replaced")
+}
+
+// Guards against a sound model that is not loaded because all upstreams that were loading it ended at once.
+func TestModelIsLoadedAfterCommonEnd(t *testing.T) {
+	c := newCluster(t, 6, 9)
+	c.service.Engine.Models = append(c.service.Engine.Models, fleet.Model{Name: "new", WeightMegabytes: 70_000, StoreLoadTime: 2 * clock.Second})
+	c.setDemand("new", "", 5000, 3)
+	for now := clock.Time(1); now < 3000; now += 50 {
+		c.run(now, now+1)
+		for _, e := range c.engines {
+			if e.activeOrder != nil && e.activeOrder.Model == "new" && !e.activeOrder.Unload {
+				*e = engine{models: map[units.ModelID]map[string]bool{}, onDisk: map[units.ModelID]bool{}, restarts: e.restarts + 1, reportedAt: now}
+			}
+		}
+	}
+	c.run(3001, 12_001)
+	assert.Assert(t, c.copies("new") > 0)
+}
--- a/assign/gaps.go
+++ b/assign/gaps.go
@@ -89,7 +89,7 @@
 // unload waits for all requests that run on the victim.
 func (r *round) loadWhereFits(id units.ModelID) {
 	m, ok := r.engine.Model(id)
-	if !ok {
+	if !ok || !r.mayLoad(id) {
 		return
 	}
 	var best *upstreamState
--- a/assign/ledger.go
+++ b/assign/ledger.go
@@ -73,6 +73,9 @@
 	// activeOrder is the model order that the upstream executes since activeSince.
 	activeOrder *PlannedOrder
 	activeSince clock.Time
+	// loading is the model of the last order to load one that the upstream may execute and that has had no
+	// visible effect yet; empty if there is none.
+	loading units.ModelID
 	// retryAt is the earliest time of the next call.
 	retryAt clock.Time
 	// lastAccepted is the time of the last accepted order.
@@ -98,19 +101,21 @@
 	// replaced maps upstreams at whose address another one answered to their process start. Their
 	// descriptions may outlive them.
 	replaced map[units.UpstreamID]int64
+	crashes  crashHistory
 }
 
 // NewLedger returns an empty Ledger.
 func NewLedger() *Ledger {
-	return &Ledger{states: map[units.UpstreamID]*upstreamState{}, replaced: map[units.UpstreamID]int64{}}
+	return &Ledger{states: map[units.UpstreamID]*upstreamState{}, replaced: map[units.UpstreamID]int64{}, crashes: crashHistory{}}
 }
 
 // UpdateUpstreams replaces the set of upstreams and applies the new descriptions of those that
 // belong to the services in engines. A new process of an upstream starts with an empty, stale
 // state.
 func (l *Ledger) UpdateUpstreams(now clock.Time, upstreams map[units.UpstreamID]*view.Entry, engines map[units.ServiceID]bool) {
-	for id := range l.states {
+	for id, s := range l.states {
 		if _, ok := upstreams[id]; !ok {
+			l.recordEnd(now, s)
 			delete(l.states, id)
 		}
 	}
@@ -125,19 +130,43 @@
 		}
 		s, ok := l.states[id]
 		if !ok || s.processStart != e.ProcessStart {
+			if ok {
+				l.recordEnd(now, s)
+			}
 			s = &upstreamState{processStart: e.ProcessStart, acceptedOrders: -1, stale: true, models: map[units.ModelID]*modelCopy{}}
 			l.states[id] = s
 		}
 		if s.entry == nil || s.entry.ReceivedAt != e.ReceivedAt {
 			s.entry = e
 			if e.ReceivedAt.Sub(s.lastAccepted) > maxDescriptionAge || s.activeOrder != nil {
-				s.applyResidents(now, e.Models)
+				l.applyResidents(now, s, e.Models)
 			}
 		}
 		s.entry = e
 	}
 }
 
+// recordEnd records the end of an upstream's process if it was loading a model. A draining one may end at any
+// time.
+func (l *Ledger) recordEnd(now clock.Time, s *upstreamState) {
+	if s.loading != "" && s.entry != nil && !s.entry.Draining {
+		l.crashes.recordEnd(now, modelKey{s.entry.Service, s.loading})
+	}
+}
+
+// applyResidents replaces the models of an upstream with those that it listed.
+func (l *Ledger) applyResidents(now clock.Time, s *upstreamState, models []fleet.Resident) {
+	for _, m := range models {
+		if s.entry != nil {
+			l.crashes.recordLoaded(modelKey{s.entry.Service, m.Model})
+		}
+		if m.Model == s.loading {
+			s.loading = ""
+		}
+	}
+	s.applyResidents(now, models)
+}
+
 // ApplyReport applies a report of the upstream: its number of accepted orders, its resident
 // models and whether it executes a model order. A report that predates the last order is
 // dropped and has to be read again after refusedRetryDelay.
@@ -152,7 +181,7 @@
 		return
 	}
 	s.acceptedOrders, s.stale = acceptedOrders, false
-	s.applyResidents(now, models)
+	l.applyResidents(now, s, models)
 }
 
 // applyResidents replaces the models with those that the upstream listed, plus the one that
@@ -243,6 +272,9 @@
 		return
 	}
 	s.callPending = false
+	if (r == Accepted || r == Unanswered) && o.Adapter == "" && !o.Unload {
+		s.loading = o.Model
+	}
 	switch r {
 	case Accepted:
 		s.recordAccepted(now, o)
--- a/assign/plan.go
+++ b/assign/plan.go
@@ -237,13 +237,22 @@
 			delete(r.p.reservations, id)
 			continue
 		}
-		if s.canSendModelOrder(r.now) && !r.ordered[s] && r.fits(s, m) && r.withinStoreBudget(s, m.Name) {
+		if r.mayLoad(m.Name) && s.canSendModelOrder(r.now) && !r.ordered[s] && r.fits(s, m) && r.withinStoreBudget(s, m.Name) {
 			delete(r.p.reservations, id)
 			r.orderLoad(s, m.Name)
 		}
 	}
 }
 
+// mayLoad reports whether a model may be loaded on one more upstream, by what became of those that loaded it.
+func (r *round) mayLoad(id units.ModelID) bool {
+	k, h := modelKey{r.service.Name, id}, r.p.ledger.crashes
+	if h.blocked(r.now, k) {
+		return false
+	}
+	return !h.suspect(k) || !slices.ContainsFunc(r.copies[id], func(s *upstreamState) bool { return s.loading == id })
+}
+
 // withinStoreBudget reports whether the weight store's limits allow a load; a load from a host
 // copy is always allowed.
 func (r *round) withinStoreBudget(s *upstreamState, m units.ModelID) bool {
@@ -272,7 +281,7 @@
 // upstreams with a work rate of at most lowUtilization of workRate (prompt tokens/s) qualify.
 func (r *round) addCopy(id units.ModelID, missing bool, workRate float64) {
 	m, ok := r.engine.Model(id)
-	if !ok {
+	if !ok || !r.mayLoad(id) {
 		return
 	}
 	var best *upstreamState
