retry, assign, place: hold back loads that end or fail each engine, at gateways with agents too

What callers saw: nothing yet; a model that ends or fails each engine that loads it was loaded again at the next one every second, and the models there were lost with it.

A failed order held back that model at that engine for 3 s and nowhere else.

Why the fix works: what package assign kept for itself is now retry.Holdback, which both planners use. Refusals of agents don't count, only orders that the engine has not executed. Failures of loads that were started before the last failure was known count with it, in place of all within 2 s: a fast engine failed more often than that. Nothing is evicted for a model that is held back.

--- a/assign/ledger.go
+++ b/assign/ledger.go
@@ -5,6 +5,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
 )
@@ -73,9 +74,10 @@
 	// activeOrder is the model order that the upstream executes since activeSince.
 	activeOrder *PlannedOrder
 	activeSince clock.Time
-	// loading is the model of the last order to load one that the upstream may execute and that has had no
-	// visible effect yet; empty if there is none.
-	loading units.ModelID
+	// loading is the model of the last order to load one that the upstream may execute since loadingSince and that
+	// has had no visible effect yet; empty if there is none.
+	loading      units.ModelID
+	loadingSince clock.Time
 	// retryAt is the earliest time of the next call.
 	retryAt clock.Time
 	// lastAccepted is the time of the last accepted order.
@@ -101,12 +103,19 @@
 	// replaced maps upstreams at whose address another one answered to their process start. Their
 	// descriptions may outlive them.
 	replaced map[units.UpstreamID]int64
-	crashes  crashHistory
+	// loads holds back models that end the upstreams that load them.
+	loads *retry.Holdback[modelKey]
+}
+
+// modelKey identifies a model of a service.
+type modelKey struct {
+	service units.ServiceID
+	model   units.ModelID
 }
 
 // NewLedger returns an empty Ledger.
 func NewLedger() *Ledger {
-	return &Ledger{states: map[units.UpstreamID]*upstreamState{}, replaced: map[units.UpstreamID]int64{}, crashes: crashHistory{}}
+	return &Ledger{states: map[units.UpstreamID]*upstreamState{}, replaced: map[units.UpstreamID]int64{}, loads: retry.NewHoldback[modelKey]()}
 }
 
 // UpdateUpstreams replaces the set of upstreams and applies the new descriptions of those that
@@ -150,7 +159,7 @@
 // time.
 func (l *Ledger) recordEnd(now clock.Time, s *upstreamState) {
 	if s.loading != "" && s.entry != nil && !s.entry.Draining {
-		l.crashes.recordEnd(now, modelKey{s.entry.Service, s.loading})
+		l.loads.RecordFailure(now, modelKey{s.entry.Service, s.loading}, s.loadingSince)
 	}
 }
 
@@ -158,7 +167,7 @@
 func (l *Ledger) applyResidents(now clock.Time, s *upstreamState, models []fleet.Resident) {
 	for _, m := range models {
 		if s.entry != nil {
-			l.crashes.recordLoaded(modelKey{s.entry.Service, m.Model})
+			l.loads.RecordSuccess(modelKey{s.entry.Service, m.Model})
 		}
 		if m.Model == s.loading {
 			s.loading = ""
@@ -273,7 +282,7 @@
 	}
 	s.callPending = false
 	if (r == Accepted || r == Unanswered) && o.Adapter == "" && !o.Unload {
-		s.loading = o.Model
+		s.loading, s.loadingSince = o.Model, now
 	}
 	switch r {
 	case Accepted:
--- a/assign/plan.go
+++ b/assign/plan.go
@@ -246,11 +246,11 @@
 
 // mayLoad reports whether a model may be loaded on one more upstream, by what became of those that loaded it.
 func (r *round) mayLoad(id units.ModelID) bool {
-	k, h := modelKey{r.service.Name, id}, r.p.ledger.crashes
-	if h.blocked(r.now, k) {
+	k, loads := modelKey{r.service.Name, id}, r.p.ledger.loads
+	if loads.Blocked(r.now, k) {
 		return false
 	}
-	return !h.suspect(k) || !slices.ContainsFunc(r.copies[id], func(s *upstreamState) bool { return s.loading == id })
+	return !loads.Suspect(k) || !slices.ContainsFunc(r.copies[id], func(s *upstreamState) bool { return s.loading == id })
 }
 
 // withinStoreBudget reports whether the weight store's limits allow a load; a load from a host
--- a/coord/place.go
+++ b/coord/place.go
@@ -312,6 +312,10 @@
 	p.superseded = p.superseded || units.Code(r.Code) == units.FenceStale
 	stats.Event("order_refused_" + r.Code)
 	klog.Warningf("coord: order to %s %s on %s failed: %s", c.Op, c.Target.ID, c.Replica, r.Code)
+	if c.Op == place.Load && units.Code(r.Code) == units.UpstreamFailed {
+		p.planner.LoadFailed(now, c)
+		return
+	}
 	p.planner.OrderFailed(now, c)
 }
 
--- a/place/plan.go
+++ b/place/plan.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/units"
 )
 
@@ -154,6 +155,8 @@
 	failedAt map[placement]clock.Time
 	// zoneCopiedAt holds the copies in a second zone ordered within zoneCopyInterval.
 	zoneCopiedAt map[units.ModelID]clock.Time
+	// loads holds back targets that end or fail the engines that load them.
+	loads *retry.Holdback[units.ModelID]
 }
 
 // NewPlanner returns a Planner that keeps within the budget.
@@ -161,6 +164,7 @@
 	return &Planner{
 		budget: b, loadCredit: initialLoadCredit,
 		pending: map[placement]pendingOrder{}, loadedAt: map[placement]clock.Time{}, failedAt: map[placement]clock.Time{}, zoneCopiedAt: map[units.ModelID]clock.Time{},
+		loads: retry.NewHoldback[units.ModelID](),
 	}
 }
 
@@ -177,6 +181,7 @@
 	delete(p.pending, c.placement())
 	if c.Op == Load {
 		p.loadedAt[c.placement()] = now
+		p.loads.RecordSuccess(c.Target.ID)
 	}
 }
 
@@ -187,6 +192,13 @@
 	p.failedAt[c.placement()] = now
 }
 
+// LoadFailed records that an engine ended as it loaded a target, or failed to load it. It counts against the target
+// at all replicas.
+func (p *Planner) LoadFailed(now clock.Time, c Command) {
+	p.loads.RecordFailure(now, c.Target.ID, p.pending[c.placement()].sentAt)
+	p.OrderFailed(now, c)
+}
+
 // Plan returns the loads and unloads to order in this round, and counts them as pending.
 // It is meant to be called about once per second.
 func (p *Planner) Plan(now clock.Time, in Input) []Command {
@@ -222,7 +234,7 @@
 // for it.
 func (r *round) loadMissingTargets() {
 	for _, t := range r.sortedTargets {
-		if len(r.copies[t.ID]) > 0 || (t.Base != "" && !r.baseResident(t.Base)) {
+		if len(r.copies[t.ID]) > 0 || (t.Base != "" && !r.baseResident(t.Base)) || r.planner.loads.Blocked(r.now, t.ID) {
 			continue
 		}
 		if v := r.leastUtilized(t, 1); v != nil {
@@ -271,6 +283,9 @@
 // canLoad reports whether v may load t, apart from the memory that this needs.
 func (r *round) canLoad(v *replica, t Target) bool {
 	_, present := v.resident[t.ID]
+	if r.planner.loads.Blocked(r.now, t.ID) || r.planner.loads.Suspect(t.ID) && r.isLoading(t.ID) {
+		return false
+	}
 	return v.Usable && !present && !v.unloading[t.ID] && (t.Base == "" || v.resident[t.Base] && !v.unloading[t.Base]) && !r.recentlyFailed(v, t.ID)
 }
 
--- a/place/plan_test.go
+++ b/place/plan_test.go
@@ -320,3 +320,36 @@
 		}
 	}
 }
+
+// Guards against a model that ends one engine after another as they load it, and against models that are evicted to make
+// room for it meanwhile.
+func TestTargetThatEndsEnginesIsHeldBack(t *testing.T) {
+	f := smallSite()
+	p := place.NewPlanner(budget)
+	f.run(p, 0, 60_000, nil)
+	deadly := place.Target{ID: "deadly", Bytes: 16}
+	f.targets = append(f.targets, deadly)
+	demand := map[units.ModelID]place.Demand{deadly.ID: {Waiting: 5, ShortTerm: 50}}
+	ended, unloads := 0, 0
+	for now := clock.Time(60_000); now < 120_000; now = now.Add(clock.Second) {
+		f.completeOperations(now)
+		for _, c := range p.Plan(now, place.Input{Targets: f.targets, Replicas: f.replicas, Demand: demand}) {
+			if c.Target.ID != deadly.ID {
+				f.apply(now, c)
+				if c.Op == place.Unload {
+					unloads++
+				}
+				continue
+			}
+			i := slices.IndexFunc(f.replicas, func(r place.Replica) bool { return r.ID == c.Replica })
+			f.replicas[i].Resident, f.replicas[i].Free = nil, f.replicas[i].Capacity
+			ended++
+			p.LoadFailed(now.Add(500), c)
+		}
+	}
+	assert.Assert(t, ended >= 1 && ended <= 3, "%d engines ended", ended)
+	assert.Assert(t, unloads <= 3, "%d unloads", unloads)
+	for _, target := range f.targets[:len(f.targets)-1] {
+		assert.Assert(t, f.residentCopies(target.ID) >= 1, target.ID)
+	}
+}
--- a/place/round.go
+++ b/place/round.go
@@ -99,6 +99,7 @@
 	}
 	for _, id := range reported.Resident {
 		v.resident[id] = true
+		r.planner.loads.RecordSuccess(id)
 	}
 	r.activeLoads += len(reported.Loading)
 	r.replicas = append(r.replicas, v)
