assign, entry, relay: count upstreams that asked for a pause as loaded when models are placed

What callers saw: a model whose only copy is at an upstream that asked for a long pause was refused until its end, though another upstream had room; the log had a line each 100 ms that a report can't be read.

Cause: orders to such upstreams were withheld, but the planner knew of no pause and took them for idle.

Evidence: TestPausedEngineCountsAsLoaded, failed without the new work rate: no second copy within 12 s.

Why the fix works: the upstream keeps its copies, counts as fully loaded and gets no orders and no reads of its report, so that its models get copies elsewhere as they do on any loaded upstream. Pauses that only other gateways were told show as their misses.

--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -34,6 +34,8 @@
 	// unreachable are the engines to which gateways can't connect; replaced are those at whose addresses
 	// others answer.
 	unreachable, replaced map[units.UpstreamID]bool
+	// paused are the engines that asked for a pause.
+	paused map[units.UpstreamID]bool
 	// ordersTo counts the orders by engine.
 	ordersTo map[units.UpstreamID]int
 	// deadly is the model whose loads end the engines, ended the number of engines that it ended.
@@ -124,7 +126,7 @@
 			c.ledger.ReportStarted(id)
 			c.ledger.ApplyReport(now, id, e.acceptedOrders, e.residents(), e.activeOrder != nil)
 		}
-		input := assign.PlanInput{Services: map[units.ServiceID]*fleet.Service{service: c.service}, Demand: c.demand, InFlight: map[units.UpstreamID]int{}, Unreachable: c.unreachable}
+		input := assign.PlanInput{Services: map[units.ServiceID]*fleet.Service{service: c.service}, Demand: c.demand, InFlight: map[units.UpstreamID]int{}, Unreachable: c.unreachable, Paused: c.paused}
 		for _, o := range c.planner.Plan(now, input) {
 			c.sendOrder(now, o)
 		}
@@ -473,3 +475,17 @@
 	c.run(3001, 12_001)
 	assert.Assert(t, c.copies("new") > 0)
 }
+
+// Guards against orders to an engine within the pause that it asked for, and against a model whose only copy is there
+// and that is loaded nowhere else meanwhile.
+func TestPausedEngineCountsAsLoaded(t *testing.T) {
+	c := newCluster(t, 7, 18)
+	clear(c.engines["e6"].models)
+	c.setDemand(modelName(0), "", 2000, 0)
+	c.run(1, 3001)
+	before := c.ordersTo["e0"]
+	c.paused = map[units.UpstreamID]bool{"e0": true}
+	c.run(3001, 15_001)
+	assert.Equal(t, c.ordersTo["e0"], before)
+	assert.Assert(t, c.copies(modelName(0)) > 1, "the model is loaded elsewhere")
+}
--- a/assign/fill.go
+++ b/assign/fill.go
@@ -14,6 +14,11 @@
 // their upstreams are loaded as evenly as the other models on them allow.
 func (r *round) estimateWork() {
 	r.workRate = map[*upstreamState]float64{}
+	for _, s := range r.states {
+		if r.input.Paused[r.ids[s]] {
+			r.workRate[s] = engineCapacity
+		}
+	}
 	shares := map[units.ModelID]map[*upstreamState]float64{}
 	for range waterFillPasses {
 		for _, m := range r.engine.Models {
--- a/assign/plan.go
+++ b/assign/plan.go
@@ -35,6 +35,9 @@
 	// Unreachable holds the upstreams to which gateways can't connect. They get no orders, and what
 	// they hold doesn't count, so that it is loaded elsewhere before their keys expire.
 	Unreachable map[units.UpstreamID]bool
+	// Paused holds the upstreams that asked for a pause. They get no orders; what they hold counts, as on an
+	// upstream that is fully loaded.
+	Paused map[units.UpstreamID]bool
 	// InFlight is the number of requests in flight at each upstream.
 	InFlight map[units.UpstreamID]int
 }
@@ -172,7 +175,7 @@
 	// storeLoads is the number of loads from the weight store in flight.
 	storeLoads int
 	orders     []PlannedOrder
-	// ordered holds the upstreams that get an order in this round; each gets at most one.
+	// ordered holds the upstreams that get no further order in this round: they paused, or get one already.
 	ordered map[*upstreamState]bool
 }
 
@@ -189,6 +192,9 @@
 		}
 		r.ids[u] = id
 		r.states = append(r.states, u)
+		if input.Paused[id] {
+			r.ordered[u] = true
+		}
 	}
 	slices.SortFunc(r.states, func(a, b *upstreamState) int { return cmp.Compare(r.ids[a], r.ids[b]) })
 	for _, u := range r.states {
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -244,13 +244,16 @@
 	if !ok {
 		return
 	}
+	paused := o.controller.pausedUpstreams()
 	for _, id := range o.ledger.StaleUpstreams(now) {
-		o.readReport(id)
+		if !paused[id] {
+			o.readReport(id)
+		}
 	}
 	input := assign.PlanInput{
 		Services: services, Demand: o.controller.totalDemand(now),
 		ExcludedZones: o.controller.snapshot.ExcludedZones, InFlight: o.controller.requestsInFlight(),
-		Unreachable: o.controller.unreachableUpstreams(),
+		Unreachable: o.controller.unreachableUpstreams(), Paused: paused,
 	}
 	for _, order := range o.planner.Plan(now, input) {
 		o.sendOrder(now, order, epoch)
--- a/entry/residency.go
+++ b/entry/residency.go
@@ -197,6 +197,17 @@
 	return unreachable
 }
 
+// pausedUpstreams returns the upstreams that asked this gateway for a pause.
+func (c *controller) pausedUpstreams() map[units.UpstreamID]bool {
+	paused := map[units.UpstreamID]bool{}
+	for id, e := range c.snapshot.Upstreams {
+		if c.gateway.relay.Paused(e.Upstream) {
+			paused[id] = true
+		}
+	}
+	return paused
+}
+
 func toUpstreamIDs(ids []string) []units.UpstreamID {
 	out := make([]units.UpstreamID, 0, len(ids))
 	for _, id := range ids {
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -18,6 +18,11 @@
 	return s.notices.Leaving(notice.Process{Upstream: u.ID, Start: u.ProcessStart})
 }
 
+// Paused reports whether an upstream asked this gateway for a pause that has not ended.
+func (s *Server) Paused(u *fleet.Upstream) bool {
+	return s.notices.Pause(s.Clock.Now(), notice.Process{Upstream: u.ID, Start: u.ProcessStart}) > 0
+}
+
 // RecordNotice records what an upstream says of itself in an answer.
 func (s *Server) RecordNotice(u *fleet.Upstream, n notice.Notice) {
 	if !s.notices.Record(s.Clock.Now(), notice.Process{Upstream: u.ID, Start: u.ProcessStart}, n) {
