assign: hold a model back only while no upstream has loaded it

What callers saw: nothing shown. A model whose load an upstream did not survive would have got further copies one at a time although others held it.

Cause: that an upstream has a model ended its history only when the upstream listed it anew.

Why the fix works: the planner looks at the copies that are loaded when it decides.

--- a/assign/plan.go
+++ b/assign/plan.go
@@ -252,6 +252,9 @@
 
 // mayLoad reports whether a model may be loaded on one more upstream, by what became of those that loaded it.
 func (r *round) mayLoad(id units.ModelID) bool {
+	if r.isLoaded(id) {
+		return true
+	}
 	k, loads := modelKey{r.service.Name, id}, r.p.ledger.loads
 	if loads.Blocked(r.now, k) {
 		return false
@@ -259,6 +262,14 @@
 	return !loads.Suspect(k) || !slices.ContainsFunc(r.copies[id], func(s *upstreamState) bool { return s.loading == id })
 }
 
+// isLoaded reports whether an upstream has loaded the model, so that its loads do not end upstreams.
+func (r *round) isLoaded(id units.ModelID) bool {
+	return slices.ContainsFunc(r.copies[id], func(s *upstreamState) bool {
+		c, ok := s.models[id]
+		return ok && !c.loading
+	})
+}
+
 // withinStoreBudget reports whether the weight store's limits allow a load; a load from a host
 // copy is always allowed.
 func (r *round) withinStoreBudget(s *upstreamState, m units.ModelID) bool {
