parts: return the permit of an owner that answered late

What callers saw: requests with a new part waited up to two seconds longer where gateways are slow to answer each other.

Cause: the answer of an owner that came after the next one had been asked counted as that one's, so that the end of the request was told to the wrong gateway and the owner kept the permit until it ended by itself.

Evidence: found by reading the change; TestPermitOfLateOwnerIsReturned failed before (the owner is busy).

Why the fix works: all gateways that were asked for a permit learn of its start and its end.

--- a/parts/exchange.go
+++ b/parts/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -80,7 +81,7 @@
 	reach Reach
 	// tickedAt is the time of the last tick, informedAt when this gateway knows what the others know.
 	tickedAt, informedAt clock.Time
-	// asks are the unanswered requests to other gateways, granters the other gateways that granted requests.
+	// asks are the unanswered requests to other gateways, granters the other gateways that may have granted requests.
 	asks     map[partPermit]chan *wire.PartReply
 	granters map[partPermit][]units.VMID
 	// silentAt is when gateways did not answer; it has those that have not answered since.
@@ -124,6 +125,7 @@
 		klog.InfoS("parts: paused, others decide on parts", "for", now.Sub(e.tickedAt), "until", e.informedAt.Sub(now))
 	}
 	e.tickedAt = now
+	maps.DeleteFunc(e.silentAt, func(_ units.VMID, at clock.Time) bool { return now.Sub(at) >= silentTime })
 	if heard, reach := e.heard(); reach != e.reach {
 		klog.InfoS("parts: gateways heard", "heard", heard, "of", e.gateways, "before", e.reach, "reach", reach)
 		e.reach = reach
@@ -193,6 +195,7 @@
 // gateway's turn comes.
 func (e *Exchange) askOwners(ctx context.Context, p partPermit, stage Stage, informed bool) decision {
 	d := decision{}
+	var asked []units.VMID
 	for _, g := range e.candidates(p.part) {
 		if d.silent >= maxSilent || d.uninformed >= maxUninformed || ctx.Err() != nil {
 			break
@@ -204,7 +207,12 @@
 			}
 			continue
 		}
+		asked = append(asked, g.VM)
 		r, ok := e.askGateway(ctx, g, p, stage)
+		if ok && r.reply == Granted {
+			// A late answer of one that was asked before can't be told from this one.
+			e.addGranters(p, asked)
+		}
 		switch {
 		case ok && r.informed:
 			d.counts = &r
@@ -278,9 +286,6 @@
 	case m := <-answered:
 		e.setSilent(g.VM, 0)
 		reply, ok := decodeReply(m.GetReply())
-		if ok && reply == Granted {
-			e.addGranter(p, g.VM)
-		}
 		return ownerReply{reply, clock.Span(m.GetWaitMs()), !m.GetUninformed()}, ok
 	case <-timeout.C:
 		e.setSilent(g.VM, e.Clock.Now())
@@ -352,16 +357,18 @@
 	return Queued
 }
 
-// addGranter records that a gateway has granted a request. Several may have, if the first was not informed.
-func (e *Exchange) addGranter(p partPermit, vm units.VMID) {
+// addGranters records that one of some gateways, or each of them, has granted a request.
+func (e *Exchange) addGranters(p partPermit, list []units.VMID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !slices.Contains(e.granters[p], vm) {
-		e.granters[p] = append(e.granters[p], vm)
+	for _, vm := range list {
+		if !slices.Contains(e.granters[p], vm) {
+			e.granters[p] = append(e.granters[p], vm)
+		}
 	}
 }
 
-// grantersOf returns the other gateways that granted a request.
+// grantersOf returns the other gateways that may have granted a request.
 func (e *Exchange) grantersOf(p partPermit) []units.VMID {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/parts/exchange_test.go
+++ b/parts/exchange_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -22,6 +24,8 @@
 	silent, deaf map[units.VMID]bool
 	// cut are the gateways that exchange nothing with any other.
 	cut map[units.VMID]bool
+	// late is how late gateways answer.
+	late map[units.VMID]time.Duration
 }
 
 // fleetTransport is the Transport of the gateway vm.
@@ -59,7 +63,13 @@
 	}
 }
 
-func (t fleetTransport) Reply(to Sender, m *wire.PartMessage) { t.Send(to.VM, m) }
+func (t fleetTransport) Reply(to Sender, m *wire.PartMessage) {
+	if late, ok := t.fleet.late[t.vm]; ok {
+		time.AfterFunc(late, func() { t.Send(to.VM, m) })
+		return
+	}
+	t.Send(to.VM, m)
+}
 
 func (t fleetTransport) SentAt(_ Sender, _ uint64, sent clock.Time) (clock.Time, bool) {
 	return sent, true
@@ -217,6 +227,22 @@
 	assert.Equal(t, trials, 1)
 }
 
+// Guards against a permit that is never returned because its owner answered late, when the next one had been asked.
+func TestPermitOfLateOwnerIsReturned(t *testing.T) {
+	f := newExchangeFleet(4)
+	const part ID = 4711
+	ranked := f.exchanges[0].candidates(part)
+	asker := slices.IndexFunc(f.exchanges, func(e *Exchange) bool { return e.VM == ranked[3].VM })
+	owner := slices.IndexFunc(f.exchanges, func(e *Exchange) bool { return e.VM == ranked[0].VM })
+	f.late = map[units.VMID]time.Duration{ranked[0].VM: ownerTimeout + 10*time.Millisecond, ranked[1].VM: time.Second}
+	assert.Equal(t, f.ask(asker, part, 1), Granted)
+	f.exchanges[asker].Return(part, 1, Result{})
+	f.late = nil
+	for id := range Permit(maxUnproven) {
+		assert.Equal(t, f.ask(owner, part, 10+id), Granted)
+	}
+}
+
 // Guards against a trial that ends one more upstream while gateways that are not heard lose some too.
 func TestTrialWaitsWhileGatewaysAreNotHeard(t *testing.T) {
 	for reach, wait := range map[Reach]clock.Span{ReachAll: 0, ReachMost: trialDelay - 2000, ReachFew: trialDelay - 2000} {
