parts: renew the permits of requests whose answers take long to begin

What callers saw: more than three upstreams lost to a part where answers take more than two seconds to begin.

Cause: the permit of a request that was sent ended after two seconds, so that two more requests with the part were sent every two seconds until the first upstream ended.

Evidence: TestDeadlyPartEndsFewUpstreamsInAnyFleet with answers that begin after 5 s, in addition to 10 ms to 1.9 s: six upstreams before.

Why the fix works: the gateway that sent the request extends its permit each second until the answer begins, for 15 s at most, so that an upstream that hangs does not hold up others for longer. A gateway that is gone extends nothing, so that its permits still end after two seconds.

Ruled out: a longer permit, as each gateway that ends would hold up requests with a new part for as long.

--- a/coord/coord.go
+++ b/coord/coord.go
@@ -219,7 +219,7 @@
 func (s *state) tick() {
 	s.owner.Tick(s.now())
 	s.coord.partExchange.OnTick()
-	s.coord.parts.Expire()
+	s.coord.parts.Tick()
 	s.sendDemand()
 }
 
--- a/parts/fleet_test.go
+++ b/parts/fleet_test.go
@@ -126,6 +126,22 @@
 	return true
 }
 
+// tick calls Tick of all gateways every 100 ms until the function that it returns is called.
+func (f *testFleet) tick() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			for _, g := range f.guards {
+				g.Tick()
+			}
+			clock.Sleep(ctx, 100*time.Millisecond)
+		}
+	}()
+	return func() { cancel(); <-done }
+}
+
 // Guards against losses that grow with the number of gateways: with 1 to 100 of them, delays and lost
 // announcements, each of two deadly parts ends at most three upstreams within 4 s, and sound requests with
 // the same beginnings are served.
@@ -136,7 +152,7 @@
 		loss := rapid.SampledFrom([]int{0, 0, 2, 3}).Draw(rt, "loss")
 		gap := rapid.IntRange(20, 200).Draw(rt, "gap between deadly requests")
 		queued := rapid.SampledFrom([]int{0, 0, 100, 1200}).Draw(rt, "time in the queue")
-		took := rapid.SampledFrom([]int{10, 100, 300, 1000, 1900}).Draw(rt, "time to the answer")
+		took := rapid.SampledFrom([]int{10, 100, 300, 1000, 1900, 5000}).Draw(rt, "time to the answer")
 		synctest.Test(t, func(t *testing.T) { checkFleet(t, n, delay, loss, gap, queued, took) })
 	})
 }
@@ -152,6 +168,7 @@
 		g.SetOwners(remoteOwners{f, i})
 		f.guards = append(f.guards, g)
 	}
+	defer f.tick()()
 	const first, second, begin, middle parts.ID = 7, 8, 100, 200
 	deadlyParts := []parts.ID{first, second}
 	assert.Assert(t, f.send(0, 1, []parts.ID{begin, middle}, deadlyParts, 0, time.Millisecond))
--- a/parts/guard.go
+++ b/parts/guard.go
@@ -17,6 +17,11 @@
 	// confirmMargin is the time left of reserveTime below which the owner is asked again before the request
 	// is sent. It covers the way of the message that extends the permit.
 	confirmMargin = 50 * clock.Millisecond
+	// renewInterval is the interval at which the permit of a request is renewed whose answer has not begun, and
+	// maxRenewal the time from when it was sent after which it is not: upstreams that hang must not
+	// keep other requests with the part waiting.
+	renewInterval = sentPermitTTL / 2
+	maxRenewal    = 15 * clock.Second
 )
 
 // Owners passes what a Guard wants to know and to tell to the gateways that own parts. Its methods are
@@ -55,11 +60,20 @@
 	// asks has a channel for each part about which a request asks the owner. It is closed when the
 	// request has its answer; other requests with the part wait for it.
 	asks map[ID]chan struct{}
+	// unanswered are the requests with permits that were sent and whose answers have not begun.
+	unanswered map[*Ticket]sentRequest
+}
+
+// sentRequest is a request with permits that was sent. renewedAt is when its permits were extended last.
+type sentRequest struct {
+	parts             []ID
+	id                Permit
+	sentAt, renewedAt clock.Time
 }
 
 // NewGuard returns a Guard that owns all parts until SetOwners is called.
 func NewGuard(c clock.Clock) *Guard {
-	g := &Guard{clock: c, ledger: NewLedger(), asks: map[ID]chan struct{}{}, onVerdict: func(Verdict, bool) {}}
+	g := &Guard{clock: c, ledger: NewLedger(), asks: map[ID]chan struct{}{}, onVerdict: func(Verdict, bool) {}, unanswered: map[*Ticket]sentRequest{}}
 	g.owners = soleOwner{g}
 	return g
 }
@@ -262,9 +276,46 @@
 		}
 	}
 	t.sentAt = t.guard.clock.Now()
+	t.guard.addUnanswered(t)
 	return Granted, 0
 }
 
+// addUnanswered adds a request that is sent now, if it has permits.
+func (g *Guard) addUnanswered(t *Ticket) {
+	if len(t.granted) == 0 {
+		return
+	}
+	r := sentRequest{id: t.id, sentAt: t.sentAt, renewedAt: t.sentAt}
+	for _, p := range t.granted {
+		r.parts = append(r.parts, p.part)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unanswered[t] = r
+}
+
+// removeUnanswered removes a request whose answer has begun or that has ended.
+func (g *Guard) removeUnanswered(t *Ticket) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.unanswered, t)
+}
+
+// takeRenewals returns the requests whose permits have to be extended now.
+func (g *Guard) takeRenewals(now clock.Time) []sentRequest {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var due []sentRequest
+	for t, r := range g.unanswered {
+		if now.Sub(r.renewedAt) >= renewInterval && now.Sub(r.sentAt) < maxRenewal {
+			r.renewedAt = now
+			g.unanswered[t] = r
+			due = append(due, r)
+		}
+	}
+	return due
+}
+
 // confirmPart extends a permit, and asks for it again if others may have it meanwhile.
 func (t *Ticket) confirmPart(ctx context.Context, p grantedPermit) (Reply, clock.Span) {
 	if t.guard.clock.Now().Sub(p.askedAt) < reserveTime-confirmMargin {
@@ -298,6 +349,7 @@
 		return
 	}
 	t.began = true
+	t.guard.removeUnanswered(t)
 	var refuted []Suspect
 	t.guard.mu.Lock()
 	for _, part := range t.parts {
@@ -331,6 +383,7 @@
 // End ends the attempt for which the ticket was acquired. crash is nil unless the upstream crashed
 // before the answer began. It returns the parts that the crash makes suspect.
 func (t *Ticket) End(crash *Crash) []Suspect {
+	t.guard.removeUnanswered(t)
 	var suspects []Suspect
 	if crash != nil && !t.began {
 		suspects = t.guard.recordCrash(t.parts, *crash)
@@ -415,11 +468,18 @@
 	return g.ledger.Suspects(g.clock.Now(), n)
 }
 
-// Expire drops permits that have expired. The caller has to call it periodically.
-func (g *Guard) Expire() {
+// Tick renews the permits of requests that wait for their answers, and drops those that have expired. The caller
+// has to call it several times per second.
+func (g *Guard) Tick() {
+	now := g.clock.Now()
+	for _, r := range g.takeRenewals(now) {
+		for _, part := range r.parts {
+			g.owners.Extend(part, r.id)
+		}
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.ledger.Expire(g.clock.Now())
+	g.ledger.Expire(now)
 }
 
 // soleOwner is the Owners of a gateway without others.
--- a/relay/server.go
+++ b/relay/server.go
@@ -118,7 +118,7 @@
 	s.mu.Lock()
 	s.Scheduler.Dispatch(s.Clock.Now())
 	s.mu.Unlock()
-	s.Parts.Expire()
+	s.Parts.Tick()
 	s.pool.closeExpired()
 }
 
