parts: bound the messages that one request with many parts costs

What callers saw: nothing yet; a request whose Prompt-Prefix lists thousands of new parts would have cost four messages between gateways for each of them, and waited for one answer after the other.

Cause: the gateway with agents looks at 16 messages, the one on the platform looked at all parts.

Evidence: TestPromptOfManyPartsCostsFewMessages, 10,000 asks before, 32 now.

Why the fix works: the bound is in the one place that both ways in use. Prompts of the sites have up to four parts.

Open: a part after the first 32 is not looked at.

--- a/parts/guard.go
+++ b/parts/guard.go
@@ -12,6 +12,9 @@
 )
 
 const (
+	// maxParts bounds the parts of a prompt that are looked at, those at the beginning first: an unproven one costs
+	// messages between gateways.
+	maxParts = 32
 	// busyPoll is the time after which a busy owner is asked again.
 	busyPoll = 25 * time.Millisecond
 	// confirmMargin is the time left of reserveTime below which the owner is asked again before the request
@@ -143,6 +146,7 @@
 // Acquire waits until a request with the prompt may be sent. It returns nil and the time after which the
 // caller may come back if a part or the target is refused, and nil and 0 if ctx is done before.
 func (g *Guard) Acquire(ctx context.Context, p Prompt) (*Ticket, clock.Span) {
+	p.Parts = p.Parts[:min(len(p.Parts), maxParts)]
 	t := &Ticket{guard: g, parts: p.all(), id: Permit(rand.Uint64()), crashes: map[ID]int{}}
 	if !g.mayTry(t.parts) {
 		return nil, retryTime(trialDelay)
--- a/parts/guard_test.go
+++ b/parts/guard_test.go
@@ -31,3 +31,30 @@
 	ticket, _ = g.Acquire(context.Background(), parts.Prompt{Parts: []parts.ID{session, deadly}})
 	assert.Assert(t, ticket != nil)
 }
+
+// countingOwners grants each request and counts how often it is asked.
+type countingOwners struct{ asks int }
+
+func (o *countingOwners) Ask(context.Context, parts.ID, parts.Permit, parts.Stage) (parts.Reply, clock.Span) {
+	o.asks++
+	return parts.Granted, 0
+}
+
+func (*countingOwners) Extend(parts.ID, parts.Permit) {}
+
+func (*countingOwners) Return(parts.ID, parts.Permit, parts.Result) {}
+
+func (*countingOwners) Announce([]parts.Suspect) {}
+
+// Guards against a caller that lets each of its requests cost thousands of messages between gateways.
+func TestPromptOfManyPartsCostsFewMessages(t *testing.T) {
+	g, o := parts.NewGuard(clock.NewManual(1000)), &countingOwners{}
+	g.SetOwners(o)
+	prompt := parts.Prompt{}
+	for i := range parts.ID(10_000) {
+		prompt.Parts = append(prompt.Parts, 1+i)
+	}
+	ticket, _ := g.Acquire(context.Background(), prompt)
+	assert.Assert(t, ticket != nil)
+	assert.Assert(t, o.asks <= 32, "%d asks", o.asks)
+}
