relay, retry, parts: blame parts also where an upstream's process is started again at once

What callers saw: nothing yet; where a supervisor starts an engine again within some 40 ms, a part that ends each engine would never have been refused.

Cause: whether a process has ended was asked by connecting to its address, three times within 40 ms. A new process accepts the connection, and the evidence was dropped.

Why the fix works: an answer that broke off before it began, without a timeout, is kept for 5 s with its parts, as it was for the exact request already. If the view shows another process of the upstream by then, or its address refuses a connection, it counts as a crash at the time at which the request was sent, so that later answers refute it.

Open: an upstream that falls silent instead of closing its connections is no crash.

--- a/parts/guard.go
+++ b/parts/guard.go
@@ -400,13 +400,29 @@
 		}
 	}
 	t.release()
-	if len(suspects) > 0 {
-		t.guard.owners.Announce(suspects)
-		t.guard.reportVerdicts(suspects)
+	t.guard.announceCrash(suspects)
+	return suspects
+}
+
+// RecordCrash records, after the ticket has ended, that the upstream turns out to have crashed before an answer began.
+// It returns the parts that the crash makes suspect.
+func (t *Ticket) RecordCrash(crash Crash) []Suspect {
+	if t.began {
+		return nil
 	}
+	suspects := t.guard.recordCrash(t.parts, crash)
+	t.guard.announceCrash(suspects)
 	return suspects
 }
 
+// announceCrash tells all gateways, and reports, what is known of the parts that a crash makes suspect.
+func (g *Guard) announceCrash(suspects []Suspect) {
+	if len(suspects) > 0 {
+		g.owners.Announce(suspects)
+		g.reportVerdicts(suspects)
+	}
+}
+
 // recordCrash returns the parts of the prompt that the crash makes suspect.
 func (g *Guard) recordCrash(prompt []ID, crash Crash) []Suspect {
 	g.mu.Lock()
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -4,6 +4,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/sched"
 	"github.com/magnolialever/magnolialever/stats"
@@ -25,6 +26,13 @@
 	}
 }
 
+// onProcessEnd calls f, with s.mu held, if the upstream's process turns out soon to have ended.
+func (s *Server) onProcessEnd(u *fleet.Upstream, f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes.OnProcessEnd(s.Clock.Now(), u.ID, u.ProcessStart, f)
+}
+
 // isCrashSuspect reports whether the request has crashed too many upstreams to be sent again.
 func (s *Server) isCrashSuspect(f retry.Fingerprint) bool {
 	s.mu.Lock()
--- a/relay/part.go
+++ b/relay/part.go
@@ -97,18 +97,29 @@
 		return
 	}
 	upstream := scheduled.Upstream
-	ended := !x.timedOut && x.ticket.NeedsCause() && processEnded(ctx, upstream.Address)
+	needsCause := !x.timedOut && x.ticket.NeedsCause()
+	ended := needsCause && processEnded(ctx, upstream.Address)
 	klog.InfoS("relay: answer broke off", "request", x.callerRequest.RequestID, "upstream", upstream.ID, "start", upstream.ProcessStart,
 		"events", x.stream.delivered, "ended", ended, "parts", partIDs(x.callerRequest.PromptParts), "sends", x.sends, "runs", x.runs, "reason", x.reason)
-	if !ended {
-		x.ticket.End(nil)
+	crash := parts.Crash{ID: retry.NewCrashID(upstream.ID, upstream.ProcessStart), SentAt: x.ticket.SentAt()}
+	if ended {
+		x.server.markUpstreamEnded(upstream.ID)
+		x.logSuspects(upstream.ID, x.ticket.End(&crash))
 		return
 	}
-	x.server.markUpstreamEnded(upstream.ID)
-	crash := parts.Crash{ID: retry.NewCrashID(upstream.ID, upstream.ProcessStart), SentAt: x.ticket.SentAt()}
-	for _, s := range x.ticket.End(&crash) {
+	ticket := x.ticket
+	ticket.End(nil)
+	if needsCause {
+		// A process that is started again at once refuses no connection.
+		x.server.onProcessEnd(upstream.Upstream, func() { x.logSuspects(upstream.ID, ticket.RecordCrash(crash)) })
+	}
+}
+
+// logSuspects logs the parts that an upstream's end made suspect.
+func (x *exchange) logSuspects(upstream units.UpstreamID, list []parts.Suspect) {
+	for _, s := range list {
 		stats.Event("part_suspects")
-		klog.InfoS("relay: part suspect", "request", x.callerRequest.RequestID, "upstream", upstream.ID, "part", s.Part, "crashes", len(s.Crashes))
+		klog.InfoS("relay: part suspect", "request", x.callerRequest.RequestID, "upstream", upstream, "part", s.Part, "crashes", len(s.Crashes))
 	}
 }
 
--- a/relay/part_test.go
+++ b/relay/part_test.go
@@ -100,3 +100,33 @@
 	}
 	assert.Assert(t, ended <= 3, "%d upstreams received a request for the adapter", ended)
 }
+
+// Guards against a part that ends one upstream after another where their processes are started again at once, so that
+// their addresses refuse no connection: the view shows the new process.
+func TestPartThatEndsUpstreamsWhichRestartAtOnceIsStopped(t *testing.T) {
+	const deadly = "dead1"
+	ended := make(chan string, 100)
+	all := make([]*fakes.Replica, 6)
+	for i := range all {
+		all[i] = startReplica(t, fmt.Sprint("r", i), func(r *fakes.Request) {
+			if r.HasPromptPart(deadly) {
+				ended <- all[i].Instance
+				r.CloseConnection()
+				return
+			}
+			r.Stream(1, 3, true)
+		})
+	}
+	r := newTestGateway(t, all...)
+	assert.Equal(t, r.sendParts("first", "shared", "own-first").status, http.StatusOK)
+	restarts := 0
+	for i := range 6 {
+		r.sendParts(fmt.Sprint("bad", i), "shared", deadly, fmt.Sprint("own-bad", i))
+		for len(ended) > 0 {
+			restarts++
+			r.restart(<-ended)
+		}
+	}
+	assert.Assert(t, restarts <= 3, "%d processes ended", restarts)
+	assert.Equal(t, r.sendParts("good", "shared", "own-good").status, http.StatusOK)
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -112,6 +112,20 @@
 	return r
 }
 
+// restart shows the gateway a new process of a replica.
+func (r *testGateway) restart(instance string) {
+	next := &view.Snapshot{Config: r.snapshot.Config, Upstreams: map[units.UpstreamID]*view.Entry{}}
+	for id, e := range r.snapshot.Upstreams {
+		upstream := *e.Upstream
+		if upstream.ID == units.UpstreamID(instance) {
+			upstream.ProcessStart++
+		}
+		next.Upstreams[id] = &view.Entry{Upstream: &upstream}
+	}
+	r.snapshot = next
+	r.server.SetView(next)
+}
+
 // startReplica starts a replica that has model "small" with adapter "a1" loaded and runs the script
 // for each request.
 func startReplica(t *testing.T, name string, script func(r *fakes.Request)) *fakes.Replica {
--- a/retry/crash.go
+++ b/retry/crash.go
@@ -36,11 +36,18 @@
 type CrashDetector struct {
 	suspects *Suspects
 	pending  map[incarnation][]brokenResponse
+	waiting  map[incarnation][]waiter
+}
+
+// waiter is a function that is called if the process has ended soon after a time.
+type waiter struct {
+	at    clock.Time
+	ended func()
 }
 
 // NewCrashDetector returns a CrashDetector without suspects.
 func NewCrashDetector() *CrashDetector {
-	return &CrashDetector{suspects: NewSuspects(), pending: map[incarnation][]brokenResponse{}}
+	return &CrashDetector{suspects: NewSuspects(), pending: map[incarnation][]brokenResponse{}, waiting: map[incarnation][]waiter{}}
 }
 
 // RecordBrokenResponse records that the response to the request f broke off; processStart
@@ -54,10 +61,41 @@
 	c.pending[p] = append(list, brokenResponse{f, now})
 }
 
+// OnProcessEnd calls the function ended, from CheckProcesses or RecordProcessEnd, if the upstream's process turns out
+// within crashWindow to have ended.
+func (c *CrashDetector) OnProcessEnd(now clock.Time, upstream units.UpstreamID, processStart int64, ended func()) {
+	p := incarnation{upstream, processStart}
+	c.waiting[p] = append(recentWaiters(now, c.waiting[p]), waiter{now, ended})
+}
+
+// recentWaiters returns the waiters within crashWindow, the last maxPendingResponses-1 at most.
+func recentWaiters(now clock.Time, list []waiter) []waiter {
+	list = slices.DeleteFunc(list, func(w waiter) bool { return now.Sub(w.at) > crashWindow })
+	return list[max(len(list)-maxPendingResponses+1, 0):]
+}
+
+// callWaiters calls the waiters of the processes that have ended.
+func (c *CrashDetector) callWaiters(now clock.Time, ended func(upstream units.UpstreamID, processStart int64) bool) {
+	for p, list := range c.waiting {
+		list = recentWaiters(now, list)
+		if len(list) > 0 && ended(p.upstream, p.start) {
+			for _, w := range list {
+				w.ended()
+			}
+			list = nil
+		}
+		c.waiting[p] = list
+		if len(list) == 0 {
+			delete(c.waiting, p)
+		}
+	}
+}
+
 // CheckProcesses calls ended for each process with broken responses within crashWindow. If it
 // returns true, it records a crash for each of their requests. It returns the number of these
 // requests.
 func (c *CrashDetector) CheckProcesses(now clock.Time, ended func(upstream units.UpstreamID, processStart int64) bool) int {
+	c.callWaiters(now, ended)
 	reported := 0
 	for p, list := range c.pending {
 		list = slices.DeleteFunc(list, func(b brokenResponse) bool { return now.Sub(b.at) > crashWindow })
