--- a/parts/guard.go
+++ b/parts/guard.go
@@ -67,13 +67,6 @@
 	unanswered map[*Ticket]sentRequest
 }
 
-// sentRequest is a request with permits that was sent. renewedAt is when its permits were extended last.
-type sentRequest struct {
-	parts             []ID
-	id                Permit
-	sentAt, renewedAt clock.Time
-}
-
 // NewGuard returns a Guard that owns all parts until SetOwners is called.
 func NewGuard(c clock.Clock) *Guard {
 	g := &Guard{clock: c, ledger: NewLedger(), asks: map[ID]chan struct{}{}, onVerdict: func(Verdict, bool) {}, unanswered: map[*Ticket]sentRequest{}}
@@ -123,26 +116,6 @@
 	}
 }
 
-// Ticket is the permission to send one request.
-type Ticket struct {
-	guard *Guard
-	// parts are the parts of the prompt and the target.
-	parts []ID
-	// granted are the permits whose owner has to learn how the request ended.
-	granted []grantedPermit
-	// crashes are the numbers of crashes for which parts were refused already when the ticket was granted.
-	crashes map[ID]int
-	id      Permit
-	sentAt  clock.Time
-	began   bool
-}
-
-// grantedPermit is the permit for a part, granted after askedAt.
-type grantedPermit struct {
-	part    ID
-	askedAt clock.Time
-}
-
 // Acquire waits until a request with the prompt may be sent. It returns nil and the time after which the
 // caller may come back if a part or the target is refused, and nil and 0 if ctx is done before.
 func (g *Guard) Acquire(ctx context.Context, p Prompt) (*Ticket, clock.Span) {
@@ -266,155 +239,6 @@
 	return wait + clock.Span(rand.Int64N(int64(wait)))
 }
 
-// Confirm has to be called right before the request is sent. It returns Granted if the request may be sent.
-// Denied means that a part was refused meanwhile, with the time after which the caller may come back, and
-// Busy that a permit has ended meanwhile, so that the request needs a new ticket. A part that was refused
-// when the ticket was granted is on trial.
-func (t *Ticket) Confirm(ctx context.Context) (Reply, clock.Span) {
-	if refused, retryAfter := t.refused(); refused {
-		return Denied, retryAfter
-	}
-	for _, p := range slices.Clone(t.granted) {
-		if reply, wait := t.confirmPart(ctx, p); reply == Busy || reply == Denied {
-			return reply, retryTime(wait)
-		}
-	}
-	t.sentAt = t.guard.clock.Now()
-	t.guard.addUnanswered(t)
-	return Granted, 0
-}
-
-// addUnanswered adds a request that is sent now, if it has permits.
-func (g *Guard) addUnanswered(t *Ticket) {
-	if len(t.granted) == 0 {
-		return
-	}
-	r := sentRequest{id: t.id, sentAt: t.sentAt, renewedAt: t.sentAt}
-	for _, p := range t.granted {
-		r.parts = append(r.parts, p.part)
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.unanswered[t] = r
-}
-
-// removeUnanswered removes a request whose answer has begun or that has ended.
-func (g *Guard) removeUnanswered(t *Ticket) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	delete(g.unanswered, t)
-}
-
-// takeRenewals returns the requests whose permits have to be extended now.
-func (g *Guard) takeRenewals(now clock.Time) []sentRequest {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var due []sentRequest
-	for t, r := range g.unanswered {
-		if now.Sub(r.renewedAt) >= renewInterval && now.Sub(r.sentAt) < maxRenewal {
-			r.renewedAt = now
-			g.unanswered[t] = r
-			due = append(due, r)
-		}
-	}
-	return due
-}
-
-// confirmPart extends a permit, and asks for it again if others may have it meanwhile.
-func (t *Ticket) confirmPart(ctx context.Context, p grantedPermit) (Reply, clock.Span) {
-	if t.guard.clock.Now().Sub(p.askedAt) < reserveTime-confirmMargin {
-		t.guard.owners.Extend(p.part, t.id)
-		return Granted, 0
-	}
-	reply, wait := t.guard.owners.Ask(ctx, p.part, t.id, Sending)
-	if reply == Harmless {
-		t.guard.recordHarmless(p.part)
-	}
-	return reply, wait
-}
-
-// refused reports whether one of the ticket's parts is refused now for more crashes than when the ticket was
-// granted, and returns the time until its next trial.
-func (t *Ticket) refused() (bool, clock.Span) {
-	t.guard.mu.Lock()
-	defer t.guard.mu.Unlock()
-	for _, part := range t.parts {
-		if t.guard.ledger.Verdict(part).Crashes > t.crashes[part] {
-			_, wait := t.guard.ledger.State(t.guard.clock.Now(), part)
-			return true, retryTime(wait)
-		}
-	}
-	return false, 0
-}
-
-// Began records that an answer to the request has begun. All of its parts are harmless.
-func (t *Ticket) Began() {
-	if t.began {
-		return
-	}
-	t.began = true
-	t.guard.removeUnanswered(t)
-	var refuted []Suspect
-	t.guard.mu.Lock()
-	for _, part := range t.parts {
-		if t.guard.ledger.RecordBegan(part, t.guard.clock.Now()) {
-			s, _ := t.guard.ledger.Get(part)
-			refuted = append(refuted, s)
-		}
-	}
-	t.guard.mu.Unlock()
-	for _, p := range t.granted {
-		t.guard.owners.Return(p.part, t.id, Result{Began: true})
-	}
-	t.granted = nil
-	if len(refuted) > 0 {
-		t.guard.owners.Announce(refuted)
-		t.guard.reportVerdicts(refuted)
-	}
-}
-
-// NeedsCause reports whether a part would become suspect if the upstream has crashed: no answer with it
-// has begun since the request was sent.
-func (t *Ticket) NeedsCause() bool {
-	if t.began {
-		return false
-	}
-	t.guard.mu.Lock()
-	defer t.guard.mu.Unlock()
-	return slices.ContainsFunc(t.parts, func(part ID) bool { return t.guard.ledger.proven.beganAt(part).Before(t.sentAt) })
-}
-
-// End ends the attempt for which the ticket was acquired. crash is nil unless the upstream crashed
-// before the answer began. It returns the parts that the crash makes suspect.
-func (t *Ticket) End(crash *Crash) []Suspect {
-	t.guard.removeUnanswered(t)
-	var suspects []Suspect
-	if crash != nil && !t.began {
-		suspects = t.guard.recordCrash(t.parts, *crash)
-	}
-	for _, s := range suspects {
-		if i := slices.IndexFunc(t.granted, func(p grantedPermit) bool { return p.part == s.Part }); i >= 0 {
-			// The owner learns of the crash together with the end of the permit.
-			t.guard.owners.Return(s.Part, t.id, Result{Suspect: &s})
-			t.granted = slices.Delete(t.granted, i, i+1)
-		}
-	}
-	t.release()
-	t.guard.announceCrash(suspects)
-	return suspects
-}
-
-// RecordCrash records, after the ticket has ended, that the upstream turns out to have crashed before an answer began.
-// It returns the parts that the crash makes suspect.
-func (t *Ticket) RecordCrash(crash Crash) []Suspect {
-	if t.began {
-		return nil
-	}
-	suspects := t.guard.recordCrash(t.parts, crash)
-	t.guard.announceCrash(suspects)
-	return suspects
-}
-
 // announceCrash tells all gateways, and reports, what is known of the parts that a crash makes suspect.
 func (g *Guard) announceCrash(suspects []Suspect) {
 	if len(suspects) > 0 {
@@ -436,17 +260,6 @@
 	return suspects
 }
 
-// SentAt returns when the request was sent.
-func (t *Ticket) SentAt() clock.Time { return t.sentAt }
-
-// release returns the permits of the ticket.
-func (t *Ticket) release() {
-	for _, p := range t.granted {
-		t.guard.owners.Return(p.part, t.id, Result{})
-	}
-	t.granted = nil
-}
-
 // Request decides, as the owner of a part that hears some of the gateways, on a request of any gateway.
 func (g *Guard) Request(part ID, id Permit, stage Stage, reach Reach) (Reply, clock.Span) {
 	g.mu.Lock()
@@ -488,20 +301,6 @@
 	return g.ledger.Suspects(g.clock.Now(), n)
 }
 
-// Tick renews the permits of requests that wait for their answers, and drops those that have expired. The caller
-// has to call it several times per second.
-func (g *Guard) Tick() {
-	now := g.clock.Now()
-	for _, r := range g.takeRenewals(now) {
-		for _, part := range r.parts {
-			g.owners.Extend(part, r.id)
-		}
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.ledger.Expire(now)
-}
-
 // soleOwner is the Owners of a gateway without others.
 type soleOwner struct{ guard *Guard }
 
