--- a/entry/orders.go
+++ b/entry/orders.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -11,12 +10,9 @@
 	"github.com/magnolialever/magnolialever/assign"
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/elect"
-	"github.com/magnolialever/magnolialever/fleet"
-	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
-	"github.com/magnolialever/magnolialever/view"
 )
 
 const (
@@ -115,15 +111,6 @@
 	}
 }
 
-// handleItem handles a change of the leader's key.
-func (o *orderManager) handleItem(i platform.Item) {
-	vm := units.VMID(i.Value)
-	if i.Deleted {
-		vm = ""
-	}
-	o.elector.RecordHolder(o.gateway.clock.Now(), i.Revision, vm)
-}
-
 // onTick tries to acquire or renew the leader's lease and plans, each when it is due.
 func (o *orderManager) onTick(now clock.Time) {
 	switch {
@@ -142,91 +129,6 @@
 	}
 }
 
-// setGateways sets the registered gateways, from which acquireDelay follows.
-func (o *orderManager) setGateways(registered []member.Gateway) {
-	ranked := member.RankStrongest(registered, leaderKey)
-	place := slices.IndexFunc(ranked, func(g member.Gateway) bool { return g.VM == o.gateway.settings.VM })
-	o.acquireDelay = acquireDelayStep * clock.Span(min(max(place, 0), maxAcquireDelaySteps))
-}
-
-// acquireLease tries to create the leader's key with a new lease. The result is a leaseAcquired
-// message.
-func (o *orderManager) acquireLease(now clock.Time) {
-	o.callPending, o.acquireTriedAt = true, now
-	o.gateway.startCall(func(ctx context.Context) {
-		m := leaseAcquired{startedAt: o.gateway.clock.Now()}
-		m.lease, m.ttl, m.err = o.gateway.store.GrantLease(ctx, max(elect.LeaseTTL, o.gateway.settings.MinLeaseTTL))
-		if m.err == nil {
-			var rev units.Revision
-			rev, m.err = o.gateway.store.Commit(ctx, platform.Txn{
-				If:  []platform.Condition{{Key: leaderKey}},
-				Put: []platform.Write{{Key: leaderKey, Value: []byte(o.gateway.settings.VM), Lease: m.lease}},
-			})
-			m.epoch = units.Epoch(rev)
-		}
-		o.gateway.post(m)
-	})
-}
-
-// handleAcquired records the result of an attempt to become the leader. After a conflict it records
-// the current leader.
-func (o *orderManager) handleAcquired(now clock.Time, m leaseAcquired) {
-	o.callPending = false
-	if m.err != nil {
-		var c *platform.Conflict
-		if errors.As(m.err, &c) && len(c.Items) == 1 {
-			o.handleItem(c.Items[0])
-			return
-		}
-		klog.InfoS("entry: duty not taken", "err", m.err)
-		return
-	}
-	o.lease, o.ttl, o.renewedAt = m.lease, m.ttl, m.startedAt
-	o.elector.Acquired(now, m.startedAt, m.epoch, m.ttl)
-	klog.InfoS("entry: duty taken", "epoch", m.epoch)
-}
-
-// renewLease renews the leader's lease. The result is a leaseRenewed message.
-func (o *orderManager) renewLease(now clock.Time) {
-	o.callPending, o.renewedAt = true, now
-	lease := o.lease
-	o.gateway.startCall(func(ctx context.Context) {
-		startedAt := o.gateway.clock.Now()
-		o.gateway.post(leaseRenewed{startedAt, o.gateway.store.RenewLease(ctx, lease)})
-	})
-}
-
-func (o *orderManager) handleRenewed(m leaseRenewed) {
-	o.callPending = false
-	switch {
-	case m.err == nil:
-		o.elector.Renewed(m.startedAt, o.ttl)
-	case errors.Is(m.err, platform.ErrLeaseNotFound):
-		klog.InfoS("entry: duty lost", "err", m.err)
-		o.elector.Lost(o.gateway.clock.Now())
-	default:
-		klog.InfoS("entry: duty not renewed", "err", m.err)
-	}
-}
-
-// resign gives up leadership at a planned stop and revokes the lease, so that another gateway can
-// become the leader at once.
-func (o *orderManager) resign(ctx context.Context) {
-	o.draining = true
-	if !o.elector.Holds(o.gateway.clock.Now()) {
-		return
-	}
-	o.elector.Lost(o.gateway.clock.Now())
-	lease := o.lease
-	o.gateway.startCall(func(context.Context) {
-		revokeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeTimeout)
-		defer cancel()
-		if err := o.gateway.store.RevokeLease(revokeCtx, lease); err != nil {
-			klog.InfoS("entry: duty stays until its lease ends", "err", err)
-		}
-	})
-}
-
 // plan updates the ledger and, if this gateway is the leader, reads missing reports and sends the
 // orders that the planner returns.
 func (o *orderManager) plan(now clock.Time) {
@@ -377,82 +279,3 @@
 		return assign.Unanswered
 	}
 }
-
-// residencyChange is a load or unload ordered by the leader that the upstream's description may not
-// show yet.
-type residencyChange struct {
-	upstream units.UpstreamID
-	// processStart identifies the upstream's process, as fleet.Upstream.ProcessStart.
-	processStart int64
-	model        units.ModelID
-	// adapter is empty if the model itself changes.
-	adapter string
-	// unloaded is set for an unload.
-	unloaded bool
-	// acceptedOrders is the number of orders that the upstream has accepted, including this one.
-	acceptedOrders int64
-	// at is when this gateway recorded the change.
-	at clock.Time
-	announcement
-}
-
-// announcement says how often the leader has told the other gateways of a change.
-type announcement struct {
-	// ordered is set if this gateway has ordered the change.
-	ordered       bool
-	announcements int
-	announcedAt   clock.Time
-}
-
-// announcementDue reports whether the change has to be announced now.
-func (a *announcement) announcementDue(now clock.Time) bool {
-	switch {
-	case !a.ordered || a.announcements >= maxAnnouncements:
-		return false
-	case a.announcements == 0:
-		return true
-	default:
-		return now.Sub(a.announcedAt) >= announceRepeatDelay
-	}
-}
-
-// maxDescriptionDelay is the greatest age of a description at its receipt.
-const maxDescriptionDelay = clock.Second
-
-// apply returns the upstream's description with the change applied. A description of another
-// process, or one received more than maxDescriptionDelay after the change, which shows it, is
-// returned as it is.
-func (r *residencyChange) apply(e *view.Entry) *fleet.Upstream {
-	u := e.Upstream
-	if u.ProcessStart != r.processStart || e.ReceivedAt.Sub(r.at) > maxDescriptionDelay {
-		return u
-	}
-	out := *u
-	out.Models = make([]fleet.Resident, 0, len(u.Models)+1)
-	for _, m := range u.Models {
-		if m.Model == r.model {
-			if r.adapter == "" && r.unloaded {
-				continue
-			}
-			if r.adapter != "" {
-				m.Adapters = removeAdapter(m.Adapters, r.adapter)
-				if !r.unloaded {
-					m.Adapters = append(m.Adapters, r.adapter)
-				}
-			}
-		}
-		out.Models = append(out.Models, m)
-	}
-	return &out
-}
-
-// removeAdapter returns a copy of adapters without removed.
-func removeAdapter(adapters []string, removed string) []string {
-	out := make([]string, 0, len(adapters)+1)
-	for _, s := range adapters {
-		if s != removed {
-			out = append(out, s)
-		}
-	}
-	return out
-}
