parts: don't believe crashes and answers of the future

What callers saw: nothing; a faulty gateway's message could have made a part refused, or harmless, for good.

Cause: ages in messages between gateways and the time at which they were sent were taken as they came. A negative age puts a crash into the future, where no answer refutes it.

Why the fix works: a negative age counts as 0, and a message counts as sent now at the latest.

--- a/parts/codec.go
+++ b/parts/codec.go
@@ -61,18 +61,21 @@
 	return out
 }
 
+// ageOf converts an age from wire format; one that is negative becomes 0.
+func ageOf(ms int64) clock.Span { return clock.Span(max(ms, 0)) }
+
 // decodeSuspect decodes a suspect whose ages count back from sentAt.
 func decodeSuspect(m *wire.PartSuspect, sentAt clock.Time, dated bool) Suspect {
 	s := Suspect{Part: ID(m.GetPart())}
 	switch {
 	case m.GetBegan() && dated:
-		s.BeganAt = max(sentAt.Add(-clock.Span(m.GetBeganAgeMs())), EverBegan)
+		s.BeganAt = max(sentAt.Add(-ageOf(m.GetBeganAgeMs())), EverBegan)
 	case m.GetBegan():
 		s.BeganAt = EverBegan
 	}
 	for _, c := range m.GetCrashes() {
 		s.Crashes = append(s.Crashes, Crash{
-			ID: retry.CrashID(c.GetId()), SentAt: max(sentAt.Add(-clock.Span(c.GetAgeMs())), EverBegan+1),
+			ID: retry.CrashID(c.GetId()), SentAt: max(sentAt.Add(-ageOf(c.GetAgeMs())), EverBegan+1),
 		})
 	}
 	return s
--- a/parts/exchange.go
+++ b/parts/exchange.go
@@ -239,8 +239,9 @@
 		return
 	}
 	sentAt, dated := e.Transport.SentAt(from, life, clock.Time(sentMs))
-	if !dated {
-		sentAt = e.Clock.Now()
+	now := e.Clock.Now()
+	if !dated || sentAt.After(now) {
+		sentAt = now
 	}
 	for _, m := range list {
 		s := decodeSuspect(m, sentAt, dated)
