--- /dev/null
+++ b/soak/caller_test.go
@@ -0,0 +1,162 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/magnolialever/magnolialever/platform/fakes"
+)
+
+// callers is the number of callers that send requests one after the other.
+const callers = 16
+
+// record is what callers and upstreams saw, with the promises that were broken.
+type record struct {
+	mu sync.Mutex // guards the fields below
+	// runs counts how often upstreams ran a request, refused holds those of which callers were told that
+	// they have not run, once those that must run at most once.
+	runs       map[string]int
+	refused    map[string]int
+	once       map[string]bool
+	deadlyEnds int
+	served     map[string]int
+	broken     []string
+}
+
+func newRecord() *record {
+	return &record{runs: map[string]int{}, refused: map[string]int{}, once: map[string]bool{}, served: map[string]int{}}
+}
+
+func (r *record) addRun(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[id]++
+}
+
+func (r *record) addDeadlyEnd() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.deadlyEnds++
+}
+
+// addAnswer records how a request ended for its caller. A status of 0 is a broken connection.
+func (r *record) addAnswer(kind, id string, status int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch status {
+	case http.StatusOK:
+		r.served[kind]++
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		r.refused[id] = status
+	}
+	if kind == "once" {
+		r.once[id] = true
+	}
+}
+
+// breach records a broken promise.
+func (r *record) breach(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken = append(r.broken, fmt.Sprintf(format, args...))
+}
+
+// check adds the promises that can be checked once all requests have ended, and returns all broken ones.
+func (r *record) check() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range r.once {
+		if r.runs[id] > 1 {
+			r.broken = append(r.broken, fmt.Sprintf("request %s ran %d times", id, r.runs[id]))
+		}
+		if status := r.refused[id]; status != 0 && r.runs[id] > 0 {
+			r.broken = append(r.broken, fmt.Sprintf("request %s was answered %d and ran", id, status))
+		}
+	}
+	return r.broken
+}
+
+// caller sends requests on connections that it keeps.
+type caller struct {
+	fleet  *fleet
+	number int
+	client http.Client
+	random *rand.Rand
+}
+
+func newCaller(f *fleet, number int, seed uint64) *caller {
+	return &caller{
+		fleet: f, number: number, random: rand.New(rand.NewPCG(seed, uint64(number))),
+		client: http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+	}
+}
+
+// run sends requests until the context is done; a request under way is completed.
+func (c *caller) run(ctx context.Context) {
+	defer c.client.CloseIdleConnections()
+	for i := 0; ctx.Err() == nil; i++ {
+		kind := []string{"once", "read", "talk", "talk", "deadly"}[c.random.IntN(5)]
+		c.send(c.fleet.gateways[c.random.IntN(gatewayCount)], kind, fmt.Sprintf("%s-%d-%d", kind, c.number, i))
+		time.Sleep(time.Duration(c.random.IntN(30)) * time.Millisecond)
+	}
+}
+
+// send sends a request and checks its answer. It returns the status; 0 if the connection broke.
+func (c *caller) send(g *gateway, kind, id string) int {
+	path, model := kind, ""
+	if kind == "talk" || kind == "deadly" {
+		path, model = "talk", "small"
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+g.public+"/"+path+"/a", strings.NewReader(id))
+	if err != nil {
+		c.fleet.record.breach("request %s: %v", id, err)
+		return 0
+	}
+	req.Header, req.Host = fakes.RequestHeader(id, apiKey, model, 4000), fakes.Host
+	switch kind {
+	case "talk":
+		fakes.SetPromptParts(req.Header, "shared", fmt.Sprint("session", c.random.IntN(20)), "own-"+id)
+	case "deadly":
+		fakes.SetPromptParts(req.Header, "shared", deadlyPart, "own-"+id)
+	}
+	res, err := c.client.Do(req)
+	if err != nil {
+		c.fleet.record.addAnswer(kind, id, 0)
+		return 0
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	c.fleet.record.addAnswer(kind, id, res.StatusCode)
+	if res.StatusCode == http.StatusOK {
+		c.checkBody(kind, id, string(body), err == nil)
+	}
+	if err != nil {
+		return 0
+	}
+	return res.StatusCode
+}
+
+// checkBody checks the body of a success.
+func (c *caller) checkBody(kind, id, body string, complete bool) {
+	want := "done " + id
+	if kind == "talk" {
+		want = ""
+		for i := 1; i <= lastEvent; i++ {
+			want += fakes.Event(i)
+		}
+	}
+	switch {
+	case kind == "deadly":
+		c.fleet.record.breach("request %s with a deadly part was served: %q", id, body)
+	case complete && body != want:
+		c.fleet.record.breach("request %s: body %q looks complete", id, body)
+	case !strings.HasPrefix(want, body):
+		c.fleet.record.breach("request %s: body %q", id, body)
+	}
+}
--- /dev/null
+++ b/soak/fleet_test.go
@@ -0,0 +1,263 @@
+package soak
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/platform/fakes"
+)
+
+const (
+	gatewayCount = 4
+	engineCount  = 6
+	appCount     = 2
+	apiKey       = "soak-key"
+	// recoveryTime bounds the start of all processes, and the time until all gateways serve after the last fault.
+	recoveryTime = 30 * time.Second
+	// stopTimeout bounds a planned stop; the period of grace in the settings is 1 s.
+	stopTimeout = 10 * time.Second
+)
+
+// binary is the program under test.
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+// buildAndRun builds the program, runs the tests and returns the exit code.
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "magnolialever")
+	if out, err := exec.Command("go", "build", "-o", binary, "..").CombinedOutput(); err != nil {
+		fmt.Printf("build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// gateway is a gateway that runs in one process after the other.
+type gateway struct {
+	name, file, public, ready string
+
+	mu sync.Mutex // guards the fields below
+	// cmd is the process, exited receives the result of its Wait.
+	cmd    *exec.Cmd
+	exited chan error
+	logs   *bytes.Buffer
+}
+
+// nextPort is the next port to use; ports lie below those that the kernel gives to outgoing connections.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(10_000 + int64(os.Getpid()%20_000)) }
+
+// freePort returns the first of three ports that nothing uses.
+func freePort(t *testing.T) int {
+	t.Helper()
+	for range 10_000 {
+		port := int(nextPort.Add(4))
+		if port > 32_000 {
+			nextPort.Store(10_000)
+			continue
+		}
+		u, err := net.ListenPacket("udp4", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		u.Close()
+		free := true
+		for i := range 3 {
+			l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port+i))
+			if err != nil {
+				free = false
+				break
+			}
+			l.Close()
+		}
+		if free {
+			return port
+		}
+	}
+	t.Fatal("no free port")
+	return 0
+}
+
+// newGateway writes the settings of a gateway.
+func newGateway(t *testing.T, name, store string) *gateway {
+	t.Helper()
+	first, front := freePort(t), freePort(t)
+	g := &gateway{
+		name: name, file: filepath.Join(t.TempDir(), name+".toml"),
+		public: fmt.Sprintf("127.0.0.1:%d", front), ready: fmt.Sprintf("127.0.0.1:%d", front+1),
+	}
+	settings := fmt.Sprintf(`nodeName = %q
+zone = "zone-a"
+ip = "127.0.0.1"
+portRange = [%d, %d]
+[listen]
+front = %q
+ready = %q
+[bounds]
+revokeMs = 5000
+drainMs = 2000
+graceS = 1
+retryRatio = 0.5
+retrySlack = 100
+retryWindowS = 10
+coldOver = 1.5
+coldSlack = 50
+[limits]
+memoryMb = 284
+[platform]
+address = %q
+`, name, first, first+1, g.public, g.ready, store)
+	assert.NilError(t, os.WriteFile(g.file, []byte(settings), 0o600))
+	return g
+}
+
+// start starts a process. It returns an error if that fails.
+func (g *gateway) start() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.logs = &bytes.Buffer{}
+	g.cmd, g.exited = exec.Command(binary, "entry"), make(chan error, 1)
+	g.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+g.file)
+	g.cmd.Stderr = g.logs
+	if err := g.cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", g.name, err)
+	}
+	go func(cmd *exec.Cmd, exited chan error) { exited <- cmd.Wait() }(g.cmd, g.exited)
+	return nil
+}
+
+// signal sends a signal to the process, if it still runs.
+func (g *gateway) signal(s syscall.Signal) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("signal %s: %w", g.name, err)
+	}
+	return nil
+}
+
+// restart ends the process by a signal and starts another one.
+func (g *gateway) restart(s syscall.Signal) error {
+	if err := g.signal(s); err != nil {
+		return err
+	}
+	select {
+	case <-g.exited:
+	case <-time.After(stopTimeout):
+		return fmt.Errorf("%s still runs %v after signal %v", g.name, stopTimeout, s)
+	}
+	return g.start()
+}
+
+// kill ends the process at the end of a test.
+func (g *gateway) kill() {
+	_ = g.signal(syscall.SIGKILL)
+	<-g.exited
+}
+
+// isReady reports whether the gateway counts as ready.
+func (g *gateway) isReady() bool {
+	client := http.Client{Timeout: time.Second}
+	res, err := client.Get("http://" + g.ready + "/readiness")
+	if err != nil {
+		return false
+	}
+	res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// fleet is gateways, a store and upstreams.
+type fleet struct {
+	t        *testing.T
+	store    *fakes.Store
+	gateways []*gateway
+	engines  []*upstream
+	apps     []*upstream
+	record   *record
+	// lasting has what goes on in the background and ends by itself.
+	lasting sync.WaitGroup
+	// faultsBegun and faultsEnded count the ends and pauses of gateways' processes, which may lose or miss what
+	// others know.
+	faultsBegun, faultsEnded atomic.Int64
+}
+
+// newFleet starts a fleet and waits until its gateways are ready.
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: fakes.NewStore(), record: newRecord()}
+	f.store.Put(fakes.ConfigKey, fakes.Config(1, apiKey))
+	for i := range engineCount {
+		f.engines = append(f.engines, newUpstream(f, fmt.Sprint("engine-", i), fakes.EngineService))
+	}
+	for i := range appCount {
+		f.apps = append(f.apps, newUpstream(f, fmt.Sprint("app-", i), fakes.AppService))
+	}
+	for i := range gatewayCount {
+		g := newGateway(t, fmt.Sprint("gate-", i), f.store.Addr())
+		assert.NilError(t, g.start())
+		f.gateways = append(f.gateways, g)
+	}
+	t.Cleanup(f.close)
+	f.waitReady()
+	return f
+}
+
+func (f *fleet) close() {
+	for _, g := range f.gateways {
+		g.kill()
+		if f.t.Failed() {
+			f.saveLog(g)
+		}
+	}
+	for _, u := range append(f.engines, f.apps...) {
+		u.close()
+	}
+	f.store.Close()
+}
+
+// saveLog writes the log of a gateway's last process to a file that outlives the test.
+func (f *fleet) saveLog(g *gateway) {
+	file, err := os.CreateTemp("", "soak-"+g.name+"-*.log")
+	if err != nil {
+		f.t.Logf("log of %s: %v", g.name, err)
+		return
+	}
+	defer file.Close()
+	if _, err := file.Write(g.logs.Bytes()); err != nil {
+		f.t.Logf("log of %s: %v", g.name, err)
+	}
+	f.t.Logf("log of %s: %s", g.name, file.Name())
+}
+
+// waitReady waits until all gateways are ready.
+func (f *fleet) waitReady() {
+	f.t.Helper()
+	for _, g := range f.gateways {
+		for end := time.Now().Add(recoveryTime); !g.isReady(); time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(end) {
+				f.t.Fatalf("%s is not ready after %v", g.name, recoveryTime)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,180 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	firstSeed = flag.Uint64("soak.seed", 1, "seed of the first run")
+	runCount  = flag.Int("soak.runs", 2, "number of runs, with seeds that follow each other")
+	duration  = flag.Duration("soak.time", 8*time.Second, "time of one run with faults")
+)
+
+// faults injects faults into a fleet, one after the other; those that last overlap.
+type faults struct {
+	fleet  *fleet
+	random *rand.Rand
+	mu     sync.Mutex // guards busy
+	// busy are the gateways with a lasting fault.
+	busy map[*gateway]bool
+}
+
+func (x *faults) span(least, most int) time.Duration {
+	return time.Duration(least+x.random.IntN(most-least)) * time.Millisecond
+}
+
+// run injects faults until the context is done.
+func (x *faults) run(ctx context.Context) {
+	kinds := []func(){x.freeze, x.kill, x.stop, x.reload, x.loseStore, x.crash, x.crash, x.leave, x.pause, x.pause}
+	for ctx.Err() == nil {
+		kinds[x.random.IntN(len(kinds))]()
+		select {
+		case <-time.After(x.span(50, 500)):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// onGateway runs f, with a gateway that has no lasting fault, in the background. forgets is set if its process may lose
+// or miss what others know.
+func (x *faults) onGateway(forgets bool, f func(g *gateway) error) {
+	g := x.fleet.gateways[x.random.IntN(gatewayCount)]
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.busy[g] {
+		return
+	}
+	x.busy[g] = true
+	if forgets {
+		x.fleet.faultsBegun.Add(1)
+	}
+	x.fleet.lasting.Go(func() {
+		if err := f(g); err != nil {
+			x.fleet.record.breach("%v", err)
+		}
+		if forgets {
+			x.fleet.faultsEnded.Add(1)
+		}
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		delete(x.busy, g)
+	})
+}
+
+func (x *faults) freeze() {
+	span := x.span(200, 2000)
+	x.onGateway(true, func(g *gateway) error {
+		if err := g.signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		time.Sleep(span)
+		return g.signal(syscall.SIGCONT)
+	})
+}
+
+func (x *faults) kill() {
+	x.onGateway(true, func(g *gateway) error { return g.restart(syscall.SIGKILL) })
+}
+
+func (x *faults) stop() {
+	x.onGateway(true, func(g *gateway) error { return g.restart(syscall.SIGTERM) })
+}
+
+func (x *faults) reload() {
+	x.onGateway(false, func(g *gateway) error { return g.signal(syscall.SIGHUP) })
+}
+
+func (x *faults) loseStore() {
+	span := x.span(200, 1500)
+	x.fleet.lasting.Go(func() {
+		x.fleet.store.SetStatus(http.StatusServiceUnavailable)
+		time.Sleep(span)
+		x.fleet.store.SetStatus(0)
+	})
+}
+
+func (x *faults) engine() *upstream { return x.fleet.engines[x.random.IntN(engineCount)] }
+
+func (x *faults) crash() {
+	u := x.engine()
+	if process, ok := u.current(); ok && u.crash(process) {
+		u.startAfter(x.span(500, 1500))
+	}
+}
+
+func (x *faults) leave() {
+	u, after := x.engine(), drainTime+x.span(300, 800)
+	process, ok := u.leave()
+	if !ok {
+		return
+	}
+	x.fleet.lasting.Go(func() {
+		time.Sleep(after)
+		if u.crash(process) {
+			u.startAfter(0)
+		}
+	})
+}
+
+func (x *faults) pause() {
+	u := x.engine()
+	u.pause()
+}
+
+// Guards against broken promises under faults that come in series and overlap: requests that run twice or although
+// they were refused, wrong or cut bodies that look complete, upstreams that end by one part after the other, requests to
+// upstreams that asked for a pause, and gateways that don't serve afterwards.
+func TestSoak(t *testing.T) {
+	for i := range *runCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+func soak(t *testing.T, seed uint64) {
+	f := newFleet(t)
+	ctx, cancel := context.WithTimeout(context.Background(), *duration)
+	defer cancel()
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() { newCaller(f, i, seed).run(ctx) })
+	}
+	x := &faults{fleet: f, random: rand.New(rand.NewPCG(seed, 1_000_000)), busy: map[*gateway]bool{}}
+	x.run(ctx)
+	group.Wait()
+	f.lasting.Wait()
+	f.waitReady()
+	f.checkService()
+	assert.DeepEqual(t, f.record.check(), []string(nil))
+	// A gateway that ended or stood still may have lost or missed what was seen.
+	faultCount := int(f.faultsBegun.Load())
+	assert.Assert(t, f.record.deadlyEnds <= 3+faultCount, "%d upstreams ended by a part, %d gateways ended or stood still", f.record.deadlyEnds, faultCount)
+	t.Logf("served %v, %d upstreams ended by a part, %d gateways ended or stood still", f.record.served, f.record.deadlyEnds, faultCount)
+}
+
+// checkService waits until each gateway serves a request of each kind.
+func (f *fleet) checkService() {
+	f.t.Helper()
+	c := newCaller(f, callers, 0)
+	for i, g := range f.gateways {
+		for _, kind := range []string{"once", "read", "talk"} {
+			n := 0
+			for end := time.Now().Add(recoveryTime); c.send(g, kind, fmt.Sprintf("%s-after-%d-%d", kind, i, n)) != http.StatusOK; n++ {
+				if time.Now().After(end) {
+					f.t.Fatalf("%s does not serve /%s/ %v after the last fault", g.name, kind, recoveryTime)
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/soak/upstream_test.go
@@ -0,0 +1,215 @@
+package soak
+
+import (
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/platform/fakes"
+)
+
+const (
+	// deadlyPart is the part of prompts that ends each engine which begins to answer it.
+	deadlyPart = "dead1"
+	lastEvent  = 4
+	// lapseTime is the time from the end of an upstream to the end of its key.
+	lapseTime = 300 * time.Millisecond
+	// pauseTime is the pause that an upstream asks for.
+	pauseTime = 2 * time.Second
+	// noticeTime is the time within which a notice reaches the gateways: it is how long requests that were
+	// under way when an upstream told it may arrive.
+	noticeTime = 500 * time.Millisecond
+	// drainTime is the platform's bound on requests to an upstream that leaves.
+	drainTime = 2 * time.Second
+	// restartTime is the time from an end by the deadly part to the next process.
+	restartTime = time.Second
+)
+
+// upstream is an upstream that runs in one process after the other.
+type upstream struct {
+	fleet         *fleet
+	name, service string
+
+	mu sync.Mutex // guards the fields below
+	// process is the number of the process; replica is nil while none runs.
+	process int
+	replica *fakes.Replica
+	// leftAt is when the process said that it leaves; late is the number of requests later than drainTime,
+	// leaveFaults is like pauseFaults.
+	leftAt            time.Time
+	late, leaveFaults int
+	// pauseFrom and pauseUntil are when requests of a pause count, paused is the number of those that arrived in
+	// the last one, pauseFaults the number of faults by which gateways forget what they were told.
+	pauseFrom, pauseUntil time.Time
+	paused, pauseFaults   int
+	old                   []*fakes.Replica
+}
+
+func newUpstream(f *fleet, name, service string) *upstream {
+	u := &upstream{fleet: f, name: name, service: service}
+	assert.NilError(f.t, u.start())
+	return u
+}
+
+// id returns the id of the current process. The caller holds u.mu.
+func (u *upstream) id() string { return fmt.Sprint(u.name, "-", u.process) }
+
+// start starts a process and writes its key.
+func (u *upstream) start() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.process++
+	process := u.process
+	replica, err := fakes.NewReplica(u.id(), func(r *fakes.Request) { u.serve(process, r) })
+	if err != nil {
+		return fmt.Errorf("start %s: %w", u.name, err)
+	}
+	if u.service == fakes.EngineService {
+		replica.AddModel("small", "a1")
+	}
+	u.replica, u.leftAt, u.pauseUntil = replica, time.Time{}, time.Time{}
+	u.fleet.store.Put(fakes.UpstreamKeyPrefix+u.id(), u.replica.Description(u.service, "zone-a", "ready"))
+	return nil
+}
+
+// crash ends the process if it is the one with the number and it runs. It reports whether it did.
+func (u *upstream) crash(process int) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.replica == nil || u.process != process {
+		return false
+	}
+	key := fakes.UpstreamKeyPrefix + u.id()
+	u.replica.Crash()
+	u.old = append(u.old, u.replica)
+	u.replica = nil
+	time.AfterFunc(lapseTime, func() { u.fleet.store.Delete(key) })
+	return true
+}
+
+// current returns the number of the process, and false if none runs.
+func (u *upstream) current() (int, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.process, u.replica != nil
+}
+
+// startAfter starts the next process after a time, which the fleet waits for at the end.
+func (u *upstream) startAfter(span time.Duration) {
+	u.fleet.lasting.Go(func() {
+		time.Sleep(span)
+		if err := u.start(); err != nil {
+			u.fleet.record.breach("%v", err)
+		}
+	})
+}
+
+// leave lets the process say in its answers and in the store that it leaves. It returns the number of the process, and
+// false if none runs that stays.
+func (u *upstream) leave() (int, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.replica == nil || !u.leftAt.IsZero() {
+		return 0, false
+	}
+	u.leftAt, u.late, u.leaveFaults = time.Now(), 0, int(u.fleet.faultsEnded.Load())
+	u.fleet.store.Put(fakes.UpstreamKeyPrefix+u.id(), u.replica.Description(u.service, "zone-a", "draining"))
+	return u.process, true
+}
+
+// pause lets the process refuse requests and ask for a pause.
+func (u *upstream) pause() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if now := time.Now(); now.After(u.pauseUntil) {
+		u.pauseFrom, u.pauseUntil, u.paused = now.Add(noticeTime), now.Add(pauseTime), 0
+		// Faults that last excuse as well.
+		u.pauseFaults = int(u.fleet.faultsEnded.Load())
+	}
+}
+
+func (u *upstream) close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.replica != nil {
+		u.replica.Close()
+	}
+	for _, r := range u.old {
+		r.Close()
+	}
+}
+
+// count counts a request that arrived, and reports how long the process wants no more; 0 if it takes the request.
+func (u *upstream) count() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	if !u.leftAt.IsZero() && now.Sub(u.leftAt) > drainTime {
+		u.late++
+		faults := int(u.fleet.faultsBegun.Load()) - u.leaveFaults
+		if u.late > 2*faults {
+			u.fleet.record.breach("%s got %d requests more than %v after it said that it leaves", u.id(), u.late, drainTime)
+		}
+	}
+	if !now.Before(u.pauseUntil) {
+		return 0
+	}
+	if now.After(u.pauseFrom) {
+		u.paused++
+		faults := int(u.fleet.faultsBegun.Load()) - u.pauseFaults
+		if limit := 2 * (gatewayCount + faults); u.paused > limit {
+			u.fleet.record.breach("%s got %d requests within a pause, %d may be under way", u.id(), u.paused, limit)
+		}
+	}
+	return u.pauseUntil.Sub(now)
+}
+
+// serve answers a request that reached a process.
+func (u *upstream) serve(process int, r *fakes.Request) {
+	pause := u.count()
+	switch {
+	case pause > 0:
+		r.WriteRaw(fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nRetry-After: %.3f\r\n"+
+			"Content-Length: 0\r\n\r\n", r.RequestID, pause.Seconds()))
+	case r.HasPromptPart(deadlyPart):
+		time.Sleep(20 * time.Millisecond)
+		if u.crash(process) {
+			u.fleet.record.addDeadlyEnd()
+			u.startAfter(restartTime)
+		}
+	case u.service == fakes.EngineService:
+		u.stream(r)
+	default:
+		u.fleet.record.addRun(r.RequestID)
+		body := "done " + r.RequestID
+		r.WriteRaw(u.head(r) + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
+	}
+}
+
+// stream sends the events of a stream from the one on that is due.
+func (u *upstream) stream(r *fakes.Request) {
+	first := 1
+	if last, err := strconv.Atoi(r.LastEventID); err == nil {
+		first = last + 1
+	}
+	r.WriteRaw(u.head(r) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for i := first; i <= lastEvent; i++ {
+		time.Sleep(10 * time.Millisecond)
+		r.Chunk(fakes.Event(i))
+	}
+	r.WriteRaw("0\r\n\r\n")
+}
+
+// head returns the head of an answer, with what the process says of itself.
+func (u *upstream) head(r *fakes.Request) string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	head := fakes.Head(r.RequestID, "200 OK")
+	if !u.leftAt.IsZero() {
+		head += "Server-Leaving: 1\r\n"
+	}
+	return head
+}
