parts: let the successor of a silent owner send no trial at once

What callers saw: one more upstream lost to a part where its owner stood still right after it had granted a trial.

Cause: until the owner no longer counted as alive, the next gateway heard all, by its own count, and granted a trial as well.

Why the fix works: a gateway that decides though others come before it is asked only because they don't answer, so that it does not hear all: no trial within a minute.

TestSuccessorOfSilentOwnerSendsNoTrial failed before. TestGatewaysAgreeWhoDecidesWithoutOwners now waits for that minute; one gateway decides for all, as before.

--- a/parts/exchange_test.go
+++ b/parts/exchange_test.go
@@ -217,7 +217,7 @@
 	for _, e := range f.exchanges {
 		e.Guard.Merge(s)
 	}
-	f.tick(2 * clock.Second)
+	f.tick(trialDelay + clock.Second)
 	trials := 0
 	for i, e := range f.exchanges {
 		if !f.silent[e.VM] && f.ask(i, part, Permit(i)) == Granted {
@@ -227,6 +227,21 @@
 	assert.Equal(t, trials, 1)
 }
 
+// Guards against a trial right after another one, whose owner granted it and then stood still.
+func TestSuccessorOfSilentOwnerSendsNoTrial(t *testing.T) {
+	f := newExchangeFleet(4)
+	part := f.partOwnedBy(0)
+	for _, e := range f.exchanges {
+		e.Guard.Merge(Suspect{Part: part, Crashes: []Crash{{ID: 7, SentAt: 900}, {ID: 8, SentAt: 950}}})
+	}
+	f.tick(2 * clock.Second)
+	assert.Equal(t, f.ask(0, part, 1), Granted)
+	f.silent[f.exchanges[0].VM] = true
+	for i := range f.exchanges[1:] {
+		assert.Equal(t, f.ask(1+i, part, Permit(10+i)), Denied)
+	}
+}
+
 // Guards against a permit that is never returned because its owner answered late, when the next one had been asked.
 func TestPermitOfLateOwnerIsReturned(t *testing.T) {
 	f := newExchangeFleet(4)
--- a/parts/owner.go
+++ b/parts/owner.go
@@ -38,9 +38,12 @@
 // candidates returns the gateways that are alive, the owner of the part first, then those that take its place.
 // All gateways agree on the order.
 func (e *Exchange) candidates(part ID) []member.Gateway {
-	return member.Rank(e.Transport.Alive(), strconv.FormatUint(uint64(part), 16))
+	return member.Rank(e.Transport.Alive(), partKey(part))
 }
 
+// partKey is the key by which gateways are ranked for a part.
+func partKey(part ID) string { return strconv.FormatUint(uint64(part), 16) }
+
 // ownerReply is an owner's answer to a request.
 type ownerReply struct {
 	reply Reply
@@ -67,11 +70,12 @@
 		stats.Event("part_owners_silent")
 		klog.InfoS("parts: no owner of a part answers", "part", part, "asked", d.silent, "first", d.first)
 	}
+	reach := e.reachFor(part)
 	if !d.first {
 		// Other gateways that hear no owner may decide as well.
-		return e.Guard.Request(part, id, stage, ReachFew)
+		reach = ReachFew
 	}
-	return e.Guard.Request(part, id, stage, e.currentReach())
+	return e.Guard.Request(part, id, stage, reach)
 }
 
 // decision says who decides on a request with a part.
@@ -125,11 +129,15 @@
 	return d
 }
 
-// currentReach returns how many of the gateways this one hears.
-func (e *Exchange) currentReach() Reach {
+// reachFor returns how many of the gateways this one hears when it decides on a part. If it is not the part's owner, the
+// owner does not answer and may have granted a request a moment ago.
+func (e *Exchange) reachFor(part ID) Reach {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	_, reach := e.heard()
+	e.mu.Unlock()
+	if member.Place(e.Transport.Alive(), e.VM, partKey(part)) > 0 {
+		reach = max(reach, ReachMost)
+	}
 	return reach
 }
 
@@ -156,7 +164,7 @@
 // decide decides as the owner of a part.
 func (e *Exchange) decide(p partPermit, stage Stage) ownerReply {
 	informed := e.isInformed()
-	reply, wait := e.Guard.Request(p.part, p.id, stage, e.currentReach())
+	reply, wait := e.Guard.Request(p.part, p.id, stage, e.reachFor(p.part))
 	return ownerReply{reply, wait, informed}
 }
 
