--- a/parts/part.go
+++ b/parts/part.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/units"
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnolialever/magnolialever/fakes/build"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/platform/fakes"
 )
@@ -35,22 +36,7 @@
 // binary is the program under test.
 var binary string
 
-func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
-
-// buildAndRun builds the program, runs the tests and returns the exit code.
-func buildAndRun(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "soak")
-	if err != nil {
-		panic(err)
-	}
-	defer os.RemoveAll(dir)
-	binary = filepath.Join(dir, "magnolialever")
-	if out, err := exec.Command("go", "build", "-o", binary, "..").CombinedOutput(); err != nil {
-		fmt.Printf("build: %v\n%s", err, out)
-		return 1
-	}
-	return m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(build.Run(m, &binary)) }
 
 // gateway is a gateway that runs in one process after the other.
 type gateway struct {
--- a/system/harness_test.go
+++ b/system/harness_test.go
@@ -21,6 +21,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnolialever/magnolialever/fakes/build"
 	"github.com/magnolialever/magnolialever/fakes/engine"
 	"github.com/magnolialever/magnolialever/fakes/keyval"
 	"github.com/magnolialever/magnolialever/fakes/plain"
@@ -46,22 +47,7 @@
 
 var binary string
 
-func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
-
-// buildAndRun builds the binary that the tests start, runs the tests and returns the exit code.
-func buildAndRun(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "system")
-	if err != nil {
-		panic(err)
-	}
-	defer os.RemoveAll(dir)
-	binary = filepath.Join(dir, "magnolialever")
-	if out, err := exec.Command("go", "build", "-o", binary, "..").CombinedOutput(); err != nil {
-		fmt.Printf("build: %v\n%s", err, out)
-		return 1
-	}
-	return m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(build.Run(m, &binary)) }
 
 // process is a gateway or agent process. exited receives the result of its Wait.
 type process struct {
