parts: don't refuse sound parts at a gateway that has just started

What callers saw: a gateway that was restarted refused all requests with a popular part, or for a popular model, with crash_suspect, for a minute and more. And a popular part that turned deadly would not have been refused at all.

Cause: a suspect kept the crashes that answers had refuted, and told them to others. A gateway that has just started can't date the answers of the others yet: it counts their crashes as of now, so that nothing refutes them. Besides, the refuted crashes filled the twelve places that a suspect has, and new ones were dropped.

Refused models made it more frequent: each crash of another cause counts against the model until its next answer.

Ruled out: the store, whose only verdict was on the deadly part.

Why the fix works: only crashes that no answer refutes are kept and told. The answer itself is still told, so that others refute what they know.

TestRefutedCrashIsNotToldToStartedGateway and TestRefutedCrashesMakeRoom failed before.

--- a/parts/exchange_test.go
+++ b/parts/exchange_test.go
@@ -302,6 +302,24 @@
 	assert.Equal(t, state, Unproven, "an answer at 8,100 refutes two crashes")
 }
 
+// Guards against a sound part that a gateway which has just started refuses, because it can't date the answers that have
+// refuted its crashes at others.
+func TestRefutedCrashIsNotToldToStartedGateway(t *testing.T) {
+	l := NewLedger()
+	for i := range clock.Time(6) {
+		l.RecordCrash(1000+i, []ID{1}, Crash{ID: retry.CrashID(i), SentAt: 900 + i})
+	}
+	l.RecordBegan(1, 1100)
+	started := NewLedger()
+	for _, m := range EncodeSuspects(1200, l.Suspects(1200, 9)) {
+		started.Merge(5000, decodeSuspect(m, 5000, false))
+	}
+	state, _ := started.State(5000, 1)
+	assert.Equal(t, state, Unproven)
+	s, known := l.Get(1)
+	assert.Assert(t, known && s.BeganAt == 1100, "others learn of the answer")
+}
+
 // Guards against permits of each gateway for itself after all of them were restarted: none is informed, and
 // together they grant as many requests as one.
 func TestRestartedGatewaysShareThePermitsOfAPart(t *testing.T) {
--- a/parts/ledger_test.go
+++ b/parts/ledger_test.go
@@ -188,3 +188,19 @@
 	assert.Equal(t, state(l, 200, deadly), parts.Refused)
 	assert.Assert(t, !l.Restore(300, parts.Verdict{Part: deadly, Crashes: 2}))
 }
+
+// Guards against a popular part that turns deadly and is never refused, because the crashes of other causes that answers
+// have refuted take the place of new ones.
+func TestRefutedCrashesMakeRoom(t *testing.T) {
+	l := parts.NewLedger()
+	now := clock.Time(1000)
+	for i := range retry.CrashID(40) {
+		l.RecordCrash(now, []parts.ID{shared}, crashAt(i, now-10))
+		l.RecordBegan(shared, now+10)
+		now += 100
+	}
+	for i := range retry.CrashID(3) {
+		l.RecordCrash(now, []parts.ID{shared}, crashAt(100+i, now-10))
+	}
+	assert.Equal(t, state(l, now, shared), parts.Refused)
+}
--- a/parts/part.go
+++ b/parts/part.go
@@ -60,6 +60,12 @@
 	Crashes []Crash
 }
 
+// unrefuted returns the crashes that no answer refutes. Others are not kept: they would take the place of new ones, and
+// a gateway that can't date them would believe them.
+func (s *Suspect) unrefuted() []Crash {
+	return slices.DeleteFunc(slices.Clone(s.Crashes), func(c Crash) bool { return !c.SentAt.After(s.BeganAt) })
+}
+
 // count returns the number of crashes that no answer refutes.
 func (s *Suspect) count() int {
 	n := 0
--- a/parts/suspects.go
+++ b/parts/suspects.go
@@ -99,9 +99,10 @@
 	}
 	before := s.count()
 	s.BeganAt = max(s.BeganAt, other.BeganAt, l.proven.beganAt(other.Part))
+	s.Crashes = s.unrefuted()
 	for _, c := range other.Crashes {
 		known := slices.ContainsFunc(s.Crashes, func(k Crash) bool { return k.ID == c.ID })
-		if !known && len(s.Crashes) < maxCrashes {
+		if !known && c.SentAt.After(s.BeganAt) && len(s.Crashes) < maxCrashes {
 			s.Crashes = append(s.Crashes, c)
 		}
 	}
@@ -155,7 +156,7 @@
 	list := l.byImportance(now)
 	out := make([]Suspect, 0, min(n, len(list)))
 	for _, s := range list[:min(n, len(list))] {
-		out = append(out, Suspect{s.Part, s.BeganAt, slices.Clone(s.Crashes)})
+		out = append(out, Suspect{s.Part, s.BeganAt, s.unrefuted()})
 	}
 	return out
 }
@@ -166,5 +167,5 @@
 	if !ok {
 		return Suspect{}, false
 	}
-	return Suspect{s.Part, s.BeganAt, slices.Clone(s.Crashes)}, true
+	return Suspect{s.Part, s.BeganAt, s.unrefuted()}, true
 }
