--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -52,7 +53,7 @@
 // nextPort is the next port to use; ports lie below those that the kernel gives to outgoing connections.
 var nextPort atomic.Int64
 
-func init() { nextPort.Store(10_000 + int64(os.Getpid()%20_000)) }
+func init() { nextPort.Store(10_000 + rand.Int64N(5_000)*4) }
 
 // freePort returns the first of three ports that nothing uses.
 func freePort(t *testing.T) int {
@@ -125,7 +126,7 @@
 	g.logs = &bytes.Buffer{}
 	g.cmd, g.exited = exec.Command(binary, "entry"), make(chan error, 1)
 	g.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+g.file)
-	g.cmd.Stderr = g.logs
+	g.cmd.Stdout, g.cmd.Stderr = g.logs, g.logs
 	if err := g.cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", g.name, err)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,6 +20,11 @@
 	duration  = flag.Duration("soak.time", 8*time.Second, "time of one run with faults")
 )
 
+// failedSeeds are seeds that failed once:
+//   - 136, and 133 alike: a gateway that had just started refused a sound part for a minute, because it could not date
+//     the answers that had refuted its crashes.
+var failedSeeds = []uint64{136}
+
 // faults injects faults into a fleet, one after the other; those that last overlap.
 type faults struct {
 	fleet  *fleet
@@ -141,6 +146,13 @@
 	}
 }
 
+// Guards against faults that the soak has found before.
+func TestSoakFailedSeeds(t *testing.T) {
+	for _, seed := range failedSeeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
 func soak(t *testing.T, seed uint64) {
 	f := newFleet(t)
 	ctx, cancel := context.WithTimeout(context.Background(), *duration)
