parts: don't refuse sound requests for a minute beside a deadly part that came first

What callers saw: at gateways that had just started, all requests for a model were refused for a minute, because the first ones had a part that crashes upstreams.

Cause: two crashes refused all that was not proven yet: the deadly part, a sound one and, since models are suspect too, the model. A request with two refused parts was no trial for a minute, and each sound request had two.

Ruled out: trials of any request after a second, as the deadly part fails them and speaks against all others again (TestTrialHasOneRefusedPart).

Why the fix works: a model needs three crashes; the deadly part is refused after two and explains the third. Requests with fewer refused parts are tried first, each further part adds 2 s: the sound ones come before those that have the deadly part as well.

TestModelIsInnocentBesideDeadlyPart and TestRequestWithFewerRefusedPartsIsTriedFirst failed before.

--- a/parts/guard.go
+++ b/parts/guard.go
@@ -121,8 +121,8 @@
 func (g *Guard) Acquire(ctx context.Context, p Prompt) (*Ticket, clock.Span) {
 	p.Parts = p.Parts[:min(len(p.Parts), maxParts)]
 	t := &Ticket{guard: g, parts: p.all(), id: Permit(rand.Uint64()), crashes: map[ID]int{}}
-	if !g.mayTry(t.parts) {
-		return nil, retryTime(trialDelay)
+	if wait := g.untilJointTrial(t.parts); wait > 0 {
+		return nil, retryTime(wait)
 	}
 	needed := slices.Clone(p.Parts)
 	if g.Verdict(p.Target).Crashes > 0 {
@@ -146,11 +146,11 @@
 	return t, 0
 }
 
-// mayTry is Ledger.mayTry.
-func (g *Guard) mayTry(list []ID) bool {
+// untilJointTrial is Ledger.untilJointTrial.
+func (g *Guard) untilJointTrial(list []ID) clock.Span {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ledger.mayTry(g.clock.Now(), list)
+	return g.ledger.untilJointTrial(g.clock.Now(), list)
 }
 
 // acquirePart waits until a request with the part may be sent. askedAt is when the owner was asked if it
--- a/parts/guard_test.go
+++ b/parts/guard_test.go
@@ -58,3 +58,23 @@
 	assert.Assert(t, ticket != nil)
 	assert.Assert(t, o.asks <= 32, "%d asks", o.asks)
 }
+
+// Guards against sound requests that stay refused because two of their parts are: they are tried before requests that have
+// the deadly part as well.
+func TestRequestWithFewerRefusedPartsIsTriedFirst(t *testing.T) {
+	c := clock.NewManual(1000)
+	g := parts.NewGuard(c)
+	for _, part := range []parts.ID{shared, session, deadly} {
+		g.Merge(parts.Suspect{Part: part, Crashes: []parts.Crash{{ID: 1, SentAt: 900}, {ID: 2, SentAt: 910}}})
+	}
+	sound, bad := parts.Prompt{Parts: []parts.ID{shared, session}}, parts.Prompt{Parts: []parts.ID{shared, session, deadly}}
+	c.Advance(3100)
+	ticket, _ := g.Acquire(context.Background(), bad)
+	assert.Assert(t, ticket == nil)
+	ticket, _ = g.Acquire(context.Background(), sound)
+	assert.Assert(t, ticket != nil)
+	ticket.Began()
+	ticket.End(nil)
+	assert.Equal(t, g.Verdict(shared).Crashes+g.Verdict(session).Crashes, 0)
+	assert.Equal(t, g.Verdict(deadly).Crashes, 2)
+}
--- a/parts/ledger.go
+++ b/parts/ledger.go
@@ -38,6 +38,9 @@
 	firstTrialDelay = clock.Second
 	trialDelay      = clock.Minute
 	maxTrialDelay   = clock.Hour
+	// jointTrialStep is added to the delay of a trial for each further refused part of the request: a failed trial
+	// speaks against all of them, so that requests with fewer go first.
+	jointTrialStep = 2 * clock.Second
 	// suspectTTL is the time after its last crash during which a part that is not refused stays suspect.
 	suspectTTL = 10 * clock.Minute
 	// maxSuspects bounds the suspects kept, maxCrashes the crashes kept of each.
@@ -195,19 +198,20 @@
 	l.permits[part] = list
 }
 
-// mayTry reports whether a request with several refused parts may be a trial. A failed one would speak
-// against the sound ones among them, so that it comes only where no trial of one part alone has come.
-func (l *Ledger) mayTry(now clock.Time, prompt []ID) bool {
-	refused, overdue := 0, 0
+// untilJointTrial returns the time until a request with several refused parts may be a trial; 0 if it may be one now,
+// or if at most one is refused.
+func (l *Ledger) untilJointTrial(now clock.Time, prompt []ID) clock.Span {
+	refused, lastDue := 0, clock.Time(0)
 	for _, part := range prompt {
 		if state, _ := l.State(now, part); state == Refused {
 			refused++
-			if now.Sub(l.suspects[part].trialAt) >= trialDelay {
-				overdue++
-			}
+			lastDue = max(lastDue, l.suspects[part].trialAt)
 		}
 	}
-	return refused <= 1 || overdue == refused
+	if refused <= 1 {
+		return 0
+	}
+	return max(lastDue.Add(jointTrialStep*clock.Span(refused-1)).Sub(now), 0)
 }
 
 // Expire drops permits that have expired.
--- a/parts/ledger_test.go
+++ b/parts/ledger_test.go
@@ -204,3 +204,15 @@
 	}
 	assert.Equal(t, state(l, now, shared), parts.Refused)
 }
+
+// Guards against a model of which all requests are refused because a part of prompts for it crashes upstreams, at a gateway
+// that has seen no answer of the model yet.
+func TestModelIsInnocentBesideDeadlyPart(t *testing.T) {
+	l := parts.NewLedger()
+	model := parts.NewTargetID("engines", "small")
+	for i := range retry.CrashID(4) {
+		l.RecordCrash(100, []parts.ID{deadly, model}, crashAt(i, 50))
+	}
+	assert.Equal(t, state(l, 200, deadly), parts.Refused)
+	assert.Equal(t, state(l, 200, model), parts.Unproven)
+}
--- a/parts/part.go
+++ b/parts/part.go
@@ -21,11 +21,16 @@
 func NewID(service units.ServiceID, part string) ID {
 	d := xxhash.New()
 	_, _ = d.WriteString(string(service) + "\x00" + part)
-	return ID(d.Sum64())
+	return ID(d.Sum64()) &^ targetBit
 }
 
+// targetBit is set in the IDs of models and adapters, and not in those of parts.
+const targetBit = ID(1) << 63
+
 // NewTargetID returns the ID of a model or adapter of a service.
-func NewTargetID(service units.ServiceID, target string) ID { return NewID(service, "\x00"+target) }
+func NewTargetID(service units.ServiceID, target string) ID {
+	return NewID(service, "\x00"+target) | targetBit
+}
 
 // Prompt is what a request shares with others and may crash upstreams.
 type Prompt struct {
@@ -77,9 +82,10 @@
 	return n
 }
 
-// crashLimit returns the number of crashes that no answer refutes from which on the part is refused.
+// crashLimit returns the number of crashes that no answer refutes from which on the part is refused. A model needs one
+// more, so that a part of prompts for it is refused before and explains its crashes.
 func (s *Suspect) crashLimit() int {
-	if s.BeganAt != 0 {
+	if s.BeganAt != 0 || s.Part&targetBit != 0 {
 		return provenCrashLimit
 	}
 	return crashLimit
