platform/fakes, relay, soak: keep the platform's words out of tests

What callers saw: nothing. Tests of relay and soak wrote the platform's header names themselves, which belong in platform/ alone.

Cause: the stand-in of a replica had no refusal with further headers, no pause and no leaving.

Change: fakes.RefusalHead, RejectForPause and LeavingHeader; tests use them and fakes.Head. Checks and expectations are the same.

Measured: no header name of the platform is left in Go files outside platform/ (searched for ten of them); tests of platform, relay and soak pass.

--- a/relay/notice_test.go
+++ b/relay/notice_test.go
@@ -26,15 +26,12 @@
 
 // respondLeaving answers like an upstream that leaves.
 func respondLeaving(r *fakes.Request) {
-	r.WriteRaw(fakes.Head(r.RequestID, "200 OK") + "Server-Leaving: 1\r\nContent-Length: 4\r\n\r\ndone")
+	r.WriteRaw(fakes.Head(r.RequestID, "200 OK") + fakes.LeavingHeader + "Content-Length: 4\r\n\r\ndone")
 }
 
 // rejectForSeconds returns a script that refuses a request and asks for a pause.
 func rejectForSeconds(seconds string) func(r *fakes.Request) {
-	return func(r *fakes.Request) {
-		r.WriteRaw("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + r.RequestID + "\r\nNot-Executed: 1\r\nRetry-After: " + seconds +
-			"\r\nContent-Length: 0\r\n\r\n")
-	}
+	return func(r *fakes.Request) { r.RejectForPause(seconds) }
 }
 
 // Guards against requests to an upstream that said that it leaves, in an answer, in the head of a stream that
@@ -44,7 +41,7 @@
 	for name, script := range map[string]func(r *fakes.Request){
 		"answer": respondLeaving,
 		"stream": func(r *fakes.Request) {
-			r.WriteRaw(fakes.Head(r.RequestID, "200 OK") + "Server-Leaving: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+			r.WriteRaw(fakes.Head(r.RequestID, "200 OK") + fakes.LeavingHeader + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 			r.Chunk(fakes.Event(1))
 			select {
 			case <-release:
@@ -53,7 +50,7 @@
 			r.WriteRaw("0\r\n\r\n")
 		},
 		"refusal": func(r *fakes.Request) {
-			r.WriteRaw("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + r.RequestID + "\r\nNot-Executed: 1\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n")
+			r.WriteRaw(fakes.RefusalHead(r.RequestID) + fakes.LeavingHeader + "Content-Length: 0\r\n\r\n")
 		},
 	} {
 		leaving := startReplica(t, "r1", script)
--- a/relay/repeat_test.go
+++ b/relay/repeat_test.go
@@ -94,10 +94,10 @@
 // each kind of route and with each kind of status.
 func TestCutHeadIsNoSuccess(t *testing.T) {
 	heads := []string{
-		"HTTP/1.1 200 OK\r\nRequest-Id: %\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nRequest-Id: %\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\n",
-		"HTTP/1.1 404 Not Found\r\nRequest-Id: %\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\n",
-		"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		fakes.Head("%", "200 OK") + "Content-Length: 4\r\n\r\n",
+		fakes.Head("%", "200 OK") + "Content-Type: text/event-stream\r\n\r\n",
+		fakes.Head("%", "404 Not Found") + "Content-Length: 4\r\n\r\n",
+		fakes.RefusalHead("%") + "Content-Length: 0\r\n\r\n",
 	}
 	for _, head := range heads {
 		for _, path := range []string{"/once/a", "/read/a", "/stream/a", "/talk/a"} {
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -172,8 +172,7 @@
 	pause := u.count()
 	switch {
 	case pause > 0:
-		r.WriteRaw(fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nRetry-After: %.3f\r\n"+
-			"Content-Length: 0\r\n\r\n", r.RequestID, pause.Seconds()))
+		r.RejectForPause(fmt.Sprintf("%.3f", pause.Seconds()))
 	case r.HasPromptPart(deadlyPart):
 		time.Sleep(20 * time.Millisecond)
 		if u.crash(process) {
@@ -209,7 +208,7 @@
 	defer u.mu.Unlock()
 	head := fakes.Head(r.RequestID, "200 OK")
 	if !u.leftAt.IsZero() {
-		head += "Server-Leaving: 1\r\n"
+		head += fakes.LeavingHeader
 	}
 	return head
 }
