relay: log answers to other requests and bytes that belong to no request

The logs could not tell state of an earlier attempt from bytes on a connection: connections with unread bytes and answers that bear another request's id were dropped without a line. No change of behaviour: relay's tests pass (go test ./relay).

--- a/relay/call.go
+++ b/relay/call.go
@@ -7,11 +7,15 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/stats"
 )
 
 // asyncSendBytes is the size of an encoded request above which it is written while the response is
@@ -148,6 +152,9 @@
 		}
 		p := platform.ParseResponseHeader(res.StatusCode, res.Header)
 		if p.RequestID != "" && p.RequestID != r.id {
+			stats.Event("stray_answers")
+			klog.InfoS("relay: answer to another request skipped", "request", r.id, "address", rs.address, "other", p.RequestID,
+				"status", res.StatusCode, "length", res.ContentLength, "carried", slices.Contains(rs.conn.carried, p.RequestID))
 			if err := discardShort(res.Body); err != nil {
 				return fmt.Errorf("skip a response to another request: %w", err)
 			}
@@ -218,7 +225,11 @@
 			rs.reusable = false
 		}
 	}
-	if !rs.reusable || rs.conn.reader.Buffered() > 0 {
+	if rs.conn.reader.Buffered() > 0 {
+		rs.conn.dropUnexpected(rs.address)
+		return
+	}
+	if !rs.reusable {
 		rs.conn.closeNow()
 		return
 	}
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -11,7 +11,10 @@
 	"syscall"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/stats"
 )
 
 const (
@@ -82,28 +85,54 @@
 // closeNow closes the connection and ignores the error, since the connection isn't used again.
 func (c *conn) closeNow() { _ = c.Close() }
 
-// usable reports whether an idle connection is still open and has no unread bytes. Bytes that
-// arrive without a request can't be matched to a request.
-func (c *conn) usable() bool {
+// idleState is the state of an idle connection.
+type idleState uint8
+
+const (
+	// idleOpen means that the connection can carry a request.
+	idleOpen idleState = iota
+	// idleClosed means that the upstream has closed it, or that it failed.
+	idleClosed
+	// idleUnexpected means that the upstream has sent bytes without a request, which can't be matched to one.
+	idleUnexpected
+)
+
+// idleState returns the state of the connection, on which no request is under way.
+func (c *conn) idleState() idleState {
 	if c.reader.Buffered() > 0 {
-		return false
+		return idleUnexpected
 	}
 	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return idleOpen
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return idleClosed
 	}
-	open := false
+	state := idleClosed
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(e, syscall.EAGAIN)
+		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(e, syscall.EAGAIN):
+			state = idleOpen
+		case e == nil && n > 0:
+			state = idleUnexpected
+		}
 		return true
 	})
-	return err == nil && open
+	if err != nil {
+		return idleClosed
+	}
+	return state
+}
+
+// dropUnexpected closes a connection on which the upstream has sent bytes that belong to no request.
+func (c *conn) dropUnexpected(address string) {
+	stats.Event("unexpected_bytes")
+	klog.InfoS("relay: connection with unexpected bytes closed", "address", address, "requests", len(c.carried), "last", c.carried[len(c.carried)-1])
+	c.closeNow()
 }
 
 // pool keeps idle connections to upstreams. It is safe for concurrent use.
@@ -126,10 +155,14 @@
 		if c == nil {
 			break
 		}
-		if c.usable() {
+		switch c.idleState() {
+		case idleOpen:
 			return c, true, nil
+		case idleClosed:
+			c.closeNow()
+		case idleUnexpected:
+			c.dropUnexpected(address)
 		}
-		c.closeNow()
 	}
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	n, err := d.DialContext(ctx, "tcp", address)
