relay: make all that belongs to an attempt anew for each one

Cause: the event splitter lived as long as the request. Its remainder was cleared only where the head had gone out (relayStream: if x.headSent), so an upstream that broke off inside its first event left its bytes in front of the next upstream's answer.

attempt now holds the splitter, the ticket, the reason and whether it timed out, and ends with the attempt; exchange keeps what the caller has got (delivery). With it go three of the same kind: timedOut of an earlier attempt kept a later one's cause from being looked for (rejectContinuation and answers without a receipt did not set it); a kept 5xx answer was logged with the upstream and the time of a later attempt; the time of the first event of a resumed stream was that of the last upstream.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,87 +3,105 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"syscall"
-	"time"
+
+	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/sched"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 )
 
-const (
-	// silenceTimeout is how long an upstream may send nothing before a request that may run again
-	// is sent to another one. It leaves the other upstream time to begin before the caller
-	// disconnects.
-	silenceTimeout = 1200 * clock.Millisecond
-	// maxBufferedBytes is the maximum size of the response body of a request without streaming. Such
-	// a body is buffered as a whole.
-	maxBufferedBytes = 8 << 20
-)
+// silenceTimeout is how long an upstream may send nothing before a request that may run again is sent to another one.
+// It leaves the other upstream time to begin before the caller disconnects.
+const silenceTimeout = 1200 * clock.Millisecond
+
+// attempt is one attempt of a request at an upstream. It holds all that belongs to this attempt alone; what the caller
+// has got is in the exchange.
+type attempt struct {
+	*exchange
+	scheduled *sched.Attempt
+	// ticket is the permission to send the request.
+	ticket     *parts.Ticket
+	assignedAt clock.Time
+	// reason is why the attempt failed, for logs.
+	reason string
+	// timedOut is set if it failed because the upstream was silent.
+	timedOut bool
+	// stream splits the answer of this attempt.
+	stream *eventSplitter
+}
+
+// newAttempt returns an attempt that begins now.
+func (x *exchange) newAttempt(scheduled *sched.Attempt, ticket *parts.Ticket) *attempt {
+	return &attempt{
+		exchange: x, scheduled: scheduled, ticket: ticket, assignedAt: x.server.Clock.Now(), stream: newEventSplitter(&x.delivered),
+	}
+}
 
-// bufferedResponse is a buffered response.
-type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
+// failed records why the attempt failed.
+func (a *attempt) failed(reason string) { a.reason, a.exchange.reason = reason, reason }
+
+// failedBy records the error by which the attempt failed.
+func (a *attempt) failedBy(err error) {
+	a.failed(err.Error())
+	a.timedOut = isTimeout(err)
 }
 
-// attempt sends the request to the assigned upstream and relays the response. The request is
-// finished when x.finished is set afterwards; otherwise it has to be tried again.
-func (x *exchange) attempt(ctx context.Context, scheduled *sched.Attempt) sched.Outcome {
-	now := x.server.Clock.Now()
-	deadline := x.arrivedAt.Add(x.timeout)
+// run sends the request to the assigned upstream and relays the response. The request is finished when
+// finished is set afterwards; otherwise it has to be tried again.
+func (a *attempt) run(ctx context.Context) sched.Outcome {
+	deadline := a.arrivedAt.Add(a.timeout)
 	r := &request{
-		method: x.httpRequest.Method, target: x.httpRequest.RequestURI, host: x.httpRequest.Host,
-		id: x.callerRequest.RequestID, body: x.body,
-		header: platform.UpstreamHeader(x.httpRequest.Header, platform.UpstreamRequest{
-			Upstream: scheduled.Upstream.ID, Customer: x.customerID(), Timeout: deadline.Sub(now),
-			LastEventID: x.lastEventID(), Priority: x.enginePriority(),
+		method: a.httpRequest.Method, target: a.httpRequest.RequestURI, host: a.httpRequest.Host,
+		id: a.callerRequest.RequestID, body: a.body,
+		header: platform.UpstreamHeader(a.httpRequest.Header, platform.UpstreamRequest{
+			Upstream: a.scheduled.Upstream.ID, Customer: a.customerID(), Timeout: deadline.Sub(a.assignedAt),
+			LastEventID: a.lastEventID(), Priority: a.enginePriority(),
 		}),
-		accepts: func() bool { return x.server.Accepts(scheduled.Upstream.Upstream) },
+		accepts: func() bool { return a.server.Accepts(a.scheduled.Upstream.Upstream) },
 	}
 	headDeadline := deadline
-	if x.canRunAgain() {
-		headDeadline = min(deadline, now.Add(silenceTimeout))
+	if a.canRunAgain() {
+		headDeadline = min(deadline, a.assignedAt.Add(silenceTimeout))
 	}
-	x.sends++
-	res, err := x.server.pool.call(ctx, scheduled.Upstream.Address, r, wallTime(now, headDeadline))
+	a.sends++
+	res, err := a.server.pool.call(ctx, a.scheduled.Upstream.Address, r, wallTime(a.assignedAt, headDeadline))
 	if err != nil {
-		return x.handleCallError(ctx, err)
+		return a.handleCallError(ctx, err)
 	}
-	x.server.recordNotice(scheduled.Upstream.Upstream, res)
-	if outcome, handled := x.handleNotRun(scheduled, res); handled {
+	a.server.recordNotice(a.scheduled.Upstream.Upstream, res)
+	if outcome, handled := a.handleNotRun(res); handled {
 		return outcome
 	}
-	x.runs++
+	a.runs++
 	if res.Encoded || (res.status < 300 && !res.HasReceipt) {
 		res.abort()
 		// An intermediary responded, or nothing shows that the replica ran the request.
-		x.reason = "response does not come from the upstream"
-		return x.retryOrGiveUp(ctx)
+		a.failed("response does not come from the upstream")
+		return a.retryOrGiveUp(ctx)
 	}
-	if x.route.Stream && res.status == http.StatusOK && (res.EventStream || !x.headSent) {
-		return x.relayStream(ctx, scheduled, res)
+	if a.route.Stream && res.status == http.StatusOK && (res.EventStream || !a.delivered.headSent) {
+		return a.relayStream(ctx, res)
 	}
-	if x.headSent {
-		return x.rejectContinuation(ctx, res)
+	if a.delivered.headSent {
+		return a.rejectContinuation(ctx, res)
 	}
-	return x.relayBuffered(ctx, res)
+	return a.relayBuffered(ctx, res)
 }
 
 // rejectContinuation handles a response that is not a stream to a request that should resume one. No
 // part of it may reach the caller, whose stream is incomplete.
-func (x *exchange) rejectContinuation(ctx context.Context, res *response) sched.Outcome {
+func (a *attempt) rejectContinuation(ctx context.Context, res *response) sched.Outcome {
 	res.abort()
-	x.reason = "status " + strconv.Itoa(res.status) + ", type " + res.header.Get("Content-Type") + " instead of the rest of the stream"
-	x.retryOrGiveUp(ctx)
+	a.failed("status " + strconv.Itoa(res.status) + ", type " + res.header.Get("Content-Type") + " instead of the rest of the stream")
+	a.retryOrGiveUp(ctx)
 	return sched.Failed
 }
 
@@ -98,8 +116,8 @@
 // lastEventID returns the event after which the upstream has to resume a broken stream; empty for a
 // new one.
 func (x *exchange) lastEventID() string {
-	if x.headSent {
-		return x.stream.lastID
+	if x.delivered.headSent {
+		return x.delivered.lastID
 	}
 	return ""
 }
@@ -122,64 +140,64 @@
 }
 
 // handleCallError handles a call that ended without a complete response.
-func (x *exchange) handleCallError(ctx context.Context, err error) sched.Outcome {
-	x.reason, x.timedOut = err.Error(), isTimeout(err)
+func (a *attempt) handleCallError(ctx context.Context, err error) sched.Outcome {
+	a.failedBy(err)
 	if ctx.Err() != nil {
-		x.runs++
-		x.endCanceled(ctx)
+		a.runs++
+		a.endCanceled(ctx)
 		return sched.Canceled
 	}
 	if errors.Is(err, errNotAccepted) {
 		// The upstream got nothing, and the request may go there after a pause.
-		x.sends--
-		x.allowAgain(x.upstream)
+		a.sends--
+		a.allowAgain(a.upstream)
 		return sched.Canceled
 	}
 	if errors.Is(err, errNotSent) {
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			x.server.markUpstreamEnded(x.upstream)
+			a.server.markUpstreamEnded(a.upstream)
 		}
 		// The upstream received nothing, so the attempt does not count as a run.
-		if x.sends >= maxSends {
-			x.giveUp("unreachable")
+		if a.sends >= maxSends {
+			a.giveUp("unreachable")
 		}
 		return sched.Unreachable
 	}
-	x.runs++
-	return x.retryOrGiveUp(ctx)
+	a.runs++
+	return a.retryOrGiveUp(ctx)
 }
 
 // retryOrGiveUp leaves the request unfinished for another attempt if it may run again, and ends it
 // otherwise.
-func (x *exchange) retryOrGiveUp(ctx context.Context) sched.Outcome {
+func (a *attempt) retryOrGiveUp(ctx context.Context) sched.Outcome {
 	stats.Retry(units.UpstreamFailed)
 	switch {
-	case ctx.Err() != nil || x.server.Clock.Now().Sub(x.arrivedAt) >= x.timeout:
-		x.endCanceled(ctx)
-	case x.route.RetryMode == fleet.AtMostOnce || x.runs >= x.route.MaxAttempts:
-		x.giveUp(x.reason)
+	case ctx.Err() != nil || a.server.Clock.Now().Sub(a.arrivedAt) >= a.timeout:
+		a.endCanceled(ctx)
+	case a.route.RetryMode == fleet.AtMostOnce || a.runs >= a.route.MaxAttempts:
+		a.giveUp(a.reason)
 	}
 	return sched.Broken
 }
 
 // handleNotRun handles responses that state that the request has not run and never will. It returns
 // false for other responses and for status 400, which is relayed to the caller.
-func (x *exchange) handleNotRun(scheduled *sched.Attempt, res *response) (sched.Outcome, bool) {
+func (a *attempt) handleNotRun(res *response) (sched.Outcome, bool) {
 	if !res.NotRun || res.status == http.StatusBadRequest {
 		return 0, false
 	}
-	defer x.discardResponse(res)
-	x.reason = "status " + strconv.Itoa(res.status)
+	defer discardResponse(res)
+	a.failed("status " + strconv.Itoa(res.status))
 	switch {
 	case res.status != http.StatusMisdirectedRequest:
 		stats.Retry(units.QueueFull)
-		x.allowAgain(scheduled.Upstream.ID)
+		a.allowAgain(a.upstream)
 		return sched.Full, true
-	case res.Instance != "" && res.Instance != scheduled.Upstream.ID:
+	case res.Instance != "" && res.Instance != a.upstream:
 		return sched.Replaced, true
 	default:
 		stats.Retry(units.NotLoaded)
-		x.allowAgain(scheduled.Upstream.ID)
+		a.allowAgain(a.upstream)
 		return sched.NotLoaded, true
 	}
 }
@@ -195,7 +213,7 @@
 }
 
 // discardResponse discards a short body, so that the connection can be reused.
-func (x *exchange) discardResponse(res *response) {
+func discardResponse(res *response) {
 	if err := discardShort(res.body); err != nil {
 		res.abort()
 		return
@@ -203,170 +221,20 @@
 	res.release()
 }
 
-// relayBuffered reads the whole response and sends it to the caller. While the request may run again,
-// it keeps a 5xx response instead, for the case that no other upstream succeeds.
-func (x *exchange) relayBuffered(ctx context.Context, res *response) sched.Outcome {
-	if err := res.setReadDeadline(wallTime(x.server.Clock.Now(), x.arrivedAt.Add(x.timeout))); err != nil {
-		res.abort()
-		return x.handleCallError(ctx, err)
-	}
-	body, held, err := x.server.responseBudget.readAll(io.LimitReader(res.body, maxBufferedBytes+1), res.length)
-	defer x.server.responseBudget.release(held)
-	if err == nil && len(body) > maxBufferedBytes {
-		err = errors.New("response is too large")
-	}
-	if err != nil {
-		res.abort()
-		x.reason, x.timedOut = err.Error(), isTimeout(err)
-		if ctx.Err() != nil {
-			x.endCanceled(ctx)
-			return sched.Canceled
-		}
-		return x.retryOrGiveUp(ctx)
-	}
-	res.release()
-	if res.status < http.StatusInternalServerError {
-		x.ticket.Began()
-	}
-	p := &bufferedResponse{res.status, res.header, body}
-	if res.status >= 500 && x.route.RetryMode != fleet.AtMostOnce && x.runs < x.route.MaxAttempts && res.status != http.StatusGatewayTimeout {
-		x.failureResponse = p
-		x.reason = "status " + strconv.Itoa(res.status)
-		return sched.Failed
-	}
-	x.writeBuffered(p)
-	if res.status >= 500 {
-		return sched.Failed
-	}
-	return sched.Served
-}
-
-// writeBuffered sends a buffered response to the caller and finishes the request.
-func (x *exchange) writeBuffered(p *bufferedResponse) {
-	x.finished = true
-	x.firstByteAt = x.server.Clock.Now()
-	x.recordServed(p.status)
-	h := x.writer.Header()
-	platform.CopyResponseHeader(h, p.header)
-	h.Set("Content-Length", strconv.Itoa(len(p.body)))
-	if x.server.draining.Load() {
-		h.Set("Connection", "close")
-	}
-	x.writer.WriteHeader(p.status)
-	if _, err := x.writer.Write(p.body); err != nil {
-		stats.Event("answers_not_sent")
-	}
-}
-
-// relayStream relays the events of a stream, a resumed one included, and decides what follows when it
-// breaks off.
-func (x *exchange) relayStream(ctx context.Context, scheduled *sched.Attempt, res *response) sched.Outcome {
-	if x.headSent {
-		x.stream.resume()
-	}
-	err := x.copyStream(scheduled, res)
-	if err == nil && x.stream.endsInsideEvent() {
-		err = io.ErrUnexpectedEOF
-	}
-	if err == nil {
-		x.finished = true
-		x.writeHead(res)
-		res.release()
-		x.recordServed(res.status)
-		return sched.Served
-	}
-	res.abort()
-	x.reason, x.timedOut = err.Error(), isTimeout(err)
-	if ctx.Err() != nil || errors.Is(err, errCaller) {
-		x.endCanceled(ctx)
-		return sched.Canceled
-	}
-	return x.retryOrGiveUp(ctx)
-}
-
-// errCaller means that writing to the caller failed.
-var errCaller = errors.New("caller disconnected")
-
-// copyStream relays events until the stream ends. Errors that wrap errCaller come from the caller's
-// connection, all others from the upstream.
-func (x *exchange) copyStream(scheduled *sched.Attempt, res *response) error {
-	buf := make([]byte, readBuffer)
-	flusher := http.NewResponseController(x.writer)
-	first := true
-	progressAt := x.server.Clock.Now()
-	for {
-		if err := res.setReadDeadline(x.readDeadline(progressAt)); err != nil {
-			return err
-		}
-		n, err := res.body.Read(buf)
-		if n > 0 {
-			if first {
-				first = false
-				x.firstByteAt = x.server.Clock.Now()
-				x.server.mu.Lock()
-				x.server.Scheduler.RecordFirstEvent(x.firstByteAt, scheduled)
-				x.server.mu.Unlock()
-			}
-			delivered := x.stream.delivered
-			if err := x.writeEvents(res, flusher, buf[:n]); err != nil {
-				return err
-			}
-			if x.stream.delivered > delivered {
-				x.ticket.Began()
-				progressAt = x.server.Clock.Now()
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return fmt.Errorf("read stream: %w", err)
-		}
-	}
-}
-
-// readDeadline returns the wall-clock time by which the next event of the stream has to be complete;
-// the last one was at progressAt. Bytes alone are no progress: a stalled upstream may send some now
-// and then.
-func (x *exchange) readDeadline(progressAt clock.Time) time.Time {
-	now := x.server.Clock.Now()
-	deadline := x.arrivedAt.Add(x.timeout)
-	if x.route.RetryMode == fleet.Resumable && x.runs < x.route.MaxAttempts {
-		deadline = min(deadline, progressAt.Add(silenceTimeout))
-	}
-	return wallTime(now, deadline)
-}
-
-// writeEvents adds bytes of the stream and sends the events that are complete to the caller.
-func (x *exchange) writeEvents(res *response, flusher *http.ResponseController, data []byte) error {
-	complete, err := x.stream.add(data)
-	if err != nil {
-		return err
-	}
-	if len(complete) == 0 {
-		return nil
-	}
-	x.writeHead(res)
-	if _, err := x.writer.Write(complete); err != nil {
-		return fmt.Errorf("%w: %w", errCaller, err)
-	}
-	if err := flusher.Flush(); err != nil {
-		return fmt.Errorf("%w: %w", errCaller, err)
-	}
-	return nil
-}
+// Latencies in milliseconds of requests answered by an upstream, measured from their arrival.
+var (
+	assignLatency     = stats.NewHistogram("relay_place_ms")
+	firstEventLatency = stats.NewHistogram("relay_first_event_ms")
+	totalLatency      = stats.NewHistogram("relay_whole_ms")
+)
 
-// writeHead sends the response head to the caller, once per request: a resumed stream continues under
-// the head of the first upstream.
-func (x *exchange) writeHead(res *response) {
-	if x.headSent {
-		return
-	}
-	x.headSent = true
-	h := x.writer.Header()
-	platform.CopyResponseHeader(h, res.header)
-	if x.server.draining.Load() {
-		h.Set("Connection", "close")
-	}
-	x.writer.WriteHeader(res.status)
+// recordServed logs and measures a request that this attempt answered; the answer to the caller began at firstAt.
+func (a *attempt) recordServed(status int, firstAt clock.Time) {
+	placed, first, took := a.assignedAt.Sub(a.arrivedAt), firstAt.Sub(a.arrivedAt), a.server.Clock.Now().Sub(a.arrivedAt)
+	assignLatency.Record(placed.Duration())
+	firstEventLatency.Record(first.Duration())
+	totalLatency.Record(took.Duration())
+	klog.InfoS("relay: served", "request", a.callerRequest.RequestID, "status", status, "upstream", a.scheduled.Upstream.ID, "customer", a.customerID(),
+		"cost", a.tokenCost(), "model", a.callerRequest.Model, "adapter", a.callerRequest.Adapter, "sends", a.sends, "runs", a.runs, "events", a.delivered.events,
+		"placed", placed, "first", first, "took", took, "revision", a.view.Revision)
 }
--- /dev/null
+++ b/relay/buffered.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/sched"
+	"github.com/magnolialever/magnolialever/stats"
+)
+
+// maxBufferedBytes is the maximum size of the response body of a request without streaming. Such a body is buffered as
+// a whole.
+const maxBufferedBytes = 8 << 20
+
+// bufferedResponse is the whole response of an attempt.
+type bufferedResponse struct {
+	attempt *attempt
+	status  int
+	header  http.Header
+	body    []byte
+}
+
+// relayBuffered reads the whole response and sends it to the caller. While the request may run again,
+// it keeps a 5xx response instead, for the case that no other upstream succeeds.
+func (a *attempt) relayBuffered(ctx context.Context, res *response) sched.Outcome {
+	if err := res.setReadDeadline(wallTime(a.server.Clock.Now(), a.arrivedAt.Add(a.timeout))); err != nil {
+		res.abort()
+		return a.handleCallError(ctx, err)
+	}
+	body, held, err := a.server.responseBudget.readAll(io.LimitReader(res.body, maxBufferedBytes+1), res.length)
+	defer a.server.responseBudget.release(held)
+	if err == nil && len(body) > maxBufferedBytes {
+		err = errors.New("response is too large")
+	}
+	if err != nil {
+		res.abort()
+		a.failedBy(err)
+		if ctx.Err() != nil {
+			a.endCanceled(ctx)
+			return sched.Canceled
+		}
+		return a.retryOrGiveUp(ctx)
+	}
+	res.release()
+	if res.status < http.StatusInternalServerError {
+		a.ticket.Began()
+	}
+	p := &bufferedResponse{a, res.status, res.header, body}
+	if res.status >= 500 && a.route.RetryMode != fleet.AtMostOnce && a.runs < a.route.MaxAttempts && res.status != http.StatusGatewayTimeout {
+		a.failureResponse = p
+		a.failed("status " + strconv.Itoa(res.status))
+		return sched.Failed
+	}
+	a.writeBuffered(p)
+	if res.status >= 500 {
+		return sched.Failed
+	}
+	return sched.Served
+}
+
+// writeBuffered sends a buffered response to the caller and finishes the request.
+func (x *exchange) writeBuffered(p *bufferedResponse) {
+	x.finished = true
+	p.attempt.recordServed(p.status, x.server.Clock.Now())
+	h := x.writer.Header()
+	platform.CopyResponseHeader(h, p.header)
+	h.Set("Content-Length", strconv.Itoa(len(p.body)))
+	if x.server.draining.Load() {
+		h.Set("Connection", "close")
+	}
+	x.writer.WriteHeader(p.status)
+	if _, err := x.writer.Write(p.body); err != nil {
+		stats.Event("answers_not_sent")
+	}
+}
--- a/relay/event.go
+++ b/relay/event.go
@@ -6,20 +6,30 @@
 	"strconv"
 )
 
-// eventSplitter splits a stream of server-sent events into complete events and tracks their
-// identifiers. A stream may break off in the middle of an event; that part must not reach the
-// caller.
+// eventSplitter splits the stream of one attempt into complete events and records them as delivered. The stream may
+// break off in the middle of an event; that part must not reach the caller, and ends with the attempt.
 type eventSplitter struct {
+	// delivered is what the caller has got, of earlier attempts too.
+	delivered *delivery
 	// pending holds the bytes of an incomplete event.
 	pending []byte
-	// lastID is the identifier of the last delivered event; empty if there was none.
-	lastID string
 	// skipThrough is the numeric identifier up to which events of a resumed stream repeat earlier
 	// ones and are dropped. It applies while skipping is set.
 	skipThrough int64
 	skipping    bool
-	// delivered is the number of events returned by add, without those that are only comments.
-	delivered int
+}
+
+// newEventSplitter returns the splitter of an attempt whose caller has got delivered. If that is a part of a stream, the
+// attempt resumes it.
+func newEventSplitter(delivered *delivery) *eventSplitter {
+	e := &eventSplitter{delivered: delivered}
+	if !delivered.headSent {
+		return e
+	}
+	if v, err := strconv.ParseInt(delivered.lastID, 10, 64); err == nil {
+		e.skipThrough, e.skipping = v, true
+	}
+	return e
 }
 
 // dataField begins the line of an event that holds its data.
@@ -58,7 +68,7 @@
 	return e.filterRepeated(complete), nil
 }
 
-// filterRepeated drops repeated events and updates lastID and delivered. It overwrites its argument.
+// filterRepeated drops repeated events and records the others as delivered. It overwrites its argument.
 func (e *eventSplitter) filterRepeated(complete []byte) []byte {
 	out := complete[:0]
 	for len(complete) > 0 {
@@ -72,24 +82,16 @@
 			}
 		}
 		if ok {
-			e.lastID = id
+			e.delivered.lastID = id
 		}
 		if ok || bytes.Contains(event, dataField) {
-			e.delivered++
+			e.delivered.events++
 		}
 		out = append(out, event...)
 	}
 	return out
 }
 
-// resume prepares for the stream of another upstream that continues after the last delivered event.
-func (e *eventSplitter) resume() {
-	e.pending = nil
-	if v, err := strconv.ParseInt(e.lastID, 10, 64); err == nil {
-		e.skipThrough, e.skipping = v, true
-	}
-}
-
 // endsInsideEvent reports whether bytes of an incomplete event are left.
 func (e *eventSplitter) endsInsideEvent() bool { return len(bytes.TrimSpace(e.pending)) > 0 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -54,8 +54,6 @@
 	fingerprint retry.Fingerprint
 	// prompt is what the request shares with others.
 	prompt parts.Prompt
-	// ticket is the permission for the current attempt.
-	ticket *parts.Ticket
 	// timeout is the longest time from arrival to the end of the response.
 	timeout clock.Span
 
@@ -63,22 +61,17 @@
 	sends, runs int
 	// tried are the upstreams that must not get the request again.
 	tried []units.UpstreamID
-	// headSent is set once the head of a streamed response was sent to the caller.
-	headSent bool
+	// delivered is what the caller has of a streamed response.
+	delivered delivery
 	// finished is set once the request needs no further attempt. aborted is set in addition where
 	// the response broke off and must not look complete.
 	finished, aborted bool
-	stream            eventSplitter
 	// failureResponse is the latest 5xx response, sent if no other upstream succeeds.
 	failureResponse *bufferedResponse
-	// upstream is the upstream of the last attempt.
+	// upstream is the upstream of the last attempt; empty before the first one.
 	upstream units.UpstreamID
-	// reason is why the last attempt failed, for logs.
+	// reason is why the last attempt failed or the request ended, for logs.
 	reason string
-	// timedOut is set if the last attempt failed because the upstream was silent.
-	timedOut bool
-	// assignedAt is when the last upstream was assigned, firstByteAt when its response began.
-	assignedAt, firstByteAt clock.Time
 }
 
 // validate determines route, customer, timeout and service, reads the body and computes the
@@ -201,24 +194,26 @@
 		x.giveUp("crashed upstreams")
 		return
 	}
-	if !x.acquireTicket(ctx) {
+	ticket := x.acquireTicket(ctx)
+	if ticket == nil {
 		return
 	}
 	scheduled := x.awaitUpstream(ctx)
 	if scheduled == nil {
-		x.ticket.End(nil)
+		ticket.End(nil)
 		return
 	}
-	if !x.confirmTicket(ctx, scheduled) {
+	if !x.confirmTicket(ctx, ticket, scheduled) {
 		return
 	}
-	x.upstream, x.assignedAt = scheduled.Upstream.ID, x.server.Clock.Now()
+	x.upstream = scheduled.Upstream.ID
 	x.tried = append(x.tried, scheduled.Upstream.ID)
-	outcome := x.attempt(ctx, scheduled)
+	a := x.newAttempt(scheduled, ticket)
+	outcome := a.run(ctx)
 	x.server.finishAttempt(x.fingerprint, scheduled, outcome)
-	x.endTicket(ctx, scheduled, outcome)
+	a.endTicket(ctx, outcome)
 	if outcome != sched.Served && outcome != sched.Canceled {
-		klog.V(1).InfoS("relay: attempt failed", "request", x.callerRequest.RequestID, "upstream", scheduled.Upstream.ID, "outcome", outcome, "reason", x.reason, "revision", x.view.Revision)
+		klog.V(1).InfoS("relay: attempt failed", "request", x.callerRequest.RequestID, "upstream", scheduled.Upstream.ID, "outcome", outcome, "reason", a.reason, "revision", x.view.Revision)
 	}
 }
 
@@ -269,7 +264,7 @@
 
 // refuseUnplaced ends a request to which no upstream could be assigned.
 func (x *exchange) refuseUnplaced(r *sched.Refusal) {
-	if x.runs > 0 || x.headSent {
+	if x.runs > 0 || x.delivered.headSent {
 		x.giveUp(string(r.Code))
 		return
 	}
@@ -298,7 +293,7 @@
 		x.finished = true
 		stats.Event("callers_left")
 		klog.InfoS("relay: caller left", "request", x.callerRequest.RequestID, "upstream", x.upstream, "model", x.callerRequest.Model,
-			"adapter", x.callerRequest.Adapter, "sends", x.sends, "runs", x.runs, "events", x.stream.delivered, "reason", x.reason,
+			"adapter", x.callerRequest.Adapter, "sends", x.sends, "runs", x.runs, "events", x.delivered.events, "reason", x.reason,
 			"took", x.server.Clock.Now().Sub(x.arrivedAt), "revision", x.view.Revision)
 		return
 	}
@@ -310,7 +305,7 @@
 // run, and notRun if it can't have.
 func (x *exchange) fail(ran, notRun *refusal) {
 	switch {
-	case x.headSent:
+	case x.delivered.headSent:
 		x.abortStream()
 	case x.failureResponse != nil:
 		x.writeBuffered(x.failureResponse)
@@ -329,23 +324,6 @@
 	return x.callerRequest.Cost(x.customer)
 }
 
-// Latencies in milliseconds of requests answered by an upstream, measured from their arrival.
-var (
-	assignLatency     = stats.NewHistogram("relay_place_ms")
-	firstEventLatency = stats.NewHistogram("relay_first_event_ms")
-	totalLatency      = stats.NewHistogram("relay_whole_ms")
-)
-
-// recordServed logs and measures a request that was answered by an upstream.
-func (x *exchange) recordServed(status int) {
-	assignLatency.Record(x.assignedAt.Sub(x.arrivedAt).Duration())
-	firstEventLatency.Record(x.firstByteAt.Sub(x.arrivedAt).Duration())
-	totalLatency.Record(x.server.Clock.Now().Sub(x.arrivedAt).Duration())
-	klog.InfoS("relay: served", "request", x.callerRequest.RequestID, "status", status, "upstream", x.upstream, "customer", x.customerID(),
-		"cost", x.tokenCost(), "model", x.callerRequest.Model, "adapter", x.callerRequest.Adapter, "sends", x.sends, "runs", x.runs, "events", x.stream.delivered,
-		"placed", x.assignedAt.Sub(x.arrivedAt), "first", x.firstByteAt.Sub(x.arrivedAt), "took", x.server.Clock.Now().Sub(x.arrivedAt), "revision", x.view.Revision)
-}
-
 // refuse sends a refusal and finishes the request.
 func (x *exchange) refuse(p *refusal) {
 	x.finished = true
@@ -362,6 +340,6 @@
 func (x *exchange) abortStream() {
 	x.finished, x.aborted = true, true
 	stats.Event("streams_cut")
-	klog.InfoS("relay: stream cut", "request", x.callerRequest.RequestID, "upstream", x.upstream, "events", x.stream.delivered, "reason", x.reason,
+	klog.InfoS("relay: stream cut", "request", x.callerRequest.RequestID, "upstream", x.upstream, "events", x.delivered.events, "reason", x.reason,
 		"took", x.server.Clock.Now().Sub(x.arrivedAt))
 }
--- a/relay/part.go
+++ b/relay/part.go
@@ -44,16 +44,15 @@
 	return p
 }
 
-// acquireTicket waits until a request with the prompt's parts may be sent. It returns false if it ended
+// acquireTicket waits until a request with the prompt's parts may be sent. It returns nil if it ended
 // the request instead.
-func (x *exchange) acquireTicket(ctx context.Context) bool {
+func (x *exchange) acquireTicket(ctx context.Context) *parts.Ticket {
 	wait, cancel := context.WithTimeout(ctx, x.latestStart().Sub(x.server.Clock.Now()).Duration())
 	defer cancel()
 	ticket, retryAfter := x.server.Parts.Acquire(wait, x.prompt)
 	switch {
 	case ticket != nil:
-		x.ticket = ticket
-		return true
+		return ticket
 	case retryAfter > 0:
 		x.refuseSuspect(retryAfter)
 	case ctx.Err() != nil:
@@ -63,17 +62,17 @@
 		x.reason = "other requests with a part of the prompt are on their way"
 		x.fail(upstreamFailed, deadlineMissed)
 	}
-	return false
+	return nil
 }
 
 // confirmTicket reports whether the request may be sent to the upstream that was assigned. If not, the
 // request is ended, or left for another attempt because too many with its parts are on their way.
-func (x *exchange) confirmTicket(ctx context.Context, scheduled *sched.Attempt) bool {
-	reply, retryAfter := x.ticket.Confirm(ctx)
+func (x *exchange) confirmTicket(ctx context.Context, ticket *parts.Ticket, scheduled *sched.Attempt) bool {
+	reply, retryAfter := ticket.Confirm(ctx)
 	if reply == parts.Granted {
 		return true
 	}
-	x.ticket.End(nil)
+	ticket.End(nil)
 	x.server.cancelAttempt(scheduled)
 	if reply == parts.Denied {
 		x.refuseSuspect(retryAfter)
@@ -91,27 +90,27 @@
 
 // endTicket ends the ticket of an attempt. If the answer broke off before it began, it finds out whether
 // the upstream's process has ended, which makes the parts of the prompt suspect.
-func (x *exchange) endTicket(ctx context.Context, scheduled *sched.Attempt, outcome sched.Outcome) {
+func (a *attempt) endTicket(ctx context.Context, outcome sched.Outcome) {
 	if outcome != sched.Broken {
-		x.ticket.End(nil)
+		a.ticket.End(nil)
 		return
 	}
-	upstream := scheduled.Upstream
-	needsCause := !x.timedOut && x.ticket.NeedsCause()
+	upstream := a.scheduled.Upstream
+	needsCause := !a.timedOut && a.ticket.NeedsCause()
 	ended := needsCause && processEnded(ctx, upstream.Address)
-	klog.InfoS("relay: answer broke off", "request", x.callerRequest.RequestID, "upstream", upstream.ID, "start", upstream.ProcessStart,
-		"events", x.stream.delivered, "ended", ended, "parts", partIDs(x.callerRequest.PromptParts), "sends", x.sends, "runs", x.runs, "reason", x.reason)
-	crash := parts.Crash{ID: retry.NewCrashID(upstream.ID, upstream.ProcessStart), SentAt: x.ticket.SentAt()}
+	klog.InfoS("relay: answer broke off", "request", a.callerRequest.RequestID, "upstream", upstream.ID, "start", upstream.ProcessStart,
+		"events", a.delivered.events, "dropped", len(a.stream.pending), "ended", ended, "parts", partIDs(a.callerRequest.PromptParts),
+		"sends", a.sends, "runs", a.runs, "reason", a.reason)
+	crash := parts.Crash{ID: retry.NewCrashID(upstream.ID, upstream.ProcessStart), SentAt: a.ticket.SentAt()}
 	if ended {
-		x.server.markUpstreamEnded(upstream.ID)
-		x.logSuspects(upstream.ID, x.ticket.End(&crash))
+		a.server.markUpstreamEnded(upstream.ID)
+		a.logSuspects(upstream.ID, a.ticket.End(&crash))
 		return
 	}
-	ticket := x.ticket
-	ticket.End(nil)
+	a.ticket.End(nil)
 	if needsCause {
 		// A process that is started again at once refuses no connection.
-		x.server.onProcessEnd(upstream.Upstream, func() { x.logSuspects(upstream.ID, ticket.RecordCrash(crash)) })
+		a.server.onProcessEnd(upstream.Upstream, func() { a.logSuspects(upstream.ID, a.ticket.RecordCrash(crash)) })
 	}
 }
 
--- /dev/null
+++ b/relay/stream.go
@@ -0,0 +1,135 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/sched"
+)
+
+// delivery is what the caller of a request has got of a streamed response, from whichever attempts.
+type delivery struct {
+	// headSent is set once the head was sent, at startedAt.
+	headSent  bool
+	startedAt clock.Time
+	// lastID is the identifier of the last event; empty if there was none.
+	lastID string
+	// events is the number of events, without those that are only comments.
+	events int
+}
+
+// relayStream relays the events of a stream, a resumed one included, and decides what follows when it
+// breaks off.
+func (a *attempt) relayStream(ctx context.Context, res *response) sched.Outcome {
+	err := a.copyStream(res)
+	if err == nil && a.stream.endsInsideEvent() {
+		err = io.ErrUnexpectedEOF
+	}
+	if err == nil {
+		a.finished = true
+		a.writeHead(res)
+		res.release()
+		a.recordServed(res.status, a.delivered.startedAt)
+		return sched.Served
+	}
+	res.abort()
+	a.failedBy(err)
+	if ctx.Err() != nil || errors.Is(err, errCaller) {
+		a.endCanceled(ctx)
+		return sched.Canceled
+	}
+	return a.retryOrGiveUp(ctx)
+}
+
+// errCaller means that writing to the caller failed.
+var errCaller = errors.New("caller disconnected")
+
+// copyStream relays events until the stream ends. Errors that wrap errCaller come from the caller's
+// connection, all others from the upstream.
+func (a *attempt) copyStream(res *response) error {
+	buf := make([]byte, readBuffer)
+	flusher := http.NewResponseController(a.writer)
+	first := true
+	progressAt := a.server.Clock.Now()
+	for {
+		if err := res.setReadDeadline(a.readDeadline(progressAt)); err != nil {
+			return err
+		}
+		n, err := res.body.Read(buf)
+		if n > 0 {
+			if first {
+				first = false
+				a.server.mu.Lock()
+				a.server.Scheduler.RecordFirstEvent(a.server.Clock.Now(), a.scheduled)
+				a.server.mu.Unlock()
+			}
+			delivered := a.delivered.events
+			if err := a.writeEvents(res, flusher, buf[:n]); err != nil {
+				return err
+			}
+			if a.delivered.events > delivered {
+				a.ticket.Began()
+				progressAt = a.server.Clock.Now()
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("read stream: %w", err)
+		}
+	}
+}
+
+// readDeadline returns the wall-clock time by which the next event of the stream has to be complete;
+// the last one was at progressAt. Bytes alone are no progress: a stalled upstream may send some now
+// and then.
+func (x *exchange) readDeadline(progressAt clock.Time) time.Time {
+	now := x.server.Clock.Now()
+	deadline := x.arrivedAt.Add(x.timeout)
+	if x.route.RetryMode == fleet.Resumable && x.runs < x.route.MaxAttempts {
+		deadline = min(deadline, progressAt.Add(silenceTimeout))
+	}
+	return wallTime(now, deadline)
+}
+
+// writeEvents adds bytes of the stream and sends the events that are complete to the caller.
+func (a *attempt) writeEvents(res *response, flusher *http.ResponseController, data []byte) error {
+	complete, err := a.stream.add(data)
+	if err != nil {
+		return err
+	}
+	if len(complete) == 0 {
+		return nil
+	}
+	a.writeHead(res)
+	if _, err := a.writer.Write(complete); err != nil {
+		return fmt.Errorf("%w: %w", errCaller, err)
+	}
+	if err := flusher.Flush(); err != nil {
+		return fmt.Errorf("%w: %w", errCaller, err)
+	}
+	return nil
+}
+
+// writeHead sends the response head to the caller, once per request: a resumed stream continues under
+// the head of the first upstream.
+func (x *exchange) writeHead(res *response) {
+	if x.delivered.headSent {
+		return
+	}
+	x.delivered.headSent, x.delivered.startedAt = true, x.server.Clock.Now()
+	h := x.writer.Header()
+	platform.CopyResponseHeader(h, res.header)
+	if x.server.draining.Load() {
+		h.Set("Connection", "close")
+	}
+	x.writer.WriteHeader(res.status)
+}
