relay: take no answer without an id for one's own on a connection in use again

A caller got 200 with the body of another request. An answer that bears no request id counted as the answer to the request that waited, also where the connection had carried others: a late copy of an earlier answer without its id (MIXED). Owner inferred from what is missing: such an answer is now broken, and its connection closed; on the first request of a connection it still counts, as nobody else can have asked.

TestAnswerWithoutIDIsNotThatOfNextRequest failed on ("/once/1: wrong").

--- a/relay/call.go
+++ b/relay/call.go
@@ -142,6 +142,9 @@
 	return nil
 }
 
+// errNoOwner means that an answer does not say to which of the requests of its connection it belongs.
+var errNoOwner = errors.New("answer without a request id on a connection that carried other requests")
+
 // readHead reads response heads until one belongs to the request, since an upstream may send a late
 // second response to an earlier request on the connection.
 func (rs *response) readHead(r *request) error {
@@ -151,24 +154,36 @@
 			return err
 		}
 		p := platform.ParseResponseHeader(res.StatusCode, res.Header)
-		if p.RequestID != "" && p.RequestID != r.id {
-			stats.Event("stray_answers")
-			klog.InfoS("relay: answer to another request skipped", "request", r.id, "address", rs.address, "other", p.RequestID,
-				"status", res.StatusCode, "length", res.ContentLength, "carried", slices.Contains(rs.conn.carried, p.RequestID))
-			if err := discardShort(res.Body); err != nil {
-				return fmt.Errorf("skip a response to another request: %w", err)
-			}
-			continue
+		if p.RequestID == r.id || p.RequestID == "" && rs.conn.isFirst() {
+			rs.accept(r, res, p)
+			return nil
+		}
+		if p.RequestID == "" {
+			return errNoOwner
+		}
+		rs.logStray(r, p.RequestID, res)
+		if err := discardShort(res.Body); err != nil {
+			return fmt.Errorf("skip a response to another request: %w", err)
 		}
-		rs.ResponseHeader, rs.status, rs.header, rs.body = p, res.StatusCode, res.Header, res.Body
-		rs.length = res.ContentLength
-		rs.closeDelimited = res.ContentLength < 0 && len(res.TransferEncoding) == 0 && hasBody(r.method, res.StatusCode)
-		rs.reusable = !res.Close && !rs.closeDelimited && p.RequestID != ""
-		return nil
 	}
 	return errStrayResponses
 }
 
+// accept takes a head as that of the request's response.
+func (rs *response) accept(r *request, res *http.Response, p platform.ResponseHeader) {
+	rs.ResponseHeader, rs.status, rs.header, rs.body = p, res.StatusCode, res.Header, res.Body
+	rs.length = res.ContentLength
+	rs.closeDelimited = res.ContentLength < 0 && len(res.TransferEncoding) == 0 && hasBody(r.method, res.StatusCode)
+	rs.reusable = !res.Close && !rs.closeDelimited && p.RequestID != ""
+}
+
+// logStray logs and counts the answer to another request.
+func (rs *response) logStray(r *request, other string, res *http.Response) {
+	stats.Event("stray_answers")
+	klog.InfoS("relay: answer to another request skipped", "request", r.id, "address", rs.address, "other", other,
+		"status", res.StatusCode, "length", res.ContentLength, "carried", slices.Contains(rs.conn.carried, other))
+}
+
 // hasBody reports whether a response to the method with the status can have a body.
 func hasBody(method string, status int) bool {
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -67,6 +67,9 @@
 	c.carried = append(c.carried, id)
 }
 
+// isFirst reports whether the connection has carried one request only.
+func (c *conn) isFirst() bool { return len(c.carried) == 1 }
+
 // Read reads from the connection and fails with errHeadTooLarge at the limit headBytesLeft.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headBytesLeft == 0 {
@@ -131,7 +134,11 @@
 // dropUnexpected closes a connection on which the upstream has sent bytes that belong to no request.
 func (c *conn) dropUnexpected(address string) {
 	stats.Event("unexpected_bytes")
-	klog.InfoS("relay: connection with unexpected bytes closed", "address", address, "requests", len(c.carried), "last", c.carried[len(c.carried)-1])
+	last := ""
+	if len(c.carried) > 0 {
+		last = c.carried[len(c.carried)-1]
+	}
+	klog.InfoS("relay: connection with unexpected bytes closed", "address", address, "requests", len(c.carried), "last", last)
 	c.closeNow()
 }
 
--- a/relay/mixed_test.go
+++ b/relay/mixed_test.go
@@ -1,6 +1,9 @@
 package relay_test
 
 import (
+	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -30,3 +33,26 @@
 		assert.Equal(t, requests.Load(), int64(2), "cut at %d", cut)
 	}
 }
+
+// withoutID removes the request's id from a head.
+func withoutID(head, id string) string {
+	return strings.Replace(head, "Request-Id: "+id+"\r\n", "", 1)
+}
+
+// Guards against an answer without a request's id that is taken for the answer to the next request on the connection.
+func TestAnswerWithoutIDIsNotThatOfNextRequest(t *testing.T) {
+	for _, path := range []string{"/once/", "/read/"} {
+		replica := startReplica(t, "one", func(r *fakes.Request) {
+			if r.NumberOnConnection > 1 {
+				r.WriteRaw(withoutID(fakes.Head(r.RequestID, "200 OK"), r.RequestID) + "Content-Length: 5\r\n\r\nwrong")
+			}
+			r.Respond("200 OK", r.URL.Path)
+		})
+		g := newTestGateway(t, replica)
+		for i := range 6 {
+			target := path + strconv.Itoa(i)
+			got := g.get(target)
+			assert.Assert(t, got.status != http.StatusOK || got.body == target, "%s: %q", target, got.body)
+		}
+	}
+}
