relay: send requests without an id on connections of their own

The answer to a request that bears no id can't say to whom it belongs. Such a request was sent on a connection that had carried others, where a late copy of their answers would be taken for its own once it bears no id, and its own answer would be skipped as a stray one otherwise. It gets a new connection, which was never put back already.

TestRequestWithoutIDHasItsOwnConnection failed on: three of three such requests shared a connection.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -155,9 +155,10 @@
 
 // get returns a connection to the address for the request with the id, and whether it is reused. It
 // connects when there is no usable idle connection; errors wrap errNotSent. A connection that carried the
-// same request before is not used: an answer there can't be told from a copy of the earlier one.
+// same request before is not used: an answer there can't be told from a copy of the earlier one. A request without an
+// id gets a new connection, as its answer bears none.
 func (p *pool) get(ctx context.Context, address, id string) (*conn, bool, error) {
-	for {
+	for id != "" {
 		c := p.takeIdle(address, id)
 		if c == nil {
 			break
--- a/relay/mixed_test.go
+++ b/relay/mixed_test.go
@@ -56,3 +56,23 @@
 		}
 	}
 }
+
+// Guards against answers that can't be told apart because requests without an id share a connection.
+func TestRequestWithoutIDHasItsOwnConnection(t *testing.T) {
+	replica := startReplica(t, "one", func(r *fakes.Request) {
+		assert.Check(t, r.RequestID != "" || r.NumberOnConnection == 1)
+		r.Respond("200 OK", r.URL.Path)
+	})
+	g := newTestGateway(t, replica)
+	for i := range 6 {
+		req, err := http.NewRequest(http.MethodGet, g.httpServer.URL+"/read/"+strconv.Itoa(i), nil)
+		assert.NilError(t, err)
+		req.Header, req.Host = fakes.RequestHeader("id"+strconv.Itoa(i), key, "", 4000), fakes.Host
+		if i%2 == 1 {
+			req.Header.Del("Request-Id")
+		}
+		got := g.do(req)
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, got.body, "/read/"+strconv.Itoa(i))
+	}
+}
