relay: end a connection before the ids of its requests are forgotten

A connection kept the ids of its last 64 requests; with the 65th the first was forgotten, and a request with that id could be sent there again, where a copy of the earlier answer can't be told from its own.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -51,21 +51,16 @@
 	headBytesLeft int
 	// expiresAt is when an idle connection is closed.
 	expiresAt clock.Time
-	// carried are the ids of the last requests that were sent on the connection. An upstream in trouble may
-	// write its answer to one of them once more.
+	// carried are the ids of the requests that were sent on the connection. An upstream in trouble may write its
+	// answer to one of them once more.
 	carried []string
 }
 
-// maxCarried bounds the ids kept of a connection.
-const maxCarried = 64
+// MaxCarried is the maximum number of requests on one connection, whose ids are all kept.
+const MaxCarried = 256
 
 // recordRequest records that the connection carries the request with the id.
-func (c *conn) recordRequest(id string) {
-	if len(c.carried) >= maxCarried {
-		c.carried = slices.Delete(c.carried, 0, 1)
-	}
-	c.carried = append(c.carried, id)
-}
+func (c *conn) recordRequest(id string) { c.carried = append(c.carried, id) }
 
 // isFirst reports whether the connection has carried one request only.
 func (c *conn) isFirst() bool { return len(c.carried) == 1 }
@@ -198,9 +193,13 @@
 	return nil
 }
 
-// put adds a connection to the pool after a complete response. idleTimeout is the time for which
-// the upstream keeps it open; 0 means unknown.
+// put adds a connection to the pool after a complete response, unless it has carried MaxCarried requests. idleTimeout
+// is the time for which the upstream keeps it open; 0 means unknown.
 func (p *pool) put(address string, c *conn, idleTimeout clock.Span) {
+	if len(c.carried) >= MaxCarried {
+		c.closeNow()
+		return
+	}
 	if idleTimeout == 0 {
 		idleTimeout = defaultIdleTimeout
 	}
--- a/relay/mixed_test.go
+++ b/relay/mixed_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnolialever/magnolialever/platform/fakes"
+	"github.com/magnolialever/magnolialever/relay"
 )
 
 // Guards against an answer that begins with the bytes of an attempt that broke off inside its first event.
@@ -76,3 +77,18 @@
 		assert.Equal(t, got.body, "/read/"+strconv.Itoa(i))
 	}
 }
+
+// Guards against a late copy of an answer that is no longer known to belong to an earlier request of the connection:
+// a connection ends before the ids of its requests are forgotten.
+func TestConnectionEndsBeforeItsIDsAreForgotten(t *testing.T) {
+	var most atomic.Int64
+	replica := startReplica(t, "one", func(r *fakes.Request) {
+		most.Store(max(most.Load(), int64(r.NumberOnConnection)))
+		r.Respond("200 OK", "")
+	})
+	g := newTestGateway(t, replica)
+	for i := range 300 {
+		assert.Equal(t, g.get("/read/"+strconv.Itoa(i)).status, http.StatusOK)
+	}
+	assert.Assert(t, most.Load() > 100 && most.Load() <= relay.MaxCarried, "%d requests on one connection", most.Load())
+}
