copies, relay: end an answer where the head of another one begins in its body

A caller got 200 with a body that went on with another answer, head and all: a copy of this answer or of an earlier one on the connection, where the body ends with the connection; in a sized body, where an upstream wrote it amid the bytes (MIXED). Cause: the end of a body without a length is inferred from the end of the connection, whatever comes before it.

Package copies passes a body on up to the head of another answer and fails there: a status line and header fields that name a request or bear a receipt, for a sized body one of this connection's requests, so that a text on HTTP stays a text. Chunked bodies need none of this: chunks that something interrupts can't be read. The attempt has broken off then: the request is repeated where it may be, a stream is resumed, else the caller sees that it is incomplete. What came before the copy isn't taken as complete, though it mostly is: only the copy says so.

Ruled out: using no connection again where an answer may come without a length. Copies of the same answer come on new connections too, and at-most-once requests would lose sound answers.

--- a/relay/call.go
+++ b/relay/call.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/copies"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/stats"
 )
@@ -173,10 +174,29 @@
 func (rs *response) accept(r *request, res *http.Response, p platform.ResponseHeader) {
 	rs.ResponseHeader, rs.status, rs.header, rs.body = p, res.StatusCode, res.Header, res.Body
 	rs.length = res.ContentLength
-	rs.closeDelimited = res.ContentLength < 0 && len(res.TransferEncoding) == 0 && hasBody(r.method, res.StatusCode)
+	chunked := len(res.TransferEncoding) > 0
+	rs.closeDelimited = res.ContentLength < 0 && !chunked && hasBody(r.method, res.StatusCode)
 	rs.reusable = !res.Close && !rs.closeDelimited && p.RequestID != ""
+	if !chunked {
+		// Chunks that another answer interrupts can't be read.
+		rs.body = copies.NewReader(res.Body, copies.Options{IsAnswer: rs.isAnswer, EndsInHead: rs.endsInHead})
+	}
 }
 
+// isAnswer reports whether a head in the body is that of another answer. A body with a length may speak of any answer, but
+// not of one on this very connection.
+func (rs *response) isAnswer(status int, h http.Header) bool {
+	p := platform.ParseResponseHeader(status, h)
+	if rs.closeDelimited {
+		return p.RequestID != "" || p.HasReceipt
+	}
+	return slices.Contains(rs.conn.carried, p.RequestID)
+}
+
+// endsInHead reports whether the begin of a head at the end of the body is that of another answer: nothing else ends the
+// body, or more bytes follow it.
+func (rs *response) endsInHead() bool { return rs.closeDelimited || rs.conn.reader.Buffered() > 0 }
+
 // logStray logs and counts the answer to another request.
 func (rs *response) logStray(r *request, other string, res *http.Response) {
 	stats.Event("stray_answers")
--- a/relay/mixed_test.go
+++ b/relay/mixed_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -92,3 +93,64 @@
 	}
 	assert.Assert(t, most.Load() > 100 && most.Load() <= relay.MaxCarried, "%d requests on one connection", most.Load())
 }
+
+// streamHead is the head of a stream whose end is the end of its connection.
+func streamHead(id string) string {
+	return fakes.Head(id, "200 OK") + "Content-Type: text/event-stream\r\n\r\n"
+}
+
+// Guards against a second answer, of this request or an earlier one of the connection, that is passed on as part of
+// an answer, and against an answer that looks complete though it was cut by one.
+func TestSecondAnswerIsNotPartOfABody(t *testing.T) {
+	const first = "first"
+	copyOf := func(id string) string { return streamHead(id) + eventRange(1, 5) }
+	whole := func(id, body string) string { return fakes.Head(id, "200 OK") + "\r\n" + body }
+	for name, c := range map[string]struct {
+		path, want string
+		// answer returns the bytes of the answer to the request with the id.
+		answer func(id string) string
+	}{
+		"earlier answer amid a stream": {"/stream/a", eventRange(1, 4), func(id string) string {
+			return streamHead(id) + eventRange(1, 2) + copyOf(first) + eventRange(3, 4)
+		}},
+		"earlier answer inside an event": {"/stream/a", eventRange(1, 4), func(id string) string {
+			return streamHead(id) + eventRange(1, 2) + "id: 3\nda" + copyOf(first) + eventRange(3, 4)
+		}},
+		"copy after a stream":  {"/stream/a", eventRange(1, 4), func(id string) string { return streamHead(id) + eventRange(1, 4) + copyOf(id) }},
+		"cut copy of a stream": {"/stream/a", eventRange(1, 4), func(id string) string { return streamHead(id) + eventRange(1, 4) + copyOf(id)[:30] }},
+		"copy after a body":    {"/once/a", "body", func(id string) string { return whole(id, "body") + whole(id, "body") }},
+		"copy without an id":   {"/once/a", "body", func(id string) string { return whole(id, "body") + withoutID(whole(id, "body"), id) }},
+		"copy amid a sized body": {"/once/a", "body of 20 bytes....", func(id string) string {
+			return fakes.Head(id, "200 OK") + "Content-Length: 20\r\n\r\nbody of" + whole(first, "") + " 20 bytes...."
+		}},
+	} {
+		for _, reused := range []bool{false, true} {
+			replica := startReplica(t, "one", func(r *fakes.Request) {
+				if r.RequestID == first {
+					r.Respond("200 OK", "first")
+					return
+				}
+				r.WriteRaw(c.answer(r.RequestID))
+				r.CloseConnection()
+			})
+			g := newTestGateway(t, replica)
+			if reused {
+				req, err := http.NewRequest(http.MethodGet, g.httpServer.URL+"/read/first", nil)
+				assert.NilError(t, err)
+				req.Header, req.Host = fakes.RequestHeader(first, key, "", 4000), fakes.Host
+				assert.Equal(t, g.do(req).status, http.StatusOK)
+			}
+			model := ""
+			if c.path == "/stream/a" {
+				model = "small"
+			}
+			got := g.send(context.Background(), http.MethodPost, c.path, model, "x")
+			if !reused && name == "copy amid a sized body" {
+				// The connection has not carried the other request: the body may speak of its answer.
+				continue
+			}
+			assert.Check(t, got.status != http.StatusOK || strings.HasPrefix(c.want, got.body), "%s, reused %v: %q", name, reused, got.body)
+			assert.Check(t, got.status != http.StatusOK || got.err != nil, "%s, reused %v: %q looks complete", name, reused, got.body)
+		}
+	}
+}
