relay: end a stream at an event that does not follow the one before it

The platform's streams have increasing identifiers; an event that has a lower one is not of this stream. The attempt breaks off before it; events before it in the same read are delivered first, so that a resumed stream neither loses nor repeats any. Events without a number are passed on as before.

--- a/relay/event.go
+++ b/relay/event.go
@@ -43,9 +43,12 @@
 // errEventTooLarge means that an event exceeds maxEventBytes.
 var errEventTooLarge = errors.New("event of the stream is too large")
 
+// errEventOrder means that an event's identifier is not above that of the event before it.
+var errEventOrder = errors.New("identifiers of events do not increase")
+
 // add appends bytes of the stream and returns the events that are complete now, without repeated
 // ones. The result is valid until the next call. It fails with errEventTooLarge if the incomplete
-// event exceeds the limit.
+// event exceeds the limit, and with errEventOrder after the events that it returns.
 func (e *eventSplitter) add(p []byte) ([]byte, error) {
 	data := p
 	if len(e.pending) > 0 {
@@ -65,21 +68,24 @@
 	end += len(eventSeparator)
 	complete := bytes.Clone(data[:end])
 	e.pending = append([]byte(nil), data[end:]...)
-	return e.filterRepeated(complete), nil
+	return e.filterRepeated(complete)
 }
 
-// filterRepeated drops repeated events and records the others as delivered. It overwrites its argument.
-func (e *eventSplitter) filterRepeated(complete []byte) []byte {
+// filterRepeated drops repeated events and records the others as delivered. It overwrites its argument. It stops with
+// errEventOrder before an event that is out of order.
+func (e *eventSplitter) filterRepeated(complete []byte) ([]byte, error) {
 	out := complete[:0]
 	for len(complete) > 0 {
 		n := bytes.Index(complete, eventSeparator) + len(eventSeparator)
 		event := complete[:n]
 		complete = complete[n:]
 		id, ok := eventID(event)
-		if ok && e.skipping {
-			if v, err := strconv.ParseInt(id, 10, 64); err == nil && v <= e.skipThrough {
-				continue
-			}
+		switch e.classify(id) {
+		case eventRepeated:
+			continue
+		case eventMisplaced:
+			return out, errEventOrder
+		case eventNew:
 		}
 		if ok {
 			e.delivered.lastID = id
@@ -89,7 +95,35 @@
 		}
 		out = append(out, event...)
 	}
-	return out
+	return out, nil
+}
+
+// eventPlace is where an event stands in its stream.
+type eventPlace uint8
+
+const (
+	// eventNew is an event that the caller doesn't have.
+	eventNew eventPlace = iota
+	// eventRepeated is an event at the start of a resumed stream that the caller has.
+	eventRepeated
+	// eventMisplaced is an event that does not follow the one before it.
+	eventMisplaced
+)
+
+// classify returns the place of an event with the identifier. Events without a number are new.
+func (e *eventSplitter) classify(id string) eventPlace {
+	v, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return eventNew
+	}
+	if e.skipping && v <= e.skipThrough {
+		return eventRepeated
+	}
+	e.skipping = false
+	if last, err := strconv.ParseInt(e.delivered.lastID, 10, 64); err == nil && v <= last {
+		return eventMisplaced
+	}
+	return eventNew
 }
 
 // endsInsideEvent reports whether bytes of an incomplete event are left.
--- a/relay/mixed_test.go
+++ b/relay/mixed_test.go
@@ -154,3 +154,26 @@
 		}
 	}
 }
+
+// Guards against events of another answer in a stream, and against events that are lost or repeated where the rest comes
+// from another upstream.
+func TestEventsOutOfOrderAreNotPartOfAStream(t *testing.T) {
+	script := func(r *fakes.Request) {
+		if r.LastEventID == "" {
+			r.Stream(1, 3, false)
+			r.Chunk(fakes.Event(4) + fakes.Event(2) + fakes.Event(5))
+			r.WriteRaw("0\r\n\r\n")
+			return
+		}
+		assert.Check(t, r.LastEventID == "4", r.LastEventID)
+		r.Stream(3, 6, true)
+	}
+	one, two := startReplica(t, "one", script), startReplica(t, "two", script)
+	g := newTestGateway(t, one, two)
+	got := g.postStream("/talk/a")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventRange(1, 6))
+	got = g.postStream("/stream/a")
+	assert.Assert(t, got.err != nil, "%q looks complete", got.body)
+	assert.Equal(t, got.body, eventRange(1, 4))
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -102,12 +102,9 @@
 
 // writeEvents adds bytes of the stream and sends the events that are complete to the caller.
 func (a *attempt) writeEvents(res *response, flusher *http.ResponseController, data []byte) error {
-	complete, err := a.stream.add(data)
-	if err != nil {
-		return err
-	}
+	complete, orderErr := a.stream.add(data)
 	if len(complete) == 0 {
-		return nil
+		return orderErr
 	}
 	a.writeHead(res)
 	if _, err := a.writer.Write(complete); err != nil {
@@ -116,7 +113,7 @@
 	if err := flusher.Flush(); err != nil {
 		return fmt.Errorf("%w: %w", errCaller, err)
 	}
-	return nil
+	return orderErr
 }
 
 // writeHead sends the response head to the caller, once per request: a resumed stream continues under
