place: let no report from before an unload take the memory that it freed

The leader's load was refused with memory_full right after the unload that made room for it. A report that was requested before the engine confirmed the unload and received after it still shows the target; it has no entry any more, so that its memory counted as unattributed until the next report.

A report requested before the last change of an entry no longer changes the unattributed memory; a later one does, as before. TestReportFromBeforeUnloadTakesNoMemory failed before (10 bytes free, not 40).

--- a/place/ledger_test.go
+++ b/place/ledger_test.go
@@ -268,3 +268,20 @@
 	l.Complete(27, unload.Order, place.Failed)
 	assert.Equal(t, l.Admit(27, place.Order{ID: "5", Fence: 3, Op: place.Unload, Target: "b"}).Code, units.InvalidRequest)
 }
+
+// Guards against a load that is refused for lack of memory because a report, requested before an unload was confirmed and
+// received after it, shows the target that was unloaded.
+func TestReportFromBeforeUnloadTakesNoMemory(t *testing.T) {
+	l := place.NewLedger(place.Options{Capacity: capacity, MaxReportLag: maxReportLag})
+	full := place.Report{Used: 90, Total: capacity, Targets: []place.ReportedTarget{{Target: "a", Bytes: 30}, {Target: "b", Bytes: 60}}}
+	l.Observe(10, full)
+	unload := l.Admit(20, place.Order{ID: "1", Fence: 1, Op: place.Unload, Target: "a"})
+	assert.Equal(t, unload.Step, place.Send)
+	l.Complete(22, unload.Order, place.Done)
+	l.Observe(21, full)
+	assert.Equal(t, l.Free(), units.Bytes(40))
+	assert.Equal(t, l.Admit(23, place.Order{ID: "2", Fence: 1, Op: place.Load, Target: "c", Bytes: 20}).Step, place.Send)
+	// A report requested after the unload counts as before: the engine may use the memory otherwise.
+	l.Observe(24, full)
+	assert.Equal(t, l.Free(), units.Bytes(0))
+}
--- a/place/report.go
+++ b/place/report.go
@@ -45,7 +45,9 @@
 			e.state = uncertain
 		}
 	}
-	l.unattributed = max(r.Used-l.attributedBytes(r), 0)
+	if !l.observed || !requestedAt.Before(l.changedAt) {
+		l.unattributed = max(r.Used-l.attributedBytes(r), 0)
+	}
 	l.observed = true
 	l.reportRequestedAt = max(l.reportRequestedAt, requestedAt)
 }
