copies, relay: tell heads of answers from texts, in linear time, in chunks too

A body of status lines in header fields took 13 s for 1 MB.

A head in a body now counts by what it names: a request of this connection, or, where the body ends with the connection, a receipt; in an event stream either, as no event looks like one. A partial head at the end counts with a whole status code, in a sized body where its rest follows on the connection. Lines are examined once. Ids are kept as hashes, since callers may send long ones. The event splitter no longer searches the whole event at each read.

Still passed on: a copy amid a sized body that names no request, and a head of more than 16 KB.

--- a/copies/copies.go
+++ b/copies/copies.go
@@ -1,5 +1,6 @@
-// Package copies finds another answer inside the body of an answer. An upstream that answers twice may write the
-// second answer into a body whose end is only the end of the connection, or into the middle of one.
+// Package copies finds another answer inside the body of an answer. A faulty upstream may send an answer twice, or the
+// answer to an earlier request of the connection once more, and write it into a body whose end is only the end of the
+// connection, or into the middle of a body.
 package copies
 
 import (
@@ -23,17 +24,18 @@
 	readBytes = 8 << 10
 )
 
-// statusLine is what each status line begins with.
-var statusLine = []byte("HTTP/1.")
+// statusPrefix is what each status line begins with.
+var statusPrefix = []byte("HTTP/1.")
 
 // Options describe the body that a Reader reads.
 type Options struct {
 	// IsAnswer reports whether a head with the status and the header, found in the body, is that of an upstream's
-	// answer. Other heads are part of the body, as in a text on HTTP.
+	// answer. Other heads are part of the body, as in a text on HTTP. If it holds for some fields of a head, it has to
+	// hold for all of them.
 	IsAnswer func(status int, h http.Header) bool
-	// EndsInHead reports whether bytes at the end of the body that may be the begin of a head are one. It is asked once,
-	// at that end; if nil, they are part of the body.
-	EndsInHead func() bool
+	// IsPartialAnswer reports whether a partial head at the end of the body counts as another answer. If nil, it is
+	// part of the body.
+	IsPartialAnswer func(head []byte) bool
 }
 
 // Reader passes on a body up to the head of another answer, where it fails with ErrSecondAnswer. It holds back bytes
@@ -41,36 +43,38 @@
 type Reader struct {
 	options Options
 	body    io.Reader
-	// data holds the bytes that were read and not passed on, of which the first clean ones are part of the body.
-	data  []byte
-	clean int
-	// err is returned after the clean bytes.
-	err error
-	in  []byte
+	// data holds the bytes that were read and not passed on, of which the first released ones are part of the body.
+	data     []byte
+	released int
+	// examined is the number of bytes after the released ones that are whole lines of a head.
+	examined int
+	// err is returned after the released bytes.
+	err    error
+	buffer []byte
 }
 
 // NewReader returns a Reader of the body.
 func NewReader(body io.Reader, o Options) *Reader {
-	return &Reader{options: o, body: body, in: make([]byte, readBytes)}
+	return &Reader{options: o, body: body, buffer: make([]byte, readBytes)}
 }
 
 // Read implements io.Reader.
 func (r *Reader) Read(p []byte) (int, error) {
-	for r.clean == 0 && r.err == nil {
+	for r.released == 0 && r.err == nil {
 		r.fill()
 	}
-	if r.clean == 0 {
+	if r.released == 0 {
 		return 0, r.err
 	}
-	n := copy(p, r.data[:r.clean])
-	r.data, r.clean = r.data[n:], r.clean-n
+	n := copy(p, r.data[:r.released])
+	r.data, r.released = r.data[n:], r.released-n
 	return n, nil
 }
 
-// fill reads once from the body and finds out how much of the data is clean.
+// fill reads once from the body and finds out how much of the data can be released.
 func (r *Reader) fill() {
-	n, err := r.body.Read(r.in)
-	r.data = append(r.data, r.in[:n]...)
+	n, err := r.body.Read(r.buffer)
+	r.data = append(r.data, r.buffer[:n]...)
 	r.err = err
 	r.scan()
 	if errors.Is(r.err, io.EOF) {
@@ -78,34 +82,37 @@
 	}
 }
 
-// scan advances clean up to the first bytes that are, or may become, the head of an answer.
+// scan releases the bytes up to the first that are, or may become, the head of an answer.
 func (r *Reader) scan() {
 	for {
-		i := bytes.Index(r.data[r.clean:], statusLine)
-		if i < 0 {
-			r.clean = max(r.clean, len(r.data)-partialSuffix(r.data[r.clean:]))
+		if i := bytes.Index(r.data[r.released:], statusPrefix); i > 0 {
+			r.released += i
+		} else if i < 0 {
+			r.released = max(r.released, len(r.data)-partialSuffix(r.data[r.released:]))
 			return
 		}
-		r.clean += i
-		switch r.examine(r.data[r.clean:]) {
+		verdict, n := r.examine(r.data[r.released:])
+		switch verdict {
 		case undecided:
 			return
 		case answer:
 			r.err = ErrSecondAnswer
 			return
 		case content:
-			r.clean += len(statusLine)
+			r.released += n
+			r.examined = 0
 		}
 	}
 }
 
 // finish decides on what was held back when the body has ended.
 func (r *Reader) finish() {
-	if len(r.data)-r.clean > len(statusLine) && r.options.EndsInHead != nil && r.options.EndsInHead() {
+	held := r.data[r.released:]
+	if len(held) > 0 && r.options.IsPartialAnswer != nil && r.options.IsPartialAnswer(held) {
 		r.err = ErrSecondAnswer
 		return
 	}
-	r.clean = len(r.data)
+	r.released = len(r.data)
 }
 
 // verdict is what bytes that begin like a status line are.
@@ -120,53 +127,50 @@
 	content
 )
 
-// examine returns what data, which begins with statusLine, is. A line that can't be one of a head decides at once, so
-// that each byte is held back for one head at most.
-func (r *Reader) examine(data []byte) verdict {
-	if !mayBeStatusLine(data) {
-		return content
-	}
-	end := bytes.IndexByte(data, '\n') + 1
-	if end == 0 || end > maxStatusBytes {
-		return undecidedUpTo(data, maxStatusBytes)
+// examine returns what data, which begins with statusPrefix, is. For content it returns how many bytes are no head, nor
+// the begin of one: a status line inside a header line has a part of the same fields.
+func (r *Reader) examine(data []byte) (verdict, int) {
+	if r.examined == 0 {
+		n := bytes.IndexByte(data[:min(len(data), maxStatusBytes)], '\n') + 1
+		switch {
+		case !mayBeStatusLine(data), n > 0 && !bytes.HasSuffix(data[:n], []byte("\r\n")), n == 0 && len(data) >= maxStatusBytes:
+			return content, len(statusPrefix)
+		case n == 0:
+			return undecided, 0
+		}
+		r.examined = n
 	}
-	for {
-		line := data[end:]
+	for r.examined <= maxHeadBytes {
+		line := data[r.examined:]
 		n := bytes.IndexByte(line, '\n') + 1
-		if n == 0 {
-			return undecidedUpTo(data, maxHeadBytes)
-		}
-		line, end = line[:n], end+n
 		switch {
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
-			return r.decide(data[:end])
-		case !isHeaderLine(line) || end > maxHeadBytes:
-			return content
+		case n == 0 && len(data) <= maxHeadBytes:
+			return undecided, 0
+		case n == 0:
+			return content, r.examined
+		case len(bytes.TrimRight(line[:n], "\r\n")) == 0:
+			return r.decide(data[:r.examined+n])
+		case !isHeaderLine(line[:n]):
+			return content, r.examined
 		}
+		r.examined += n
 	}
-}
-
-// undecidedUpTo returns undecided if data is not longer than the limit, else content.
-func undecidedUpTo(data []byte, limit int) verdict {
-	if len(data) > limit {
-		return content
-	}
-	return undecided
+	return content, r.examined
 }
 
 // decide returns what the whole head is.
-func (r *Reader) decide(head []byte) verdict {
+func (r *Reader) decide(head []byte) (verdict, int) {
 	res, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil) //nolint:bodyclose // it has no body
 	if err != nil || !r.options.IsAnswer(res.StatusCode, res.Header) {
-		return content
+		return content, len(head)
 	}
-	return answer
+	return answer, 0
 }
 
-// mayBeStatusLine reports whether data, which begins with statusLine, goes on like one: a digit, a space and three
-// digits, as far as there are bytes.
+// mayBeStatusLine reports whether data, which begins with statusPrefix, goes on like a status line: a digit, a space and
+// three digits, as far as there are bytes.
 func mayBeStatusLine(data []byte) bool {
-	for i, c := range data[len(statusLine):min(len(data), len(statusLine)+5)] {
+	for i, c := range data[len(statusPrefix):min(len(data), len(statusPrefix)+5)] {
 		if i == 1 && c != ' ' || i != 1 && (c < '0' || c > '9') {
 			return false
 		}
@@ -180,12 +184,22 @@
 	return found && len(name) > 0 && !bytes.ContainsAny(name, " \t/()<>@,;\\\"[]?={}")
 }
 
-// partialSuffix returns the length of the longest end of data with which statusLine begins.
+// partialSuffix returns the length of the longest end of data with which statusPrefix begins.
 func partialSuffix(data []byte) int {
-	for n := min(len(data), len(statusLine)-1); n > 0; n-- {
-		if bytes.HasSuffix(data, statusLine[:n]) {
+	for n := min(len(data), len(statusPrefix)-1); n > 0; n-- {
+		if bytes.HasSuffix(data, statusPrefix[:n]) {
 			return n
 		}
 	}
 	return 0
 }
+
+// HasStatusCode reports whether a partial head has a whole status code.
+func HasStatusCode(head []byte) bool {
+	return len(head) >= len(statusPrefix)+5 && mayBeStatusLine(head)
+}
+
+// BeginsHead reports whether the data begins like the head of an answer.
+func BeginsHead(data []byte) bool {
+	return len(data) > len(statusPrefix) && bytes.HasPrefix(data, statusPrefix) && mayBeStatusLine(data)
+}
--- a/relay/call.go
+++ b/relay/call.go
@@ -155,7 +155,7 @@
 			return err
 		}
 		p := platform.ParseResponseHeader(res.StatusCode, res.Header)
-		if p.RequestID == r.id || p.RequestID == "" && rs.conn.isFirst() {
+		if p.RequestID == r.id || p.RequestID == "" && rs.conn.carriesFirst() {
 			rs.accept(r, res, p)
 			return nil
 		}
@@ -174,34 +174,41 @@
 func (rs *response) accept(r *request, res *http.Response, p platform.ResponseHeader) {
 	rs.ResponseHeader, rs.status, rs.header, rs.body = p, res.StatusCode, res.Header, res.Body
 	rs.length = res.ContentLength
-	chunked := len(res.TransferEncoding) > 0
-	rs.closeDelimited = res.ContentLength < 0 && !chunked && hasBody(r.method, res.StatusCode)
+	rs.closeDelimited = res.ContentLength < 0 && len(res.TransferEncoding) == 0 && hasBody(r.method, res.StatusCode)
 	rs.reusable = !res.Close && !rs.closeDelimited && p.RequestID != ""
-	if !chunked {
-		// Chunks that another answer interrupts can't be read.
-		rs.body = copies.NewReader(res.Body, copies.Options{IsAnswer: rs.isAnswer, EndsInHead: rs.endsInHead})
-	}
+	rs.body = copies.NewReader(res.Body, copies.Options{IsAnswer: rs.isAnswer, IsPartialAnswer: rs.isPartialAnswer})
 }
 
-// isAnswer reports whether a head in the body is that of another answer. A body with a length may speak of any answer, but
-// not of one on this very connection.
+// isAnswer reports whether a head in the body is that of another answer. No event of a stream looks like one. A body of
+// another kind may speak of answers, but not of one on this very connection; where it ends with the connection, the
+// receipt of a replica is enough.
 func (rs *response) isAnswer(status int, h http.Header) bool {
 	p := platform.ParseResponseHeader(status, h)
-	if rs.closeDelimited {
+	switch {
+	case rs.EventStream:
 		return p.RequestID != "" || p.HasReceipt
+	case rs.closeDelimited && p.HasReceipt:
+		return true
 	}
-	return slices.Contains(rs.conn.carried, p.RequestID)
+	return p.RequestID != "" && rs.conn.hasCarried(p.RequestID)
 }
 
-// endsInHead reports whether the begin of a head at the end of the body is that of another answer: nothing else ends the
-// body, or more bytes follow it.
-func (rs *response) endsInHead() bool { return rs.closeDelimited || rs.conn.reader.Buffered() > 0 }
+// isPartialAnswer reports whether a partial head at the end of the body is that of another answer: nothing else ends the
+// body, or the head goes on behind it.
+func (rs *response) isPartialAnswer(head []byte) bool {
+	if rs.closeDelimited {
+		return copies.HasStatusCode(head)
+	}
+	// Peek does not fail for what is buffered.
+	next, _ := rs.conn.reader.Peek(rs.conn.reader.Buffered())
+	return len(next) > 0 && copies.BeginsHead(slices.Concat(head, next))
+}
 
 // logStray logs and counts the answer to another request.
 func (rs *response) logStray(r *request, other string, res *http.Response) {
 	stats.Event("stray_answers")
 	klog.InfoS("relay: answer to another request skipped", "request", r.id, "address", rs.address, "other", other,
-		"status", res.StatusCode, "length", res.ContentLength, "carried", slices.Contains(rs.conn.carried, other))
+		"status", res.StatusCode, "length", res.ContentLength, "carried", rs.conn.hasCarried(other))
 }
 
 // hasBody reports whether a response to the method with the status can have a body.
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"net"
 	"slices"
 	"sync"
@@ -51,19 +52,29 @@
 	headBytesLeft int
 	// expiresAt is when an idle connection is closed.
 	expiresAt clock.Time
-	// carried are the ids of the requests that were sent on the connection. An upstream in trouble may write its
-	// answer to one of them once more.
-	carried []string
+	// requestIDs are the hashes of the ids of the requests that were sent on the connection. A faulty upstream may send
+	// its answer to one of them once more.
+	requestIDs []uint64
 }
 
-// MaxCarried is the maximum number of requests on one connection, whose ids are all kept.
-const MaxCarried = 256
+// MaxRequestsPerConn is the maximum number of requests on one connection, whose ids are all known.
+const MaxRequestsPerConn = 256
+
+// hashSeed is the seed of the hashes of ids.
+var hashSeed = maphash.MakeSeed()
 
 // recordRequest records that the connection carries the request with the id.
-func (c *conn) recordRequest(id string) { c.carried = append(c.carried, id) }
+func (c *conn) recordRequest(id string) {
+	c.requestIDs = append(c.requestIDs, maphash.String(hashSeed, id))
+}
 
-// isFirst reports whether the connection has carried one request only.
-func (c *conn) isFirst() bool { return len(c.carried) == 1 }
+// hasCarried reports whether the request with the id was sent on the connection.
+func (c *conn) hasCarried(id string) bool {
+	return slices.Contains(c.requestIDs, maphash.String(hashSeed, id))
+}
+
+// carriesFirst reports whether the connection has carried one request only.
+func (c *conn) carriesFirst() bool { return len(c.requestIDs) == 1 }
 
 // Read reads from the connection and fails with errHeadTooLarge at the limit headBytesLeft.
 func (c *conn) Read(p []byte) (int, error) {
@@ -129,11 +140,7 @@
 // dropUnexpected closes a connection on which the upstream has sent bytes that belong to no request.
 func (c *conn) dropUnexpected(address string) {
 	stats.Event("unexpected_bytes")
-	last := ""
-	if len(c.carried) > 0 {
-		last = c.carried[len(c.carried)-1]
-	}
-	klog.InfoS("relay: connection with unexpected bytes closed", "address", address, "requests", len(c.carried), "last", last)
+	klog.InfoS("relay: connection with unexpected bytes closed", "address", address, "requests", len(c.requestIDs))
 	c.closeNow()
 }
 
@@ -185,7 +192,7 @@
 	p.closeExpiredOf(address, p.clock.Now())
 	l := p.idleConns[address]
 	for i := len(l) - 1; i >= 0; i-- {
-		if c := l[i]; !slices.Contains(c.carried, id) {
+		if c := l[i]; !c.hasCarried(id) {
 			p.idleConns[address] = slices.Delete(l, i, i+1)
 			return c
 		}
@@ -193,10 +200,10 @@
 	return nil
 }
 
-// put adds a connection to the pool after a complete response, unless it has carried MaxCarried requests. idleTimeout
+// put adds a connection to the pool after a complete response, unless it has carried MaxRequestsPerConn requests. idleTimeout
 // is the time for which the upstream keeps it open; 0 means unknown.
 func (p *pool) put(address string, c *conn, idleTimeout clock.Span) {
-	if len(c.carried) >= MaxCarried {
+	if len(c.requestIDs) >= MaxRequestsPerConn {
 		c.closeNow()
 		return
 	}
--- a/relay/event.go
+++ b/relay/event.go
@@ -50,12 +50,14 @@
 // ones. The result is valid until the next call. It fails with errEventTooLarge if the incomplete
 // event exceeds the limit, and with errEventOrder after the events that it returns.
 func (e *eventSplitter) add(p []byte) ([]byte, error) {
-	data := p
+	data, known := p, 0
 	if len(e.pending) > 0 {
+		// A separator may begin with the last byte that was there.
+		known = len(e.pending) - 1
 		e.pending = append(e.pending, p...)
 		data = e.pending
 	}
-	end := bytes.LastIndex(data, eventSeparator)
+	end := bytes.LastIndex(data[known:], eventSeparator)
 	if end < 0 {
 		if len(e.pending) == 0 {
 			e.pending = append(e.pending, data...)
@@ -65,7 +67,7 @@
 		}
 		return nil, nil
 	}
-	end += len(eventSeparator)
+	end += known + len(eventSeparator)
 	complete := bytes.Clone(data[:end])
 	e.pending = append([]byte(nil), data[end:]...)
 	return e.filterRepeated(complete)
