relay: end the answer to a caller that left so that it doesn't look complete

A caller that closes its connection for writing only, and reads on, got 200 with a part of a stream, or with an empty body, that ended as if it were complete. When the gateway takes a caller for gone it stops the request, but the handler returned normally, so that net/http finished the answer. It is aborted now; a caller that has really left sees no difference. Found by the review; shown on sockets.

TestHalfClosedCallerGetsNoCutAnswer failed before on all three kinds of route.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -287,10 +287,10 @@
 }
 
 // endCanceled ends a request that timed out or whose caller disconnected. A disconnected caller gets
-// no response.
+// no response, and one that only sends nothing more gets none that looks complete.
 func (x *exchange) endCanceled(ctx context.Context) {
 	if x.httpRequest.Context().Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		x.finished = true
+		x.finished, x.aborted = true, true
 		stats.Event("callers_left")
 		klog.InfoS("relay: caller left", "request", x.callerRequest.RequestID, "upstream", x.upstream, "model", x.callerRequest.Model,
 			"adapter", x.callerRequest.Adapter, "sends", x.sends, "runs", x.runs, "events", x.delivered.events, "reason", x.reason,
--- a/relay/mixed_test.go
+++ b/relay/mixed_test.go
@@ -1,13 +1,17 @@
 package relay_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -241,3 +245,36 @@
 		assert.Check(t, got.status == http.StatusBadGateway, "%d own bytes: %d %q", own, got.status, got.body)
 	}
 }
+
+// Guards against a part of an answer, or none, that looks complete to a caller that has closed its connection for writing.
+func TestHalfClosedCallerGetsNoCutAnswer(t *testing.T) {
+	replica := startReplica(t, "one", func(r *fakes.Request) {
+		if strings.HasPrefix(r.URL.Path, "/talk/") {
+			r.Stream(1, 2, false)
+		}
+		r.WaitForClose()
+	})
+	g := newTestGateway(t, replica)
+	for _, path := range []string{"/read/a", "/once/a", "/talk/a"} {
+		c, err := net.Dial("tcp", g.httpServer.Listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\n", path, fakes.Host)
+		assert.NilError(t, err)
+		model := ""
+		if path == "/talk/a" {
+			model = "small"
+		}
+		assert.NilError(t, fakes.RequestHeader("id"+path, key, model, 4000).Write(c))
+		_, err = fmt.Fprint(c, "\r\n")
+		assert.NilError(t, err)
+		time.Sleep(50 * time.Millisecond)
+		assert.NilError(t, c.(*net.TCPConn).CloseWrite())
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			_, err = io.ReadAll(res.Body)
+			res.Body.Close()
+		}
+		assert.Check(t, err != nil, "%s: answer looks complete", path)
+		c.Close()
+	}
+}
