relay: resume no stream whose last event has no number

A caller of a resumable stream got events twice in an answer that looked complete: where the last event that it had got bore no numeric identifier, the next upstream was told none, or that of an earlier event, and began before the place at which the stream broke off.

With it an event that an upstream writes twice in a row is passed on once; since it broke the stream off.

TestStreamWithoutPositionIsNotResumed (three forms) and TestEventWrittenTwiceIsPassedOnOnce failed before.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -174,7 +174,7 @@
 	switch {
 	case ctx.Err() != nil || a.server.Clock.Now().Sub(a.arrivedAt) >= a.timeout:
 		a.endCanceled(ctx)
-	case a.route.RetryMode == fleet.AtMostOnce || a.runs >= a.route.MaxAttempts:
+	case a.route.RetryMode == fleet.AtMostOnce || a.runs >= a.route.MaxAttempts || !a.delivered.canResume():
 		a.giveUp(a.reason)
 	}
 	return sched.Broken
--- a/relay/event.go
+++ b/relay/event.go
@@ -82,7 +82,7 @@
 		event := complete[:n]
 		complete = complete[n:]
 		id, ok := eventID(event)
-		switch e.classify(id) {
+		switch e.classify(id, event) {
 		case eventRepeated:
 			continue
 		case eventMisplaced:
@@ -94,6 +94,7 @@
 		}
 		if ok || bytes.Contains(event, dataField) {
 			e.delivered.events++
+			e.delivered.last = append(e.delivered.last[:0], event...)
 		}
 		out = append(out, event...)
 	}
@@ -106,14 +107,14 @@
 const (
 	// eventNew is an event that the caller doesn't have.
 	eventNew eventPlace = iota
-	// eventRepeated is an event at the start of a resumed stream that the caller has.
+	// eventRepeated is an event that the caller has: at the start of a resumed stream, or the last one once more.
 	eventRepeated
 	// eventMisplaced is an event that does not follow the one before it.
 	eventMisplaced
 )
 
 // classify returns the place of an event with the identifier. Events without a number are new.
-func (e *eventSplitter) classify(id string) eventPlace {
+func (e *eventSplitter) classify(id string, event []byte) eventPlace {
 	v, err := strconv.ParseInt(id, 10, 64)
 	if err != nil {
 		return eventNew
@@ -122,6 +123,9 @@
 		return eventRepeated
 	}
 	e.skipping = false
+	if id == e.delivered.lastID && bytes.Equal(event, e.delivered.last) {
+		return eventRepeated
+	}
 	if last, err := strconv.ParseInt(e.delivered.lastID, 10, 64); err == nil && v <= last {
 		return eventMisplaced
 	}
--- a/relay/mixed_test.go
+++ b/relay/mixed_test.go
@@ -278,3 +278,40 @@
 		c.Close()
 	}
 }
+
+// Guards against events that a caller gets twice because another upstream can't be told where a stream broke off.
+func TestStreamWithoutPositionIsNotResumed(t *testing.T) {
+	for name, events := range map[string][]string{
+		"no ids":       {"data: one\n\n", "data: two\n\n", "data: three\n\n"},
+		"names":        {"id: a1\ndata: one\n\n", "id: a2\ndata: two\n\n", "id: a3\ndata: three\n\n"},
+		"last without": {"id: 1\ndata: one\n\n", "data: two\n\n", "id: 3\ndata: three\n\n"},
+	} {
+		var requests atomic.Int64
+		script := func(r *fakes.Request) {
+			r.Stream(1, 0, false)
+			if requests.Add(1) > 1 {
+				r.Chunk(strings.Join(events, ""))
+				r.WriteRaw("0\r\n\r\n")
+				return
+			}
+			r.Chunk(strings.Join(events[:2], ""))
+			r.CloseConnection()
+		}
+		one, two := startReplica(t, "one", script), startReplica(t, "two", script)
+		got := newTestGateway(t, one, two).postStream("/talk/a")
+		assert.Check(t, got.err != nil, "%s: %q looks complete", name, got.body)
+		assert.Check(t, got.body == strings.Join(events[:2], ""), "%s: %q", name, got.body)
+	}
+}
+
+// Guards against a stream that is broken off because its upstream wrote an event twice, and against the second copy.
+func TestEventWrittenTwiceIsPassedOnOnce(t *testing.T) {
+	replica := startReplica(t, "one", func(r *fakes.Request) {
+		r.Stream(1, 2, false)
+		r.Chunk(fakes.Event(2) + fakes.Event(3))
+		r.WriteRaw("0\r\n\r\n")
+	})
+	got := newTestGateway(t, replica).postStream("/stream/a")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventRange(1, 3))
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/magnolialever/magnolialever/clock"
@@ -19,12 +20,24 @@
 	// headSent is set once the head was sent, at startedAt.
 	headSent  bool
 	startedAt clock.Time
-	// lastID is the identifier of the last event; empty if there was none.
+	// lastID is the identifier of the last event that had one; empty if there was none.
 	lastID string
+	// last is the last event.
+	last []byte
 	// events is the number of events, without those that are only comments.
 	events int
 }
 
+// canResume reports whether another upstream can go on with the stream: it is told the number of the last event.
+func (d *delivery) canResume() bool {
+	if d.events == 0 {
+		return true
+	}
+	id, _ := eventID(d.last)
+	_, err := strconv.ParseInt(id, 10, 64)
+	return err == nil
+}
+
 // relayStream relays the events of a stream, a resumed one included, and decides what follows when it
 // breaks off.
 func (a *attempt) relayStream(ctx context.Context, res *response) sched.Outcome {
@@ -94,7 +107,7 @@
 func (x *exchange) readDeadline(progressAt clock.Time) time.Time {
 	now := x.server.Clock.Now()
 	deadline := x.arrivedAt.Add(x.timeout)
-	if x.route.RetryMode == fleet.Resumable && x.runs < x.route.MaxAttempts {
+	if x.route.RetryMode == fleet.Resumable && x.runs < x.route.MaxAttempts && x.delivered.canResume() {
 		deadline = min(deadline, progressAt.Add(silenceTimeout))
 	}
 	return wallTime(now, deadline)
