relay, platform: find the owner of an answer in four more cases

What callers got, each found by the review on sockets and by a test that failed before: - an answer that names several requests, one's own first: 200 (TestAnswerWithSeveralIDsIsNotPassedOn); it says not to whom it belongs, and is broken now; - a 504 where the upstream made up an id for a request that bore none (TestAnswerWithIDToRequestWithoutOneIsPassedOn): the connection carries this request only, so the answer is its own; - a 101, after which the connection was used again (TestSwitchedProtocolIsNotPassedOn): no request asks for another protocol, and such an answer is broken; - a copy of the answer to a HEAD request, whose announced body swallowed the answer to the next request (TestCopyOfAnswerToHeadTakesNoOtherAnswer): HEAD requests have connections of their own. The answer to one keeps the announced length, which was replaced by 0.

Smaller, from reading: the function that waits for a process's end kept the whole request with its body, and a connection that was put back unused was kept longer than its upstream allows.

--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -22,7 +22,9 @@
 	attempt *attempt
 	status  int
 	header  http.Header
-	body    []byte
+	// length is the announced length of the body, which the answer to a HEAD request lacks; negative if unknown.
+	length int64
+	body   []byte
 }
 
 // relayBuffered reads the whole response and sends it to the caller. While the request may run again,
@@ -50,7 +52,7 @@
 	if res.status < http.StatusInternalServerError {
 		a.ticket.Began()
 	}
-	p := &bufferedResponse{a, res.status, res.header, body}
+	p := &bufferedResponse{a, res.status, res.header, res.length, body}
 	if res.status >= 500 && a.route.RetryMode != fleet.AtMostOnce && a.runs < a.route.MaxAttempts && res.status != http.StatusGatewayTimeout {
 		a.failureResponse = p
 		a.failed("status " + strconv.Itoa(res.status))
@@ -69,7 +71,11 @@
 	p.attempt.recordServed(p.status, x.server.Clock.Now())
 	h := x.writer.Header()
 	platform.CopyResponseHeader(h, p.header)
-	h.Set("Content-Length", strconv.Itoa(len(p.body)))
+	if x.httpRequest.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(p.body)))
+	} else if p.length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(p.length, 10))
+	}
 	if x.server.draining.Load() {
 		h.Set("Connection", "close")
 	}
--- a/relay/call.go
+++ b/relay/call.go
@@ -50,6 +50,10 @@
 	accepts func() bool
 }
 
+// needsOwnConn reports whether the request must not share a connection with others: its answer bears no id, or, as that to
+// a HEAD request has no body, a late copy of one can't be told from the begin of a longer one.
+func (r *request) needsOwnConn() bool { return r.id == "" || r.method == http.MethodHead }
+
 // encode returns the request in the wire format of HTTP/1.1.
 func (r *request) encode() []byte {
 	var b bytes.Buffer
@@ -96,12 +100,12 @@
 // error the request may have run.
 func (p *pool) call(ctx context.Context, address string, r *request, headDeadline time.Time) (*response, error) {
 	data := r.encode()
-	c, reused, err := p.get(ctx, address, r.id)
+	c, reused, err := p.get(ctx, address, r)
 	if err != nil {
 		return nil, err
 	}
 	if !r.accepts() {
-		p.put(address, c, 0)
+		p.putBack(address, c, reused)
 		return nil, fmt.Errorf("%w: %w", errNotAccepted, errNotSent)
 	}
 	c.recordRequest(r.id)
@@ -143,8 +147,11 @@
 	return nil
 }
 
-// errNoOwner means that an answer does not say to which of the requests of its connection it belongs.
-var errNoOwner = errors.New("answer without a request id on a connection that carried other requests")
+// errNoOwner means that an answer does not say to which request it belongs.
+var errNoOwner = errors.New("answer without a request id on a connection that carried other requests, or with several")
+
+// errSwitched means that an upstream changed the protocol of the connection, which no request asks for.
+var errSwitched = errors.New("the upstream changed the protocol")
 
 // readHead reads response heads until one belongs to the request, since an upstream may send a late
 // second response to an earlier request on the connection.
@@ -155,13 +162,13 @@
 			return err
 		}
 		p := platform.ParseResponseHeader(res.StatusCode, res.Header)
-		if p.RequestID == r.id || p.RequestID == "" && rs.conn.carriesFirst() {
+		if p.ManyRequestIDs || p.RequestID == "" && !rs.conn.carriesFirst() {
+			return errNoOwner
+		}
+		if p.RequestID == r.id || rs.conn.carriesFirst() && (p.RequestID == "" || r.id == "") {
 			rs.accept(r, res, p)
 			return nil
 		}
-		if p.RequestID == "" {
-			return errNoOwner
-		}
 		rs.logStray(r, p.RequestID, res)
 		if err := discardShort(res.Body); err != nil {
 			return fmt.Errorf("skip a response to another request: %w", err)
@@ -175,7 +182,7 @@
 	rs.ResponseHeader, rs.status, rs.header, rs.body = p, res.StatusCode, res.Header, res.Body
 	rs.length = res.ContentLength
 	rs.closeDelimited = res.ContentLength < 0 && len(res.TransferEncoding) == 0 && hasBody(r.method, res.StatusCode)
-	rs.reusable = !res.Close && !rs.closeDelimited && p.RequestID != ""
+	rs.reusable = !res.Close && !rs.closeDelimited && p.RequestID != "" && !r.needsOwnConn()
 	rs.body = copies.NewReader(res.Body, copies.Options{IsAnswer: rs.isAnswer, IsPartialAnswer: rs.isPartialAnswer})
 }
 
@@ -235,7 +242,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
-		if res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
+		if res.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errSwitched
+		}
+		if res.StatusCode >= http.StatusOK {
 			return res, nil
 		}
 	}
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -155,13 +155,12 @@
 
 func newPool(c clock.Clock) *pool { return &pool{clock: c, idleConns: map[string][]*conn{}} }
 
-// get returns a connection to the address for the request with the id, and whether it is reused. It
+// get returns a connection to the address for the request, and whether it is reused. It
 // connects when there is no usable idle connection; errors wrap errNotSent. A connection that carried the
-// same request before is not used: an answer there can't be told from a copy of the earlier one. A request without an
-// id gets a new connection, as its answer bears none.
-func (p *pool) get(ctx context.Context, address, id string) (*conn, bool, error) {
-	for id != "" {
-		c := p.takeIdle(address, id)
+// same request before is not used: an answer there can't be told from a copy of the earlier one.
+func (p *pool) get(ctx context.Context, address string, r *request) (*conn, bool, error) {
+	for !r.needsOwnConn() {
+		c := p.takeIdle(address, r.id)
 		if c == nil {
 			break
 		}
@@ -211,6 +210,21 @@
 		idleTimeout = defaultIdleTimeout
 	}
 	c.expiresAt = p.clock.Now().Add(clock.Span(float64(idleTimeout) * idleTimeoutShare))
+	p.add(address, c)
+}
+
+// putBack returns a connection on which nothing was sent since get. A connection that was idle before expires as it
+// would have.
+func (p *pool) putBack(address string, c *conn, reused bool) {
+	if !reused {
+		p.put(address, c, 0)
+		return
+	}
+	p.add(address, c)
+}
+
+// add adds an idle connection.
+func (p *pool) add(address string, c *conn) {
 	if err := c.SetDeadline(time.Time{}); err != nil {
 		c.closeNow()
 		return
--- a/relay/mixed_test.go
+++ b/relay/mixed_test.go
@@ -315,3 +315,53 @@
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.body, eventRange(1, 3))
 }
+
+// Guards against an answer that names another request besides one's own.
+func TestAnswerWithSeveralIDsIsNotPassedOn(t *testing.T) {
+	replica := startReplica(t, "one", func(r *fakes.Request) {
+		r.WriteRaw(fakes.Head(r.RequestID, "200 OK") + "Request-Id: other\r\nContent-Length: 5\r\n\r\nwrong")
+	})
+	g := newTestGateway(t, replica)
+	assert.Equal(t, g.getAs("a", "/once/a").status, http.StatusBadGateway)
+}
+
+// Guards against an answer that is lost because the upstream names a request whose caller named none.
+func TestAnswerWithIDToRequestWithoutOneIsPassedOn(t *testing.T) {
+	replica := startReplica(t, "one", func(r *fakes.Request) { r.RespondTo("made-up", "body") })
+	got := newTestGateway(t, replica).getAs("", "/once/a")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "body")
+}
+
+// Guards against a change of protocol that no caller asked for, and against the use of such a connection for other requests.
+func TestSwitchedProtocolIsNotPassedOn(t *testing.T) {
+	replica := startReplica(t, "one", func(r *fakes.Request) { r.WriteRaw(fakes.Head(r.RequestID, "101 Switching Protocols") + "\r\n") })
+	g := newTestGateway(t, replica)
+	for range 2 {
+		assert.Equal(t, g.getAs("a", "/once/a").status, http.StatusBadGateway)
+	}
+	assert.Equal(t, replica.Requests()[1].NumberOnConnection, 1)
+}
+
+// Guards against a late copy of the answer to a HEAD request, whose announced body is taken from the answers that follow.
+func TestCopyOfAnswerToHeadTakesNoOtherAnswer(t *testing.T) {
+	headAnswer := ""
+	replica := startReplica(t, "one", func(r *fakes.Request) {
+		if r.Method == http.MethodHead {
+			headAnswer = fakes.Head(r.RequestID, "200 OK") + "Content-Length: 500\r\n\r\n"
+			r.WriteRaw(headAnswer)
+			return
+		}
+		if r.NumberOnConnection > 1 {
+			r.WriteRaw(headAnswer)
+		}
+		r.Respond("200 OK", "body")
+	})
+	g := newTestGateway(t, replica)
+	got := g.send(context.Background(), http.MethodHead, "/once/a", "", "")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.header.Get("Content-Length"), "500")
+	got = g.post("/once/b", "x")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "body")
+}
--- a/relay/part.go
+++ b/relay/part.go
@@ -104,21 +104,22 @@
 	crash := parts.Crash{ID: retry.NewCrashID(upstream.ID, upstream.ProcessStart), SentAt: a.ticket.SentAt()}
 	if ended {
 		a.server.markUpstreamEnded(upstream.ID)
-		a.logSuspects(upstream.ID, a.ticket.End(&crash))
+		logSuspects(a.callerRequest.RequestID, upstream.ID, a.ticket.End(&crash))
 		return
 	}
 	a.ticket.End(nil)
 	if needsCause {
-		// A process that is started again at once refuses no connection.
-		a.server.onProcessEnd(upstream.Upstream, func() { a.logSuspects(upstream.ID, a.ticket.RecordCrash(crash)) })
+		// A process that is started again at once refuses no connection. The function must not keep the request's body.
+		id, ticket := a.callerRequest.RequestID, a.ticket
+		a.server.onProcessEnd(upstream.Upstream, func() { logSuspects(id, upstream.ID, ticket.RecordCrash(crash)) })
 	}
 }
 
-// logSuspects logs the parts that an upstream's end made suspect.
-func (x *exchange) logSuspects(upstream units.UpstreamID, list []parts.Suspect) {
+// logSuspects logs the parts that an upstream's end made suspect; id is that of the request that ran there.
+func logSuspects(id string, upstream units.UpstreamID, list []parts.Suspect) {
 	for _, s := range list {
 		stats.Event("part_suspects")
-		klog.InfoS("relay: part suspect", "request", x.callerRequest.RequestID, "upstream", upstream, "part", s.Part, "crashes", len(s.Crashes))
+		klog.InfoS("relay: part suspect", "request", id, "upstream", upstream, "part", s.Part, "crashes", len(s.Crashes))
 	}
 }
 
