sched, relay, entry: a stopping gateway refuses requests that may outlast it

Callers whose requests came late in a planned stop were cut off without an answer after up to 7 s, among them calls that may not be repeated (SIGTERM at 5.0 s, taken at 5.35 s, passed on, cut off at 12.2 s after 127 events).

Cause: a request that found an upstream at once started at any time of the stop; only those in the queue were refused, at half of the grace period, whatever their runs take. So a run of more than 3.2 s (of 8 s) that began late was cut off.

A request now starts only if it is known to end in time: by its own deadline, or by the longest runs of its route on record. Others are refused at once with 503 `draining`, Connection: close and a Retry-After of 50 ms, before their tokens are charged; those in the queue when their time is over.

TestQueueEndsAtStop replaces TestQueueEndsAtStartDeadline: it asks for the same refusals, by the time that runs take, and in addition that a request is refused although there is room.

Ruled out: mean or expected times (half of all runs take longer), the routes' time limits alone (as long as the grace period, so that all would be refused), a fixed part of the grace period.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -23,6 +23,9 @@
 
 const apiKey = "secret"
 
+// longTimeoutMillis is the time that callers allow; the routes allow less unless a test changes them.
+const longTimeoutMillis = 20_000
+
 // cluster is a fake store, a fake replica of each service and a number of gateways, each with its
 // own ports.
 type cluster struct {
@@ -165,7 +168,7 @@
 func (c *cluster) sendRequest(g *testGateway, path, key, model string) (int, string) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+g.settings.PublicAddress+path, strings.NewReader("body"))
 	assert.NilError(c.t, err)
-	req.Header, req.Host = fakes.RequestHeader("id"+path, key, model, 4000), fakes.Host
+	req.Header, req.Host = fakes.RequestHeader("id"+path, key, model, longTimeoutMillis), fakes.Host
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, err.Error()
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -29,9 +29,6 @@
 	readinessDelay = 2800 * clock.Millisecond
 	// cutFraction is the fraction of the grace period after which open responses are cut off.
 	cutFraction = 0.9
-	// startFraction is the fraction of the grace period after which queued requests are refused,
-	// because those that start later would be cut off.
-	startFraction = 0.5
 	// drainPollInterval is the interval at which a draining gateway checks whether readinessDelay
 	// is over.
 	drainPollInterval = 20 * time.Millisecond
@@ -126,9 +123,9 @@
 	startedAt := g.clock.Now()
 	klog.InfoS("entry: stopping", "active", g.relay.Active())
 	gracePeriod := float64(g.bounds.Load().GracePeriod)
-	g.relay.Drain(startedAt.Add(clock.Span(gracePeriod * startFraction)))
-	c.drainRequested <- struct{}{}
 	cutAt := startedAt.Add(clock.Span(gracePeriod * cutFraction))
+	g.relay.Drain(cutAt)
+	c.drainRequested <- struct{}{}
 	for g.clock.Now().Before(startedAt.Add(readinessDelay)) {
 		time.Sleep(drainPollInterval)
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -160,6 +160,11 @@
 // serve charges the request to the customer's rate limit and tries upstreams until the request is
 // finished.
 func (x *exchange) serve(ctx context.Context) {
+	if !x.mayStart() {
+		x.reason = mayOutlastStop
+		x.refuseUnplaced(sched.StopRefusal())
+		return
+	}
 	if x.customer != nil {
 		ok, retryAfter := x.server.Limiter.Take(ctx, x.customer, x.tokenCost())
 		if !ok {
@@ -217,15 +222,43 @@
 	}
 }
 
+// schedulerRequest returns what the scheduler has to know of the request.
+func (x *exchange) schedulerRequest() sched.Request {
+	return sched.Request{
+		Service: x.service, Model: x.callerRequest.Model, Adapter: x.callerRequest.Adapter,
+		Prompt: x.callerRequest.PromptTokens, Output: x.callerRequest.ExpectedOutput(), PromptParts: x.callerRequest.PromptParts,
+		Rank: x.priority(), FirstEventDue: x.arrivedAt.Add(x.route.TargetLatency), LatestStart: x.latestStart(),
+		Deadline: x.arrivedAt.Add(x.timeout), Kind: sched.RunKind{Service: x.service.Name, Route: x.route.Name}, Size: x.runSize(),
+		Once: x.route.RetryMode == fleet.AtMostOnce, Avoid: x.tried,
+	}
+}
+
+// runSize returns the tokens by which the time that the run takes is judged. Another upstream, or another gateway that
+// the caller asks, can go on with a resumable stream that was expected to be shorter; all others are judged by the
+// longest answer that the caller allows.
+func (x *exchange) runSize() units.Tokens {
+	if x.route.RetryMode == fleet.Resumable {
+		return x.callerRequest.ExpectedOutput()
+	}
+	return x.callerRequest.MaxOutputTokens
+}
+
+// mayStart reports whether the request would end before the stop of this gateway, if there is one.
+func (x *exchange) mayStart() bool {
+	if !x.server.draining.Load() {
+		return true
+	}
+	request := x.schedulerRequest()
+	x.server.mu.Lock()
+	defer x.server.mu.Unlock()
+	return x.server.Scheduler.MayStart(x.server.Clock.Now(), &request)
+}
+
 // awaitUpstream queues the request until an upstream is assigned. It returns nil if it ended the
 // request instead.
 func (x *exchange) awaitUpstream(ctx context.Context) *sched.Attempt {
 	now := x.server.Clock.Now()
-	request := sched.Request{
-		Service: x.service, Model: x.callerRequest.Model, Adapter: x.callerRequest.Adapter,
-		Prompt: x.callerRequest.PromptTokens, Output: x.callerRequest.ExpectedOutput(), PromptParts: x.callerRequest.PromptParts,
-		Rank: x.priority(), FirstEventDue: x.arrivedAt.Add(x.route.TargetLatency), LatestStart: x.latestStart(), Avoid: x.tried,
-	}
+	request := x.schedulerRequest()
 	x.server.mu.Lock()
 	scheduled := x.server.Scheduler.Add(now, request)
 	x.server.mu.Unlock()
@@ -247,6 +280,9 @@
 	}
 	if scheduled.Refused != nil {
 		x.reason = "no place"
+		if scheduled.Refused.Code == units.Draining {
+			x.reason = mayOutlastStop
+		}
 		x.refuseUnplaced(scheduled.Refused)
 		return nil
 	}
@@ -262,6 +298,9 @@
 	return sched.LatestStart(x.arrivedAt, maxWait)
 }
 
+// mayOutlastStop is the reason for refusals by a gateway that stops.
+const mayOutlastStop = "may outlast the stop"
+
 // refuseUnplaced ends a request to which no upstream could be assigned.
 func (x *exchange) refuseUnplaced(r *sched.Refusal) {
 	if x.runs > 0 || x.delivered.headSent {
--- a/relay/server.go
+++ b/relay/server.go
@@ -145,13 +145,13 @@
 	s.Scheduler.Dispatch(s.Clock.Now())
 }
 
-// Drain makes the server close each caller's connection after its next response and refuse requests
-// that have not started by lastStart, so that callers can retry at another gateway.
-func (s *Server) Drain(lastStart clock.Time) {
+// Drain makes the server close each caller's connection after its next response and refuse requests that may
+// outlast end, so that callers can retry at another gateway.
+func (s *Server) Drain(end clock.Time) {
 	s.draining.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Scheduler.SetStartDeadline(lastStart)
+	s.Scheduler.SetStop(s.Clock.Now(), end)
 }
 
 // Active returns the number of requests in progress.
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -27,6 +27,15 @@
 
 // refusal returns a refusal if queueing can't help, else nil.
 func (s *Scheduler) refusal(now clock.Time, a *Attempt, c choice) *Refusal {
+	r := s.unservable(now, a, c)
+	if r != nil && a.stopLimited {
+		return StopRefusal()
+	}
+	return r
+}
+
+// unservable returns why an attempt can't start in time, else nil.
+func (s *Scheduler) unservable(now clock.Time, a *Attempt, c choice) *Refusal {
 	timeLeft := a.LatestStart.Sub(now)
 	switch {
 	case timeLeft <= 0:
@@ -110,7 +119,7 @@
 			if !a.queued || !now.Before(a.FirstEventDue) != late {
 				continue
 			}
-			if s.tryStart(now, a, blocked) || s.expire(now, a) {
+			if a.stopLimited && s.expire(now, a) || s.tryStart(now, a, blocked) || s.expire(now, a) {
 				dequeued = append(dequeued, a)
 			}
 		}
@@ -151,10 +160,14 @@
 		return false
 	}
 	a.queued = false
+	defer close(a.Ready)
+	if a.stopLimited {
+		a.Refused = StopRefusal()
+		return true
+	}
 	a.Refused = &Refusal{units.DeadlineMissed, retryAfterBusy}
 	if c := s.choose(now, &a.Request); c.allPaused() {
 		a.Refused.RetryAfter = spread(c.leastPause)
 	}
-	close(a.Ready)
 	return true
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -31,6 +31,13 @@
 	FirstEventDue clock.Time
 	// LatestStart is when the request is refused if it has not started.
 	LatestStart clock.Time
+	// Deadline is when the request ends whatever becomes of it.
+	Deadline clock.Time
+	// Kind and Size, in tokens of the answer, tell how long the run may take. Size is 0 for answers without tokens.
+	Kind RunKind
+	Size units.Tokens
+	// Once is set if the request may run only once.
+	Once bool
 	// Avoid lists upstreams that this request was sent to already.
 	Avoid []units.UpstreamID
 }
@@ -53,6 +60,8 @@
 	reservedTokens units.Tokens
 	expectedMs     float64
 	queued         bool
+	// stopLimited is set if LatestStart is due to the stop of this gateway.
+	stopLimited bool
 }
 
 // Refusal says why a request is refused and when to retry.
@@ -83,8 +92,11 @@
 	queue     []*Attempt
 	// loadInterval is the interval in which other gateways report their loads.
 	loadInterval clock.Span
-	// startDeadline bounds LatestStart of all requests; 0 is no bound.
-	startDeadline clock.Time
+	// stopAt is when all runs have to end because this gateway stops; 0 is no bound.
+	stopAt clock.Time
+	// runs tells how long runs take, running are the attempts that were started and have not ended.
+	runs    runRecord
+	running map[*Attempt]struct{}
 	// notices are what upstreams told this gateway.
 	notices *notice.Board
 }
@@ -100,6 +112,7 @@
 	return &Scheduler{
 		zone: zone, coldTolerance: tolerance, snap: &view.Snapshot{},
 		upstreams: map[units.UpstreamID]*upstream{}, notices: notice.NewBoard(),
+		runs: runRecord{}, running: map[*Attempt]struct{}{},
 	}
 }
 
@@ -147,8 +160,11 @@
 // Add schedules a request. The attempt is started, queued or refused on return.
 func (s *Scheduler) Add(now clock.Time, r Request) *Attempt {
 	a := &Attempt{Request: r, Ready: make(chan struct{})}
-	if s.startDeadline > 0 {
-		a.LatestStart = min(a.LatestStart, s.startDeadline)
+	s.limitStart(now, a)
+	if a.stopLimited && now.After(a.LatestStart) {
+		a.Refused = StopRefusal()
+		close(a.Ready)
+		return a
 	}
 	s.recordWanted(now, &a.Request)
 	c := s.choose(now, &a.Request)
@@ -173,14 +189,6 @@
 // wait; a request that starts later wastes a slot, as its caller disconnects first.
 const latestStartShare = 0.45
 
-// SetStartDeadline refuses queued and future requests that have not started by the deadline.
-func (s *Scheduler) SetStartDeadline(deadline clock.Time) {
-	s.startDeadline = deadline
-	for _, a := range s.queue {
-		a.LatestStart = min(a.LatestStart, deadline)
-	}
-}
-
 // LatestStart returns the latest useful start of a request whose caller disconnects after the
 // timeout.
 func LatestStart(arrived clock.Time, timeout clock.Span) clock.Time {
@@ -192,6 +200,7 @@
 	a.Upstream, a.state, a.startedAt = c.entry, u, now
 	a.pendingPrefill, a.expectedMs = c.uncached, c.estimateMs
 	a.reservedTokens = a.Prompt + a.Output
+	s.running[a] = struct{}{}
 	u.running++
 	u.reservedTokens += a.reservedTokens
 	u.pendingPrefill += a.pendingPrefill
@@ -239,6 +248,7 @@
 // End records the outcome of a started attempt and frees its slot. It returns the attempts that it
 // started or refused, as Dispatch does.
 func (s *Scheduler) End(now clock.Time, a *Attempt, o Outcome) []*Attempt {
+	s.recordRun(now, a, o)
 	u := a.state
 	u.running--
 	u.reservedTokens -= a.reservedTokens
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -93,21 +93,31 @@
 }
 
 // Guards against requests that stay queued in a stopping gateway until their connections are cut
-// (hunt-d3af-7 of lsatcc-magnolia). They are refused at the start deadline, as not run.
-func TestQueueEndsAtStartDeadline(t *testing.T) {
+// (hunt-d3af-7 of lsatcc-magnolia). They are refused, as not run, as soon as their run may outlast the stop.
+func TestQueueEndsAtStop(t *testing.T) {
 	s := engine(1)
 	scheduler := newScheduler(entry("one", "zone-a", 1))
-	running := scheduler.Add(100, newRequest(s, 100))
-	queued := scheduler.Add(110, newRequest(s, 110))
-	scheduler.SetStartDeadline(600)
-	later := scheduler.Add(200, newRequest(s, 200))
+	for now := clock.Time(0); now < 400; now += 100 {
+		scheduler.End(now+100, scheduler.Add(now, newRequest(s, now)), sched.Served)
+	}
+	running := scheduler.Add(500, newRequest(s, 500))
+	queued := scheduler.Add(510, newRequest(s, 510))
+	unknown := newRequest(s, 510)
+	unknown.Kind.Route = "other"
+	refused := scheduler.Add(510, unknown)
+	unknown.Deadline = 700
+	ends := scheduler.Add(510, unknown)
+	scheduler.SetStop(520, 700)
+	assert.Equal(t, refused.Refused.Code, units.Draining, "nothing is known of its run")
+	assert.Assert(t, ends.Refused == nil && scheduler.Cancel(ends), "it ends by its deadline")
+	later := scheduler.Add(550, newRequest(s, 550))
 	assert.Equal(t, len(scheduler.Dispatch(599)), 0)
 	assert.Equal(t, len(scheduler.Dispatch(600)), 2)
 	for _, a := range []*sched.Attempt{queued, later} {
-		assert.Equal(t, a.Refused.Code, units.DeadlineMissed)
+		assert.Equal(t, a.Refused.Code, units.Draining)
 	}
-	assert.Assert(t, scheduler.Add(700, newRequest(s, 700)).Refused != nil)
-	scheduler.End(800, running, sched.Served)
+	scheduler.End(610, running, sched.Served)
+	assert.Equal(t, scheduler.Add(610, newRequest(s, 610)).Refused.Code, units.Draining, "though there is room")
 }
 
 // Guards against requests that queue without a chance to be served. They are refused as soon as
--- /dev/null
+++ b/sched/stop.go
@@ -0,0 +1,71 @@
+package sched
+
+import (
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+// retryAfterStop is sent when this gateway stops. Another one can serve the request at once; the pause only keeps a caller
+// that is sent to this one again from sending in a loop.
+const retryAfterStop = 50 * clock.Millisecond
+
+// SetStop sets the time by which all runs have to end. Requests whose run may last longer are refused, those in the
+// queue at once.
+func (s *Scheduler) SetStop(now, end clock.Time) {
+	s.stopAt = end
+	for _, a := range s.queue {
+		s.limitStart(now, a)
+	}
+	s.Dispatch(now)
+}
+
+// MayStart reports whether a request that starts now is known to end before the stop.
+func (s *Scheduler) MayStart(now clock.Time, r *Request) bool {
+	lastStart, limited := s.lastStart(now, r)
+	return !limited || !now.After(lastStart)
+}
+
+// StopRefusal returns the refusal of requests that may outlast the stop.
+func StopRefusal() *Refusal { return &Refusal{units.Draining, retryAfterStop} }
+
+// limitStart limits the start of an attempt to the time from which on it may outlast the stop.
+func (s *Scheduler) limitStart(now clock.Time, a *Attempt) {
+	if lastStart, limited := s.lastStart(now, &a.Request); limited && lastStart.Before(a.LatestStart) {
+		a.LatestStart, a.stopLimited = lastStart, true
+	}
+}
+
+// lastStart returns the time from which on a request may outlast the stop, and false if it can't. The request ends by its
+// deadline; before that, as the longest runs of its kind did, those that go on included.
+func (s *Scheduler) lastStart(now clock.Time, r *Request) (clock.Time, bool) {
+	if s.stopAt == 0 || (r.Deadline > 0 && r.Deadline <= s.stopAt) {
+		return 0, false
+	}
+	enough := enoughRuns
+	if r.Once {
+		enough = enoughSingleRuns
+	}
+	longest, known := s.runs.longest(now, r.Kind, r.Size, enough)
+	if !known {
+		return now - 1, true
+	}
+	for a := range s.running {
+		if a.Kind == r.Kind {
+			perToken := float64(now.Sub(a.startedAt)) / float64(max(a.Size, 1))
+			longest = max(longest, clock.Span(perToken*float64(max(r.Size, 1))))
+		}
+	}
+	return s.stopAt.Add(-longest), true
+}
+
+// recordRun records the run of an attempt that has ended.
+func (s *Scheduler) recordRun(now clock.Time, a *Attempt, o Outcome) {
+	delete(s.running, a)
+	switch o {
+	case Served:
+		s.runs.add(now, a.Kind, a.Size, now.Sub(a.startedAt), true)
+	case Failed, Broken, Canceled:
+		s.runs.add(now, a.Kind, a.Size, now.Sub(a.startedAt), false)
+	case Full, NotLoaded, Replaced, Unreachable:
+	}
+}
