relay, entry: answer requests that run when the grace period ends

Requests that still ran after nine tenths of the grace period of a planned stop lost their connection: callers could not tell what became of a call, and the log said "relay: caller left", which sent its readers to the wrong place.

Cause: the server's connections were closed under the requests, whose contexts then look like those of callers that disconnect. Now the relay ends its requests itself, with a cause of its own: what has not run is refused with 503 `draining`, what may have run gets 502, a stream is cut after its last whole event. Connections are closed 0.2 s later, answered or not. A request whose connection to the upstream was still being made has not run and is not counted as a run any more, so that it gets 503 too, on a disconnect or time-out as well.

The end is 0.4 s before the SIGKILL, a tenth of the grace period at most, instead of a tenth (0.8 s of 8): what has to happen after it does not grow with the grace period. It stays within the last sixth for any grace period.

TestStopEndsWhatStillRuns failed on the commit before: "/once/long: EOF", the same for /read/long, and three lines "relay: caller left ... use of closed network connection". Now "relay: cut off by the stop", 502, 502 and a stream of 24 events that ends after a whole one, 4.6 s after the request (grace period 5 s).

Ruled out: 503 for what runs, which would say that it has not run; an end at the very SIGKILL, as the goroutines that write the answers need processor time first.

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -27,8 +27,13 @@
 	// readinessDelay is how long new connections are accepted after a stop was requested: the
 	// platform stops routing to the gateway after two failed readiness checks, a second apart.
 	readinessDelay = 2800 * clock.Millisecond
-	// cutFraction is the fraction of the grace period after which open responses are cut off.
-	cutFraction = 0.9
+	// endMargin is the time before the end of the grace period at which the requests that still run are ended, so that
+	// their callers get an answer before the process is killed. It is for the scheduling of goroutines on a busy machine;
+	// what is written to a connection arrives even after that. endFraction of the grace period bounds it.
+	endMargin   = 400 * clock.Millisecond
+	endFraction = 0.1
+	// closeFraction is the part of that time after which connections are closed, answered or not.
+	closeFraction = 0.5
 	// drainPollInterval is the interval at which a draining gateway checks whether readinessDelay
 	// is over.
 	drainPollInterval = 20 * time.Millisecond
@@ -117,23 +122,30 @@
 	return nil
 }
 
-// drain stops the public server gracefully. Requests in flight are completed; those that are still
-// open after cutFraction of the grace period are cut off.
+// drain stops the public server gracefully. Requests in flight are completed as far as the grace period allows, and
+// ended right before it is over.
 func (g *Gateway) drain(c *controller, public *httpServer) error {
 	startedAt := g.clock.Now()
 	klog.InfoS("entry: stopping", "active", g.relay.Active())
-	gracePeriod := float64(g.bounds.Load().GracePeriod)
-	cutAt := startedAt.Add(clock.Span(gracePeriod * cutFraction))
-	g.relay.Drain(cutAt)
+	gracePeriod := g.bounds.Load().GracePeriod
+	if gracePeriod <= 0 {
+		// The settings don't say.
+		gracePeriod = readinessDelay
+	}
+	margin := min(endMargin, clock.Span(float64(gracePeriod)*endFraction))
+	endAt := startedAt.Add(gracePeriod - margin)
+	g.relay.Drain(endAt)
 	c.drainRequested <- struct{}{}
-	for g.clock.Now().Before(startedAt.Add(readinessDelay)) {
+	for g.clock.Now().Before(min(startedAt.Add(readinessDelay), endAt)) {
 		time.Sleep(drainPollInterval)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), cutAt.Sub(g.clock.Now()).Duration())
-	defer cancel()
-	err := public.server.Shutdown(ctx)
+	err := g.shutdownUntil(public, endAt)
 	if errors.Is(err, context.DeadlineExceeded) {
 		klog.InfoS("entry: grace period nearly over; requests in flight are cut off", "active", g.relay.Active())
+		g.relay.End()
+		err = g.shutdownUntil(public, endAt.Add(clock.Span(float64(margin)*closeFraction)))
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
 		err = public.server.Close()
 	}
 	if err != nil {
@@ -141,3 +153,14 @@
 	}
 	return nil
 }
+
+// shutdownUntil refuses new connections and closes those that are idle, until none is left. Its error wraps
+// context.DeadlineExceeded if some are left at the time.
+func (g *Gateway) shutdownUntil(public *httpServer, end clock.Time) error {
+	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(g.clock.Now()).Duration())
+	defer cancel()
+	if err := public.server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("close connections: %w", err)
+	}
+	return nil
+}
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -1,7 +1,9 @@
 package entry_test
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,3 +37,36 @@
 	}
 	assert.Check(t, len(c.app.Requests()) == 0, "passed on: %d", len(c.app.Requests()))
 }
+
+// Guards against requests that run when the grace period ends and are cut off without an answer: the caller can't tell what
+// became of a call, and the log says that callers left.
+func TestStopEndsWhatStillRuns(t *testing.T) {
+	c, g := newStopCluster(t)
+	c.app.SetScript(func(r *fakes.Request) {
+		r.WriteRaw(fakes.Head(r.RequestID, "200 OK") + "Content-Length: 100\r\n\r\nthe begin")
+		r.WaitForClose()
+	})
+	c.llm.SetScript(func(r *fakes.Request) {
+		r.Stream(1, 1, false)
+		for i := 2; r.TryChunk(fakes.Event(i)) == nil; i++ {
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+	answers := make(chan string, 3)
+	for path, model := range map[string]string{"/once/long": "", "/read/long": "", "/talk/long": "small"} {
+		go func() {
+			status, body := c.sendRequest(g, path, apiKey, model)
+			answers <- fmt.Sprint(status, body)
+		}()
+	}
+	c.waitFor("requests run", func() bool { return len(c.app.Requests()) == 2 && len(c.llm.Requests()) == 1 })
+	g.stop()
+	stoppedAt := time.Now()
+	for range 3 {
+		got := <-answers
+		assert.Check(t, strings.HasPrefix(got, "502") || got == "0unexpected EOF", got)
+	}
+	grace := g.settings.Bounds.GracePeriod.Duration()
+	took := time.Since(stoppedAt)
+	assert.Check(t, took > grace*5/6 && took < grace-100*time.Millisecond, "ended %v after the stop, grace period %v", took, grace)
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -143,7 +143,9 @@
 func (a *attempt) handleCallError(ctx context.Context, err error) sched.Outcome {
 	a.failedBy(err)
 	if ctx.Err() != nil {
-		a.runs++
+		if !errors.Is(err, errNotSent) {
+			a.runs++
+		}
 		a.endCanceled(ctx)
 		return sched.Canceled
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -317,6 +317,7 @@
 var (
 	noUpstream     = &refusal{status: http.StatusServiceUnavailable, code: units.NoUpstream, retryAfter: placementRetryAfter}
 	deadlineMissed = &refusal{status: http.StatusServiceUnavailable, code: units.DeadlineMissed, retryAfter: placementRetryAfter}
+	stopping       = &refusal{status: http.StatusServiceUnavailable, code: units.Draining, retryAfter: sched.StopRefusal().RetryAfter}
 )
 
 // giveUp ends a request that must not be sent again.
@@ -325,9 +326,26 @@
 	x.fail(upstreamFailed, noUpstream)
 }
 
-// endCanceled ends a request that timed out or whose caller disconnected. A disconnected caller gets
-// no response.
+// errStopped is the cause by which requests are canceled at the end of the grace period.
+var errStopped = errors.New("the gateway stops")
+
+// endStopped ends a request that the stop of this gateway doesn't leave time for.
+func (x *exchange) endStopped() {
+	stats.Event("requests_cut_by_stop")
+	klog.InfoS("relay: cut off by the stop", "request", x.callerRequest.RequestID, "upstream", x.upstream, "model", x.callerRequest.Model,
+		"adapter", x.callerRequest.Adapter, "sends", x.sends, "runs", x.runs, "events", x.delivered.events,
+		"took", x.server.Clock.Now().Sub(x.arrivedAt), "revision", x.view.Revision)
+	x.reason = errStopped.Error()
+	x.fail(upstreamFailed, stopping)
+}
+
+// endCanceled ends a request that timed out, whose caller disconnected or that this gateway's stop ends. A disconnected
+// caller gets no response.
 func (x *exchange) endCanceled(ctx context.Context) {
+	if errors.Is(context.Cause(ctx), errStopped) {
+		x.endStopped()
+		return
+	}
 	if x.httpRequest.Context().Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		x.finished = true
 		stats.Event("callers_left")
--- a/relay/server.go
+++ b/relay/server.go
@@ -61,8 +61,11 @@
 	view atomic.Pointer[view.Snapshot]
 	pool *pool
 	// notices are what upstreams told this gateway.
-	notices    *notice.Board
-	draining   atomic.Bool
+	notices  *notice.Board
+	draining atomic.Bool
+	// ended is done once the grace period of a stop is over for requests; end makes it so.
+	ended      context.Context
+	end        context.CancelFunc
 	bodyBudget bodyBudget
 	// responseBudget limits the bytes of upstreams' responses buffered at once. It has the same limit
 	// as bodyBudget, but is separate: an answer must not fail because of requests that wait.
@@ -90,6 +93,7 @@
 		s.bodyBudget.limit = DefaultBodyBudget
 	}
 	s.responseBudget.limit = s.bodyBudget.limit
+	s.ended, s.end = context.WithCancel(context.Background())
 	s.view.Store(&view.Snapshot{})
 	return s
 }
@@ -146,7 +150,7 @@
 }
 
 // Drain makes the server close each caller's connection after its next response and refuse requests that may
-// outlast end, so that callers can retry at another gateway.
+// outlast end, so that callers can retry at another gateway. The caller of Drain calls End then.
 func (s *Server) Drain(end clock.Time) {
 	s.draining.Store(true)
 	s.mu.Lock()
@@ -154,6 +158,10 @@
 	s.Scheduler.SetStop(s.Clock.Now(), end)
 }
 
+// End ends the requests in progress: those that have not run are refused, streams that have begun are cut off after
+// their last whole event, and all others get an error that does not exclude that they have run.
+func (s *Server) End() { s.end() }
+
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
@@ -176,6 +184,9 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.timeout.Duration())
 	defer cancel()
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	defer context.AfterFunc(s.ended, func() { stop(errStopped) })()
 	x.serve(ctx)
 	if x.aborted {
 		panic(http.ErrAbortHandler)
