entry: answer late requests on connections that a stopping gateway has accepted

From 2.8 s of a stop on, a caller whose connection had carried nothing yet, or a part of a head, got no answer to the request that it then sent: the connection was closed as soon as the request had been read. Nothing was passed on.

Cause: http.Server drops requests that it reads after Shutdown was called. Now the listener is closed and the connections are ended by SetKeepAlivesEnabled, which closes idle ones as Shutdown does, and others after their next answer.

Measured by hand and left as it is: the second of two requests that are sent at once gets no answer if the first one was answered during the stop, with Connection: close, which tells the caller so; a connection that has carried requests and sends a part of a head is closed with the idle ones.

Ruled out: ending idle connections by a read deadline or CloseRead instead of Close. A request that arrives at that moment would be taken for one whose caller has left.

--- a/entry/connlimit.go
+++ b/entry/connlimit.go
@@ -52,6 +52,13 @@
 	}
 }
 
+// open returns the number of open connections.
+func (c *connLimiter) open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.idleElements)
+}
+
 func (c *connLimiter) removeIdle(conn net.Conn) {
 	if e := c.idleElements[conn]; e != nil {
 		c.idle.Remove(e)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -81,7 +81,8 @@
 	if err != nil {
 		return err
 	}
-	public.server.ConnState = newConnLimiter(maxConnections).onStateChange
+	connections := newConnLimiter(maxConnections)
+	public.server.ConnState = connections.onStateChange
 	admin := []*httpServer{}
 	for name, endpoint := range map[string]struct {
 		address string
@@ -107,7 +108,7 @@
 		return err
 	}
 	stopping.Store(true)
-	err = g.drain(c, public)
+	err = g.drain(c, public, connections)
 	for _, s := range admin {
 		err = errors.Join(err, s.server.Close())
 	}
@@ -124,7 +125,7 @@
 
 // drain stops the public server gracefully. Requests in flight are completed as far as the grace period allows, and
 // ended right before it is over.
-func (g *Gateway) drain(c *controller, public *httpServer) error {
+func (g *Gateway) drain(c *controller, public *httpServer, connections *connLimiter) error {
 	startedAt := g.clock.Now()
 	klog.InfoS("entry: stopping", "active", g.relay.Active())
 	gracePeriod := g.bounds.Load().GracePeriod
@@ -139,14 +140,15 @@
 	for g.clock.Now().Before(min(startedAt.Add(readinessDelay), endAt)) {
 		time.Sleep(drainPollInterval)
 	}
-	err := g.shutdownUntil(public, endAt)
-	if errors.Is(err, context.DeadlineExceeded) {
+	// http.Server.Shutdown would drop requests that it reads from now on, on connections that were accepted before.
+	err := public.listener.Close()
+	if !g.closeConnections(public, connections, endAt) {
 		klog.InfoS("entry: grace period nearly over; requests in flight are cut off", "active", g.relay.Active())
 		g.relay.End()
-		err = g.shutdownUntil(public, endAt.Add(clock.Span(float64(margin)*closeFraction)))
+		g.closeConnections(public, connections, endAt.Add(clock.Span(float64(margin)*closeFraction)))
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
-		err = public.server.Close()
+	if closeErr := public.server.Close(); !errors.Is(closeErr, net.ErrClosed) {
+		err = errors.Join(err, closeErr)
 	}
 	if err != nil {
 		return fmt.Errorf("stop public server: %w", err)
@@ -154,13 +156,16 @@
 	return nil
 }
 
-// shutdownUntil refuses new connections and closes those that are idle, until none is left. Its error wraps
-// context.DeadlineExceeded if some are left at the time.
-func (g *Gateway) shutdownUntil(public *httpServer, end clock.Time) error {
-	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(g.clock.Now()).Duration())
-	defer cancel()
-	if err := public.server.Shutdown(ctx); err != nil {
-		return fmt.Errorf("close connections: %w", err)
+// closeConnections closes the connections that are idle, and others after their next answer, until none is open or the
+// time has come. It reports whether none is open.
+func (g *Gateway) closeConnections(public *httpServer, connections *connLimiter, end clock.Time) bool {
+	for connections.open() > 0 {
+		if !g.clock.Now().Before(end) {
+			return false
+		}
+		// This also closes those that have carried no request for a few seconds since they were accepted.
+		public.server.SetKeepAlivesEnabled(false)
+		time.Sleep(drainPollInterval)
 	}
-	return nil
+	return true
 }
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -1,7 +1,9 @@
 package entry_test
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -70,3 +72,33 @@
 	took := time.Since(stoppedAt)
 	assert.Check(t, took > grace*5/6 && took < grace-100*time.Millisecond, "ended %v after the stop, grace period %v", took, grace)
 }
+
+// Guards against refusals of requests whose runs are known to be short, and against requests that were read as a whole and
+// dropped, on connections that had carried nothing, or a part of a head, when the stop began.
+func TestStopAnswersLateRequestsOnOpenConnections(t *testing.T) {
+	c, g := newStopCluster(t)
+	for range 30 {
+		assert.Equal(t, c.responseStatus(g, "/once/before", apiKey), http.StatusOK)
+	}
+	header := &strings.Builder{}
+	assert.NilError(t, fakes.RequestHeader("late", apiKey, "", longTimeoutMillis).Write(header))
+	request := "POST /once/late HTTP/1.1\r\nHost: " + fakes.Host + "\r\nContent-Length: 4\r\n" + header.String() + "\r\nbody"
+	conns := [2]net.Conn{}
+	begins := [2]int{0, 40}
+	for i, n := range begins {
+		var err error
+		conns[i], err = net.Dial("tcp", g.settings.PublicAddress)
+		assert.NilError(t, err)
+		defer conns[i].Close()
+		fmt.Fprint(conns[i], request[:n])
+	}
+	g.stop()
+	time.Sleep(3300 * time.Millisecond)
+	for i, n := range begins {
+		fmt.Fprint(conns[i], request[n:])
+		res, err := http.ReadResponse(bufio.NewReader(conns[i]), nil)
+		assert.NilError(t, err, "%d bytes sent before the stop", n)
+		assert.Check(t, res.StatusCode == http.StatusOK && res.Close, "%v", res)
+		res.Body.Close()
+	}
+}
