cmds: keep a stopping gateway alive when it is told to reload

A SIGHUP during a planned stop of `magnolialever entry` killed the process at once, with all requests that it still served.

Cause: signal.Stop for SIGHUP ran when SIGTERM came, which restores the signal's default. Reloads now go on until the gateway has stopped, and SIGTERM and SIGINT are caught until then too. A second SIGTERM was ignored before and still is.

TestEntryReloadsOnHangup sends SIGTERM, SIGHUP and SIGTERM again while the gateway stops; before, the test process ended with "signal: hangup".

--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -56,9 +56,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	reloadDone := reloadOnHangup(ctx, g)
+	// Signals are handled until the end: by default they would kill the process with the requests that it still serves.
+	reloadContext, endReload := context.WithCancel(context.Background())
+	reloadDone := reloadOnHangup(reloadContext, g)
 	err = g.Run(ctx)
-	stop()
+	endReload()
 	<-reloadDone
 	return err
 }
--- a/cmds/entry_test.go
+++ b/cmds/entry_test.go
@@ -16,7 +16,8 @@
 )
 
 // Checks that SIGHUP reloads the settings without ending the gateway, also if they are invalid, and
-// that SIGTERM stops it.
+// that SIGTERM stops it. Guards against a reload or a second SIGTERM that kills a gateway with its requests while it stops:
+// the test process ends with the signal then.
 func TestEntryReloadsOnHangup(t *testing.T) {
 	store := fakes.NewStore()
 	defer store.Close()
@@ -54,6 +55,10 @@
 		assert.Assert(t, isReady())
 	}
 	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		time.Sleep(200 * time.Millisecond)
+		assert.NilError(t, syscall.Kill(os.Getpid(), signal))
+	}
 	select {
 	case code := <-ended:
 		assert.Equal(t, code, exitOK)
