gate: don't answer 503 for calls that may have run at the end of a stop

At the time limit of a graceful stop (`limits.stop`), the callers of gateways with agents got 503 for calls that still ran, by which a client takes a call for one that has not run and repeats it; only `X-Run: may-have-run` said otherwise. Calls that had waited for an upstream all the time were told `may-have-run`, so that they were not repeated without need.

Cause: the cancellation said "may have run" for all of them, under a code whose status is 503. Now the attempt that it interrupts says so, and the status of such a `draining` is 502. Streams get an event with the error as before.

TestCallsAtTheTimeLimitOfAStop failed before: "running 503 Service Unavailable may-have-run", "waiting 503 Service Unavailable may-have-run".

Looked at besides: nothing is cut off without an answer at the limit (calls get a problem, streams an event, a partly sent answer that is no stream is visibly cut).

--- a/gate/problem.go
+++ b/gate/problem.go
@@ -72,6 +72,10 @@
 	if p.Status != 0 {
 		return p.Status
 	}
+	if p.Code == units.Draining && p.MayHaveRun {
+		// Callers repeat what gets 503, as it has not run.
+		return http.StatusBadGateway
+	}
 	if s, ok := statusByCode[p.Code]; ok {
 		return s
 	}
--- a/gate/stop.go
+++ b/gate/stop.go
@@ -43,7 +43,8 @@
 	s.inFlight.each(func(q *request) {
 		klog.Warningf("gate: canceling request of customer %s for %s after %v",
 			q.caller.Customer, q.info.Target, now.Sub(q.receivedAt).Duration())
-		q.cancel(&Problem{Code: units.Draining, Message: "the gateway has stopped", MayHaveRun: true})
+		// Whether the request may have run is added by the attempt that it interrupts.
+		q.cancel(newProblem(units.Draining, "the gateway has stopped"))
 	})
 	t := time.NewTimer(abortTimeout)
 	defer t.Stop()
