gate: refuse late requests while the listener closes

A gateway with agents that had finished its stop closed connections under requests that it had just read, on connections accepted before: their callers got no answer instead of a refusal that says that the request has not run. Nothing was passed on.

TestLateRequestsAreRefusedDuringAStop failed before: "unexpected EOF", for a head that was read in part; the same was seen for a connection that had carried nothing.

--- a/gate/listen.go
+++ b/gate/listen.go
@@ -19,7 +19,7 @@
 // listener is an HTTP server with its TCP listener.
 type listener struct {
 	name string
-	tcp  net.Listener
+	tcp  *limitedListener
 	http *http.Server
 }
 
@@ -46,7 +46,7 @@
 
 // serve handles requests until shutdown.
 func (l *listener) serve() {
-	if err := l.http.Serve(l.tcp); !errors.Is(err, http.ErrServerClosed) {
+	if err := l.http.Serve(l.tcp); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		klog.Errorf("gate: %s listener failed: %v", l.name, err)
 	}
 }
@@ -64,6 +64,9 @@
 	return &limitedListener{Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{})}
 }
 
+// open returns the number of open connections once the listener is closed.
+func (b *limitedListener) open() int { return len(b.slots) }
+
 // Accept implements net.Listener.
 func (b *limitedListener) Accept() (net.Conn, error) {
 	select {
--- a/gate/stop.go
+++ b/gate/stop.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"context"
 	"fmt"
 	"time"
 
@@ -55,11 +54,15 @@
 	return fmt.Errorf("%d canceled: %w", remaining, ErrStopTimeout)
 }
 
-// shutdown closes the listener after all responses have been written, at most after abortTimeout.
+// closePollInterval is the interval at which shutdown looks for open connections.
+const closePollInterval = 10 * time.Millisecond
+
+// shutdown closes the listener, and the connections once their responses have been written, at most after abortTimeout.
+// http.Server.Shutdown would drop requests that it reads meanwhile on connections that were accepted before.
 func (l *listener) shutdown() {
-	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
-	defer cancel()
-	if l.http.Shutdown(ctx) != nil {
-		_ = l.http.Close()
+	_ = l.tcp.Close()
+	for end := time.Now().Add(abortTimeout); l.tcp.open() > 0 && time.Now().Before(end); time.Sleep(closePollInterval) {
+		l.http.SetKeepAlivesEnabled(false)
 	}
+	_ = l.http.Close()
 }
--- a/gate/stop_test.go
+++ b/gate/stop_test.go
@@ -1,9 +1,14 @@
 package gate_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -38,3 +43,26 @@
 	assert.DeepEqual(t, got, map[string]bool{"running 502 Bad Gateway may-have-run": true, "waiting 503 Service Unavailable not-run": true})
 	assert.Check(t, errors.Is(<-done, gate.ErrStopTimeout))
 }
+
+// Guards against requests that a gateway reads as a whole while it closes its listener and drops without an answer: their
+// callers can't tell that they have not run.
+func TestLateRequestsAreRefusedDuringAStop(t *testing.T) {
+	s, err := gate.New(testOptions())
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	c, err := net.Dial("tcp", s.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	fmt.Fprint(c, "GET /v1/models HTTP/1.1\r\n")
+	time.Sleep(50 * time.Millisecond)
+	cancel()
+	time.Sleep(300 * time.Millisecond)
+	fmt.Fprint(c, "Host: x\r\nAuthorization: Bearer "+testKey+"\r\n\r\n")
+	w, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Check(t, w.StatusCode == http.StatusServiceUnavailable && w.Close, "%v", w)
+	w.Body.Close()
+	assert.NilError(t, <-done)
+}
