--- a/entry/serve.go
+++ b/entry/serve.go
@@ -27,11 +27,13 @@
 	// readinessDelay is how long new connections are accepted after a stop was requested: the
 	// platform stops routing to the gateway after two failed readiness checks, a second apart.
 	readinessDelay = 2800 * clock.Millisecond
-	// cutFraction is the fraction of the grace period after which open responses are cut off.
-	cutFraction = 0.9
-	// startFraction is the fraction of the grace period after which queued requests are refused,
-	// because those that start later would be cut off.
-	startFraction = 0.5
+	// endMargin is the time before the end of the grace period at which the requests that still run are ended, so that
+	// their callers get an answer before the process is killed. It is for the scheduling of goroutines on a busy machine;
+	// what is written to a connection arrives even after that. endFraction of the grace period bounds it.
+	endMargin   = 400 * clock.Millisecond
+	endFraction = 0.1
+	// closeFraction is the part of that time after which connections are closed, answered or not.
+	closeFraction = 0.5
 	// drainPollInterval is the interval at which a draining gateway checks whether readinessDelay
 	// is over.
 	drainPollInterval = 20 * time.Millisecond
@@ -79,7 +81,8 @@
 	if err != nil {
 		return err
 	}
-	public.server.ConnState = newConnLimiter(maxConnections).onStateChange
+	connections := newConnLimiter(maxConnections)
+	public.server.ConnState = connections.onStateChange
 	admin := []*httpServer{}
 	for name, endpoint := range map[string]struct {
 		address string
@@ -105,7 +108,7 @@
 		return err
 	}
 	stopping.Store(true)
-	err = g.drain(c, public)
+	err = g.drain(c, public, connections)
 	for _, s := range admin {
 		err = errors.Join(err, s.server.Close())
 	}
@@ -120,27 +123,49 @@
 	return nil
 }
 
-// drain stops the public server gracefully. Requests in flight are completed; those that are still
-// open after cutFraction of the grace period are cut off.
-func (g *Gateway) drain(c *controller, public *httpServer) error {
+// drain stops the public server gracefully. Requests in flight are completed as far as the grace period allows, and
+// ended right before it is over.
+func (g *Gateway) drain(c *controller, public *httpServer, connections *connLimiter) error {
 	startedAt := g.clock.Now()
 	klog.InfoS("entry: stopping", "active", g.relay.Active())
-	gracePeriod := float64(g.bounds.Load().GracePeriod)
-	g.relay.Drain(startedAt.Add(clock.Span(gracePeriod * startFraction)))
+	gracePeriod := g.bounds.Load().GracePeriod
+	if gracePeriod <= 0 {
+		// The settings don't say.
+		gracePeriod = readinessDelay
+	}
+	margin := min(endMargin, clock.Span(float64(gracePeriod)*endFraction))
+	endAt := startedAt.Add(gracePeriod - margin)
+	g.relay.Drain(endAt)
 	c.drainRequested <- struct{}{}
-	cutAt := startedAt.Add(clock.Span(gracePeriod * cutFraction))
-	for g.clock.Now().Before(startedAt.Add(readinessDelay)) {
+	for g.clock.Now().Before(min(startedAt.Add(readinessDelay), endAt)) {
 		time.Sleep(drainPollInterval)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), cutAt.Sub(g.clock.Now()).Duration())
-	defer cancel()
-	err := public.server.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
+	// http.Server.Shutdown would drop requests that it reads from now on, on connections that were accepted before.
+	err := public.listener.Close()
+	if !g.closeConnections(public, connections, endAt) {
 		klog.InfoS("entry: grace period nearly over; requests in flight are cut off", "active", g.relay.Active())
-		err = public.server.Close()
+		g.relay.End()
+		g.closeConnections(public, connections, endAt.Add(clock.Span(float64(margin)*closeFraction)))
+	}
+	if closeErr := public.server.Close(); !errors.Is(closeErr, net.ErrClosed) {
+		err = errors.Join(err, closeErr)
 	}
 	if err != nil {
 		return fmt.Errorf("stop public server: %w", err)
 	}
 	return nil
 }
+
+// closeConnections closes the connections that are idle, and others after their next answer, until none is open or the
+// time has come. It reports whether none is open.
+func (g *Gateway) closeConnections(public *httpServer, connections *connLimiter, end clock.Time) bool {
+	for connections.open() > 0 {
+		if !g.clock.Now().Before(end) {
+			return false
+		}
+		// This also closes those that have carried no request for a few seconds since they were accepted.
+		public.server.SetKeepAlivesEnabled(false)
+		time.Sleep(drainPollInterval)
+	}
+	return true
+}
--- a/gate/stop.go
+++ b/gate/stop.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"context"
 	"fmt"
 	"time"
 
@@ -43,7 +42,8 @@
 	s.inFlight.each(func(q *request) {
 		klog.Warningf("gate: canceling request of customer %s for %s after %v",
 			q.caller.Customer, q.info.Target, now.Sub(q.receivedAt).Duration())
-		q.cancel(&Problem{Code: units.Draining, Message: "the gateway has stopped", MayHaveRun: true})
+		// Whether the request may have run is added by the attempt that it interrupts.
+		q.cancel(newProblem(units.Draining, "the gateway has stopped"))
 	})
 	t := time.NewTimer(abortTimeout)
 	defer t.Stop()
@@ -54,11 +54,15 @@
 	return fmt.Errorf("%d canceled: %w", remaining, ErrStopTimeout)
 }
 
-// shutdown closes the listener after all responses have been written, at most after abortTimeout.
+// closePollInterval is the interval at which shutdown looks for open connections.
+const closePollInterval = 10 * time.Millisecond
+
+// shutdown closes the listener, and the connections once their responses have been written, at most after abortTimeout.
+// http.Server.Shutdown would drop requests that it reads meanwhile on connections that were accepted before.
 func (l *listener) shutdown() {
-	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
-	defer cancel()
-	if l.http.Shutdown(ctx) != nil {
-		_ = l.http.Close()
+	_ = l.tcp.Close()
+	for end := time.Now().Add(abortTimeout); l.tcp.open() > 0 && time.Now().Before(end); time.Sleep(closePollInterval) {
+		l.http.SetKeepAlivesEnabled(false)
 	}
+	_ = l.http.Close()
 }
