entry, sched: serve nothing on closed idle connections; judge resumable streams by the mean at first

The gateway itself had closed the connection as idle while the request was being read (net/http marks it active only afterwards). The same is possible with http.Server.Shutdown, which the stop used before, and where a full gateway closes idle connections. connLimiter now closes idle connections and knows which: a request that is read there all the same isn't served, so that its caller may repeat it. TestRequestOnClosedConnectionIsNotServed is of the new interface.

Until then a resumable stream is judged by the mean; its rest can be served elsewhere. TestMeanBoundsResumableStreamsWhileCallersAreRoutedHere.

--- a/entry/connlimit_test.go
+++ b/entry/connlimit_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,3 +90,36 @@
 		assert.ErrorContains(t, err, "timeout", "connection %d", i)
 	}
 }
+
+// Guards against a request that is served, and may run, on an idle connection that was closed while the request was read:
+// its answer can't be sent.
+func TestRequestOnClosedConnectionIsNotServed(t *testing.T) {
+	limiter := newConnLimiter(4)
+	var served atomic.Int64
+	closing := make(chan struct{})
+	server := httptest.NewUnstartedServer(limiter.handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) })))
+	server.Config.ConnContext = limiter.connContext
+	server.Config.ConnState = func(conn net.Conn, state http.ConnState) {
+		if state == http.StateActive && served.Load() > 0 {
+			// The second request has been read.
+			limiter.closeIdle()
+			close(closing)
+		}
+		limiter.onStateChange(conn, state)
+	}
+	server.Start()
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	res, err := http.ReadResponse(in, nil)
+	assert.NilError(t, err)
+	res.Body.Close()
+	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-closing
+	_, err = http.ReadResponse(in, nil) //nolint:bodyclose // there is none
+	assert.Assert(t, err != nil)
+	assert.Equal(t, served.Load(), int64(1))
+}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -82,7 +82,8 @@
 		return err
 	}
 	connections := newConnLimiter(maxConnections)
-	public.server.ConnState = connections.onStateChange
+	public.server.ConnState, public.server.ConnContext = connections.onStateChange, connections.connContext
+	public.server.Handler = connections.handler(g.relay)
 	admin := []*httpServer{}
 	for name, endpoint := range map[string]struct {
 		address string
@@ -135,17 +136,17 @@
 	}
 	margin := min(endMargin, clock.Span(float64(gracePeriod)*endFraction))
 	endAt := startedAt.Add(gracePeriod - margin)
-	g.relay.Drain(endAt)
+	g.relay.Drain(startedAt.Add(readinessDelay), endAt)
 	c.drainRequested <- struct{}{}
 	for g.clock.Now().Before(min(startedAt.Add(readinessDelay), endAt)) {
 		time.Sleep(drainPollInterval)
 	}
 	// http.Server.Shutdown would drop requests that it reads from now on, on connections that were accepted before.
 	err := public.listener.Close()
-	if !g.closeConnections(public, connections, endAt) {
+	if !g.closeConnections(connections, endAt) {
 		klog.InfoS("entry: grace period nearly over; requests in flight are cut off", "active", g.relay.Active())
 		g.relay.End()
-		g.closeConnections(public, connections, endAt.Add(clock.Span(float64(margin)*closeFraction)))
+		g.closeConnections(connections, endAt.Add(clock.Span(float64(margin)*closeFraction)))
 	}
 	if closeErr := public.server.Close(); !errors.Is(closeErr, net.ErrClosed) {
 		err = errors.Join(err, closeErr)
@@ -158,13 +159,12 @@
 
 // closeConnections closes the connections that are idle, and others after their next answer, until none is open or the
 // time has come. It reports whether none is open.
-func (g *Gateway) closeConnections(public *httpServer, connections *connLimiter, end clock.Time) bool {
+func (g *Gateway) closeConnections(connections *connLimiter, end clock.Time) bool {
 	for connections.open() > 0 {
 		if !g.clock.Now().Before(end) {
 			return false
 		}
-		// This also closes those that have carried no request for a few seconds since they were accepted.
-		public.server.SetKeepAlivesEnabled(false)
+		connections.closeIdle()
 		time.Sleep(drainPollInterval)
 	}
 	return true
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -229,7 +229,7 @@
 		Prompt: x.callerRequest.PromptTokens, Output: x.callerRequest.ExpectedOutput(), PromptParts: x.callerRequest.PromptParts,
 		Rank: x.priority(), FirstEventDue: x.arrivedAt.Add(x.route.TargetLatency), LatestStart: x.latestStart(),
 		Deadline: x.arrivedAt.Add(x.timeout), Kind: sched.RunKind{Service: x.service.Name, Route: x.route.Name}, Size: x.runSize(),
-		Once: x.route.RetryMode == fleet.AtMostOnce, Avoid: x.tried,
+		Once: x.route.RetryMode == fleet.AtMostOnce, Resumable: x.route.RetryMode == fleet.Resumable, Avoid: x.tried,
 	}
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -150,12 +150,13 @@
 }
 
 // Drain makes the server close each caller's connection after its next response and refuse requests that may
-// outlast end, so that callers can retry at another gateway. The caller of Drain calls End then.
-func (s *Server) Drain(end clock.Time) {
+// outlast end, so that callers can retry at another gateway. Until routedUntil the platform routes callers here. The
+// caller of Drain calls End at the end.
+func (s *Server) Drain(routedUntil, end clock.Time) {
 	s.draining.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Scheduler.SetStop(s.Clock.Now(), end)
+	s.Scheduler.SetStop(s.Clock.Now(), routedUntil, end)
 }
 
 // End ends the requests in progress: those that have not run are refused, streams that have begun are cut off after
--- a/sched/runs.go
+++ b/sched/runs.go
@@ -46,6 +46,8 @@
 	// took is the longest time, perToken the longest time per token of the size.
 	took     clock.Span
 	perToken float64
+	// total is the sum of the times per token of the runs that ended by themselves.
+	total float64
 }
 
 // add records a run of the size in tokens; 0 stands for runs without tokens. A run that did not end by itself is not
@@ -54,6 +56,7 @@
 	w := &r.kind(now, k).current[sizeIndex(size)]
 	if ended {
 		w.count++
+		w.total += float64(took) / float64(max(size, 1))
 	}
 	w.took = max(w.took, took)
 	w.perToken = max(w.perToken, float64(took)/float64(max(size, 1)))
@@ -114,7 +117,16 @@
 // at returns the longest runs with the index in both windows.
 func (v *kindRecord) at(i int) longestRun {
 	a, b := v.current[i], v.previous[i]
-	return longestRun{a.count + b.count, max(a.took, b.took), max(a.perToken, b.perToken)}
+	return longestRun{a.count + b.count, max(a.took, b.took), max(a.perToken, b.perToken), a.total + b.total}
+}
+
+// mean returns how long runs of about the size take on average, and false if there were none.
+func (r runRecord) mean(now clock.Time, k RunKind, size units.Tokens) (clock.Span, bool) {
+	l := r.kind(now, k).at(sizeIndex(size))
+	if l.count == 0 {
+		return 0, false
+	}
+	return clock.Span(l.total / float64(l.count) * float64(max(size, 1))), true
 }
 
 // sizeIndex returns the index of a size in a runWindowRecord.
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -36,8 +36,8 @@
 	// Kind and Size, in tokens of the answer, tell how long the run may take. Size is 0 for answers without tokens.
 	Kind RunKind
 	Size units.Tokens
-	// Once is set if the request may run only once.
-	Once bool
+	// Once is set if the request may run only once, Resumable if another upstream can go on with its answer.
+	Once, Resumable bool
 	// Avoid lists upstreams that this request was sent to already.
 	Avoid []units.UpstreamID
 }
@@ -92,8 +92,9 @@
 	queue     []*Attempt
 	// loadInterval is the interval in which other gateways report their loads.
 	loadInterval clock.Span
-	// stopAt is when all runs have to end because this gateway stops; 0 is no bound.
-	stopAt clock.Time
+	// stopAt is when all runs have to end because this gateway stops; 0 is no bound. Until routedUntil the platform may
+	// route callers to gateways that stop.
+	stopAt, routedUntil clock.Time
 	// runs tells how long runs take, running are the attempts that were started and have not ended.
 	runs    runRecord
 	running map[*Attempt]struct{}
--- a/sched/stop.go
+++ b/sched/stop.go
@@ -10,9 +10,9 @@
 const retryAfterStop = 50 * clock.Millisecond
 
 // SetStop sets the time by which all runs have to end. Requests whose run may last longer are refused, those in the
-// queue at once.
-func (s *Scheduler) SetStop(now, end clock.Time) {
-	s.stopAt = end
+// queue at once. Until routedUntil, callers that come back may be sent to a gateway that stops again.
+func (s *Scheduler) SetStop(now, routedUntil, end clock.Time) {
+	s.stopAt, s.routedUntil = end, routedUntil
 	for _, a := range s.queue {
 		s.limitStart(now, a)
 	}
@@ -36,11 +36,16 @@
 }
 
 // lastStart returns the time from which on a request may outlast the stop, and false if it can't. The request ends by its
-// deadline; before that, as the longest runs of its kind did, those that go on included.
+// deadline; before that, as the longest runs of its kind did, those that go on included. While callers may be sent to a
+// gateway that stops again, the mean is enough for a resumable stream, whose rest another gateway can serve.
 func (s *Scheduler) lastStart(now clock.Time, r *Request) (clock.Time, bool) {
 	if s.stopAt == 0 || (r.Deadline > 0 && r.Deadline <= s.stopAt) {
 		return 0, false
 	}
+	if r.Resumable && now.Before(s.routedUntil) {
+		mean, known := s.runs.mean(now, r.Kind, r.Size)
+		return s.stopAt.Add(-mean), known
+	}
 	enough := enoughRuns
 	if r.Once {
 		enough = enoughSingleRuns
--- a/sched/stop_test.go
+++ b/sched/stop_test.go
@@ -18,7 +18,7 @@
 	now := clock.Time(1000)
 	request := sched.Request{Service: &fleet.Service{Name: "engines"}, Deadline: clock.Time(clock.Hour), LatestStart: clock.Time(clock.Hour)}
 	runs := func(n int, size units.Tokens, took clock.Span) {
-		s.SetStop(now, 0)
+		s.SetStop(now, 0, 0)
 		r := request
 		r.Size = size
 		for range n {
@@ -33,7 +33,7 @@
 		r := request
 		r.Size, r.Once = size, once
 		for _, left := range []clock.Span{max(least-1, 0), max(least, 0), 20 * clock.Second} {
-			s.SetStop(now, now.Add(left))
+			s.SetStop(now, 0, now.Add(left))
 			assert.Equal(t, s.MayStart(now, &r), least >= 0 && left >= least, "size %d, once %v, %d ms left", size, once, left)
 		}
 	}
@@ -54,7 +54,7 @@
 		expect(step.of, step.once, step.longest)
 	}
 	// A long run in progress, as soon after a start, tells as much as one that has ended.
-	s.SetStop(now, 0)
+	s.SetStop(now, 0, 0)
 	long := s.Add(now, request)
 	runs(20, 0, 100)
 	expect(0, false, 2000)
@@ -63,3 +63,25 @@
 	now = now.Add(10 * clock.Minute)
 	expect(0, false, -1)
 }
+
+// Guards against callers of resumable streams that are sent from one stopping gateway to the next because the longest
+// stream would not end in time.
+func TestMeanBoundsResumableStreamsWhileCallersAreRoutedHere(t *testing.T) {
+	s := newScheduler(entry("one", "zone-a", 8))
+	now := clock.Time(1000)
+	request := sched.Request{
+		Service: &fleet.Service{Name: "engines"}, Deadline: clock.Time(clock.Hour), LatestStart: clock.Time(clock.Hour), Size: 100, Resumable: true,
+	}
+	for _, took := range []clock.Span{1000, 1000, 1000, 5000} {
+		a := s.Add(now, request)
+		now = now.Add(took)
+		s.End(now, a, sched.Served)
+	}
+	for _, c := range []struct {
+		routedFor, left clock.Span
+		start           bool
+	}{{1, 2000, true}, {1, 1999, false}, {0, 4999, false}, {0, 5000, true}} {
+		s.SetStop(now, now.Add(c.routedFor), now.Add(c.left))
+		assert.Equal(t, s.MayStart(now, &request), c.start, "%+v", c)
+	}
+}
