vmlist: leave out an odd entry instead of the whole list

One entry of another writer cost the whole VM list: a number as id, a list, or nesting of 20,000 levels made each poll fail, so that a gateway kept the list it had, or had none after a start. An entry with port 99999, without an id, or null was taken for a VM, and the answer null for an empty list, which ends the use of all VMs. Cause: the list was decoded as a whole.

Package rawjson finds the ends of entries without decoding them, as encoding/json checks a whole document first and refuses all of it beyond 10,000 levels, also for json.RawMessage. Each entry is decoded by itself; one that doesn't say which VM it is, its role, its state and an address with a port from 1 to 65535 names none. So does one nested more than 64 levels deep. It is counted at each poll and logged once while there are some, with a bounded text: encoding/json cites a number of a megabyte whole. An answer whose entries all name no VM, or that is no list, is a failed poll.

TestListLag and the benchmark: the VM had no address, which the list never has; it got one, the checks are the same. Ruled out: skipping over strings with bytes.IndexByte, which saved nothing and is quadratic in escapes.

--- a/vmlist/bench_test.go
+++ b/vmlist/bench_test.go
@@ -23,8 +23,7 @@
 				b.Fatal(err)
 			}
 			for b.Loop() {
-				var got []vmlist.VM
-				if err := json.Unmarshal(data, &got); err != nil {
+				if _, err := vmlist.Decode(data); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -3,7 +3,7 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/rawjson"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 )
@@ -72,10 +73,12 @@
 	Clock clock.Clock
 }
 
-// Counters counts the polls of a Client since its start, and those that failed.
+// Counters counts the polls of a Client since its start, those that failed, and the entries that were left out
+// at all polls.
 type Counters struct {
-	Polls  int64 `json:"polls"`
-	Errors int64 `json:"errors"`
+	Polls   int64 `json:"polls"`
+	Errors  int64 `json:"errors"`
+	Ignored int64 `json:"ignored"`
 }
 
 // Client polls the VM list and keeps the last list during an outage.
@@ -86,7 +89,10 @@
 	updates chan *List
 	polls   atomic.Int64
 	errors  atomic.Int64
+	ignored atomic.Int64
 	failing atomic.Bool
+	// ignoring is set while the list has entries that are left out.
+	ignoring bool
 }
 
 // New returns a Client that polls while Run runs.
@@ -114,7 +120,7 @@
 
 // Counters returns the current counts.
 func (c *Client) Counters() Counters {
-	return Counters{Polls: c.polls.Load(), Errors: c.errors.Load()}
+	return Counters{Polls: c.polls.Load(), Errors: c.errors.Load(), Ignored: c.ignored.Load()}
 }
 
 // Run polls until the context is done. It returns no error.
@@ -179,9 +185,58 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("poll VM list: unexpected status %d", response.StatusCode)
 	}
-	var vms []VM
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&vms); err != nil {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if err != nil {
+		return nil, fmt.Errorf("read VM list: %w", err)
+	}
+	return c.decode(data)
+}
+
+// decode decodes a list. An entry that may come from another writer names no VM; the others hold. It fails if
+// there are entries and none is left, as an empty list would end the use of all VMs.
+func (c *Client) decode(data []byte) ([]VM, error) {
+	entries, err := rawjson.Elements(data)
+	if err != nil {
 		return nil, fmt.Errorf("decode VM list: %w", err)
 	}
+	vms := make([]VM, 0, len(entries))
+	var firstErr error
+	for i, e := range entries {
+		v, err := decodeVM(e)
+		if err == nil {
+			vms = append(vms, v)
+		} else if firstErr == nil {
+			firstErr = fmt.Errorf("entry %d: %w", i, err)
+		}
+	}
+	c.recordIgnored(len(entries)-len(vms), firstErr)
+	if len(vms) == 0 && firstErr != nil {
+		return nil, fmt.Errorf("decode VM list: %w", firstErr)
+	}
 	return vms, nil
 }
+
+// recordIgnored counts the entries that a list has without naming a VM, and logs the first one of them when the
+// list before had none.
+func (c *Client) recordIgnored(n int, err error) {
+	c.ignored.Add(int64(n))
+	stats.Events.Add("vmlist_entries_ignored", int64(n))
+	if n > 0 && !c.ignoring {
+		klog.Warningf("vmlist: ignoring entries that name no VM: count=%d first: %v", n, err)
+	}
+	c.ignoring = n > 0
+}
+
+var errNoVM = errors.New("the id, the role, the state or the address is missing or invalid")
+
+// decodeVM decodes an entry. It fails unless the entry says which VM it is, what runs on it and how to reach it.
+func decodeVM(data []byte) (VM, error) {
+	var v VM
+	if err := rawjson.Unmarshal(data, &v); err != nil {
+		return VM{}, fmt.Errorf("decode VM: %w", err)
+	}
+	if v.ID == "" || v.Role != Entry && v.Role != Upstream || v.State != Live && v.State != Leaving || !units.IsAddress(v.Address) {
+		return VM{}, errNoVM
+	}
+	return v, nil
+}
--- a/vmlist/vmlist_test.go
+++ b/vmlist/vmlist_test.go
@@ -56,7 +56,7 @@
 	ended := make(chan error, 2)
 	go func() { ended <- s.Run(ctx) }()
 	go func() { ended <- c.Run(ctx) }()
-	s.Set(vms.VM{ID: "u1", Role: vms.RoleUpstream, State: vms.StateLive})
+	s.Set(vms.VM{ID: "u1", Role: vms.RoleUpstream, Address: "127.0.0.1:1", State: vms.StateLive})
 	for range 3 {
 		assert.Equal(t, len((<-c.Updates()).VMs), 0)
 	}
