platform, feed: read on past an odd item of the store

One item of the store's pages with a value that is no base64 text, a lease of 1e30 or 20,000 levels of nesting failed each read and watch: the gateway followed the store no longer and refused keys once their validity ran out. A null event passed for no change. A full read whose page ended with an item without a key began again for ever, and kept all pages in memory; so did one whose page had no later key than the one before. The items of a conflict that could not be read made a transaction without effect one with an unknown effect.

Cause: a page was decoded as a whole, and nothing checked that an item names its key. An item that tells its key, revision and whether it was deleted is a change without a value (Unreadable): it names no replica, excludes a zone if its key does, leaves the configuration as it is, stands for an unknown leader, and is read by each follower itself. An event that doesn't tell them, or an answer that can't be decoded, fails the watch with ErrUnreadable; the feed then reads all, which is the only way to learn what changed, with the backoff of failed calls if that can't be read either. A full read with an item without a key keeps zones excluded, as it may be theirs.

Ruled out: taking the page's revision for an event whose own can't be read, as followers drop changes before the revision of a message's last item. Ruled out: a full read at each odd item, as each heartbeat of its writer would cause one.

--- a/entry/changes.go
+++ b/entry/changes.go
@@ -103,7 +103,8 @@
 	for _, i := range b.Items {
 		item := encodeItem(i)
 		n := proto.Size(item)
-		if n > maxChangesBytes {
+		if n > maxChangesBytes || i.Unreadable {
+			// An item that can't be read is read by each gateway itself.
 			item.Value, item.Omitted = nil, true
 			n = proto.Size(item)
 		}
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -14,11 +14,17 @@
 	"github.com/magnolialever/magnolialever/units"
 )
 
+// unknownLeader stands for a leader whose key can't be read. No VM has this name.
+const unknownLeader units.VMID = "?"
+
 // handleItem handles a change of the leader's key.
 func (o *orderManager) handleItem(i platform.Item) {
 	vm := units.VMID(i.Value)
-	if i.Deleted {
+	switch {
+	case i.Deleted:
 		vm = ""
+	case i.Unreadable:
+		vm = unknownLeader
 	}
 	o.elector.RecordHolder(o.gateway.clock.Now(), i.Revision, vm)
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/rawjson"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
@@ -35,7 +37,7 @@
 	// Watch returns the first changes after a revision, with the revision that they lead to. Without a
 	// change, or if it does not hear of any, it returns no items after the time wait. It fails with an
 	// error that wraps platform.ErrCompacted when the store no longer has the changes after that
-	// revision.
+	// revision, and with one that wraps platform.ErrUnreadable when it can't be told what changed.
 	Watch(ctx context.Context, prefix string, after units.Revision, wait clock.Span) ([]platform.Item, units.Revision, error)
 	// Get returns the item under a key.
 	Get(ctx context.Context, key string) (platform.Item, error)
@@ -135,6 +137,12 @@
 		f.synced = false
 		return 0
 	}
+	if f.synced && errors.Is(err, platform.ErrUnreadable) {
+		stats.Event("store_changes_unreadable")
+		klog.InfoS("feed: changes after the revision can't be read, reading the full state", "revision", f.state.Revision(), "err", err)
+		f.synced = false
+		return 0
+	}
 	stats.Event("store_failed")
 	if pause := f.Pause(); f.batchAt != 0 && f.Clock.Now().Sub(f.batchAt) < pause {
 		// Other gateways reach the store; this one waits for their batches.
@@ -246,8 +254,13 @@
 	f.state.RecordStoreRevision(started, rev)
 	upstreams, zonesOut, keys := map[units.UpstreamID]bool{}, map[units.Zone]bool{}, map[string]bool{}
 	for _, i := range items {
-		keys[i.Key] = true
 		f.apply(now, i)
+		if i.Key == "" {
+			// It may be any key. An upstream that can't be read gets no requests, a zone stays excluded.
+			maps.Copy(zonesOut, f.state.Snapshot().ExcludedZones)
+			continue
+		}
+		keys[i.Key] = true
 		c, err := platform.DecodeItem(i)
 		if err != nil {
 			continue
@@ -271,10 +284,8 @@
 // apply applies one change to the state and reports whether the view changed.
 func (f *Feed) apply(now clock.Time, i platform.Item) bool {
 	c, err := platform.DecodeItem(i)
-	if err != nil && f.ignoredRevisions[i.Key] != i.Revision {
-		f.ignoredRevisions[i.Key] = i.Revision
-		stats.Event("entries_ignored")
-		klog.InfoS("feed: entry can't be read and is ignored", "key", i.Key, "revision", i.Revision, "err", err)
+	if err != nil {
+		f.recordIgnored(i, err)
 	}
 	switch {
 	case c.Config != nil:
@@ -298,9 +309,21 @@
 	case c.RestoredZone != "":
 		f.state.SetZoneExcluded(now, c.RestoredZone, false)
 		klog.InfoS("feed: zone is back", "zone", c.RestoredZone, "revision", i.Revision)
-	default:
+	case i.Key != "":
 		f.OnOtherItem(i)
 		return false
+	default:
+		return false
 	}
 	return true
 }
+
+// recordIgnored counts and logs an entry that can't be read, once for each revision.
+func (f *Feed) recordIgnored(i platform.Item, err error) {
+	if revision, ok := f.ignoredRevisions[i.Key]; ok && revision == i.Revision {
+		return
+	}
+	f.ignoredRevisions[i.Key] = i.Revision
+	stats.Event("entries_ignored")
+	klog.InfoS("feed: entry can't be read and is ignored", "key", rawjson.Shorten(i.Key), "revision", i.Revision, "err", err)
+}
