entry: survive a key that fits no message between gateways

A gateway that watches the store for its zone ended with a panic (index out of range [-1]) when a key of 40 KiB or more was written, and again after each start, while the key stayed among the changes of a watch. Cause: the loop that splits changes into messages closes the message before a long item, also where that one is empty.

Such a change is now in no message. The message after it says that it follows the change, so that followers see that one is missing, as for a lost datagram, and watch the store themselves. A value that can't be read is omitted, so that each follower reads it itself. A message with a negative age, which would confirm a view as of the future, confirms nothing.

Ruled out: cutting the key, as followers would take the change for one of another key.

--- a/entry/changes.go
+++ b/entry/changes.go
@@ -108,11 +108,17 @@
 			item.Value, item.Omitted = nil, true
 			n = proto.Size(item)
 		}
-		if size+n > maxChangesBytes {
+		if size > 0 && size+n > maxChangesBytes {
 			m.Revision = m.Items[len(m.Items)-1].Revision
 			out = append(out, m)
 			m, size = newChanges(m.Revision, now), 0
 		}
+		if n > maxChangesBytes {
+			// The key alone is too long. The next message follows this change, so that followers see that it is missing
+			// and read it from the store.
+			m = newChanges(item.Revision, now)
+			continue
+		}
 		m.Items = append(m.Items, item)
 		size += n
 	}
@@ -155,7 +161,7 @@
 	b := feed.Batch{
 		After: units.Revision(m.GetAfter()), Revision: units.Revision(m.GetRevision()),
 	}
-	if sentAt != 0 && m.GetAgeMs() < noConfirmationMs {
+	if sentAt != 0 && m.GetAgeMs() >= 0 && m.GetAgeMs() < noConfirmationMs {
 		b.ConfirmedAt = sentAt.Add(-clock.Span(m.GetAgeMs()))
 	}
 	for _, i := range m.GetItems() {
--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"bytes"
+	"math"
+	"slices"
+	"strings"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/magnolialever/magnolialever/clock"
@@ -12,6 +16,7 @@
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/platform/fakes"
 	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/wire"
 )
 
 // Guards against changes that don't fit a datagram, against messages between which changes are missing,
@@ -47,6 +52,31 @@
 	assert.Equal(t, omitted, 1)
 }
 
+// Guards against a watcher that ends at a key that fits no message, against followers that take such a change, or one
+// of a value that can't be read, for none, and against a confirmation from the future.
+func TestOddChangesAreNotLost(t *testing.T) {
+	long := platform.Item{Key: "servers/" + strings.Repeat("k", 50<<10), Revision: 102}
+	sound := platform.Item{Key: "servers/x", Value: []byte("v"), Revision: 101}
+	later := platform.Item{Key: "servers/y", Unreadable: true, Revision: 103}
+	for _, items := range [][]platform.Item{{long}, {sound, long}, {long, later}, {sound, long, later}} {
+		reached, missed := units.Revision(100), false
+		for _, m := range splitChanges(feed.Batch{After: 100, Revision: 103, ConfirmedAt: 900, Items: items}, 1000) {
+			assert.Assert(t, proto.Size(m) < 60<<10)
+			b := decodeChanges(m, 5000)
+			missed = missed || b.After > reached
+			reached = b.Revision
+			for _, o := range b.Omitted {
+				assert.Equal(t, o.Key, later.Key)
+			}
+			assert.Assert(t, !slices.ContainsFunc(b.Items, func(i platform.Item) bool { return i.Key == later.Key }))
+		}
+		assert.Assert(t, missed, "a follower doesn't notice that a change is missing")
+	}
+	for _, age := range []int64{-1, math.MinInt64} {
+		assert.Equal(t, decodeChanges(&wire.StoreChanges{AgeMs: age}, 5000).ConfirmedAt, clock.Time(0))
+	}
+}
+
 // Guards against zones without a watcher and against watches by all gateways.
 func TestWatchersOfZone(t *testing.T) {
 	gateways := []member.Gateway{
