entry: keep the changes of a transaction that are in two messages

A follower lost changes of the store: where a transaction's changes were split between two messages, the first one said that it led to their revision, and the follower skipped the others as known. It then confirmed its view as current. A message now leads to the revision before that of the next one's first change.

By reading of the users' protocol, a transaction has one revision; the fake store gives each change its own, so that no test on it could show this.

--- a/entry/changes.go
+++ b/entry/changes.go
@@ -109,7 +109,8 @@
 			n = proto.Size(item)
 		}
 		if size > 0 && size+n > maxChangesBytes {
-			m.Revision = m.Items[len(m.Items)-1].Revision
+			// A transaction's changes have one revision, which is not reached before the last of them.
+			m.Revision = min(m.Items[len(m.Items)-1].Revision, item.Revision-1)
 			out = append(out, m)
 			m, size = newChanges(m.Revision, now), 0
 		}
--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -77,6 +77,29 @@
 	}
 }
 
+// Guards against followers that lose a change of a transaction whose changes are in two messages: all have its
+// revision.
+func TestTransactionInTwoMessages(t *testing.T) {
+	b := feed.Batch{After: 100, Revision: 101}
+	for range 3 {
+		b.Items = append(b.Items, platform.Item{Key: "servers/x", Value: bytes.Repeat([]byte("v"), 30<<10), Revision: 101})
+	}
+	reached, applied := b.After, 0
+	for _, m := range splitChanges(b, 1000) {
+		decoded := decodeChanges(m, 0)
+		assert.Assert(t, decoded.After <= reached)
+		for _, i := range decoded.Items {
+			// A follower skips changes up to the revision that it has reached.
+			if i.Revision > reached {
+				applied++
+			}
+		}
+		reached = decoded.Revision
+	}
+	assert.Equal(t, applied, 3)
+	assert.Equal(t, reached, b.Revision)
+}
+
 // Guards against zones without a watcher and against watches by all gateways.
 func TestWatchersOfZone(t *testing.T) {
 	gateways := []member.Gateway{
