member, entry: refuse odd registrations of gateways

An entry of another writer among the gateways' keys counted as a gateway where its address had no port, port 0 or 99999, or a name: customers' limits were divided by one more, and each message to it logged a warning. With 1e308 cores it came first among the watchers of its zone, and two such entries would have become the only pools. One that named the VM of another key replaced that gateway's address.

Registrations need IP:port, at most 4,096 cores (a gateway states no more of its own) and the VM of their key. An odd one changes nothing, so that the gateway under that key stays as it was.

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -122,6 +123,8 @@
 	}
 }
 
+var errOtherGateway = errors.New("it names another gateway than its key")
+
 // handleItem handles an item that is not part of the view: the leader's key, a verdict or another gateway's
 // registration.
 func (c *controller) handleItem(now clock.Time, m itemReceived) {
@@ -142,6 +145,9 @@
 		return
 	}
 	g, err := member.Decode(m.item.Value)
+	if err == nil && g.VM != vm {
+		err = errOtherGateway
+	}
 	if err != nil {
 		klog.InfoS("entry: invalid gateway registration ignored", "key", m.item.Key, "err", err)
 		return
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -269,7 +269,9 @@
 
 // self returns this gateway's entry in the list of gateways.
 func (g *Gateway) self() member.Gateway {
-	return member.Gateway{VM: g.settings.VM, Address: g.digestAddress(), Zone: g.settings.Zone, Cores: g.settings.Cores}
+	return member.Gateway{
+		VM: g.settings.VM, Address: g.digestAddress(), Zone: g.settings.Zone, Cores: min(g.settings.Cores, member.MaxCores),
+	}
 }
 
 // noLease stands for no lease.
--- a/member/member.go
+++ b/member/member.go
@@ -6,10 +6,12 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/rawjson"
 	"github.com/magnolialever/magnolialever/units"
 )
 
@@ -48,14 +50,24 @@
 	return data, nil
 }
 
-// Decode parses the value of a gateway's key. It fails if the VM or the address is missing.
+// MaxCores is above the processor share of any VM. A gateway with more would get the work of all others.
+const MaxCores = 4096
+
+// Decode parses the value of a gateway's key. It fails if the VM is missing, the address is not IP:port, or the
+// processor share is out of range.
 func Decode(data []byte) (Gateway, error) {
 	var g Gateway
-	if err := json.Unmarshal(data, &g); err != nil {
+	if err := rawjson.Unmarshal(data, &g); err != nil {
 		return g, fmt.Errorf("decode gateway: %w", err)
 	}
-	if g.VM == "" || g.Address == "" {
-		return g, fmt.Errorf("decode gateway: name or address is missing")
+	a, err := netip.ParseAddrPort(g.Address)
+	switch {
+	case g.VM == "":
+		return g, fmt.Errorf("decode gateway: name is missing")
+	case err != nil || a.Port() == 0:
+		return g, fmt.Errorf("decode gateway: address %s is not IP:port", rawjson.Shorten(g.Address))
+	case g.Cores < 0 || g.Cores > MaxCores:
+		return g, fmt.Errorf("decode gateway: %v cores are out of range", g.Cores)
 	}
 	return g, nil
 }
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -27,9 +28,13 @@
 
 // Guards against a gateway that fails on keys from other writers.
 func TestDecodeRefusesBadKeys(t *testing.T) {
-	for _, bad := range []string{"", "null", "{}", `{"vm":"a"}`, `{"vm":3,"address":"a"}`} {
+	for _, bad := range []string{
+		"", "null", "{}", `{"vm":"a"}`, `{"vm":3,"address":"a"}`, `{"vm":"a","address":"10.0.0.1"}`, `{"vm":"a","address":"10.0.0.1:0"}`,
+		`{"vm":"a","address":"10.0.0.1:99999"}`, `{"vm":"a","address":"name:80"}`, `{"vm":"a","address":"10.0.0.1:1","cores":1e308}`,
+		`{"vm":"a","address":"10.0.0.1:1","cores":-1}`, `{"vm":"a","address":"10.0.0.1:1","more":` + strings.Repeat("[", 9000) + strings.Repeat("]", 9000) + "}",
+	} {
 		_, err := member.Decode([]byte(bad))
-		assert.Assert(t, err != nil, bad)
+		assert.Assert(t, err != nil, "%.100s", bad)
 	}
 	g := member.Gateway{VM: "one", Address: "10.0.0.1:7600", Zone: "zone-a"}
 	data, err := g.Encode()
