agent: bound the sizes in an engine's report

A report of three targets of 2^62 bytes, or of negative ones, made an agent take 2^62 bytes for free, so that it accepted loads for which there is no memory: sums of sizes overflowed. Each size is now from 0 to 32 TiB, of which as many as fit a report add up within an int64. The report is still taken as a whole or not at all, as a half of one would free the memory of the other half; its nesting and the text of its errors are bounded.

Ruled out: refusing such a report, as the engine then counts as unreachable and its requests are refused.

--- a/agent/engine.go
+++ b/agent/engine.go
@@ -14,6 +14,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/place"
+	"github.com/magnolialever/magnolialever/rawjson"
 	"github.com/magnolialever/magnolialever/units"
 )
 
@@ -22,6 +23,9 @@
 	orderTimeout  = 10 * clock.Minute
 	maxLoadBytes  = 4 << 20
 	stateResident = "resident"
+	// maxReportedBytes, 32 TiB, is above the memory of any engine. The sum of as many targets as fit a report stays
+	// within an int64; beyond it, used memory would count as free.
+	maxReportedBytes = units.Bytes(1) << 45
 )
 
 // errOrderStatus means that the engine responded to an order with an error status.
@@ -54,11 +58,11 @@
 
 // ledgerReport converts the memory state for the ledger.
 func (l *engineLoad) ledgerReport() place.Report {
-	r := place.Report{Used: l.Memory.Used, Total: l.Memory.Capacity}
+	r := place.Report{Used: boundBytes(l.Memory.Used), Total: boundBytes(l.Memory.Capacity)}
 	for _, list := range [][]engineModel{l.Models, l.Adapters} {
 		for _, m := range list {
 			r.Targets = append(r.Targets, place.ReportedTarget{
-				Target: m.ID, Base: m.Base, Bytes: m.Bytes, Version: formatVersion(m.Version),
+				Target: m.ID, Base: m.Base, Bytes: boundBytes(m.Bytes), Version: formatVersion(m.Version),
 				Pending: m.State != "" && m.State != stateResident,
 			})
 		}
@@ -66,6 +70,9 @@
 	return r
 }
 
+// boundBytes returns a size in an engine's report, or the nearest one from 0 to maxReportedBytes.
+func boundBytes(n units.Bytes) units.Bytes { return min(max(n, 0), maxReportedBytes) }
+
 // formatVersion formats a version as in orders: decimal, or empty for 0 (no version).
 func formatVersion(v int64) string {
 	if v == 0 {
@@ -127,7 +134,11 @@
 		return nil, errors.Errorf("read load: engine returned status %d", resp.StatusCode)
 	}
 	l := &engineLoad{}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(l); err != nil {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadBytes))
+	if err != nil {
+		return nil, fmt.Errorf("read load: %w", err)
+	}
+	if err := rawjson.Unmarshal(data, l); err != nil {
 		return nil, fmt.Errorf("decode load: %w", err)
 	}
 	return l, nil
