feed: forget odd entries that are gone

A feed remembered for ever which odd entries it had logged and which long ones it had read: a writer that writes and removes entries under new keys made each gateway's memory grow with their number. They are now forgotten when the entry is deleted, can be read, or is not in a full read.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -77,7 +77,7 @@
 	// storeDown is set while calls to the store fail.
 	storeDown bool
 	// ignoredRevisions holds, by key, the revision of each undecodable entry, so that each
-	// revision is logged once.
+	// revision is logged once. A full read removes the keys that are gone.
 	ignoredRevisions map[string]units.Revision
 	// batches are those that other gateways have sent.
 	batches chan Batch
@@ -272,6 +272,9 @@
 			zonesOut[c.ExcludedZone] = true
 		}
 	}
+	gone := func(key string, _ units.Revision) bool { return !keys[key] }
+	maps.DeleteFunc(f.ignoredRevisions, gone)
+	maps.DeleteFunc(f.readRevisions, gone)
 	f.state.RemoveUnlisted(now, upstreams, zonesOut)
 	f.OnFullRead(keys)
 	f.synced = true
@@ -286,6 +289,11 @@
 	c, err := platform.DecodeItem(i)
 	if err != nil {
 		f.recordIgnored(i, err)
+	} else {
+		delete(f.ignoredRevisions, i.Key)
+	}
+	if i.Deleted {
+		delete(f.readRevisions, i.Key)
 	}
 	switch {
 	case c.Config != nil:
--- a/feed/unreadable_test.go
+++ b/feed/unreadable_test.go
@@ -83,3 +83,25 @@
 	s.follow(t, 400*time.Millisecond)
 	assert.Assert(t, s.count("range") < 7, "%d reads", s.count("range"))
 }
+
+// churningStore is a store to which another writer writes and deletes odd entries, each under a new key.
+type churningStore struct{ scriptedStore }
+
+func (s *churningStore) Watch(_ context.Context, _ string, after units.Revision, _ clock.Span) ([]platform.Item, units.Revision, error) {
+	key := fmt.Sprint("servers/odd", after)
+	return []platform.Item{{Key: key, Value: []byte("odd"), Revision: after + 1}, {Key: key, Deleted: true, Revision: after + 2}}, after + 2, nil
+}
+
+// Guards against memory that grows with the odd entries that there ever were.
+func TestIgnoredEntriesAreForgotten(t *testing.T) {
+	f := feed.New(feed.Options{
+		Clock: clock.System{}, Store: &churningStore{scriptedStore{revision: 1, calls: map[string]int{}}},
+		OnChange: func(*view.Snapshot) {}, OnConfirm: func(clock.Time) {}, OnOtherItem: func(platform.Item) {},
+		OnFullRead: func(map[string]bool) {}, Pause: func() clock.Span { return 1 }, ConfirmInterval: func() clock.Span { return clock.Hour },
+		OnBatch: func(feed.Batch) {},
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	f.Run(ctx)
+	assert.Assert(t, f.RememberedEntries() < 3, "%d entries", f.RememberedEntries())
+}
