--- a/entry/controller.go
+++ b/entry/controller.go
@@ -11,6 +11,7 @@
 	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/peers"
+	"github.com/magnolialever/magnolialever/rawjson"
 	"github.com/magnolialever/magnolialever/sched"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
@@ -149,7 +150,7 @@
 		err = errOtherGateway
 	}
 	if err != nil {
-		klog.InfoS("entry: invalid gateway registration ignored", "key", m.item.Key, "err", err)
+		klog.InfoS("entry: invalid gateway registration ignored", "key", rawjson.Shorten(m.item.Key), "err", err)
 		return
 	}
 	c.members.Set(g)
--- a/entry/verdicts.go
+++ b/entry/verdicts.go
@@ -7,6 +7,7 @@
 
 	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/rawjson"
 )
 
 // verdictStore implements parts.VerdictStore with the platform's store.
@@ -40,7 +41,7 @@
 	}
 	v, err := parts.DecodeVerdict(part, item.Value)
 	if err != nil {
-		klog.InfoS("entry: invalid verdict ignored", "key", item.Key, "revision", item.Revision, "err", err)
+		klog.InfoS("entry: invalid verdict ignored", "key", rawjson.Shorten(item.Key), "revision", item.Revision, "err", err)
 		return
 	}
 	c.gateway.verdicts.Stored(v)
--- a/parts/verdict.go
+++ b/parts/verdict.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strconv"
 	"strings"
+
+	"github.com/magnolialever/magnolialever/rawjson"
 )
 
 // VerdictPrefix is the prefix of the keys of verdicts in the store.
@@ -39,7 +41,7 @@
 // DecodeVerdict parses the value of a verdict's key. It fails for other values.
 func DecodeVerdict(part ID, value []byte) (Verdict, error) {
 	v := Verdict{Part: part}
-	if err := json.Unmarshal(value, &v); err != nil {
+	if err := rawjson.Unmarshal(value, &v); err != nil {
 		return Verdict{}, fmt.Errorf("decode verdict: %w", err)
 	}
 	if v.Crashes < crashLimit {
