--- a/clock/saturate.go
+++ b/clock/saturate.go
@@ -1,6 +1,6 @@
 package clock
 
-// MaxSpan, a century, is the longest span that FromMilliseconds returns. It can be added to a time and converted to
+// MaxSpan is a century, the longest span that FromMilliseconds returns. It can be added to a time and converted to
 // a time.Duration, which holds 292 years, without an overflow.
 const MaxSpan = 100 * 365 * 24 * Hour
 
