--- a/member/member_test.go
+++ b/member/member_test.go
@@ -46,3 +46,14 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, vm, units.VMID("one"))
 }
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"vm":"a","address":"10.0.0.1:7600","zone":"z","cores":0.2}`))
+	f.Add([]byte(`{"vm":"a","address":"10.0.0.1:99999","cores":1e308}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		g, err := member.Decode(data)
+		if err == nil && (g.VM == "" || g.Address == "" || g.Cores < 0 || g.Cores > member.MaxCores) {
+			t.Errorf("took %+v for a gateway", g)
+		}
+	})
+}
