--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -55,9 +55,9 @@
 // Guards against a watcher that ends at a key that fits no message, against followers that take such a change, or one
 // of a value that can't be read, for none, and against a confirmation from the future.
 func TestOddChangesAreNotLost(t *testing.T) {
-	long := platform.Item{Key: "servers/" + strings.Repeat("k", 50<<10), Revision: 102}
-	sound := platform.Item{Key: "servers/x", Value: []byte("v"), Revision: 101}
-	later := platform.Item{Key: "servers/y", Unreadable: true, Revision: 103}
+	long := platform.Item{Key: fakes.UpstreamKeyPrefix + strings.Repeat("k", 50<<10), Revision: 102}
+	sound := platform.Item{Key: fakes.UpstreamKeyPrefix + "x", Value: []byte("v"), Revision: 101}
+	later := platform.Item{Key: fakes.UpstreamKeyPrefix + "y", Unreadable: true, Revision: 103}
 	for _, items := range [][]platform.Item{{long}, {sound, long}, {long, later}, {sound, long, later}} {
 		reached, missed := units.Revision(100), false
 		for _, m := range splitChanges(feed.Batch{After: 100, Revision: 103, ConfirmedAt: 900, Items: items}, 1000) {
@@ -82,7 +82,7 @@
 func TestTransactionInTwoMessages(t *testing.T) {
 	b := feed.Batch{After: 100, Revision: 101}
 	for range 3 {
-		b.Items = append(b.Items, platform.Item{Key: "servers/x", Value: bytes.Repeat([]byte("v"), 30<<10), Revision: 101})
+		b.Items = append(b.Items, platform.Item{Key: fakes.UpstreamKeyPrefix + "x", Value: bytes.Repeat([]byte("v"), 30<<10), Revision: 101})
 	}
 	reached, applied := b.After, 0
 	for _, m := range splitChanges(b, 1000) {
--- a/feed/unreadable_test.go
+++ b/feed/unreadable_test.go
@@ -11,6 +11,7 @@
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/feed"
 	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/platform/fakes"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
 )
@@ -65,7 +66,7 @@
 // a zone that counts as included again because its item may be the one that can't be read.
 func TestUnreadableChangeIsReadInFull(t *testing.T) {
 	s := &oddStore{
-		excluded:   platform.Item{Key: "op/evacuate/zone-a", Revision: 4},
+		excluded:   platform.Item{Key: fakes.EvacuateKeyPrefix + "zone-a", Revision: 4},
 		unreadable: platform.Item{Unreadable: true},
 	}
 	last, batches := s.follow(t, 300*time.Millisecond)
@@ -88,7 +89,7 @@
 type churningStore struct{ scriptedStore }
 
 func (s *churningStore) Watch(_ context.Context, _ string, after units.Revision, _ clock.Span) ([]platform.Item, units.Revision, error) {
-	key := fmt.Sprint("servers/odd", after)
+	key := fmt.Sprint(fakes.UpstreamKeyPrefix, "odd", after)
 	return []platform.Item{{Key: key, Value: []byte("odd"), Revision: after + 1}, {Key: key, Deleted: true, Revision: after + 2}}, after + 2, nil
 }
 
