--- a/entry/changes.go
+++ b/entry/changes.go
@@ -103,15 +103,23 @@
 	for _, i := range b.Items {
 		item := encodeItem(i)
 		n := proto.Size(item)
-		if n > maxChangesBytes {
+		if n > maxChangesBytes || i.Unreadable {
+			// An item that can't be read is read by each gateway itself.
 			item.Value, item.Omitted = nil, true
 			n = proto.Size(item)
 		}
-		if size+n > maxChangesBytes {
-			m.Revision = m.Items[len(m.Items)-1].Revision
+		if size > 0 && size+n > maxChangesBytes {
+			// A transaction's changes have one revision, which is not reached before the last of them.
+			m.Revision = min(m.Items[len(m.Items)-1].Revision, item.Revision-1)
 			out = append(out, m)
 			m, size = newChanges(m.Revision, now), 0
 		}
+		if n > maxChangesBytes {
+			// The key alone is too long. The next message follows this change, so that followers see that it is missing
+			// and read it from the store.
+			m = newChanges(item.Revision, now)
+			continue
+		}
 		m.Items = append(m.Items, item)
 		size += n
 	}
@@ -154,7 +162,7 @@
 	b := feed.Batch{
 		After: units.Revision(m.GetAfter()), Revision: units.Revision(m.GetRevision()),
 	}
-	if sentAt != 0 && m.GetAgeMs() < noConfirmationMs {
+	if sentAt != 0 && m.GetAgeMs() >= 0 && m.GetAgeMs() < noConfirmationMs {
 		b.ConfirmedAt = sentAt.Add(-clock.Span(m.GetAgeMs()))
 	}
 	for _, i := range m.GetItems() {
--- a/entry/controller.go
+++ b/entry/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -10,6 +11,7 @@
 	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/peers"
+	"github.com/magnolialever/magnolialever/rawjson"
 	"github.com/magnolialever/magnolialever/sched"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
@@ -122,6 +124,8 @@
 	}
 }
 
+var errOtherGateway = errors.New("it names another gateway than its key")
+
 // handleItem handles an item that is not part of the view: the leader's key, a verdict or another gateway's
 // registration.
 func (c *controller) handleItem(now clock.Time, m itemReceived) {
@@ -142,8 +146,11 @@
 		return
 	}
 	g, err := member.Decode(m.item.Value)
+	if err == nil && g.VM != vm {
+		err = errOtherGateway
+	}
 	if err != nil {
-		klog.InfoS("entry: invalid gateway registration ignored", "key", m.item.Key, "err", err)
+		klog.InfoS("entry: invalid gateway registration ignored", "key", rawjson.Shorten(m.item.Key), "err", err)
 		return
 	}
 	c.members.Set(g)
