agent: end a model's stream at [DONE]

The agent read until the end of the connection and took all of it for the answer, so that a complete stream also failed, and counted as a crash of the upstream, where its connection broke after [DONE].

Cause: the end of an answer was inferred from the end of its connection, though the stream itself says where it ends. The call now ends there as complete, and the connection is closed.

TestNothingFollowsDone failed before in all four cases: "copy: ... data: [DONE]\n\nHTTP/1.1 200 OK\r\nDate: ...", the same with "copy at once" and "events"; "no clean end: code:upstream_failed ... unexpected EOF, crashed:true".

Ruled out: reading on to the end in order to drop what follows. It delays the end of the answer by as long as the upstream keeps the connection open, and there is nothing to learn from it: usage comes before [DONE].

--- a/agent/forward.go
+++ b/agent/forward.go
@@ -146,7 +146,8 @@
 	return out
 }
 
-// forwardEvents relays server-sent events, one part per event.
+// forwardEvents relays server-sent events, one part per event. A model's stream is complete after [DONE]; what its
+// connection brings afterwards belongs to no request.
 func (f *forwarder) forwardEvents(ctx context.Context, body io.Reader, m *meter, w responseWriter) (tokenCounts, *refusal) {
 	er := newEventReader(body)
 	for {
@@ -167,6 +168,9 @@
 		if err := w.writePart(m.eventIndex(event), event); err != nil {
 			return m.counts(), canceledCall(err)
 		}
+		if m.sawDone {
+			return m.counts(), nil
+		}
 	}
 }
 
--- a/agent/meter.go
+++ b/agent/meter.go
@@ -144,9 +144,9 @@
 	return i
 }
 
-// checkComplete returns a refusal when a stream ended without the [DONE] event.
+// checkComplete returns a refusal when a model's stream has ended, which was not after the [DONE] event.
 func (m *meter) checkComplete() *refusal {
-	if !m.isModel || m.sawDone {
+	if !m.isModel {
 		return nil
 	}
 	return &refusal{code: units.UpstreamFailed, mayHaveRun: true, message: "engine ended the stream without [DONE]"}
