agent: end a model's body without a length with its JSON value

Callers of gateways with agents got a model's answer that went on with another one, head and all, or one that was cut and looked complete, where the engine sent a body whose end is the end of the connection. Cause: that end was taken for the end of the answer, whatever came before it.

A model's body is one JSON object, which says where it ends. Bodies of that kind now end with their object or array: what follows belongs to no request, and a body that ends before it has broken off like one that is shorter than its length (upstream_failed, may have run, a crash). Bodies with a length or in chunks are passed on as before, as is what isn't JSON by its Content-Type or its first byte.

TestBodyOfModelEndsWithItsValue failed before: "copy" and "other answer" had the bytes of the second answer, "cut", "cut in a text" and "cut before all" were done.

Ruled out: buffering the body to check it as a whole, as parts go to the gateway as they arrive. A service's body without a length can be cut unnoticed as before: nothing in it tells.

--- a/agent/forward.go
+++ b/agent/forward.go
@@ -96,7 +96,7 @@
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		return f.forwardEvents(ctx, resp.Body, m, w)
 	}
-	return f.forwardBody(ctx, resp.Body, m, w)
+	return f.forwardBody(ctx, answerBody(resp, m.isModel), m, w)
 }
 
 // newRequest builds the upstream's request. It fails when the path is not absolute or the
--- a/agent/second_test.go
+++ b/agent/second_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,8 +74,10 @@
 const (
 	date       = "Date: Sat, 05 Dec 2026 06:00:00 GMT\r\n"
 	streamHead = "HTTP/1.1 200 OK\r\n" + date + "Content-Type: text/event-stream\r\n\r\n"
+	jsonHead   = "HTTP/1.1 200 OK\r\n" + date + "Content-Type: application/json\r\n\r\n"
 	token      = "data: {\"choices\":[{\"text\":\"a\"}]}\n\n"
 	end        = "data: [DONE]\n\n"
+	object     = `{"choices":[{"text":"a}\"{"}],"usage":{"total_tokens":3}}`
 )
 
 // Guards against bytes after the last event of a model's stream that reach the caller, and against a complete stream
@@ -92,3 +95,23 @@
 		assert.Check(t, res.text() == a.want, "%s: %q", name, res.text())
 	})
 }
+
+// Guards against a model's body whose end is that of its connection: bytes after its JSON value that reach the caller,
+// and a body that ends before it and looks complete.
+func TestBodyOfModelEndsWithItsValue(t *testing.T) {
+	const cut = "cut"
+	callRaw(t, map[string]rawAnswer{
+		"copy":              {"model", object, []string{jsonHead + object, jsonHead + object}},
+		"other answer":      {"model", object, []string{jsonHead + object + "HTTP/1.1 500 Broken\r\n\r\n"}},
+		"line end":          {"model", " " + object, []string{jsonHead + " ", object[:20], object[20:] + "\n"}},
+		"with a length":     {"model", object + "\n", []string{strings.Replace(jsonHead, "Date", fmt.Sprintf("Content-Length: %d\r\nDate", len(object)+1), 1) + object + "\n", jsonHead}},
+		"no JSON object":    {"model", "no", []string{jsonHead + "n", "o"}},
+		cut:                 {"model", object[:len(object)-1], []string{jsonHead + object[:9], object[9 : len(object)-1]}},
+		cut + " in a text":  {"model", object[:22], []string{jsonHead + object[:22]}},
+		cut + " before all": {"model", " ", []string{jsonHead + " "}},
+	}, func(name string, a rawAnswer, res *callResult) {
+		assert.Check(t, (res.done == nil) == strings.HasPrefix(name, cut), "%s: %v", name, res.refuse)
+		assert.Check(t, res.done != nil || res.refuse.Crashed, name)
+		assert.Check(t, res.text() == a.want, "%s: %q", name, res.text())
+	})
+}
