agent: end an answer where a second one begins in it

Callers of gateways with agents got answers of services and models that went on with a copy, head and all, and looked complete (MIXED): after a stream or body whose end is that of its connection, inside an event, amid a body with a length, and in a chunk. At-most-once calls stored such an answer as their result.

Cause: whatever came on the connection counted as the answer until its end. Package copies now ends the body at a head with the status and the fields of the answer's own, whose date may be later; the call is refused as upstream_failed, may have run, so that it is repeated where it may be, or the caller sees that it is incomplete, and an at-most-once call becomes unknown. It is neither a crash nor a reason to take the upstream as cold: the upstream is up.

What can't be told apart: engines and services of agents echo no request id, so that a second answer with another status or other fields (such as a new cookie) looks like a text on HTTP and is passed on; a text that holds the very head of its answer is cut; the begin of a copy at the end of a body with a length is passed on; without a length, a body that ends in the begin of a status line, such as "HTTP/1.1", counts as cut.

Ruled out: connections shared by requests (agents open one for each), and cutting at any head, which would fail each answer that speaks of HTTP.

--- a/agent/body.go
+++ b/agent/body.go
@@ -5,17 +5,52 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/magnolialever/magnolialever/copies"
 )
 
-// answerBody returns a reader of the answer's body that ends where the answer does.
+// answerBody returns a reader of the answer's body that ends where the answer does. It fails with
+// copies.ErrSecondAnswer at the head of another answer to the request.
 func answerBody(resp *http.Response, isModel bool) io.Reader {
-	if isModel && isCloseDelimited(resp) && isJSON(resp.Header) {
-		return &jsonBody{body: resp.Body}
+	closeDelimited := isCloseDelimited(resp)
+	body := copies.NewReader(resp.Body, copies.Options{
+		IsAnswer:   func(status int, h http.Header) bool { return isSecondHead(resp, status, h) },
+		EndsInHead: func() bool { return closeDelimited },
+	})
+	if isModel && closeDelimited && isJSON(resp.Header) {
+		return &jsonBody{body: body}
+	}
+	return body
+}
+
+// dateHeader is the one field in which a second answer may differ from the first one.
+const dateHeader = "Date"
+
+// isSecondHead reports whether a head in the body of resp is that of a second answer to its request: it has the same
+// status and fields, and was not written earlier. Upstreams of agents echo no request ids, and a connection carries one
+// request, so that nothing else tells a second answer from a text on HTTP. One with another status or other fields
+// counts as text, since a text that counted as an answer would fail each time.
+func isSecondHead(resp *http.Response, status int, h http.Header) bool {
+	if status != resp.StatusCode || len(h) != len(resp.Header) {
+		return false
 	}
-	return resp.Body
+	for name, values := range resp.Header {
+		if !slices.Equal(values, h[name]) && (name != dateHeader || !isLater(h, resp.Header)) {
+			return false
+		}
+	}
+	return true
+}
+
+// isLater reports whether the date of a is after that of b.
+func isLater(a, b http.Header) bool {
+	at, aErr := http.ParseTime(a.Get(dateHeader))
+	bt, bErr := http.ParseTime(b.Get(dateHeader))
+	return aErr == nil && bErr == nil && at.After(bt)
 }
 
 // isCloseDelimited reports whether nothing but the end of the connection ends the body.
--- a/agent/finish.go
+++ b/agent/finish.go
@@ -39,7 +39,7 @@
 		s.suspects.RecordSuccess(retry.Fingerprint(j.call.Fingerprint))
 	case r.crashed:
 		s.recordCrash(now, j, r)
-	case r.code == units.UpstreamFailed && !r.canceled:
+	case r.code == units.UpstreamFailed && !r.canceled && !r.secondAnswer:
 		// The upstream is overloaded, or it is down and will be cold after its restart.
 		s.coldStartLimit.Reset()
 	}
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -14,7 +14,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/magnolialever/magnolialever/copies"
 	"github.com/magnolialever/magnolialever/notice"
+	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -93,10 +95,11 @@
 	if err := w.writeHead(resp.StatusCode, responseHeader(resp.Header)); err != nil {
 		return tokenCounts{}, canceledCall(err)
 	}
+	body := answerBody(resp, m.isModel)
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		return f.forwardEvents(ctx, resp.Body, m, w)
+		return f.forwardEvents(ctx, body, m, w)
 	}
-	return f.forwardBody(ctx, answerBody(resp, m.isModel), m, w)
+	return f.forwardBody(ctx, body, m, w)
 }
 
 // newRequest builds the upstream's request. It fails when the path is not absolute or the
@@ -206,12 +209,15 @@
 	}
 }
 
-// failedCall returns the refusal for a transport error. connected is false when no
+// failedCall returns the refusal for a transport error, or for a second answer, which is no crash. connected is false when no
 // connection was opened, so that the upstream can't have received the request.
 func failedCall(ctx context.Context, err error, connected bool) *refusal {
 	var op *net.OpError
 	dialing := errors.As(err, &op) && op.Op == "dial"
 	switch {
+	case errors.Is(err, copies.ErrSecondAnswer):
+		stats.Event("second_answer")
+		return &refusal{code: units.UpstreamFailed, mayHaveRun: true, secondAnswer: true, message: err.Error()}
 	case !connected:
 		return &refusal{code: units.UpstreamFailed, canceled: ctx.Err() != nil, message: err.Error()}
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded), errors.Is(context.Cause(ctx), errResponseDeadline):
--- a/agent/refusal.go
+++ b/agent/refusal.go
@@ -16,6 +16,8 @@
 	crashed bool
 	// crashID identifies the crash; 0 without one.
 	crashID uint64
+	// secondAnswer means that the response was ended at the begin of another one. The upstream is up.
+	secondAnswer bool
 	// canceled means that the gateway disconnected or canceled the call.
 	canceled bool
 	// retryAfter is the suggested retry delay in milliseconds; 0 for none.
