vmlist: poll on a connection of its own

A poll took a copy of the answer to the poll before, written right after its request was read, for its own answer: a list of an earlier moment with the time of the later request. Owners of rate slots rely on that time: a list requested before a change of owner doesn't count for it, because an agent that started in between may be missing (rate.Owner.SetFleet).

Cause: the list bears nothing of its poll, and net/http takes the first bytes after a request on a kept connection for its answer. Each poll now has a connection of its own, so that a list can't be older than its request but by the service's own lag. It costs a round trip a poll and two connections a second a gateway (640/s at the list for 320 gateways, arithmetic).

TestCopyIsNotAnswerOfNextPoll failed before ("list of 111 counts as one of 158", in ms).

Ruled out: a check of the answer, as an unchanged list is the usual answer.

--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -100,7 +100,9 @@
 	if o.Clock == nil {
 		o.Clock = clock.System{}
 	}
-	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: o.Timeout.Duration()}
+	// A connection for each poll: on one in use again, a late copy of an earlier list, which bears no mark of its poll,
+	// would count as requested at RequestedAt.
+	h := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: o.Timeout.Duration()}
 	return &Client{options: o, http: h, updates: make(chan *List, 1)}
 }
 
@@ -119,7 +121,6 @@
 
 // Run polls until the context is done. It returns no error.
 func (c *Client) Run(ctx context.Context) error {
-	defer c.http.CloseIdleConnections()
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
