gate: end a model's stream at [DONE]

Callers of gateways with agents got a second [DONE], or events after the first one. Where an attempt failed after its [DONE] had gone out (the session broke before the agent's last frame, or the agent refused because its upstream's connection broke), the request was sent to another upstream to resume a stream that was complete.

Cause: only the agent's last frame counted as the end, though the stream itself says where it ends. The response now knows that the caller has the last event: nothing after it is passed on, and a failed attempt has served the request.

TestNothingFollowsDone failed before in all four cases: "connection breaks" and "refusal" with "data: [DONE]\n\ndata: [DONE]\n\n" and 2 attempts, "events" and "cut event" with text after [DONE]. TestEventRelayProperty passes as before.

--- a/gate/events.go
+++ b/gate/events.go
@@ -9,15 +9,22 @@
 // maxEventBytes bounds an event whose end has not arrived yet.
 const maxEventBytes = 1 << 20
 
+// doneData is the payload of the last event of an OpenAI-compatible stream.
+const doneData = "[DONE]"
+
 var (
+	dataField  = []byte("data:")
 	eventEnd   = []byte("\n\n")
 	eventEndCR = []byte("\r\n\r\n")
 )
 
 // handleEvents relays a part of an event stream. Only complete events are written, so that the
 // stream can resume on another upstream between two events. Events that the caller already has are
-// dropped.
+// dropped, and so is what follows the last event, as it belongs to no request.
 func (r *response) handleEvents(p *wire.Part) error {
+	if r.ended {
+		return nil
+	}
 	if r.bufferIndex < 0 {
 		r.bufferIndex = p.Index
 	}
@@ -33,6 +40,10 @@
 	if err := r.writeEvents(data[delivered:complete]); err != nil {
 		return err
 	}
+	if r.ended {
+		r.buffer = r.buffer[:0]
+		return nil
+	}
 	remainder := data[complete:]
 	if len(remainder) > maxEventBytes {
 		return errEventTooLong
@@ -49,16 +60,17 @@
 }
 
 // splitEvents returns the length of the complete events in data, and of those among them, at the
-// start, that the caller already has. It advances bufferIndex and nextEvent. Comments (lines that
-// start with a colon) have no index.
+// start, that the caller already has. It advances bufferIndex and nextEvent, and sets ended at the last event. Comments
+// (lines that start with a colon) have no index.
 func (r *response) splitEvents(data []byte) (complete, delivered int) {
 	for {
 		n := eventLength(data[complete:])
-		if n == 0 {
+		if n == 0 || r.ended {
 			r.nextEvent = max(r.nextEvent, r.bufferIndex)
 			return complete, delivered
 		}
 		isEvent := data[complete] != ':'
+		r.ended = r.bufferIndex >= r.nextEvent && isLast(data[complete:complete+n])
 		complete += n
 		if r.bufferIndex < r.nextEvent {
 			delivered = complete
@@ -69,6 +81,12 @@
 	}
 }
 
+// isLast reports whether an event is the last one of its stream.
+func isLast(event []byte) bool {
+	data, ok := bytes.CutPrefix(event, dataField)
+	return ok && string(bytes.TrimSpace(data)) == doneData
+}
+
 // eventLength returns the length of the event at the start of data, including the empty line that
 // ends it, or 0 when the event is incomplete.
 func eventLength(data []byte) int {
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -81,7 +81,8 @@
 		}
 		p = r.runAttempt(ctx, u)
 		r.endTicket(nil)
-		if p == nil {
+		if p == nil || r.response.ended && !r.response.writer.failed {
+			// A stream whose last event the caller has is complete, however the attempt ended.
 			r.reportSuccess()
 			return nil
 		}
--- a/gate/response.go
+++ b/gate/response.go
@@ -39,6 +39,8 @@
 	keptBody []byte
 	// nextEvent is the index of the first event that the caller does not have yet.
 	nextEvent int64
+	// ended is set once the caller has the last event of a resumable stream.
+	ended bool
 	// headSent is set after the status and headers were written to the caller.
 	headSent bool
 	// lastWrite is when data was last written to the caller, for the latency histograms.
