agent: test that only complete answers are stored

A call that must not be repeated stored the answer of its service with a copy in it as done, for 10 min, for repeated calls.

--- a/agent/second_test.go
+++ b/agent/second_test.go
@@ -26,7 +26,7 @@
 }
 
 // callRaw calls an agent before an upstream with raw answers in the order of their names, once for each answer and again
-// with a call that must not be repeated.
+// with a call that must not be repeated. The stored results of the latter have to be the complete answers.
 func callRaw(t *testing.T, answers map[string]rawAnswer, check func(name string, a rawAnswer, res *callResult)) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -42,6 +42,7 @@
 		}
 	}()
 	ta := startAgent(t, http.NotFoundHandler(), func(o *agent.Options) { o.Upstream.Address = l.Addr().String() })
+	control := ta.openControl()
 	attempts := 0
 	for _, name := range slices.Sorted(maps.Keys(answers)) {
 		a := answers[name]
@@ -55,6 +56,11 @@
 				}))
 			}
 			check(name, a, res)
+			if !idempotent {
+				o := queryOutcome(t, control, fmt.Sprint("a", attempts), 0)
+				assert.Check(t, (o.State == "done") == (res.done != nil), "%s: stored as %s", name, o.State)
+				assert.Check(t, o.State != "done" || string(o.Body) == a.want, "%s: stored %q", name, o.Body)
+			}
 		}
 	}
 }
