--- a/agent/second_test.go
+++ b/agent/second_test.go
@@ -1,11 +1,9 @@
 package agent_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -16,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnolialever/magnolialever/agent"
+	"github.com/magnolialever/magnolialever/fakes/raw"
 	"github.com/magnolialever/magnolialever/wire"
 )
 
@@ -29,19 +28,18 @@
 // with a call that must not be repeated. The stored results of the latter have to be the complete answers.
 func callRaw(t *testing.T, answers map[string]rawAnswer, check func(name string, a rawAnswer, res *callResult)) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
+	upstream, err := raw.Start(func(r *raw.Request) error {
+		for i, p := range answers[r.URL.Path[1:]].pieces {
+			if i > 0 {
+				time.Sleep(20 * time.Millisecond)
 			}
-			go servePieces(c, answers)
+			_ = r.Write(p) // the agent may have closed the connection
 		}
-	}()
-	ta := startAgent(t, http.NotFoundHandler(), func(o *agent.Options) { o.Upstream.Address = l.Addr().String() })
+		return io.EOF
+	})
+	assert.NilError(t, err)
+	defer upstream.Close()
+	ta := startAgent(t, http.NotFoundHandler(), func(o *agent.Options) { o.Upstream.Address = upstream.Addr() })
 	control := ta.openControl()
 	attempts := 0
 	for _, name := range slices.Sorted(maps.Keys(answers)) {
@@ -65,21 +63,6 @@
 	}
 }
 
-func servePieces(c net.Conn, answers map[string]rawAnswer) {
-	defer c.Close()
-	req, err := http.ReadRequest(bufio.NewReader(c))
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, req.Body)
-	for i, p := range answers[req.URL.Path[1:]].pieces {
-		if i > 0 {
-			time.Sleep(20 * time.Millisecond)
-		}
-		_, _ = io.WriteString(c, p) // the agent may have closed the connection
-	}
-}
-
 const (
 	date       = "Date: Sat, 05 Dec 2026 06:00:00 GMT\r\n"
 	streamHead = "HTTP/1.1 200 OK\r\n" + date + "Content-Type: text/event-stream\r\n\r\n"
--- a/gate/cut_test.go
+++ b/gate/cut_test.go
@@ -1,11 +1,9 @@
 package gate_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +14,7 @@
 
 	"github.com/magnolialever/magnolialever/agent"
 	"github.com/magnolialever/magnolialever/config"
+	"github.com/magnolialever/magnolialever/fakes/raw"
 	"github.com/magnolialever/magnolialever/gate"
 	"github.com/magnolialever/magnolialever/units"
 )
@@ -50,39 +49,26 @@
 // startCutting starts agents of a service that breaks off its first answer to each request body, a number, after as many
 // bytes, and answers whole the second time.
 func startCutting(t *testing.T, answer string) []string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
 	var mu sync.Mutex
 	seen := map[int]bool{}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				req, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				body, _ := io.ReadAll(req.Body)
-				n, _ := strconv.Atoi(string(body))
-				mu.Lock()
-				if seen[n] {
-					n = len(answer)
-				}
-				seen[n] = true
-				mu.Unlock()
-				_, _ = io.WriteString(c, answer[:n])
-			}()
+	service, err := raw.Start(func(r *raw.Request) error {
+		n, err := strconv.Atoi(r.Text)
+		assert.Check(t, err)
+		mu.Lock()
+		if seen[n] {
+			n = len(answer)
 		}
-	}()
+		seen[n] = true
+		mu.Unlock()
+		_ = r.Write(answer[:n]) // the agent may have closed the connection
+		return io.EOF
+	})
+	assert.NilError(t, err)
 	var addresses []string
 	for _, id := range []string{"u1", "u2"} {
 		a, err := agent.New(agent.Options{
 			Node:   config.Node{ID: id, Zone: "a", PeerAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0"},
-			Secret: []byte(testSecret), Upstream: agent.Upstream{Kind: agent.Service, Address: l.Addr().String(), Services: []units.ServiceID{"cases"}},
+			Secret: []byte(testSecret), Upstream: agent.Upstream{Kind: agent.Service, Address: service.Addr(), Services: []units.ServiceID{"cases"}},
 		})
 		assert.NilError(t, err)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -94,7 +80,7 @@
 		})
 		addresses = append(addresses, a.Addr().String())
 	}
-	t.Cleanup(func() { assert.Check(t, l.Close()) })
+	t.Cleanup(service.Close)
 	return addresses
 }
 
--- a/store/copies_test.go
+++ b/store/copies_test.go
@@ -1,39 +1,19 @@
 package store_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fakes/raw"
 	"github.com/magnolialever/magnolialever/store"
 )
 
-// copyAnswers answers the request with the number n on the connection with answer(path, n). Right after it has read a
-// request it writes the answer to the one before once more.
-func copyAnswers(c net.Conn, n int, answer func(path string, n int) string) {
-	defer c.Close()
-	previous := ""
-	for r := bufio.NewReader(c); ; n++ {
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, req.Body)
-		_, _ = io.WriteString(c, previous)
-		body := answer(req.URL.Path, n)
-		previous = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-		_, _ = io.WriteString(c, previous)
-	}
-}
-
 // Guards against a copy of an earlier answer of the store that counts as that to the next call: a rejected write that is held
 // for done, an ended lease for renewed, a lease that is granted twice, and a value of an earlier moment.
 func TestCopyIsNotAnswerOfNextCall(t *testing.T) {
@@ -65,27 +45,16 @@
 			return int64(e.Revision), err
 		}, func(first, second int64, err error) bool { return err == nil && second > first }},
 	} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		server, err := raw.StartCopying(func(r *raw.Request) string {
+			return raw.Answer(http.StatusOK, fmt.Sprintf(answers[r.URL.Path], r.Number, r.Number == 1, max(2-r.Number, 0)))
+		})
 		assert.NilError(t, err)
-		accepted := make(chan struct{})
-		go func() {
-			defer close(accepted)
-			// The first connection serves both calls if it is used again.
-			for n := 1; ; n++ {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go copyAnswers(conn, n, func(path string, n int) string { return fmt.Sprintf(answers[path], n, n == 1, max(2-n, 0)) })
-			}
-		}()
-		s := store.New(store.Options{Address: l.Addr().String()})
+		s := store.New(store.Options{Address: server.Addr()})
 		first, err := c.call(s)
 		assert.NilError(t, err, name)
 		second, err := c.call(s)
 		assert.Check(t, c.sound(first, second, err), "%s: %d after %d, %v", name, second, first, err)
 		s.Close()
-		assert.NilError(t, l.Close())
-		<-accepted
+		server.Close()
 	}
 }
--- a/vmlist/copies_test.go
+++ b/vmlist/copies_test.go
@@ -1,11 +1,8 @@
 package vmlist_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -13,39 +10,20 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fakes/raw"
 	"github.com/magnolialever/magnolialever/vmlist"
 )
 
 // Guards against a copy of the answer to an earlier poll, written right after the next one was read, that counts as a list of
 // the later moment: it may lack a VM that has started in between.
 func TestCopyIsNotAnswerOfNextPoll(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	server, err := raw.StartCopying(func(*raw.Request) string {
+		return raw.Answer(http.StatusOK, fmt.Sprintf(`[{"id":"%d"}]`, clock.System{}.Now()))
+	})
 	assert.NilError(t, err)
-	defer l.Close()
-	serve := func(c net.Conn) {
-		defer c.Close()
-		previous := ""
-		for r := bufio.NewReader(c); ; {
-			if _, err := http.ReadRequest(r); err != nil {
-				return
-			}
-			body := fmt.Sprintf(`[{"id":"%d"}]`, clock.System{}.Now())
-			_, _ = io.WriteString(c, previous)
-			previous = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-			_, _ = io.WriteString(c, previous)
-		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
+	defer server.Close()
 	ctx, cancel := context.WithCancel(context.Background())
-	c := vmlist.New(vmlist.Options{Address: l.Addr().String(), Interval: 50 * clock.Millisecond})
+	c := vmlist.New(vmlist.Options{Address: server.Addr(), Interval: 50 * clock.Millisecond})
 	ended := make(chan error, 1)
 	go func() { ended <- c.Run(ctx) }()
 	for range 5 {
