gate: take no stream without its last event for complete

Callers of gateways with agents could get a model's stream that looked complete and lacked its end, or ended inside an event: when the agent said that the request was done, whatever the caller had. It takes an agent whose stream is not what the gateway has, such as a resumed stream whose [DONE] counts as an event that the caller has. Shown with stand-ins of agents; agents themselves say done only after [DONE].

Cause: the end of the response was inferred from the agent's last frame. A resumable stream is complete now only once the caller has [DONE]; else the attempt has failed, and the stream is resumed or ends with an error event.

TestStreamWithoutLastEventIsNotComplete failed before in all three cases ("none" and "repeated" with an empty rest, "cut" with "data: [DO").

--- a/gate/done_test.go
+++ b/gate/done_test.go
@@ -44,3 +44,29 @@
 		assert.Check(t, a1.calls.Load()+a2.calls.Load() == 1, "%s: %d attempts", name, a1.calls.Load()+a2.calls.Load())
 	}
 }
+
+// Guards against a stream that looks complete though the caller lacks its last event: the agent says that the request is
+// done before it, inside it, or after an event that counts as repeated.
+func TestStreamWithoutLastEventIsNotComplete(t *testing.T) {
+	for name, last := range map[string]func(c *agentCall){
+		"none":     func(*agentCall) {},
+		"cut":      func(c *agentCall) { _ = c.sendPart(max(c.Resume, 2), doneEvent[:9]) },
+		"repeated": func(c *agentCall) { _ = c.sendPart(c.Resume-1, doneEvent) },
+	} {
+		answer := func(c *agentCall) {
+			_ = c.sendHead(200, eventStream)
+			if c.Resume == 0 {
+				_ = c.sendPart(0, tokenEvent(0))
+				_ = c.sendPart(1, tokenEvent(1))
+				c.stream.Close()
+				return
+			}
+			last(c)
+			c.sendDone()
+		}
+		s := startGateway(t, nil, newFakeAgent(t, "a1", answer), newFakeAgent(t, "a2", answer))
+		_, body := sendRequest(t, s, http.MethodPost, "/v1/chat/completions", `{"model":"small","stream":true,"messages":[{"role":"user","content":"a"}]}`)
+		rest, ok := strings.CutPrefix(body, tokenEvent(0)+tokenEvent(1))
+		assert.Check(t, ok && strings.Contains(rest, "upstream_failed") && strings.Count(rest, "data:") == 1, "%s: %q", name, rest)
+	}
+}
--- a/gate/events_test.go
+++ b/gate/events_test.go
@@ -21,7 +21,7 @@
 			text := rapid.StringMatching(`data: [a-c]{0,5}`).Draw(t, "text")
 			return []byte(text + rapid.SampledFrom([]string{"\n\n", "\r\n\r\n"}).Draw(t, "end"))
 		})
-		all := rapid.SliceOfN(event, 1, 12).Draw(t, "events")
+		all := append(rapid.SliceOfN(event, 1, 12).Draw(t, "events"), []byte("data: [DONE]\n\n"))
 		c := &responseCollector{}
 		resp := &response{writer: newFlushWriter(c, 1000), resumable: true}
 		for {
--- a/gate/response.go
+++ b/gate/response.go
@@ -22,6 +22,7 @@
 var (
 	errEventGap     = errors.New("events are missing in the response stream")
 	errEventTooLong = errors.New("an event of the response stream is too long")
+	errNoLastEvent  = errors.New("the response stream ended before its last event")
 	errCallerWrite  = errors.New("write response to the caller")
 )
 
@@ -110,11 +111,15 @@
 	return r.write(r.buffer)
 }
 
-// finish completes the response: it sends what is still buffered.
+// finish completes the response: it sends what is still buffered. A resumable stream is complete only with its last
+// event: the agent's word doesn't tell what the caller has.
 func (r *response) finish() error {
 	if !r.headReceived {
 		return errFrameOrder
 	}
+	if r.isEventStream && r.resumable && !r.ended {
+		return errNoLastEvent
+	}
 	if !r.headSent && !r.isEventStream && r.hasContentLength() {
 		r.writer.Header().Set("Content-Length", strconv.Itoa(len(r.buffer)))
 	}
