agent: test that load reports of an engine share no connection

Load reports and orders of engines use the transport of requests, which opens a connection for each. Nothing tested it for them: TestCopyIsNotNextLoadReport passes on the code as it is and fails without DisableKeepAlives (two reports on one connection), on which a copy of an earlier report would count as the next one.

--- a/agent/copies_test.go
+++ b/agent/copies_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnolialever/magnolialever/agent"
+	"github.com/magnolialever/magnolialever/fakes/raw"
 	"github.com/magnolialever/magnolialever/wire"
 )
 
@@ -107,3 +108,21 @@
 		assert.Assert(t, res.refuse.GetRan(), "cut after %d bytes: %s %s", cut, res.refuse.GetCode(), res.refuse.GetMessage())
 	}
 }
+
+// Guards against a load report of an engine that is a copy of an earlier one, on a connection in use again.
+func TestCopyIsNotNextLoadReport(t *testing.T) {
+	reports := make(chan int, 100)
+	engine, err := raw.StartCopying(func(r *raw.Request) string {
+		reports <- r.NumberOnConnection
+		return raw.Answer(http.StatusOK, `{"instance":"one","memory":{"capacity":100}}`)
+	})
+	assert.NilError(t, err)
+	defer engine.Close()
+	startAgent(t, http.NotFoundHandler(), func(o *agent.Options) {
+		o.Upstream = agent.Upstream{Kind: agent.Engine, Address: engine.Addr(), Capacity: 100}
+		o.Limits.PollInterval = 20
+	})
+	for range 5 {
+		assert.Equal(t, <-reports, 1, "requests on the connection")
+	}
+}
