--- a/agent/forward.go
+++ b/agent/forward.go
@@ -14,7 +14,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/magnolialever/magnolialever/copies"
 	"github.com/magnolialever/magnolialever/notice"
+	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -93,10 +95,11 @@
 	if err := w.writeHead(resp.StatusCode, responseHeader(resp.Header)); err != nil {
 		return tokenCounts{}, canceledCall(err)
 	}
+	body := answerBody(resp, m.isModel)
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		return f.forwardEvents(ctx, resp.Body, m, w)
+		return f.forwardEvents(ctx, body, m, w)
 	}
-	return f.forwardBody(ctx, resp.Body, m, w)
+	return f.forwardBody(ctx, body, m, w)
 }
 
 // newRequest builds the upstream's request. It fails when the path is not absolute or the
@@ -146,7 +149,8 @@
 	return out
 }
 
-// forwardEvents relays server-sent events, one part per event.
+// forwardEvents relays server-sent events, one part per event. A model's stream is complete after [DONE]; what its
+// connection brings afterwards belongs to no request.
 func (f *forwarder) forwardEvents(ctx context.Context, body io.Reader, m *meter, w responseWriter) (tokenCounts, *refusal) {
 	er := newEventReader(body)
 	for {
@@ -167,6 +171,9 @@
 		if err := w.writePart(m.eventIndex(event), event); err != nil {
 			return m.counts(), canceledCall(err)
 		}
+		if m.sawDone {
+			return m.counts(), nil
+		}
 	}
 }
 
@@ -202,12 +209,15 @@
 	}
 }
 
-// failedCall returns the refusal for a transport error. connected is false when no
+// failedCall returns the refusal for a transport error, or for a second answer, which is no crash. connected is false when no
 // connection was opened, so that the upstream can't have received the request.
 func failedCall(ctx context.Context, err error, connected bool) *refusal {
 	var op *net.OpError
 	dialing := errors.As(err, &op) && op.Op == "dial"
 	switch {
+	case errors.Is(err, copies.ErrSecondAnswer):
+		stats.Event("second_answer")
+		return &refusal{code: units.UpstreamFailed, mayHaveRun: true, secondAnswer: true, message: err.Error()}
 	case !connected:
 		return &refusal{code: units.UpstreamFailed, canceled: ctx.Err() != nil, message: err.Error()}
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded), errors.Is(context.Cause(ctx), errResponseDeadline):
--- a/gate/response.go
+++ b/gate/response.go
@@ -22,6 +22,7 @@
 var (
 	errEventGap     = errors.New("events are missing in the response stream")
 	errEventTooLong = errors.New("an event of the response stream is too long")
+	errNoLastEvent  = errors.New("the response stream ended before its last event")
 	errCallerWrite  = errors.New("write response to the caller")
 )
 
@@ -39,6 +40,8 @@
 	keptBody []byte
 	// nextEvent is the index of the first event that the caller does not have yet.
 	nextEvent int64
+	// ended is set once the caller has the last event of a resumable stream.
+	ended bool
 	// headSent is set after the status and headers were written to the caller.
 	headSent bool
 	// lastWrite is when data was last written to the caller, for the latency histograms.
@@ -108,11 +111,15 @@
 	return r.write(r.buffer)
 }
 
-// finish completes the response: it sends what is still buffered.
+// finish completes the response: it sends what is still buffered. A resumable stream is complete only with its last
+// event: the agent's word doesn't tell what the caller has.
 func (r *response) finish() error {
 	if !r.headReceived {
 		return errFrameOrder
 	}
+	if r.isEventStream && r.resumable && !r.ended {
+		return errNoLastEvent
+	}
 	if !r.headSent && !r.isEventStream && r.hasContentLength() {
 		r.writer.Header().Set("Content-Length", strconv.Itoa(len(r.buffer)))
 	}
