entry: use no model that is being unloaded until the unload is done

Cause: the leader orders the unload of a model and tells the gateways, which use the model no longer, until 6 s have passed or a description arrives that was received a second later. An unload waits for the requests that run, though, and until then the upstream refuses requests for the model while its descriptions list it.

The unload of a model now holds until a description of the same process shows that it is done, at most as long as the longest timeout of a route beyond the old bound.

--- a/entry/residency.go
+++ b/entry/residency.go
@@ -15,7 +15,8 @@
 	// minMissDigestInterval is the least time between the last digest to the leader and one that is
 	// sent because of a miss.
 	minMissDigestInterval = 15 * clock.Millisecond
-	// residencyChangeTTL is how long a residency change is kept. Descriptions show it by then.
+	// residencyChangeTTL is how long a residency change is kept. Descriptions show it by then, but for the unload of a
+	// model, which waits for the requests that run.
 	residencyChangeTTL = 6 * clock.Second
 	// minAnnounceInterval is the least time between two announcements of loads; it grows by a
 	// millisecond for every gatewaysPerAnnounceMs gateways.
@@ -28,10 +29,11 @@
 
 // publishView passes the view of the store to the relay, with the residency changes applied that
 // the upstreams' descriptions don't show yet.
-func (c *controller) publishView(now clock.Time) {
-	c.residencyChanges = slices.DeleteFunc(c.residencyChanges, func(r residencyChange) bool {
-		return now.Sub(r.at) > residencyChangeTTL
-	})
+func (c *controller) publishView(now clock.Time) { c.gateway.relay.SetView(c.changedView(now)) }
+
+// changedView returns the view of the store with the residency changes applied, and forgets those that are over.
+func (c *controller) changedView(now clock.Time) *view.Snapshot {
+	c.residencyChanges = slices.DeleteFunc(c.residencyChanges, func(r residencyChange) bool { return c.isOver(now, &r) })
 	s := *c.snapshot
 	s.Upstreams = make(map[units.UpstreamID]*view.Entry, len(c.snapshot.Upstreams))
 	for id, e := range c.snapshot.Upstreams {
@@ -44,7 +46,23 @@
 			s.Upstreams[r.upstream] = &changed
 		}
 	}
-	c.gateway.relay.SetView(&s)
+	return &s
+}
+
+// isOver reports whether a residency change has to be applied no longer.
+func (c *controller) isOver(now clock.Time, r *residencyChange) bool {
+	if !r.removesModel() {
+		return now.Sub(r.at) > residencyChangeTTL
+	}
+	e, ok := c.snapshot.Upstreams[r.upstream]
+	if ok && r.isShownBy(e) {
+		return true
+	}
+	longestRun := clock.Span(0)
+	if c.snapshot.Config != nil {
+		longestRun = c.snapshot.Config.LongestTimeout()
+	}
+	return now.Sub(r.at) > residencyChangeTTL+longestRun
 }
 
 // recordResidencyChange records a change that this gateway has ordered and sends it to the other
--- a/entry/residency_change.go
+++ b/entry/residency_change.go
@@ -48,12 +48,26 @@
 // maxDescriptionDelay is the greatest age of a description at its receipt.
 const maxDescriptionDelay = clock.Second
 
+// removesModel reports whether the change is the unload of a model. Until that is done, which may take as long as a
+// request runs, the upstream refuses requests for the model while its descriptions still list it.
+func (r *residencyChange) removesModel() bool { return r.unloaded && r.adapter == "" }
+
+// isNewerThan reports whether the change may be missing in a description only because the description is older.
+func (r *residencyChange) isNewerThan(e *view.Entry) bool {
+	return e.ReceivedAt.Sub(r.at) <= maxDescriptionDelay
+}
+
+// isShownBy reports whether a description of the same process shows that the unload of a model is done.
+func (r *residencyChange) isShownBy(e *view.Entry) bool {
+	return e.ProcessStart == r.processStart && !r.isNewerThan(e) && !e.Holds(r.model, "")
+}
+
 // apply returns the upstream's description with the change applied. A description of another
-// process, or one received more than maxDescriptionDelay after the change, which shows it, is
-// returned as it is.
+// process, or one received more than maxDescriptionDelay after the change, which shows it unless it
+// removes a model, is returned as it is.
 func (r *residencyChange) apply(e *view.Entry) *fleet.Upstream {
 	u := e.Upstream
-	if u.ProcessStart != r.processStart || e.ReceivedAt.Sub(r.at) > maxDescriptionDelay {
+	if u.ProcessStart != r.processStart || !r.removesModel() && !r.isNewerThan(e) {
 		return u
 	}
 	out := *u
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -158,6 +158,17 @@
 	return shortest
 }
 
+// LongestTimeout returns the longest timeout of a route; 0 if there are no routes.
+func (c *Config) LongestTimeout() clock.Span {
+	longest := clock.Span(0)
+	for _, routes := range c.routes {
+		for _, r := range routes {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
+
 // AddService adds a service.
 func (c *Config) AddService(s *Service) { c.services[s.Name] = s }
 
