place: count in TestLateOrders only copies that the planner may count

A print of the fleet at that moment showed m03 resident on the usable u2 and u4, and an unload of m03 in flight to u0, which had become unusable after the order.

Cause: the check subtracted all queued unloads of a target (one, at u0) from the copies on usable replicas (two), so that it took a copy off the sum that was not in it. After the unload from u4 the copy on u2 remains, usable and without an order: the planner did what the design says.

Change: the check lists the usable replicas that keep the target after this unload and the queued ones, by replica. It is stricter than before: a second unload order for the same copy no longer passes as "zero copies left". The sequence stands as a plain test, TestUnloadAtUnusableReplica, which also fails when the last usable copy goes.

The plain test fails with the copy itself or unusable replicas counted as another copy. Ruled out by the print: that u0 counted when the check ran (it was unusable), and an order in flight for the copy on u2 (there was none).

--- a/place/plan_test.go
+++ b/place/plan_test.go
@@ -200,6 +200,33 @@
 	assert.Equal(t, f.residentCopies("m1"), 1)
 }
 
+// Guards against unloading the last usable copy of a model in demand while the other copies are on
+// replicas that are unusable or unload them, and against counting an unload at an unusable replica
+// as the loss of a usable copy, which would keep memory from a model with waiting requests.
+func TestUnloadAtUnusableReplica(t *testing.T) {
+	f := &fleet{targets: []place.Target{{ID: "m0", Bytes: 16}, {ID: "m1", Bytes: 16}}}
+	for _, id := range []units.UpstreamID{"u0", "u1", "u2"} {
+		f.replicas = append(f.replicas, place.Replica{ID: id, Capacity: 16, Throughput: 2000, Usable: true, Resident: []units.ModelID{"m0"}})
+	}
+	f.replicas = append(f.replicas, place.Replica{ID: "out", Capacity: 16, Throughput: 2000, Resident: []units.ModelID{"m0"}})
+	p := place.NewPlanner(budget)
+	demand := map[units.ModelID]place.Demand{"m0": {ShortTerm: 10, LongTerm: 10}, "m1": {ShortTerm: 10, LongTerm: 10, Waiting: 1}}
+	// The unloads stay in flight, so that the reports show all copies in each round.
+	plan := func(now clock.Time) []place.Command {
+		return p.Plan(now, place.Input{Targets: f.targets, Replicas: f.replicas, Demand: demand})
+	}
+	for round := range clock.Time(2) {
+		commands := plan((round + 1) * 1000)
+		assert.Equal(t, len(commands), 1, "%v", commands)
+		assert.Equal(t, commands[0].Op, place.Unload)
+		i := slices.IndexFunc(f.replicas, func(r place.Replica) bool { return r.ID == commands[0].Replica })
+		assert.Assert(t, f.replicas[i].Usable)
+		f.replicas[i].Usable = false
+	}
+	assert.Equal(t, f.residentCopies("m0"), 1)
+	assert.Equal(t, len(plan(3000)), 0, "the last usable copy is unloaded")
+}
+
 // Guards against overcommitted memory, loads beyond the budget, and the eviction of the last
 // copy of a target in demand, when orders are lost and duplicated.
 func TestPlanInvariants(t *testing.T) {
@@ -282,7 +309,7 @@
 				if c.Op == place.Unload {
 					f.checkUnload(t, c)
 					d := demand[c.Target.ID]
-					last := f.residentCopies(c.Target.ID)-queuedUnloads(queue, c.Target.ID) == 1
+					last := f.remainingCopies(c, queue) == 0
 					assert.Assert(t, !last || d.ShortTerm < 1 && d.Waiting == 0, "last copy of %s unloaded", c.Target.ID)
 				}
 				queue = append(queue, delayedOrder{c, now.Add(delay)})
@@ -298,11 +325,15 @@
 	})
 }
 
-// queuedUnloads returns the number of unloads of the target in the queue.
-func queuedUnloads(queue []delayedOrder, id units.ModelID) int {
+// remainingCopies returns the number of usable replicas where the target stays resident after
+// the unload c and the unloads in the queue.
+func (f *fleet) remainingCopies(c place.Command, queue []delayedOrder) int {
 	n := 0
-	for _, o := range queue {
-		if o.command.Op == place.Unload && o.command.Target.ID == id {
+	for _, r := range f.replicas {
+		unloading := r.ID == c.Replica || slices.ContainsFunc(queue, func(o delayedOrder) bool {
+			return o.command.Op == place.Unload && o.command.Replica == r.ID && o.command.Target.ID == c.Target.ID
+		})
+		if r.Usable && !unloading && slices.Contains(r.Resident, c.Target.ID) {
 			n++
 		}
 	}
