gate: break one session at a time in TestBreaksUnderLoad

Seen: 503 no_upstream for requests that had not started; the test promises them a connected agent.

Cause, first part: the breaker waited until the gateway counted three connected agents, and closed one session. The gateway counts a closed session until it has noticed the end, so that the breaker could close the second and third session before the first was back. With all three gone, the gateway has nothing to send a request to and says so, as designed.

Change: the breaker waits for a new session of the agent that it broke and for three connected agents. A new session is dialed only after the old one was removed, so that it proves that the end was noticed. The test breaks as many sessions as before, no longer several at once.

--- a/gate/chaos_test.go
+++ b/gate/chaos_test.go
@@ -22,6 +22,17 @@
 	return 20, true
 }
 
+// breakSession closes the session of one agent, and returns when the gateway is connected to all
+// agents again. The number of connected agents does not show that alone: the gateway counts a
+// closed session until it has noticed the end.
+func breakSession(t *testing.T, s *gate.Server, agents []*fakeAgent, index int) {
+	broken := agents[index].session.Load()
+	broken.Close()
+	eventually(t, func() bool {
+		return agents[index].session.Load() != broken && len(s.ConnectedAgents()) == len(agents)
+	})
+}
+
 // Guards against responses that are truncated, mixed up or repeated when sessions and streams break
 // at arbitrary moments under concurrent requests. The agents also send frames of other attempts.
 func TestBreaksUnderLoad(t *testing.T) {
@@ -56,8 +67,7 @@
 				return
 			case <-time.After(100 * time.Millisecond):
 				// Break one session at a time: a request needs one connected agent.
-				eventually(t, func() bool { return len(s.ConnectedAgents()) == len(agents) })
-				agents[rand.IntN(len(agents))].session.Load().Close()
+				breakSession(t, s, agents, rand.IntN(len(agents)))
 			}
 		}
 	})
