gate: accept Pongs that arrive after the next Ping was sent

Seen: a gateway whose agent answers each Ping 600 ms later never becomes connected to it, and one whose Pongs become that slow takes it as silent after 1.5 s.

Cause: a Pong counted only if it answered the last Ping. Pings are sent every 250 ms, so that all Pongs of a peer were dropped as soon as the way there and back took longer: the upstream got no new requests after 1.5 s and lost its session after 5 s, with a new session no better. Other gateways were no longer counted as reached either.

Change: Pings stay recorded until they or a later one are answered, with their own time of sending. An answer to an earlier Ping than the last answered one is still ignored. The age limits now count from the sending of the answered Ping, not from the arrival of the Pong: a peer that is late by more than 1.5 s still gets no new requests, and what is told to the syncer about contact is the time at which the Ping was sent, as before. A clock sample of a late Pong makes permits expire too early, never too late.

--- a/gate/agent_test.go
+++ b/gate/agent_test.go
@@ -38,6 +38,8 @@
 	// configRevision is the revision of the last Config frame that arrived.
 	configRevision atomic.Int64
 	session        atomic.Pointer[wire.Session]
+	// pongDelay is the time.Duration for which the agent holds back each Pong.
+	pongDelay atomic.Int64
 	// drain is closed by the test to let the agent announce its stop.
 	drain chan struct{}
 }
@@ -129,7 +131,7 @@
 	for {
 		if p := f.GetPing(); p != nil {
 			pong := &wire.Pong{Id: p.Id, Now: int64(clock.System{}.Now()) + 1000}
-			if st.Send(&wire.Frame{Body: &wire.Frame_Pong{Pong: pong}}) != nil {
+			if !a.sendPong(st, pong) {
 				return
 			}
 		}
@@ -148,6 +150,17 @@
 	}
 }
 
+// sendPong sends the Pong after pongDelay. It reports whether the stream may still be open.
+func (a *fakeAgent) sendPong(st *wire.Stream, p *wire.Pong) bool {
+	send := func() error { return st.Send(&wire.Frame{Body: &wire.Frame_Pong{Pong: p}}) }
+	d := time.Duration(a.pongDelay.Load())
+	if d == 0 {
+		return send() == nil
+	}
+	time.AfterFunc(d, func() { _ = send() })
+	return true
+}
+
 func (c *agentCall) sendHead(status uint32, contentType string) error {
 	h := &wire.Head{Attempt: c.Attempt, Status: status, Header: []*wire.Header{{Name: "Content-Type", Value: contentType}}}
 	return c.stream.Send(&wire.Frame{Body: &wire.Frame_Head{Head: h}})
--- a/gate/demand.go
+++ b/gate/demand.go
@@ -138,7 +138,7 @@
 		p := u.report.Load()
 		list = append(list, LoadReport{
 			Upstream: u.id, Zone: u.zone, Load: p.load, ReceivedAt: p.receivedAt,
-			Alive:    now.Sub(u.clockReading.Load().receivedAt) <= maxPongAge,
+			Alive:    u.answersPings(now),
 			Draining: u.draining.Load() || p.load.Leaving,
 		})
 	}
--- a/gate/peers_test.go
+++ b/gate/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -92,3 +93,14 @@
 		return err != nil && apiErrorOf(t, err).Code == "no_upstream"
 	})
 }
+
+// Guards against taking an agent as silent that answers each Ping, but later than the next Ping is
+// sent: a slow network or a busy machine would make all upstreams unusable at once.
+func TestSlowPongs(t *testing.T) {
+	a := newFakeAgent(t, "a1", respondTokens(1))
+	a.pongDelay.Store(int64(600 * time.Millisecond))
+	s := startGateway(t, nil, a)
+	for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		assert.Equal(t, readStream(t, s), tokenText(1))
+	}
+}
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,9 +24,10 @@
 
 const (
 	pingInterval = 250 * time.Millisecond
-	// maxPongAge is the age of the last Pong above which an agent gets no new requests.
-	maxPongAge = 1500 * clock.Millisecond
-	// sessionTimeout is the age of the last Pong above which the session is closed.
+	// maxAnsweredPingAge is the age of the last answered Ping above which an agent gets no new
+	// requests. The age counts from the sending of the Ping, so that it bounds the delay of Pongs too.
+	maxAnsweredPingAge = 1500 * clock.Millisecond
+	// sessionTimeout is the age of the last answered Ping above which the session is closed.
 	sessionTimeout = 5 * clock.Second
 )
 
@@ -66,18 +68,46 @@
 	}
 }
 
-// clockReading is a reading of the peer's clock with the local time at which it arrived.
+// clockReading is a reading of the peer's clock with the local time at which the Ping was sent that
+// it answers.
 type clockReading struct {
 	sample     rate.ClockSample
-	receivedAt clock.Time
+	pingSentAt clock.Time
 }
 
-// sentPing is the last Ping that was sent.
+// sentPing is a Ping that was sent.
 type sentPing struct {
 	id     uint64
 	sentAt clock.Time
 }
 
+// sentPings holds the Pings since the last answered one, in the order of their IDs. The session
+// ends after sessionTimeout without a Pong, which bounds their number.
+type sentPings struct {
+	mu   sync.Mutex
+	list []sentPing
+}
+
+func (s *sentPings) add(p sentPing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = append(s.list, p)
+}
+
+// answered returns when the Ping was sent, and removes it and all earlier ones. ok is false if it
+// was removed before, or never sent.
+func (s *sentPings) answered(id uint64) (sentAt clock.Time, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.IndexFunc(s.list, func(p sentPing) bool { return p.id == id })
+	if i < 0 {
+		return 0, false
+	}
+	sentAt = s.list[i].sentAt
+	s.list = slices.Delete(s.list, 0, i+1)
+	return sentAt, true
+}
+
 // upstream is a connected agent or, in the set of gateways, another gateway. It exists as long as
 // the session.
 type upstream struct {
@@ -89,7 +119,7 @@
 	clock        clock.Clock
 	report       atomic.Pointer[receivedReport]
 	clockReading atomic.Pointer[clockReading]
-	lastPing     atomic.Pointer[sentPing]
+	pings        sentPings
 	outstanding  atomic.Int64
 	draining     atomic.Bool
 }
@@ -141,7 +171,7 @@
 	t := time.NewTicker(pingInterval)
 	defer t.Stop()
 	for id := uint64(1); ; id++ {
-		u.lastPing.Store(&sentPing{id: id, sentAt: u.clock.Now()})
+		u.pings.add(sentPing{id: id, sentAt: u.clock.Now()})
 		if err := u.control.Send(&wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{Id: id}}}); err != nil {
 			_ = u.session.Close()
 			return err
@@ -151,11 +181,11 @@
 			return nil
 		case <-t.C:
 		}
-		lastPong := started
-		if s := u.clockReading.Load(); s != nil {
-			lastPong = s.receivedAt
+		lastAnswered := started
+		if r := u.clockReading.Load(); r != nil {
+			lastAnswered = r.pingSentAt
 		}
-		if u.clock.Now().Sub(lastPong) > sessionTimeout {
+		if u.clock.Now().Sub(lastAnswered) > sessionTimeout {
 			stats.Event("link_silent")
 			_ = u.session.Close()
 			return errNoPong
@@ -200,16 +230,16 @@
 	}
 }
 
-// handlePong records the peer's clock. Pongs for earlier Pings than the last one are ignored: their
-// readings are older.
+// handlePong records the peer's clock. A Pong may arrive after further Pings have been sent; one for
+// an earlier Ping than the last answered one is ignored, because its reading is older.
 func (u *upstream) handlePong(p *wire.Pong) {
-	last := u.lastPing.Load()
-	if last == nil || p.Id != last.id {
+	sentAt, ok := u.pings.answered(p.Id)
+	if !ok {
 		return
 	}
-	now := u.clock.Now()
-	u.clockReading.Store(&clockReading{sample: rate.NewClockSample(now, clock.Time(p.Now)), receivedAt: now})
-	u.server.options.Peers.Answered(u.session.Peer(), last.sentAt, clock.Time(p.Now), p.Versions)
+	sample := rate.NewClockSample(u.clock.Now(), clock.Time(p.Now))
+	u.clockReading.Store(&clockReading{sample: sample, pingSentAt: sentAt})
+	u.server.options.Peers.Answered(u.session.Peer(), sentAt, clock.Time(p.Now), p.Versions)
 }
 
 // updateLoad stores the load report unless a newer one has arrived already: reports come both on
@@ -241,7 +271,12 @@
 
 // usable reports whether the agent may get new requests: it is not draining and answers pings.
 func (u *upstream) usable(now clock.Time) bool {
-	return !u.draining.Load() && now.Sub(u.clockReading.Load().receivedAt) <= maxPongAge && !u.report.Load().load.Leaving
+	return !u.draining.Load() && u.answersPings(now) && !u.report.Load().load.Leaving
+}
+
+// answersPings reports whether the process has answered a recent Ping.
+func (u *upstream) answersPings(now clock.Time) bool {
+	return now.Sub(u.clockReading.Load().pingSentAt) <= maxAnsweredPingAge
 }
 
 // offers reports whether the upstream serves the target.
