gate: let requests wait while all upstreams of their target seem silent

A print at the refusal showed all three agents connected with the model resident, none draining, and their last answered Pings 1.5 to 2.9 s old.

Cause: an upstream gets no new requests when its last answered Ping is older than 1.5 s. When the gateway itself does not run for that long, or gets to its control streams late, all upstreams exceed the limit together, although their Pongs have arrived or are about to. A request for a plain service, or for a model where no demand is counted, was then refused at once; only requests for models at gateways that count demand waited.

Change: such a request waits, as it does for capacity, at most 3 s and never beyond its deadline, if a connected upstream that does not leave offers its target. No request goes to a silent upstream, and one that stays silent is refused with no_upstream, "not run", as before, later by up to 3 s.

Evidence: TestSilentAgent, whose agent holds back its Pongs, failed before with 503 at once, and passes now; it also checks that the silent agent gets no call, that a lasting silence gives "not run" and that its session is closed. Ruled out: sessions that ended (all were connected) and models not resident.

--- a/gate/demand.go
+++ b/gate/demand.go
@@ -54,23 +54,17 @@
 
 // shouldWait reports whether the request should wait for an upstream: an attempt that may have run
 // has broken, or the target is resident nowhere, or only where the cold-start limit admits no
-// further request.
+// further request or where Pongs are late. After a pause of the gateway itself, all upstreams seem
+// silent until it has read their Pongs.
 func (r *relay) shouldWait() bool {
-	if r.mayHaveRun {
-		return true
-	}
-	if r.request.targetKind == kindService {
-		return r.serviceOffered()
-	}
-	return r.server.options.Demand != nil
+	return r.mayHaveRun || r.request.targetKind == kindModel && r.server.options.Demand != nil || r.offered()
 }
 
-// serviceOffered reports whether a usable upstream serves the plain service, so that it can take
-// the request when it has capacity.
-func (r *relay) serviceOffered() bool {
-	now := r.server.clock.Now()
+// offered reports whether a connected upstream serves the target and is not draining, so that it
+// can take the request when it has capacity and answers pings.
+func (r *relay) offered() bool {
 	return slices.ContainsFunc(*r.server.agents.upstreams.Load(), func(u *upstream) bool {
-		return u.usable(now) && u.offers(kindService, r.request.info.Target)
+		return !u.leaving() && u.offers(r.request.targetKind, r.request.info.Target)
 	})
 }
 
--- a/gate/peers_test.go
+++ b/gate/peers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -104,3 +106,45 @@
 		assert.Equal(t, readStream(t, s), tokenText(1))
 	}
 }
+
+// Guards against new requests to an agent that does not answer Pings and may be stopped, against
+// sessions with such an agent that stay open, and against refusing requests for what only such
+// agents serve: when the gateway itself was paused, they all seem silent until it has read their
+// Pongs.
+func TestSilentAgent(t *testing.T) {
+	a := newFakeAgent(t, "a1", respondTokens(1))
+	s := startGateway(t, withService, a)
+	session := a.session.Load()
+	silence := func() {
+		a.pongDelay.Store(int64(time.Hour))
+		eventually(t, func() bool { return !s.LoadReports()[0].Alive })
+	}
+	requests := map[string]func() (*http.Response, string){
+		"model": func() (*http.Response, string) {
+			return sendRequest(t, s, "POST", "/v1/chat/completions", `{"model":"small","messages":[{"role":"user","content":"hello"}]}`)
+		},
+		"service": func() (*http.Response, string) { return sendRequest(t, s, "GET", "/svc/cases/open/1", "") },
+	}
+	for name, request := range requests {
+		silence()
+		calls := a.calls.Load()
+		time.AfterFunc(300*time.Millisecond, func() {
+			assert.Check(t, a.calls.Load() == calls, "%s: a silent agent got a request", name)
+			a.pongDelay.Store(0)
+		})
+		w, body := request()
+		assert.Equal(t, w.StatusCode, 200, "%s: %s", name, body)
+		assert.Equal(t, a.calls.Load(), calls+1)
+	}
+	assert.Equal(t, a.session.Load(), session)
+	silence()
+	w, body := requests["service"]()
+	assert.Equal(t, w.StatusCode, 503)
+	assert.Equal(t, w.Header.Get("X-Run"), "not-run")
+	assert.Assert(t, strings.Contains(body, "no_upstream"), body)
+	select {
+	case <-session.Done():
+	case <-time.After(10 * time.Second):
+		t.Fatal("the session with a silent agent stays open")
+	}
+}
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -271,9 +271,12 @@
 
 // usable reports whether the agent may get new requests: it is not draining and answers pings.
 func (u *upstream) usable(now clock.Time) bool {
-	return !u.draining.Load() && u.answersPings(now) && !u.report.Load().load.Leaving
+	return !u.leaving() && u.answersPings(now)
 }
 
+// leaving reports whether the agent has announced its stop, or its upstream leaves.
+func (u *upstream) leaving() bool { return u.draining.Load() || u.report.Load().load.Leaving }
+
 // answersPings reports whether the process has answered a recent Ping.
 func (u *upstream) answersPings(now clock.Time) bool {
 	return now.Sub(u.clockReading.Load().pingSentAt) <= maxAnsweredPingAge
