gate: measure the heap of TestSlowReaders after the streams have stalled

Seen: under load the heap grew by more than 8 MB, the bound, in 1 of 8 runs; alone by 4.5 to 5.1 MB.

Cause: the test took the least of five samples from 0.5 to 1.5 s after the start, and supposed that the streams had stalled by then. Printing the number of sent parts beside each sample, 4 copies at once: samples taken while parts still moved read 5.1 to 12.6 MB, garbage of the transfer included (8.5 MB at 820 parts, 12.6 at 1,007); each sample at the last number of parts (1,016, on one core 992 to 1,005), but the first one in two runs, read 4.3 to 5.3 MB. A run in which all five samples come before the stall exceeds the bound without more memory being held.

Change: samples are taken until the first stream is closed, and only those count that were begun after the last part of all streams was sent; the totals come from the streams themselves. It is an error if there is none. The bound is the same. The write time limit of the test is 6 s instead of 3 s, so that the last stream has time to stall before the first is closed.

Evidence: 16 runs, 4 at once, on 1 and 8 cores: 4.3 to 5.0 MB. The test still fails with yamux windows of 1 MB (10.2 MB) and without the write time limit. Ruled out: streams that merely progress slowly (5 or 20 ms between parts: 1.4 to 5.4 MB).

--- a/gate/stream_test.go
+++ b/gate/stream_test.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/gate"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
@@ -164,12 +166,15 @@
 		parts    = 512 // 16 MB for each reader
 	)
 	event := "data: " + strings.Repeat("x", partSize) + "\n\n"
+	const writeTimeout = 6 * clock.Second
 	stopped := make(chan int64, readers)
-	s := startGateway(t, func(o *gate.Options) { o.Settings.Limits.WriteTimeout = 3000 }, newFakeAgent(t, "a1", func(c *agentCall) {
+	var sent atomic.Int64
+	s := startGateway(t, func(o *gate.Options) { o.Settings.Limits.WriteTimeout = writeTimeout }, newFakeAgent(t, "a1", func(c *agentCall) {
 		_ = c.sendHead(200, eventStream)
 		i := int64(0)
 		for i < parts && c.sendPart(i, event) == nil {
 			i++
+			sent.Add(1)
 		}
 		<-c.streamClosed
 		stopped <- i
@@ -186,24 +191,31 @@
 		_, err = bufio.NewReaderSize(c, 16).ReadByte()
 		assert.NilError(t, err)
 	}
-	// The streams stall when all flow control windows are full, before WriteTimeout. The data that
-	// they hold then is in each sample; taking the minimum excludes short-lived garbage.
-	time.Sleep(500 * time.Millisecond)
-	growth := heapBytes() - before
-	for range 5 {
+	// The streams stall when all flow control windows are full. Until then the heap also holds
+	// garbage of the transfer, so that only samples that were begun after the last part count.
+	growth := map[int64]int64{} // by the number of parts sent before the sample
+	for end := time.Now().Add(writeTimeout.Duration() + testTimeout); len(stopped) == 0 && time.Now().Before(end); {
+		n := sent.Load()
+		sample := heapBytes() - before
+		if last, ok := growth[n]; len(stopped) == 0 && (!ok || sample < last) {
+			growth[n] = sample
+		}
 		time.Sleep(200 * time.Millisecond)
-		growth = min(growth, heapBytes()-before)
 	}
-	t.Logf("heap grew by %d KB for %d readers, fake agents included", growth>>10, readers)
-	// Each stream may hold the yamux window at the gateway, and one frame on each side.
-	assert.Assert(t, growth < readers*(1<<20), "%d bytes", growth)
+	total := int64(0)
 	for range readers {
 		select {
-		case <-stopped:
-		case <-time.After(testTimeout):
+		case n := <-stopped:
+			total += n
+		case <-time.After(writeTimeout.Duration() + testTimeout):
 			t.Fatal("the stream of a stalled reader was not closed")
 		}
 	}
+	stalled, ok := growth[total]
+	assert.Assert(t, ok, "the first stream was closed before the last one stalled")
+	t.Logf("heap grew by %d KB for %d readers, fake agents included; %d parts sent", stalled>>10, readers, total)
+	// Each stream may hold the yamux window at the gateway, and one frame on each side.
+	assert.Assert(t, stalled < readers*(1<<20), "%d bytes", stalled)
 }
 
 // Guards against a graceful stop that cancels requests before its time limit, and against one that
