fakes/engine: test the refusals after a collapse without a race with its end

Seen: TestColdCollapse failed once with 200 instead of 503 for the request after the collapse.

Cause: the collapse of the test's engine lasted 50 ms from the moment at which it ended the three requests. A test that sends the next request later than that gets the 200 that the stand-in owes it.

Change: the refusal is tested at an engine whose collapse lasts an hour, the return to service at a second one with 50 ms. Both check the errors of the three requests and the one counted collapse, as before.

Evidence: with a pause of 60 ms before the request the old test failed each time it was tried (once) with exactly this message; 20 of 20 runs of the new one pass, and it fails with an engine that does not refuse after a collapse.

--- a/fakes/engine/engine_test.go
+++ b/fakes/engine/engine_test.go
@@ -201,22 +201,31 @@
 	assert.Assert(t, s.Cold())
 }
 
-// Guards against a cold engine that serves full load or never becomes warm.
+// Guards against a cold engine that serves full load, or that serves requests right after it has
+// collapsed or never again.
 func TestColdCollapse(t *testing.T) {
-	s := startServer(t, engine.Options{StartCold: true, MaxColdRequests: 2, WarmupResponses: 3, CollapseTime: 50})
-	codes := make(chan int, 3)
-	for range 3 {
-		go func() {
-			code, _ := postJSON(t, s, "/v1/completions", completionRequest{model, "x", 1000, 0})
-			codes <- code
-		}()
-	}
-	for range 3 {
-		assert.Equal(t, <-codes, http.StatusInternalServerError)
+	collapse := func(collapseTime clock.Span) *engine.Server {
+		s := startServer(t, engine.Options{StartCold: true, MaxColdRequests: 2, WarmupResponses: 3, CollapseTime: collapseTime})
+		codes := make(chan int, 3)
+		for range 3 {
+			go func() {
+				code, _ := postJSON(t, s, "/v1/completions", completionRequest{model, "x", 1000, 0})
+				codes <- code
+			}()
+		}
+		for range 3 {
+			assert.Equal(t, <-codes, http.StatusInternalServerError)
+		}
+		assert.Equal(t, s.Counts().Collapses, int64(1))
+		return s
 	}
-	assert.Equal(t, s.Counts().Collapses, int64(1))
+	// The collapse lasts longer than the test, however late the next request is.
+	s := collapse(clock.Hour)
 	code, _ := postJSON(t, s, "/v1/completions", completionRequest{model, "x", 1, 0})
 	assert.Equal(t, code, http.StatusServiceUnavailable)
+	assert.Assert(t, s.Cold())
+
+	s = collapse(50)
 	waitFor(t, "warm", func() bool {
 		postJSON(t, s, "/v1/completions", completionRequest{model, "x", 1, 0})
 		return !s.Cold()
