parts: grant nothing at a gateway that may not know those that started with it

Callers saw more upstreams end by one part than the three that the design allows: gateways that start at the same moment read the store before any of them is listed there, take themselves for the only one until their first watch 0.3 s later, and grant permits each for itself.

A gateway that knows no other one now counts as uninformed for 0.6 s after its start, so that requests with a part that is not proven wait. A fleet of one gateway pays that wait once after a start.

TestGatewaysThatStartTogetherWaitForEachOther failed before.

--- a/parts/exchange.go
+++ b/parts/exchange.go
@@ -21,6 +21,9 @@
 	// informedSlack is added to two intervals of digests to give the time after which a gateway that was
 	// started or paused knows what the others know.
 	informedSlack = 100 * clock.Millisecond
+	// loneTime is the time after its start for which a gateway that knows no other one may not know those that start
+	// with it: twice the pause before its first watch of the store.
+	loneTime = 600 * clock.Millisecond
 )
 
 // Transport is the way from a gateway to the others. Its methods are called from concurrent requests.
@@ -64,6 +67,8 @@
 	mu sync.Mutex // guards the fields below
 	// gateways is the number of gateways.
 	gateways int
+	// startedAt is the time of the start.
+	startedAt clock.Time
 	// reach is that of the last tick.
 	reach Reach
 	// tickedAt is the time of the last tick, informedAt when this gateway knows what the others know.
@@ -84,7 +89,7 @@
 // NewExchange returns an Exchange, which the Guard uses from then on.
 func NewExchange(o ExchangeOptions) *Exchange {
 	e := &Exchange{
-		ExchangeOptions: o, gateways: 1, asks: map[partPermit]chan *wire.PartReply{}, granters: map[partPermit][]units.VMID{},
+		ExchangeOptions: o, gateways: 1, startedAt: o.Clock.Now(), asks: map[partPermit]chan *wire.PartReply{}, granters: map[partPermit][]units.VMID{},
 		silentAt: map[units.VMID]clock.Time{},
 	}
 	o.Guard.SetOwners(e)
--- a/parts/exchange_test.go
+++ b/parts/exchange_test.go
@@ -335,3 +335,18 @@
 	}
 	assert.Equal(t, granted, maxUnproven)
 }
+
+// Guards against permits of each gateway for itself while gateways that start together don't know each other: one that
+// knows no other grants nothing until it would know them.
+func TestGatewaysThatStartTogetherWaitForEachOther(t *testing.T) {
+	f := &exchangeFleet{clock: clock.NewManual(1000)}
+	e := NewExchange(ExchangeOptions{
+		Clock: f.clock, VM: "gate-0", Life: 1, Guard: NewGuard(f.clock), Transport: fleetTransport{f, "gate-0"},
+		DigestInterval: func(int) clock.Span { return 100 },
+	})
+	f.exchanges = []*Exchange{e}
+	e.SetGateways(1)
+	assert.Equal(t, f.ask(0, 4711, 1), Busy)
+	f.tick(clock.Second)
+	assert.Equal(t, f.ask(0, 4711, 1), Granted, "it is the only gateway")
+}
--- a/parts/owner.go
+++ b/parts/owner.go
@@ -31,8 +31,11 @@
 
 // informed reports whether this gateway knows what the others know. The caller holds e.mu.
 func (e *Exchange) informed(now clock.Time) bool {
+	if e.gateways <= 1 {
+		return now.Sub(e.startedAt) >= loneTime
+	}
 	paused := e.tickedAt != 0 && now.Sub(e.tickedAt) > pauseThreshold
-	return e.gateways <= 1 || (!paused && !now.Before(e.informedAt))
+	return !paused && !now.Before(e.informedAt)
 }
 
 // candidates returns the gateways that are alive, the owner of the part first, then those that take its place.
