soak: disturb links to the store and to upstreams; count the time to leave by the store's

A proxy on loopback (link_test.go) stands before the store, one for each gateway, and before each process of an upstream. It passes on how a connection ends. A process that crashes refuses connections as before. Requests that a link held back do not count against pauses and leaving.

Two outages that overlap now end with the later one.

--- /dev/null
+++ b/soak/link_test.go
@@ -0,0 +1,194 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// direction is one of a connection's two.
+type direction uint8
+
+const (
+	// request is the direction to the listener behind a link, response the one back.
+	request direction = iota
+	response
+)
+
+// link is a proxy on loopback between gateways and one listener of the platform. It passes on how a connection ends.
+type link struct {
+	target   string
+	listener net.Listener
+
+	mu sync.Mutex // guards the fields below
+	// changed is signaled when one of the fields below changes.
+	changed *sync.Cond
+	// held counts the faults by which nothing is passed on in a direction.
+	held   [2]int
+	delay  time.Duration
+	conns  map[*net.TCPConn]bool
+	closed bool
+	// disturbed counts the faults that last, disturbedUntil is the end of the last one.
+	disturbed      int
+	disturbedUntil time.Time
+}
+
+// newLink returns a link to a listener. It listens on a free port.
+func newLink(target string) (*link, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("link to %s: %w", target, err)
+	}
+	k := &link{target: target, listener: l, conns: map[*net.TCPConn]bool{}}
+	k.changed = sync.NewCond(&k.mu)
+	go k.accept()
+	return k, nil
+}
+
+func (l *link) addr() string { return l.listener.Addr().String() }
+
+func (l *link) accept() {
+	for {
+		c, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		go l.connect(c.(*net.TCPConn))
+	}
+}
+
+// connect connects a gateway's connection with the listener behind the link.
+func (l *link) connect(c *net.TCPConn) {
+	behind, err := net.Dial("tcp4", l.target)
+	if err != nil {
+		c.Close()
+		return
+	}
+	d := behind.(*net.TCPConn)
+	l.mu.Lock()
+	l.conns[c], l.conns[d] = true, true
+	l.mu.Unlock()
+	var group sync.WaitGroup
+	group.Go(func() { l.pass(request, c, d) })
+	group.Go(func() { l.pass(response, d, c) })
+	group.Wait()
+	c.Close()
+	d.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+	delete(l.conns, d)
+}
+
+// pass passes on bytes in one direction, and then how they ended.
+func (l *link) pass(dir direction, from, to *net.TCPConn) {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		l.wait(dir)
+		if n > 0 {
+			if _, err := to.Write(buf[:n]); err != nil {
+				resetConns(from, to)
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			_ = to.CloseWrite()
+			return
+		}
+		if err != nil {
+			resetConns(from, to)
+			return
+		}
+	}
+}
+
+// resetConns ends connections with a reset.
+func resetConns(conns ...*net.TCPConn) {
+	for _, c := range conns {
+		_ = c.SetLinger(0)
+		c.Close()
+	}
+}
+
+// wait waits until bytes may be passed on in a direction.
+func (l *link) wait(dir direction) {
+	l.mu.Lock()
+	for l.held[dir] > 0 && !l.closed {
+		l.changed.Wait()
+	}
+	delay := l.delay
+	l.mu.Unlock()
+	time.Sleep(delay)
+}
+
+// hold passes on nothing in some directions for a time. Connections stay as they are.
+func (l *link) hold(span time.Duration, dirs ...direction) {
+	l.disturb(span, func(begin bool) {
+		for _, d := range dirs {
+			if begin {
+				l.held[d]++
+			} else {
+				l.held[d]--
+			}
+		}
+	})
+}
+
+// slow delays bytes in both directions for a time.
+func (l *link) slow(span, delay time.Duration) {
+	l.disturb(span, func(begin bool) {
+		l.delay = 0
+		if begin {
+			l.delay = delay
+		}
+	})
+}
+
+// reset ends all connections with a reset.
+func (l *link) reset() {
+	l.disturb(0, func(begin bool) {
+		for c := range l.conns {
+			if begin {
+				resetConns(c)
+			}
+		}
+	})
+}
+
+// disturb calls f at the begin and at the end of a fault that lasts for a time.
+func (l *link) disturb(span time.Duration, f func(begin bool)) {
+	l.mu.Lock()
+	l.disturbed++
+	f(true)
+	l.mu.Unlock()
+	time.Sleep(span)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(false)
+	l.disturbed--
+	l.disturbedUntil = time.Now()
+	l.changed.Broadcast()
+}
+
+// disturbedSince reports whether a fault lasted at the time or later.
+func (l *link) disturbedSince(t time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.disturbed > 0 || l.disturbedUntil.After(t)
+}
+
+// refuse refuses connections from now on.
+func (l *link) refuse() { l.listener.Close() }
+
+// close refuses connections and passes on all bytes that are held.
+func (l *link) close() {
+	l.refuse()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	l.changed.Broadcast()
+}
