soak, platform/fakes: change the configuration while traffic runs

Nothing in the soak changed the configuration. Versions now rise as a further fault, while the store answers: each one adds a route and a key and drops those of two versions before. Callers send requests on routes and with keys of late versions.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -24,16 +24,18 @@
 	mu sync.Mutex // guards the fields below
 	// runs counts how often upstreams ran a request, refused holds those of which callers were told that
 	// they have not run, once those that must run at most once.
-	runs       map[string]int
-	refused    map[string]int
-	once       map[string]bool
+	runs    map[string]int
+	refused map[string]int
+	once    map[string]bool
+	// barred has the requests that may not run, and what it means if one does.
+	barred     map[string]string
 	deadlyEnds int
 	served     map[string]int
 	broken     []string
 }
 
 func newRecord() *record {
-	return &record{runs: map[string]int{}, refused: map[string]int{}, once: map[string]bool{}, served: map[string]int{}}
+	return &record{runs: map[string]int{}, refused: map[string]int{}, barred: map[string]string{}, once: map[string]bool{}, served: map[string]int{}}
 }
 
 // addRun counts a run of a request, and returns its number.
@@ -65,6 +67,13 @@
 	}
 }
 
+// bar records that a request, which is not sent yet, may not run.
+func (r *record) bar(id, meaning string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.barred[id] = meaning
+}
+
 // breach records a broken promise.
 func (r *record) breach(format string, args ...any) {
 	r.mu.Lock()
@@ -84,6 +93,11 @@
 			r.broken = append(r.broken, fmt.Sprintf("request %s was answered %d and ran", id, status))
 		}
 	}
+	for id, meaning := range r.barred {
+		if r.runs[id] > 0 {
+			r.broken = append(r.broken, fmt.Sprintf("request %s ran: %s", id, meaning))
+		}
+	}
 	for id, n := range r.runs {
 		if n > maxAttempts {
 			r.broken = append(r.broken, fmt.Sprintf("request %s ran %d times, %d are allowed", id, n, maxAttempts))
@@ -111,28 +125,44 @@
 func (c *caller) run(ctx context.Context) {
 	defer c.client.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
-		kind := []string{"once", "read", "stream", "talk", "talk", "deadly"}[c.random.IntN(6)]
-		c.send(c.fleet.gateways[c.random.IntN(gatewayCount)], kind, fmt.Sprintf("%s-%d-%d", kind, c.number, i))
+		g := c.fleet.gateways[c.random.IntN(gatewayCount)]
+		switch kind := []string{"once", "read", "stream", "talk", "talk", "deadly", "route", "key"}[c.random.IntN(8)]; kind {
+		case "route":
+			c.sendOnRoute(g, i)
+		case "key":
+			c.sendWithKey(g, i)
+		default:
+			c.send(g, newCall(kind, fmt.Sprintf("%s-%d-%d", kind, c.number, i)))
+		}
 		time.Sleep(time.Duration(c.random.IntN(30)) * time.Millisecond)
 	}
 }
 
-// send sends a request and checks its answer. It returns the status; 0 if the connection broke.
-func (c *caller) send(g *gateway, kind, id string) int {
-	path, model := kind, ""
+// call is a request to send.
+type call struct{ kind, id, path, model, key string }
+
+// newCall returns a call of a kind.
+func newCall(kind, id string) call {
+	q := call{kind: kind, id: id, path: kind, key: apiKey}
 	switch kind {
 	case "talk", "deadly":
-		path, model = "talk", "small"
+		q.path, q.model = "talk", "small"
 	case "stream":
-		model = "small"
+		q.model = "small"
 	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+g.public+"/"+path+"/a", strings.NewReader(id))
+	return q
+}
+
+// send sends a request and checks its answer. It returns the status; 0 if the connection broke.
+func (c *caller) send(g *gateway, q call) int {
+	id := q.id
+	req, err := http.NewRequest(http.MethodPost, "http://"+g.public+"/"+q.path+"/a", strings.NewReader(id))
 	if err != nil {
 		c.fleet.record.breach("request %s: %v", id, err)
 		return 0
 	}
-	req.Header, req.Host = fakes.RequestHeader(id, apiKey, model, 4000), fakes.Host
-	switch kind {
+	req.Header, req.Host = fakes.RequestHeader(id, q.key, q.model, 4000), fakes.Host
+	switch q.kind {
 	case "talk", "stream":
 		fakes.SetPromptParts(req.Header, "shared", fmt.Sprint("session", c.random.IntN(20)), "own-"+id)
 	case "deadly":
@@ -140,17 +170,17 @@
 	}
 	res, err := c.client.Do(req)
 	if err != nil {
-		c.fleet.record.addAnswer(kind, id, 0)
+		c.fleet.record.addAnswer(q.kind, id, 0)
 		return 0
 	}
 	defer res.Body.Close()
 	body, err := io.ReadAll(res.Body)
-	c.fleet.record.addAnswer(kind, id, res.StatusCode)
+	c.fleet.record.addAnswer(q.kind, id, res.StatusCode)
 	if !fakes.IsAnswerTo(res.Header, id) {
 		c.fleet.record.breach("request %s: answer with the head of another one: %v", id, res.Header)
 	}
 	if res.StatusCode == http.StatusOK {
-		c.checkBody(kind, id, string(body), err == nil)
+		c.checkBody(q.kind, id, string(body), err == nil)
 	}
 	if err != nil {
 		return 0
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -109,7 +109,7 @@
 front = %q
 ready = %q
 [bounds]
-revokeMs = 5000
+revokeMs = %d
 drainMs = 2000
 graceS = 1
 retryRatio = 0.5
@@ -121,7 +121,7 @@
 memoryMb = 284
 [platform]
 address = %q
-`, name, first, first+1, g.public, g.ready, l.addr())
+`, name, first, first+1, g.public, g.ready, withdrawalTime.Milliseconds(), l.addr())
 	assert.NilError(t, os.WriteFile(g.file, []byte(settings), 0o600))
 	return g
 }
@@ -188,6 +188,7 @@
 	engines  []*upstream
 	apps     []*upstream
 	record   *record
+	operator *operator
 	// seed is that of the run. spoil is set while upstreams spoil some of their answers.
 	seed  uint64
 	spoil atomic.Bool
@@ -242,7 +243,7 @@
 func newFleet(t *testing.T, seed uint64) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: fakes.NewStore(), record: newRecord(), seed: seed, storeUp: newStopwatch()}
-	f.store.Put(fakes.ConfigKey, fakes.Config(1, apiKey))
+	f.operator = newOperator(f)
 	for i := range engineCount {
 		f.engines = append(f.engines, newUpstream(f, fmt.Sprint("engine-", i), fakes.EngineService))
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -45,7 +45,7 @@
 // run injects faults until the context is done.
 func (x *faults) run(ctx context.Context) {
 	kinds := []func(){x.freeze, x.kill, x.stop, x.reload, x.loseStore, x.crash, x.crash, x.leave, x.pause, x.pause,
-		x.disturbStore, x.disturbUpstream, x.disturbUpstream, x.disturbUpstream}
+		x.disturbStore, x.disturbUpstream, x.disturbUpstream, x.disturbUpstream, x.change, x.change, x.change}
 	for ctx.Err() == nil {
 		kinds[x.random.IntN(len(kinds))]()
 		select {
@@ -158,6 +158,15 @@
 	}
 }
 
+// change changes the configuration, unless the store is out.
+func (x *faults) change() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.outages == 0 {
+		x.fleet.operator.change()
+	}
+}
+
 func (x *faults) engine() *upstream { return x.fleet.engines[x.random.IntN(engineCount)] }
 
 func (x *faults) crash() {
@@ -190,7 +199,7 @@
 
 // Guards against broken promises under faults that come in series and overlap: requests that run twice or although
 // they were refused, bodies with pieces of other answers, cut bodies that look complete, upstreams that end by one part after the other, requests to
-// upstreams that asked for a pause, and gateways that don't serve afterwards.
+// upstreams that asked for a pause, requests with withdrawn keys, configurations that go back, and gateways that don't serve afterwards.
 func TestSoak(t *testing.T) {
 	for i := range *runCount {
 		seed := *firstSeed + uint64(i)
@@ -230,19 +239,28 @@
 	t.Logf("served %v, %d upstreams ended by a part, %d gateways ended or stood still", f.record.served, f.record.deadlyEnds, faultCount)
 }
 
-// checkService waits until each gateway serves a request of each kind.
+// checkService waits until each gateway serves a request of each kind, and the last version of the configuration.
 func (f *fleet) checkService() {
 	f.t.Helper()
 	c := newCaller(f, callers, 0)
 	for i, g := range f.gateways {
 		for _, kind := range []string{"once", "read", "stream", "talk"} {
-			n := 0
-			for end := time.Now().Add(recoveryTime); c.send(g, kind, fmt.Sprintf("%s-after-%d-%d", kind, i, n)) != http.StatusOK; n++ {
-				if time.Now().After(end) {
-					f.t.Fatalf("%s does not serve /%s/ %v after the last fault", g.name, kind, recoveryTime)
-				}
-				time.Sleep(50 * time.Millisecond)
-			}
+			f.waitServed(c, g, newCall(kind, fmt.Sprintf("%s-after-%d", kind, i)))
+		}
+		version := f.operator.current()
+		f.waitServed(c, g, call{kind: "route", id: fmt.Sprint("route-after-", i), path: routeOf(version), key: keyOf(version)})
+	}
+}
+
+// waitServed waits until a gateway serves a call.
+func (f *fleet) waitServed(c *caller, g *gateway, q call) {
+	f.t.Helper()
+	id, n := q.id, 0
+	for end := time.Now().Add(recoveryTime); c.send(g, q) != http.StatusOK; n++ {
+		if time.Now().After(end) {
+			f.t.Fatalf("%s does not serve /%s/ %v after the last fault", g.name, q.path, recoveryTime)
 		}
+		time.Sleep(50 * time.Millisecond)
+		q.id = fmt.Sprint(id, "-", n)
 	}
 }
