--- a/soak/answer_test.go
+++ b/soak/answer_test.go
@@ -139,6 +139,9 @@
 // split divides the body into parts that do not end where pieces do.
 func (a *answer) split(random *rand.Rand) {
 	body, n := strings.Join(a.parts, ""), len(a.parts)
+	if n == 0 {
+		return
+	}
 	a.parts = nil
 	for ; n > 1 && len(body) > 1; n-- {
 		cut := 1 + random.IntN(min(len(body)-1, 2*len(body)/n))
@@ -208,8 +211,8 @@
 	case 0:
 		a.writes[len(a.writes)-1] += again
 	case 1:
-		if a.framing == sized {
-			// Bytes amid a body with a length can't be told from the body.
+		if a.framing == sized || len(a.writes) == 1 {
+			// Bytes amid a body with a length can't be told from the body. A resumed stream may have no piece left.
 			a.writes = append(a.writes, again)
 			return
 		}
