soak: end gateways with the test process

A test process that was killed left its gateways running. They get SIGKILL when the thread ends that started them; one thread, which lives as long as the process, starts all. Tried once: four gateways, one of them stopped by SIGSTOP, were gone half a second after SIGKILL to the test process.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -38,7 +39,19 @@
 // binary is the program under test.
 var binary string
 
-func TestMain(m *testing.M) { os.Exit(build.Run(m, &binary)) }
+// starts are the starts of processes. A child gets its signal when the thread ends that started it, not the process, so
+// that one thread starts all.
+var starts = make(chan func())
+
+func TestMain(m *testing.M) {
+	go func() {
+		runtime.LockOSThread()
+		for start := range starts {
+			start()
+		}
+	}()
+	os.Exit(build.Run(m, &binary))
+}
 
 // gateway is a gateway that runs in one process after the other.
 type gateway struct {
@@ -133,7 +146,11 @@
 	g.cmd, g.exited = exec.Command(binary, "entry"), make(chan error, 1)
 	g.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+g.file)
 	g.cmd.Stdout, g.cmd.Stderr = &g.logs, &g.logs
-	if err := g.cmd.Start(); err != nil {
+	// A test process that is killed can't end its gateways.
+	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	starts <- func() { started <- g.cmd.Start() }
+	if err := <-started; err != nil {
 		return fmt.Errorf("start %s: %w", g.name, err)
 	}
 	go func(cmd *exec.Cmd, exited chan error) { exited <- cmd.Wait() }(g.cmd, g.exited)
