--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -184,11 +184,11 @@
 // refuse refuses connections from now on.
 func (l *link) refuse() { l.listener.Close() }
 
-// close refuses connections and passes on all bytes that are held.
+// close refuses connections and passes on all bytes that are held. It counts as a fault.
 func (l *link) close() {
 	l.refuse()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.closed = true
+	l.closed, l.disturbedUntil = true, time.Now()
 	l.changed.Broadcast()
 }
