--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -8,7 +8,7 @@
 )
 
 // checkStops lets the soak fail for requests that a planned stop has cut.
-var checkStops = flag.Bool("soak.stops", false, "check that planned stops cut no request")
+var checkStops = flag.Bool("soak.stops", true, "check that planned stops cut no request")
 
 // routeTimeout is the time after which a gateway ends a request, less what the caller may measure besides.
 const routeTimeout = 1400 * time.Millisecond
