soak: play gateways with agents too

Processes are killed, frozen and stopped as on the platform; the store is out, loses answers, or its link to one process is disturbed, and so are links to agents and gateways and from agents to upstreams; upstreams crash, cut streams, lose calls and answers; keys are added and withdrawn. Callers send calls that must not be repeated, calls with an Idempotency-Key that they repeat elsewhere, calls that may be repeated, and streamed completions. Checked are runs, refusals that say not-run, owners and wholeness of answers, withdrawn keys, and service in the end. Gateways and agents of both fleets share the process code.

Links accepted connections while it was down, and the agent takes each connection that ends before its answer for a further crash.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -53,9 +54,13 @@
 	os.Exit(build.Run(m, &binary))
 }
 
-// gateway is a gateway that runs in one process after the other.
+// gateway is a gateway, or an agent, that runs in one process after the other.
 type gateway struct {
-	name, file, public, ready string
+	name string
+	// args and env are those of its processes, env in addition to the test's own.
+	args, env []string
+	// public is the address for callers, ready the URL that says whether it is ready.
+	public, ready string
 	// storeLink is its link to the store.
 	storeLink *link
 
@@ -109,10 +114,10 @@
 	first, front := freePort(t), freePort(t)
 	l, err := newLink(store)
 	assert.NilError(t, err)
+	file, ready := filepath.Join(t.TempDir(), name+".toml"), fmt.Sprintf("127.0.0.1:%d", front+1)
 	g := &gateway{
-		name: name, file: filepath.Join(t.TempDir(), name+".toml"),
-		public: fmt.Sprintf("127.0.0.1:%d", front), ready: fmt.Sprintf("127.0.0.1:%d", front+1),
-		storeLink: l,
+		name: name, args: []string{"entry"}, env: []string{platform.SettingsVariable + "=" + file},
+		public: fmt.Sprintf("127.0.0.1:%d", front), ready: "http://" + ready + "/readiness", storeLink: l,
 	}
 	settings := fmt.Sprintf(`nodeName = %q
 zone = "zone-a"
@@ -134,8 +139,8 @@
 memoryMb = 284
 [platform]
 address = %q
-`, name, first, first+1, g.public, g.ready, withdrawalTime.Milliseconds(), l.addr())
-	assert.NilError(t, os.WriteFile(g.file, []byte(settings), 0o600))
+`, name, first, first+1, g.public, ready, withdrawalTime.Milliseconds(), l.addr())
+	assert.NilError(t, os.WriteFile(file, []byte(settings), 0o600))
 	return g
 }
 
@@ -143,8 +148,8 @@
 func (g *gateway) start() error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.cmd, g.exited = exec.Command(binary, "entry"), make(chan error, 1)
-	g.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+g.file)
+	g.cmd, g.exited = exec.Command(binary, g.args...), make(chan error, 1)
+	g.cmd.Env = append(os.Environ(), g.env...)
 	g.cmd.Stdout, g.cmd.Stderr = &g.logs, &g.logs
 	// A test process that is killed can't end its gateways.
 	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -189,7 +194,7 @@
 // isReady reports whether the gateway counts as ready.
 func (g *gateway) isReady() bool {
 	client := http.Client{Timeout: time.Second}
-	res, err := client.Get("http://" + g.ready + "/readiness")
+	res, err := client.Get(g.ready)
 	if err != nil {
 		return false
 	}
@@ -202,6 +207,8 @@
 	t        *testing.T
 	store    *fakes.Store
 	gateways []*gateway
+	// agents are the agents of a fleet that has them.
+	agents   []*gateway
 	engines  []*upstream
 	apps     []*upstream
 	record   *record
@@ -284,18 +291,23 @@
 	return rand.New(rand.NewPCG(f.seed, h.Sum64()))
 }
 
+// processes returns the gateways and agents.
+func (f *fleet) processes() []*gateway { return slices.Concat(f.gateways, f.agents) }
+
 func (f *fleet) close() {
-	for _, g := range f.gateways {
+	for _, g := range f.processes() {
 		g.kill()
 		g.storeLink.close()
 		if f.t.Failed() {
 			f.saveLog(g)
 		}
 	}
-	for _, u := range append(f.engines, f.apps...) {
+	for _, u := range slices.Concat(f.engines, f.apps) {
 		u.close()
 	}
-	f.store.Close()
+	if f.store != nil {
+		f.store.Close()
+	}
 }
 
 // saveLog writes the logs of a gateway's processes to a file that outlives the test.
@@ -315,7 +327,7 @@
 // waitReady waits until all gateways are ready.
 func (f *fleet) waitReady() {
 	f.t.Helper()
-	for _, g := range f.gateways {
+	for _, g := range f.processes() {
 		for end := time.Now().Add(recoveryTime); !g.isReady(); time.Sleep(20 * time.Millisecond) {
 			if time.Now().After(end) {
 				f.t.Fatalf("%s is not ready after %v", g.name, recoveryTime)
--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -20,10 +20,10 @@
 
 // link is a proxy on loopback between gateways and one listener of the platform. It passes on how a connection ends.
 type link struct {
-	target   string
-	listener net.Listener
+	target, address string
 
-	mu sync.Mutex // guards the fields below
+	mu       sync.Mutex // guards the fields below
+	listener net.Listener
 	// changed is signaled when one of the fields below changes.
 	changed *sync.Cond
 	// held counts the faults by which nothing is passed on in a direction.
@@ -42,17 +42,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("link to %s: %w", target, err)
 	}
-	k := &link{target: target, listener: l, conns: map[*net.TCPConn]bool{}}
+	k := &link{target: target, address: l.Addr().String(), listener: l, conns: map[*net.TCPConn]bool{}}
 	k.changed = sync.NewCond(&k.mu)
-	go k.accept()
+	go k.accept(l)
 	return k, nil
 }
 
-func (l *link) addr() string { return l.listener.Addr().String() }
+func (l *link) addr() string { return l.address }
 
-func (l *link) accept() {
+func (l *link) accept(listener net.Listener) {
 	for {
-		c, err := l.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -182,7 +182,32 @@
 }
 
 // refuse refuses connections from now on.
-func (l *link) refuse() { l.listener.Close() }
+func (l *link) refuse() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.listener.Close()
+}
+
+// down refuses connections for a time, for which crash ends the process behind the link.
+func (l *link) down(span time.Duration, crash func()) {
+	l.refuse()
+	crash()
+	time.Sleep(span)
+	for {
+		l.mu.Lock()
+		listener, err := net.Listen("tcp4", l.address)
+		if err == nil {
+			l.listener = listener
+			go l.accept(listener)
+		}
+		l.mu.Unlock()
+		if err == nil {
+			return
+		}
+		// An outgoing connection may use the port for a moment.
+		time.Sleep(10 * time.Millisecond)
+	}
+}
 
 // close refuses connections and passes on all bytes that are held.
 func (l *link) close() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -42,10 +43,14 @@
 	return time.Duration(least+x.random.IntN(most-least)) * time.Millisecond
 }
 
-// run injects faults until the context is done.
-func (x *faults) run(ctx context.Context) {
-	kinds := []func(){x.freeze, x.kill, x.stop, x.reload, x.loseStore, x.crash, x.crash, x.leave, x.pause, x.pause,
+// kinds returns the kinds of faults of a fleet on the platform; those that come more often are repeated.
+func (x *faults) kinds() []func() {
+	return []func(){x.freeze, x.kill, x.stop, x.reload, x.loseStore, x.crash, x.crash, x.leave, x.pause, x.pause,
 		x.disturbStore, x.disturbUpstream, x.disturbUpstream, x.disturbUpstream, x.change, x.change, x.change}
+}
+
+// run injects faults of some kinds until the context is done.
+func (x *faults) run(ctx context.Context, kinds []func()) {
 	for ctx.Err() == nil {
 		kinds[x.random.IntN(len(kinds))]()
 		select {
@@ -55,10 +60,11 @@
 	}
 }
 
-// onGateway runs f, with a gateway that has no lasting fault, in the background. forgets is set if its process may lose
+// onGateway runs f, with a gateway or agent that has no lasting fault, in the background. forgets is set if its process may lose
 // or miss what others know.
 func (x *faults) onGateway(forgets bool, f func(g *gateway) error) {
-	g := x.fleet.gateways[x.random.IntN(gatewayCount)]
+	all := x.fleet.processes()
+	g := all[x.random.IntN(len(all))]
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.busy[g] {
@@ -140,9 +146,10 @@
 	}[x.random.IntN(5)]
 }
 
-// disturbStore disturbs the link from a gateway to the store.
+// disturbStore disturbs the link from a gateway or agent to the store.
 func (x *faults) disturbStore() {
-	disturb := x.disturb(x.fleet.gateways[x.random.IntN(gatewayCount)].storeLink)
+	all := x.fleet.processes()
+	disturb := x.disturb(all[x.random.IntN(len(all))].storeLink)
 	x.fleet.lasting.Go(func() {
 		x.fleet.storeUp.pause()
 		defer x.fleet.storeUp.resume()
@@ -152,7 +159,7 @@
 
 // disturbUpstream disturbs the links from all gateways to an upstream.
 func (x *faults) disturbUpstream() {
-	all := append(x.fleet.engines[:engineCount:engineCount], x.fleet.apps...)
+	all := slices.Concat(x.fleet.engines, x.fleet.apps)
 	if l := all[x.random.IntN(len(all))].currentLink(); l != nil {
 		x.fleet.lasting.Go(x.disturb(l))
 	}
@@ -224,7 +231,7 @@
 	}
 	x := &faults{fleet: f, random: rand.New(rand.NewPCG(seed, 1_000_000)), busy: map[*gateway]bool{}}
 	f.spoil.Store(true)
-	x.run(ctx)
+	x.run(ctx, x.kinds())
 	f.spoil.Store(false)
 	group.Wait()
 	f.lasting.Wait()
