--- a/soak/agents_test.go
+++ b/soak/agents_test.go
@@ -47,7 +47,9 @@
 	services []*plain.Server
 	// links are those to processes and from agents to engines and services.
 	links []*link
-	team  *teamOperator
+	// crashes crash an engine or a service for a time.
+	crashes []func(span time.Duration)
+	team    *teamOperator
 }
 
 // teamOperator writes the configuration of a team. Each version adds a key and withdraws that of two versions before.
@@ -135,14 +137,18 @@
 		assert.NilError(t, err)
 		f.serve(e)
 		f.models = append(f.models, e)
-		f.startAgent(fmt.Sprint("engine-", i), map[string]any{"kind": "engine", "address": f.link(e.Addr()), "capacity": 80 << 30})
+		address := f.link(e.Addr())
+		f.addCrash(e.Crash)
+		f.startAgent(fmt.Sprint("engine-", i), map[string]any{"kind": "engine", "address": address, "capacity": 80 << 30})
 	}
 	for i := range agentServices {
 		s, err := plain.New(plain.Options{CallTime: 10 * clock.Millisecond})
 		assert.NilError(t, err)
 		f.serve(s)
 		f.services = append(f.services, s)
-		f.startAgent(fmt.Sprint("app-", i), map[string]any{"kind": "service", "address": f.link(s.Addr()), "services": []string{"app"}})
+		address := f.link(s.Addr())
+		f.addCrash(s.Crash)
+		f.startAgent(fmt.Sprint("app-", i), map[string]any{"kind": "service", "address": address, "services": []string{"app"}})
 	}
 	for i := range agentGateways {
 		name, port, first := fmt.Sprint("gate-", i), freePort(t), freePort(t)
@@ -182,6 +188,20 @@
 	return l.addr()
 }
 
+// addCrash adds the crash of the engine or service behind the last link, which refuses connections meanwhile: an agent
+// takes a connection that ends without an answer for another crash.
+func (f *agentFleet) addCrash(crash func(downtime clock.Span)) {
+	l, busy := f.links[len(f.links)-1], &sync.Mutex{}
+	f.crashes = append(f.crashes, func(span time.Duration) {
+		if busy.TryLock() {
+			f.lasting.Go(func() {
+				defer busy.Unlock()
+				l.down(span, func() { crash(clock.Span(span.Milliseconds())) })
+			})
+		}
+	})
+}
+
 func (f *agentFleet) startAgent(name string, upstream map[string]any) {
 	f.agents = append(f.agents, f.startProcess("agent", name, vms.RoleUpstream, freePort(f.t), map[string]any{"upstream.json": upstream}))
 }
@@ -213,8 +233,8 @@
 		func() { f.lasting.Go(func() { _ = f.team.change() }) }, func() { f.lasting.Go(func() { _ = f.team.change() }) },
 		func() { f.lasting.Go(x.disturb(f.links[x.random.IntN(len(f.links))])) },
 		func() { f.lasting.Go(x.disturb(f.links[x.random.IntN(len(f.links))])) },
-		func() { f.models[x.random.IntN(agentEngines)].Crash(clock.Span(x.span(200, 1000).Milliseconds())) },
-		func() { f.services[x.random.IntN(agentServices)].Crash(clock.Span(x.span(200, 1000).Milliseconds())) },
+		func() { f.crashes[x.random.IntN(len(f.crashes))](x.span(200, 1000)) },
+		func() { f.crashes[x.random.IntN(len(f.crashes))](x.span(200, 1000)) },
 		func() {
 			cut := x.random.IntN(streamTokens)
 			f.models[x.random.IntN(agentEngines)].Update(func(v *engine.Faults) { v.CutStreams, v.CutAfter = 3, cut })
@@ -382,12 +402,13 @@
 	defer c.client.CloseIdleConnections()
 	for _, g := range f.gateways {
 		for _, kind := range []string{"once", "keyed", "read", "talk"} {
-			n := 0
-			for end := time.Now().Add(recoveryTime); c.send(g, kind, fmt.Sprintf("%s-%d-%s-%d", kind, time.Now().UnixNano(), g.name, n), apiKey) != http.StatusOK; n++ {
+			end := time.Now().Add(recoveryTime)
+			for n, status := 0, 0; status != http.StatusOK; n++ {
 				if time.Now().After(end) {
-					f.t.Fatalf("%s does not serve %s after %v without faults", g.name, kind, recoveryTime)
+					f.t.Fatalf("%s does not serve %s after %v without faults, status %d", g.name, kind, recoveryTime, status)
 				}
 				time.Sleep(50 * time.Millisecond)
+				status = c.send(g, kind, fmt.Sprintf("%s-%d-%s-%d", kind, time.Now().UnixNano(), g.name, n), apiKey)
 			}
 		}
 	}
