agent: open the second stream of TestRelayState after the first is handled

Seen: no Config on the second control stream within 10 s, in 1 of 353 runs; again in 1 of 204 here (race detector, -test.cpu 2, beside two further copies).

Cause: the test took the first Versions frame with a slot table for the acknowledgement of the older slot table that it had sent after two Config frames. An agent sends such a frame on each new control stream at once. The test could so open the second stream and request the configuration there before the agent had handled the Config frames of the first; frames of different streams are not ordered. The agent then has no newer value to send, and the test asks only once. Gateways repeat such requests.

Change: the test sends a Ping after its frames and opens the second stream when the Pong is there, and requires exactly two Versions frames with a slot table until then, the one of the new stream and the acknowledgement, both of version 2. That is stricter: the acknowledgement was not checked before.

--- a/agent/control_test.go
+++ b/agent/control_test.go
@@ -57,13 +57,18 @@
 	}
 	oldOwners := &wire.Owners{Version: 1, Slot: []*wire.Slot{{Slot: 1, Epoch: 1}}}
 	assert.NilError(t, st.Send(&wire.Frame{Body: &wire.Frame_Owners{Owners: oldOwners}}))
-	acked := receiveUntil(t, st, func(f *wire.Frame) *wire.Versions {
-		if f.GetVersions().GetOwners() == 0 {
-			return nil
+	// Frames of one stream are handled in order, those of two streams are not: the second one is
+	// opened after the Pong, when the frames above have been handled. The versions before it are
+	// those of a new stream and the acknowledgement of oldOwners.
+	assert.NilError(t, st.Send(&wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{Id: 2}}}))
+	var acked []int64
+	receiveUntil(t, st, func(f *wire.Frame) *wire.Pong {
+		if v := f.GetVersions().GetOwners(); v != 0 {
+			acked = append(acked, v)
 		}
-		return f.GetVersions()
+		return f.GetPong()
 	})
-	assert.Equal(t, acked.Owners, int64(2))
+	assert.DeepEqual(t, acked, []int64{2, 2})
 	secondStream := ta.openControl()
 	assert.Equal(t, receiveUntil(t, secondStream, func(f *wire.Frame) *wire.Owners { return f.GetOwners() }).Version, int64(2))
 	versions := &wire.Versions{Version: []*wire.Version{{Team: "t", Revision: 5}}, Request: true, Whole: true}
