entry: let the engine of TestRequestedModelsAreLoaded describe its loads

Seen: 503 deadline_unreachable after 706 ms for an adapter, while the engine was loading "large", which nobody had requested.

Cause: the leader loads models that are loaded nowhere also without a request, which the test allows. The test wrote the engine's description only once, after "large" was ordered by a request. If the leader ordered "large" before the request for the adapter, the order stayed unconfirmed; the leader sends an adapter order only when no model order is active there, because an engine refuses it, and the request waited in vain. The test had relied on being faster than the unasked load, 400 ms after the election.

Change: the engine's description is written after each order that it has executed, as replicas of the platform do. The requests and checks are the same.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -81,6 +81,32 @@
 	c.store.Put(fakes.UpstreamKeyPrefix+"llm-1", c.llm.Description(fakes.EngineService, "zone-a", state))
 }
 
+// followOrders writes the description of the replicas after each order that the engine has
+// executed, until the test ends, as replicas of the platform do. Until a load is described, the
+// leader counts it as in progress and holds back further ones at that replica.
+func (c *cluster) followOrders() {
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		described := 0
+		for {
+			if n := len(c.llm.Orders()); n > described {
+				described = n
+				c.putUpstreams("ready")
+			}
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}()
+	c.t.Cleanup(func() {
+		close(stop)
+		<-done
+	})
+}
+
 // Ports for tests lie below those that the kernel gives to outgoing connections, which could take a port
 // between its choice and its use.
 const (
@@ -209,6 +235,7 @@
 // orders.
 func TestRequestedModelsAreLoaded(t *testing.T) {
 	c := newCluster(t, 3)
+	c.followOrders()
 	c.waitFor("one gateway is the leader", func() bool { return c.store.Value("duties/orders") != nil })
 	time.Sleep(400 * time.Millisecond)
 	status, body := c.sendRequest(c.gateways[1], "/talk/b", apiKey, "small/a1")
@@ -216,7 +243,6 @@
 	assert.Assert(t, slices.Contains(c.llm.Orders(), "model_load small a1"))
 	c.sendRequest(c.gateways[2], "/talk/c", apiKey, "large")
 	c.waitFor("model load is ordered", func() bool { return slices.Contains(c.llm.Orders(), "model_load large") })
-	c.putUpstreams("ready")
 	c.waitFor("model is served", func() bool {
 		status, _ := c.sendRequest(c.gateways[2], "/talk/c", apiKey, "large")
 		return status == http.StatusOK
