agent: test that a restart between two reads of the engine is reported

TestEngineRestart takes the engine down until the agent has noticed. An engine that is back before the next read, with nothing loaded, was not tested. The test passes. It also passes without the comparison in observeLoad that triggers a report, as other reports follow, so that it guards the result and not one way to it.

--- a/agent/engine_test.go
+++ b/agent/engine_test.go
@@ -234,6 +234,18 @@
 	assert.Assert(t, readResponse(t, ta.call(&wire.Call{Attempt: "a2", Kind: "model", Target: "a", Idempotent: true})).done != nil)
 }
 
+// Guards against gateways that are not told what an engine lost in a restart between two reads of
+// its load report: they would send it requests, and the controller would load nothing there, until
+// they ask for a new report.
+func TestQuickRestartIsReported(t *testing.T) {
+	e := &fakeEngine{models: []residentModel{{"a", 30}, {"b", 40}}}
+	_, st := startEngineAgent(t, e)
+	e.mu.Lock()
+	e.instance, e.models = "2", nil
+	e.mu.Unlock()
+	receiveLoadUntil(t, st, func(l *wire.Load) bool { return len(l.Resident) == 0 && l.MemoryFree == 100 })
+}
+
 // Guards against a crash suspect that runs beside other requests, which a crash would abort.
 func TestExclusiveSuspect(t *testing.T) {
 	e := &fakeEngine{models: []residentModel{{"a", 30}}, release: make(chan struct{})}
