sched, view: send nothing to upstreams whose expired entry counts as gone

After an outage such an entry is kept for 2.2 s, as entries of live upstreams may have expired. It was due at 31.79 and 31.75 s, but the view is only looked through at the next call to the store: 32.311 and 32.571 s. Requests were sent at 32.147 and 32.506 s.

The scheduler now looks at the time itself.

TestExpiredUpstreamGetsNoRequests failed before.

--- a/sched/choose.go
+++ b/sched/choose.go
@@ -86,7 +86,7 @@
 func (s *Scheduler) choose(now clock.Time, r *Request) choice {
 	var c choice
 	for id, e := range s.snap.Upstreams {
-		if e.Service != r.Service.Name || e.Draining || s.snap.ExcludedZones[e.Zone] {
+		if e.Service != r.Service.Name || e.Draining || e.IsGone(now) || s.snap.ExcludedZones[e.Zone] {
 			continue
 		}
 		u := s.upstream(id)
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -277,3 +277,16 @@
 	a := scheduler.Add(100, newRequest(s, 100))
 	assert.Assert(t, a.Upstream == nil, "91,000 of 100,000 tokens would be used")
 }
+
+// Guards against requests to an upstream whose entry expired during an outage, between the time at which it counts as gone
+// and the next view without it.
+func TestExpiredUpstreamGetsNoRequests(t *testing.T) {
+	s := engine(8)
+	e := entry("one", "zone-a", 8)
+	e.RemoveAt = 2000
+	scheduler := newScheduler(e)
+	a := scheduler.Add(1999, newRequest(s, 1999))
+	assert.Assert(t, a.Upstream != nil)
+	scheduler.End(1999, a, sched.Served)
+	assert.Assert(t, scheduler.Add(2000, newRequest(s, 2000)).Upstream == nil)
+}
--- a/view/view.go
+++ b/view/view.go
@@ -29,6 +29,9 @@
 // IsCold reports whether the upstream is expected to be cold at the time.
 func (e *Entry) IsCold(now clock.Time) bool { return now.Before(e.WarmAt) }
 
+// IsGone reports whether an entry that expired during an outage should have been written again by the time.
+func (e *Entry) IsGone(now clock.Time) bool { return e.RemoveAt != 0 && !now.Before(e.RemoveAt) }
+
 // Snapshot is the state at one time. It is immutable once published.
 type Snapshot struct {
 	// Config is nil until a configuration has been read.
@@ -191,7 +194,7 @@
 func (s *State) Expire(now clock.Time) bool {
 	removed := false
 	for id, e := range s.snap.Upstreams {
-		if e.RemoveAt != 0 && !now.Before(e.RemoveAt) {
+		if e.IsGone(now) {
 			delete(s.snap.Upstreams, id)
 			removed = true
 		}
