--- a/relay/call.go
+++ b/relay/call.go
@@ -7,14 +7,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
-	"github.com/magnolialever/magnolialever/copies"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/stats"
 )
@@ -179,36 +177,11 @@
 
 // accept takes a head as that of the request's response.
 func (rs *response) accept(r *request, res *http.Response, p platform.ResponseHeader) {
-	rs.ResponseHeader, rs.status, rs.header, rs.body = p, res.StatusCode, res.Header, res.Body
+	rs.ResponseHeader, rs.status, rs.header = p, res.StatusCode, res.Header
 	rs.length = res.ContentLength
 	rs.closeDelimited = res.ContentLength < 0 && len(res.TransferEncoding) == 0 && hasBody(r.method, res.StatusCode)
 	rs.reusable = !res.Close && !rs.closeDelimited && p.RequestID != "" && !r.needsOwnConn()
-	rs.body = copies.NewReader(res.Body, copies.Options{IsAnswer: rs.isAnswer, IsPartialAnswer: rs.isPartialAnswer})
-}
-
-// isAnswer reports whether a head in the body is that of another answer. No event of a stream looks like one. A body of
-// another kind may speak of answers, but not of one on this very connection; where it ends with the connection, the
-// receipt of a replica is enough.
-func (rs *response) isAnswer(status int, h http.Header) bool {
-	p := platform.ParseResponseHeader(status, h)
-	switch {
-	case rs.EventStream:
-		return p.RequestID != "" || p.HasReceipt
-	case rs.closeDelimited && p.HasReceipt:
-		return true
-	}
-	return p.RequestID != "" && rs.conn.hasCarried(p.RequestID)
-}
-
-// isPartialAnswer reports whether a partial head at the end of the body is that of another answer: nothing else ends the
-// body, or the head goes on behind it.
-func (rs *response) isPartialAnswer(head []byte) bool {
-	if rs.closeDelimited {
-		return copies.HasStatusCode(head)
-	}
-	// Peek does not fail for what is buffered.
-	next, _ := rs.conn.reader.Peek(rs.conn.reader.Buffered())
-	return len(next) > 0 && copies.BeginsHead(slices.Concat(head, next))
+	rs.body = rs.untilSecondAnswer(res.Body)
 }
 
 // logStray logs and counts the answer to another request.
