entry, socket: close no connection on which a request waits to be read

A connection with unread bytes is not idle. Package socket looks at a connection without reading from it; relay had this for its own idle connections.

TestConnectionWithUnreadRequestIsNotIdle failed before.

--- a/entry/connlimit.go
+++ b/entry/connlimit.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/magnolialever/magnolialever/socket"
 	"github.com/magnolialever/magnolialever/stats"
 )
 
@@ -93,14 +94,15 @@
 	return c.closed[conn]
 }
 
-// closeIdle closes the idle connections, and those without a request since newConnTimeout.
+// closeIdle closes the idle connections, and those without a request since newConnTimeout. A connection on which a request
+// has arrived that nobody has read yet, as on a busy machine, is not idle.
 func (c *connLimiter) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for e := c.idle.Front(); e != nil; {
 		conn, _ := e.Value.(net.Conn)
 		e = e.Next()
-		if opened, isNew := c.newSince[conn]; isNew && time.Since(opened) < newConnTimeout {
+		if opened, isNew := c.newSince[conn]; isNew && time.Since(opened) < newConnTimeout || socket.Peek(conn) == socket.Unread {
 			continue
 		}
 		c.close(conn)
--- a/entry/connlimit_test.go
+++ b/entry/connlimit_test.go
@@ -123,3 +123,30 @@
 	assert.Assert(t, err != nil)
 	assert.Equal(t, served.Load(), int64(1))
 }
+
+// Guards against the closing of a connection on which a request has arrived that was not read yet.
+func TestConnectionWithUnreadRequestIsNotIdle(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	limiter := newConnLimiter(4)
+	conns := [2]net.Conn{}
+	for i := range conns {
+		caller, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		defer caller.Close()
+		conns[i], err = listener.Accept()
+		assert.NilError(t, err)
+		defer conns[i].Close()
+		for _, state := range []http.ConnState{http.StateNew, http.StateActive, http.StateIdle} {
+			limiter.onStateChange(conns[i], state)
+		}
+		if i == 0 {
+			fmt.Fprint(caller, "GET / HTTP/1.1\r\n")
+		}
+	}
+	time.Sleep(20 * time.Millisecond)
+	limiter.closeIdle()
+	assert.Assert(t, !limiter.isClosed(conns[0]))
+	assert.Assert(t, limiter.isClosed(conns[1]))
+}
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -9,12 +9,12 @@
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/socket"
 	"github.com/magnolialever/magnolialever/stats"
 )
 
@@ -94,47 +94,13 @@
 // closeNow closes the connection and ignores the error, since the connection isn't used again.
 func (c *conn) closeNow() { _ = c.Close() }
 
-// idleState is the state of an idle connection.
-type idleState uint8
-
-const (
-	// idleOpen means that the connection can carry a request.
-	idleOpen idleState = iota
-	// idleClosed means that the upstream has closed it, or that it failed.
-	idleClosed
-	// idleUnexpected means that the upstream has sent bytes without a request, which can't be matched to one.
-	idleUnexpected
-)
-
-// idleState returns the state of the connection, on which no request is under way.
-func (c *conn) idleState() idleState {
+// idleState returns the state of the connection, on which no request is under way. Unread bytes can't be matched to a
+// request.
+func (c *conn) idleState() socket.State {
 	if c.reader.Buffered() > 0 {
-		return idleUnexpected
-	}
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return idleOpen
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return idleClosed
-	}
-	state := idleClosed
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case errors.Is(e, syscall.EAGAIN):
-			state = idleOpen
-		case e == nil && n > 0:
-			state = idleUnexpected
-		}
-		return true
-	})
-	if err != nil {
-		return idleClosed
+		return socket.Unread
 	}
-	return state
+	return socket.Peek(c.Conn)
 }
 
 // dropUnexpected closes a connection on which the upstream has sent bytes that belong to no request.
@@ -165,11 +131,11 @@
 			break
 		}
 		switch c.idleState() {
-		case idleOpen:
+		case socket.Open:
 			return c, true, nil
-		case idleClosed:
+		case socket.Closed:
 			c.closeNow()
-		case idleUnexpected:
+		case socket.Unread:
 			c.dropUnexpected(address)
 		}
 	}
--- /dev/null
+++ b/socket/socket.go
@@ -0,0 +1,47 @@
+// Package socket looks at connections without reading from them.
+package socket
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+// State is the state of a connection that nobody reads from.
+type State uint8
+
+const (
+	// Open means that nothing has arrived, or that it can't be told.
+	Open State = iota
+	// Closed means that the other side has closed the connection, or that it failed.
+	Closed
+	// Unread means that bytes have arrived.
+	Unread
+)
+
+// Peek returns the state of the connection. It takes nothing from it, and doesn't wait for a goroutine that reads.
+func Peek(c net.Conn) State {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return Open
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return Closed
+	}
+	state := Closed
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(e, syscall.EAGAIN):
+			state = Open
+		case e == nil && n > 0:
+			state = Unread
+		}
+	})
+	if err != nil {
+		return Closed
+	}
+	return state
+}
