--- a/entry/connlimit.go
+++ b/entry/connlimit.go
@@ -141,10 +141,11 @@
 		return
 	}
 	stats.Event("caller_connections_closed")
-	if e := c.idle.Front(); e != nil {
-		evicted, _ := e.Value.(net.Conn)
-		c.close(evicted)
-		return
+	for e := c.idle.Front(); e != nil; e = e.Next() {
+		if evicted, _ := e.Value.(net.Conn); socket.Peek(evicted) != socket.Unread {
+			c.close(evicted)
+			return
+		}
 	}
 	closeIgnoringError(added)
 }
