--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,4 +7,4 @@
     echo "build first: deploy/system.toml, review/build.sh"
     exit 2
 fi
-exec target/review-stand poison "$folder"
+exec target/review-stand removed "$folder"
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,7 +24,7 @@
 		fmt.Println("usage: stand CASE FOLDER")
 		os.Exit(failed)
 	}
-	play, ok := map[string]func(*World, bool) (bool, error){"quota": quota, "cold": cold, "poison": poison}[os.Args[1]]
+	play, ok := map[string]func(*World, bool) (bool, error){"quota": quota, "cold": cold, "poison": poison, "removed": removed, "lost": lost}[os.Args[1]]
 	if !ok {
 		fmt.Println("unknown case", os.Args[1])
 		os.Exit(failed)
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -94,6 +94,26 @@
 	})
 }
 
+// Leave removes the replica's entry, as for one that leaves and never says so, and returns its id. The replica serves on until Stop.
+func (p *Replica) Leave() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.world.store.Delete("servers/" + p.id)
+	p.world.log("removed", p.id, "")
+	return p.id
+}
+
+// Stop ends a replica that has left.
+func (p *Replica) Stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.up = false
+	_ = p.listener.Close()
+	for c := range p.conns {
+		_ = c.Close()
+	}
+}
+
 // Crash ends the replica at once. Its entry goes after three heartbeats.
 func (p *Replica) Crash() {
 	p.mu.Lock()
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -133,6 +133,8 @@
 
 // Gateway is a process of the role entry.
 type Gateway struct {
+	// storeAddress is where the gateway finds the store, if not at its own address.
+	storeAddress            string
 	world                   *World
 	name, zone, ip          string
 	front, ready, firstPort int
@@ -264,7 +266,7 @@
 // Start starts the process.
 func (g *Gateway) Start() error {
 	file := filepath.Join(g.world.temp, g.name+".toml")
-	text := fmt.Sprintf(settings, g.name, g.ip, g.zone, g.firstPort, g.firstPort+15, g.starts == 0, g.front, g.ready, g.world.store.Address())
+	text := fmt.Sprintf(settings, g.name, g.ip, g.zone, g.firstPort, g.firstPort+15, g.starts == 0, g.front, g.ready, cmpOr(g.storeAddress, g.world.store.Address()))
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -277,6 +279,8 @@
 	g.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MAGNOLIALEVER_BOOT=" + file}
 	g.cmd.Stdout, g.cmd.Stderr = out, out
 	if err := g.cmd.Start(); err != nil {
+		g.cmd = nil
+		_ = out.Close()
 		return err
 	}
 	_ = out.Close()
