--- a/parts/guard.go
+++ b/parts/guard.go
@@ -146,6 +146,18 @@
 	return t, 0
 }
 
+// Refuses reports whether Acquire is known to refuse a request with the prompt.
+func (g *Guard) Refuses(p Prompt) bool {
+	p.Parts = p.Parts[:min(len(p.Parts), maxParts)]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	return g.ledger.untilJointTrial(now, p.all()) > 0 || slices.ContainsFunc(p.all(), func(part ID) bool {
+		state, wait := g.ledger.State(now, part)
+		return state != Proven && g.isDecided(state, wait)
+	})
+}
+
 // untilJointTrial is Ledger.untilJointTrial.
 func (g *Guard) untilJointTrial(list []ID) clock.Span {
 	g.mu.Lock()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"syscall"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -18,10 +19,6 @@
 	"github.com/magnolialever/magnolialever/units"
 )
 
-// silenceTimeout is how long an upstream may send nothing before a request that may run again is sent to another one.
-// It leaves the other upstream time to begin before the caller disconnects.
-const silenceTimeout = 1200 * clock.Millisecond
-
 // attempt is one attempt of a request at an upstream. It holds all that belongs to this attempt alone; what the caller
 // has got is in the exchange.
 type attempt struct {
@@ -36,12 +33,15 @@
 	timedOut bool
 	// stream splits the answer of this attempt.
 	stream *eventSplitter
+	silence
 }
 
 // newAttempt returns an attempt that begins now.
 func (x *exchange) newAttempt(scheduled *sched.Attempt, ticket *parts.Ticket) *attempt {
+	now := x.server.Clock.Now()
 	return &attempt{
-		exchange: x, scheduled: scheduled, ticket: ticket, assignedAt: x.server.Clock.Now(), stream: newEventSplitter(&x.delivered),
+		exchange: x, scheduled: scheduled, ticket: ticket, assignedAt: now, stream: newEventSplitter(&x.delivered),
+		silence: silence{progressAt: now},
 	}
 }
 
@@ -65,14 +65,12 @@
 			Upstream: a.scheduled.Upstream.ID, Customer: a.customerID(), Timeout: deadline.Sub(a.assignedAt),
 			LastEventID: a.lastEventID(), Priority: a.enginePriority(),
 		}),
-		accepts: func() bool { return a.server.Accepts(a.scheduled.Upstream.Upstream) },
-	}
-	headDeadline := deadline
-	if a.canRunAgain() {
-		headDeadline = min(deadline, a.assignedAt.Add(silenceTimeout))
+		accepts:   func() bool { return a.server.Accepts(a.scheduled.Upstream.Upstream) },
+		onSilence: func() (time.Time, bool) { return a.handleSilence(ctx) },
+		deadline:  wallTime(a.assignedAt, deadline),
 	}
 	a.sends++
-	res, err := a.server.pool.call(ctx, a.scheduled.Upstream.Address, r, wallTime(a.assignedAt, headDeadline))
+	res, err := a.server.pool.call(ctx, a.scheduled.Upstream.Address, r, a.readDeadline())
 	if err != nil {
 		return a.handleCallError(ctx, err)
 	}
@@ -81,6 +79,7 @@
 		return outcome
 	}
 	a.runs++
+	a.headRead = true
 	if res.Encoded || (res.status < 300 && !res.HasReceipt) {
 		res.abort()
 		// An intermediary responded, or nothing shows that the replica ran the request.
@@ -134,11 +133,6 @@
 	return min(max(x.priority(), 0), maxEnginePriority)
 }
 
-// canRunAgain reports whether the request may run again if the current attempt fails.
-func (x *exchange) canRunAgain() bool {
-	return x.route.RetryMode != fleet.AtMostOnce && x.runs+1 < x.route.MaxAttempts
-}
-
 // handleCallError handles a call that ended without a complete response.
 func (a *attempt) handleCallError(ctx context.Context, err error) sched.Outcome {
 	a.failedBy(err)
--- a/relay/call.go
+++ b/relay/call.go
@@ -46,6 +46,10 @@
 	// accepts reports whether the upstream may still get the request; it is asked right before the request is
 	// written.
 	accepts func() bool
+	// onSilence is that of the connection while the request uses it; may be nil.
+	onSilence func() (time.Time, bool)
+	// deadline is the wall-clock time by which the response has to end.
+	deadline time.Time
 }
 
 // needsOwnConn reports whether the request must not share a connection with others: its answer bears no id, or, as that to
@@ -107,12 +111,13 @@
 		return nil, fmt.Errorf("%w: %w", errNotAccepted, errNotSent)
 	}
 	c.recordRequest(r.id)
+	c.onSilence = r.onSilence
 	if !reused && p.onDial != nil {
 		p.onDial()
 	}
 	stopCancel := context.AfterFunc(ctx, func() { c.closeNow() })
 	res := &response{pool: p, address: address, conn: c, stopCancel: stopCancel}
-	if err := res.send(data, headDeadline); err != nil {
+	if err := res.send(data, headDeadline, r.deadline); err != nil {
 		res.abort()
 		return nil, err
 	}
@@ -123,9 +128,10 @@
 	return res, nil
 }
 
-// send writes the encoded request. Large requests are written by a goroutine of their own.
-func (rs *response) send(data []byte, headDeadline time.Time) error {
-	if err := rs.conn.SetDeadline(headDeadline); err != nil {
+// send writes the encoded request until sendDeadline and sets the deadline for the head. Large requests are written by
+// a goroutine of their own.
+func (rs *response) send(data []byte, headDeadline, sendDeadline time.Time) error {
+	if err := errors.Join(rs.conn.SetReadDeadline(headDeadline), rs.conn.SetWriteDeadline(sendDeadline)); err != nil {
 		return fmt.Errorf("set deadline: %w: %w", errNotSent, err)
 	}
 	if len(data) <= asyncSendBytes {
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -50,6 +50,9 @@
 	reader *bufio.Reader
 	// headBytesLeft limits the bytes read for the head of a response; negative means no limit.
 	headBytesLeft int
+	// onSilence, if set, is called when the read deadline has passed without a byte. It returns the next read deadline,
+	// a wall-clock time, or false if the read is to fail.
+	onSilence func() (time.Time, bool)
 	// expiresAt is when an idle connection is closed.
 	expiresAt clock.Time
 	// requestIDs are the hashes of the ids of the requests that were sent on the connection. A faulty upstream may send
@@ -84,13 +87,31 @@
 	if c.headBytesLeft > 0 && len(p) > c.headBytesLeft {
 		p = p[:c.headBytesLeft]
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.readPatiently(p)
 	if c.headBytesLeft > 0 {
 		c.headBytesLeft -= n
 	}
 	return n, err
 }
 
+// readPatiently reads from the connection. At the read deadline it goes on if onSilence says so: a reader of HTTP
+// that has failed with a timeout can't be used again.
+func (c *conn) readPatiently(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 || c.onSilence == nil || !isTimeout(err) {
+			return n, err
+		}
+		deadline, goOn := c.onSilence()
+		if !goOn {
+			return n, err
+		}
+		if err := c.SetReadDeadline(deadline); err != nil {
+			return 0, fmt.Errorf("set deadline: %w", err)
+		}
+	}
+}
+
 // closeNow closes the connection and ignores the error, since the connection isn't used again.
 func (c *conn) closeNow() { _ = c.Close() }
 
@@ -191,6 +212,7 @@
 
 // add adds an idle connection.
 func (p *pool) add(address string, c *conn) {
+	c.onSilence = nil
 	if err := c.SetDeadline(time.Time{}); err != nil {
 		c.closeNow()
 		return
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -61,6 +61,9 @@
 	sends, runs int
 	// tried are the upstreams that must not get the request again.
 	tried []units.UpstreamID
+	// next is a started attempt at another upstream that is to follow the current one, whose upstream is silent; may
+	// be nil.
+	next *sched.Attempt
 	// delivered is what the caller has of a streamed response.
 	delivered delivery
 	// finished is set once the request needs no further attempt. aborted is set in addition where
@@ -180,6 +183,9 @@
 	for !x.finished {
 		x.tryUpstream(ctx)
 	}
+	if next := x.takeNext(); next != nil {
+		x.server.cancelAttempt(next)
+	}
 }
 
 // refundUnused returns the customer's tokens if the request has not run.
@@ -191,7 +197,7 @@
 
 // tryUpstream makes one attempt at an upstream, or ends the request.
 func (x *exchange) tryUpstream(ctx context.Context) {
-	if x.sends > 0 && (x.sends >= maxSends || !x.server.takeRetry(x.service.Name)) {
+	if x.sends > 0 && x.next == nil && (x.sends >= maxSends || !x.server.takeRetry(x.service.Name)) {
 		x.giveUp("repeats")
 		return
 	}
@@ -203,7 +209,10 @@
 	if ticket == nil {
 		return
 	}
-	scheduled := x.awaitUpstream(ctx)
+	scheduled := x.takeNext()
+	if scheduled == nil {
+		scheduled = x.awaitUpstream(ctx)
+	}
 	if scheduled == nil {
 		ticket.End(nil)
 		return
@@ -254,6 +263,13 @@
 	return x.server.Scheduler.MayStart(x.server.Clock.Now(), &request)
 }
 
+// takeNext returns next and forgets it.
+func (x *exchange) takeNext() *sched.Attempt {
+	next := x.next
+	x.next = nil
+	return next
+}
+
 // awaitUpstream queues the request until an upstream is assigned. It returns nil if it ended the
 // request instead.
 func (x *exchange) awaitUpstream(ctx context.Context) *sched.Attempt {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -63,16 +63,23 @@
 // newTestGatewayWithBudget returns a gateway with a limit on the bytes of buffered request bodies; 0
 // is the default.
 func newTestGatewayWithBudget(t testing.TB, bodyBudget int64, replicas ...*fakes.Replica) *testGateway {
+	t.Helper()
+	return newTestGatewayWith(t, func(o *relay.Options) { o.BodyBudget = bodyBudget }, replicas...)
+}
+
+// newTestGatewayWith returns a gateway whose options change has changed.
+func newTestGatewayWith(t testing.TB, change func(o *relay.Options), replicas ...*fakes.Replica) *testGateway {
 	t.Helper()
 	r := &testGateway{t: t, keysUsable: true}
-	r.server = relay.New(relay.Options{
-		BodyBudget: bodyBudget,
-		Clock:      clock.System{}, Scheduler: sched.New("zone-a", sched.ColdTolerance{Factor: 1.5, Slack: 5}), Limiter: unlimited{},
+	options := relay.Options{
+		Clock: clock.System{}, Scheduler: sched.New("zone-a", sched.ColdTolerance{Factor: 1.5, Slack: 5}), Limiter: unlimited{},
 		Retries:        retry.WindowLimit{Ratio: 0.2, Slack: 50, Span: 10 * clock.Second},
 		KeysUsable:     func(clock.Time) bool { return r.areKeysUsable() },
 		OnModelMissing: func(units.ServiceID, units.ModelID, string) {},
 		OnModelUse:     func(units.ServiceID, units.ModelID, string, float64) {},
-	})
+	}
+	change(&options)
+	r.server = relay.New(options)
 	data, err := json.Marshal(fakes.Config(3, key))
 	assert.NilError(t, err)
 	c, err := platform.DecodeConfig(data)
--- a/relay/server.go
+++ b/relay/server.go
@@ -67,6 +67,8 @@
 	ended      context.Context
 	end        context.CancelFunc
 	bodyBudget bodyBudget
+	// reach tells which silent upstreams can be reached.
+	reach reach
 	// responseBudget limits the bytes of upstreams' responses buffered at once. It has the same limit
 	// as bodyBudget, but is separate: an answer must not fail because of requests that wait.
 	responseBudget bodyBudget
@@ -83,7 +85,7 @@
 func New(o Options) *Server {
 	s := &Server{
 		Options: o, pool: newPool(o.Clock), gateways: 1, notices: o.Scheduler.Notices(),
-		retryWindows: map[units.ServiceID]*retry.Window{}, crashes: retry.NewCrashDetector(),
+		reach: reach{probes: map[string]*reachProbe{}}, retryWindows: map[units.ServiceID]*retry.Window{}, crashes: retry.NewCrashDetector(),
 	}
 	if s.Parts == nil {
 		s.Parts = parts.NewGuard(o.Clock)
--- /dev/null
+++ b/relay/silence.go
@@ -0,0 +1,186 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/sched"
+	"github.com/magnolialever/magnolialever/stats"
+)
+
+const (
+	// silenceTimeout is how long an upstream may send nothing before a request that may run again goes to another one, if
+	// that can take it. It leaves the other upstream time to begin before the caller disconnects.
+	silenceTimeout = 1200 * clock.Millisecond
+	// silenceRecheck is the interval at which another upstream is looked for afterwards.
+	silenceRecheck = 100 * clock.Millisecond
+)
+
+// silence is what an attempt knows of the silence of its upstream.
+type silence struct {
+	// progressAt is when the last event was complete, or when the attempt began.
+	progressAt clock.Time
+	// headRead is set once the head of the response was read.
+	headRead bool
+	// silentSince is when the silence since progressAt was recorded; 0 if it was not.
+	silentSince clock.Time
+}
+
+// recordProgress records that an event is complete. Bytes alone are no progress: a stalled upstream may send some now
+// and then.
+func (a *attempt) recordProgress() {
+	now := a.server.Clock.Now()
+	a.progressAt = now
+	if a.silentSince == 0 {
+		return
+	}
+	klog.InfoS("relay: upstream goes on after silence", "request", a.callerRequest.RequestID, "upstream", a.scheduled.Upstream.ID,
+		"events", a.delivered.events, "after", now.Sub(a.silentSince)+silenceTimeout)
+	a.silentSince = 0
+	a.server.mu.Lock()
+	defer a.server.mu.Unlock()
+	a.server.Scheduler.RecordProgress(now, a.scheduled)
+}
+
+// maySwitch reports whether the request may run at another upstream instead of the current one.
+func (a *attempt) maySwitch() bool {
+	if a.headRead {
+		return a.route.RetryMode == fleet.Resumable && a.runs < a.route.MaxAttempts && a.delivered.canResume()
+	}
+	return a.route.RetryMode != fleet.AtMostOnce && a.runs+1 < a.route.MaxAttempts
+}
+
+// readDeadline returns the wall-clock time by which the upstream has to have sent the head or the next event, or else
+// handleSilence decides.
+func (a *attempt) readDeadline() time.Time {
+	now := a.server.Clock.Now()
+	deadline := a.arrivedAt.Add(a.timeout)
+	if a.maySwitch() {
+		deadline = min(deadline, a.progressAt.Add(silenceTimeout))
+	}
+	return wallTime(now, deadline)
+}
+
+// handleSilence decides what becomes of an attempt whose read deadline has passed. It returns the next read deadline, or
+// false if the attempt is given up: its time is over, another upstream has been reserved for the request, or this one
+// can't be reached. A silent upstream may still go on, and an answer that nothing can continue must not be cut.
+func (a *attempt) handleSilence(ctx context.Context) (time.Time, bool) {
+	now := a.server.Clock.Now()
+	deadline := a.arrivedAt.Add(a.timeout)
+	if ctx.Err() != nil || !now.Before(deadline) || !a.maySwitch() {
+		return time.Time{}, false
+	}
+	if a.reserveNext() {
+		return time.Time{}, false
+	}
+	a.recordSilence(now)
+	if !a.server.reach.check(ctx, a.scheduled.Upstream.Address, now) {
+		return time.Time{}, false
+	}
+	return wallTime(now, min(deadline, now.Add(silenceRecheck))), true
+}
+
+// reserveNext starts the attempt that is to follow this one, if another upstream can take the request now and no limit
+// forbids it. It reports whether it did.
+func (a *attempt) reserveNext() bool {
+	if a.sends >= maxSends || a.server.isCrashSuspect(a.fingerprint) || a.server.Parts.Refuses(a.prompt) {
+		return false
+	}
+	a.next = a.server.startRetry(a.schedulerRequest())
+	return a.next != nil
+}
+
+// startRetry starts a repeated request at once and charges it to the retry budget. It returns nil if either is not
+// possible.
+func (s *Server) startRetry(r sched.Request) *sched.Attempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	w := s.retryWindow(r.Service.Name)
+	if !w.Allows(now, s.gateways) {
+		return nil
+	}
+	next := s.Scheduler.TryAdd(now, r)
+	if next != nil {
+		w.Take(now, s.gateways)
+	}
+	return next
+}
+
+// recordSilence records, once per silence, that the attempt waits on because no other upstream can take the request.
+func (a *attempt) recordSilence(now clock.Time) {
+	if a.silentSince != 0 {
+		return
+	}
+	a.silentSince = now
+	stats.Event("silent_upstreams_awaited")
+	klog.InfoS("relay: upstream is silent and no other can take the request", "request", a.callerRequest.RequestID,
+		"upstream", a.scheduled.Upstream.ID, "events", a.delivered.events, "silent", now.Sub(a.progressAt))
+	a.server.mu.Lock()
+	defer a.server.mu.Unlock()
+	a.server.Scheduler.RecordSilence(now, a.scheduled)
+}
+
+// reachTTL is how long the result of a probe is used.
+const reachTTL = silenceTimeout
+
+// reach tells which silent upstreams can still be reached. It is safe for concurrent use.
+type reach struct {
+	mu     sync.Mutex
+	probes map[string]*reachProbe
+}
+
+// reachProbe is the last probe of an address.
+type reachProbe struct {
+	startedAt clock.Time
+	// done is closed when the probe has ended; reachable is valid from then on.
+	done      chan struct{}
+	reachable bool
+}
+
+// check reports whether a connection to the address can be made now, or could be within reachTTL. It returns true if ctx
+// is done before it knows.
+func (r *reach) check(ctx context.Context, address string, now clock.Time) bool {
+	r.mu.Lock()
+	p, ok := r.probes[address]
+	if !ok || now.Sub(p.startedAt) >= reachTTL {
+		r.forgetOld(now)
+		p = &reachProbe{startedAt: now, done: make(chan struct{})}
+		r.probes[address] = p
+		go p.run(context.WithoutCancel(ctx), address)
+	}
+	r.mu.Unlock()
+	select {
+	case <-p.done:
+		return p.reachable
+	case <-ctx.Done():
+		return true
+	}
+}
+
+// forgetOld removes probes whose results are not used any longer. The caller holds r.mu.
+func (r *reach) forgetOld(now clock.Time) {
+	for address, p := range r.probes {
+		if now.Sub(p.startedAt) >= reachTTL {
+			delete(r.probes, address)
+		}
+	}
+}
+
+// run probes the address. Other requests wait for the result too, so ctx must not end with the first one.
+func (p *reachProbe) run(ctx context.Context, address string) {
+	defer close(p.done)
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return
+	}
+	p.reachable = true
+	_ = c.Close()
+}
--- /dev/null
+++ b/relay/silence_test.go
@@ -0,0 +1,147 @@
+package relay_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/platform/fakes"
+	"github.com/magnolialever/magnolialever/relay"
+	"github.com/magnolialever/magnolialever/retry"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/view"
+)
+
+// silentFor is longer than a replica may be silent before another one is looked for, and shorter than callers wait.
+const silentFor = 1700 * time.Millisecond
+
+// newPatientGateway returns a gateway with one service, whose routes have a time limit of 4 s.
+func newPatientGateway(t *testing.T, service units.ServiceID, replicas ...*fakes.Replica) *testGateway {
+	t.Helper()
+	return useService(newTestGateway(t, replicas...), service)
+}
+
+// useService leaves only the replicas of one service in the view, under their own IDs, and sets the time limit of all
+// routes to 4 s.
+func useService(g *testGateway, service units.ServiceID) *testGateway {
+	g.t.Helper()
+	config := fakes.Config(4, key)
+	fakes.SetTimeouts(config, 4000)
+	data, err := json.Marshal(config)
+	assert.NilError(g.t, err)
+	next := &view.Snapshot{Upstreams: map[units.UpstreamID]*view.Entry{}}
+	next.Config, err = platform.DecodeConfig(data)
+	assert.NilError(g.t, err)
+	for _, e := range g.snapshot.Upstreams {
+		if e.Service == service {
+			next.Upstreams[e.ID] = e
+		}
+	}
+	g.snapshot = next
+	g.server.SetView(next)
+	return g
+}
+
+// pauseMidway sends six events with a silence after the second one.
+func pauseMidway(r *fakes.Request) {
+	r.Stream(1, 2, false)
+	time.Sleep(silentFor)
+	r.Chunk(eventRange(3, 6))
+	r.WriteRaw("0\r\n\r\n")
+}
+
+// Guards against resumable streams that are cut because their replica is silent, though no other can go on with them.
+func TestSilentStreamIsNotCutWithoutAnotherReplica(t *testing.T) {
+	replica := startReplica(t, "one", pauseMidway)
+	got := newPatientGateway(t, fakes.EngineService, replica).postStream("/talk/a")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventRange(1, 6))
+	assert.Equal(t, totalRequests(replica), 1)
+}
+
+// Guards against streams that are cut beside a planned stop, as their replica is silent and the stop leaves no time for another run.
+func TestSilentStreamIsNotCutBesideStop(t *testing.T) {
+	one, two := startReplica(t, "one", pauseMidway), startReplica(t, "two", pauseMidway)
+	g := newPatientGateway(t, fakes.EngineService, one, two)
+	time.AfterFunc(time.Second, func() {
+		now := g.server.Clock.Now()
+		g.server.Drain(now, now.Add(2500))
+	})
+	got := g.postStream("/talk/a")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventRange(1, 6))
+	assert.Equal(t, totalRequests(one, two), 1)
+}
+
+// Guards against idempotent requests that fail because their replica takes long to answer, though no other can take them.
+func TestSlowAnswerIsAwaitedWithoutAnotherReplica(t *testing.T) {
+	replica := startReplica(t, "one", func(r *fakes.Request) {
+		time.Sleep(silentFor)
+		r.Respond("200 OK", "late")
+	})
+	got := newPatientGateway(t, fakes.AppService, replica).get("/read/a")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "late")
+	assert.Equal(t, totalRequests(replica), 1)
+}
+
+// Guards against streams that wait for a silent replica although another one can go on since a moment ago.
+func TestSilentStreamMovesOnceAnotherReplicaHasRoom(t *testing.T) {
+	one := startReplica(t, "one", func(r *fakes.Request) {
+		r.Stream(1, 2, false)
+		r.WaitForClose()
+	})
+	two := startReplica(t, "two", func(r *fakes.Request) { r.Stream(3, 6, true) })
+	g := newPatientGateway(t, fakes.EngineService, one)
+	both := newPatientGateway(t, fakes.EngineService, one, two).snapshot
+	time.AfterFunc(silentFor, func() { g.server.SetView(both) })
+	got := g.postStream("/talk/a")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventRange(1, 6))
+}
+
+// Guards against streams that are held for a replica that can't be reached, as its VM is gone.
+func TestStreamOfUnreachableReplicaIsNotHeld(t *testing.T) {
+	done := make(chan struct{})
+	replica := startReplica(t, "one", func(r *fakes.Request) {
+		r.Stream(1, 2, false)
+		<-done
+	})
+	t.Cleanup(func() { close(done) })
+	g := newPatientGateway(t, fakes.EngineService, replica)
+	time.AfterFunc(300*time.Millisecond, replica.StopListening)
+	begun := time.Now()
+	got := g.postStream("/talk/a")
+	assert.ErrorContains(t, got.err, "EOF")
+	assert.Equal(t, got.body, eventRange(1, 2))
+	assert.Assert(t, time.Since(begun) < 3*time.Second, "the stream ended after %v", time.Since(begun))
+}
+
+// Guards against repeats that exceed the budget because streams move together when their replicas are silent.
+func TestSilentStreamsMoveWithinRetryBudget(t *testing.T) {
+	const streams = 6
+	one := startReplica(t, "one", pauseMidway)
+	two := startReplica(t, "two", func(r *fakes.Request) { r.Stream(3, 6, true) })
+	g := useService(newTestGatewayWith(t, func(o *relay.Options) {
+		o.Retries = retry.WindowLimit{Slack: 2.5, Span: 10 * clock.Second}
+	}, one), fakes.EngineService)
+	both := newPatientGateway(t, fakes.EngineService, one, two).snapshot
+	results := make(chan result, streams)
+	for range streams {
+		go func() { results <- g.postStream("/talk/a") }()
+	}
+	time.Sleep(500 * time.Millisecond)
+	g.server.SetView(both)
+	for range streams {
+		got := <-results
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, eventRange(1, 6))
+	}
+	assert.Assert(t, totalRequests(two) <= 2, "%d repeats", totalRequests(two))
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -7,10 +7,8 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/magnolialever/magnolialever/clock"
-	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/sched"
 )
@@ -70,9 +68,9 @@
 	buf := make([]byte, readBuffer)
 	flusher := http.NewResponseController(a.writer)
 	first := true
-	progressAt := a.server.Clock.Now()
+	a.recordProgress()
 	for {
-		if err := res.setReadDeadline(a.readDeadline(progressAt)); err != nil {
+		if err := res.setReadDeadline(a.readDeadline()); err != nil {
 			return err
 		}
 		n, err := res.body.Read(buf)
@@ -89,7 +87,7 @@
 			}
 			if a.delivered.events > delivered {
 				a.ticket.Began()
-				progressAt = a.server.Clock.Now()
+				a.recordProgress()
 			}
 		}
 		if errors.Is(err, io.EOF) {
@@ -101,18 +99,6 @@
 	}
 }
 
-// readDeadline returns the wall-clock time by which the next event of the stream has to be complete;
-// the last one was at progressAt. Bytes alone are no progress: a stalled upstream may send some now
-// and then.
-func (x *exchange) readDeadline(progressAt clock.Time) time.Time {
-	now := x.server.Clock.Now()
-	deadline := x.arrivedAt.Add(x.timeout)
-	if x.route.RetryMode == fleet.Resumable && x.runs < x.route.MaxAttempts && x.delivered.canResume() {
-		deadline = min(deadline, progressAt.Add(silenceTimeout))
-	}
-	return wallTime(now, deadline)
-}
-
 // writeEvents adds bytes of the stream and sends the events that are complete to the caller.
 func (a *attempt) writeEvents(res *response, flusher *http.ResponseController, data []byte) error {
 	complete, orderErr := a.stream.add(data)
--- a/retry/window.go
+++ b/retry/window.go
@@ -33,11 +33,16 @@
 // RecordRequest records a request to the service; repeated sends don't count.
 func (w *Window) RecordRequest(now clock.Time) { w.requests[now/clock.Time(sliceLength)]++ }
 
-// Take records one repeated send and returns true, or returns false if it would exceed this
-// gateway's share. The slack is divided equally among the gateways.
-func (w *Window) Take(now clock.Time, gateways int) bool {
+// Allows reports whether one more repeated send keeps this gateway's share. The slack is divided equally among the
+// gateways.
+func (w *Window) Allows(now clock.Time, gateways int) bool {
 	allowed := w.limit.Ratio*w.countInWindow(now, w.requests) + w.limit.Slack/float64(max(gateways, 1))
-	if w.countInWindow(now, w.repeats)+1 > usedLimitShare*allowed {
+	return w.countInWindow(now, w.repeats)+1 <= usedLimitShare*allowed
+}
+
+// Take records one repeated send and returns true, or returns false if Allows does.
+func (w *Window) Take(now clock.Time, gateways int) bool {
+	if !w.Allows(now, gateways) {
 		return false
 	}
 	w.repeats[now/clock.Time(sliceLength)]++
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -160,8 +160,7 @@
 
 // Add schedules a request. The attempt is started, queued or refused on return.
 func (s *Scheduler) Add(now clock.Time, r Request) *Attempt {
-	a := &Attempt{Request: r, Ready: make(chan struct{})}
-	s.limitStart(now, a)
+	a := s.newAttempt(now, r)
 	if a.stopLimited && now.After(a.LatestStart) {
 		a.Refused = StopRefusal()
 		close(a.Ready)
@@ -185,6 +184,28 @@
 	return a
 }
 
+// TryAdd starts a request at once and returns its attempt. It returns nil, and changes nothing, if the request would
+// have to wait or may outlast the stop of this gateway.
+func (s *Scheduler) TryAdd(now clock.Time, r Request) *Attempt {
+	if !s.MayStart(now, &r) {
+		return nil
+	}
+	a := s.newAttempt(now, r)
+	c := s.choose(now, &a.Request)
+	if !c.found() || s.mustQueue(now, a) {
+		return nil
+	}
+	s.recordWanted(now, &a.Request)
+	s.start(now, a, c.best)
+	return a
+}
+
+func (s *Scheduler) newAttempt(now clock.Time, r Request) *Attempt {
+	a := &Attempt{Request: r, Ready: make(chan struct{})}
+	s.limitStart(now, a)
+	return a
+}
+
 // latestStartShare is the part of the caller's timeout within which a request has to start. On
 // upstreams loaded enough for requests to queue, the first event takes about as long again as the
 // wait; a request that starts later wastes a slot, as its caller disconnects first.
@@ -223,6 +244,16 @@
 	}
 }
 
+// RecordSilence records that the upstream of a started attempt has been silent for too long, although the attempt goes
+// on. New requests treat it as one whose connection failed.
+func (s *Scheduler) RecordSilence(now clock.Time, a *Attempt) { a.state.recordConnectionFailure(now) }
+
+// RecordProgress records that an attempt goes on after RecordSilence.
+func (s *Scheduler) RecordProgress(now clock.Time, a *Attempt) {
+	a.state.resetBackoff()
+	s.Dispatch(now)
+}
+
 // Outcome is how an attempt ended.
 type Outcome uint8
 
