--- a/entry/changes.go
+++ b/entry/changes.go
@@ -83,6 +83,19 @@
 	return clock.Span(float64(g.bounds.Load().RevocationDelay) * confirmShare)
 }
 
+// othersConfirmedAt returns the latest time at which the store is known to have answered another gateway; 0 if none is
+// known. It may be called from any goroutine.
+func (g *Gateway) othersConfirmedAt() clock.Time {
+	var latest clock.Time
+	for _, d := range g.peers.FreshDigests() {
+		sentAt, ok := g.peers.SentAt(d.From, d.GetLife(), clock.Time(d.GetSentMs()))
+		if ok && d.GetConfirmedMs() >= 0 && d.GetConfirmedMs() < noConfirmationMs {
+			latest = max(latest, sentAt.Add(-clock.Span(d.GetConfirmedMs())))
+		}
+	}
+	return latest
+}
+
 // sendChanges sends the changes that a watch has returned to the gateways of the zone that rely on it.
 func (g *Gateway) sendChanges(b feed.Batch) {
 	w := g.storeWatch.Load()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -130,7 +130,8 @@
 		Pause:       g.watchPause,
 		OnBatch:     g.sendChanges,
 
-		ConfirmInterval: g.confirmInterval,
+		ConfirmInterval:   g.confirmInterval,
+		OthersConfirmedAt: g.othersConfirmedAt,
 	})
 	return g, nil
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -148,12 +148,17 @@
 }
 
 func (c *cluster) startGateway(name string) *testGateway {
+	return c.startGatewayAt(name, c.store.Addr())
+}
+
+// startGatewayAt starts a gateway that reaches the store at the address.
+func (c *cluster) startGatewayAt(name, storeAddress string) *testGateway {
 	c.t.Helper()
 	public, first := freePorts(c.t)
 	ready, _ := freePorts(c.t)
 	settings := &platform.Settings{
 		VM: units.VMID(name), Zone: "zone-a", IP: "127.0.0.1", FirstStart: true, PublicAddress: public, ReadyAddress: ready,
-		FirstPort: first, LastPort: first + 1, StoreAddress: c.store.Addr(), MinLeaseTTL: clock.Second,
+		FirstPort: first, LastPort: first + 1, StoreAddress: storeAddress, MinLeaseTTL: clock.Second,
 		MemoryMegabytes: 284,
 		Bounds: platform.Bounds{
 			GracePeriod: 5 * clock.Second, RevocationDelay: 2500 * clock.Millisecond, LeaseTTL: 300, RetryRatio: 0.2, RetrySlack: 50,
--- a/feed/confirm_test.go
+++ b/feed/confirm_test.go
@@ -125,7 +125,7 @@
 	f := &auditedFeed{store: s}
 	f.feed = feed.New(feed.Options{
 		Clock: s.clock, Store: s, OnChange: f.onChange, OnConfirm: f.onConfirm,
-		OnOtherItem: func(platform.Item) {}, OnFullRead: func(map[string]bool) {},
+		OthersConfirmedAt: func() clock.Time { return 0 }, OnOtherItem: func(platform.Item) {}, OnFullRead: func(map[string]bool) {},
 		Pause: func() clock.Span { return 60 * clock.Millisecond }, ConfirmInterval: func() clock.Span { return 20 * clock.Millisecond }, OnBatch: func(feed.Batch) {},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -62,6 +62,9 @@
 	Pause func() clock.Span
 	// ConfirmInterval returns the least age of a confirmation before the store's revision is read again.
 	ConfirmInterval func() clock.Span
+	// OthersConfirmedAt returns the latest time at which the store is known to have answered another gateway; 0 if none is
+	// known.
+	OthersConfirmedAt func() clock.Time
 	// OnBatch is called after each watch with the changes that it returned, none included.
 	OnBatch func(b Batch)
 }
@@ -109,7 +112,7 @@
 // applyChanges applies the changes up to a revision.
 func (f *Feed) applyChanges(items []platform.Item, revision units.Revision) {
 	now := f.Clock.Now()
-	f.state.RecordStoreAnswer(now)
+	f.recordStoreAnswer(now)
 	f.state.Advance(revision)
 	changed := false
 	for _, i := range items {
@@ -120,6 +123,15 @@
 	}
 }
 
+// recordStoreAnswer records that a call to the store succeeded. How long entries that are missing may still come back depends
+// on when the store answered first, this gateway or another one.
+func (f *Feed) recordStoreAnswer(now clock.Time) {
+	f.state.RecordOthersAnswer(f.OthersConfirmedAt())
+	if f.state.RecordStoreAnswer(now) {
+		klog.InfoS("feed: outage is over", "revision", f.state.Revision(), "recovered", now.Sub(f.state.RecoveredAt()))
+	}
+}
+
 // nextDelay returns the delay before the next call, given the result of the last one.
 func (f *Feed) nextDelay(err error) time.Duration {
 	if err == nil {
@@ -148,11 +160,16 @@
 		// Other gateways reach the store; this one waits for their batches.
 		return pause.Duration()
 	}
-	f.state.RecordStoreFailure()
+	f.state.RecordStoreFailure(f.Clock.Now())
+	f.state.RecordOthersAnswer(f.OthersConfirmedAt())
 	if !f.storeDown {
 		klog.InfoS("feed: store does not answer", "err", err, "revision", f.state.Revision())
 	}
 	f.storeDown = true
+	if errors.Is(err, platform.ErrUnreachable) {
+		// The store has no work with this. Entries are kept for a time that begins with its answer, so that must not come late.
+		return minRetryDelay
+	}
 	f.retryDelay = min(max(f.retryDelay*2, minRetryDelay), maxRetryDelay)
 	return f.retryDelay/2 + rand.N(f.retryDelay/2+1)
 }
@@ -249,7 +266,7 @@
 		return err
 	}
 	now := f.Clock.Now()
-	f.state.RecordStoreAnswer(now)
+	f.recordStoreAnswer(now)
 	f.state.Advance(rev)
 	f.state.RecordStoreRevision(started, rev)
 	upstreams, zonesOut, keys := map[units.UpstreamID]bool{}, map[units.Zone]bool{}, map[string]bool{}
--- a/view/view.go
+++ b/view/view.go
@@ -51,9 +51,13 @@
 	// confirmed as of that time once it has reached that revision.
 	storeAt       clock.Time
 	storeRevision units.Revision
-	// failing is set while calls to the store fail.
-	failing bool
-	// recoveredAt is when the store answered after the last outage; 0 is never.
+	// failing is set while calls of this gateway to the store fail, since failedAt.
+	failing  bool
+	failedAt clock.Time
+	// othersAnsweredAt is the earliest known time since failedAt at which the store answered another gateway; 0 is never.
+	othersAnsweredAt clock.Time
+	// recoveredAt is the earliest known time at which the store answered any gateway after the last outage that this one
+	// has seen; 0 is never.
 	recoveredAt clock.Time
 }
 
@@ -78,16 +82,35 @@
 func (s *State) ConfirmedAt() clock.Time { return s.confirmedAt }
 
 // RecordStoreFailure records that a call to the store failed. Entries of live upstreams may expire
-// until it answers.
-func (s *State) RecordStoreFailure() { s.failing = true }
+// until the store answers somebody: it may be this gateway alone that does not reach it.
+func (s *State) RecordStoreFailure(now clock.Time) {
+	if !s.failing {
+		s.failing, s.failedAt, s.othersAnsweredAt = true, now, 0
+	}
+}
 
-// RecordStoreAnswer records that a call to the store succeeded.
-func (s *State) RecordStoreAnswer(now clock.Time) {
-	if s.failing {
-		s.failing, s.recoveredAt = false, now
+// RecordOthersAnswer records that the store answered another gateway at a time.
+func (s *State) RecordOthersAnswer(at clock.Time) {
+	if s.failing && at.After(s.failedAt) && (s.othersAnsweredAt == 0 || at.Before(s.othersAnsweredAt)) {
+		s.othersAnsweredAt = at
 	}
 }
 
+// RecordStoreAnswer records that a call to the store succeeded. It reports whether that ends an outage.
+func (s *State) RecordStoreAnswer(now clock.Time) bool {
+	if !s.failing {
+		return false
+	}
+	s.failing, s.recoveredAt = false, now
+	if s.othersAnsweredAt != 0 {
+		s.recoveredAt = min(now, s.othersAnsweredAt)
+	}
+	return true
+}
+
+// RecoveredAt returns the earliest known time at which the store answered any gateway after the last outage; 0 is never.
+func (s *State) RecoveredAt() clock.Time { return s.recoveredAt }
+
 // Advance records that all changes up to the revision have been applied.
 func (s *State) Advance(revision units.Revision) {
 	s.snap.Revision = max(s.snap.Revision, revision)
@@ -173,8 +196,8 @@
 	return ok
 }
 
-// Remove removes an upstream whose key was deleted. Shortly after a store outage it schedules the
-// removal instead, as entries of live upstreams may have expired; draining upstreams are removed
+// Remove removes an upstream whose key was deleted. Shortly after an outage of the store, not of this gateway's way
+// there alone, it schedules the removal instead, as entries of live upstreams may have expired; draining upstreams are removed
 // at once.
 func (s *State) Remove(now clock.Time, id units.UpstreamID) {
 	e, ok := s.snap.Upstreams[id]
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -39,7 +39,7 @@
 	s.RecordStoreAnswer(1000)
 	s.SetUpstream(1000, upstream("one"))
 	s.SetUpstream(1000, upstream("two"))
-	s.RecordStoreFailure()
+	s.RecordStoreFailure(1500)
 	s.RecordStoreAnswer(6000)
 	s.RemoveUnlisted(6000, map[units.UpstreamID]bool{}, nil)
 	assert.Assert(t, has(s, "one") && has(s, "two"))
@@ -49,6 +49,40 @@
 	assert.Assert(t, has(s, "two"))
 }
 
+// Guards against requests to removed upstreams by a gateway that was cut off from the store alone: the store had
+// answered others all the while, and no entry of a live upstream had expired.
+func TestRemovedAtOnceAfterOwnCut(t *testing.T) {
+	s := view.New()
+	s.RecordStoreAnswer(1000)
+	s.SetUpstream(1000, upstream("one"))
+	s.RecordStoreFailure(1500)
+	for at := clock.Time(1000); at < 6500; at += 300 {
+		s.RecordOthersAnswer(at)
+	}
+	s.RecordStoreAnswer(7000)
+	s.Remove(7100, "one")
+	assert.Assert(t, !has(s, "one"))
+}
+
+// Guards against entries that are kept for too long, or not at all, by a gateway that reaches the store again later than
+// others do: live upstreams write theirs within two seconds of the store's return.
+func TestLapsedEntriesStayFromTheFirstAnswerOn(t *testing.T) {
+	s := view.New()
+	s.RecordStoreAnswer(1000)
+	s.SetUpstream(1000, upstream("one"))
+	s.RecordStoreFailure(1500)
+	// This answer is from before the outage.
+	s.RecordOthersAnswer(1400)
+	s.RecordOthersAnswer(6000)
+	s.RecordOthersAnswer(6600)
+	s.RecordStoreAnswer(7000)
+	s.Remove(7100, "one")
+	assert.Assert(t, has(s, "one"))
+	assert.Assert(t, !s.Expire(8100))
+	assert.Assert(t, s.Expire(8300))
+	assert.Assert(t, !has(s, "one"))
+}
+
 // Guards against a draining upstream that becomes available again when its entry expires during an
 // outage.
 func TestDrainingEntryDoesNotReturn(t *testing.T) {
@@ -56,7 +90,7 @@
 	u := upstream("one")
 	u.Draining = true
 	s.SetUpstream(1000, u)
-	s.RecordStoreFailure()
+	s.RecordStoreFailure(1500)
 	s.RecordStoreAnswer(6000)
 	s.Remove(6000, "one")
 	assert.Assert(t, !has(s, "one"))
