--- a/entry/limiter.go
+++ b/entry/limiter.go
@@ -102,9 +102,7 @@
 	if d.Granted || len(d.Withdraw) == 0 {
 		return d.Granted, d.RetryAfter
 	}
-	collected := d.Collect(func(vm units.VMID, tokens, extra float64) (quota.Grant, bool) {
-		return l.withdraw(ctx, vm, c, tokens, extra)
-	})
+	collected := d.Collect(func(vm units.VMID, w quota.Withdrawal) (quota.Grant, bool) { return l.withdraw(ctx, vm, c, w) })
 	if !collected.Answered {
 		stats.Event("quota_pools_silent")
 	}
@@ -115,14 +113,14 @@
 }
 
 // withdraw asks a pool for tokens. It returns false if the pool does not answer in time.
-func (l *rateLimiter) withdraw(ctx context.Context, vm units.VMID, c *fleet.Customer, tokens, extra float64) (quota.Grant, bool) {
+func (l *rateLimiter) withdraw(ctx context.Context, vm units.VMID, c *fleet.Customer, request quota.Withdrawal) (quota.Grant, bool) {
 	address, id, w := l.newWithdrawal(vm, c)
 	if address == "" {
 		l.abandon(id)
 		return quota.Grant{}, false
 	}
 	l.peers.Send(&wire.Datagram{Body: &wire.Datagram_Withdrawal{Withdrawal: &wire.Withdrawal{
-		Id: id, Customer: string(c.ID), Tokens: tokens, Extra: extra,
+		Id: id, Customer: string(c.ID), Tokens: request.Tokens, Extra: request.Extra, Unspent: request.Unspent,
 	}}}, address)
 	timeout := time.NewTimer(withdrawalTimeout)
 	defer timeout.Stop()
@@ -180,18 +178,32 @@
 	return l.addresses[vm], l.lastWithdrawal, w
 }
 
-// Refund implements relay.Limiter: it returns the tokens of a request that has not run.
+// Spend implements relay.Limiter: a request whose tokens were taken is sent.
+func (l *rateLimiter) Spend(c *fleet.Customer, tokens float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quota.Spend(l.clock.Now(), c, tokens)
+}
+
+// Unspend implements relay.Limiter: a request that was sent has not run and waits again.
+func (l *rateLimiter) Unspend(c *fleet.Customer, tokens float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quota.Unspend(l.clock.Now(), c, tokens)
+}
+
+// Refund implements relay.Limiter: it returns the tokens of a request that waits and will not run.
 func (l *rateLimiter) Refund(c *fleet.Customer, tokens float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.quota.Credit(l.clock.Now(), c, tokens)
+	l.quota.Refund(l.clock.Now(), c, tokens)
 }
 
 // handleMessage handles a message about tokens from another gateway.
 func (l *rateLimiter) handleMessage(m *wire.Datagram, from netip.AddrPort) {
 	switch {
 	case m.GetWithdrawal() != nil:
-		l.peers.Reply(&wire.Datagram{Body: &wire.Datagram_Grant{Grant: l.handleWithdrawal(m.GetWithdrawal())}}, from)
+		l.peers.Reply(&wire.Datagram{Body: &wire.Datagram_Grant{Grant: l.handleWithdrawal(m.GetWithdrawal(), from)}}, from)
 	case m.GetGrant() != nil:
 		l.handleGrant(m.GetGrant())
 	case m.GetDeposits() != nil:
@@ -202,7 +214,7 @@
 // unknownCustomerRetry is the delay sent for a customer that this gateway's configuration doesn't have.
 const unknownCustomerRetry = 500 * clock.Millisecond
 
-func (l *rateLimiter) handleWithdrawal(w *wire.Withdrawal) *wire.TokenGrant {
+func (l *rateLimiter) handleWithdrawal(w *wire.Withdrawal, from netip.AddrPort) *wire.TokenGrant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c, ok := l.customers[units.CustomerID(w.GetCustomer())]
@@ -210,7 +222,7 @@
 		stats.Event("quota_customers_unknown")
 		return &wire.TokenGrant{Id: w.GetId(), RetryAfterMs: int64(unknownCustomerRetry)}
 	}
-	g := l.quota.Withdraw(l.clock.Now(), c, w.GetTokens(), w.GetExtra())
+	g := l.quota.Withdraw(l.clock.Now(), c, from.String(), quota.Withdrawal{Tokens: w.GetTokens(), Extra: w.GetExtra(), Unspent: w.GetUnspent()})
 	return &wire.TokenGrant{Id: w.GetId(), Tokens: g.Tokens, Available: g.Available, RetryAfterMs: int64(g.RetryAfter)}
 }
 
--- a/quota/account.go
+++ b/quota/account.go
@@ -20,8 +20,15 @@
 	refillRate float64
 	// available is the number of tokens that can be granted at once. It is negative after a request
 	// above the capacity.
-	available     float64
-	refilledAt    clock.Time
+	available  float64
+	refilledAt clock.Time
+	// unspent are the tokens of this gateway's requests that wait to be sent.
+	unspent float64
+	// otherUnspent are those of other gateways, by address, as they told this pool.
+	otherUnspent map[string]reportedTokens
+	// unspentShare is the fraction of all known unspent tokens that takes room in this bucket if it is a pool's; 0 if it is
+	// not: this gateway's own ones take room then.
+	unspentShare  float64
 	requestedRate float64
 	// meanCost is the moving average of the tokens of a request.
 	meanCost      float64
@@ -33,20 +40,27 @@
 	deposits int
 }
 
+// reportedTokens is a number of tokens that another gateway has reported.
+type reportedTokens struct {
+	tokens float64
+	at     clock.Time
+}
+
 // account returns the customer's account, refilled and with its shares updated.
 func (q *Limiter) account(now clock.Time, c *fleet.Customer) *account {
 	a, ok := q.accounts[c.ID]
 	if !ok {
 		// Half of the gateways begin with the second pool, so that both fill up evenly.
-		a = &account{refilledAt: now, rateUpdatedAt: now, deposits: int(xxhash.Sum64String(string(q.self)) % poolsPerCustomer)}
+		a = &account{refilledAt: now, rateUpdatedAt: now, otherUnspent: map[string]reportedTokens{}, deposits: int(xxhash.Sum64String(string(q.self)) % poolsPerCustomer)}
 		q.accounts[c.ID] = a
 	}
 	a.refill(now)
 	a.rate = c.Rate * (1 + q.rateMargin) / float64(q.gateways)
 	a.burst = q.burst(c) / float64(q.gateways)
 	a.capacity, a.refillRate = a.burst, a.rate
+	a.unspentShare = 0
 	if _, pooled := q.otherPools(now, c.ID); pooled {
-		a.capacity = q.poolCapacity(c)
+		a.capacity, a.unspentShare = q.poolCapacity(c), q.poolShare()
 		a.refillRate = max(a.rate, c.Rate*poolBurstShare)
 	}
 	if !ok {
@@ -59,16 +73,54 @@
 	return a
 }
 
-// refill adds tokens at the gateway's share of the rate. A level above the capacity is kept: it
-// consists of tokens that other gateways sent.
+// grant records that a request has its tokens.
+func (a *account) grant(tokens float64) Decision {
+	a.addUnspent(tokens)
+	return Decision{Granted: true}
+}
+
+// addUnspent adds to the gateway's unspent tokens, or removes some.
+func (a *account) addUnspent(tokens float64) {
+	if a.unspent += tokens; a.unspent < rounding {
+		a.unspent = 0
+	}
+}
+
+// recordUnspent records the unspent tokens that another gateway has reported.
+func (a *account) recordUnspent(now clock.Time, from string, tokens float64) {
+	if tokens <= 0 {
+		delete(a.otherUnspent, from)
+		return
+	}
+	a.otherUnspent[from] = reportedTokens{tokens, now}
+}
+
+// unspentRoom returns the room in the bucket that unspent tokens take. It forgets old reports.
+func (a *account) unspentRoom(now clock.Time) float64 {
+	if a.unspentShare == 0 {
+		return a.unspent
+	}
+	sum := a.unspent
+	for from, r := range a.otherUnspent {
+		if now.Sub(r.at) >= unspentTTL {
+			delete(a.otherUnspent, from)
+			continue
+		}
+		sum += r.tokens
+	}
+	return sum * a.unspentShare
+}
+
+// refill adds tokens at the gateway's share of the rate, as far as these and the unspent ones leave room. A level above
+// that is kept: it consists of tokens that other gateways sent or that were given back.
 func (a *account) refill(now clock.Time) {
 	span := now.Sub(a.refilledAt)
 	if span <= 0 {
 		return
 	}
 	a.refilledAt = now
-	if a.available < a.capacity {
-		a.available = min(a.available+a.rate*span.Seconds(), a.capacity)
+	if level := a.capacity - a.unspentRoom(now); a.available < level {
+		a.available = min(a.available+a.rate*span.Seconds(), level)
 	}
 }
 
--- a/quota/collect.go
+++ b/quota/collect.go
@@ -6,7 +6,7 @@
 )
 
 // WithdrawFunc withdraws tokens from the pool on a VM. It returns false if the pool did not answer.
-type WithdrawFunc func(vm units.VMID, tokens, extra float64) (Grant, bool)
+type WithdrawFunc func(vm units.VMID, w Withdrawal) (Grant, bool)
 
 // Collected is the result of Decision.Collect.
 type Collected struct {
@@ -25,7 +25,7 @@
 	available := map[units.VMID]float64{}
 	total := 0.0
 	for _, vm := range d.Withdraw {
-		g, ok := withdraw(vm, d.Tokens, d.Extra)
+		g, ok := withdraw(vm, Withdrawal{d.Tokens, d.Extra, d.Unspent})
 		if !ok {
 			continue
 		}
@@ -53,7 +53,7 @@
 		if part <= rounding {
 			continue
 		}
-		g, ok := withdraw(vm, part, 0)
+		g, ok := withdraw(vm, Withdrawal{part, 0, d.Unspent})
 		if !ok || g.Tokens <= 0 {
 			return collected
 		}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -2,7 +2,9 @@
 // bucket at an equal share of the customer's rate. The tokens of a customer are pooled at two
 // gateways: the others deposit there what they don't need and withdraw what a request costs. Tokens
 // are deducted before they are sent, so a lost message loses tokens and never adds any, and the sum
-// stays within the limit whatever gateways believe about each other. The package performs no I/O. It
+// stays within the limit whatever gateways believe about each other. Tokens of requests that wait to be
+// sent to an upstream are unspent: they count as if they were still in the bucket, so that it is not
+// refilled in their place and the burst bounds what can be used at once. The package performs no I/O. It
 // handles many gateways that each see few requests of a customer, customers that exceed their rate
 // several times over, and callers that are spread unevenly over the gateways.
 package quota
@@ -30,6 +32,8 @@
 	// maxReserveShare is the part of its share of the burst that a gateway keeps at most. The rest is
 	// room for what it refills until the next deposit.
 	maxReserveShare = 0.25
+	// unspentTTL is how long another gateway's unspent tokens are believed.
+	unspentTTL = 2 * clock.Second
 	// rounding is the error in tokens that sums of amounts may have.
 	rounding = 0.001
 	// costWeight is the weight of one request in the moving average of requests' costs.
@@ -103,12 +107,14 @@
 	Reserved float64
 	// Tokens is what the request lacks, Extra what this gateway would like to have beyond it.
 	Tokens, Extra float64
+	// Unspent are this gateway's unspent tokens of the customer.
+	Unspent float64
 	// RetryAfter is the delay after which a retry can succeed if the tokens are refused.
 	RetryAfter clock.Span
 }
 
-// Take deducts tokens from the customer's bucket, or says where to withdraw them. Customers without
-// a rate are not limited.
+// Take deducts tokens from the customer's bucket, or says where to withdraw them. Granted tokens are unspent until
+// Spend or Refund. Customers without a rate are not limited.
 func (q *Limiter) Take(now clock.Time, c *fleet.Customer, tokens float64) Decision {
 	if c.Rate <= 0 {
 		return Decision{Granted: true}
@@ -117,18 +123,22 @@
 	a.recordDemand(now, tokens)
 	if a.available >= tokens {
 		a.available -= tokens
-		return Decision{Granted: true}
+		return a.grant(tokens)
 	}
 	if now.Before(a.refusedUntil) {
 		return Decision{RetryAfter: a.retryAt.Sub(now)}
 	}
 	others, pooled := q.otherPools(now, c.ID)
 	if pooled || len(others) == 0 {
-		if d := a.takeFromFull(tokens, a.capacity); d.Granted || len(others) == 0 {
+		d := a.takeFromFull(tokens, a.capacity)
+		if d.Granted {
+			return a.grant(tokens)
+		}
+		if len(others) == 0 {
 			return d
 		}
 	}
-	d := Decision{Withdraw: others, Reserved: max(a.available, 0), Extra: a.reserve(), RetryAfter: a.delayUntil(tokens)}
+	d := Decision{Withdraw: others, Reserved: max(a.available, 0), Extra: a.reserve(), Unspent: a.unspent, RetryAfter: a.delayUntil(tokens)}
 	d.Tokens = tokens - d.Reserved
 	a.available -= d.Reserved
 	return d
@@ -144,9 +154,13 @@
 	switch {
 	case collected.Tokens >= d.Tokens-rounding:
 		a.available -= tokens
-		return Decision{Granted: true}
+		return a.grant(tokens)
 	case !collected.Answered:
-		return a.takeFromFull(tokens, a.burst)
+		d := a.takeFromFull(tokens, a.burst)
+		if d.Granted {
+			return a.grant(tokens)
+		}
+		return d
 	default:
 		a.refuse(now, collected.RetryAfter)
 		return Decision{RetryAfter: collected.RetryAfter}
@@ -163,13 +177,23 @@
 	RetryAfter clock.Span
 }
 
-// Withdraw deducts tokens of the customer for another gateway, and up to extra more if this pool is
-// well filled. If there are too few, it deducts nothing.
-func (q *Limiter) Withdraw(now clock.Time, c *fleet.Customer, tokens, extra float64) Grant {
+// Withdrawal is what a gateway asks a pool for.
+type Withdrawal struct {
+	// Tokens are needed, Extra is wanted beyond them.
+	Tokens, Extra float64
+	// Unspent are the gateway's unspent tokens of the customer.
+	Unspent float64
+}
+
+// Withdraw deducts tokens of the customer for another gateway, which the address identifies, and up to extra more if
+// this pool is well filled. If there are too few, it deducts nothing.
+func (q *Limiter) Withdraw(now clock.Time, c *fleet.Customer, from string, w Withdrawal) Grant {
+	tokens, extra := w.Tokens, w.Extra
 	if c.Rate <= 0 {
 		return Grant{Tokens: tokens + extra}
 	}
 	a := q.account(now, c)
+	a.recordUnspent(now, from, w.Unspent)
 	d := a.takeFromFull(tokens, a.capacity)
 	if !d.Granted {
 		return Grant{Available: max(a.available, 0), RetryAfter: d.RetryAfter}
@@ -179,13 +203,36 @@
 	return Grant{Tokens: tokens + extra}
 }
 
-// Credit adds tokens that a pool granted too late, or that a request did not use.
+// Credit adds tokens that a pool granted too late.
 func (q *Limiter) Credit(now clock.Time, c *fleet.Customer, tokens float64) {
 	if tokens > 0 && c.Rate > 0 {
 		q.account(now, c).available += tokens
 	}
 }
 
+// Spend records that a request with granted tokens is sent to an upstream.
+func (q *Limiter) Spend(now clock.Time, c *fleet.Customer, tokens float64) {
+	if c.Rate > 0 {
+		q.account(now, c).addUnspent(-tokens)
+	}
+}
+
+// Unspend records that a request was sent in vain and waits again, since no upstream has run it.
+func (q *Limiter) Unspend(now clock.Time, c *fleet.Customer, tokens float64) {
+	if c.Rate > 0 {
+		q.account(now, c).addUnspent(tokens)
+	}
+}
+
+// Refund returns the unspent tokens of a request that has not run and never will.
+func (q *Limiter) Refund(now clock.Time, c *fleet.Customer, tokens float64) {
+	if tokens > 0 && c.Rate > 0 {
+		a := q.account(now, c)
+		a.addUnspent(-tokens)
+		a.available += tokens
+	}
+}
+
 // Receive adds tokens that another gateway has deposited. What exceeds the part of the burst that a
 // pool may hold is dropped.
 func (q *Limiter) Receive(now clock.Time, c *fleet.Customer, tokens float64) {
@@ -193,7 +240,7 @@
 		return
 	}
 	a := q.account(now, c)
-	a.available = max(min(a.available+tokens, q.poolCapacity(c)), a.available)
+	a.available = max(min(a.available+tokens, q.poolCapacity(c)-a.unspentRoom(now)), a.available)
 }
 
 // burst returns the customer's burst with the margin.
@@ -201,9 +248,12 @@
 
 // poolCapacity returns the number of tokens that a pool may hold.
 func (q *Limiter) poolCapacity(c *fleet.Customer) float64 {
-	return q.burst(c) * max(poolBurstShare, 1/float64(q.gateways))
+	return q.burst(c) * q.poolShare()
 }
 
+// poolShare returns the fraction of a burst that a pool may hold.
+func (q *Limiter) poolShare() float64 { return max(poolBurstShare, 1/float64(q.gateways)) }
+
 // Deposit is an amount of a customer's tokens to be sent to a pool.
 type Deposit struct {
 	Customer units.CustomerID
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -23,6 +23,8 @@
 	slack  = 17_000.0
 	// depositInterval is the interval of deposits in the simulation.
 	depositInterval = 500
+	// maxWait is how long a request waits for an upstream.
+	maxWait = 1350 * clock.Millisecond
 )
 
 // cluster is a set of gateways in simulated time that exchange withdrawals and deposits. Messages
@@ -40,8 +42,11 @@
 	requests, wronglyRefused int
 	requested, grantedSum    float64
 	down                     map[int]bool
-	lost                     float64
-	meanTokens               float64
+	upstreamsDown            bool
+	// waiting are the requests that wait for an upstream, oldest first.
+	waiting    []waitingRequest
+	lost       float64
+	meanTokens float64
 }
 
 func newCluster(n int, rate, burst float64, seed uint64) *cluster {
@@ -103,13 +108,13 @@
 
 // withdrawFor returns a function that makes withdrawals for gateway i.
 func (s *cluster) withdrawFor(now clock.Time, i int) quota.WithdrawFunc {
-	return func(vm units.VMID, tokens, extra float64) (quota.Grant, bool) {
+	return func(vm units.VMID, w quota.Withdrawal) (quota.Grant, bool) {
 		pool := s.index(vm)
 		if s.down[pool] || s.isLost() {
 			s.gateways[i].RecordSilence(now, vm)
 			return quota.Grant{}, false
 		}
-		g := s.gateways[pool].Withdraw(now, s.customer, tokens, extra)
+		g := s.gateways[pool].Withdraw(now, s.customer, string(s.members[i].VM), w)
 		if s.isLost() {
 			s.gateways[i].RecordSilence(now, vm)
 			return quota.Grant{}, false
@@ -129,6 +134,7 @@
 		if now%depositInterval == 0 {
 			s.deposit(now)
 		}
+		s.refuseWaiting(now)
 		for n := load / s.meanTokens / 1000; n > 0; n-- {
 			if s.random.Float64() > n {
 				continue
@@ -150,14 +156,54 @@
 	s.requests++
 	s.requested += tokens
 	granted := s.reference.Take(now, s.customer, tokens).Granted
+	if granted {
+		s.reference.Spend(now, s.customer, tokens)
+	}
 	if s.take(now, i, tokens) {
-		s.granted[now] += tokens
-		s.grantedSum += tokens
+		s.serve(now, i, tokens)
 	} else if granted {
 		s.wronglyRefused++
 	}
 }
 
+// waitingRequest is a request with tokens that waits for an upstream.
+type waitingRequest struct {
+	gateway int
+	tokens  float64
+	// refusedAt is when it is refused.
+	refusedAt clock.Time
+}
+
+// serve sends a request with its tokens, or lets it wait while upstreams are down.
+func (s *cluster) serve(now clock.Time, i int, tokens float64) {
+	if s.upstreamsDown {
+		s.waiting = append(s.waiting, waitingRequest{i, tokens, now.Add(maxWait)})
+		return
+	}
+	s.gateways[i].Spend(now, s.customer, tokens)
+	s.granted[now] += tokens
+	s.grantedSum += tokens
+}
+
+// refuseWaiting refuses the requests that have waited too long.
+func (s *cluster) refuseWaiting(now clock.Time) {
+	n := 0
+	for n < len(s.waiting) && !now.Before(s.waiting[n].refusedAt) {
+		s.gateways[s.waiting[n].gateway].Refund(now, s.customer, s.waiting[n].tokens)
+		n++
+	}
+	s.waiting = s.waiting[n:]
+}
+
+// recover brings the upstreams back, which serve all requests that wait.
+func (s *cluster) recover(now clock.Time) {
+	s.upstreamsDown = false
+	for _, w := range s.waiting {
+		s.serve(now, w.gateway, w.tokens)
+	}
+	s.waiting = nil
+}
+
 // maxInWindow returns the highest number of tokens granted in any window.
 func (s *cluster) maxInWindow(to clock.Time) float64 {
 	sum, highest := 0.0, 0.0
@@ -210,6 +256,41 @@
 	}
 }
 
+// Guards against a customer that gets several seconds' worth of its rate at once after a time in which nothing could run:
+// its requests waited with their tokens and gave them back, and the buckets were refilled meanwhile.
+func TestRefusedRequestsDontRaiseTheRate(t *testing.T) {
+	for _, n := range []int{1, 3, 6, 31} {
+		for seed := range uint64(4) {
+			s := newCluster(n, 85_000, 85_000, seed)
+			s.meanTokens = 500
+			s.sendLoad(1, 5000, 50_000, even)
+			s.sendLoad(5000, 15_000, 300_000, uneven)
+			s.upstreamsDown = true
+			s.sendLoad(15_000, 20_000, 300_000, uneven)
+			s.recover(20_000)
+			s.grantedSum = 0
+			s.sendLoad(20_000, 30_000, 300_000, uneven)
+			assert.Check(t, s.maxInWindow(30_000) <= s.bound(), "%d gateways, seed %d: %.0f tokens, bound %.0f", n, seed, s.maxInWindow(30_000), s.bound())
+			assert.Check(t, s.grantedSum > 85_000*10*0.8, "%d gateways, seed %d: only %.0f tokens", n, seed, s.grantedSum)
+		}
+	}
+}
+
+// Guards against a customer within its rate that is refused while its requests wait for busy upstreams.
+func TestWaitingRequestsAreNotRefusedByTheirTokens(t *testing.T) {
+	for _, n := range []int{3, 31} {
+		s := newCluster(n, 85_000, 85_000, 1)
+		s.meanTokens = 500
+		s.sendLoad(1, 2000, 0, uneven)
+		for at := clock.Time(2000); at < 12_000; at += 500 {
+			s.upstreamsDown = true
+			s.sendLoad(at, at+500, 85_000*0.5, uneven)
+			s.recover(at + 500)
+		}
+		assert.Check(t, s.wronglyRefused*200 <= s.requests, "%d gateways: %d of %d refused", n, s.wronglyRefused, s.requests)
+	}
+}
+
 // Guards against refusals of customers within their rate: where each gateway has an equal share, a
 // request costs more than the share of one among many gateways.
 func TestRequestsWithinRateAreGranted(t *testing.T) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -188,6 +188,20 @@
 	}
 }
 
+// spendTokens records that the customer's tokens are used by the first run of the request, which may begin now.
+func (x *exchange) spendTokens() {
+	if x.customer != nil && x.runs == 0 {
+		x.server.Limiter.Spend(x.customer, x.tokenCost())
+	}
+}
+
+// unspendTokens takes spendTokens back if the request has still not run.
+func (x *exchange) unspendTokens() {
+	if x.customer != nil && x.runs == 0 {
+		x.server.Limiter.Unspend(x.customer, x.tokenCost())
+	}
+}
+
 // refundUnused returns the customer's tokens if the request has not run.
 func (x *exchange) refundUnused() {
 	if x.runs == 0 {
@@ -223,7 +237,9 @@
 	x.upstream = scheduled.Upstream.ID
 	x.tried = append(x.tried, scheduled.Upstream.ID)
 	a := x.newAttempt(scheduled, ticket)
+	x.spendTokens()
 	outcome := a.run(ctx)
+	x.unspendTokens()
 	x.server.finishAttempt(x.fingerprint, scheduled, outcome)
 	a.endTicket(ctx, outcome)
 	if outcome != sched.Served && outcome != sched.Canceled {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -33,6 +33,10 @@
 
 func (unlimited) Take(context.Context, *fleet.Customer, float64) (bool, clock.Span) { return true, 0 }
 
+func (unlimited) Spend(*fleet.Customer, float64) {}
+
+func (unlimited) Unspend(*fleet.Customer, float64) {}
+
 func (unlimited) Refund(*fleet.Customer, float64) {}
 
 // testGateway is a gateway in front of scripted replicas.
--- a/relay/server.go
+++ b/relay/server.go
@@ -25,7 +25,11 @@
 	// and returns false and the time after which a retry may succeed. It may wait for other gateways,
 	// but not much longer than until ctx is done.
 	Take(ctx context.Context, c *fleet.Customer, tokens float64) (bool, clock.Span)
-	// Refund returns tokens that were charged for a request that has not run.
+	// Spend records that a request whose tokens were charged is sent to an upstream, Unspend that no upstream has run it
+	// and that it waits again.
+	Spend(c *fleet.Customer, tokens float64)
+	Unspend(c *fleet.Customer, tokens float64)
+	// Refund returns tokens that were charged for a request that waits and will not run.
 	Refund(c *fleet.Customer, tokens float64)
 }
 
