--- a/agent/forward.go
+++ b/agent/forward.go
@@ -22,9 +22,10 @@
 )
 
 const (
-	dialTimeout    = time.Second
-	chunkBytes     = 32 << 10
-	maxHeaderBytes = 64 << 10
+	dialTimeout = time.Second
+	chunkBytes  = 32 << 10
+	// maxHeaderBytes is the size up to which the header of a response is read. A parsed one takes many times its size.
+	maxHeaderBytes = 32 << 10
 )
 
 // forwarder sends requests to the upstream.
--- a/store/call.go
+++ b/store/call.go
@@ -18,6 +18,8 @@
 
 const (
 	defaultTimeout = clock.Second
+	// maxHeaderBytes bounds the header of a response. A parsed one takes many times its size.
+	maxHeaderBytes = 16 << 10
 	// maxResponseBytes bounds a response, such as a page of values in base64.
 	maxResponseBytes = 256 << 20
 	// maxErrorBytes bounds the part of an error response that goes into the error.
@@ -82,7 +84,7 @@
 		o.Clock = clock.System{}
 	}
 	dialer := &net.Dialer{Timeout: o.Timeout.Duration()}
-	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{url: "http://" + o.Address, http: &http.Client{Transport: transport},
 		timeout: o.Timeout, clock: o.Clock}
 }
--- a/store/watch.go
+++ b/store/watch.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"slices"
 
@@ -109,8 +110,10 @@
 		return err
 	}
 	defer response.Body.Close()
-	decoder := json.NewDecoder(response.Body)
+	body := &messageReader{in: response.Body}
+	decoder := json.NewDecoder(body)
 	for {
+		body.left = maxResponseBytes
 		var message watchResponse
 		if err := decoder.Decode(&message); err != nil {
 			if streamCtx.Err() != nil {
@@ -203,3 +206,22 @@
 	w.lastRevision = revision
 	return nil
 }
+
+// errMessageTooLarge means that a message of a watch exceeds maxResponseBytes.
+var errMessageTooLarge = errors.New("message of the watch is too large")
+
+// messageReader fails once as many bytes were read as are left for the current message.
+type messageReader struct {
+	in   io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (r *messageReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errMessageTooLarge
+	}
+	n, err := r.in.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	return n, err //nolint:wrapcheck // the decoder compares with io.EOF
+}
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -23,6 +23,8 @@
 	defaultInterval  = 500 * clock.Millisecond
 	defaultTimeout   = clock.Second
 	maxResponseBytes = 16 << 20
+	// maxHeaderBytes is the size up to which the header of a response is read. A parsed one takes many times its size.
+	maxHeaderBytes = 16 << 10
 )
 
 // Role is the role of a VM.
@@ -108,7 +110,7 @@
 	}
 	// A connection for each poll: on one in use again, a late copy of an earlier list, which bears no mark of its poll,
 	// would count as requested at RequestedAt.
-	h := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: o.Timeout.Duration()}
+	h := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}, Timeout: o.Timeout.Duration()}
 	return &Client{options: o, http: h, updates: make(chan *List, 1)}
 }
 
