--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -40,7 +40,7 @@
 func (x *exchange) newAttempt(scheduled *sched.Attempt, ticket *parts.Ticket) *attempt {
 	now := x.server.Clock.Now()
 	return &attempt{
-		exchange: x, scheduled: scheduled, ticket: ticket, assignedAt: now, stream: newEventSplitter(&x.delivered),
+		exchange: x, scheduled: scheduled, ticket: ticket, assignedAt: now, stream: newEventSplitter(&x.delivered, &x.server.eventBudget),
 		silence: silence{progressAt: now},
 	}
 }
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -171,3 +171,51 @@
 		})
 	}
 }
+
+// Guards against a gateway that runs out of memory because many upstreams send events that never end, each below the
+// limit of one event; streams with whole events go on.
+func TestUnfinishedEventsOfAllStreamsAreBounded(t *testing.T) {
+	const (
+		streams    = 12
+		eventBytes = 200 << 10
+		// bodyBudget leaves half of it for unfinished events, that is five of them.
+		bodyBudget = 2 << 20
+	)
+	done := make(chan struct{})
+	faulty := startReplica(t, "one", func(r *fakes.Request) {
+		if r.URL.Path == "/stream/sound" {
+			r.Stream(1, 2, false)
+			<-done
+			r.Chunk(fakes.Event(3))
+			r.WriteRaw("0\r\n\r\n")
+			return
+		}
+		r.WriteRaw(fakes.Head(r.RequestID, "200 OK") + "Content-Type: text/event-stream\r\n\r\n" + strings.Repeat("x", eventBytes))
+		<-done
+	})
+	g := newTestGatewayWithBudget(t, bodyBudget, faulty)
+	sound, ended := make(chan result, 1), make(chan result, streams)
+	go func() { sound <- g.postStream("/stream/sound") }()
+	for len(faulty.Requests()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	refused := 0
+	for range streams {
+		go func() { ended <- g.postStream("/stream/faulty") }()
+	}
+	timeout := time.After(1200 * time.Millisecond)
+	for waiting := true; waiting; {
+		select {
+		case got := <-ended:
+			assert.Check(t, got.err != nil || got.status >= http.StatusBadRequest, "status %d", got.status)
+			refused++
+		case <-timeout:
+			waiting = false
+		}
+	}
+	close(done)
+	assert.Assert(t, refused >= streams-5, "%d of %d streams were given up", refused, streams)
+	got := <-sound
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventRange(1, 3))
+}
--- a/relay/event.go
+++ b/relay/event.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"strconv"
+
+	"github.com/magnolialever/magnolialever/stats"
 )
 
 // eventSplitter splits the stream of one attempt into complete events and records them as delivered. The stream may
@@ -13,6 +15,9 @@
 	delivered *delivery
 	// pending holds the bytes of an incomplete event.
 	pending []byte
+	// budget limits the bytes of incomplete events of all streams, of which this one has acquired budgetHeld.
+	budget     *bodyBudget
+	budgetHeld int64
 	// skipThrough is the numeric identifier up to which events of a resumed stream repeat earlier
 	// ones and are dropped. It applies while skipping is set.
 	skipThrough int64
@@ -20,9 +25,9 @@
 }
 
 // newEventSplitter returns the splitter of an attempt whose caller has got delivered. If that is a part of a stream, the
-// attempt resumes it.
-func newEventSplitter(delivered *delivery) *eventSplitter {
-	e := &eventSplitter{delivered: delivered}
+// attempt resumes it. release has to be called when the attempt ends.
+func newEventSplitter(delivered *delivery, budget *bodyBudget) *eventSplitter {
+	e := &eventSplitter{delivered: delivered, budget: budget}
 	if !delivered.headSent {
 		return e
 	}
@@ -40,17 +45,27 @@
 // maxEventBytes is the maximum size of an event. An upstream in trouble may send bytes without end.
 const maxEventBytes = 256 << 10
 
+// freePendingBytes is the size of an incomplete event up to which the budget doesn't count it.
+const freePendingBytes = readBuffer
+
 // errEventTooLarge means that an event exceeds maxEventBytes.
 var errEventTooLarge = errors.New("event of the stream is too large")
 
+// errEventBudget means that the incomplete events of all streams together exceed their budget.
+var errEventBudget = errors.New("budget for incomplete events is exhausted")
+
 // errEventOrder means that an event's identifier is not above that of the event before it.
 var errEventOrder = errors.New("identifiers of events do not increase")
 
 // add appends bytes of the stream and returns the events that are complete now, without repeated
 // ones. The result is valid until the next call. It fails with errEventTooLarge if the incomplete
-// event exceeds the limit, and with errEventOrder after the events that it returns.
+// event exceeds the limit, with errEventBudget if those of all streams do, and with errEventOrder after the events that
+// it returns.
 func (e *eventSplitter) add(p []byte) ([]byte, error) {
 	data, known := p, 0
+	if err := e.holdBudget(len(e.pending) + len(p)); err != nil {
+		return nil, err
+	}
 	if len(e.pending) > 0 {
 		// A separator may begin with the last byte that was there.
 		known = len(e.pending) - 1
@@ -70,9 +85,30 @@
 	end += known + len(eventSeparator)
 	complete := bytes.Clone(data[:end])
 	e.pending = append([]byte(nil), data[end:]...)
+	e.release()
 	return e.filterRepeated(complete)
 }
 
+// holdBudget acquires budget for an incomplete event of n bytes.
+func (e *eventSplitter) holdBudget(n int) error {
+	more := int64(n) - e.budgetHeld
+	if n <= freePendingBytes || more <= 0 {
+		return nil
+	}
+	if !e.budget.acquire(more) {
+		stats.Event("event_budget_exhausted")
+		return errEventBudget
+	}
+	e.budgetHeld += more
+	return nil
+}
+
+// release returns the budget that the splitter holds.
+func (e *eventSplitter) release() {
+	e.budget.release(e.budgetHeld)
+	e.budgetHeld = 0
+}
+
 // filterRepeated drops repeated events and records the others as delivered. It overwrites its argument. It stops with
 // errEventOrder before an event that is out of order.
 func (e *eventSplitter) filterRepeated(complete []byte) ([]byte, error) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -239,6 +239,7 @@
 	a := x.newAttempt(scheduled, ticket)
 	x.spendTokens()
 	outcome := a.run(ctx)
+	a.stream.release()
 	x.unspendTokens()
 	x.server.finishAttempt(x.fingerprint, scheduled, outcome)
 	a.endTicket(ctx, outcome)
--- a/relay/server.go
+++ b/relay/server.go
@@ -76,6 +76,9 @@
 	// responseBudget limits the bytes of upstreams' responses buffered at once. It has the same limit
 	// as bodyBudget, but is separate: an answer must not fail because of requests that wait.
 	responseBudget bodyBudget
+	// eventBudget limits the bytes of incomplete events, apart from both: upstreams that never end an event must not fail
+	// sound answers.
+	eventBudget bodyBudget
 	// active counts requests in progress.
 	active atomic.Int64
 
@@ -85,6 +88,9 @@
 	gateways     int
 }
 
+// eventBudgetPart divides the budget for bodies to give that for incomplete events.
+const eventBudgetPart = 2
+
 // New returns a Server without a configuration; it refuses requests until SetView is called.
 func New(o Options) *Server {
 	s := &Server{
@@ -99,6 +105,7 @@
 		s.bodyBudget.limit = DefaultBodyBudget
 	}
 	s.responseBudget.limit = s.bodyBudget.limit
+	s.eventBudget.limit = s.bodyBudget.limit / eventBudgetPart
 	s.ended, s.end = context.WithCancel(context.Background())
 	s.view.Store(&view.Snapshot{})
 	return s
