--- a/relay/call.go
+++ b/relay/call.go
@@ -215,9 +215,9 @@
 // readFinalHead reads response heads up to the first that is not informational (1xx).
 func (rs *response) readFinalHead(r *request) (*http.Response, error) {
 	for range maxInformational {
-		rs.conn.headBytesLeft = maxHeadBytes
+		rs.conn.beginHead()
 		res, err := http.ReadResponse(rs.conn.reader, &http.Request{Method: r.method})
-		rs.conn.headBytesLeft = -1
+		rs.conn.headLimit = headLimit{}
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -29,13 +29,15 @@
 	idleTimeoutShare = 0.7
 	// maxIdlePerUpstream is the maximum number of idle connections per upstream address.
 	maxIdlePerUpstream = 24
-	// maxHeadBytes is the maximum size of a response head.
+	// maxHeadBytes is the maximum size of a response head, maxHeadLines that of its lines: a parsed line takes many
+	// times the memory of a short one.
 	maxHeadBytes = 64 << 10
+	maxHeadLines = 256
 	// readBuffer is the size in bytes of read buffers; it holds several events of a stream.
 	readBuffer = 8 << 10
 )
 
-// errHeadTooLarge means that the head of a response exceeds maxHeadBytes.
+// errHeadTooLarge means that the head of a response exceeds maxHeadBytes or maxHeadLines.
 var errHeadTooLarge = errors.New("response head is too large")
 
 // errNotSent means that no byte of the request can have reached the upstream.
@@ -48,8 +50,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// headBytesLeft limits the bytes read for the head of a response; negative means no limit.
-	headBytesLeft int
+	// headLimit limits what is read for the head of a response.
+	headLimit headLimit
 	// onSilence, if set, is called when the read deadline has passed without a byte. It returns the next read deadline,
 	// a wall-clock time, or false if the read is to fail.
 	onSilence func() (time.Time, bool)
@@ -79,18 +81,14 @@
 // carriesFirst reports whether the connection has carried one request only.
 func (c *conn) carriesFirst() bool { return len(c.requestIDs) == 1 }
 
-// Read reads from the connection and fails with errHeadTooLarge at the limit headBytesLeft.
+// Read reads from the connection and fails with errHeadTooLarge beyond the limit of a head.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.headBytesLeft == 0 {
-		return 0, errHeadTooLarge
-	}
-	if c.headBytesLeft > 0 && len(p) > c.headBytesLeft {
-		p = p[:c.headBytesLeft]
+	p, err := c.headLimit.limit(p)
+	if err != nil {
+		return 0, err
 	}
 	n, err := c.readPatiently(p)
-	if c.headBytesLeft > 0 {
-		c.headBytesLeft -= n
-	}
+	c.headLimit.count(p[:n])
 	return n, err
 }
 
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -219,3 +220,36 @@
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.body, eventRange(1, 3))
 }
+
+// Guards against a gateway that runs out of memory because a head has very many lines, which take many times their size
+// once they are parsed.
+func TestHeadOfManyLinesIsRejected(t *testing.T) {
+	lines := func(n int) string {
+		var b strings.Builder
+		for i := range n {
+			fmt.Fprintf(&b, "X-%d: y\r\n", i)
+		}
+		return b.String()
+	}
+	var closed atomic.Bool
+	replica := startReplica(t, "one", func(r *fakes.Request) {
+		if r.URL.Path == "/read/few" {
+			r.WriteRaw(fakes.Head(r.RequestID, "200 OK") + lines(100) + "Content-Length: 300\r\n\r\n" + strings.Repeat("\n", 300))
+			return
+		}
+		r.WriteRaw(fakes.Head(r.RequestID, "200 OK") + lines(2000))
+		r.WaitForClose()
+		closed.Store(true)
+	})
+	g := newTestGateway(t, replica)
+	begun := time.Now()
+	got := g.post("/once/many", "x")
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Assert(t, time.Since(begun) < time.Second, "given up after %v", time.Since(begun))
+	for end := begun.Add(5 * time.Second); !closed.Load(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the connection stays open")
+	}
+	got = g.get("/read/few")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, strings.Repeat("\n", 300))
+}
