--- a/relay/call.go
+++ b/relay/call.go
@@ -115,7 +115,7 @@
 	if !reused && p.onDial != nil {
 		p.onDial()
 	}
-	stopCancel := context.AfterFunc(ctx, func() { c.closeNow() })
+	stopCancel := context.AfterFunc(ctx, c.abort)
 	res := &response{pool: p, address: address, conn: c, stopCancel: stopCancel}
 	if err := res.send(data, headDeadline, r.deadline); err != nil {
 		res.abort()
@@ -243,7 +243,7 @@
 // can't be used again.
 func (rs *response) release() {
 	if !rs.stopCancel() {
-		rs.conn.closeNow()
+		rs.conn.abort()
 		return
 	}
 	if rs.sendDone != nil {
@@ -267,10 +267,10 @@
 	rs.pool.put(rs.address, rs.conn, rs.IdleTimeout)
 }
 
-// abort closes the connection, on which the upstream cancels the request.
+// abort resets the connection, on which the upstream cancels the request.
 func (rs *response) abort() {
 	rs.stopCancel()
-	rs.conn.closeNow()
+	rs.conn.abort()
 }
 
 // wallTime converts t of package clock to a wall-clock time for connection deadlines; now is the
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -113,6 +113,16 @@
 // closeNow closes the connection and ignores the error, since the connection isn't used again.
 func (c *conn) closeNow() { _ = c.Close() }
 
+// abort resets the connection, so that bytes of the request that have not arrived are dropped. Otherwise the kernel sends them
+// as soon as a cut has healed, long after the request was given up.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// It fails only for a connection that is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	c.closeNow()
+}
+
 // idleState returns the state of the connection, on which no request is under way. Unread bytes can't be matched to a
 // request.
 func (c *conn) idleState() socket.State {
