--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,6 +40,10 @@
 // may be in memory twice while it is sent.
 const bodyBudgetPart = 5
 
+// sendTimeoutShare is the part of the delay within which upstreams that leave get no more requests for which a request may
+// be on its way.
+const sendTimeoutShare = 0.75
+
 // inboxSize is the number of messages that are buffered for the control loop.
 const inboxSize = 256
 
@@ -92,11 +96,12 @@
 		DigestInterval: peers.DigestInterval,
 	})
 	g.relay = relay.New(relay.Options{
-		Parts:      g.parts,
-		Clock:      g.clock,
-		Scheduler:  sched.New(settings.Zone, sched.ColdTolerance{Factor: settings.Bounds.ColdFactor, Slack: settings.Bounds.ColdSlack}),
-		Limiter:    g.limiter,
-		BodyBudget: int64(settings.MemoryMegabytes) << 20 / bodyBudgetPart,
+		Parts:       g.parts,
+		Clock:       g.clock,
+		Scheduler:   sched.New(settings.Zone, sched.ColdTolerance{Factor: settings.Bounds.ColdFactor, Slack: settings.Bounds.ColdSlack}),
+		Limiter:     g.limiter,
+		SendTimeout: clock.Span(float64(settings.Bounds.DrainDelay) * sendTimeoutShare),
+		BodyBudget:  int64(settings.MemoryMegabytes) << 20 / bodyBudgetPart,
 		Retries: retry.WindowLimit{
 			Ratio: settings.Bounds.RetryRatio, Slack: settings.Bounds.RetrySlack, Span: settings.Bounds.RetryWindow,
 		},
--- a/relay/abort_test.go
+++ b/relay/abort_test.go
@@ -5,21 +5,27 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
+	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/platform/fakes"
+	"github.com/magnolialever/magnolialever/relay"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
 )
 
-// newUpstreamAt returns a gateway with one upstream, which listens at the address.
-func newUpstreamAt(t *testing.T, address string) *testGateway {
+// newGatewayBefore returns a gateway with one upstream, which listens at the address, a time limit for sending, 0 for
+// none, and one of 4 s for requests.
+func newGatewayBefore(t *testing.T, address string, sendTimeout clock.Span) *testGateway {
 	t.Helper()
-	g := newTestGateway(t, startReplica(t, "one", func(*fakes.Request) {}))
+	g := newTestGatewayWith(t, func(o *relay.Options) { o.SendTimeout = sendTimeout }, startReplica(t, "one", func(*fakes.Request) {}))
+	useService(g, fakes.AppService)
 	next := &view.Snapshot{Config: g.snapshot.Config, Upstreams: map[units.UpstreamID]*view.Entry{}}
 	for id, e := range g.snapshot.Upstreams {
 		upstream := *e.Upstream
@@ -36,7 +42,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer l.Close()
-	g := newUpstreamAt(t, l.Addr().String())
+	g := newGatewayBefore(t, l.Addr().String(), 0)
 	ended := make(chan result, 1)
 	// The body is longer than what the upstream's system takes before anybody reads.
 	go func() { ended <- g.post("/once/a", strings.Repeat("x", 1<<20)) }()
@@ -45,10 +51,86 @@
 	defer c.Close()
 	got := <-ended
 	assert.Equal(t, got.status, http.StatusGatewayTimeout)
-	assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
-	r, err := http.ReadRequest(bufio.NewReader(c))
-	if err == nil {
-		_, err = io.ReadAll(r.Body)
+	assert.Assert(t, readRequest(t, bufio.NewReader(c)) != nil, "the whole request arrived after it was given up")
+}
+
+// readRequest reads a request, and fails if it does not arrive as a whole within 3 s.
+func readRequest(t *testing.T, in *bufio.Reader) error {
+	t.Helper()
+	read := make(chan error, 1)
+	go func() {
+		r, err := http.ReadRequest(in)
+		if err == nil {
+			_, err = io.ReadAll(r.Body)
+		}
+		read <- err
+	}()
+	select {
+	case err := <-read:
+		return err
+	case <-time.After(3 * time.Second):
+		return os.ErrDeadlineExceeded
 	}
-	assert.Assert(t, err != nil, "the whole request arrived after it was given up")
+}
+
+// hold lets the system drop all that arrives on a connection, as on a cut link, or ends that.
+func hold(t *testing.T, c net.Conn, on bool) {
+	t.Helper()
+	tcp, ok := c.(*net.TCPConn)
+	assert.Assert(t, ok)
+	raw, err := tcp.SyscallConn()
+	assert.NilError(t, err)
+	assert.NilError(t, raw.Control(func(fd uintptr) {
+		if !on {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+			return
+		}
+		dropAll := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
+		err = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll[0]})
+	}))
+	assert.NilError(t, err)
+}
+
+// Guards against a request that is held up on its way for so long that its upstream may have left, and arrives all the
+// same, while its caller still waits.
+func TestRequestHeldUpForTooLongDoesNotArrive(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	g := newGatewayBefore(t, l.Addr().String(), 400)
+	ended := make(chan result, 1)
+	send := func(path string) { ended <- g.post(path, "x") }
+	go send("/once/a")
+	c, err := l.Accept()
+	assert.NilError(t, err)
+	defer c.Close()
+	in := bufio.NewReader(c)
+	assert.NilError(t, readRequest(t, in))
+	_, err = io.WriteString(c, fakes.Head("id-/once/a", "200 OK")+"Content-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	assert.Equal(t, (<-ended).status, http.StatusOK)
+	hold(t, c, true)
+	go send("/once/b")
+	time.Sleep(1200 * time.Millisecond)
+	hold(t, c, false)
+	assert.Assert(t, readRequest(t, in) != nil, "the request arrived after 1.2 s")
+	assert.Equal(t, (<-ended).status, http.StatusBadGateway)
+}
+
+// Guards against long requests that fail because their upstream reads them slowly.
+func TestLongRequestMayBeReadSlowly(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	g := newGatewayBefore(t, l.Addr().String(), 200)
+	ended := make(chan result, 1)
+	go func() { ended <- g.post("/once/a", strings.Repeat("x", 1<<20)) }()
+	c, err := l.Accept()
+	assert.NilError(t, err)
+	defer c.Close()
+	time.Sleep(time.Second)
+	assert.NilError(t, readRequest(t, bufio.NewReader(c)))
+	_, err = io.WriteString(c, fakes.Head("id-/once/a", "200 OK")+"Content-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	assert.Equal(t, (<-ended).status, http.StatusOK)
 }
--- a/relay/call.go
+++ b/relay/call.go
@@ -110,6 +110,10 @@
 		p.putBack(address, c, reused)
 		return nil, fmt.Errorf("%w: %w", errNotAccepted, errNotSent)
 	}
+	if err := p.limitSend(c, len(data)); err != nil {
+		c.closeNow()
+		return nil, errors.Join(errNotSent, err)
+	}
 	c.recordRequest(r.id)
 	c.onSilence = r.onSilence
 	if !reused && p.onDial != nil {
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -55,6 +55,8 @@
 	// onSilence, if set, is called when the read deadline has passed without a byte. It returns the next read deadline,
 	// a wall-clock time, or false if the read is to fail.
 	onSilence func() (time.Time, bool)
+	// unlimitedSend is set while no time limit for sending applies.
+	unlimitedSend bool
 	// expiresAt is when an idle connection is closed.
 	expiresAt clock.Time
 	// requestIDs are the hashes of the ids of the requests that were sent on the connection. A faulty upstream may send
@@ -146,9 +148,13 @@
 	idleConns map[string][]*conn
 	// onDial is called for each new connection; may be nil.
 	onDial func()
+	// sendTimeout is the time within which the upstream's system has to acknowledge what is sent; 0 is no limit.
+	sendTimeout clock.Span
 }
 
-func newPool(c clock.Clock) *pool { return &pool{clock: c, idleConns: map[string][]*conn{}} }
+func newPool(c clock.Clock, sendTimeout clock.Span) *pool {
+	return &pool{clock: c, idleConns: map[string][]*conn{}, sendTimeout: sendTimeout}
+}
 
 // get returns a connection to the address for the request, and whether it is reused. It
 // connects when there is no usable idle connection; errors wrap errNotSent. A connection that carried the
@@ -168,7 +174,7 @@
 			c.dropUnexpected(address)
 		}
 	}
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: p.controlSend}
 	n, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, false, fmt.Errorf("connect to %s: %w: %w", address, errNotSent, err)
--- a/relay/server.go
+++ b/relay/server.go
@@ -33,7 +33,7 @@
 	Refund(c *fleet.Customer, tokens float64)
 }
 
-// Options are the dependencies and limits of a Server. All fields but Parts and BodyBudget are required; the
+// Options are the dependencies and limits of a Server. All fields but Parts, SendTimeout and BodyBudget are required; the
 // functions are called from concurrent requests.
 type Options struct {
 	Clock clock.Clock
@@ -51,6 +51,9 @@
 	// Parts decides which requests may be sent by the parts of their prompts; a Guard without other
 	// gateways if nil.
 	Parts *parts.Guard
+	// SendTimeout is the time within which the system of an upstream's VM has to acknowledge a request; 0 is no limit.
+	// A request that is held up for longer must not arrive: the upstream may have left.
+	SendTimeout clock.Span
 	// BodyBudget is the limit on the bytes of request bodies buffered at once; 0 means
 	// DefaultBodyBudget.
 	BodyBudget int64
@@ -94,7 +97,7 @@
 // New returns a Server without a configuration; it refuses requests until SetView is called.
 func New(o Options) *Server {
 	s := &Server{
-		Options: o, pool: newPool(o.Clock), gateways: 1, notices: o.Scheduler.Notices(),
+		Options: o, pool: newPool(o.Clock, o.SendTimeout), gateways: 1, notices: o.Scheduler.Notices(),
 		reach: reach{probes: map[string]*reachProbe{}}, retryWindows: map[units.ServiceID]*retry.Window{}, crashes: retry.NewCrashDetector(),
 	}
 	if s.Parts == nil {
