--- a/agent/call_test.go
+++ b/agent/call_test.go
@@ -162,6 +162,29 @@
 	}
 }
 
+// Guards against bytes without end that are passed on as an answer, and against an engine that counts as crashed, with the
+// request as the cause, because its answer was given up.
+func TestEndlessStreamIsGivenUp(t *testing.T) {
+	ta := startAgent(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		writeTokens(w, 1)
+		block := strings.Repeat(": nothing\n\n", 1000)
+		if req.URL.Path == "/event" {
+			block = strings.Repeat("x", 10_000)
+		}
+		var err error
+		for written := 0; err == nil && written < 64<<20; written += len(block) {
+			_, err = io.WriteString(w, block)
+		}
+		assert.Check(t, err != nil, "the agent read all")
+	}), nil)
+	for i, path := range []string{"/comments", "/event"} {
+		res := readResponse(t, ta.call(&wire.Call{Attempt: fmt.Sprint("a", i), Kind: "model", Path: path, Idempotent: true}))
+		assert.Equal(t, res.refuse.GetCode(), "upstream_failed")
+		assert.Check(t, res.refuse.Ran && !res.refuse.Crashed, "%s: %v", path, res.refuse)
+		assert.Check(t, len(res.text()) < 1<<20, "%s: %d bytes", path, len(res.text()))
+	}
+}
+
 // Guards against missing or repeated events after a stream is resumed. A chat stream has
 // one event before its first token.
 func TestResume(t *testing.T) {
--- a/agent/event.go
+++ b/agent/event.go
@@ -16,6 +16,13 @@
 // errEventTooLarge means that an event exceeds maxEventBytes.
 var errEventTooLarge = errors.New("event is larger than 1 MB")
 
+// maxCommentBytes is the number of bytes of comments that a stream may have between two events. Pings of some bytes a second
+// stay below it for hours.
+const maxCommentBytes = 64 << 10
+
+// errNoProgress means that a stream has more than maxCommentBytes without an event.
+var errNoProgress = errors.New("the stream has comments without end")
+
 // doneEvent is the last event of an OpenAI-compatible stream.
 const doneEvent = "data: [DONE]\n\n"
 
@@ -25,6 +32,8 @@
 // eventReader splits a stream into server-sent events.
 type eventReader struct {
 	reader *bufio.Reader
+	// commentBytes is the number of bytes of comments since the last event.
+	commentBytes int
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -50,11 +59,23 @@
 			return nil, err //nolint:wrapcheck // callers compare with io.EOF
 		}
 		if len(event) > len(line) && len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return event, nil
+			return event, e.countComments(event)
 		}
 	}
 }
 
+// countComments fails with errNoProgress if the event is a comment beyond the limit.
+func (e *eventReader) countComments(event []byte) error {
+	if event[0] != ':' {
+		e.commentBytes = 0
+		return nil
+	}
+	if e.commentBytes += len(event); e.commentBytes > maxCommentBytes {
+		return errNoProgress
+	}
+	return nil
+}
+
 // eventData returns the payload of an event: its data lines, joined without newlines.
 func eventData(event []byte) []byte {
 	var data []byte
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -210,7 +210,7 @@
 	}
 }
 
-// failedCall returns the refusal for a transport error, or for a second answer, which is no crash. connected is false when no
+// failedCall returns the refusal for a transport error, or for a second answer or one without end, which are no crash. connected is false when no
 // connection was opened, so that the upstream can't have received the request.
 func failedCall(ctx context.Context, err error, connected bool) *refusal {
 	var op *net.OpError
@@ -219,6 +219,9 @@
 	case errors.Is(err, copies.ErrSecondAnswer):
 		stats.Event("second_answer")
 		return &refusal{code: units.UpstreamFailed, mayHaveRun: true, secondAnswer: true, message: err.Error()}
+	case errors.Is(err, errEventTooLarge), errors.Is(err, errNoProgress):
+		stats.Event("endless_answer")
+		return &refusal{code: units.UpstreamFailed, mayHaveRun: true, message: err.Error()}
 	case !connected:
 		return &refusal{code: units.UpstreamFailed, canceled: ctx.Err() != nil, message: err.Error()}
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded), errors.Is(context.Cause(ctx), errResponseDeadline):
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -253,3 +253,34 @@
 	assert.Equal(t, got.status, http.StatusOK)
 	assert.Equal(t, got.body, strings.Repeat("\n", 300))
 }
+
+// Guards against a stream of comments at full speed that counts as one that serves its caller, and against one that only
+// pings between its events and is cut.
+func TestCommentsAreNoProgress(t *testing.T) {
+	var written atomic.Int64
+	replica := startReplica(t, "one", func(r *fakes.Request) {
+		r.Stream(1, 1, false)
+		if r.URL.Path == "/stream/ping" {
+			for i := 2; i <= 6; i++ {
+				r.Chunk(": ping\n\n")
+				time.Sleep(100 * time.Millisecond)
+				r.Chunk(": ping\n\n" + fakes.Event(i))
+			}
+			r.WriteRaw("0\r\n\r\n")
+			return
+		}
+		r.LimitWriteBuffer(writeBuffer)
+		block := strings.Repeat(": nothing\n\n", 100)
+		for written.Load() < floodLimit && r.TryChunk(block) == nil {
+			written.Add(int64(len(block)))
+		}
+	})
+	g := newTestGateway(t, replica)
+	got := g.postStream("/stream/flood")
+	assert.ErrorContains(t, got.err, "EOF")
+	assert.Assert(t, len(got.body) < 1<<20, "%d bytes were passed on", len(got.body))
+	got = g.postStream("/stream/ping")
+	assert.NilError(t, got.err)
+	assert.Equal(t, strings.Count(got.body, "data:"), 6)
+	assert.Equal(t, strings.Count(got.body, "ping"), 10)
+}
--- a/relay/event.go
+++ b/relay/event.go
@@ -18,6 +18,8 @@
 	// budget limits the bytes of incomplete events of all streams, of which this one has acquired budgetHeld.
 	budget     *bodyBudget
 	budgetHeld int64
+	// commentBytes is the number of bytes of comments since the last event.
+	commentBytes int
 	// skipThrough is the numeric identifier up to which events of a resumed stream repeat earlier
 	// ones and are dropped. It applies while skipping is set.
 	skipThrough int64
@@ -54,13 +56,20 @@
 // errEventBudget means that the incomplete events of all streams together exceed their budget.
 var errEventBudget = errors.New("budget for incomplete events is exhausted")
 
+// maxCommentBytes is the number of bytes of comments that a stream may have between two events. Pings of some bytes a second
+// stay below it for hours.
+const maxCommentBytes = 64 << 10
+
+// errNoProgress means that a stream has more than maxCommentBytes without an event.
+var errNoProgress = errors.New("the stream has comments without end")
+
 // errEventOrder means that an event's identifier is not above that of the event before it.
 var errEventOrder = errors.New("identifiers of events do not increase")
 
 // add appends bytes of the stream and returns the events that are complete now, without repeated
 // ones. The result is valid until the next call. It fails with errEventTooLarge if the incomplete
-// event exceeds the limit, with errEventBudget if those of all streams do, and with errEventOrder after the events that
-// it returns.
+// event exceeds the limit, with errEventBudget if those of all streams do, and with errEventOrder or errNoProgress after
+// the events that it returns.
 func (e *eventSplitter) add(p []byte) ([]byte, error) {
 	data, known := p, 0
 	if err := e.holdBudget(len(e.pending) + len(p)); err != nil {
@@ -110,7 +119,7 @@
 }
 
 // filterRepeated drops repeated events and records the others as delivered. It overwrites its argument. It stops with
-// errEventOrder before an event that is out of order.
+// errEventOrder before an event that is out of order, and with errNoProgress before a comment beyond the limit.
 func (e *eventSplitter) filterRepeated(complete []byte) ([]byte, error) {
 	out := complete[:0]
 	for len(complete) > 0 {
@@ -131,6 +140,9 @@
 		if ok || bytes.Contains(event, dataField) {
 			e.delivered.events++
 			e.delivered.last = append(e.delivered.last[:0], event...)
+			e.commentBytes = 0
+		} else if e.commentBytes += len(event); e.commentBytes > maxCommentBytes {
+			return out, errNoProgress
 		}
 		out = append(out, event...)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -101,9 +101,9 @@
 
 // writeEvents adds bytes of the stream and sends the events that are complete to the caller.
 func (a *attempt) writeEvents(res *response, flusher *http.ResponseController, data []byte) error {
-	complete, orderErr := a.stream.add(data)
+	complete, splitErr := a.stream.add(data)
 	if len(complete) == 0 {
-		return orderErr
+		return splitErr
 	}
 	a.writeHead(res)
 	if _, err := a.writer.Write(complete); err != nil {
@@ -112,7 +112,7 @@
 	if err := flusher.Flush(); err != nil {
 		return fmt.Errorf("%w: %w", errCaller, err)
 	}
-	return orderErr
+	return splitErr
 }
 
 // writeHead sends the response head to the caller, once per request: a resumed stream continues under
