--- a/feed/feed.go
+++ b/feed/feed.go
@@ -126,10 +126,12 @@
 // recordStoreAnswer records that a call to the store succeeded. How long entries that are missing may still come back depends
 // on when the store answered first, this gateway or another one.
 func (f *Feed) recordStoreAnswer(now clock.Time) {
-	f.state.RecordOthersAnswer(f.OthersConfirmedAt())
-	if f.state.RecordStoreAnswer(now) {
-		klog.InfoS("feed: outage is over", "revision", f.state.Revision(), "recovered", now.Sub(f.state.RecoveredAt()))
+	if !f.state.Failing() {
+		return
 	}
+	f.state.RecordOthersAnswer(f.OthersConfirmedAt())
+	f.state.RecordStoreAnswer(now)
+	klog.InfoS("feed: outage is over", "revision", f.state.Revision(), "recovered", now.Sub(f.state.RecoveredAt()))
 }
 
 // nextDelay returns the delay before the next call, given the result of the last one.
--- a/view/view.go
+++ b/view/view.go
@@ -89,6 +89,9 @@
 	}
 }
 
+// Failing reports whether calls of this gateway to the store fail.
+func (s *State) Failing() bool { return s.failing }
+
 // RecordOthersAnswer records that the store answered another gateway at a time.
 func (s *State) RecordOthersAnswer(at clock.Time) {
 	if s.failing && at.After(s.failedAt) && (s.othersAnsweredAt == 0 || at.Before(s.othersAnsweredAt)) {
@@ -96,16 +99,15 @@
 	}
 }
 
-// RecordStoreAnswer records that a call to the store succeeded. It reports whether that ends an outage.
-func (s *State) RecordStoreAnswer(now clock.Time) bool {
+// RecordStoreAnswer records that a call to the store succeeded.
+func (s *State) RecordStoreAnswer(now clock.Time) {
 	if !s.failing {
-		return false
+		return
 	}
 	s.failing, s.recoveredAt = false, now
 	if s.othersAnsweredAt != 0 {
 		s.recoveredAt = min(now, s.othersAnsweredAt)
 	}
-	return true
 }
 
 // RecoveredAt returns the earliest known time at which the store answered any gateway after the last outage; 0 is never.
