sink: write all queued lines when the log ends

What operators saw: the last lines of a process were missing when more than 16 KB of them waited, and weren't counted as omitted. A stop cuts what still runs right before its end, so that these were the lines that tell what became of requests.

Cause: the last step wrote one batch. Now it writes batches until the queue, which is bounded, is empty. TestLastLinesAreWritten failed before (82 of 400 lines).

--- a/sink/sink.go
+++ b/sink/sink.go
@@ -92,8 +92,8 @@
 	return string(header[bytes.LastIndexByte(header, ' ')+1:])
 }
 
-// Run writes queued lines until ctx is canceled. Before it returns, it writes one last batch
-// of queued lines and reports dropped ones.
+// Run writes queued lines until ctx is canceled. Before it returns, it writes the lines that are queued
+// by then and reports dropped ones.
 func (s *Sink) Run(ctx context.Context) {
 	t := time.NewTicker(reportEvery)
 	defer t.Stop()
@@ -123,11 +123,16 @@
 	return p
 }
 
+// drain writes all queued lines. Lines that are queued meanwhile don't prolong it beyond the capacity of the queue.
 func (s *Sink) drain() {
-	select {
-	case p := <-s.lines:
-		s.write(s.batch(p))
-	default:
+	for range queueLines {
+		select {
+		case p := <-s.lines:
+			s.write(s.batch(p))
+		default:
+			s.reportDropped()
+			return
+		}
 	}
 	s.reportDropped()
 }
--- a/sink/sink_test.go
+++ b/sink/sink_test.go
@@ -79,3 +79,18 @@
 	lines := strings.Count(out.String(), frequent)
 	assert.Assert(t, lines >= 20 && lines <= 50, "%d lines written, limit 25 per second over at most two seconds", lines)
 }
+
+// Guards against last lines that are missing because more than one batch is queued when the process ends, as when a stop
+// cuts many requests at once.
+func TestLastLinesAreWritten(t *testing.T) {
+	const lines, lineBytes = 400, 200
+	var out bytes.Buffer
+	s := sink.New(&out, 100_000)
+	line := strings.Repeat("x", lineBytes-1) + "\n"
+	for range lines {
+		_, err := s.Write([]byte(line))
+		assert.NilError(t, err)
+	}
+	run(s)()
+	assert.Equal(t, strings.Count(out.String(), line), lines)
+}
