relay: log what is passed on during a stop and when it arrived

The logs could not tell whether a request that a stop cut off had arrived before or after the platform stopped routing to the gateway, nor how much of the stop and of its own time was left when it was passed on, which is what the hypotheses differ in. What a stop does moves to a file of its own.

--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -76,7 +76,7 @@
 	} else if p.length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(p.length, 10))
 	}
-	if x.server.draining.Load() {
+	if x.server.stopping() {
 		h.Set("Connection", "close")
 	}
 	x.writer.WriteHeader(p.status)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -237,6 +237,7 @@
 	x.upstream = scheduled.Upstream.ID
 	x.tried = append(x.tried, scheduled.Upstream.ID)
 	a := x.newAttempt(scheduled, ticket)
+	a.logDuringStop()
 	x.spendTokens()
 	outcome := a.run(ctx)
 	a.stream.release()
@@ -269,17 +270,6 @@
 	return x.callerRequest.MaxOutputTokens
 }
 
-// mayStart reports whether the request would end before the stop of this gateway, if there is one.
-func (x *exchange) mayStart() bool {
-	if !x.server.draining.Load() {
-		return true
-	}
-	request := x.schedulerRequest()
-	x.server.mu.Lock()
-	defer x.server.mu.Unlock()
-	return x.server.Scheduler.MayStart(x.server.Clock.Now(), &request)
-}
-
 // takeNext returns next and forgets it.
 func (x *exchange) takeNext() *sched.Attempt {
 	next := x.next
@@ -331,9 +321,6 @@
 	return sched.LatestStart(x.arrivedAt, maxWait)
 }
 
-// mayOutlastStop is the reason for refusals by a gateway that stops.
-const mayOutlastStop = "may outlast the stop"
-
 // refuseUnplaced ends a request to which no upstream could be assigned.
 func (x *exchange) refuseUnplaced(r *sched.Refusal) {
 	if x.runs > 0 || x.delivered.headSent {
@@ -359,19 +346,6 @@
 	x.fail(upstreamFailed, noUpstream)
 }
 
-// errStopped is the cause by which requests are canceled at the end of the grace period.
-var errStopped = errors.New("the gateway stops")
-
-// endStopped ends a request that the stop of this gateway doesn't leave time for.
-func (x *exchange) endStopped() {
-	stats.Event("requests_cut_by_stop")
-	klog.InfoS("relay: cut off by the stop", "request", x.callerRequest.RequestID, "upstream", x.upstream, "model", x.callerRequest.Model,
-		"adapter", x.callerRequest.Adapter, "sends", x.sends, "runs", x.runs, "events", x.delivered.events,
-		"took", x.server.Clock.Now().Sub(x.arrivedAt), "revision", x.view.Revision)
-	x.reason = errStopped.Error()
-	x.fail(upstreamFailed, stopping)
-}
-
 // endCanceled ends a request that timed out, whose caller disconnected or that this gateway's stop ends. A disconnected
 // caller gets no response, and one that only sends nothing more gets none that looks complete.
 func (x *exchange) endCanceled(ctx context.Context) {
@@ -417,7 +391,7 @@
 // refuse sends a refusal and finishes the request.
 func (x *exchange) refuse(p *refusal) {
 	x.finished = true
-	if x.server.draining.Load() {
+	if x.server.stopping() {
 		p = &refusal{p.status, p.code, p.retryAfter, true}
 	}
 	p.write(x.writer, x.callerRequest.RequestID)
--- a/relay/server.go
+++ b/relay/server.go
@@ -68,8 +68,9 @@
 	view atomic.Pointer[view.Snapshot]
 	pool *pool
 	// notices are what upstreams told this gateway.
-	notices  *notice.Board
-	draining atomic.Bool
+	notices *notice.Board
+	// stop has the times of a stop of this gateway; nil if none was requested.
+	stop atomic.Pointer[stopTimes]
 	// ended is done once the grace period of a stop is over for requests; end makes it so.
 	ended      context.Context
 	end        context.CancelFunc
@@ -165,20 +166,6 @@
 	s.Scheduler.Dispatch(s.Clock.Now())
 }
 
-// Drain makes the server close each caller's connection after its next response and refuse requests that may
-// outlast end, so that callers can retry at another gateway. Until routedUntil the platform routes callers here. The
-// caller of Drain calls End at the end.
-func (s *Server) Drain(routedUntil, end clock.Time) {
-	s.draining.Store(true)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.Scheduler.SetStop(s.Clock.Now(), routedUntil, end)
-}
-
-// End ends the requests in progress: those that have not run are refused, streams that have begun are cut off after
-// their last whole event, and all others get an error that does not exclude that they have run.
-func (s *Server) End() { s.end() }
-
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
@@ -192,7 +179,7 @@
 	x.keysUsable = s.KeysUsable(x.arrivedAt)
 	x.view = s.view.Load()
 	defer func() { s.bodyBudget.release(x.bodyBudgetHeld) }()
-	if s.draining.Load() {
+	if s.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	if p := x.validate(); p != nil {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -124,7 +124,7 @@
 	x.delivered.headSent, x.delivered.startedAt = true, x.server.Clock.Now()
 	h := x.writer.Header()
 	platform.CopyResponseHeader(h, res.header)
-	if x.server.draining.Load() {
+	if x.server.stopping() {
 		h.Set("Connection", "close")
 	}
 	x.writer.WriteHeader(res.status)
