relay: keep a silent attempt until another upstream has begun to answer

What callers saw: a resumable stream whose upstream fell silent for a second or so was cut although the upstream went on. It had been given up for another upstream that then refused it, could not be reached or was silent as well.

The silent connection was closed once the next attempt was scheduled, that is, reserved at this gateway; whether the other upstream would answer was found out afterwards.

Now the other attempt runs beside the silent one until its answer begins. A refusal leaves the silent one as it is, and an event of the silent one cancels the other.

Evidence: TestSilentStreamIsNotLostWhenOtherReplicaRefuses and TestSilentStreamIsNotLostWhenOtherReplicaDoesNotBegin ended with unexpected EOF before. The tests of silence, retry budget and unreachable upstreams hold, with the race detector.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -54,11 +54,10 @@
 	a.timedOut = isTimeout(err)
 }
 
-// run sends the request to the assigned upstream and relays the response. The request is finished when
-// finished is set afterwards; otherwise it has to be tried again.
-func (a *attempt) run(ctx context.Context) sched.Outcome {
+// newRequest returns the request that the attempt sends.
+func (a *attempt) newRequest(ctx context.Context) *request {
 	deadline := a.arrivedAt.Add(a.timeout)
-	r := &request{
+	return &request{
 		method: a.httpRequest.Method, target: a.httpRequest.RequestURI, host: a.httpRequest.Host,
 		id: a.callerRequest.RequestID, body: a.body,
 		header: platform.UpstreamHeader(a.httpRequest.Header, platform.UpstreamRequest{
@@ -69,8 +68,18 @@
 		onSilence: func() (time.Time, bool) { return a.handleSilence(ctx) },
 		deadline:  wallTime(a.assignedAt, deadline),
 	}
+}
+
+// run sends the request to the assigned upstream and relays the response. The request is finished when
+// finished is set afterwards; otherwise it has to be tried again.
+func (a *attempt) run(ctx context.Context) sched.Outcome {
 	a.sends++
-	res, err := a.server.pool.call(ctx, a.scheduled.Upstream.Address, r, a.readDeadline())
+	res, err := a.server.pool.call(ctx, a.scheduled.Upstream.Address, a.newRequest(ctx), a.readDeadline())
+	return a.handleCall(ctx, res, err)
+}
+
+// handleCall relays the response whose head was read, or handles the error that ended the call.
+func (a *attempt) handleCall(ctx context.Context, res *response, err error) sched.Outcome {
 	if err != nil {
 		return a.handleCallError(ctx, err)
 	}
@@ -133,6 +142,18 @@
 	return min(max(x.priority(), 0), maxEnginePriority)
 }
 
+// finish runs the attempt and records its end.
+func (a *attempt) finish(ctx context.Context, run func() sched.Outcome) {
+	outcome := run()
+	a.stream.release()
+	a.unspendTokens()
+	a.server.finishAttempt(a.fingerprint, a.scheduled, outcome)
+	a.endTicket(ctx, outcome)
+	if outcome != sched.Served && outcome != sched.Canceled {
+		klog.V(1).InfoS("relay: attempt failed", "request", a.callerRequest.RequestID, "upstream", a.scheduled.Upstream.ID, "outcome", outcome, "reason", a.reason, "revision", a.view.Revision)
+	}
+}
+
 // handleCallError handles a call that ended without a complete response.
 func (a *attempt) handleCallError(ctx context.Context, err error) sched.Outcome {
 	a.failedBy(err)
@@ -146,12 +167,12 @@
 	if errors.Is(err, errNotAccepted) {
 		// The upstream got nothing, and the request may go there after a pause.
 		a.sends--
-		a.allowAgain(a.upstream)
+		a.allowAgain(a.scheduled.Upstream.ID)
 		return sched.Canceled
 	}
 	if errors.Is(err, errNotSent) {
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			a.server.markUpstreamEnded(a.upstream)
+			a.server.markUpstreamEnded(a.scheduled.Upstream.ID)
 		}
 		// The upstream received nothing, so the attempt does not count as a run.
 		if a.sends >= maxSends {
@@ -187,13 +208,13 @@
 	switch {
 	case res.status != http.StatusMisdirectedRequest:
 		stats.Retry(units.QueueFull)
-		a.allowAgain(a.upstream)
+		a.allowAgain(a.scheduled.Upstream.ID)
 		return sched.Full, true
-	case res.Instance != "" && res.Instance != a.upstream:
+	case res.Instance != "" && res.Instance != a.scheduled.Upstream.ID:
 		return sched.Replaced, true
 	default:
 		stats.Retry(units.NotLoaded)
-		a.allowAgain(a.upstream)
+		a.allowAgain(a.scheduled.Upstream.ID)
 		return sched.NotLoaded, true
 	}
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -61,9 +61,8 @@
 	sends, runs int
 	// tried are the upstreams that must not get the request again.
 	tried []units.UpstreamID
-	// next is a started attempt at another upstream that is to follow the current one, whose upstream is silent; may
-	// be nil.
-	next *sched.Attempt
+	// next is the attempt at another upstream that may follow the current one, whose upstream is silent; may be nil.
+	next *successor
 	// delivered is what the caller has of a streamed response.
 	delivered delivery
 	// finished is set once the request needs no further attempt. aborted is set in addition where
@@ -183,9 +182,7 @@
 	for !x.finished {
 		x.tryUpstream(ctx)
 	}
-	if next := x.takeNext(); next != nil {
-		x.server.cancelAttempt(next)
-	}
+	x.dropSuccessor()
 }
 
 // spendTokens records that the customer's tokens are used by the first run of the request, which may begin now.
@@ -211,7 +208,11 @@
 
 // tryUpstream makes one attempt at an upstream, or ends the request.
 func (x *exchange) tryUpstream(ctx context.Context) {
-	if x.sends > 0 && x.next == nil && (x.sends >= maxSends || !x.server.takeRetry(x.service.Name)) {
+	if next := x.takeNext(); next != nil {
+		x.follow(ctx, next)
+		return
+	}
+	if x.sends > 0 && (x.sends >= maxSends || !x.server.takeRetry(x.service.Name)) {
 		x.giveUp("repeats")
 		return
 	}
@@ -223,10 +224,7 @@
 	if ticket == nil {
 		return
 	}
-	scheduled := x.takeNext()
-	if scheduled == nil {
-		scheduled = x.awaitUpstream(ctx)
-	}
+	scheduled := x.awaitUpstream(ctx)
 	if scheduled == nil {
 		ticket.End(nil)
 		return
@@ -239,14 +237,7 @@
 	a := x.newAttempt(scheduled, ticket)
 	a.logDuringStop()
 	x.spendTokens()
-	outcome := a.run(ctx)
-	a.stream.release()
-	x.unspendTokens()
-	x.server.finishAttempt(x.fingerprint, scheduled, outcome)
-	a.endTicket(ctx, outcome)
-	if outcome != sched.Served && outcome != sched.Canceled {
-		klog.V(1).InfoS("relay: attempt failed", "request", x.callerRequest.RequestID, "upstream", scheduled.Upstream.ID, "outcome", outcome, "reason", a.reason, "revision", x.view.Revision)
-	}
+	a.finish(ctx, func() sched.Outcome { return a.run(ctx) })
 }
 
 // schedulerRequest returns what the scheduler has to know of the request.
@@ -272,7 +263,7 @@
 }
 
 // takeNext returns next and forgets it.
-func (x *exchange) takeNext() *sched.Attempt {
+func (x *exchange) takeNext() *successor {
 	next := x.next
 	x.next = nil
 	return next
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -10,6 +10,7 @@
 	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/sched"
 	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/units"
 )
 
 const (
@@ -18,6 +19,9 @@
 	silenceTimeout = 1200 * clock.Millisecond
 	// silenceRecheck is the interval at which another upstream is looked for afterwards.
 	silenceRecheck = 100 * clock.Millisecond
+	// successorPause is the time without a further attempt after one was refused, as each counts against the limit on
+	// attempts.
+	successorPause = 600 * clock.Millisecond
 )
 
 // silence is what an attempt knows of the silence of its upstream.
@@ -28,6 +32,8 @@
 	headRead bool
 	// silentSince is when the silence since progressAt was recorded; 0 if it was not.
 	silentSince clock.Time
+	// successorAfter is the time before which no successor is started.
+	successorAfter clock.Time
 }
 
 // recordProgress records that an event is complete. Bytes alone are no progress: a stalled upstream may send some now
@@ -35,6 +41,7 @@
 func (a *attempt) recordProgress() {
 	now := a.server.Clock.Now()
 	a.progressAt = now
+	a.dropSuccessor()
 	if a.silentSince == 0 {
 		return
 	}
@@ -66,16 +73,26 @@
 }
 
 // handleSilence decides what becomes of an attempt whose read deadline has passed. It returns the next read deadline, or
-// false if the attempt is given up: its time is over, another upstream has been reserved for the request, or this one
-// can't be reached. A silent upstream may still go on, and an answer that nothing can continue must not be cut.
+// false if the attempt is given up: its time is over, another upstream has begun to answer the request, or this one
+// can't be reached. A silent upstream may still go on, and an answer that nothing continues must not be cut.
 func (a *attempt) handleSilence(ctx context.Context) (time.Time, bool) {
 	now := a.server.Clock.Now()
 	deadline := a.arrivedAt.Add(a.timeout)
-	if ctx.Err() != nil || !now.Before(deadline) || !a.maySwitch() {
+	if ctx.Err() != nil || !now.Before(deadline) {
 		return time.Time{}, false
 	}
-	if a.reserveNext() {
-		return time.Time{}, false
+	if a.next != nil && a.next.ended() {
+		if a.next.answers() {
+			return time.Time{}, false
+		}
+		a.dropSuccessor()
+		a.successorAfter = now.Add(successorPause)
+	}
+	if a.next == nil && !a.maySwitch() {
+		return wallTime(now, deadline), true
+	}
+	if a.next == nil && !now.Before(a.successorAfter) {
+		a.startSuccessor(ctx)
 	}
 	a.recordSilence(now)
 	if !a.server.reach.check(ctx, a.scheduled.Upstream.Address, now) {
@@ -84,16 +101,6 @@
 	return wallTime(now, min(deadline, now.Add(silenceRecheck))), true
 }
 
-// reserveNext starts the attempt that is to follow this one, if another upstream can take the request now and no limit
-// forbids it. It reports whether it did.
-func (a *attempt) reserveNext() bool {
-	if a.sends >= maxSends || a.server.isCrashSuspect(a.fingerprint) || a.server.Parts.Refuses(a.prompt) {
-		return false
-	}
-	a.next = a.server.startRetry(a.schedulerRequest())
-	return a.next != nil
-}
-
 // startRetry starts a repeated request at once and charges it to the retry budget. It returns nil if either is not
 // possible.
 func (s *Server) startRetry(r sched.Request) *sched.Attempt {
@@ -111,15 +118,20 @@
 	return next
 }
 
-// recordSilence records, once per silence, that the attempt waits on because no other upstream can take the request.
+// recordSilence records, once per silence, that the attempt waits on, and whether another upstream is asked meanwhile.
 func (a *attempt) recordSilence(now clock.Time) {
 	if a.silentSince != 0 {
 		return
 	}
 	a.silentSince = now
-	stats.Event("silent_upstreams_awaited")
-	klog.InfoS("relay: upstream is silent and no other can take the request", "request", a.callerRequest.RequestID,
-		"upstream", a.scheduled.Upstream.ID, "events", a.delivered.events, "silent", now.Sub(a.progressAt))
+	line, other := "relay: upstream is silent and no other can take the request", units.UpstreamID("")
+	if a.next != nil {
+		line, other = "relay: upstream is silent and another is asked", a.next.attempt.scheduled.Upstream.ID
+	} else {
+		stats.Event("silent_upstreams_awaited")
+	}
+	klog.InfoS(line, "request", a.callerRequest.RequestID, "upstream", a.scheduled.Upstream.ID, "other", other,
+		"events", a.delivered.events, "silent", now.Sub(a.progressAt))
 	a.server.mu.Lock()
 	defer a.server.mu.Unlock()
 	a.server.Scheduler.RecordSilence(now, a.scheduled)
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -91,6 +91,44 @@
 	assert.Equal(t, totalRequests(replica), 1)
 }
 
+// Guards against streams that are lost because another replica, to which they would move, refuses them while their own,
+// silent one still has their answer.
+func TestSilentStreamIsNotLostWhenOtherReplicaRefuses(t *testing.T) {
+	one := startReplica(t, "one", pauseMidway)
+	two := startReplica(t, "two", (*fakes.Request).RejectFull)
+	got := newGatewayStartingAt(t, one, two).postStream("/talk/a")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventRange(1, 6))
+	assert.Assert(t, totalRequests(two) > 0)
+}
+
+// Guards against streams that leave a silent replica, which goes on a moment later, for another one that never begins.
+func TestSilentStreamIsNotLostWhenOtherReplicaDoesNotBegin(t *testing.T) {
+	closed := make(chan struct{})
+	one := startReplica(t, "one", pauseMidway)
+	two := startReplica(t, "two", func(r *fakes.Request) {
+		r.WaitForClose()
+		close(closed)
+	})
+	got := newGatewayStartingAt(t, one, two).postStream("/talk/a")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventRange(1, 6))
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("the other replica still has the request")
+	}
+}
+
+// newGatewayStartingAt returns a gateway whose first request goes to replica one; both hold the model from a second later on.
+func newGatewayStartingAt(t *testing.T, one, two *fakes.Replica) *testGateway {
+	t.Helper()
+	g := newPatientGateway(t, fakes.EngineService, one)
+	both := newPatientGateway(t, fakes.EngineService, one, two).snapshot
+	time.AfterFunc(time.Second, func() { g.server.SetView(both) })
+	return g
+}
+
 // Guards against streams that wait for a silent replica although another one can go on since a moment ago.
 func TestSilentStreamMovesOnceAnotherReplicaHasRoom(t *testing.T) {
 	one := startReplica(t, "one", func(r *fakes.Request) {
