relay: don't count a request's own time limit as a failure of its upstream

What callers saw: for 250 ms and more after a request had reached its own time limit, new requests did not go to its upstream, which counted as cold for 4 s as well; where no other holds the model they waited.

Cause: the read deadline of the upstream's connection is the request's limit, and passes a moment before the context of the request ends. What ends an attempt was told by the context alone, so that the same end was a cancellation or a broken answer by chance (relay: answer broke off, i/o timeout).

The limit now ends an attempt as canceled, unless the upstream had sent no event for 1.2 s, which still counts against it. TestOwnTimeLimitIsNoFailureOfUpstream failed before, in the first to third of its five requests.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -185,12 +185,19 @@
 }
 
 // retryOrGiveUp leaves the request unfinished for another attempt if it may run again, and ends it
-// otherwise.
+// otherwise. It returns the outcome for the upstream, for which the time limit of the request is no failure unless
+// it had been silent for long.
 func (a *attempt) retryOrGiveUp(ctx context.Context) sched.Outcome {
+	now := a.server.Clock.Now()
+	if ctx.Err() != nil || now.Sub(a.arrivedAt) >= a.timeout {
+		a.endCanceled(ctx)
+		if a.timedOut && now.Sub(a.progressAt) < silenceTimeout {
+			return sched.Canceled
+		}
+		return sched.Broken
+	}
 	stats.Retry(units.UpstreamFailed)
 	switch {
-	case ctx.Err() != nil || a.server.Clock.Now().Sub(a.arrivedAt) >= a.timeout:
-		a.endCanceled(ctx)
 	case a.route.RetryMode == fleet.AtMostOnce || a.runs >= a.route.MaxAttempts || !a.delivered.canResume():
 		a.giveUp(a.reason)
 	}
