relay: let a stream that breaks off wait for room like one that begins

What callers saw: a resumable stream whose upstream ended was cut at once when the first other upstream had no room in that very moment, though its caller goes on waiting for 2 s and more.

Cause: the latest useful start of an attempt was counted from the arrival of the request. It is long over for a stream that has run for some seconds, so that the attempt could start at once or not at all (deadline_unreachable), and waited behind on-time requests. For a stream that has begun it now counts from its last event.

TestBrokenStreamWaitsForRoom ended with unexpected EOF before.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -245,7 +245,7 @@
 	return sched.Request{
 		Service: x.service, Model: x.callerRequest.Model, Adapter: x.callerRequest.Adapter,
 		Prompt: x.callerRequest.PromptTokens, Output: x.callerRequest.ExpectedOutput(), PromptParts: x.callerRequest.PromptParts,
-		Rank: x.priority(), FirstEventDue: x.arrivedAt.Add(x.route.TargetLatency), LatestStart: x.latestStart(),
+		Rank: x.priority(), FirstEventDue: x.nextEventDue(), LatestStart: x.latestStart(),
 		Deadline: x.arrivedAt.Add(x.timeout), Kind: sched.RunKind{Service: x.service.Name, Route: x.route.Name}, Size: x.runSize(),
 		Once: x.route.RetryMode == fleet.AtMostOnce, Resumable: x.route.RetryMode == fleet.Resumable, Begun: x.runs > 0,
 		Avoid: x.tried,
@@ -304,13 +304,26 @@
 	return scheduled
 }
 
-// latestStart returns the time after which starting the request is pointless.
+// latestStart returns the time after which starting the request is pointless. The caller of a stream waits about as long
+// for its next event as for the first.
 func (x *exchange) latestStart() clock.Time {
-	maxWait := x.timeout
+	since, maxWait := x.arrivedAt, x.timeout
+	if x.delivered.headSent {
+		since = x.delivered.lastAt
+		maxWait -= since.Sub(x.arrivedAt)
+	}
 	if x.route.Stream {
 		maxWait = min(maxWait, max(minFirstEventWait, firstEventTargets*x.route.TargetLatency, firstEventGaps*x.route.MaxEventGap))
 	}
-	return sched.LatestStart(x.arrivedAt, maxWait)
+	return sched.LatestStart(since, maxWait)
+}
+
+// nextEventDue returns when the answer has to begin, or to go on, to meet the latency objective.
+func (x *exchange) nextEventDue() clock.Time {
+	if x.delivered.headSent {
+		return x.delivered.lastAt.Add(x.route.MaxEventGap)
+	}
+	return x.arrivedAt.Add(x.route.TargetLatency)
 }
 
 // refuseUnplaced ends a request to which no upstream could be assigned.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -22,8 +22,9 @@
 	lastID string
 	// last is the last event.
 	last []byte
-	// events is the number of events, without those that are only comments.
+	// events is the number of events, without those that are only comments, lastAt the time of the last one.
 	events int
+	lastAt clock.Time
 }
 
 // canResume reports whether another upstream can go on with the stream: it is told the number of the last event.
@@ -87,6 +88,7 @@
 			}
 			if a.delivered.events > delivered {
 				a.ticket.Began()
+				a.delivered.lastAt = a.server.Clock.Now()
 				a.recordProgress()
 			}
 		}
@@ -122,6 +124,7 @@
 		return
 	}
 	x.delivered.headSent, x.delivered.startedAt = true, x.server.Clock.Now()
+	x.delivered.lastAt = x.delivered.startedAt
 	h := x.writer.Header()
 	platform.CopyResponseHeader(h, res.header)
 	if x.server.stopping() {
