retry, parts, relay, entry: keep verdicts on requests that crash upstreams in the store

Cause: verdicts on parts of prompts are kept in the store, those on whole requests, which is all that plain services have, were kept in memory and passed on between running gateways only.

The keeper of verdicts now takes any source of them; a second one keeps those on requests under requests/. Only gateways that have seen one of the crashes write, at most once a verdict, with a lease of 10 minutes. A gateway reads them before it is ready, as it does those on parts.

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -134,7 +134,11 @@
 		return
 	}
 	if part, ok := parts.ParseVerdictKey(m.item.Key); ok {
-		c.handleVerdict(part, m.item)
+		c.handleVerdict(c.gateway.verdicts, parts.Verdict{Part: part}, m.item)
+		return
+	}
+	if request, ok := parts.ParseRequestVerdictKey(m.item.Key); ok {
+		c.handleVerdict(c.gateway.requestVerdicts, parts.Verdict{Part: request, Request: true}, m.item)
 		return
 	}
 	vm, ok := member.ParseKey(m.item.Key)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,11 +62,13 @@
 	partExchange  *parts.Exchange
 	partTransport *partTransport
 	verdicts      *parts.Keeper
-	peers         *peers.Transport
-	feed          *feed.Feed
-	keyValidity   keyValidity
-	demand        demandMeter
-	inbox         chan message
+	// requestVerdicts keeps those on whole requests.
+	requestVerdicts *parts.Keeper
+	peers           *peers.Transport
+	feed            *feed.Feed
+	keyValidity     keyValidity
+	demand          demandMeter
+	inbox           chan message
 	// leaderUntil is the clock.Time until which this gateway is the leader; 0 if it is not.
 	leaderUntil atomic.Int64
 	// storeWatch is nil until the gateways are known.
@@ -109,6 +111,7 @@
 			Ratio: settings.Bounds.RetryRatio, Slack: settings.Bounds.RetrySlack, Span: settings.Bounds.RetryWindow,
 		},
 		KeysUsable: g.keyValidity.valid,
+		OnVerdict:  func(v parts.Verdict) { g.requestVerdicts.Add(v, true) },
 		OnModelMissing: func(s units.ServiceID, m units.ModelID, adapter string) {
 			g.demand.recordMiss(g.clock.Now(), assign.Target{Service: s, Model: m, Adapter: adapter})
 			g.post(targetMissed{})
@@ -117,6 +120,7 @@
 			g.demand.recordWork(g.clock.Now(), assign.Target{Service: s, Model: m, Adapter: adapter}, work)
 		},
 	})
+	g.requestVerdicts = parts.NewVerdictKeeper(g.clock, g.relay.Verdicts(), verdictStore{g.store})
 	g.bounds.Store(&settings.Bounds)
 	g.store.OnCall = func(_ string, elapsed clock.Span, _ error) { storeCallTime.Record(elapsed.Duration()) }
 	transport, err := peers.Listen(peers.Options{
@@ -147,6 +151,7 @@
 // Reload applies changed settings while the gateway runs. Only RevocationDelay and GracePeriod take
 // effect; other settings need a restart of the process.
 func (g *Gateway) Reload(settings *platform.Settings) {
+	g.requestVerdicts = parts.NewVerdictKeeper(g.clock, g.relay.Verdicts(), verdictStore{g.store})
 	g.bounds.Store(&settings.Bounds)
 	klog.InfoS("entry: reload", "revoke", settings.Bounds.RevocationDelay, "grace", settings.Bounds.GracePeriod,
 		"restart", needsRestart(g.settings, settings))
@@ -253,6 +258,7 @@
 		g.peers.Run,
 		newRegistration(g).run,
 		g.verdicts.Run,
+		g.requestVerdicts.Run,
 	}
 	errs := make(chan error, len(tasks))
 	for _, task := range tasks {
--- a/entry/verdicts.go
+++ b/entry/verdicts.go
@@ -33,16 +33,17 @@
 	return err
 }
 
-// handleVerdict handles a change of a verdict in the store, by any gateway.
-func (c *controller) handleVerdict(part parts.ID, item platform.Item) {
+// handleVerdict handles a change of a verdict in the store, by any gateway. about has the part or request of its key.
+func (c *controller) handleVerdict(k *parts.Keeper, about parts.Verdict, item platform.Item) {
 	if item.Deleted {
-		c.gateway.verdicts.Removed(part)
+		k.Removed(about.Part)
 		return
 	}
-	v, err := parts.DecodeVerdict(part, item.Value)
+	v, err := parts.DecodeVerdict(about.Part, item.Value)
 	if err != nil {
 		klog.InfoS("entry: invalid verdict ignored", "key", rawjson.Shorten(item.Key), "revision", item.Revision, "err", err)
 		return
 	}
-	c.gateway.verdicts.Stored(v)
+	v.Request = about.Request
+	k.Stored(v)
 }
--- a/entry/verdicts_test.go
+++ b/entry/verdicts_test.go
@@ -78,6 +78,46 @@
 	assert.Equal(t, c.sendParts(second, "sound2", "shared", "own2"), http.StatusOK)
 }
 
+// Guards against a request without parts that crashes upstreams anew after a restart of all gateways (5 or 6 more upstreams
+// of a plain service): they read the verdict before they serve.
+func TestCrashingRequestIsRefusedAfterRestartOfAll(t *testing.T) {
+	c := newCluster(t, 0)
+	c.store.Put(fakes.UpstreamKeyPrefix+"app-1", c.app.Description(fakes.AppService, "zone-a", "draining"))
+	all := make([]*fakes.Replica, 6)
+	for i := range all {
+		replica, err := fakes.NewReplica(fmt.Sprint("crash-", i), func(*fakes.Request) {
+			all[i].Crash()
+			c.store.Delete(fakes.UpstreamKeyPrefix + all[i].Instance)
+		})
+		assert.NilError(t, err)
+		t.Cleanup(replica.Close)
+		all[i] = replica
+		c.store.Put(fakes.UpstreamKeyPrefix+replica.Instance, replica.Description(fakes.AppService, "zone-a", "ready"))
+	}
+	crashed := func() (n int) {
+		for _, replica := range all {
+			n += min(len(replica.Requests()), 1)
+		}
+		return n
+	}
+	first := c.startGateway("gate-0")
+	c.waitFor("gateway is ready", func() bool { return c.readyStatus(first) == http.StatusOK })
+	for c.responseStatus(first, "/once/deadly", apiKey) != http.StatusServiceUnavailable && crashed() < len(all) {
+		time.Sleep(300 * time.Millisecond)
+	}
+	before := crashed()
+	assert.Assert(t, before >= 2 && before < len(all), "%d upstreams ended", before)
+	c.waitFor("verdict is written", func() bool { return len(c.store.Keys("requests/")) == 1 })
+	first.stop()
+	assert.NilError(t, <-first.runErr)
+
+	second := c.startGateway("gate-0")
+	c.gateways = append(c.gateways, second)
+	c.waitFor("gateway is ready", func() bool { return c.readyStatus(second) == http.StatusOK })
+	assert.Equal(t, c.responseStatus(second, "/once/deadly", apiKey), http.StatusServiceUnavailable)
+	assert.Equal(t, crashed(), before)
+}
+
 // Guards against a side of a cut that takes itself for the whole fleet, and loses more upstreams to a part, once the keys
 // of the gateways on the other side have lapsed.
 func TestGatewaysWithLapsedKeysStillCountForParts(t *testing.T) {
--- a/parts/keeper.go
+++ b/parts/keeper.go
@@ -33,10 +33,19 @@
 	Remove(ctx context.Context, v Verdict) error
 }
 
+// Verdicts are the verdicts that a gateway knows. The methods may be called by any goroutine.
+type Verdicts interface {
+	// Verdict returns the verdict on a part or request; its Crashes are 0 if that is not refused.
+	Verdict(id ID) Verdict
+	// Restore adds a verdict from the store, unless more is known, and reports whether it did.
+	Restore(v Verdict) bool
+}
+
 // Keeper keeps verdicts in the store, so that they outlive all gateways. One goroutine runs it; the other
 // methods may be called by any.
 type Keeper struct {
-	guard *Guard
+	clock clock.Clock
+	known Verdicts
 	store VerdictStore
 	added chan struct{}
 
@@ -55,18 +64,23 @@
 
 // NewKeeper returns a Keeper of the verdicts that the Guard reaches.
 func NewKeeper(g *Guard, s VerdictStore) *Keeper {
-	k := &Keeper{
-		guard: g, store: s, added: make(chan struct{}, 1),
+	k := NewVerdictKeeper(g.clock, g, s)
+	g.OnVerdict(k.Add)
+	return k
+}
+
+// NewVerdictKeeper returns a Keeper of known verdicts, which are passed to Add.
+func NewVerdictKeeper(c clock.Clock, known Verdicts, s VerdictStore) *Keeper {
+	return &Keeper{
+		clock: c, known: known, store: s, added: make(chan struct{}, 1),
 		pending: map[ID]pendingVerdict{}, stored: map[ID]bool{}, written: map[ID]bool{},
 	}
-	g.OnVerdict(k.add)
-	return k
 }
 
-// add adds a verdict that is reached or ended. It does not block. A verdict that others have ended is removed
-// by the gateway that wrote it.
-func (k *Keeper) add(v Verdict, own bool) {
-	now := k.guard.clock.Now()
+// Add adds a verdict that is reached or ended. It does not block. A verdict that others have ended is removed
+// by the gateway that wrote it; own is set if this one has.
+func (k *Keeper) Add(v Verdict, own bool) {
+	now := k.clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if v.Crashes == 0 {
@@ -98,8 +112,8 @@
 	k.mu.Lock()
 	k.stored[v.Part] = true
 	k.mu.Unlock()
-	if k.guard.Restore(v) {
-		klog.InfoS("parts: part refused on the store's word", "part", v.Part, "crashes", v.Crashes)
+	if k.known.Restore(v) {
+		klog.InfoS("parts: part refused on the store's word", "part", v.Part, "request", v.Request, "crashes", v.Crashes)
 	}
 }
 
@@ -113,7 +127,7 @@
 
 // next returns a verdict that is due, and false if there is none. waiting is set if some are not due yet.
 func (k *Keeper) next() (v pendingVerdict, due, waiting bool) {
-	now := k.guard.clock.Now()
+	now := k.clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for part, v := range k.pending {
@@ -121,7 +135,7 @@
 		case now.Before(v.due):
 			waiting = true
 			continue
-		case v.Crashes > 0 && k.guard.Verdict(part).Crashes == 0:
+		case v.Crashes > 0 && k.known.Verdict(part).Crashes == 0:
 			// An answer has ended it meanwhile.
 			delete(k.pending, part)
 			continue
@@ -164,11 +178,11 @@
 // writeDue writes a verdict that is due. After a failure it waits; the verdict stays pending.
 func (k *Keeper) writeDue(ctx context.Context, v pendingVerdict) {
 	if err := k.write(ctx, v.Verdict); err != nil {
-		klog.InfoS("parts: verdict not written", "part", v.Part, "crashes", v.Crashes, "err", err)
+		klog.InfoS("parts: verdict not written", "part", v.Part, "request", v.Request, "crashes", v.Crashes, "err", err)
 		clock.Sleep(ctx, verdictRetryDelay+rand.N(verdictRetryDelay))
 		return
 	}
-	klog.InfoS("parts: verdict written", "part", v.Part, "crashes", v.Crashes)
+	klog.InfoS("parts: verdict written", "part", v.Part, "request", v.Request, "crashes", v.Crashes)
 	k.done(v)
 }
 
--- a/parts/suspects.go
+++ b/parts/suspects.go
@@ -83,7 +83,7 @@
 // Verdict returns the verdict on a part; its Crashes are 0 if the part is not refused.
 func (l *Ledger) Verdict(part ID) Verdict {
 	if s, ok := l.suspects[part]; ok && s.condemned() {
-		return Verdict{part, s.count()}
+		return Verdict{Part: part, Crashes: s.count()}
 	}
 	return Verdict{Part: part}
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -34,7 +34,7 @@
 	Refund(c *fleet.Customer, tokens float64)
 }
 
-// Options are the dependencies and limits of a Server. All fields but Start, Parts, SendTimeout and BodyBudget are required; the
+// Options are the dependencies and limits of a Server. All fields but Start, Parts, OnVerdict, SendTimeout and BodyBudget are required; the
 // functions are called from concurrent requests.
 type Options struct {
 	Clock clock.Clock
@@ -54,6 +54,8 @@
 	// Parts decides which requests may be sent by the parts of their prompts; a Guard without other
 	// gateways if nil.
 	Parts *parts.Guard
+	// OnVerdict is called by Tick for each request that is refused from now on as it crashed upstreams here; may be nil.
+	OnVerdict func(v parts.Verdict)
 	// SendTimeout is the time within which the system of an upstream's VM has to acknowledge a request; 0 is no limit.
 	// A request that is held up for longer must not arrive: the upstream may have left.
 	SendTimeout clock.Span
@@ -141,7 +143,13 @@
 func (s *Server) Tick() {
 	s.mu.Lock()
 	s.Scheduler.Dispatch(s.Clock.Now())
+	rejected := s.crashes.TakeRejected()
 	s.mu.Unlock()
+	if s.OnVerdict != nil {
+		for _, f := range rejected {
+			s.OnVerdict(verdictOn(f))
+		}
+	}
 	s.Parts.Tick()
 	s.pool.closeExpired()
 }
--- a/retry/crash.go
+++ b/retry/crash.go
@@ -141,6 +141,14 @@
 // RecordSuccess clears a request that was completed, unless it is rejected.
 func (c *CrashDetector) RecordSuccess(f Fingerprint) { c.suspects.RecordSuccess(f) }
 
+// TakeRejected is Suspects.TakeRejected.
+func (c *CrashDetector) TakeRejected() []Fingerprint { return c.suspects.TakeRejected() }
+
+// Restore is Suspects.Restore.
+func (c *CrashDetector) Restore(now clock.Time, f Fingerprint) bool {
+	return c.suspects.Restore(now, f)
+}
+
 // Merge adds a suspect that another gateway has sent.
 func (c *CrashDetector) Merge(now clock.Time, s Suspect) { c.suspects.Merge(now, s) }
 
--- a/retry/suspect.go
+++ b/retry/suspect.go
@@ -11,10 +11,12 @@
 	// SuspectTTL is the time after its last counted crash during which a fingerprint stays
 	// suspect.
 	SuspectTTL = 10 * clock.Minute
-	// crashLimit is the number of crashes after which a request is refused.
-	crashLimit = 2
+	// CrashLimit is the number of crashes after which a request is refused.
+	CrashLimit = 2
 	// maxSuspects bounds the memory; the entry that expires first is dropped.
 	maxSuspects = 4096
+	// maxRejected bounds the requests that wait for TakeRejected; the oldest is dropped.
+	maxRejected = 64
 )
 
 // Fingerprint identifies a request by customer, target and body.
@@ -34,7 +36,7 @@
 	// Isolate lets the request run only on an upstream without other requests, because it was
 	// running when an upstream crashed.
 	Isolate
-	// Reject refuses the request, because it was running in crashLimit crashes.
+	// Reject refuses the request, because it was running in CrashLimit crashes.
 	Reject
 )
 
@@ -43,12 +45,16 @@
 	Fingerprint Fingerprint
 	Crashes     []CrashID
 	Expires     clock.Time
+	// own is set if this process has recorded one of the crashes itself.
+	own bool
 }
 
 // Suspects tracks requests that were running when an upstream crashed. A request that only ran
 // beside the one that caused the crash is cleared when it succeeds.
 type Suspects struct {
 	entries map[Fingerprint]*Suspect
+	// rejected are those that TakeRejected returns next.
+	rejected []Fingerprint
 }
 
 // NewSuspects returns an empty Suspects.
@@ -56,7 +62,7 @@
 
 // RecordCrash records that the request was running when the upstream crashed.
 func (s *Suspects) RecordCrash(now clock.Time, f Fingerprint, c CrashID) {
-	s.Merge(now, Suspect{Fingerprint: f, Crashes: []CrashID{c}, Expires: now.Add(SuspectTTL)})
+	s.Merge(now, Suspect{Fingerprint: f, Crashes: []CrashID{c}, Expires: now.Add(SuspectTTL), own: true})
 }
 
 // Merge adds the crashes of a suspect from another node and reports whether one of them was
@@ -73,7 +79,7 @@
 	}
 	changed := false
 	for _, c := range other.Crashes {
-		if len(e.Crashes) < crashLimit && !slices.Contains(e.Crashes, c) {
+		if len(e.Crashes) < CrashLimit && !slices.Contains(e.Crashes, c) {
 			e.Crashes = append(e.Crashes, c)
 			changed = true
 		}
@@ -81,9 +87,36 @@
 	if changed {
 		e.Expires = max(e.Expires, other.Expires)
 	}
+	e.own = e.own || other.own
+	if changed && e.own && len(e.Crashes) == CrashLimit {
+		s.rejected = append(s.rejected[max(len(s.rejected)-maxRejected+1, 0):], other.Fingerprint)
+	}
 	return changed
 }
 
+// TakeRejected returns the requests that have come to be refused since the last call and of whose crashes this process
+// has recorded one.
+func (s *Suspects) TakeRejected() []Fingerprint {
+	list := s.rejected
+	s.rejected = nil
+	return list
+}
+
+// Restore refuses a request that is known, after a restart, to have crashed upstreams. It reports whether it was not
+// refused before.
+func (s *Suspects) Restore(now clock.Time, f Fingerprint) bool {
+	if s.Action(now, f) == Reject {
+		return false
+	}
+	known := Suspect{Fingerprint: f, Expires: now.Add(SuspectTTL)}
+	for i := range CrashLimit {
+		// Which processes ended is not kept.
+		known.Crashes = append(known.Crashes, CrashID(i))
+	}
+	s.Merge(now, known)
+	return true
+}
+
 // evict makes room for one entry if there are maxSuspects: it drops the expired ones, or else
 // the one that expires first.
 func (s *Suspects) evict(now clock.Time) {
@@ -107,7 +140,7 @@
 
 // RecordSuccess clears a request that was completed, unless it is rejected.
 func (s *Suspects) RecordSuccess(f Fingerprint) {
-	if e, ok := s.entries[f]; ok && len(e.Crashes) < crashLimit {
+	if e, ok := s.entries[f]; ok && len(e.Crashes) < CrashLimit {
 		delete(s.entries, f)
 	}
 }
@@ -122,7 +155,7 @@
 		delete(s.entries, f)
 		return Allow
 	}
-	if len(e.Crashes) >= crashLimit {
+	if len(e.Crashes) >= CrashLimit {
 		return Reject
 	}
 	return Isolate
@@ -133,7 +166,7 @@
 	list := make([]Suspect, 0, len(s.entries))
 	for _, e := range s.entries {
 		if now.Before(e.Expires) {
-			list = append(list, Suspect{e.Fingerprint, slices.Clone(e.Crashes), e.Expires})
+			list = append(list, Suspect{Fingerprint: e.Fingerprint, Crashes: slices.Clone(e.Crashes), Expires: e.Expires})
 		}
 	}
 	return list
