--- a/retry/suspect.go
+++ b/retry/suspect.go
@@ -45,8 +45,8 @@
 	Fingerprint Fingerprint
 	Crashes     []CrashID
 	Expires     clock.Time
-	// own is set if this process has recorded one of the crashes itself.
-	own bool
+	// Own is set if this process has recorded one of the crashes itself.
+	Own bool
 }
 
 // Suspects tracks requests that were running when an upstream crashed. A request that only ran
@@ -62,7 +62,7 @@
 
 // RecordCrash records that the request was running when the upstream crashed.
 func (s *Suspects) RecordCrash(now clock.Time, f Fingerprint, c CrashID) {
-	s.Merge(now, Suspect{Fingerprint: f, Crashes: []CrashID{c}, Expires: now.Add(SuspectTTL), own: true})
+	s.Merge(now, Suspect{Fingerprint: f, Crashes: []CrashID{c}, Expires: now.Add(SuspectTTL), Own: true})
 }
 
 // Merge adds the crashes of a suspect from another node and reports whether one of them was
@@ -87,8 +87,8 @@
 	if changed {
 		e.Expires = max(e.Expires, other.Expires)
 	}
-	e.own = e.own || other.own
-	if changed && e.own && len(e.Crashes) == CrashLimit {
+	e.Own = e.Own || other.Own
+	if changed && e.Own && len(e.Crashes) == CrashLimit {
 		s.rejected = append(s.rejected[max(len(s.rejected)-maxRejected+1, 0):], other.Fingerprint)
 	}
 	return changed
