parts, entry: a lone gateway waits for the store's word, not for a time

What upstreams saw: four upstreams ended by one part of a prompt where three are allowed, after gateways that had started together granted permits each for itself (soak).

Cause: a gateway that knows no other one counted as the only one 0.6 s after its start, twice the pause before its first watch; there the watch came 1.03 s after it. A time stood for an event.

It now counts as the only one once the store has told, as of 0.6 s after its start, that no other is registered, or after 3 s without an answer of the store. TestLoneGatewayWaitsForTheStoresWord failed before.

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -102,6 +102,7 @@
 		c.publishView(now)
 	case storeConfirmed:
 		c.confirmedAt = max(c.confirmedAt, m.at)
+		c.gateway.partExchange.RecordStoreRead(m.at)
 		c.updateKeyValidity(now)
 	case itemReceived:
 		c.handleItem(now, m)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -96,7 +96,7 @@
 	g.partTransport = &partTransport{vm: settings.VM}
 	g.partExchange = parts.NewExchange(parts.ExchangeOptions{
 		Clock: g.clock, VM: settings.VM, Life: g.incarnation, Guard: g.parts, Transport: g.partTransport,
-		DigestInterval: peers.DigestInterval,
+		DigestInterval: peers.DigestInterval, AwaitStore: true,
 	})
 	began := start.Start{At: g.clock.Now(), First: settings.FirstStart}
 	g.relay = relay.New(relay.Options{
--- a/parts/exchange.go
+++ b/parts/exchange.go
@@ -24,6 +24,8 @@
 	// loneTime is the time after its start for which a gateway that knows no other one may not know those that start
 	// with it: twice the pause before its first watch of the store.
 	loneTime = 600 * clock.Millisecond
+	// maxLoneTime is the time after which such a gateway counts as the only one even if the store does not answer.
+	maxLoneTime = 3 * clock.Second
 )
 
 // Transport is the way from a gateway to the others. Its methods are called from concurrent requests.
@@ -57,6 +59,8 @@
 	Transport Transport
 	// DigestInterval returns the interval at which each of n gateways tells the others its suspects.
 	DigestInterval func(n int) clock.Span
+	// AwaitStore is set if RecordStoreRead will tell when the list of gateways was read.
+	AwaitStore bool
 }
 
 // Exchange finds the owner of each part of prompts among the gateways and exchanges messages about parts
@@ -69,6 +73,8 @@
 	gateways int
 	// startedAt is the time of the start.
 	startedAt clock.Time
+	// storeReadAt is the latest time as of which the list of gateways is known to have been current; 0 if none is.
+	storeReadAt clock.Time
 	// reach is that of the last tick.
 	reach Reach
 	// tickedAt is the time of the last tick, informedAt when this gateway knows what the others know.
@@ -96,6 +102,13 @@
 	return e
 }
 
+// RecordStoreRead records that the list of gateways was current as of a time.
+func (e *Exchange) RecordStoreRead(at clock.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.storeReadAt = max(e.storeReadAt, at)
+}
+
 // SetGateways sets the number of gateways that share the ownership of parts.
 func (e *Exchange) SetGateways(n int) {
 	e.mu.Lock()
--- a/parts/exchange_test.go
+++ b/parts/exchange_test.go
@@ -336,16 +336,36 @@
 	assert.Equal(t, granted, maxUnproven)
 }
 
-// Guards against permits of each gateway for itself while gateways that start together don't know each other: one that
-// knows no other grants nothing until it would know them.
-func TestGatewaysThatStartTogetherWaitForEachOther(t *testing.T) {
+// newLoneGateway returns a gateway that has just started and knows no other.
+func newLoneGateway(awaitStore bool) (*exchangeFleet, *Exchange) {
 	f := &exchangeFleet{clock: clock.NewManual(1000)}
 	e := NewExchange(ExchangeOptions{
 		Clock: f.clock, VM: "gate-0", Life: 1, Guard: NewGuard(f.clock), Transport: fleetTransport{f, "gate-0"},
-		DigestInterval: func(int) clock.Span { return 100 },
+		DigestInterval: func(int) clock.Span { return 100 }, AwaitStore: awaitStore,
 	})
 	f.exchanges = []*Exchange{e}
 	e.SetGateways(1)
+	return f, e
+}
+
+// Guards against permits of each gateway for itself where the first watch of the store comes late (soak seed 9456863: it came
+// 1.03 s after the start), and against requests that wait for a store that is down.
+func TestLoneGatewayWaitsForTheStoresWord(t *testing.T) {
+	f, e := newLoneGateway(true)
+	e.RecordStoreRead(f.clock.Now().Add(loneTime - 1))
+	f.tick(clock.Second)
+	assert.Equal(t, f.ask(0, 4711, 1), Busy)
+	e.RecordStoreRead(f.clock.Now())
+	assert.Equal(t, f.ask(0, 4711, 1), Granted, "the store names no other")
+	f, _ = newLoneGateway(true)
+	f.tick(maxLoneTime)
+	assert.Equal(t, f.ask(0, 4711, 1), Granted, "the store does not answer")
+}
+
+// Guards against permits of each gateway for itself while gateways that start together don't know each other: one that
+// knows no other grants nothing until it would know them.
+func TestGatewaysThatStartTogetherWaitForEachOther(t *testing.T) {
+	f, _ := newLoneGateway(false)
 	assert.Equal(t, f.ask(0, 4711, 1), Busy)
 	f.tick(clock.Second)
 	assert.Equal(t, f.ask(0, 4711, 1), Granted, "it is the only gateway")
--- a/parts/owner.go
+++ b/parts/owner.go
@@ -32,12 +32,21 @@
 // informed reports whether this gateway knows what the others know. The caller holds e.mu.
 func (e *Exchange) informed(now clock.Time) bool {
 	if e.gateways <= 1 {
-		return now.Sub(e.startedAt) >= loneTime
+		return e.knowsToBeAlone(now)
 	}
 	paused := e.tickedAt != 0 && now.Sub(e.tickedAt) > pauseThreshold
 	return !paused && !now.Before(e.informedAt)
 }
 
+// knowsToBeAlone reports whether a gateway that knows no other one can rely on that: the list of gateways was read when
+// those that start with it were on it. The caller holds e.mu.
+func (e *Exchange) knowsToBeAlone(now clock.Time) bool {
+	if !e.AwaitStore {
+		return now.Sub(e.startedAt) >= loneTime
+	}
+	return e.storeReadAt.Sub(e.startedAt) >= loneTime || now.Sub(e.startedAt) >= maxLoneTime
+}
+
 // candidates returns the gateways that are alive, the owner of the part first, then those that take its place.
 // All gateways agree on the order.
 func (e *Exchange) candidates(part ID) []member.Gateway {
