relay: read the body of a refused request, so that the refusal arrives

What callers saw: a request with a long body whose route, service or key went while it was sent ended with a reset connection in place of its 404, 401 or 503.

Cause: a refusal that comes before the body is read left the rest to net/http, which reads 256 KB, waits 0.5 s and closes the connection; what arrives then resets it, and the answer in the caller's buffer is dropped. Only the refusal for lack of memory read the body first.

Now every refusal reads what is left before it is written, 4 MB and 2 s at most, and closes the connection if the body has not ended. A caller that waits for 100 (Continue) is refused at once, as it sends nothing.

--- a/relay/body.go
+++ b/relay/body.go
@@ -74,18 +74,42 @@
 	}
 }
 
-// discardBody reads the rest of a refused body. Closing a connection with unread bytes resets
-// it, and then the caller may never see the refusal.
-func (x *exchange) discardBody(in io.Reader) {
-	c := http.NewResponseController(x.writer)
-	err := c.SetReadDeadline(time.Now().Add(discardTimeout))
-	if err == nil {
-		_, err = io.Copy(io.Discard, in)
+// errDiscardTooLong means that the rest of a refused body exceeds maxBody.
+var errDiscardTooLong = errors.New("body is too long to be discarded")
+
+// afterBody reads the rest of a refused request's body and returns the refusal, which closes the connection if the body has
+// not ended. Closing a connection with unread bytes resets it, and then the caller may never see the refusal. A caller that
+// waits for 100 (Continue) sends no body.
+func (x *exchange) afterBody(p *refusal) *refusal {
+	waits := !x.bodyBegun && x.httpRequest.Header.Get("Expect") != ""
+	if x.bodyEnded || waits || x.httpRequest.Body == http.NoBody {
+		return p
 	}
-	if err != nil {
+	if err := x.discardBody(); err != nil {
 		stats.Event("bodies_not_discarded")
 		klog.V(1).InfoS("relay: rest of a refused request body could not be discarded", "request", x.callerRequest.RequestID, "err", err)
+		return &refusal{p.status, p.code, p.retryAfter, true}
 	}
+	return p
+}
+
+// discardBody reads the rest of the body for discardTimeout at most.
+func (x *exchange) discardBody() error {
+	c := http.NewResponseController(x.writer)
+	if err := c.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
+		return fmt.Errorf("set deadline: %w", err)
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(x.httpRequest.Body, maxBody+1))
+	switch {
+	case err != nil:
+		return fmt.Errorf("discard body: %w", err)
+	case n > maxBody:
+		return errDiscardTooLong
+	}
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		return fmt.Errorf("set deadline: %w", err)
+	}
+	return nil
 }
 
 // readBody reads the request body of at most limit bytes until the request times out. A limit of 0
@@ -107,20 +131,21 @@
 		x.reason = err.Error()
 		return invalidBody
 	}
+	x.bodyBegun = true
 	data, bodyBudgetHeld, err := x.server.bodyBudget.readAll(in, x.httpRequest.ContentLength)
 	x.bodyBudgetHeld = bodyBudgetHeld
 	if errors.Is(err, errBodyBudget) {
-		x.discardBody(in)
 		return bodyBudgetExceeded
 	}
 	if err != nil {
 		if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
 			return bodyTooLarge
 		}
+		x.bodyEnded = true
 		x.reason = err.Error()
 		return invalidBody
 	}
-	x.body = data
+	x.body, x.bodyEnded = data, true
 	if err := c.SetReadDeadline(time.Time{}); err != nil {
 		x.reason = err.Error()
 		return invalidBody
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -48,6 +48,8 @@
 	service       *fleet.Service
 	customer      *fleet.Customer
 	body          []byte
+	// bodyBegun is set once the body is read, bodyEnded once nothing more of it can be read.
+	bodyBegun, bodyEnded bool
 	// bodyBudgetHeld is the number of bytes acquired from the server's body budget.
 	bodyBudgetHeld int64
 	// fingerprint identifies the contents of the request: it is the same for retries by the caller.
--- a/relay/server.go
+++ b/relay/server.go
@@ -194,7 +194,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if p := x.validate(); p != nil {
-		x.refuse(p)
+		x.refuse(x.afterBody(p))
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), x.timeout.Duration())
