relay: don't take the gateway's own pause for silence of its upstreams

What callers saw: after a pause of their gateway of more than 1.2 s, all resumable streams and idempotent requests there counted as those of silent upstreams, although their next events had arrived meanwhile. They moved to other upstreams at once, as far as the budget of repeats went; what was refused there was cut.

Cause: a read whose deadline has passed fails before it looks for bytes, and the failure was taken for a word of the upstream (handleSilence).

Now bytes that have arrived are read first. The time limit of the request still ends it: its context closes the connection.

Evidence: on the code before, TestPauseOfTheGatewayIsNoSilence ends with i/o timeout.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -37,6 +37,10 @@
 	readBuffer = 8 << 10
 )
 
+// unreadGrace is the time to read bytes that had arrived when a read deadline passed. Reading them takes no time, unless the
+// machine is busy.
+const unreadGrace = time.Second
+
 // errHeadTooLarge means that the head of a response exceeds maxHeadBytes or maxHeadLines.
 var errHeadTooLarge = errors.New("response head is too large")
 
@@ -102,6 +106,13 @@
 		if n > 0 || c.onSilence == nil || !isTimeout(err) {
 			return n, err
 		}
+		if socket.Peek(c.Conn) == socket.Unread {
+			// The deadline passed while this gateway did not read, as it was paused: the upstream was not silent.
+			if err := c.SetReadDeadline(time.Now().Add(unreadGrace)); err != nil {
+				return 0, fmt.Errorf("set deadline: %w", err)
+			}
+			continue
+		}
 		deadline, goOn := c.onSilence()
 		if !goOn {
 			return n, err
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/magnolialever/magnolialever/platform/fakes"
 	"github.com/magnolialever/magnolialever/relay"
 	"github.com/magnolialever/magnolialever/retry"
+	"github.com/magnolialever/magnolialever/socket"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
 )
@@ -183,3 +186,30 @@
 	}
 	assert.Assert(t, totalRequests(two) <= 2, "%d repeats", totalRequests(two))
 }
+
+// Guards against a gateway that takes its own pause for the silence of its upstreams: all their streams would move at once, or be
+// cut, although their next events have arrived meanwhile.
+func TestPauseOfTheGatewayIsNoSilence(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	upstream, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer upstream.Close()
+	c, err := l.Accept()
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(upstream, fakes.Event(1))
+	assert.NilError(t, err)
+	for socket.Peek(c) != socket.Unread {
+		time.Sleep(time.Millisecond)
+	}
+	silences := 0
+	r, err := relay.NewReader(c, func() (time.Time, bool) { silences++; return time.Time{}, false })
+	assert.NilError(t, err)
+	got := make([]byte, len(fakes.Event(1)))
+	_, err = io.ReadFull(r, got)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), fakes.Event(1))
+	assert.Equal(t, silences, 0)
+}
