--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -306,18 +306,21 @@
 	return scheduled
 }
 
+// nextEventShare is the part of the time for which a caller waits for the next event of a stream within which an attempt to go
+// on with it has to start.
+const nextEventShare = 0.75
+
 // latestStart returns the time after which starting the request is pointless. The caller of a stream waits about as long
 // for its next event as for the first.
 func (x *exchange) latestStart() clock.Time {
-	since, maxWait := x.arrivedAt, x.timeout
-	if x.delivered.headSent {
-		since = x.delivered.lastAt
-		maxWait -= since.Sub(x.arrivedAt)
-	}
+	maxWait := x.timeout
 	if x.route.Stream {
 		maxWait = min(maxWait, max(minFirstEventWait, firstEventTargets*x.route.TargetLatency, firstEventGaps*x.route.MaxEventGap))
 	}
-	return sched.LatestStart(since, maxWait)
+	if x.delivered.headSent {
+		return min(x.delivered.lastAt.Add(clock.Span(float64(maxWait)*nextEventShare)), x.arrivedAt.Add(x.timeout))
+	}
+	return sched.LatestStart(x.arrivedAt, maxWait)
 }
 
 // nextEventDue returns when the answer has to begin, or to go on, to meet the latency objective.
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -94,15 +94,63 @@
 	assert.Equal(t, totalRequests(replica), 1)
 }
 
-// Guards against streams that are lost because another replica, to which they would move, refuses them while their own,
-// silent one still has their answer.
-func TestSilentStreamIsNotLostWhenOtherReplicaRefuses(t *testing.T) {
-	one := startReplica(t, "one", pauseMidway)
-	two := startReplica(t, "two", (*fakes.Request).RejectFull)
-	got := newGatewayStartingAt(t, one, two).postStream("/talk/a")
-	assert.NilError(t, got.err)
-	assert.Equal(t, got.body, eventRange(1, 6))
-	assert.Assert(t, totalRequests(two) > 0)
+// Guards against streams that are cut because their replica is silent and the other one doesn't go on with them, in whatever way:
+// the silent one is only left once another answers.
+func TestSilentStreamIsKeptUntilAnotherReplicaAnswers(t *testing.T) {
+	for name, follow := range map[string]func(r *fakes.Request){
+		"full":      func(r *fakes.Request) { r.RejectFull() },
+		"failing":   func(r *fakes.Request) { r.Respond("500 Internal Server Error", "broken") },
+		"forged":    func(r *fakes.Request) { r.RespondWithoutReceipt("done") },
+		"no stream": func(r *fakes.Request) { r.Respond("200 OK", "done") },
+		"closing":   func(r *fakes.Request) { r.CloseConnection() },
+		"hanging":   func(r *fakes.Request) { r.WaitForClose() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			script := func(r *fakes.Request) {
+				if r.LastEventID != "" {
+					follow(r)
+					return
+				}
+				pauseMidway(r)
+			}
+			one, two := startReplica(t, "one", script), startReplica(t, "two", script)
+			got := newPatientGateway(t, fakes.EngineService, one, two).postStream("/talk/a")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, eventRange(1, 6))
+		})
+	}
+}
+
+// Guards against streams that are cut because the upstream that is to go on with them refuses at first: the caller waits for the
+// next event, whenever the request arrived.
+func TestMovedStreamWaitsForRoom(t *testing.T) {
+	for name, begin := range map[string]func(r *fakes.Request){
+		"silent": pauseMidway,
+		"broken": func(r *fakes.Request) {
+			r.Stream(1, 2, false)
+			time.Sleep(1150 * time.Millisecond)
+			r.CloseConnection()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			script := func(r *fakes.Request) {
+				switch {
+				case r.LastEventID == "":
+					begin(r)
+				case r.Number == 1:
+					r.RejectFull()
+				default:
+					r.Stream(3, 6, true)
+				}
+			}
+			one, two := startReplica(t, "one", script), startReplica(t, "two", script)
+			got := newPatientGateway(t, fakes.EngineService, one, two).postStream("/talk/a")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, eventRange(1, 6))
+		})
+	}
 }
 
 // Guards against streams that leave a silent replica, which goes on a moment later, for another one that never begins.
