gate: read the body of a refused request, so that the refusal arrives

The same fault as in relay at the gateway with agents: where a service or a key goes, or the gateway takes no more, a caller that was still sending more than 256 KB lost its 404, 401 or 503 to a reset of the connection.

A refusal now reads what is left of the body before it is written, 8 MB and 2 s at most, and closes the connection if the body has not ended. A caller that waits for 100 (Continue) is refused at once.

--- a/gate/problem.go
+++ b/gate/problem.go
@@ -136,6 +136,9 @@
 func (p *Problem) write(w http.ResponseWriter) {
 	p = p.forCaller()
 	stats.Refuse(p.Code)
+	if f, ok := w.(*flushWriter); ok {
+		f.endBody()
+	}
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(headerRun, runHeaderNotRun)
--- a/gate/public.go
+++ b/gate/public.go
@@ -52,6 +52,7 @@
 // admit handles a request, or refuses it when the gateway accepts no more.
 func (s *Server) admit(api http.Handler, w *flushWriter, r *http.Request) {
 	w.setWriteDeadline()
+	w.request = r
 	if s.draining.Load() {
 		// Closing the connection makes the load balancer send the next request to another gateway.
 		w.Header().Set("Connection", "close")
@@ -87,7 +88,9 @@
 }
 
 // apiError sends the errors of the generated server and of the handlers.
-func apiError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+func apiError(ctx context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	// The generated server passes a ResponseWriter of its own.
+	exchangeOf(ctx).writer.endBody()
 	requestProblem(err).write(w)
 }
 
--- a/gate/writer.go
+++ b/gate/writer.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"io"
 	"net/http"
 	"time"
 
@@ -15,6 +16,30 @@
 	timeout    time.Duration
 	// failed is set when a write to the caller failed.
 	failed bool
+	// request is the request that is answered; nil if its body needs no end.
+	request *http.Request
+}
+
+const (
+	// discardTimeout and maxDiscardBytes bound the reading of the rest of a refused body.
+	discardTimeout  = 2 * time.Second
+	maxDiscardBytes = 8 << 20
+)
+
+// endBody reads what is left of the request's body before it is refused. Closing a connection with unread bytes resets it, and
+// then the caller may never see the refusal. A caller that waits for 100 (Continue) sends no body.
+func (w *flushWriter) endBody() {
+	r := w.request
+	if r == nil || r.Body == nil || r.Body == http.NoBody || r.Header.Get("Expect") != "" {
+		return
+	}
+	_ = w.controller.SetReadDeadline(time.Now().Add(discardTimeout))
+	if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardBytes+1)); err != nil || n > maxDiscardBytes {
+		w.Header().Set("Connection", "close")
+		return
+	}
+	// The deadline would be taken for a disconnect of the caller.
+	_ = w.controller.SetReadDeadline(time.Time{})
 }
 
 // newFlushWriter returns a flushWriter; timeout bounds each write.
