--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -33,7 +33,7 @@
 	apiKey       = "soak-key"
 	// recoveryTime bounds the start of all processes, and the time until all gateways serve after the last fault.
 	recoveryTime = 30 * time.Second
-	// stopTimeout bounds a planned stop; the period of grace in the settings is 1 s.
+	// stopTimeout bounds a planned stop; the period of grace in the settings is 1 s, or stopGraceSeconds.
 	stopTimeout = 10 * time.Second
 )
 
@@ -110,8 +110,8 @@
 	return 0
 }
 
-// newGateway writes the settings of a gateway.
-func newGateway(t *testing.T, name, store string) *gateway {
+// newGateway writes the settings of a gateway with a period of grace.
+func newGateway(t *testing.T, name, store string, graceSeconds int) *gateway {
 	t.Helper()
 	first, front := freePort(t), freePort(t)
 	l, err := newLink(store)
@@ -131,7 +131,7 @@
 [bounds]
 revokeMs = %d
 drainMs = 2000
-graceS = 1
+graceS = %d
 retryRatio = 0.5
 retrySlack = 100
 retryWindowS = 10
@@ -141,7 +141,7 @@
 memoryMb = 284
 [platform]
 address = %q
-`, name, first, first+1, g.public, ready, withdrawalTime.Milliseconds(), l.addr())
+`, name, first, first+1, g.public, ready, withdrawalTime.Milliseconds(), graceSeconds, l.addr())
 	assert.NilError(t, os.WriteFile(file, []byte(settings), 0o600))
 	return g
 }
@@ -277,7 +277,7 @@
 		f.apps = append(f.apps, newUpstream(f, fmt.Sprint("app-", i), fakes.AppService))
 	}
 	for i := range gatewayCount {
-		g := newGateway(t, fmt.Sprint("gate-", i), f.store.Addr())
+		g := newGateway(t, fmt.Sprint("gate-", i), f.store.Addr(), 1)
 		assert.NilError(t, g.start())
 		f.gateways = append(f.gateways, g)
 	}
