gate: answer requests of which a part has arrived when connections close

What callers saw: a request on a kept connection, whose header came in more than one piece around the end of a stop, got no answer but a closed connection. It had not run, which its caller couldn't tell.

Cause: http.Server.SetKeepAlivesEnabled(false) closes all connections in StateIdle. A kept connection is in that state until the whole header of its next request has been read, and also while the request lies unread in the socket.

Now the listener closes idle connections itself, as at the gateway on the platform: none from which bytes were read since the last write, and none with unread bytes. Its request is then read to its end and refused with draining and Connection: close.

Evidence: TestStopAnswersRequestThatHasArrivedInPartOnKeptConnection ends with unexpected EOF on the code before. TestStopClosesIdleConnections passes before and after: idle connections still keep no stop waiting.

--- a/gate/listen.go
+++ b/gate/listen.go
@@ -6,8 +6,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/magnolialever/magnolialever/socket"
 )
 
 // Names of the listeners.
@@ -41,7 +45,9 @@
 	if name == adminName {
 		s.ReadTimeout, s.WriteTimeout = l.HeaderTimeout.Duration(), l.WriteTimeout.Duration()
 	}
-	return &listener{name: name, tcp: newLimitedListener(n, l.MaxConnections), http: s}, nil
+	tcp := newLimitedListener(n, l.MaxConnections)
+	s.ConnState = tcp.onStateChange
+	return &listener{name: name, tcp: tcp, http: s}, nil
 }
 
 // serve handles requests until shutdown.
@@ -51,21 +57,33 @@
 	}
 }
 
+// newConnTimeout is the age from which a connection that has carried no request counts as idle.
+const newConnTimeout = 5 * time.Second
+
 // limitedListener bounds the number of open connections; further ones wait in the backlog of the
-// socket.
+// socket. It closes idle connections.
 type limitedListener struct {
 	net.Listener
 	slots  chan struct{}
 	closed chan struct{}
 	once   sync.Once
+
+	mu    sync.Mutex
+	conns map[*limitedConn]struct{}
 }
 
 func newLimitedListener(l net.Listener, limit int) *limitedListener {
-	return &limitedListener{Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{})}
+	return &limitedListener{
+		Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{}), conns: map[*limitedConn]struct{}{},
+	}
 }
 
-// open returns the number of open connections once the listener is closed.
-func (b *limitedListener) open() int { return len(b.slots) }
+// open returns the number of open connections.
+func (b *limitedListener) open() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.conns)
+}
 
 // Accept implements net.Listener.
 func (b *limitedListener) Accept() (net.Conn, error) {
@@ -74,12 +92,16 @@
 	case <-b.closed:
 		return nil, net.ErrClosed
 	}
-	c, err := b.Listener.Accept()
+	n, err := b.Listener.Accept()
 	if err != nil {
 		<-b.slots
 		return nil, err
 	}
-	return &limitedConn{Conn: c, slots: b.slots}, nil
+	c := &limitedConn{Conn: n, listener: b, slots: b.slots, openedAt: time.Now(), state: http.StateNew}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.conns[c] = struct{}{}
+	return c, nil
 }
 
 // Close implements net.Listener.
@@ -88,15 +110,79 @@
 	return b.Listener.Close()
 }
 
-// limitedConn frees its slot when it is closed.
+// onStateChange records the state of a connection. It is an http.Server.ConnState hook.
+func (b *limitedListener) onStateChange(n net.Conn, s http.ConnState) {
+	if c, ok := n.(*limitedConn); ok {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.state = s
+	}
+}
+
+// closeIdle closes the idle connections.
+func (b *limitedListener) closeIdle() {
+	b.mu.Lock()
+	all := make([]*limitedConn, 0, len(b.conns))
+	for c := range b.conns {
+		all = append(all, c)
+	}
+	b.mu.Unlock()
+	for _, c := range all {
+		if c.isIdle() {
+			_ = c.Close()
+		}
+	}
+}
+
+// limitedConn frees its slot when it is closed, and knows whether a request has begun to arrive.
 type limitedConn struct {
 	net.Conn
-	slots chan struct{}
-	once  sync.Once
+	listener *limitedListener
+	slots    chan struct{}
+	once     sync.Once
+	openedAt time.Time
+	// received is set while bytes have been read since the last write. net/http calls a connection idle until it has read
+	// the whole header of the next request.
+	received atomic.Bool
+
+	mu    sync.Mutex
+	state http.ConnState
+}
+
+// isIdle reports whether the connection carries no request. One of which a part has arrived counts, also if nobody has
+// read it yet, as on a busy machine.
+func (c *limitedConn) isIdle() bool {
+	c.mu.Lock()
+	s := c.state
+	c.mu.Unlock()
+	if s != http.StateIdle && (s != http.StateNew || time.Since(c.openedAt) < newConnTimeout) {
+		return false
+	}
+	return !c.received.Load() && socket.Peek(c.Conn) != socket.Unread
+}
+
+// Read implements net.Conn.
+func (c *limitedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.received.Store(true)
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *limitedConn) Write(b []byte) (int, error) {
+	c.received.Store(false)
+	return c.Conn.Write(b)
 }
 
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
-	c.once.Do(func() { <-c.slots })
+	c.once.Do(func() {
+		c.listener.mu.Lock()
+		delete(c.listener.conns, c)
+		c.listener.mu.Unlock()
+		<-c.slots
+	})
 	return c.Conn.Close()
 }
--- a/gate/stop.go
+++ b/gate/stop.go
@@ -58,11 +58,11 @@
 const closePollInterval = 10 * time.Millisecond
 
 // shutdown closes the listener, and the connections once their responses have been written, at most after abortTimeout.
-// http.Server.Shutdown would drop requests that it reads meanwhile on connections that were accepted before.
+// http.Server.Shutdown and SetKeepAlivesEnabled would drop requests of which they have read a part.
 func (l *listener) shutdown() {
 	_ = l.tcp.Close()
 	for end := time.Now().Add(abortTimeout); l.tcp.open() > 0 && time.Now().Before(end); time.Sleep(closePollInterval) {
-		l.http.SetKeepAlivesEnabled(false)
+		l.tcp.closeIdle()
 	}
 	_ = l.http.Close()
 }
--- a/gate/stop_test.go
+++ b/gate/stop_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -66,3 +67,81 @@
 	w.Body.Close()
 	assert.NilError(t, <-done)
 }
+
+// stoppable is a running gateway that a test stops.
+type stoppable struct {
+	*gate.Server
+	cancel context.CancelFunc
+	done   chan error
+}
+
+// startStoppable runs a gateway and returns when it is connected to all agents. The test has to stop it and to read done.
+func startStoppable(t *testing.T, o gate.Options) *stoppable {
+	t.Helper()
+	s, err := gate.New(o)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &stoppable{Server: s, cancel: cancel, done: make(chan error, 1)}
+	go func() { g.done <- s.Run(ctx) }()
+	eventually(t, func() bool { return len(s.ConnectedAgents()) == len(o.Settings.AgentAddresses) })
+	return g
+}
+
+// dial opens a connection to the gateway. Reading from it fails after 10 s.
+func (g *stoppable) dial(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", g.Addr().String())
+	assert.NilError(t, err)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+	t.Cleanup(func() { c.Close() })
+	return c, bufio.NewReader(c)
+}
+
+// Two parts of a request.
+const (
+	requestLine = "GET /v1/models HTTP/1.1\r\n"
+	requestRest = "Host: x\r\nAuthorization: Bearer " + testKey + "\r\n\r\n"
+)
+
+// readAnswer reads an answer and drops its body.
+func readAnswer(t *testing.T, r *bufio.Reader) *http.Response {
+	t.Helper()
+	w, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, w.Body)
+	assert.NilError(t, err)
+	w.Body.Close()
+	return w
+}
+
+// Guards against kept connections that a stopping gateway closes as idle although a part of a request has arrived on them:
+// their callers get no answer, and can't tell that the request has not run.
+func TestStopAnswersRequestThatHasArrivedInPartOnKeptConnection(t *testing.T) {
+	g := startStoppable(t, testOptions())
+	c, r := g.dial(t)
+	fmt.Fprint(c, requestLine+requestRest)
+	w := readAnswer(t, r)
+	assert.Check(t, w.StatusCode == http.StatusOK && !w.Close, "%v", w)
+	fmt.Fprint(c, requestLine)
+	time.Sleep(50 * time.Millisecond)
+	g.cancel()
+	time.Sleep(300 * time.Millisecond)
+	fmt.Fprint(c, requestRest)
+	w = readAnswer(t, r)
+	assert.Check(t, w.StatusCode == http.StatusServiceUnavailable && w.Close, "%v", w)
+	assert.NilError(t, <-g.done)
+}
+
+// Guards against idle connections that keep a stop waiting.
+func TestStopClosesIdleConnections(t *testing.T) {
+	g := startStoppable(t, testOptions())
+	c, r := g.dial(t)
+	fmt.Fprint(c, requestLine+requestRest)
+	readAnswer(t, r)
+	began := time.Now()
+	g.cancel()
+	_, err := r.ReadByte()
+	assert.Check(t, errors.Is(err, io.EOF), "%v", err)
+	assert.NilError(t, <-g.done)
+	assert.Check(t, time.Since(began) < time.Second, "%v", time.Since(began))
+}
