gate, socket: refuse connections that wait for a place during a stop

What callers saw: at the limit of connections, a caller whose connection waits in the backlog of the socket got no answer during the whole stop, and a reset at its end. It had not run, which the caller couldn't tell.

Cause: the limit holds during a stop too, and connections in the backlog are reset when the listener closes, also those that a busy process had not accepted yet.

Now a stopping gateway opens up to twice as many connections once it refuses requests, and closes a listener only when no connection waits and the last accepted one is known.

Evidence: on the code before, TestStopAnswersConnectionsBeyondTheLimit waits 10 s in vain while requests go on, and ends with "connection reset by peer" where none does.

--- a/gate/listen.go
+++ b/gate/listen.go
@@ -25,6 +25,8 @@
 	name string
 	tcp  *limitedListener
 	http *http.Server
+	// served is closed when no more connections are accepted.
+	served chan struct{}
 }
 
 // newListener opens the listener at address, as IP:port. The name appears in logs and errors.
@@ -47,11 +49,12 @@
 	}
 	tcp := newLimitedListener(n, l.MaxConnections)
 	s.ConnState = tcp.onStateChange
-	return &listener{name: name, tcp: tcp, http: s}, nil
+	return &listener{name: name, tcp: tcp, http: s, served: make(chan struct{})}, nil
 }
 
 // serve handles requests until shutdown.
 func (l *listener) serve() {
+	defer close(l.served)
 	if err := l.http.Serve(l.tcp); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		klog.Errorf("gate: %s listener failed: %v", l.name, err)
 	}
@@ -67,6 +70,10 @@
 	slots  chan struct{}
 	closed chan struct{}
 	once   sync.Once
+	// stopSlots are further slots, for use once stopping is closed.
+	stopSlots    chan struct{}
+	stopping     chan struct{}
+	stoppingOnce sync.Once
 
 	mu    sync.Mutex
 	conns map[*limitedConn]struct{}
@@ -74,7 +81,8 @@
 
 func newLimitedListener(l net.Listener, limit int) *limitedListener {
 	return &limitedListener{
-		Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{}), conns: map[*limitedConn]struct{}{},
+		Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{}),
+		stopSlots: make(chan struct{}, limit), stopping: make(chan struct{}), conns: map[*limitedConn]struct{}{},
 	}
 }
 
@@ -85,19 +93,41 @@
 	return len(b.conns)
 }
 
-// Accept implements net.Listener.
-func (b *limitedListener) Accept() (net.Conn, error) {
+// beginStop doubles the number of connections that may be open, so that those that wait in the backlog of the socket are
+// refused. Closing the socket would reset them.
+func (b *limitedListener) beginStop() { b.stoppingOnce.Do(func() { close(b.stopping) }) }
+
+// takeSlot waits for a slot and returns the channel that it has to be received from to free it.
+func (b *limitedListener) takeSlot() (slots chan struct{}, err error) {
+	select {
+	case b.slots <- struct{}{}:
+		return b.slots, nil
+	case <-b.closed:
+		return nil, net.ErrClosed
+	case <-b.stopping:
+	}
 	select {
 	case b.slots <- struct{}{}:
+		return b.slots, nil
+	case b.stopSlots <- struct{}{}:
+		return b.stopSlots, nil
 	case <-b.closed:
 		return nil, net.ErrClosed
 	}
+}
+
+// Accept implements net.Listener.
+func (b *limitedListener) Accept() (net.Conn, error) {
+	slots, err := b.takeSlot()
+	if err != nil {
+		return nil, err
+	}
 	n, err := b.Listener.Accept()
 	if err != nil {
-		<-b.slots
+		<-slots
 		return nil, err
 	}
-	c := &limitedConn{Conn: n, listener: b, slots: b.slots, openedAt: time.Now(), state: http.StateNew}
+	c := &limitedConn{Conn: n, listener: b, slots: slots, openedAt: time.Now(), state: http.StateNew}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.conns[c] = struct{}{}
--- a/gate/stop.go
+++ b/gate/stop.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/magnolialever/magnolialever/socket"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -25,6 +26,7 @@
 	klog.Infof("gate: stopping gracefully, %d requests in progress, time limit %v", s.inFlight.count(), l.StopTimeout.Duration())
 	time.Sleep(l.DrainDelay.Duration())
 	idle := s.inFlight.drain()
+	s.public.tcp.beginStop()
 	t := time.NewTimer(l.StopTimeout.Duration())
 	defer t.Stop()
 	select {
@@ -54,15 +56,23 @@
 	return fmt.Errorf("%d canceled: %w", remaining, ErrStopTimeout)
 }
 
-// closePollInterval is the interval at which shutdown looks for open connections.
+// closePollInterval is the interval at which shutdown looks for open connections, and for those that wait.
 const closePollInterval = 10 * time.Millisecond
 
 // shutdown closes the listener, and the connections once their responses have been written, at most after abortTimeout.
 // http.Server.Shutdown and SetKeepAlivesEnabled would drop requests of which they have read a part.
 func (l *listener) shutdown() {
+	end := time.Now().Add(abortTimeout)
+	l.tcp.beginStop()
+	for socket.Waiting(l.tcp.Listener) && time.Now().Before(end) {
+		time.Sleep(closePollInterval)
+	}
 	_ = l.tcp.Close()
-	for end := time.Now().Add(abortTimeout); l.tcp.open() > 0 && time.Now().Before(end); time.Sleep(closePollInterval) {
+	// A connection that was accepted last is counted as open from then on.
+	<-l.served
+	for l.tcp.open() > 0 && time.Now().Before(end) {
 		l.tcp.closeIdle()
+		time.Sleep(closePollInterval)
 	}
 	_ = l.http.Close()
 }
--- a/gate/stop_test.go
+++ b/gate/stop_test.go
@@ -145,3 +145,40 @@
 	assert.NilError(t, <-g.done)
 	assert.Check(t, time.Since(began) < time.Second, "%v", time.Since(began))
 }
+
+// Guards against callers whose connection waits for a place during a stop, and is reset when the listener closes: they
+// can't tell that their request has not run.
+func TestStopAnswersConnectionsBeyondTheLimit(t *testing.T) {
+	running, release := make(chan struct{}, 1), make(chan struct{})
+	for name, busy := range map[string]bool{"while requests go on": true, "right before the listener closes": false} {
+		t.Run(name, func(t *testing.T) {
+			o := testOptions(newFakeAgent(t, "a1", func(c *agentCall) {
+				running <- struct{}{}
+				<-release
+				respondTokens(0)(c)
+			}))
+			o.Settings.Limits.MaxConnections = 1
+			g := startStoppable(t, o)
+			first, firstAnswer := g.dial(t)
+			if busy {
+				const body = `{"model":"small","messages":[]}`
+				fmt.Fprintf(first, "POST /v1/chat/completions HTTP/1.1\r\nContent-Type: application/json\r\nContent-Length: %d\r\n"+requestRest+body, len(body))
+				<-running
+			} else {
+				fmt.Fprint(first, requestLine+requestRest)
+				readAnswer(t, firstAnswer)
+			}
+			second, secondAnswer := g.dial(t)
+			fmt.Fprint(second, requestLine+requestRest)
+			time.Sleep(50 * time.Millisecond)
+			g.cancel()
+			w := readAnswer(t, secondAnswer)
+			assert.Check(t, w.StatusCode == http.StatusServiceUnavailable && w.Close, "%v", w)
+			if busy {
+				close(release)
+				assert.Equal(t, readAnswer(t, firstAnswer).StatusCode, http.StatusOK)
+			}
+			assert.NilError(t, <-g.done)
+		})
+	}
+}
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -1,10 +1,12 @@
-// Package socket looks at connections without reading from them.
+// Package socket looks at connections without reading from them, and at listeners without accepting.
 package socket
 
 import (
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is the state of a connection that nobody reads from.
@@ -45,3 +47,22 @@
 	}
 	return state
 }
+
+// Waiting reports whether connections wait to be accepted. It accepts none. It returns false if that can't be told.
+func Waiting(l net.Listener) bool {
+	s, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	err = raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, e := unix.Poll(p, 0)
+		waiting = e == nil && n > 0 && p[0].Revents&unix.POLLIN != 0
+	})
+	return err == nil && waiting
+}
--- a/socket/socket_test.go
+++ b/socket/socket_test.go
@@ -47,3 +47,22 @@
 	in.Close()
 	assert.Equal(t, socket.Peek(in), socket.Closed)
 }
+
+// Guards against connections that wait and are not seen, and against ones that are taken.
+func TestWaiting(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.Check(t, !socket.Waiting(l))
+	out, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer out.Close()
+	for end := time.Now().Add(5 * time.Second); !socket.Waiting(l); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end))
+	}
+	in, err := l.Accept()
+	assert.NilError(t, err)
+	in.Close()
+	assert.Check(t, !socket.Waiting(l))
+	l.Close()
+	assert.Check(t, !socket.Waiting(l))
+}
