gate: close the connections of all answers that begin during a stop

What callers saw: a request that was in progress at SIGTERM was answered without Connection: close. Its caller kept the connection to a gateway that was about to end, sent the next request on it, and got draining or, at the end of the stop, a closed connection.

Cause: the header was set when a request came, so only for requests that came after SIGTERM.

Now it is set when the head of an answer is written. Streams whose head went out before SIGTERM keep their connection; the next request on it is refused with Connection: close.

Evidence: TestAnswersDuringAStopCloseTheirConnections gets a plain answer and a stream without the header on the code before.

--- a/gate/public.go
+++ b/gate/public.go
@@ -45,7 +45,9 @@
 		return nil, fmt.Errorf("create API server: %w", err)
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.admit(api, newFlushWriter(w, s.options.Settings.Limits.WriteTimeout), r)
+		f := newFlushWriter(w, s.options.Settings.Limits.WriteTimeout)
+		f.stopping = s.draining.Load
+		s.admit(api, f, r)
 	}), nil
 }
 
@@ -53,10 +55,6 @@
 func (s *Server) admit(api http.Handler, w *flushWriter, r *http.Request) {
 	w.setWriteDeadline()
 	w.request = r
-	if s.draining.Load() {
-		// Closing the connection makes the load balancer send the next request to another gateway.
-		w.Header().Set("Connection", "close")
-	}
 	if p := s.acquireSlot(); p != nil {
 		p.write(w)
 		return
--- a/gate/stop_test.go
+++ b/gate/stop_test.go
@@ -182,3 +182,29 @@
 		})
 	}
 }
+
+// Guards against callers that keep a connection on which a stopping gateway has answered, and lose their next request with
+// it: an answer that begins during the stop has to say that its connection closes, also if the request came before.
+func TestAnswersDuringAStopCloseTheirConnections(t *testing.T) {
+	running, release := make(chan struct{}, 2), make(chan struct{})
+	g := startStoppable(t, testOptions(newFakeAgent(t, "a1", func(c *agentCall) {
+		running <- struct{}{}
+		<-release
+		respondTokens(3)(c)
+	})))
+	answers := map[string]*bufio.Reader{}
+	for _, body := range []string{`{"model":"small","messages":[]}`, `{"model":"small","messages":[],"stream":true}`} {
+		c, r := g.dial(t)
+		fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nContent-Type: application/json\r\nContent-Length: %d\r\n"+requestRest+body, len(body))
+		answers[body] = r
+		<-running
+	}
+	g.cancel()
+	eventually(t, g.Draining)
+	close(release)
+	for body, r := range answers {
+		w := readAnswer(t, r)
+		assert.Check(t, w.StatusCode == http.StatusOK && w.Close, "%s: %v", body, w)
+	}
+	assert.NilError(t, <-g.done)
+}
--- a/gate/writer.go
+++ b/gate/writer.go
@@ -14,6 +14,10 @@
 	response   http.ResponseWriter
 	controller *http.ResponseController
 	timeout    time.Duration
+	// stopping, if set, reports whether the gateway stops.
+	stopping func() bool
+	// headWritten is set once the status and headers were written.
+	headWritten bool
 	// failed is set when a write to the caller failed.
 	failed bool
 	// request is the request that is answered; nil if its body needs no end.
@@ -50,12 +54,22 @@
 // Header implements http.ResponseWriter.
 func (w *flushWriter) Header() http.Header { return w.response.Header() }
 
-// WriteHeader implements http.ResponseWriter.
-func (w *flushWriter) WriteHeader(status int) { w.response.WriteHeader(status) }
+// WriteHeader implements http.ResponseWriter. A stopping gateway closes the connection after the response, so that the
+// caller, or the load balancer, sends its next request to another gateway.
+func (w *flushWriter) WriteHeader(status int) {
+	if w.stopping != nil && w.stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	w.headWritten = true
+	w.response.WriteHeader(status)
+}
 
 // Write implements http.ResponseWriter and flushes.
 func (w *flushWriter) Write(data []byte) (int, error) {
 	w.setWriteDeadline()
+	if !w.headWritten {
+		w.WriteHeader(http.StatusOK)
+	}
 	n, err := w.response.Write(data)
 	if err == nil {
 		err = w.controller.Flush()
