gate: start no request in the second half of a stop

What callers saw: a request that waited during a stop, for a model that was being loaded or for a place at an upstream in cold start, started late and was cut at the time limit of the stop: 502 and may-have-run, or a stream with an error event. Calls that must not be repeated were lost that way though nothing had run before.

Cause: whatever had been accepted before the refusals began was passed on until the end of the stop, whatever time was left. Nothing bounds the time that a request takes once it runs.

Now what no agent has and what has not run in the middle of the stop is refused: the refusal costs one more try, at another gateway, and what starts has at least half of limits.stop. Requests that may have run go on, with further attempts too, as a refusal would end their answer. A request that waits for tokens hears the reason of its end instead of rate_unavailable.

Weighed: refusing all of them when new requests are refused.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -96,6 +96,8 @@
 	admin       *listener
 	peers       *peerServer
 	draining    atomic.Bool
+	// startsEnded is set when a stop lets no more requests start.
+	startsEnded atomic.Bool
 	// capacityChanged is notified when an upstream may accept requests that it did not accept
 	// before.
 	capacityChanged notifier
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -70,6 +70,9 @@
 		if p := r.checkSuspect(); p != nil {
 			return r.finalProblem(nil, p)
 		}
+		if !r.mayHaveRun && r.server.startsEnded.Load() {
+			return r.finalProblem(r.lastProblem, newDrainingProblem())
+		}
 		u, p := r.prepareAttempt(ctx)
 		if p != nil {
 			r.endTicket(nil)
@@ -79,8 +82,15 @@
 			r.endTicket(nil)
 			continue
 		}
+		if !r.request.progress.CompareAndSwap(waiting, passedOn) && !r.mayHaveRun {
+			r.endTicket(nil)
+			return r.finalProblem(r.lastProblem, newDrainingProblem())
+		}
 		p = r.runAttempt(ctx, u)
 		r.endTicket(nil)
+		if !r.mayHaveRun {
+			r.request.progress.Store(waiting)
+		}
 		if p == nil || r.response.ended && !r.response.writer.failed {
 			// A stream whose last event the caller has is complete, however the attempt ended.
 			r.reportSuccess()
--- a/gate/request.go
+++ b/gate/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -36,6 +37,29 @@
 	idempotencyKey string
 	ctx            context.Context
 	cancel         context.CancelCauseFunc
+	// progress is a requestProgress.
+	progress atomic.Int32
+}
+
+// requestProgress tells whether a stop may refuse a request as not run.
+type requestProgress = int32
+
+const (
+	// waiting requests are at no agent and have not run.
+	waiting requestProgress = iota
+	// passedOn means that an agent has the request, or that it may have run.
+	passedOn
+	// refused means that a stop has refused the request while it waited.
+	refused
+)
+
+// refuseWaiting refuses the request if it waits, and reports whether it did.
+func (q *request) refuseWaiting(p *Problem) bool {
+	if !q.progress.CompareAndSwap(waiting, refused) {
+		return false
+	}
+	q.cancel(p)
+	return true
 }
 
 // fingerprint returns a hash of the request. Zero bytes separate the fields.
--- a/gate/reserve.go
+++ b/gate/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/magnolialever/magnolialever/units"
 )
@@ -12,6 +13,10 @@
 		return unlimitedReservation{expires: r.server.clock.Now().Add(permitTTL)}, nil
 	}
 	v, err := r.server.options.Limiter.Reserve(ctx, &r.request.info)
+	var reason *Problem
+	if err != nil && errors.As(context.Cause(ctx), &reason) {
+		return nil, reason
+	}
 	if err != nil {
 		return nil, asProblem(err)
 	}
--- a/gate/running.go
+++ b/gate/running.go
@@ -34,7 +34,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.idle != nil {
-		return newProblem(units.Draining, "the gateway is stopping")
+		return newDrainingProblem()
 	}
 	if r.total >= r.maxRequests {
 		return newProblem(units.QueueFull, "the gateway has too many requests in progress")
--- a/gate/stop.go
+++ b/gate/stop.go
@@ -27,16 +27,49 @@
 	time.Sleep(l.DrainDelay.Duration())
 	idle := s.inFlight.drain()
 	s.public.tcp.beginStop()
-	t := time.NewTimer(l.StopTimeout.Duration())
+	half := l.StopTimeout.Duration() / 2
+	if isIdleWithin(idle, half) {
+		return nil
+	}
+	s.refuseWaiting()
+	if isIdleWithin(idle, l.StopTimeout.Duration()-half) {
+		return nil
+	}
+	return s.cancelRemaining(idle)
+}
+
+// isIdleWithin waits for idle, at most for the time given, and reports whether it was closed.
+func isIdleWithin(idle <-chan struct{}, limit time.Duration) bool {
+	t := time.NewTimer(limit)
 	defer t.Stop()
 	select {
 	case <-idle:
-		return nil
+		return true
 	case <-t.C:
-		return s.cancelRemaining(idle)
+		return false
+	}
+}
+
+// refuseWaiting refuses the requests that no agent has, and lets no more start. Nothing bounds the time that a request takes
+// once it runs, so that one which starts late in the stop would be cut by its time limit; a refusal costs its caller one
+// more try, which reaches another gateway. It is called in the middle of the stop: what starts before has the other half,
+// and by default no request of class live or normal still waits then.
+func (s *Server) refuseWaiting() {
+	s.startsEnded.Store(true)
+	n := 0
+	s.inFlight.each(func(q *request) {
+		if q.refuseWaiting(newDrainingProblem()) {
+			n++
+		}
+	})
+	if n > 0 {
+		klog.Infof("gate: refused %d requests that waited for an upstream", n)
 	}
 }
 
+// newDrainingProblem returns the refusal of a request that has not run.
+func newDrainingProblem() *Problem { return newProblem(units.Draining, "the gateway is stopping") }
+
 // cancelRemaining cancels the remaining requests and returns ErrStopTimeout with their number.
 func (s *Server) cancelRemaining(idle <-chan struct{}) error {
 	remaining := s.inFlight.count()
@@ -47,12 +80,7 @@
 		// Whether the request may have run is added by the attempt that it interrupts.
 		q.cancel(newProblem(units.Draining, "the gateway has stopped"))
 	})
-	t := time.NewTimer(abortTimeout)
-	defer t.Stop()
-	select {
-	case <-idle:
-	case <-t.C:
-	}
+	isIdleWithin(idle, abortTimeout)
 	return fmt.Errorf("%d canceled: %w", remaining, ErrStopTimeout)
 }
 
--- a/gate/stop_test.go
+++ b/gate/stop_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -208,3 +209,105 @@
 	}
 	assert.NilError(t, <-g.done)
 }
+
+// Guards against requests that wait during a stop, start late and are cut by its time limit: a refusal while they wait says
+// that they have not run, and another gateway serves them.
+func TestStopStartsNoRequestThatWaits(t *testing.T) {
+	for _, reason := range []string{"for a model that is loaded", "for an upstream in cold start"} {
+		t.Run(reason, func(t *testing.T) {
+			var stopping atomic.Bool
+			var runs atomic.Int64
+			a := newFakeAgent(t, "a1", func(c *agentCall) {
+				if !stopping.Load() {
+					c.sendRefuse("cold_limit", false, 0)
+					return
+				}
+				runs.Add(1)
+				<-c.streamClosed
+			})
+			demand := newDemandRecorder()
+			o := testOptions(a)
+			o.Settings.Limits.StopTimeout, o.Demand = 2000, demand
+			model := "small"
+			if reason == "for a model that is loaded" {
+				model = "absent"
+			}
+			g := startStoppable(t, o)
+			answer := make(chan string, 1)
+			go func() {
+				w, _ := sendRequest(t, g.Server, "POST", "/v1/chat/completions", `{"model":"`+model+`","messages":[]}`)
+				answer <- w.Status + " " + w.Header.Get("X-Run")
+			}()
+			eventually(t, func() bool { return a.calls.Load() > 0 || demand.waitingFor("absent") == 1 })
+			g.cancel()
+			got := ""
+			select {
+			case got = <-answer:
+			case <-time.After(1300 * time.Millisecond):
+			}
+			stopping.Store(true)
+			if model == "absent" {
+				loaded := newFakeAgent(t, "a2", a.handler)
+				loaded.resident = []string{"absent"}
+				g.SetAgents([]string{a.listener.Addr().String(), loaded.listener.Addr().String()})
+			}
+			if got == "" {
+				got = <-answer
+			}
+			assert.Equal(t, got, "503 Service Unavailable not-run")
+			assert.Equal(t, runs.Load(), int64(0))
+			assert.NilError(t, <-g.done)
+		})
+	}
+}
+
+// Guards against refusing requests that came before a stop and only wait a moment for a place.
+func TestStopServesRequestThatWaitsAMoment(t *testing.T) {
+	var stopping atomic.Bool
+	a := newFakeAgent(t, "a1", func(c *agentCall) {
+		if !stopping.Load() {
+			c.sendRefuse("cold_limit", false, 0)
+			return
+		}
+		respondTokens(0)(c)
+	})
+	g := startStoppable(t, testOptions(a))
+	answer := make(chan int, 1)
+	go func() {
+		w, _ := sendRequest(t, g.Server, "POST", "/v1/chat/completions", `{"model":"small","messages":[]}`)
+		answer <- w.StatusCode
+	}()
+	eventually(t, func() bool { return a.calls.Load() > 0 })
+	g.cancel()
+	time.Sleep(200 * time.Millisecond)
+	stopping.Store(true)
+	assert.Equal(t, <-answer, http.StatusOK)
+	assert.NilError(t, <-g.done)
+}
+
+// Guards against streams that break during a stop and do not go on elsewhere: their callers have a part of the answer, so
+// that a refusal would cut it.
+func TestStreamThatBreaksDuringAStopGoesOn(t *testing.T) {
+	began, broken := make(chan struct{}, 1), make(chan struct{})
+	var first atomic.Bool
+	serve := func(c *agentCall) {
+		if first.Swap(true) {
+			respondTokens(5)(c)
+			return
+		}
+		_ = c.sendHead(200, eventStream)
+		_ = c.sendPart(0, tokenEvent(0))
+		began <- struct{}{}
+		<-broken
+		c.sendRefuse("upstream_failed", true, 0)
+	}
+	g := startStoppable(t, testOptions(newFakeAgent(t, "a1", serve), newFakeAgent(t, "a2", serve)))
+	go func() {
+		<-began
+		g.cancel()
+		time.Sleep(200 * time.Millisecond)
+		close(broken)
+	}()
+	assert.Equal(t, readStream(t, g.Server), tokenText(5))
+	assert.NilError(t, <-g.done)
+}
