agent: end when gateways know that it leaves

What callers saw: calls of services that must not be repeated, sent while the agent of the service stopped, got 502 and may-have-run although the service never saw them. Such a caller must not repeat its call.

Cause: an idle agent ended 500 ms after it had announced Leave. A gateway that has not read it yet, because it or the network is slow, goes on sending calls, and can't tell a call that was never read from one that runs when the session ends.

Now an agent lives on for 2 s after Leave, or until the gateways have closed their sessions, and refuses calls with draining, which is true and is tried elsewhere. A gateway that has not read Leave has no Pong since then either, as both come in order on the control stream, and stops using the agent 1.5 s after the last Ping of which it has the Pong.

--- a/agent/server.go
+++ b/agent/server.go
@@ -28,6 +28,12 @@
 	maxAdminHeaderBytes = 8 << 10
 	// closeTimeout is the time for gateways to read the last frames before sessions close.
 	closeTimeout = 500 * time.Millisecond
+	// leaveTimeout is the time for gateways to hear that the agent leaves. One that has not read Leave has no Pong since then
+	// either, as both come in order on the control stream, and sends no call later than 1.5 s after the last Ping of which
+	// it has the Pong (gate.maxAnsweredPingAge). The rest is for calls on their way.
+	leaveTimeout = 2 * time.Second
+	// sessionPollInterval is the interval at which a stop looks for open sessions.
+	sessionPollInterval = 10 * time.Millisecond
 	// acceptRetryDelay prevents a busy loop when Accept fails, as without file descriptors.
 	acceptRetryDelay = 50 * time.Millisecond
 )
@@ -138,12 +144,14 @@
 	return err
 }
 
-// drain refuses new requests and waits for those in flight, up to StopTimeout.
+// drain refuses new requests and waits for those in flight, up to StopTimeout, and until no gateway sends calls any more.
 func (s *Server) drain() {
 	s.loop.do(s.state.beginDrain)
+	leaveEnd := time.Now().Add(leaveTimeout)
 	select {
 	case <-s.state.idle:
-		time.Sleep(closeTimeout)
+		closeEnd := time.Now().Add(closeTimeout)
+		s.awaitSessionEnds(later(leaveEnd, closeEnd))
 	case <-time.After(s.options.Limits.StopTimeout.Duration()):
 		var unfinished int
 		s.loop.do(func() { unfinished = s.state.openCalls })
@@ -151,6 +159,21 @@
 	}
 }
 
+// awaitSessionEnds waits until gateways have closed all sessions, at most until the time given.
+func (s *Server) awaitSessionEnds(end time.Time) {
+	for s.openSessions.Load() > 0 && time.Now().Before(end) {
+		time.Sleep(sessionPollInterval)
+	}
+}
+
+// later returns the later one of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // acceptSessions accepts and serves sessions until the listener is closed.
 func (s *Server) acceptSessions(ctx context.Context) error {
 	for {
