system: check that a second signal cuts nothing

A second SIGTERM or SIGINT must not end a gateway or an agent that stops: service managers and impatient operators send one. It doesn't: signal.NotifyContext keeps taking the signals until the process ends.

--- a/system/failure_test.go
+++ b/system/failure_test.go
@@ -352,3 +352,28 @@
 	assert.Equal(t, code.ExitCode(), 2)
 	assert.Assert(t, strings.Contains(p.stderr.String(), "gate.json:1: public"), p.stderr.String())
 }
+
+// Guards against a second signal that ends a gateway or an agent at once, and cuts what it still has to finish.
+func TestSecondSignalCutsNothing(t *testing.T) {
+	f := startFleet(t, defaultOptions())
+	r := f.startTraffic(0, 0)
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() { r.sendStream(f.gateways[0], fmt.Sprint("last ", i), 300) })
+	}
+	time.Sleep(300 * time.Millisecond)
+	stopping := []*process{f.gateways[0], f.agents[0]}
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGTERM} {
+		for _, p := range stopping {
+			p.signal(s)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, p := range stopping {
+		assert.NilError(t, p.stop(15*time.Second))
+	}
+	wg.Wait()
+	done, failed := r.stopAndWait()
+	assert.Equal(t, len(failed), 0, "%v", failed)
+	assert.Equal(t, done, 8)
+}
