--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -197,8 +197,7 @@
 		return sched.Broken
 	}
 	stats.Retry(units.UpstreamFailed)
-	switch {
-	case a.route.RetryMode == fleet.AtMostOnce || a.runs >= a.route.MaxAttempts || !a.delivered.canResume():
+	if a.route.RetryMode == fleet.AtMostOnce || a.runs >= a.route.MaxAttempts || !a.delivered.canResume() {
 		a.giveUp(a.reason)
 	}
 	return sched.Broken
