entry, socket: answer requests of which a part has arrived when a stop closes idle connections

What callers saw: a request on a kept connection, whose header came in more than one piece while its gateway stopped, ended with a closed connection. A gateway that was held up between reading a header and looking at it could close one it had read whole.

Cause: net/http calls a connection idle until it has read the whole header of the next request, and bytes that have been read don't wait in the socket any longer. The gateway with agents had the same fault; its connection, which knows whether bytes have come since the last write, moves to package socket and serves both.

TestStopAnswersRequestThatHasArrivedInPartOnKeptConnection ended with unexpected EOF before.

--- a/entry/connlimit.go
+++ b/entry/connlimit.go
@@ -95,20 +95,28 @@
 }
 
 // closeIdle closes the idle connections, and those without a request since newConnTimeout. A connection on which a request
-// has arrived that nobody has read yet, as on a busy machine, is not idle.
+// has begun to arrive is not idle.
 func (c *connLimiter) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for e := c.idle.Front(); e != nil; {
 		conn, _ := e.Value.(net.Conn)
 		e = e.Next()
-		if opened, isNew := c.newSince[conn]; isNew && time.Since(opened) < newConnTimeout || socket.Peek(conn) == socket.Unread {
+		if opened, isNew := c.newSince[conn]; isNew && time.Since(opened) < newConnTimeout || isArriving(conn) {
 			continue
 		}
 		c.close(conn)
 	}
 }
 
+// isArriving reports whether a request has begun to arrive on a connection that waits for one.
+func isArriving(conn net.Conn) bool {
+	if c, ok := conn.(*socket.Conn); ok {
+		return c.Arriving()
+	}
+	return socket.Peek(conn) == socket.Unread
+}
+
 // close closes an idle connection. The caller holds c.mu.
 func (c *connLimiter) close(conn net.Conn) {
 	c.removeIdle(conn)
@@ -142,7 +150,7 @@
 	}
 	stats.Event("caller_connections_closed")
 	for e := c.idle.Front(); e != nil; e = e.Next() {
-		if evicted, _ := e.Value.(net.Conn); socket.Peek(evicted) != socket.Unread {
+		if evicted, _ := e.Value.(net.Conn); !isArriving(evicted) {
 			c.close(evicted)
 			return
 		}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/socket"
 )
 
 const (
@@ -84,6 +85,7 @@
 	if err != nil {
 		return err
 	}
+	public.listener = socket.Listener{Listener: public.listener}
 	connections := newConnLimiter(maxConnections)
 	public.server.ConnState, public.server.ConnContext = connections.onStateChange, connections.connContext
 	public.server.Handler = connections.handler(g.relay)
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -104,6 +104,23 @@
 	return res, err
 }
 
+// Guards against requests of which a part has arrived on a kept connection when a stopping gateway closes idle ones: their
+// callers get a closed connection.
+func TestStopAnswersRequestThatHasArrivedInPartOnKeptConnection(t *testing.T) {
+	_, g := newStopCluster(t)
+	l := beginLate(t, g, "/once/late", "", longTimeoutMillis, 0)
+	res, err := l.finish(t)
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusOK)
+	const part = 40
+	fmt.Fprint(l.conn, l.rest[:part])
+	g.stop()
+	time.Sleep(routingEnded)
+	res, err = lateRequest{l.conn, l.rest[part:]}.finish(t)
+	assert.NilError(t, err)
+	assert.Check(t, res.StatusCode == http.StatusServiceUnavailable && res.Close, "%v", res)
+}
+
 // routingEnded is longer than the platform routes callers to a gateway that stops.
 const routingEnded = 3 * time.Second
 
--- a/gate/listen.go
+++ b/gate/listen.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -127,7 +126,7 @@
 		<-slots
 		return nil, err
 	}
-	c := &limitedConn{Conn: n, listener: b, slots: slots, openedAt: time.Now(), state: http.StateNew}
+	c := &limitedConn{Conn: socket.NewConn(n), listener: b, slots: slots, openedAt: time.Now(), state: http.StateNew}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.conns[c] = struct{}{}
@@ -164,16 +163,13 @@
 	}
 }
 
-// limitedConn frees its slot when it is closed, and knows whether a request has begun to arrive.
+// limitedConn frees its slot when it is closed.
 type limitedConn struct {
-	net.Conn
+	*socket.Conn
 	listener *limitedListener
 	slots    chan struct{}
 	once     sync.Once
 	openedAt time.Time
-	// received is set while bytes have been read since the last write. net/http calls a connection idle until it has read
-	// the whole header of the next request.
-	received atomic.Bool
 
 	mu    sync.Mutex
 	state http.ConnState
@@ -188,22 +184,7 @@
 	if s != http.StateIdle && (s != http.StateNew || time.Since(c.openedAt) < newConnTimeout) {
 		return false
 	}
-	return !c.received.Load() && socket.Peek(c.Conn) != socket.Unread
-}
-
-// Read implements net.Conn.
-func (c *limitedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.received.Store(true)
-	}
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *limitedConn) Write(b []byte) (int, error) {
-	c.received.Store(false)
-	return c.Conn.Write(b)
+	return !c.Arriving()
 }
 
 // Close implements net.Conn.
