agent: a broken connection is no crash while the engine runs on

Cause: an agent took each connection that ended before its answer for a crash, a new one for each request that had started after the last. What ends a connection is not told by its end.

Evidence: TestBrokenConnectionIsNoCrash failed before (crashed for a cut stream); an engine with a new instance still counts as crashed.

--- a/agent/engine_test.go
+++ b/agent/engine_test.go
@@ -41,6 +41,14 @@
 		e.serveLoad(w)
 	case "/orders":
 		e.serveOrder(w, req)
+	case "/cut":
+		writeTokens(w, 1)
+		if req.Header.Get("End") != "" {
+			e.mu.Lock()
+			e.instance = "2"
+			e.mu.Unlock()
+		}
+		panic(http.ErrAbortHandler)
 	default:
 		if e.release != nil {
 			select {
@@ -307,3 +315,18 @@
 	}
 	t.Fatal("agent is ready while it is draining")
 }
+
+// Guards against three streams whose connections break that refuse a model everywhere, as each counts as a crash though the
+// engine runs on (soak seed 61207121), and against crashes that are taken for broken connections.
+func TestBrokenConnectionIsNoCrash(t *testing.T) {
+	ta, _ := startEngineAgent(t, &fakeEngine{models: []residentModel{{"m1", 10}}})
+	for i, end := range []bool{false, false, false, true} {
+		c := &wire.Call{Attempt: fmt.Sprint("a", i), Kind: "model", Target: "m1", Path: "/cut", Method: http.MethodPost, Idempotent: true}
+		if end {
+			c.Header = []*wire.Header{{Name: "End", Value: "now"}}
+		}
+		res := readResponse(t, ta.call(c))
+		assert.Assert(t, res.refuse != nil && res.refuse.Ran, "%v", res)
+		assert.Equal(t, res.refuse.Crashed, end, "%v", res.refuse)
+	}
+}
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -36,6 +36,8 @@
 	pause func() *refusal
 	// onNotice is called with what the upstream says of itself in a response.
 	onNotice func(n notice.Notice)
+	// runsOn reports whether the upstream is known to run on although the connection of a call broke.
+	runsOn func(ctx context.Context) bool
 }
 
 // newTransport returns a transport that neither requests nor removes compression. It opens a connection for
@@ -70,8 +72,18 @@
 	forwarded int64
 }
 
-// forwardCall sends the call to the upstream and relays the response to w.
+// forwardCall sends the call to the upstream and relays the response to w. A broken connection counts as a crash unless the
+// upstream is known to run on.
 func (f *forwarder) forwardCall(ctx context.Context, c *wire.Call, w responseWriter) (tokenCounts, *refusal) {
+	counts, r := f.relayCall(ctx, c, w)
+	if r != nil && r.crashed && f.runsOn(ctx) {
+		r.crashed = false
+	}
+	return counts, r
+}
+
+// relayCall sends the call to the upstream and relays the response to w.
+func (f *forwarder) relayCall(ctx context.Context, c *wire.Call, w responseWriter) (tokenCounts, *refusal) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(ctx, trace))
--- a/agent/server.go
+++ b/agent/server.go
@@ -88,7 +88,7 @@
 		configSync:    syncer.New(syncer.Options{Self: units.VMID(o.Node.ID), Clock: o.Clock}),
 	}
 	s.forwarder = &forwarder{
-		address: o.Upstream.Address, transport: newTransport(), pause: s.checkPause, onNotice: s.recordNotice,
+		address: o.Upstream.Address, transport: newTransport(), pause: s.checkPause, onNotice: s.recordNotice, runsOn: s.engineRuns,
 	}
 	s.lifetime, s.endLifetime = context.WithCancel(ctx)
 	return s, nil
