gate: ask the agent whether a request has run before a stop reports it

What callers saw: a call that waited in the queue of an agent at the time limit of a gateway's stop got 502 and may-have-run, although it had not run. Callers of calls that must not be repeated could not send them again.

Cause: the gateway gave up the stream at once and took every request that an agent had for one that may have run.

Without an answer, as from an agent that is busy with a call that must not be canceled, the request still counts as one that may have run.

--- a/gate/attempt.go
+++ b/gate/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,6 +40,9 @@
 	deadlineSetAt clock.Time
 	// deadline is the current deadline of the stream.
 	deadline clock.Time
+	// closeOnce guards the close of the stream at the time limit of a stop; refusalDeadline is set by it.
+	closeOnce       sync.Once
+	refusalDeadline time.Time
 }
 
 var errFrameOrder = errors.New("frame out of order")
@@ -174,6 +178,9 @@
 	if p.Message == "" {
 		p.Message = "the upstream refused the request"
 	}
+	if cause := stopCause(a.ctx); cause != nil {
+		p.Code, p.Message, p.RetryAfter = cause.Code, cause.Message, 0
+	}
 	return p
 }
 
@@ -231,5 +238,29 @@
 	}
 }
 
-// interrupt makes pending and later operations on the stream fail with a timeout.
-func (a *attempt) interrupt() { _ = a.stream.SetDeadline(time.Unix(1, 0)) }
+// interrupt makes pending and later operations on the stream fail with a timeout. At the time limit of a stop, it closes the
+// stream for sending and waits up to stopRefusalTimeout for the agent to say whether the request has run.
+func (a *attempt) interrupt() {
+	deadline := time.Unix(1, 0)
+	if stopCause(a.ctx) != nil {
+		a.closeOnce.Do(func() {
+			a.refusalDeadline = time.Now().Add(stopRefusalTimeout)
+			_ = a.stream.Close()
+		})
+		deadline = a.refusalDeadline
+	}
+	_ = a.stream.SetDeadline(deadline)
+}
+
+// stopRefusalTimeout is the time for an agent to refuse a request whose stream was closed. It is shorter than abortTimeout,
+// so that callers still get an error.
+const stopRefusalTimeout = abortTimeout / 2
+
+// stopCause returns the problem with which a stop has canceled the request, or nil.
+func stopCause(ctx context.Context) *Problem {
+	var p *Problem
+	if errors.As(context.Cause(ctx), &p) && p.Code == units.Draining {
+		return p
+	}
+	return nil
+}
--- a/gate/leave_test.go
+++ b/gate/leave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 
 	"github.com/magnolialever/magnolialever/agent"
 	"github.com/magnolialever/magnolialever/config"
+	"github.com/magnolialever/magnolialever/gate"
 	"github.com/magnolialever/magnolialever/units"
 )
 
@@ -86,31 +88,72 @@
 	from.Close()
 }
 
+// startServiceAgent runs an agent of the service cases, which f serves. ended receives the result of the agent's Run.
+func startServiceAgent(t *testing.T, l agent.Limits, f http.HandlerFunc) (address string, stop func(), ended chan error) {
+	service := httptest.NewServer(f)
+	t.Cleanup(service.Close)
+	a, err := agent.New(agent.Options{
+		Node:   config.Node{ID: "u1", Zone: "a", PeerAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0"},
+		Secret: []byte(testSecret), Limits: l, Upstream: agent.Upstream{
+			Kind: agent.Service, Address: strings.TrimPrefix(service.URL, "http://"), Services: []units.ServiceID{"cases"},
+		},
+	})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended = make(chan error, 1)
+	go func() { ended <- a.Run(ctx) }()
+	t.Cleanup(cancel)
+	return a.Addr().String(), cancel, ended
+}
+
+// Guards against calls that wait at an agent at the time limit of a gateway's stop and whose callers hear that they may
+// have run: calls that must not be repeated would be lost.
+func TestCallsThatWaitAtAgentAtTheTimeLimitOfAStop(t *testing.T) {
+	running, release := make(chan string, 2), make(chan struct{})
+	address, stopAgent, ended := startServiceAgent(t, agent.Limits{Running: 1}, func(_ http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		running <- string(b)
+		<-release
+	})
+	end := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(end)
+	o := testOptions()
+	withService(&o)
+	o.Settings.AgentAddresses, o.Settings.Limits.StopTimeout = []string{address}, 300
+	g := startStoppable(t, o)
+	answers := make(chan string, 2)
+	send := func(id string) {
+		w, _ := sendRequest(t, g.Server, "PUT", "/svc/cases/award", id)
+		answers <- id + " " + w.Status + " " + w.Header.Get("X-Run")
+	}
+	go send("running")
+	assert.Equal(t, <-running, "running")
+	go send("waiting")
+	eventually(t, func() bool { return g.InFlight() == 2 })
+	time.Sleep(100 * time.Millisecond)
+	g.cancel()
+	got := map[string]bool{<-answers: true, <-answers: true}
+	assert.DeepEqual(t, got, map[string]bool{"running 502 Bad Gateway may-have-run": true, "waiting 503 Service Unavailable not-run": true})
+	assert.Check(t, errors.Is(<-g.done, gate.ErrStopTimeout))
+	end()
+	stopAgent()
+	assert.NilError(t, <-ended)
+	assert.Equal(t, len(running), 0)
+}
+
 // Guards against agents that end while a gateway has not heard yet that they leave: it sends them calls, takes the closed
 // connection for a call that may have run, and tells callers of calls that must not be repeated so, though they have not run.
 func TestAgentEndsWhenGatewaysKnowThatItLeaves(t *testing.T) {
 	for _, lag := range []time.Duration{0, 700 * time.Millisecond} {
 		t.Run(lag.String(), func(t *testing.T) {
 			var ran sync.Map
-			service := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			address, stopAgent, ended := startServiceAgent(t, agent.Limits{}, func(_ http.ResponseWriter, r *http.Request) {
 				b, _ := io.ReadAll(r.Body)
 				ran.Store(string(b), true)
-			}))
-			defer service.Close()
-			a, err := agent.New(agent.Options{
-				Node:   config.Node{ID: "u1", Zone: "a", PeerAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0"},
-				Secret: []byte(testSecret), Upstream: agent.Upstream{
-					Kind: agent.Service, Address: strings.TrimPrefix(service.URL, "http://"), Services: []units.ServiceID{"cases"},
-				},
 			})
-			assert.NilError(t, err)
-			ctx, stopAgent := context.WithCancel(context.Background())
-			defer stopAgent()
-			ended := make(chan error, 1)
-			go func() { ended <- a.Run(ctx) }()
 			o := testOptions()
 			withService(&o)
-			o.Settings.AgentAddresses = []string{startLaggingProxy(t, a.Addr().String(), lag)}
+			o.Settings.AgentAddresses = []string{startLaggingProxy(t, address, lag)}
 			// Calls for which no agent is left must not wait for one.
 			o.Settings.Limits.NormalDeadline = 5000
 			g := startStoppable(t, o)
