entry, socket: accept the connections that wait before a stop closes the listener

Callers get a reset in place of a refusal. The gateway on the platform now accepts what waits, for 200 ms at most, and waits until nothing more is accepted.

--- a/entry/serve.go
+++ b/entry/serve.go
@@ -38,6 +38,8 @@
 	endFraction = 0.1
 	// closeFraction is the part of that time after which connections are closed, answered or not.
 	closeFraction = 0.5
+	// backlogTimeout bounds the time for which a stopping gateway still accepts the connections that wait, as new ones may come.
+	backlogTimeout = 200 * clock.Millisecond
 	// drainPollInterval is the interval at which a draining gateway checks whether readinessDelay
 	// is over.
 	drainPollInterval = 20 * time.Millisecond
@@ -54,6 +56,8 @@
 	name     string
 	listener net.Listener
 	server   *http.Server
+	// served is closed when no more connections are accepted.
+	served chan struct{}
 }
 
 // listen opens a listener on the host:port address for a server with the handler. It does not serve
@@ -66,7 +70,7 @@
 	return &httpServer{name, l, &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: klog.NewStandardLogger("WARNING"),
-	}}, nil
+	}, make(chan struct{})}, nil
 }
 
 // serve serves callers, readiness checks and metrics until the context is done and then drains. It
@@ -123,6 +127,7 @@
 
 // run serves until the server is closed or fails.
 func (s *httpServer) run() error {
+	defer close(s.served)
 	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("%s: %w", s.name, err)
 	}
@@ -146,8 +151,14 @@
 	for g.clock.Now().Before(min(startedAt.Add(readinessDelay), endAt)) {
 		time.Sleep(drainPollInterval)
 	}
+	// What a busy process has not accepted yet would be reset.
+	for end := g.clock.Now().Add(backlogTimeout); socket.Waiting(public.listener) && g.clock.Now().Before(min(end, endAt)); {
+		time.Sleep(drainPollInterval)
+	}
 	// http.Server.Shutdown would drop requests that it reads from now on, on connections that were accepted before.
 	err := public.listener.Close()
+	// The connection that was accepted last counts as open from then on.
+	<-public.served
 	if !g.closeConnections(connections, endAt) {
 		klog.InfoS("entry: grace period nearly over; requests in flight are cut off", "active", g.relay.Active())
 		g.relay.End()
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -50,6 +50,9 @@
 
 // Waiting reports whether connections wait to be accepted. It accepts none. It returns false if that can't be told.
 func Waiting(l net.Listener) bool {
+	if wrapped, ok := l.(Listener); ok {
+		l = wrapped.Listener
+	}
 	s, ok := l.(syscall.Conn)
 	if !ok {
 		return false
--- a/socket/socket_test.go
+++ b/socket/socket_test.go
@@ -52,11 +52,11 @@
 func TestWaiting(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	assert.Check(t, !socket.Waiting(l))
+	assert.Check(t, !socket.Waiting(socket.Listener{Listener: l}))
 	out, err := net.Dial("tcp", l.Addr().String())
 	assert.NilError(t, err)
 	defer out.Close()
-	for end := time.Now().Add(5 * time.Second); !socket.Waiting(l); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(5 * time.Second); !socket.Waiting(socket.Listener{Listener: l}); time.Sleep(time.Millisecond) {
 		assert.Assert(t, time.Now().Before(end))
 	}
 	in, err := l.Accept()
