--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -415,5 +415,5 @@
 	x.finished, x.aborted = true, true
 	stats.Event("streams_cut")
 	klog.InfoS("relay: stream cut", "request", x.callerRequest.RequestID, "upstream", x.upstream, "events", x.delivered.events, "reason", x.reason,
-		"took", x.server.Clock.Now().Sub(x.arrivedAt))
+		"took", x.server.Clock.Now().Sub(x.arrivedAt), "limit", x.timeout, "sends", x.sends, "runs", x.runs)
 }
