entry: keep writing verdicts on requests after a reload

Cause: a reload of the settings replaced the keeper of verdicts on requests by one that nothing runs, beside the goroutines that read the field. From then on verdicts of this gateway were never written, and a restart of all gateways let the request crash upstreams anew.

Change: the keeper is made once, when the gateway is.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -151,7 +151,6 @@
 // Reload applies changed settings while the gateway runs. Only RevocationDelay and GracePeriod take
 // effect; other settings need a restart of the process.
 func (g *Gateway) Reload(settings *platform.Settings) {
-	g.requestVerdicts = parts.NewVerdictKeeper(g.clock, g.relay.Verdicts(), verdictStore{g.store})
 	g.bounds.Store(&settings.Bounds)
 	klog.InfoS("entry: reload", "revoke", settings.Bounds.RevocationDelay, "grace", settings.Bounds.GracePeriod,
 		"restart", needsRestart(g.settings, settings))
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -40,6 +40,7 @@
 	settings *platform.Settings
 	stop     context.CancelFunc
 	runErr   chan error
+	reload   func(*platform.Settings)
 }
 
 func respondDone(req *fakes.Request) { req.Respond("200 OK", "done") }
@@ -168,7 +169,7 @@
 	g, err := entry.New(settings)
 	assert.NilError(c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	gateway := &testGateway{settings, cancel, make(chan error, 1)}
+	gateway := &testGateway{settings, cancel, make(chan error, 1), g.Reload}
 	go func() { gateway.runErr <- g.Run(ctx) }()
 	return gateway
 }
--- a/entry/verdicts_test.go
+++ b/entry/verdicts_test.go
@@ -78,34 +78,42 @@
 	assert.Equal(t, c.sendParts(second, "sound2", "shared", "own2"), http.StatusOK)
 }
 
-// Guards against a request without parts that crashes upstreams anew after a restart of all gateways (5 or 6 more upstreams
-// of a plain service): they read the verdict before they serve.
-func TestCrashingRequestIsRefusedAfterRestartOfAll(t *testing.T) {
-	c := newCluster(t, 0)
-	c.store.Put(fakes.UpstreamKeyPrefix+"app-1", c.app.Description(fakes.AppService, "zone-a", "draining"))
-	all := make([]*fakes.Replica, 6)
+// addCrashingServices adds n upstreams of the plain service that end when they get a request.
+func (c *cluster) addCrashingServices(n int) []*fakes.Replica {
+	all := make([]*fakes.Replica, n)
 	for i := range all {
 		replica, err := fakes.NewReplica(fmt.Sprint("crash-", i), func(*fakes.Request) {
 			all[i].Crash()
 			c.store.Delete(fakes.UpstreamKeyPrefix + all[i].Instance)
 		})
-		assert.NilError(t, err)
-		t.Cleanup(replica.Close)
+		assert.NilError(c.t, err)
+		c.t.Cleanup(replica.Close)
 		all[i] = replica
 		c.store.Put(fakes.UpstreamKeyPrefix+replica.Instance, replica.Description(fakes.AppService, "zone-a", "ready"))
 	}
-	crashed := func() (n int) {
-		for _, replica := range all {
-			n += min(len(replica.Requests()), 1)
-		}
-		return n
+	return all
+}
+
+// countReached returns the number of upstreams that got a request.
+func countReached(all []*fakes.Replica) (n int) {
+	for _, replica := range all {
+		n += min(len(replica.Requests()), 1)
 	}
+	return n
+}
+
+// Guards against a request without parts that crashes upstreams anew after a restart of all gateways (5 or 6 more upstreams
+// of a plain service): they read the verdict before they serve.
+func TestCrashingRequestIsRefusedAfterRestartOfAll(t *testing.T) {
+	c := newCluster(t, 0)
+	c.store.Put(fakes.UpstreamKeyPrefix+"app-1", c.app.Description(fakes.AppService, "zone-a", "draining"))
+	all := c.addCrashingServices(6)
 	first := c.startGateway("gate-0")
 	c.waitFor("gateway is ready", func() bool { return c.readyStatus(first) == http.StatusOK })
-	for c.responseStatus(first, "/once/deadly", apiKey) != http.StatusServiceUnavailable && crashed() < len(all) {
+	for c.responseStatus(first, "/once/deadly", apiKey) != http.StatusServiceUnavailable && countReached(all) < len(all) {
 		time.Sleep(300 * time.Millisecond)
 	}
-	before := crashed()
+	before := countReached(all)
 	assert.Assert(t, before >= 2 && before < len(all), "%d upstreams ended", before)
 	c.waitFor("verdict is written", func() bool { return len(c.store.Keys("requests/")) == 1 })
 	first.stop()
@@ -115,7 +123,23 @@
 	c.gateways = append(c.gateways, second)
 	c.waitFor("gateway is ready", func() bool { return c.readyStatus(second) == http.StatusOK })
 	assert.Equal(t, c.responseStatus(second, "/once/deadly", apiKey), http.StatusServiceUnavailable)
-	assert.Equal(t, crashed(), before)
+	assert.Equal(t, countReached(all), before)
+}
+
+// Guards against verdicts on requests that are lost with the gateways once one has reloaded its settings: what they were
+// passed to after that wrote nothing.
+func TestVerdictsOnRequestsAreKeptAfterReload(t *testing.T) {
+	c := newCluster(t, 0)
+	c.store.Put(fakes.UpstreamKeyPrefix+"app-1", c.app.Description(fakes.AppService, "zone-a", "draining"))
+	all := c.addCrashingServices(6)
+	g := c.startGateway("gate-0")
+	c.waitFor("gateway is ready", func() bool { return c.readyStatus(g) == http.StatusOK })
+	g.reload(g.settings)
+	for c.responseStatus(g, "/once/deadly", apiKey) != http.StatusServiceUnavailable && countReached(all) < len(all) {
+		time.Sleep(300 * time.Millisecond)
+	}
+	assert.Assert(t, countReached(all) < len(all))
+	c.waitFor("verdict is written", func() bool { return len(c.store.Keys("requests/")) == 1 })
 }
 
 // Guards against a side of a cut that takes itself for the whole fleet, and loses more upstreams to a part, once the keys
