relay: don't count a canceled successor as a failure of its upstream

Cause: the attempt beside a silent upstream is canceled when that goes on. The error of a canceled read is that of a closed connection and not context.Canceled, so that it counted as a broken answer: the sound upstream got nothing for 250 ms and more, was taken for cold, and its end within 5 s counted as a crash by the request.

Change: whether the call was canceled is recorded when it fails.

--- a/relay/successor.go
+++ b/relay/successor.go
@@ -25,10 +25,12 @@
 	cancel context.CancelFunc
 	// adopted is set once the attempt is the current one.
 	adopted atomic.Bool
-	// done is closed once the head of the response was read or the call has failed; res and err are valid from then on.
+	// done is closed once the head of the response was read or the call has failed; the fields below are valid from then on.
 	done chan struct{}
 	res  *response
 	err  error
+	// canceled is set if the call was canceled before it failed.
+	canceled bool
 }
 
 // startSuccessor starts an attempt at another upstream, if one can take the request now and no limit forbids it.
@@ -75,6 +77,7 @@
 		return
 	}
 	s.res, s.err = b.server.pool.call(ctx, b.scheduled.Upstream.Address, r, headDeadline)
+	s.canceled = s.err != nil && ctx.Err() != nil
 }
 
 // ended reports whether res and err are valid.
@@ -126,7 +129,7 @@
 			b.sends--
 			b.allowAgain(b.scheduled.Upstream.ID)
 			return sched.Canceled
-		case errors.Is(s.err, context.Canceled):
+		case s.canceled:
 			if !errors.Is(s.err, errNotSent) {
 				b.runs++
 			}
