relay, parts: let requests with an unproven part leave silent upstreams

Cause: at most two requests with a part that no upstream has answered may be on their way. Since the attempt at a silent upstream is kept until another has begun, it kept its permits too, and the attempt beside it waited for them: two such requests, or one with a part that is suspect, stayed at the silent upstream until their time was over.

Change: the silent attempt is given up, as before, if the one beside it has waited 200 ms for permits and the silent one has some. Permits aren't shared by the two, as both upstreams may crash.

--- a/parts/ticket.go
+++ b/parts/ticket.go
@@ -143,6 +143,9 @@
 // SentAt returns when the request was sent.
 func (t *Ticket) SentAt() clock.Time { return t.sentAt }
 
+// HasPermits reports whether the request counts against the limit on requests with an unproven part.
+func (t *Ticket) HasPermits() bool { return len(t.granted) > 0 }
+
 // release returns the permits of the ticket.
 func (t *Ticket) release() {
 	for _, p := range t.granted {
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -22,6 +22,9 @@
 	// successorPause is the time without a further attempt after one was refused, as each counts against the limit on
 	// attempts.
 	successorPause = 600 * clock.Millisecond
+	// permitWait is how long a successor may wait for the permits for its prompt. An owner that is not busy grants them
+	// within some milliseconds.
+	permitWait = 200 * clock.Millisecond
 )
 
 // silence is what an attempt knows of the silence of its upstream.
@@ -73,8 +76,8 @@
 }
 
 // handleSilence decides what becomes of an attempt whose read deadline has passed. It returns the next read deadline, or
-// false if the attempt is given up: its time is over, another upstream has begun to answer the request, or this one
-// can't be reached. A silent upstream may still go on, and an answer that nothing continues must not be cut.
+// false if the attempt is given up: its time is over, another upstream has begun to answer the request or waits for what this
+// attempt holds, or this one can't be reached. A silent upstream may still go on, and an answer that nothing continues must not be cut.
 func (a *attempt) handleSilence(ctx context.Context) (time.Time, bool) {
 	now := a.server.Clock.Now()
 	deadline := a.arrivedAt.Add(a.timeout)
@@ -88,6 +91,10 @@
 		a.dropSuccessor()
 		a.successorAfter = now.Add(successorPause)
 	}
+	if a.next != nil && a.next.waitsForPermit(now) && a.ticket.HasPermits() {
+		// Requests at silent upstreams would wait for each other's permits until their time is over.
+		return time.Time{}, false
+	}
 	if a.next == nil && !a.maySwitch() {
 		return wallTime(now, deadline), true
 	}
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/sched"
 )
@@ -25,6 +26,8 @@
 	cancel context.CancelFunc
 	// adopted is set once the attempt is the current one.
 	adopted atomic.Bool
+	// permitted is set once the parts of the prompt may be sent to the upstream.
+	permitted atomic.Bool
 	// done is closed once the head of the response was read or the call has failed; the fields below are valid from then on.
 	done chan struct{}
 	res  *response
@@ -76,10 +79,17 @@
 		s.err = errors.Join(errPartNotGranted, errNotSent)
 		return
 	}
+	s.permitted.Store(true)
 	s.res, s.err = b.server.pool.call(ctx, b.scheduled.Upstream.Address, r, headDeadline)
 	s.canceled = s.err != nil && ctx.Err() != nil
 }
 
+// waitsForPermit reports whether the attempt can't begin as too many other requests with a part of the prompt are on
+// their way.
+func (s *successor) waitsForPermit(now clock.Time) bool {
+	return !s.permitted.Load() && now.Sub(s.attempt.assignedAt) >= permitWait
+}
+
 // ended reports whether res and err are valid.
 func (s *successor) ended() bool {
 	select {
--- a/relay/successor_test.go
+++ b/relay/successor_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -32,3 +33,21 @@
 	assert.Equal(t, got.body, eventRange(1, 2))
 	assert.Assert(t, time.Since(begun) < 150*time.Millisecond, "the upstream got nothing for %v", time.Since(begun))
 }
+
+// Guards against requests with a part that no upstream has answered yet, which wait at a silent upstream until their time is
+// over, as they hold the permits for the part that their attempts at another upstream wait for.
+func TestSilentRequestsWithUnprovenPartMove(t *testing.T) {
+	const requests = 2
+	one := startReplica(t, "one", (*fakes.Request).WaitForClose)
+	two := startReplica(t, "two", func(r *fakes.Request) { r.Stream(1, 3, true) })
+	g := newGatewayStartingAt(t, one, two)
+	results := make(chan result, requests)
+	for i := range requests {
+		go func() { results <- g.sendParts(fmt.Sprint("new", i), "shared", fmt.Sprint("own", i)) }()
+	}
+	for range requests {
+		got := <-results
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, eventRange(1, 3))
+	}
+}
