relay: count crashes of upstreams in attempts beside a silent one

Cause: the ticket of an attempt beside a silent upstream was ended without looking for the end of the upstream's process, so that a part that crashed it was not suspect.

Change: the ticket ends like that of every attempt.

TestPartThatCrashesSuccessorsIsStopped: three upstreams ended and no part was suspect before; now at most two, as without silence.

--- a/relay/successor.go
+++ b/relay/successor.go
@@ -119,11 +119,11 @@
 	if s.res != nil {
 		s.res.abort()
 	}
-	if b.ticket != nil {
-		b.ticket.End(nil)
-	}
 	b.stream.release()
 	x.server.finishAttempt(x.fingerprint, b.scheduled, outcome)
+	if b.ticket != nil {
+		b.endTicket(x.httpRequest.Context(), outcome)
+	}
 	klog.InfoS("relay: silent upstream is kept", "request", x.callerRequest.RequestID, "upstream", x.upstream, "other", b.scheduled.Upstream.ID,
 		"outcome", outcome, "reason", b.reason)
 }
--- a/relay/successor_test.go
+++ b/relay/successor_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/magnolialever/magnolialever/platform/fakes"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/view"
 )
 
 // Guards against sound upstreams that get nothing for a while, as an attempt there was canceled because the silent
@@ -51,3 +55,51 @@
 		assert.Equal(t, got.body, eventRange(1, 3))
 	}
 }
+
+// Guards against a part that crashes more upstreams than allowed, as crashes in attempts beside a silent upstream don't
+// count.
+func TestPartThatCrashesSuccessorsIsStopped(t *testing.T) {
+	const deadly = "dead1"
+	silent := func(r *fakes.Request) {
+		time.Sleep(silentFor)
+		r.ResetConnection()
+	}
+	var crashed atomic.Int32
+	all := make([]*fakes.Replica, 6)
+	for i := range all {
+		all[i] = startReplica(t, fmt.Sprint("r", i), func(r *fakes.Request) {
+			if r.HasPromptPart(deadly) {
+				crashed.Add(1)
+				all[i].Crash()
+				return
+			}
+			r.Stream(1, 3, true)
+		})
+	}
+	first := len(all)
+	for i := range 3 {
+		all = append(all, startReplica(t, fmt.Sprint("silent", i), silent))
+	}
+	g := newPatientGateway(t, fakes.EngineService, all...)
+	for i := range 3 {
+		next := all[first+i]
+		g.server.SetView(withDraining(g.snapshot, func(id units.UpstreamID) bool { return id != units.UpstreamID(next.Instance) }))
+		time.AfterFunc(time.Second, func() {
+			g.server.SetView(withDraining(g.snapshot, func(id units.UpstreamID) bool { return strings.HasPrefix(string(id), "silent") }))
+		})
+		g.sendParts(fmt.Sprint("bad", i), "shared", deadly, fmt.Sprint("own-bad", i))
+	}
+	assert.Equal(t, len(all[first].Requests()), 1)
+	assert.Assert(t, crashed.Load() > 0 && crashed.Load() <= 2, "%d upstreams ended", crashed.Load())
+}
+
+// withDraining returns the view with the upstreams draining for which drains returns true.
+func withDraining(s *view.Snapshot, drains func(id units.UpstreamID) bool) *view.Snapshot {
+	next := &view.Snapshot{Config: s.Config, Upstreams: map[units.UpstreamID]*view.Entry{}}
+	for id, e := range s.Upstreams {
+		upstream := *e.Upstream
+		upstream.Draining = drains(id)
+		next.Upstreams[id] = &view.Entry{Upstream: &upstream}
+	}
+	return next
+}
