relay: let a successor skip what the silent upstream sent last

Cause: the attempt beside a silent upstream drops repeated events up to the last one at its own start. If the silent upstream sends events and breaks off in the same piece, the caller has more than that; the repeated ones then count as out of order, and the stream is cut.

Change: what is skipped is determined when the attempt becomes the current one.

--- a/relay/successor.go
+++ b/relay/successor.go
@@ -171,6 +171,8 @@
 	<-s.done
 	b := s.attempt
 	x.upstream = b.scheduled.Upstream.ID
+	// The silent upstream may have sent events right before it broke off, of which the request of b doesn't know.
+	b.stream = newEventSplitter(&x.delivered, &x.server.eventBudget)
 	if errors.Is(s.err, errPartNotGranted) {
 		x.sends--
 		x.allowAgain(x.upstream)
--- a/relay/successor_test.go
+++ b/relay/successor_test.go
@@ -56,6 +56,23 @@
 	}
 }
 
+// Guards against resumed streams that are cut because the events that the silent upstream sent last, right before it broke off,
+// come again from the upstream that was asked before them.
+func TestSuccessorGoesOnAfterLastEventsOfSilentUpstream(t *testing.T) {
+	one := startReplica(t, "one", func(r *fakes.Request) {
+		r.Stream(1, 2, false)
+		time.Sleep(silentFor)
+		r.Chunk(eventRange(3, 4) + fakes.Event(3))
+	})
+	two := startReplica(t, "two", func(r *fakes.Request) {
+		time.Sleep(silentFor / 2)
+		r.Stream(3, 6, true)
+	})
+	got := newGatewayStartingAt(t, one, two).postStream("/talk/a")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventRange(1, 6))
+}
+
 // Guards against a part that crashes more upstreams than allowed, as crashes in attempts beside a silent upstream don't
 // count.
 func TestPartThatCrashesSuccessorsIsStopped(t *testing.T) {
