relay: let a stream go back to an upstream whose attempt was canceled

Cause: an upstream that was asked beside a silent one counted as tried for the rest of the request, also if it was canceled only because the silent one went on. If that broke off later, the stream was cut beside a sound upstream.

Change: an attempt that was canceled, or dropped after its answer had begun, leaves its upstream open. The run still counts against maxAttempts.

--- a/relay/successor.go
+++ b/relay/successor.go
@@ -129,7 +129,7 @@
 }
 
 // outcome returns the outcome of a successor that has ended and is not adopted. It counts a run if the upstream may have
-// run the request.
+// run the request. Upstreams at which nothing failed may get the request again.
 func (s *successor) outcome() sched.Outcome {
 	b := s.attempt
 	if s.err != nil {
@@ -140,6 +140,7 @@
 			b.allowAgain(b.scheduled.Upstream.ID)
 			return sched.Canceled
 		case s.canceled:
+			b.allowAgain(b.scheduled.Upstream.ID)
 			if !errors.Is(s.err, errNotSent) {
 				b.runs++
 			}
@@ -159,6 +160,7 @@
 	}
 	b.runs++
 	if s.answers() {
+		b.allowAgain(b.scheduled.Upstream.ID)
 		return sched.Canceled
 	}
 	return sched.Failed
--- a/relay/successor_test.go
+++ b/relay/successor_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/platform/fakes"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
@@ -73,6 +75,51 @@
 	assert.Equal(t, got.body, eventRange(1, 6))
 }
 
+// Guards against streams that are cut when their upstream, silent once, breaks off later, because the upstream that was asked
+// meanwhile and canceled gets nothing of them any more.
+func TestStreamResumesAtCanceledSuccessor(t *testing.T) {
+	one := startReplica(t, "one", func(r *fakes.Request) {
+		r.Stream(1, 2, false)
+		time.Sleep(silentFor)
+		r.Chunk(eventRange(3, 4))
+		time.Sleep(200 * time.Millisecond)
+		r.ResetConnection()
+	})
+	two := startReplica(t, "two", func(r *fakes.Request) {
+		if r.Number == 1 {
+			r.WaitForClose()
+			return
+		}
+		r.Stream(5, 6, true)
+	})
+	g := newPatientGateway(t, fakes.EngineService, one)
+	both := withMaxAttempts(newPatientGateway(t, fakes.EngineService, one, two), 4)
+	g.server.SetView(withMaxAttempts(g, 4))
+	time.AfterFunc(time.Second, func() { g.server.SetView(both) })
+	got := g.postStream("/talk/a")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventRange(1, 6))
+}
+
+// withMaxAttempts returns the view of a gateway with another limit on the attempts of all routes.
+func withMaxAttempts(g *testGateway, n int) *view.Snapshot {
+	g.t.Helper()
+	config := fakes.Config(5, key)
+	fakes.SetTimeouts(config, 4000)
+	routes, _ := config["routes"].([]any)
+	for _, r := range routes {
+		if route, ok := r.(map[string]any); ok {
+			route["maxAttempts"] = n
+		}
+	}
+	data, err := json.Marshal(config)
+	assert.NilError(g.t, err)
+	next := &view.Snapshot{Upstreams: g.snapshot.Upstreams}
+	next.Config, err = platform.DecodeConfig(data)
+	assert.NilError(g.t, err)
+	return next
+}
+
 // Guards against a part that crashes more upstreams than allowed, as crashes in attempts beside a silent upstream don't
 // count.
 func TestPartThatCrashesSuccessorsIsStopped(t *testing.T) {
