relay: let a stream whose silent upstream is gone wait for room

Change: the part is taken of what is left of the wait when the attempt is added. For a stream that breaks off right after an event it is the same as before.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -306,21 +306,23 @@
 	return scheduled
 }
 
-// nextEventShare is the part of the time for which a caller waits for the next event of a stream within which an attempt to go
-// on with it has to start.
-const nextEventShare = 0.75
-
 // latestStart returns the time after which starting the request is pointless. The caller of a stream waits about as long
-// for its next event as for the first.
+// for its next event as for the first. A stream that has begun may use a part of what is left of that, since the silence
+// after which its upstream is given up is longer than the wait from the last event.
 func (x *exchange) latestStart() clock.Time {
-	maxWait := x.timeout
+	since, maxWait := x.arrivedAt, x.timeout
+	if x.delivered.headSent {
+		since = x.delivered.lastAt
+		maxWait -= since.Sub(x.arrivedAt)
+	}
 	if x.route.Stream {
 		maxWait = min(maxWait, max(minFirstEventWait, firstEventTargets*x.route.TargetLatency, firstEventGaps*x.route.MaxEventGap))
 	}
-	if x.delivered.headSent {
-		return min(x.delivered.lastAt.Add(clock.Span(float64(maxWait)*nextEventShare)), x.arrivedAt.Add(x.timeout))
+	if !x.delivered.headSent {
+		return sched.LatestStart(since, maxWait)
 	}
-	return sched.LatestStart(x.arrivedAt, maxWait)
+	now := x.server.Clock.Now()
+	return sched.LatestStart(now, max(since.Add(maxWait).Sub(now), 0))
 }
 
 // nextEventDue returns when the answer has to begin, or to go on, to meet the latency objective.
--- /dev/null
+++ b/relay/resume_test.go
@@ -0,0 +1,29 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/platform/fakes"
+)
+
+// Guards against streams that are cut because no upstream has room in the very moment in which theirs, silent at first, turns
+// out to be gone: its silence alone is longer than the wait for room was.
+func TestStreamOfUnreachableReplicaWaitsForRoom(t *testing.T) {
+	done := make(chan struct{})
+	one := startReplica(t, "one", func(r *fakes.Request) {
+		r.Stream(1, 2, false)
+		<-done
+	})
+	t.Cleanup(func() { close(done) })
+	two := startReplica(t, "two", func(r *fakes.Request) { r.Stream(3, 6, true) })
+	g := newPatientGateway(t, fakes.EngineService, one)
+	both := newPatientGateway(t, fakes.EngineService, one, two).snapshot
+	time.AfterFunc(300*time.Millisecond, one.StopListening)
+	time.AfterFunc(1500*time.Millisecond, func() { g.server.SetView(both) })
+	got := g.postStream("/talk/a")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventRange(1, 6))
+}
