relay: judge silence until a request's time limit by the limit, not by the timer

Cause: the context and the read deadline of a request end at the same time. If the read deadline was noticed first, an upstream that had been silent for 1.2 s counted as broken; if the context was, as sound, and it got the next request at once. For requests that may run once, nothing else tells of a silent upstream.

Change: the end of the context by the time limit is judged like the read deadline.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -158,11 +158,12 @@
 func (a *attempt) handleCallError(ctx context.Context, err error) sched.Outcome {
 	a.failedBy(err)
 	if ctx.Err() != nil {
-		if !errors.Is(err, errNotSent) {
-			a.runs++
+		if errors.Is(err, errNotSent) {
+			a.endCanceled(ctx)
+			return sched.Canceled
 		}
-		a.endCanceled(ctx)
-		return sched.Canceled
+		a.runs++
+		return a.endRun(ctx)
 	}
 	if errors.Is(err, errNotAccepted) {
 		// The upstream got nothing, and the request may go there after a pause.
@@ -184,6 +185,18 @@
 	return a.retryOrGiveUp(ctx)
 }
 
+// endRun ends a request whose context is done while the upstream may run it. It returns the outcome for the upstream. The
+// time limit of the request counts as it does in retryOrGiveUp, since the read deadline is the same time and either may
+// be noticed first.
+func (a *attempt) endRun(ctx context.Context) sched.Outcome {
+	a.endCanceled(ctx)
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) && a.server.Clock.Now().Sub(a.progressAt) >= silenceTimeout {
+		a.timedOut = true
+		return sched.Broken
+	}
+	return sched.Canceled
+}
+
 // retryOrGiveUp leaves the request unfinished for another attempt if it may run again, and ends it
 // otherwise. It returns the outcome for the upstream, for which the time limit of the request is no failure unless
 // it had been silent for long.
--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -43,8 +43,7 @@
 		res.abort()
 		a.failedBy(err)
 		if ctx.Err() != nil {
-			a.endCanceled(ctx)
-			return sched.Canceled
+			return a.endRun(ctx)
 		}
 		return a.retryOrGiveUp(ctx)
 	}
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -38,3 +38,26 @@
 		assert.Assert(t, time.Since(begun) < 150*time.Millisecond, "the upstream got nothing for %v", time.Since(begun))
 	}
 }
+
+// Guards against silent upstreams that count as sound or not by which of two timers for the same limit of a request fires
+// first.
+func TestSilenceUntilTimeLimitIsFailureOfUpstream(t *testing.T) {
+	replica := startReplica(t, "one", func(r *fakes.Request) {
+		if strings.HasPrefix(r.URL.Path, "/once/after") {
+			r.Respond("200 OK", "done")
+			return
+		}
+		r.WaitForClose()
+	})
+	g := newPatientGateway(t, fakes.AppService, replica)
+	for i := range 6 {
+		req, err := http.NewRequest(http.MethodPost, g.httpServer.URL+"/once/silent", strings.NewReader("body"))
+		assert.NilError(t, err)
+		req.Header, req.Host = fakes.RequestHeader("silent-"+strconv.Itoa(i), key, "", 1300), fakes.Host
+		assert.Equal(t, g.do(req).status, http.StatusGatewayTimeout)
+		begun := time.Now()
+		got := g.post("/once/after", "body")
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Assert(t, time.Since(begun) > 150*time.Millisecond, "request %d: the upstream got the next one after %v", i, time.Since(begun))
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -53,10 +53,13 @@
 	}
 	res.abort()
 	a.failedBy(err)
-	if ctx.Err() != nil || errors.Is(err, errCaller) {
+	if errors.Is(err, errCaller) {
 		a.endCanceled(ctx)
 		return sched.Canceled
 	}
+	if ctx.Err() != nil {
+		return a.endRun(ctx)
+	}
 	return a.retryOrGiveUp(ctx)
 }
 
