relay: don't wait for the probe of a silent upstream

Cause: the goroutine that reads from a silent upstream waited for the result of the attempt to connect there, up to 0.7 s for a VM that is gone. Meanwhile it neither saw that another upstream had begun to go on with the stream nor looked for one: the stream went on 1.9 s after its last event, when callers leave.

Change: the result is used once it is there, at the next of the checks 100 ms apart.

--- a/relay/reach.go
+++ b/relay/reach.go
@@ -25,10 +25,11 @@
 	reachable bool
 }
 
-// check reports whether a connection to the address can be made now, or could be within reachTTL. It returns true if ctx
-// is done before it knows.
+// check reports whether a connection to the address can be made now, or could be within reachTTL. It does not block and
+// returns true until it knows: the caller reads from a silent upstream, or waits for another one, meanwhile.
 func (r *reach) check(ctx context.Context, address string, now clock.Time) bool {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	p, ok := r.probes[address]
 	if !ok || now.Sub(p.startedAt) >= reachTTL {
 		r.forgetOld(now)
@@ -36,11 +37,10 @@
 		r.probes[address] = p
 		go p.run(context.WithoutCancel(ctx), address)
 	}
-	r.mu.Unlock()
 	select {
 	case <-p.done:
 		return p.reachable
-	case <-ctx.Done():
+	default:
 		return true
 	}
 }
