relay: let a successor answer for an upstream that stalls within its answer

Cause: if the head of an answer without streaming arrives while another upstream is asked, the body is read until the time limit of the request. A body that stalls then ended the request with upstream_timeout beside the whole answer of the other one.

Nothing else ends the body early.

--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -30,7 +30,13 @@
 // relayBuffered reads the whole response and sends it to the caller. While the request may run again,
 // it keeps a 5xx response instead, for the case that no other upstream succeeds.
 func (a *attempt) relayBuffered(ctx context.Context, res *response) sched.Outcome {
-	if err := res.setReadDeadline(wallTime(a.server.Clock.Now(), a.arrivedAt.Add(a.timeout))); err != nil {
+	a.buffering = true
+	now, deadline := a.server.Clock.Now(), a.arrivedAt.Add(a.timeout)
+	if a.next != nil {
+		// From then on handleSilence looks whether the successor answers.
+		deadline = min(deadline, now.Add(silenceRecheck))
+	}
+	if err := res.setReadDeadline(wallTime(now, deadline)); err != nil {
 		res.abort()
 		return a.handleCallError(ctx, err)
 	}
--- a/relay/silence.go
+++ b/relay/silence.go
@@ -33,6 +33,8 @@
 	progressAt clock.Time
 	// headRead is set once the head of the response was read.
 	headRead bool
+	// buffering is set while the body of an answer without streaming is read.
+	buffering bool
 	// silentSince is when the silence since progressAt was recorded; 0 if it was not.
 	silentSince clock.Time
 	// successorAfter is the time before which no successor is started.
@@ -91,6 +93,12 @@
 		a.dropSuccessor()
 		a.successorAfter = now.Add(successorPause)
 	}
+	if a.buffering {
+		if a.next != nil {
+			deadline = min(deadline, now.Add(silenceRecheck))
+		}
+		return wallTime(now, deadline), true
+	}
 	if a.next != nil && a.next.waitsForPermit(now) && a.ticket.HasPermits() {
 		// Requests at silent upstreams would wait for each other's permits until their time is over.
 		return time.Time{}, false
--- a/relay/successor_test.go
+++ b/relay/successor_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -167,3 +168,24 @@
 	}
 	return next
 }
+
+// Guards against answers that stop in the middle although another upstream, asked while the first one was silent, has the
+// whole answer.
+func TestStalledAnswerIsReplacedBySuccessor(t *testing.T) {
+	one := startReplica(t, "one", func(r *fakes.Request) {
+		time.Sleep(1300 * time.Millisecond)
+		r.WriteRaw(fakes.Head(r.RequestID, "200 OK") + "Content-Length: 10\r\n\r\npart")
+		r.WaitForClose()
+	})
+	two := startReplica(t, "two", func(r *fakes.Request) {
+		time.Sleep(400 * time.Millisecond)
+		r.Respond("200 OK", "whole")
+	})
+	g := newPatientGateway(t, fakes.AppService, one)
+	both := newPatientGateway(t, fakes.AppService, one, two).snapshot
+	time.AfterFunc(time.Second, func() { g.server.SetView(both) })
+	got := g.get("/read/a")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "whole")
+}
