relay: test that both attempts end with their request

A caller that leaves and a stop that ends requests, each while two attempts are under way, leave no connection, slot or request behind.

--- a/relay/successor_test.go
+++ b/relay/successor_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -169,6 +170,44 @@
 	return next
 }
 
+// Guards against attempts that are left behind when the caller leaves, or the gateway stops, while two are under way.
+func TestBothAttemptsEndWithRequest(t *testing.T) {
+	for _, name := range []string{"caller", "stop"} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan struct{}, 2)
+			wait := func(r *fakes.Request) {
+				r.WaitForClose()
+				closed <- struct{}{}
+			}
+			one, two := startReplica(t, "one", wait), startReplica(t, "two", wait)
+			g := newGatewayStartingAt(t, one, two)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			time.AfterFunc(silentFor, func() {
+				if name == "stop" {
+					g.server.End()
+					return
+				}
+				cancel()
+			})
+			g.send(ctx, http.MethodPost, "/talk/a", "small", "prompt")
+			assert.Equal(t, totalRequests(one, two), 2)
+			for range 2 {
+				select {
+				case <-closed:
+				case <-time.After(time.Second):
+					t.Fatal("an upstream still has the request")
+				}
+			}
+			for end := time.Now().Add(time.Second); g.server.Active() > 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			}
+			assert.Equal(t, g.server.Active(), int64(0))
+			assert.Equal(t, len(g.server.Loads()), 0)
+			assert.Equal(t, len(g.server.Unreachable()), 0)
+		})
+	}
+}
+
 // Guards against answers that stop in the middle although another upstream, asked while the first one was silent, has the
 // whole answer.
 func TestStalledAnswerIsReplacedBySuccessor(t *testing.T) {
