retry: keep what is this process's own out of Suspect

Change: the field is part of the entry in Suspects. TestSuspectEncoding, the tests of package retry and those of verdicts in package entry pass.

--- a/retry/suspect.go
+++ b/retry/suspect.go
@@ -45,36 +45,43 @@
 	Fingerprint Fingerprint
 	Crashes     []CrashID
 	Expires     clock.Time
-	// Own is set if this process has recorded one of the crashes itself.
-	Own bool
+}
+
+// suspectEntry is what this process knows of a suspect. own is set if it has recorded one of the crashes itself.
+type suspectEntry struct {
+	Suspect
+	own bool
 }
 
 // Suspects tracks requests that were running when an upstream crashed. A request that only ran
 // beside the one that caused the crash is cleared when it succeeds.
 type Suspects struct {
-	entries map[Fingerprint]*Suspect
+	entries map[Fingerprint]*suspectEntry
 	// rejected are those that TakeRejected returns next.
 	rejected []Fingerprint
 }
 
 // NewSuspects returns an empty Suspects.
-func NewSuspects() *Suspects { return &Suspects{entries: map[Fingerprint]*Suspect{}} }
+func NewSuspects() *Suspects { return &Suspects{entries: map[Fingerprint]*suspectEntry{}} }
 
 // RecordCrash records that the request was running when the upstream crashed.
 func (s *Suspects) RecordCrash(now clock.Time, f Fingerprint, c CrashID) {
-	s.Merge(now, Suspect{Fingerprint: f, Crashes: []CrashID{c}, Expires: now.Add(SuspectTTL), Own: true})
+	s.merge(now, Suspect{Fingerprint: f, Crashes: []CrashID{c}, Expires: now.Add(SuspectTTL)}, true)
 }
 
 // Merge adds the crashes of a suspect from another node and reports whether one of them was
 // new. Expired suspects are ignored.
-func (s *Suspects) Merge(now clock.Time, other Suspect) bool {
+func (s *Suspects) Merge(now clock.Time, other Suspect) bool { return s.merge(now, other, false) }
+
+// merge is Merge; own is set if this process has recorded the crashes.
+func (s *Suspects) merge(now clock.Time, other Suspect, own bool) bool {
 	if !now.Before(other.Expires) {
 		return false
 	}
 	e, ok := s.entries[other.Fingerprint]
 	if !ok {
 		s.evict(now)
-		e = &Suspect{Fingerprint: other.Fingerprint}
+		e = &suspectEntry{Suspect: Suspect{Fingerprint: other.Fingerprint}}
 		s.entries[other.Fingerprint] = e
 	}
 	changed := false
@@ -87,8 +94,8 @@
 	if changed {
 		e.Expires = max(e.Expires, other.Expires)
 	}
-	e.Own = e.Own || other.Own
-	if changed && e.Own && len(e.Crashes) == CrashLimit {
+	e.own = e.own || own
+	if changed && e.own && len(e.Crashes) == CrashLimit {
 		s.rejected = append(s.rejected[max(len(s.rejected)-maxRejected+1, 0):], other.Fingerprint)
 	}
 	return changed
@@ -123,7 +130,7 @@
 	if len(s.entries) < maxSuspects {
 		return
 	}
-	var earliest *Suspect
+	var earliest *suspectEntry
 	for f, e := range s.entries {
 		if !now.Before(e.Expires) {
 			delete(s.entries, f)
