sched: go on with a stream that broke off during a stop while there is time

What callers saw: a resumable stream whose upstream broke off beside a stop of its gateway was cut at once, with another upstream ready and time left, where fewer than 4 like runs were on record, or the longest had taken longer than what was left.

Cause: an attempt that goes on with an answer was judged like a new request. Its refusal ends the answer for certain, so that any start is better. An attempt beside a silent upstream, which may still go on, is judged by the estimate as before.

TestBrokenStreamGoesOnDuringStop ended with unexpected EOF before.

--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -27,3 +27,24 @@
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.body, eventRange(1, 6))
 }
+
+// Guards against streams that a stopping gateway cuts when their upstream breaks off, though another one is ready and there
+// is time, as too few runs are known to tell how long the rest takes.
+func TestBrokenStreamGoesOnDuringStop(t *testing.T) {
+	one := startReplica(t, "one", func(r *fakes.Request) {
+		r.Stream(1, 2, false)
+		time.Sleep(700 * time.Millisecond)
+		r.ResetConnection()
+	})
+	two := startReplica(t, "two", func(r *fakes.Request) { r.Stream(3, 6, true) })
+	g := newPatientGateway(t, fakes.EngineService, one)
+	both := newPatientGateway(t, fakes.EngineService, one, two).snapshot
+	time.AfterFunc(400*time.Millisecond, func() {
+		g.server.SetView(both)
+		now := g.server.Clock.Now()
+		g.server.Drain(now.Add(1), now.Add(2500))
+	})
+	got := g.postStream("/talk/a")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventRange(1, 6))
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -188,10 +188,10 @@
 	return a
 }
 
-// TryAdd starts a request at once and returns its attempt. It returns nil, and changes nothing, if the request would
-// have to wait or may outlast the stop of this gateway.
+// TryAdd starts a request at once, beside an attempt that may still go on, and returns its attempt. It returns nil, and
+// changes nothing, if the request would have to wait or is not expected to end before the stop of this gateway.
 func (s *Scheduler) TryAdd(now clock.Time, r Request) *Attempt {
-	if !s.MayStart(now, &r) {
+	if !s.expectedToEnd(now, &r) {
 		return nil
 	}
 	a := s.newAttempt(now, r)
--- a/sched/stop.go
+++ b/sched/stop.go
@@ -38,17 +38,26 @@
 
 // lastStart returns the time from which on a request must not start as it may outlast the stop, and false if it can't:
 // it ends by its deadline. Once the platform has stopped routing callers here, a caller that is refused reaches a gateway
-// that stays, and the time that like runs took is no reason to start a request that the stop may cut. It is one for a
-// request that has begun, whose refusal ends its answer.
+// that stays, and the time that like runs took is no reason to start a request that the stop may cut. A request that has
+// begun starts as long as there is time: its refusal would end its answer for certain.
 func (s *Scheduler) lastStart(now clock.Time, r *Request) (clock.Time, bool) {
-	if s.stopAt == 0 || (r.Deadline > 0 && r.Deadline <= s.stopAt) {
+	if s.endsBeforeStop(r) {
 		return 0, false
 	}
-	last := s.estimatedLastStart(now, r)
-	if !r.Begun {
-		last = min(last, s.routedUntil)
+	if r.Begun {
+		return s.stopAt, true
 	}
-	return last, true
+	return min(s.estimatedLastStart(now, r), s.routedUntil), true
+}
+
+// endsBeforeStop reports whether the request ends before the stop by its deadline, or there is none.
+func (s *Scheduler) endsBeforeStop(r *Request) bool {
+	return s.stopAt == 0 || r.Deadline > 0 && r.Deadline <= s.stopAt
+}
+
+// expectedToEnd reports whether a request that starts now is expected to end before the stop.
+func (s *Scheduler) expectedToEnd(now clock.Time, r *Request) bool {
+	return s.endsBeforeStop(r) || !now.After(s.estimatedLastStart(now, r))
 }
 
 // estimatedLastStart returns the latest start from which a request ends before the stop if it takes no longer than the
