--- a/relay/successor.go
+++ b/relay/successor.go
@@ -112,13 +112,11 @@
 	if s == nil {
 		return
 	}
+	// This closes the connection, whatever has become of the call.
 	s.cancel()
 	<-s.done
 	b := s.attempt
 	outcome := s.outcome()
-	if s.res != nil {
-		s.res.abort()
-	}
 	b.stream.release()
 	x.server.finishAttempt(x.fingerprint, b.scheduled, outcome)
 	if b.ticket != nil {
--- a/retry/crash.go
+++ b/retry/crash.go
@@ -141,6 +141,9 @@
 // RecordSuccess clears a request that was completed, unless it is rejected.
 func (c *CrashDetector) RecordSuccess(f Fingerprint) { c.suspects.RecordSuccess(f) }
 
+// Proven is Suspects.Proven.
+func (c *CrashDetector) Proven(now clock.Time, f Fingerprint) bool { return c.suspects.Proven(now, f) }
+
 // TakeRejected is Suspects.TakeRejected.
 func (c *CrashDetector) TakeRejected() []Fingerprint { return c.suspects.TakeRejected() }
 
--- a/retry/suspect.go
+++ b/retry/suspect.go
@@ -51,6 +51,8 @@
 type suspectEntry struct {
 	Suspect
 	own bool
+	// answered is set if an upstream has answered the request after it came to be refused.
+	answered bool
 }
 
 // Suspects tracks requests that were running when an upstream crashed. A request that only ran
@@ -147,11 +149,21 @@
 
 // RecordSuccess clears a request that was completed, unless it is rejected.
 func (s *Suspects) RecordSuccess(f Fingerprint) {
-	if e, ok := s.entries[f]; ok && len(e.Crashes) < CrashLimit {
+	e, ok := s.entries[f]
+	switch {
+	case !ok:
+	case len(e.Crashes) < CrashLimit:
 		delete(s.entries, f)
+	default:
+		e.answered = true
 	}
 }
 
+// Proven reports whether the request is rejected and no upstream has answered it since.
+func (s *Suspects) Proven(now clock.Time, f Fingerprint) bool {
+	return s.Action(now, f) == Reject && !s.entries[f].answered
+}
+
 // Action returns how the request may run.
 func (s *Suspects) Action(now clock.Time, f Fingerprint) Action {
 	e, ok := s.entries[f]
