agent: compare the engine's instance with that at the begin of a call

Cause: the instance to compare with was read after the connection had broken, when the agent may have read the new engine's report already. It is taken at the begin of the call now. The test waits for that report; so it fails on the code before each time.

--- a/agent/ended.go
+++ b/agent/ended.go
@@ -14,14 +14,17 @@
 // its connections.
 const endPause = 50 * time.Millisecond
 
-// engineRuns reports whether the engine is known to run on after the connection of a call broke: it answers with the
-// instance that it had before. A connection can break without a crash.
-func (s *Server) engineRuns(ctx context.Context) bool {
-	if s.options.Upstream.Kind != Engine {
-		return false
+// currentInstance returns the engine's instance in its last load report; empty if there was none.
+func (s *Server) currentInstance() string {
+	if v := s.engineInstance.Load(); v != nil {
+		return *v
 	}
-	var before string
-	s.loop.do(func() { before = s.state.engineInstance })
+	return ""
+}
+
+// engineRuns reports whether the engine is known to run on after the connection of a call broke: it answers with the
+// instance that it had when the call began. A connection can break without a crash.
+func (s *Server) engineRuns(ctx context.Context, before string) bool {
 	if before == "" || !clock.Sleep(ctx, endPause) {
 		return false
 	}
--- a/agent/engine_test.go
+++ b/agent/engine_test.go
@@ -47,6 +47,8 @@
 			e.mu.Lock()
 			e.instance = "2"
 			e.mu.Unlock()
+			// The agent has read the new report before it handles the broken connection.
+			time.Sleep(100 * time.Millisecond)
 		}
 		panic(http.ErrAbortHandler)
 	default:
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -36,8 +36,10 @@
 	pause func() *refusal
 	// onNotice is called with what the upstream says of itself in a response.
 	onNotice func(n notice.Notice)
-	// runsOn reports whether the upstream is known to run on although the connection of a call broke.
-	runsOn func(ctx context.Context) bool
+	// instance identifies the run of the upstream; empty if that is not known. runsOn reports whether the upstream is known to
+	// run on as that instance although the connection of a call broke.
+	instance func() string
+	runsOn   func(ctx context.Context, instance string) bool
 }
 
 // newTransport returns a transport that neither requests nor removes compression. It opens a connection for
@@ -75,8 +77,9 @@
 // forwardCall sends the call to the upstream and relays the response to w. A broken connection counts as a crash unless the
 // upstream is known to run on.
 func (f *forwarder) forwardCall(ctx context.Context, c *wire.Call, w responseWriter) (tokenCounts, *refusal) {
+	instance := f.instance()
 	counts, r := f.relayCall(ctx, c, w)
-	if r != nil && r.crashed && f.runsOn(ctx) {
+	if r != nil && r.crashed && f.runsOn(ctx, instance) {
 		r.crashed = false
 	}
 	return counts, r
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -168,6 +168,8 @@
 		st.engineRun++
 	}
 	st.engineInstance = l.Instance
+	instance := l.Instance
+	s.engineInstance.Store(&instance)
 	observed, freeBefore := st.ledger.Observed(), st.ledger.Free()
 	residentBefore, _ := st.ledger.Targets()
 	st.ledger.Observe(requestedAt, l.ledgerReport())
--- a/agent/server.go
+++ b/agent/server.go
@@ -45,9 +45,11 @@
 	peerListener  net.Listener
 	adminListener net.Listener
 	forwarder     *forwarder
-	engine        *engineClient
-	loop          *eventLoop
-	state         *state
+	// engineInstance is the instance in the engine's last load report; nil before the first one.
+	engineInstance atomic.Pointer[string]
+	engine         *engineClient
+	loop           *eventLoop
+	state          *state
 	// configSync relays the configuration between gateways.
 	configSync *syncer.Syncer
 	// sessions tracks open sessions so that Run can wait for them; openSessions counts them.
@@ -88,7 +90,7 @@
 		configSync:    syncer.New(syncer.Options{Self: units.VMID(o.Node.ID), Clock: o.Clock}),
 	}
 	s.forwarder = &forwarder{
-		address: o.Upstream.Address, transport: newTransport(), pause: s.checkPause, onNotice: s.recordNotice, runsOn: s.engineRuns,
+		address: o.Upstream.Address, transport: newTransport(), pause: s.checkPause, onNotice: s.recordNotice, instance: s.currentInstance, runsOn: s.engineRuns,
 	}
 	s.lifetime, s.endLifetime = context.WithCancel(ctx)
 	return s, nil
