--- a/soak/drain_test.go
+++ b/soak/drain_test.go
@@ -224,7 +224,7 @@
 		return false
 	}
 	req.Header, req.Host = fakes.RequestHeader(x.id, apiKey, "small", int(limit.Milliseconds())), fakes.Host
-	req.Header.Set("Token-Counts", fmt.Sprint("100,", events))
+	fakes.SetTokens(req.Header, 100, events)
 	fakes.SetPromptParts(req.Header, "own-"+x.id)
 	if req.Write(c) != nil {
 		// The process has not read it.
