--- a/sched/stop.go
+++ b/sched/stop.go
@@ -20,7 +20,7 @@
 	s.Dispatch(now)
 }
 
-// MayStart reports whether a request that starts now is known to end before the stop.
+// MayStart reports whether a request may start now, as the stop won't cut it or as a refusal would end its answer.
 func (s *Scheduler) MayStart(now clock.Time, r *Request) bool {
 	lastStart, limited := s.lastStart(now, r)
 	return !limited || !now.After(lastStart)
