usage, duty: count requests of customers and report them once a window

Cause: the platform's control API expects one report of usage for each window of true time, from the holder of a duty. Change: package duty holds what the leader's duties share, package usage counts, merges and decides, platform.CloudClient makes the calls; gateways tell their totals to the leader and a deputy, and agree on the time of day by the middle of their clocks. Off unless the settings list the duty.

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -46,6 +46,7 @@
 	drainRequested chan struct{}
 	draining       bool
 	orders         *orderManager
+	duties         *dutyManager
 	// residencyChanges are recent loads and unloads that the upstreams' descriptions may not show
 	// yet.
 	residencyChanges []residencyChange
@@ -57,6 +58,7 @@
 	c := &controller{gateway: g, members: member.NewList(), snapshot: &view.Snapshot{}, drainRequested: make(chan struct{}, 1)}
 	c.members.Set(g.self())
 	c.orders = newOrderManager(g, c)
+	c.duties = newDutyManager(g, c)
 	return c
 }
 
@@ -86,6 +88,8 @@
 
 // publishLeadership makes known to other goroutines until when this gateway is the leader.
 func (c *controller) publishLeadership() {
+	epoch, _ := c.orders.elector.OrderEpoch(c.gateway.clock.Now())
+	c.gateway.leaderEpoch.Store(int64(epoch))
 	c.gateway.leaderUntil.Store(int64(c.orders.elector.LeaderUntil()))
 }
 
@@ -122,6 +126,8 @@
 		c.orders.handleOrderResult(now, m)
 	case reportResult:
 		c.orders.handleReport(now, m)
+	default:
+		c.duties.handle(now, m)
 	}
 }
 
@@ -182,6 +188,7 @@
 		c.gateway.relay.MergeSuspect(decodeSuspect(now, w))
 	}
 	c.gateway.partExchange.Merge(d.GetParts(), parts.Sender{VM: units.VMID(d.GetVm()), Address: d.From.String()}, d.GetLife(), d.GetSentMs())
+	c.duties.handleDigest(d)
 	if d.HasMisses() {
 		c.orders.planSoon()
 	}
@@ -197,6 +204,7 @@
 	c.announceChanges(now)
 	c.gateway.relay.Tick()
 	c.orders.onTick(now)
+	c.duties.onTick(now)
 	if now.Sub(c.digestSentAt) >= peers.DigestInterval(c.gatewayCount) {
 		c.sendDigest(now)
 	}
@@ -311,5 +319,6 @@
 	}
 	d.Parts = parts.EncodeSuspects(now, c.gateway.parts.Suspects(maxDigestParts))
 	d.Suspects = encodeSuspects(now, c.gateway.relay.Suspects())
+	d.WallMs = c.duties.wallMillis(now)
 	return d
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,6 +30,7 @@
 	"github.com/magnolialever/magnolialever/start"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/usage"
 	"github.com/magnolialever/magnolialever/view"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -71,6 +72,10 @@
 	inbox           chan message
 	// leaderUntil is the clock.Time until which this gateway is the leader; 0 if it is not.
 	leaderUntil atomic.Int64
+	// leaderEpoch is the units.Epoch of that.
+	leaderEpoch atomic.Int64
+	// usage counts the requests of customers; nil if the gateways don't report them.
+	usage *usage.Counter
 	// storeWatch is nil until the gateways are known.
 	storeWatch atomic.Pointer[storeWatch]
 	// incarnation is a random number that identifies this run of the process.
@@ -98,6 +103,9 @@
 		Clock: g.clock, VM: settings.VM, Life: g.incarnation, Guard: g.parts, Transport: g.partTransport,
 		DigestInterval: peers.DigestInterval, AwaitStore: true,
 	})
+	if settings.Cloud.ReportsUsage {
+		g.usage = usage.NewCounter(settings.Bounds.UsageWindow)
+	}
 	began := start.Start{At: g.clock.Now(), First: settings.FirstStart}
 	g.relay = relay.New(relay.Options{
 		Start:       began,
@@ -120,6 +128,9 @@
 			g.demand.recordWork(g.clock.Now(), assign.Target{Service: s, Model: m, Adapter: adapter}, work)
 		},
 	})
+	if g.usage != nil {
+		g.relay.OnBegin = func(c units.CustomerID, at clock.Time) { g.usage.Record(g.clock.Now(), at, c) }
+	}
 	g.requestVerdicts = parts.NewVerdictKeeper(g.clock, g.relay.Verdicts(), verdictStore{g.store})
 	g.bounds.Store(&settings.Bounds)
 	g.store.OnCall = func(_ string, elapsed clock.Span, _ error) { storeCallTime.Record(elapsed.Duration()) }
@@ -207,6 +218,12 @@
 		g.partExchange.Handle(m.GetPart(), parts.Sender{Address: from.String()})
 		return
 	}
+	if m.GetUsageTotals() != nil || m.GetUsageReports() != nil {
+		if g.usage != nil {
+			g.post(usageTold{m.GetUsageTotals(), m.GetUsageReports()})
+		}
+		return
+	}
 	g.limiter.handleMessage(m, from)
 }
 
@@ -264,6 +281,7 @@
 		go func() { errs <- task(background) }()
 	}
 	err := g.serve(ctx, c)
+	g.endUsage()
 	cancel()
 	for range tasks {
 		err = errors.Join(err, <-errs)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -34,6 +34,8 @@
 	app      *fakes.Replica
 	llm      *fakes.Replica
 	gateways []*testGateway
+	// adjust changes the settings of gateways; may be nil.
+	adjust func(s *platform.Settings)
 }
 
 type testGateway struct {
@@ -50,7 +52,13 @@
 // newCluster starts a cluster and waits until all gateways are ready.
 func newCluster(t *testing.T, gateways int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: fakes.NewStore()}
+	return newClusterWith(t, gateways, nil)
+}
+
+// newClusterWith is newCluster with changes to the settings of each gateway; adjust may be nil.
+func newClusterWith(t *testing.T, gateways int, adjust func(s *platform.Settings)) *cluster {
+	t.Helper()
+	c := &cluster{t: t, store: fakes.NewStore(), adjust: adjust}
 	var err error
 	c.app, err = fakes.NewReplica("app-1", respondDone)
 	assert.NilError(t, err)
@@ -166,6 +174,9 @@
 			RetryWindow: 10 * clock.Second, QuotaOvershoot: 0.1, ColdFactor: 1.5, ColdSlack: 5,
 		},
 	}
+	if c.adjust != nil {
+		c.adjust(settings)
+	}
 	g, err := entry.New(settings)
 	assert.NilError(c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -31,6 +31,10 @@
 // it keeps a 5xx response instead, for the case that no other upstream succeeds.
 func (a *attempt) relayBuffered(ctx context.Context, res *response) sched.Outcome {
 	a.buffering = true
+	if !a.route.Stream && !res.NotRun && (res.HasReceipt || res.Instance != "") {
+		// The upstream runs a plain call as soon as it gets it.
+		a.recordBegin(a.assignedAt)
+	}
 	now, deadline := a.server.Clock.Now(), a.arrivedAt.Add(a.timeout)
 	if a.next != nil {
 		// From then on handleSilence looks whether the successor answers.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -59,6 +59,8 @@
 	// timeout is the longest time from arrival to the end of the response.
 	timeout clock.Span
 
+	// begun is set once the first run is reported to OnBegin.
+	begun bool
 	// sends counts attempts at upstreams, runs those in which the request may have run.
 	sends, runs int
 	// tried are the upstreams that must not get the request again.
@@ -201,6 +203,15 @@
 	}
 }
 
+// recordBegin records that an upstream began to run the request.
+func (x *exchange) recordBegin(at clock.Time) {
+	if x.begun || x.customer == nil || x.server.OnBegin == nil {
+		return
+	}
+	x.begun = true
+	x.server.OnBegin(x.customer.ID, at)
+}
+
 // refundUnused returns the customer's tokens if the request has not run.
 func (x *exchange) refundUnused() {
 	if x.runs == 0 {
--- a/relay/server.go
+++ b/relay/server.go
@@ -65,6 +65,8 @@
 	// OnModelUse is called for each request that names a model, with its work as estimated by
 	// assign.Work.
 	OnModelUse func(s units.ServiceID, m units.ModelID, adapter string, work float64)
+	// OnBegin is called once for each request of a customer that an upstream began to run, with when that was; may be nil.
+	OnBegin func(c units.CustomerID, at clock.Time)
 }
 
 // Server is the http.Handler for callers. Its methods are safe for concurrent use.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -107,6 +107,9 @@
 // writeEvents adds bytes of the stream and sends the events that are complete to the caller.
 func (a *attempt) writeEvents(res *response, flusher *http.ResponseController, data []byte) error {
 	complete, splitErr := a.stream.add(data)
+	if a.delivered.events > 0 {
+		a.recordBegin(a.server.Clock.Now())
+	}
 	if len(complete) == 0 {
 		return splitErr
 	}
