--- a/duty/calls.go
+++ b/duty/calls.go
@@ -72,9 +72,8 @@
 	inFlight bool
 	repeatAt clock.Time
 	delay    clock.Span
-	// acknowledged is what was carried out last under acknowledgedBy; nil if nothing was.
-	acknowledged   *C
-	acknowledgedBy Proof
+	// acknowledged is what was carried out last; nil if nothing was.
+	acknowledged *C
 }
 
 // NewCalls returns Calls without subjects. All kinds of duties that share a limit on the rate of calls share the pacer.
--- a/entry/controller.go
+++ b/entry/controller.go
@@ -140,6 +140,10 @@
 		c.orders.handleItem(m.item)
 		return
 	}
+	if m.item.Key == usageKey {
+		c.duties.handleItem(m.item)
+		return
+	}
 	if part, ok := parts.ParseVerdictKey(m.item.Key); ok {
 		c.handleVerdict(c.gateway.verdicts, parts.Verdict{Part: part}, m.item)
 		return
--- a/entry/duty.go
+++ b/entry/duty.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// handleItem handles a change of the key with which leaders pass on their decisions about usage.
+func (d *dutyManager) handleItem(i platform.Item) {
+	if d.usage != nil {
+		d.usage.handleItem(i)
+	}
+}
+
 // handleDigest records what a digest says of its sender's time of day.
 func (d *dutyManager) handleDigest(received peers.Digest) {
 	if d.usage != nil {
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -27,14 +27,16 @@
 	// usageSubject is the subject of all usage reports.
 	usageSubject duty.Subject = "usage"
 	// totalsInterval is the interval at which a gateway tells its totals of the last windows, changed or not, since
-	// datagrams may be lost.
-	totalsInterval = clock.Second
+	// datagrams may be lost. It grows with the gateways, up to a part of the window.
+	totalsInterval   = clock.Second
+	totalsWindowPart = 2
 	// recentWindows is the number of windows before the current one that are told each time.
 	recentWindows = 2
-	// totalsBytesPerSecond bounds what a gateway sends of changed totals; it is divided by the number of gateways beyond
-	// fullRateGateways, so that what the leader receives stays bounded.
+	// totalsBytesPerSecond bounds what a gateway sends of changed totals. Beyond fullRateGateways it falls with their
+	// number: what the leader receives stays bounded, and so does the part of all requests that a killed gateway has not
+	// told.
 	totalsBytesPerSecond = 1000
-	fullRateGateways     = 30
+	fullRateGateways     = 8
 	// minTotalsInterval is the least time between two messages with changed totals.
 	minTotalsInterval = 20 * clock.Millisecond
 	// windowsPerMessage is the number of windows in one message.
@@ -45,8 +47,10 @@
 	usageRetryDelay = 300 * clock.Millisecond
 	// lifeMemory is how long a process without counts is remembered.
 	lifeMemory = clock.Minute
-	// finalTimeout bounds the wait for the last totals to be sent at a stop.
+	// finalTimeout bounds the wait for the last totals to be sent or written at a stop, leaveTries the attempts to write
+	// them: other gateways that stop write too.
 	finalTimeout = 300 * time.Millisecond
+	leaveTries   = 5
 )
 
 // Messages about usage.
@@ -153,7 +157,7 @@
 	case !slices.Equal(to, u.to):
 		u.to, u.toldTwice = to, false
 		u.tellAll(now)
-	case now.Sub(u.toldAt) < totalsInterval && u.counter.Complete() == u.toldComplete:
+	case now.Sub(u.toldAt) < u.totalsInterval() && u.counter.Complete() == u.toldComplete:
 		if u.counter.HasChanged() && !now.Before(u.sendAfter) {
 			u.sendTotals(now, u.own(u.counter.TakeChanged()))
 		}
@@ -226,10 +230,21 @@
 		bytes += proto.Size(m) * len(u.to)
 		u.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_UsageTotals{UsageTotals: m}}, u.to...)
 	}
-	rate := float64(totalsBytesPerSecond) * min(1, float64(fullRateGateways)/float64(max(u.controller.gatewayCount, 1)))
+	rate := totalsBytesPerSecond / u.slowdown()
 	u.sendAfter = now.Add(max(minTotalsInterval, clock.FromMilliseconds(float64(bytes)/rate*float64(clock.Second))))
 }
 
+// slowdown returns the factor by which totals are told less often as there are many gateways.
+func (u *usageManager) slowdown() float64 {
+	return max(1, float64(u.controller.gatewayCount)/fullRateGateways)
+}
+
+// totalsInterval returns the interval at which the totals of the last windows are told.
+func (u *usageManager) totalsInterval() clock.Span {
+	longest := max(u.reporter.Length/totalsWindowPart, totalsInterval)
+	return min(clock.FromMilliseconds(float64(totalsInterval)*u.slowdown()), longest)
+}
+
 func encodeWindow(w usage.Window, counts usage.Counts) *wire.UsageWindow {
 	m := &wire.UsageWindow{Window: int64(w)}
 	for _, id := range slices.Sorted(maps.Keys(counts)) {
@@ -274,6 +289,20 @@
 	u.counter.Forget(u.book.Next())
 }
 
+// handleItem records what the store says of the decided reports.
+func (u *usageManager) handleItem(i platform.Item) {
+	if i.Deleted || i.Unreadable {
+		return
+	}
+	state, err := usage.DecodeState(i.Value)
+	if err != nil {
+		return
+	}
+	for _, r := range state.Reports {
+		u.recordDecided(r)
+	}
+}
+
 // lead decides and reports usage while this gateway is the leader.
 func (u *usageManager) lead(now clock.Time) {
 	proof, ok := u.holder.Prove(now, usageSubject)
@@ -330,7 +359,9 @@
 	all := u.controller.members.All()
 	out := make([]units.VMID, 0, len(all))
 	for _, g := range all {
-		out = append(out, g.VM)
+		if _, registered := u.controller.members.Get(g.VM); registered || !u.book.Ended(g.VM) {
+			out = append(out, g.VM)
+		}
 	}
 	return out
 }
@@ -367,7 +398,7 @@
 	}
 	u.reporter.Load(state, m.item.Revision)
 	u.counter.Forget(u.book.Next())
-	klog.InfoS("entry: usage read", "epoch", m.epoch, "next", state.Next, "acknowledged", state.Acknowledged, "reports", len(state.Reports),
+	klog.InfoS("entry: usage read", "epoch", m.epoch, "next", state.Next, "reports", len(state.Reports),
 		"revision", m.item.Revision)
 }
 
@@ -427,7 +458,7 @@
 
 // report sends the report that is due.
 func (u *usageManager) report(now clock.Time) {
-	due, ok := u.reporter.Due()
+	due, ok := u.reporter.Due(u.instant(now))
 	if !ok {
 		u.calls.Withdraw(usageSubject)
 		u.required = 0
@@ -461,17 +492,62 @@
 	u.lead(now)
 }
 
-// handleEnd tells the last totals.
+// handleEnd tells the last totals. If no other gateway goes on, they are written into the store.
 func (u *usageManager) handleEnd(now clock.Time, m usageEnds) {
-	defer close(m.done)
 	if !u.offsetKnown {
+		close(m.done)
 		return
 	}
 	u.final = true
-	u.counter.Fold(now, u.offset)
+	u.counter.End(now, u.offset)
 	for range 2 {
 		u.tellAll(now)
 	}
+	othersGoOn := slices.ContainsFunc(u.gateway.peers.FreshDigests(), func(d peers.Digest) bool { return !d.GetLeaving() })
+	if othersGoOn {
+		close(m.done)
+		return
+	}
+	all := u.book.Totals()
+	u.gateway.startCall(func(ctx context.Context) {
+		defer close(m.done)
+		for range leaveTries {
+			err := u.gateway.leaveTotals(ctx, all)
+			if err == nil {
+				return
+			}
+			klog.InfoS("entry: last usage not written", "err", err)
+		}
+	})
+}
+
+// leaveTotals adds totals to those in the store, for the leader of gateways that are started later.
+func (g *Gateway) leaveTotals(ctx context.Context, all []usage.Totals) error {
+	item, err := g.store.Get(ctx, usageKey)
+	if errors.Is(err, platform.ErrKeyNotFound) {
+		// Nobody has led yet.
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	state, err := usage.DecodeState(item.Value)
+	if err != nil {
+		return err
+	}
+	state, changed := state.Merge(all)
+	if !changed {
+		return nil
+	}
+	value, err := state.Encode()
+	if err != nil {
+		return err
+	}
+	_, err = g.store.Commit(ctx, platform.Txn{
+		If:  []platform.Condition{{Key: usageKey, Revision: item.Revision}},
+		Put: []platform.Write{{Key: usageKey, Value: value}},
+	})
+	return err
 }
 
 // endUsage tells the last totals when no request runs any longer.
--- a/usage/book.go
+++ b/usage/book.go
@@ -52,11 +52,8 @@
 	b.reports[r.Window] = r
 	b.next = max(b.next, r.Window+1)
 	maps.DeleteFunc(b.reports, func(w Window, _ Report) bool { return w < b.next-keptReports })
-	for life, t := range b.lives {
+	for _, t := range b.lives {
 		maps.DeleteFunc(t.Windows, func(w Window, _ Counts) bool { return w < b.next })
-		if len(t.Windows) == 0 && t.Final {
-			delete(b.lives, life)
-		}
 	}
 	return true
 }
@@ -92,22 +89,40 @@
 	return first, ok
 }
 
-// Covers reports whether the process that was started last on a VM has told all that it counted before an instant.
-func (b *Book) Covers(vm units.VMID, i Instant) bool {
+// last returns the totals of the process that was started last on a VM, nil if none is known.
+func (b *Book) last(vm units.VMID) *Totals {
+	var last *Totals
 	for _, t := range b.lives {
-		if t.VM == vm && (t.Final || t.Until >= i) {
-			return true
+		if t.VM == vm && (last == nil || t.Until > last.Until) {
+			last = t
 		}
 	}
-	return false
+	return last
 }
 
-// Totals returns the totals of all processes that have counts, in order of their lives.
+// Covers reports whether the process that was started last on a VM has told all that it counted before an instant.
+func (b *Book) Covers(vm units.VMID, i Instant) bool {
+	t := b.last(vm)
+	return t != nil && t.Until >= i
+}
+
+// Ended reports whether the process that was started last on a VM has told that it counts no more.
+func (b *Book) Ended(vm units.VMID) bool {
+	t := b.last(vm)
+	return t != nil && t.Final
+}
+
+// Totals returns a copy of the totals of all processes that have counts, in order of their lives.
 func (b *Book) Totals() []Totals {
 	var out []Totals
 	for _, t := range b.lives {
 		if len(t.Windows) > 0 {
-			out = append(out, *t)
+			clone := *t
+			clone.Windows = maps.Clone(t.Windows)
+			for w, n := range clone.Windows {
+				clone.Windows[w] = maps.Clone(n)
+			}
+			out = append(out, clone)
 		}
 	}
 	slices.SortFunc(out, func(a, b Totals) int { return cmp.Compare(a.Life, b.Life) })
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -75,6 +75,14 @@
 	maps.DeleteFunc(c.totals, func(w Window, _ Counts) bool { return w < current-maxWindows })
 }
 
+// End counts what is left and calls all totals complete: no request runs any longer.
+func (c *Counter) End(now clock.Time, offset clock.Span) {
+	c.Fold(now, offset)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.until = max(c.until, At(now, offset))
+}
+
 // Forget drops the windows before next, of which the reports are decided.
 func (c *Counter) Forget(next Window) {
 	c.mu.Lock()
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -1,6 +1,8 @@
 package usage
 
 import (
+	"maps"
+	"reflect"
 	"slices"
 
 	"github.com/magnolialever/magnolialever/clock"
@@ -34,12 +36,14 @@
 	state    State
 	revision units.Revision
 	loaded   bool
-	// acknowledged is the last window of which the report arrived.
-	acknowledged Window
+	// acknowledged are the windows whose reports are known to have arrived.
+	acknowledged map[Window]bool
 }
 
 // NewReporter returns a Reporter that has not read the store.
-func NewReporter(o Options, b *Book) *Reporter { return &Reporter{Options: o, book: b} }
+func NewReporter(o Options, b *Book) *Reporter {
+	return &Reporter{Options: o, book: b, acknowledged: map[Window]bool{}}
+}
 
 // Loaded reports whether the state of the store is known. Nothing is decided before.
 func (r *Reporter) Loaded() bool { return r.loaded }
@@ -53,7 +57,6 @@
 	if revision == 0 {
 		r.state = State{}
 	}
-	r.acknowledged = max(r.acknowledged, r.state.Acknowledged)
 	for _, t := range r.state.Totals {
 		r.book.Merge(t)
 	}
@@ -86,9 +89,9 @@
 	if !r.loaded {
 		return State{}, false
 	}
-	s := State{Next: r.next(now), Acknowledged: max(r.acknowledged, r.state.Acknowledged)}
+	s := State{Next: r.next(now)}
 	for _, report := range r.state.Reports {
-		if report.Window > s.Acknowledged {
+		if !r.acknowledged[report.Window] {
 			s.Reports = append(s.Reports, report)
 		}
 	}
@@ -107,12 +110,39 @@
 		s.Next++
 		changed = true
 	}
-	if s.Acknowledged >= s.Next {
-		s.Acknowledged = s.Next - 1
+	if changed {
+		s.Totals = r.undecided(s.Next)
 	}
 	return s, changed
 }
 
+// undecided returns the totals of the windows from next on.
+func (r *Reporter) undecided(next Window) []Totals {
+	var out []Totals
+	for _, t := range r.book.Totals() {
+		maps.DeleteFunc(t.Windows, func(w Window, _ Counts) bool { return w < next })
+		if len(t.Windows) > 0 {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// Merge returns the state with totals that the store may lack, and whether that changes it.
+func (s State) Merge(all []Totals) (State, bool) {
+	b := NewBook()
+	for _, t := range s.Totals {
+		b.Merge(t)
+	}
+	before := b.Totals()
+	for _, t := range all {
+		maps.DeleteFunc(t.Windows, func(w Window, _ Counts) bool { return w < s.Next })
+		b.Merge(t)
+	}
+	s.Totals = b.Totals()
+	return s, !reflect.DeepEqual(before, s.Totals)
+}
+
 // next returns the first window that is not decided in the store. Windows long past are given up. Without a state in the
 // store, windows are reported from the first of which anything is known.
 func (r *Reporter) next(now Instant) Window {
@@ -155,22 +185,34 @@
 	return Report{Window: w, Counts: sum}, true
 }
 
-// Due returns the first report that is in the store and not acknowledged. One that differs from what this gateway was
-// told before the store lost a write is never due.
-func (r *Reporter) Due() (Report, bool) {
+// Due returns the report to send next: of those that are in the store and not acknowledged the first one that is not
+// late, or else the first one. One that differs from what this gateway was told before the store lost a write is never
+// due.
+func (r *Reporter) Due(now Instant) (Report, bool) {
+	late, found := Report{}, false
 	if !r.loaded {
-		return Report{}, false
+		return late, false
 	}
 	for _, report := range r.state.Reports {
-		if known, ok := r.book.Report(report.Window); ok && known.Equal(report) && report.Window > r.acknowledged {
+		known, ok := r.book.Report(report.Window)
+		if !ok || !known.Equal(report) || r.acknowledged[report.Window] {
+			continue
+		}
+		if now <= r.DueAt(report.Window) {
 			return report, true
 		}
+		if !found {
+			late, found = report, true
+		}
 	}
-	return Report{}, false
+	return late, found
 }
 
 // Acknowledge records that the report of a window has arrived.
-func (r *Reporter) Acknowledge(w Window) { r.acknowledged = max(r.acknowledged, w) }
+func (r *Reporter) Acknowledge(w Window) {
+	r.acknowledged[w] = true
+	maps.DeleteFunc(r.acknowledged, func(v Window, _ bool) bool { return v < w-maxBacklog })
+}
 
 // DueAt returns when the report of a window is due.
 func (r *Reporter) DueAt(w Window) Instant { return w.End(r.Length).Add(r.Delay) }
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -82,11 +82,9 @@
 type State struct {
 	// Next is the first window of which the report is not decided.
 	Next Window `json:"next"`
-	// Acknowledged is the last window of which the report is known to have arrived.
-	Acknowledged Window `json:"acknowledged"`
-	// Reports are the decided ones after Acknowledged, in order.
+	// Reports are the decided ones that are not known to have arrived, in order.
 	Reports []Report `json:"reports"`
-	// Totals are those of windows that are not decided, in case that all gateways end.
+	// Totals are those of the windows that are not decided, in case that all gateways end.
 	Totals []Totals `json:"totals,omitempty"`
 }
 
@@ -105,15 +103,15 @@
 	if err := json.Unmarshal(data, &s); err != nil {
 		return State{}, fmt.Errorf("decode usage: %w", err)
 	}
-	last := s.Acknowledged
+	if s.Next <= 0 {
+		return State{}, fmt.Errorf("decode usage: window %d does not come next", s.Next)
+	}
+	last := Window(0)
 	for _, r := range s.Reports {
 		if r.Window <= last || r.Window >= s.Next {
 			return State{}, fmt.Errorf("decode usage: report of window %d is out of order", r.Window)
 		}
 		last = r.Window
 	}
-	if s.Next <= 0 || s.Acknowledged >= s.Next {
-		return State{}, fmt.Errorf("decode usage: window %d does not come next", s.Next)
-	}
 	return s, nil
 }
