entry: tests of usage reports against a control API that fails

Cause: each failure of a call, and each end of a leader, needs a test of its own. Change: tests with the stand-in of the control API: no answer, 409, 429, slow answers, a leader that stops, a restart.

--- a/entry/usage_test.go
+++ b/entry/usage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,3 +58,149 @@
 	assert.Assert(t, sent > 100, "%d requests", sent)
 	c.waitFor("all requests are reported", func() bool { return sumReports(t, cloud) == sent })
 }
+
+// sendSome sends n requests in turn to all gateways and returns how many were served.
+func (c *cluster) sendSome(n int) int64 {
+	served := int64(0)
+	for i := range n {
+		if status, _ := c.sendRequest(c.gateways[i%len(c.gateways)], "/read/a", apiKey, ""); status == http.StatusOK {
+			served++
+		}
+	}
+	return served
+}
+
+// failFirst makes the control API answer the first n calls with the status, after a delay; 0 is no answer.
+func failFirst(cloud *fakes.Cloud, n int64, status int, delay time.Duration) {
+	var calls atomic.Int64
+	cloud.SetAnswer(func(fakes.CloudCall) int {
+		if calls.Add(1) > n {
+			return http.StatusOK
+		}
+		time.Sleep(delay)
+		return status
+	})
+}
+
+// Guards against a report that is lost, or another one that is sent first, when the control API gives no answer.
+func TestUnansweredUsageReportIsRepeated(t *testing.T) {
+	c, cloud := newMeteredCluster(t, 1)
+	failFirst(cloud, 3, 0, 0)
+	sent := c.sendSome(20)
+	c.waitFor("all requests are reported", func() bool { return len(cloud.Calls()) > 5 && sumReports(t, cloud) == sent })
+	calls := cloud.Calls()
+	for _, call := range calls[1:4] {
+		assert.Equal(t, call.Body, calls[0].Body)
+	}
+	assert.Assert(t, calls[4].Body != calls[0].Body)
+}
+
+// Guards against reports that are lost when there are too many calls, and against more calls as an answer to that.
+func TestPostponedUsageReportIsRetriedLater(t *testing.T) {
+	c, cloud := newMeteredCluster(t, 1)
+	failFirst(cloud, 3, http.StatusTooManyRequests, 0)
+	sent := c.sendSome(20)
+	c.waitFor("all requests are reported", func() bool { return sumReports(t, cloud) == sent })
+	calls := cloud.Calls()
+	for i := 1; i < 4; i++ {
+		assert.Assert(t, calls[i].At.Sub(calls[i-1].At) >= 100*time.Millisecond)
+	}
+}
+
+// Guards against a second report beside one whose answer takes long.
+func TestSlowControlAPIGetsOneCallAtATime(t *testing.T) {
+	c, cloud := newMeteredCluster(t, 1)
+	var inFlight, most atomic.Int64
+	cloud.SetAnswer(func(fakes.CloudCall) int {
+		most.Store(max(most.Load(), inFlight.Add(1)))
+		time.Sleep(1200 * time.Millisecond)
+		inFlight.Add(-1)
+		return http.StatusOK
+	})
+	sent := c.sendSome(20)
+	c.waitFor("all requests are reported", func() bool { return sumReports(t, cloud) == sent })
+	assert.Equal(t, most.Load(), int64(1))
+}
+
+// Guards against a refused call that is repeated under its epoch, and against reports that are never made as the
+// leadership was given up.
+func TestRefusedUsageReportNeedsALaterEpoch(t *testing.T) {
+	c, cloud := newMeteredCluster(t, 2)
+	var first atomic.Int64
+	cloud.SetAnswer(func(call fakes.CloudCall) int {
+		if first.CompareAndSwap(0, call.Epoch); call.Epoch == first.Load() {
+			return http.StatusConflict
+		}
+		return http.StatusOK
+	})
+	sent := c.sendSome(20)
+	c.waitFor("all requests are reported", func() bool { return sumReports(t, cloud) == sent })
+	calls := cloud.Calls()
+	for _, call := range calls[1:] {
+		assert.Assert(t, call.Epoch > first.Load(), "refused, and called again under epoch %d", call.Epoch)
+	}
+	assert.Equal(t, calls[1].Body, calls[0].Body)
+}
+
+// Guards against two different reports of a window when the leader stops after it has written and sent one that nobody
+// answered, and against requests that its stop loses.
+func TestNextLeaderReportsTheSame(t *testing.T) {
+	c, cloud := newMeteredCluster(t, 2)
+	var leader atomic.Value
+	cloud.SetAnswer(func(call fakes.CloudCall) int {
+		leader.CompareAndSwap(nil, call.Holder)
+		if call.Holder == leader.Load() {
+			return 0
+		}
+		return http.StatusOK
+	})
+	sent := c.sendSome(30)
+	c.waitFor("a report is sent", func() bool { return leader.Load() != nil })
+	sent += c.sendSome(30)
+	for _, g := range c.gateways {
+		if string(g.settings.VM) == leader.Load() {
+			g.stop()
+		}
+	}
+	c.waitFor("all requests are reported", func() bool { return sumReports(t, cloud) == sent })
+	holders, bodies := map[string]bool{}, map[string]bool{}
+	for _, call := range cloud.Calls() {
+		holders[call.Holder] = true
+		bodies[call.Body] = true
+	}
+	assert.Equal(t, len(holders), 2)
+	windows := map[int64]bool{}
+	for _, r := range cloud.UsageReports() {
+		windows[r.Window] = true
+	}
+	assert.Equal(t, len(bodies), len(windows), "two reports of a window differ")
+}
+
+// Guards against counts that are lost, or counted twice, when the only gateway stops and is started again.
+func TestUsageOutlivesAllGateways(t *testing.T) {
+	c, cloud := newMeteredCluster(t, 1)
+	c.waitFor("windows are reported", func() bool { return len(cloud.UsageReports()) > 0 })
+	sent := c.sendSome(20)
+	g := c.gateways[0]
+	g.stop()
+	assert.NilError(t, <-g.runErr)
+	again := c.startGateway("gate-0")
+	c.gateways[0] = again
+	c.waitFor("gateway is ready", func() bool { return c.readyStatus(again) == http.StatusOK })
+	sent += c.sendSome(20)
+	c.waitFor("all requests are reported", func() bool { return sumReports(t, cloud) == sent })
+}
+
+// Guards against counters, clocks and datagrams where the settings name no duty.
+func TestNoUsageWithoutTheDuty(t *testing.T) {
+	cloud := fakes.NewCloud()
+	defer cloud.Close()
+	c := newClusterWith(t, 2, func(s *platform.Settings) {
+		s.Cloud = platform.Cloud{Address: cloud.Addr()}
+		s.Bounds.UsageWindow, s.Bounds.UsageDelay = meteredWindow, clock.Second
+	})
+	c.sendSome(20)
+	time.Sleep(2500 * time.Millisecond)
+	assert.Equal(t, len(cloud.Calls()), 0)
+	assert.Equal(t, len(c.store.Keys("duties/usage")), 0)
+}
