usage, entry: ask for missing totals; orders take their proof from package duty

Cause: a gateway that is cut off from the leader alone keeps its totals from the report, and orders proved their epoch in a way of their own. Change: the leader asks gateways that have not told all, and deputies for what these were told; the deputy is of another zone than the leader; orders to upstreams take and give up their duty through duty.Holder.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -218,9 +218,9 @@
 		g.partExchange.Handle(m.GetPart(), parts.Sender{Address: from.String()})
 		return
 	}
-	if m.GetUsageTotals() != nil || m.GetUsageReports() != nil {
+	if m.GetUsageTotals() != nil || m.GetUsageReports() != nil || m.GetUsageQuestion() != nil {
 		if g.usage != nil {
-			g.post(usageTold{m.GetUsageTotals(), m.GetUsageReports()})
+			g.post(usageTold{m.GetUsageTotals(), m.GetUsageReports(), m.GetUsageQuestion(), from})
 		}
 		return
 	}
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -9,6 +9,7 @@
 
 	"github.com/magnolialever/magnolialever/assign"
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/duty"
 	"github.com/magnolialever/magnolialever/elect"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/stats"
@@ -54,7 +55,7 @@
 	// orderResult is the result of an order.
 	orderResult struct {
 		order assign.PlannedOrder
-		epoch units.Epoch
+		proof duty.Proof
 		err   error
 		// started is false if the upstream was already in the requested state.
 		started bool
@@ -142,8 +143,7 @@
 		hasEngine[id] = service.Engine != nil
 	}
 	o.ledger.UpdateUpstreams(now, o.controller.snapshot.Upstreams, hasEngine)
-	epoch, ok := o.elector.OrderEpoch(now)
-	if !ok {
+	if _, ok := o.elector.OrderEpoch(now); !ok {
 		return
 	}
 	paused := o.controller.pausedUpstreams()
@@ -158,7 +158,7 @@
 		Unreachable: o.controller.unreachableUpstreams(), Paused: paused,
 	}
 	for _, order := range o.planner.Plan(now, input) {
-		o.sendOrder(now, order, epoch)
+		o.sendOrder(now, order)
 	}
 	o.planCost = o.gateway.clock.Now().Sub(now)
 }
@@ -208,12 +208,17 @@
 
 // sendOrder sends an order. An unload is announced to the other gateways first, so that they stop
 // using the model or adapter. The result is an orderResult message.
-func (o *orderManager) sendOrder(now clock.Time, order assign.PlannedOrder, epoch units.Epoch) {
+func (o *orderManager) sendOrder(now clock.Time, order assign.PlannedOrder) {
 	e, ok := o.controller.snapshot.Upstreams[order.Upstream]
 	if !ok {
 		o.ledger.ApplyResult(now, order, assign.UpstreamGone)
 		return
 	}
+	proof, ok := o.controller.duties.holder.Prove(now, orderSubject(order.Upstream))
+	if !ok {
+		o.ledger.ApplyResult(now, order, assign.Refused)
+		return
+	}
 	if order.Unload {
 		o.controller.recordResidencyChange(now, residencyChange{
 			order.Upstream, e.ProcessStart, order.Model, order.Adapter, true, order.ExpectedOrders + 1, now, announcement{ordered: true},
@@ -221,10 +226,10 @@
 	}
 	u := e.Upstream
 	o.gateway.startCall(func(ctx context.Context) {
-		m := orderResult{order: order, epoch: epoch}
+		m := orderResult{order: order, proof: proof}
 		m.started, m.err = o.client.Send(ctx, u, platform.Order{
 			Unload: order.Unload, Model: order.Model, Adapter: order.Adapter,
-			ExpectedOrders: order.ExpectedOrders, Leader: o.gateway.settings.VM, Epoch: epoch,
+			ExpectedOrders: order.ExpectedOrders, Leader: proof.Holder, Epoch: proof.Epoch,
 		})
 		if m.err == nil && order.Adapter != "" && !order.Unload {
 			clock.Sleep(ctx, adapterActivationTime)
@@ -240,9 +245,10 @@
 	result := ledgerResult(m)
 	stats.Event("orders")
 	klog.InfoS("entry: order", "upstream", m.order.Upstream, "unload", m.order.Unload, "model", m.order.Model,
-		"adapter", m.order.Adapter, "expected", m.order.ExpectedOrders, "epoch", m.epoch, "begun", m.started, "err", m.err)
+		"adapter", m.order.Adapter, "expected", m.order.ExpectedOrders, "epoch", m.proof.Epoch, "begun", m.started, "err", m.err)
 	o.ledger.ApplyResult(now, m.order, result)
 	if errors.Is(m.err, platform.ErrStaleEpoch) {
+		o.controller.duties.holder.GiveUp(m.proof)
 		o.elector.Lost(o.gateway.clock.Now())
 	}
 	e, ok := o.controller.snapshot.Upstreams[m.order.Upstream]
@@ -263,6 +269,10 @@
 	}
 }
 
+// orderSubject is the subject of the orders to an upstream. Each order names the number of orders before it, so that one
+// without an answer is never carried out after another one: the ledger may send something else in its place.
+func orderSubject(id units.UpstreamID) duty.Subject { return duty.Subject("orders " + id) }
+
 // ledgerResult maps the result of an order to the ledger's Result.
 func ledgerResult(m orderResult) assign.Result {
 	switch {
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -43,6 +44,8 @@
 	windowsPerMessage = 40
 	// deputies is the number of gateways besides the leader that are told the totals: those that would lead next.
 	deputies = 1
+	// askInterval is the interval at which missing totals are asked for.
+	askInterval = 400 * clock.Millisecond
 	// usageRetryDelay is the time after a failed call to the store before the next one.
 	usageRetryDelay = 300 * clock.Millisecond
 	// lifeMemory is how long a process without counts is remembered.
@@ -59,6 +62,9 @@
 	usageTold struct {
 		totals  *wire.UsageTotals
 		reports *wire.UsageReports
+		// question is answered to the address from.
+		question *wire.UsageQuestion
+		from     netip.AddrPort
 	}
 	// usageLoaded is the result of reading usageKey under an epoch.
 	usageLoaded struct {
@@ -111,6 +117,7 @@
 	epoch        units.Epoch
 	storePending bool
 	storeAfter   clock.Time
+	askedAt      clock.Time
 	// required is the window of the report that is due.
 	required usage.Window
 	final    bool
@@ -189,7 +196,8 @@
 	return t
 }
 
-// confidants returns the addresses of the leader and of those that would lead next.
+// confidants returns the addresses of the leader and of the deputies: the gateways that would lead next, of another zone
+// than the leader if there is one, so that a cut between zones leaves one of them.
 func (u *usageManager) confidants() []string {
 	self, holder := u.gateway.settings.VM, u.controller.orders.elector.Holder()
 	var out []string
@@ -201,7 +209,9 @@
 	if !ok {
 		missing++
 	}
-	for _, g := range member.RankStrongest(u.controller.members.Registered(), leaderKey) {
+	ranked := member.RankStrongest(u.controller.members.Registered(), leaderKey)
+	slices.SortStableFunc(ranked, func(a, b member.Gateway) int { return inZone(a, leader.Zone) - inZone(b, leader.Zone) })
+	for _, g := range ranked {
 		if missing > 0 && g.VM != self && g.VM != holder {
 			out = append(out, g.Address)
 			missing--
@@ -210,10 +220,24 @@
 	return out
 }
 
-// sendTotals sends totals, in several messages if there are many windows, and delays the next ones by what they took of
-// the rate of bytes.
+// inZone returns 1 if the gateway is in the zone, else 0.
+func inZone(g member.Gateway, z units.Zone) int {
+	if g.Zone == z {
+		return 1
+	}
+	return 0
+}
+
+// sendTotals merges totals, sends them to the confidants, and delays the next ones by what they took of the rate of bytes.
 func (u *usageManager) sendTotals(now clock.Time, t usage.Totals) {
 	u.book.Merge(t)
+	bytes := u.send(t, u.to...)
+	rate := totalsBytesPerSecond / u.slowdown()
+	u.sendAfter = now.Add(max(minTotalsInterval, clock.FromMilliseconds(float64(bytes)/rate*float64(clock.Second))))
+}
+
+// send sends totals, in several messages if there are many windows, and returns how many bytes it sent.
+func (u *usageManager) send(t usage.Totals, to ...string) int {
 	windows := slices.Sorted(maps.Keys(t.Windows))
 	bytes := 0
 	for first := true; first || len(windows) > 0; first = false {
@@ -227,11 +251,10 @@
 			// What is counted until then is told with the last message.
 			m.UntilMs, m.Final = int64(t.Until), t.Final
 		}
-		bytes += proto.Size(m) * len(u.to)
-		u.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_UsageTotals{UsageTotals: m}}, u.to...)
+		bytes += proto.Size(m) * len(to)
+		u.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_UsageTotals{UsageTotals: m}}, to...)
 	}
-	rate := totalsBytesPerSecond / u.slowdown()
-	u.sendAfter = now.Add(max(minTotalsInterval, clock.FromMilliseconds(float64(bytes)/rate*float64(clock.Second))))
+	return bytes
 }
 
 // slowdown returns the factor by which totals are told less often as there are many gateways.
@@ -274,12 +297,47 @@
 		}
 		u.book.Merge(t)
 	}
+	for _, vm := range m.question.GetVms() {
+		u.answer(units.VMID(vm), m.from.String())
+	}
 	for _, w := range m.reports.GetReports() {
 		window, counts := decodeWindow(w)
 		u.recordDecided(usage.Report{Window: window, Counts: counts})
 	}
 }
 
+// answer tells a gateway what is known of the totals of a machine.
+func (u *usageManager) answer(vm units.VMID, to string) {
+	if vm == u.gateway.settings.VM && u.offsetKnown {
+		now := u.gateway.clock.Now()
+		u.counter.Fold(now, u.offset)
+		u.book.Merge(u.own(u.counter.Totals(u.book.Next())))
+	}
+	for _, t := range u.book.Known(vm) {
+		u.send(t, to)
+	}
+}
+
+// ask asks the gateways that have not told all that they counted, and the deputies for what they know of them: datagrams
+// may be lost, and a gateway may be cut off from the leader alone.
+func (u *usageManager) ask(now clock.Time, gateways []units.VMID) {
+	missing := u.reporter.Missing(u.instant(now), gateways)
+	if len(missing) == 0 || now.Sub(u.askedAt) < askInterval {
+		return
+	}
+	u.askedAt = now
+	to := slices.Clone(u.to)
+	m := &wire.UsageQuestion{}
+	for _, vm := range missing {
+		m.Vms = append(m.Vms, string(vm))
+		if g, ok := u.controller.members.Get(vm); ok && !slices.Contains(to, g.Address) && vm != u.gateway.settings.VM {
+			to = append(to, g.Address)
+		}
+	}
+	stats.Event("usage_totals_asked")
+	u.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_UsageQuestion{UsageQuestion: m}}, to...)
+}
+
 // recordDecided records what is reported for a window.
 func (u *usageManager) recordDecided(r usage.Report) {
 	if !u.book.Decided(r) {
@@ -333,7 +391,9 @@
 	}
 	u.book.Merge(u.own(u.counter.Totals(u.book.Next())))
 	u.book.Prune(u.instant(now), lifeMemory)
-	state, ok := u.reporter.Decide(u.instant(now), u.gatewayVMs(), u.customers())
+	gateways := u.gatewayVMs()
+	u.ask(now, gateways)
+	state, ok := u.reporter.Decide(u.instant(now), gateways, u.customers())
 	if !ok {
 		return
 	}
--- a/usage/book.go
+++ b/usage/book.go
@@ -112,17 +112,33 @@
 	return t != nil && t.Final
 }
 
+// Known returns a copy of the totals of all processes on a VM.
+func (b *Book) Known(vm units.VMID) []Totals {
+	var out []Totals
+	for _, t := range b.lives {
+		if t.VM == vm {
+			out = append(out, t.clone())
+		}
+	}
+	return out
+}
+
+// clone returns a copy of the totals.
+func (t *Totals) clone() Totals {
+	out := *t
+	out.Windows = maps.Clone(t.Windows)
+	for w, n := range out.Windows {
+		out.Windows[w] = maps.Clone(n)
+	}
+	return out
+}
+
 // Totals returns a copy of the totals of all processes that have counts, in order of their lives.
 func (b *Book) Totals() []Totals {
 	var out []Totals
 	for _, t := range b.lives {
 		if len(t.Windows) > 0 {
-			clone := *t
-			clone.Windows = maps.Clone(t.Windows)
-			for w, n := range clone.Windows {
-				clone.Windows[w] = maps.Clone(n)
-			}
-			out = append(out, clone)
+			out = append(out, t.clone())
 		}
 	}
 	slices.SortFunc(out, func(a, b Totals) int { return cmp.Compare(a.Life, b.Life) })
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -16,6 +16,9 @@
 	// minCloseDelay is the least time from the end of a window until it is closed. It covers calls that were sent right
 	// before the end and are answered after it.
 	minCloseDelay = 500 * clock.Millisecond
+	// askDelay is the time from the end of a window after which gateways that have not told all are asked, and others for
+	// what these have told them.
+	askDelay = 800 * clock.Millisecond
 	// maxBacklog is the number of windows before the current one that are still reported. Nothing is due for older ones.
 	maxBacklog = 400
 	// maxDecisions is the number of windows that one write decides.
@@ -116,6 +119,15 @@
 	return s, changed
 }
 
+// Missing returns the gateways that have not told all that they counted in a window that ended a while ago.
+func (r *Reporter) Missing(now Instant, gateways []units.VMID) []units.VMID {
+	end := r.next(now).End(r.Length)
+	if !r.loaded || now < end.Add(askDelay) {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(gateways), func(vm units.VMID) bool { return r.book.Covers(vm, end) })
+}
+
 // undecided returns the totals of the windows from next on.
 func (r *Reporter) undecided(next Window) []Totals {
 	var out []Totals
