scale: decide how many replicas a service has

Cause: services of the configuration may have limits within which the gateways decide how many replicas a zone has. Change: package scale decides by load, trend and what waits; the leader orders through package duty; on only where the settings list the duty and the service has limits. Gateways tell the leader what waits for a replica.

--- a/duty/calls.go
+++ b/duty/calls.go
@@ -55,8 +55,10 @@
 // Calls are the calls of one kind of duty, for any number of subjects. C is what a call says; it must not change once
 // it is passed on. Calls is not safe for concurrent use.
 type Calls[C any] struct {
-	holder   *Holder
-	pacer    *Pacer
+	holder *Holder
+	pacer  *Pacer
+	// equal reports whether two calls say the same.
+	equal    func(a, b C) bool
 	subjects map[Subject]*subject[C]
 }
 
@@ -77,8 +79,9 @@
 }
 
 // NewCalls returns Calls without subjects. All kinds of duties that share a limit on the rate of calls share the pacer.
-func NewCalls[C any](holder *Holder, pacer *Pacer) *Calls[C] {
-	return &Calls[C]{holder: holder, pacer: pacer, subjects: map[Subject]*subject[C]{}}
+// equal reports whether two calls say the same.
+func NewCalls[C any](holder *Holder, pacer *Pacer, equal func(a, b C) bool) *Calls[C] {
+	return &Calls[C]{holder: holder, pacer: pacer, equal: equal, subjects: map[Subject]*subject[C]{}}
 }
 
 func (c *Calls[C]) subject(s Subject) *subject[C] {
@@ -92,7 +95,20 @@
 // answered comes first all the same.
 func (c *Calls[C]) Require(s Subject, content C, deadline clock.Time) {
 	v := c.subject(s)
-	v.due, v.deadline = &content, deadline
+	v.deadline = deadline
+	switch {
+	case v.due != nil && c.equal(*v.due, content):
+	case v.sent != nil && c.equal(*v.sent, content):
+		v.due = v.sent
+	default:
+		v.due = &content
+	}
+}
+
+// Pending reports whether a call for a subject was sent under the current epoch and may still be carried out.
+func (c *Calls[C]) Pending(now clock.Time, s Subject) bool {
+	v, ok := c.subjects[s]
+	return ok && v.sent != nil && c.holder.Holds(now, v.proof)
 }
 
 // Withdraw makes nothing due for a subject. A call that was sent and not answered is no longer repeated.
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -25,9 +25,11 @@
 	calls *duty.Calls[string]
 }
 
+func same(a, b string) bool { return a == b }
+
 func newOffice() *office {
 	o := &office{term: &term{epoch: 5}, now: 1000}
-	o.calls = duty.NewCalls[string](duty.NewHolder("one", o.term), duty.NewPacer(1000))
+	o.calls = duty.NewCalls[string](duty.NewHolder("one", o.term), duty.NewPacer(1000), same)
 	return o
 }
 
@@ -102,7 +104,7 @@
 // of it is on its way.
 func TestPostponedCallWaitsAndMayChange(t *testing.T) {
 	o := newOffice()
-	o.calls = duty.NewCalls[string](duty.NewHolder("one", o.term), duty.NewPacer(2))
+	o.calls = duty.NewCalls[string](duty.NewHolder("one", o.term), duty.NewPacer(2), same)
 	var at []clock.Time
 	for i := range 4 {
 		o.calls.Require(subject, string(rune('a'+i)), 0)
--- a/entry/duty.go
+++ b/entry/duty.go
@@ -21,6 +21,8 @@
 	client     *platform.CloudClient
 	// usage is nil if the gateways don't report usage.
 	usage *usageManager
+	// scale is nil if the gateways don't decide how many replicas services have.
+	scale *scaleManager
 }
 
 func newDutyManager(g *Gateway, c *controller) *dutyManager {
@@ -31,6 +33,9 @@
 	if cloud.ReportsUsage {
 		d.usage = newUsageManager(d, pacer)
 	}
+	if cloud.Scales {
+		d.scale = newScaleManager(d, pacer)
+	}
 	return d
 }
 
@@ -43,6 +48,9 @@
 	if d.usage != nil {
 		d.usage.onTick(now)
 	}
+	if d.scale != nil {
+		d.scale.onTick(now)
+	}
 }
 
 // handle handles the messages of duties.
@@ -58,6 +66,8 @@
 		d.usage.handleReported(now, m)
 	case usageEnds:
 		d.usage.handleEnd(now, m)
+	case scaleOrdered:
+		d.scale.handleOrdered(now, m)
 	}
 }
 
--- a/entry/residency.go
+++ b/entry/residency.go
@@ -273,6 +273,7 @@
 	for _, id := range c.gateway.relay.Unreachable() {
 		d.Unreachable = append(d.Unreachable, string(id))
 	}
+	d.Waits = c.duties.encodeWaits()
 	for t, n := range c.gateway.demand.current(now) {
 		d.Needs = append(d.Needs, &wire.ModelNeed{
 			Service: string(t.Service), Model: string(t.Model), Adapter: t.Adapter, Tokens: n.WorkRate, Missed: int32(n.Misses),
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -118,9 +118,8 @@
 	storePending bool
 	storeAfter   clock.Time
 	askedAt      clock.Time
-	// required is the window of the report that is due.
-	required usage.Window
-	final    bool
+	// final is set once this gateway counts no more.
+	final bool
 }
 
 func newUsageManager(d *dutyManager, pacer *duty.Pacer) *usageManager {
@@ -129,7 +128,7 @@
 	return &usageManager{
 		dutyManager: d, wall: peers.NewWall(g.clock.Now()), counter: g.usage, book: book,
 		reporter: usage.NewReporter(usage.Options{Length: g.settings.Bounds.UsageWindow, Delay: g.settings.Bounds.UsageDelay}, book),
-		calls:    duty.NewCalls[usage.Report](d.holder, pacer),
+		calls:    duty.NewCalls(d.holder, pacer, usage.Report.Equal),
 	}
 }
 
@@ -521,13 +520,9 @@
 	due, ok := u.reporter.Due(u.instant(now))
 	if !ok {
 		u.calls.Withdraw(usageSubject)
-		u.required = 0
 		return
 	}
-	if due.Window != u.required {
-		u.required = due.Window
-		u.calls.Require(usageSubject, due, now.Add(clock.Span(u.reporter.DueAt(due.Window)-u.instant(now))))
-	}
+	u.calls.Require(usageSubject, due, now.Add(clock.Span(u.reporter.DueAt(due.Window)-u.instant(now))))
 	call, ok := u.calls.Next(now)
 	if !ok {
 		return
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -98,6 +98,16 @@
 	FirstEventObjective clock.Span
 	// Engine is nil for plain services.
 	Engine *Engine
+	// Scaling is nil if the number of replicas is not ours to decide.
+	Scaling *Scaling
+}
+
+// Scaling are the limits within which the number of a service's replicas is decided.
+type Scaling struct {
+	// Min and Max are the least and the largest number of replicas in an availability zone.
+	Min, Max int
+	// Boot is how long a replica takes to start.
+	Boot clock.Span
 }
 
 // Customer is a paying customer with its limits.
--- a/relay/server.go
+++ b/relay/server.go
@@ -163,6 +163,13 @@
 	return s.Scheduler.Loads(s.Clock.Now())
 }
 
+// Waiting returns the number of requests of each service that wait for an upstream which holds what they ask for.
+func (s *Server) Waiting() map[units.ServiceID]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Scheduler.Waiting()
+}
+
 // Unreachable returns the upstreams to which this gateway could not connect lately.
 func (s *Server) Unreachable() []units.UpstreamID {
 	s.mu.Lock()
