soak, platform: usage under faults; tests of the control API's client

Cause: two different reports of a window are never allowed, whatever ends or stands still meanwhile. Change: the gateways of the soak report usage to a control API that gives no answer, late ones or 429; the soak checks that no window has two reports, that no more is reported than ran, and that the duty does not return to a holder at once.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -59,6 +59,8 @@
 	name string
 	// args and env are those of its processes, env in addition to the test's own.
 	args, env []string
+	// settingsFile is the path of the settings; empty for agents.
+	settingsFile string
 	// public is the address for callers, ready the URL that says whether it is ready.
 	public, ready string
 	// storeLink is its link to the store.
@@ -137,12 +139,13 @@
 retryWindowS = 10
 coldOver = 1.5
 coldSlack = 50
-[limits]
+%s[limits]
 memoryMb = 284
 [platform]
 address = %q
-`, name, first, first+1, g.public, ready, withdrawalTime.Milliseconds(), graceSeconds, l.addr())
+`, name, first, first+1, g.public, ready, withdrawalTime.Milliseconds(), graceSeconds, usageBounds, l.addr())
 	assert.NilError(t, os.WriteFile(file, []byte(settings), 0o600))
+	g.settingsFile = file
 	return g
 }
 
@@ -215,6 +218,8 @@
 	apps     []*upstream
 	record   *record
 	operator *operator
+	// cloud is the control API, to which the gateways report usage; nil if they don't.
+	cloud *fakes.Cloud
 	// seed is that of the run. spoil is set while upstreams spoil some of their answers.
 	seed  uint64
 	spoil atomic.Bool
@@ -268,7 +273,7 @@
 // newFleet starts a fleet and waits until its gateways are ready.
 func newFleet(t *testing.T, seed uint64) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: fakes.NewStore(), record: newRecord(), seed: seed, storeUp: newStopwatch()}
+	f := &fleet{t: t, store: fakes.NewStore(), record: newRecord(), seed: seed, storeUp: newStopwatch(), cloud: fakes.NewCloud()}
 	f.operator = newOperator(f)
 	for i := range engineCount {
 		f.engines = append(f.engines, newUpstream(f, fmt.Sprint("engine-", i), fakes.EngineService))
@@ -278,6 +283,7 @@
 	}
 	for i := range gatewayCount {
 		g := newGateway(t, fmt.Sprint("gate-", i), f.store.Addr(), 1)
+		g.addSettings(t, usageSettings(f.cloud))
 		assert.NilError(t, g.start())
 		f.gateways = append(f.gateways, g)
 	}
@@ -310,6 +316,9 @@
 	if f.store != nil {
 		f.store.Close()
 	}
+	if f.cloud != nil {
+		f.cloud.Close()
+	}
 }
 
 // saveLog writes the logs of a gateway's processes to a file that outlives the test.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -237,12 +237,15 @@
 	}
 	x := &faults{fleet: f, random: rand.New(rand.NewPCG(seed, 1_000_000)), busy: map[*gateway]bool{}}
 	f.spoil.Store(true)
+	f.cloud.SetAnswer(oddAnswers(seed))
 	x.run(ctx, x.kinds())
 	f.spoil.Store(false)
+	f.cloud.SetAnswer(nil)
 	group.Wait()
 	f.lasting.Wait()
 	f.waitReady()
 	f.checkService()
+	f.checkUsage()
 	for _, b := range f.record.check() {
 		t.Error(b)
 	}
