usage: a new leader collects totals before it closes windows that are due

Cause: most gateways don't know the new leader yet, so that it closed windows of the time without a leader with what it alone knew. Change: it asks all gateways for all totals and closes windows that should be closed already 0.7 s later.

--- a/entry/usage.go
+++ b/entry/usage.go
@@ -337,6 +337,18 @@
 	u.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_UsageQuestion{UsageQuestion: m}}, to...)
 }
 
+// collect asks all gateways for all totals that they know, since most don't know yet who leads now.
+func (u *usageManager) collect() {
+	m, to := &wire.UsageQuestion{}, []string{}
+	for _, g := range u.controller.members.All() {
+		m.Vms = append(m.Vms, string(g.VM))
+		if g.VM != u.gateway.settings.VM {
+			to = append(to, g.Address)
+		}
+	}
+	u.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_UsageQuestion{UsageQuestion: m}}, to...)
+}
+
 // recordDecided records what is reported for a window.
 func (u *usageManager) recordDecided(r usage.Report) {
 	if !u.book.Decided(r) {
@@ -370,6 +382,8 @@
 	if u.epoch != proof.Epoch {
 		u.epoch, u.storePending, u.storeAfter = proof.Epoch, false, 0
 		u.reporter.Unload()
+		u.reporter.Collect(u.instant(now))
+		u.collect()
 	}
 	u.decide(now, proof.Epoch)
 	u.report(now)
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -16,6 +16,8 @@
 	// minCloseDelay is the least time from the end of a window until it is closed. It covers calls that were sent right
 	// before the end and are answered after it.
 	minCloseDelay = 500 * clock.Millisecond
+	// collectTime is the time for the answers of all gateways after a change of the leader.
+	collectTime = 700 * clock.Millisecond
 	// askDelay is the time from the end of a window after which gateways that have not told all are asked, and others for
 	// what these have told them.
 	askDelay = 800 * clock.Millisecond
@@ -39,6 +41,8 @@
 	state    State
 	revision units.Revision
 	loaded   bool
+	// collecting is the instant until which windows are closed only once all gateways have told what they counted.
+	collecting Instant
 	// acknowledged are the windows whose reports are known to have arrived.
 	acknowledged map[Window]bool
 }
@@ -51,6 +55,10 @@
 // Loaded reports whether the state of the store is known. Nothing is decided before.
 func (r *Reporter) Loaded() bool { return r.loaded }
 
+// Collect records that this gateway took over the leadership and asked all others for their totals: windows that should
+// have been closed before wait for the answers.
+func (r *Reporter) Collect(now Instant) { r.collecting = now.Add(collectTime) }
+
 // Unload forgets the state of the store: the leadership has ended, or a write may or may not have taken effect.
 func (r *Reporter) Unload() { r.loaded = false }
 
@@ -187,7 +195,7 @@
 		return Report{}, false
 	}
 	untold := slices.ContainsFunc(gateways, func(vm units.VMID) bool { return !r.book.Covers(vm, end) })
-	if untold && now < end.Add(max(clock.Span(float64(r.Delay)*closeShare), minCloseDelay)) {
+	if untold && now < max(r.collecting, end.Add(max(clock.Span(float64(r.Delay)*closeShare), minCloseDelay))) {
 		return Report{}, false
 	}
 	sum := r.book.Sum(w)
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -152,6 +152,27 @@
 	assert.Assert(t, !ok, "nothing is reported before the store is read")
 }
 
+// Guards against a successor that closes windows which are due already with what it alone knows.
+func TestSuccessorCollectsFirst(t *testing.T) {
+	a, b, s := newGateway("a", 1), newGateway("b", 2), &store{}
+	a.load(t, s)
+	a.decide(t, s, 100, "a", "b")
+	a.run(1000, "court", 4)
+	b.load(t, s)
+	b.reporter.Collect(usage.At(9000, offset))
+	b.tell(9000, b)
+	assert.Equal(t, len(b.decide(t, s, 9000, "a", "b")), 0)
+	a.tell(9100, b)
+	assert.Equal(t, b.decide(t, s, 9100, "a", "b")[0].Counts["court"], int64(4))
+	// A gateway that does not answer is not waited for.
+	c := newGateway("c", 3)
+	c.load(t, s)
+	c.reporter.Collect(usage.At(15_000, offset))
+	c.tell(15_600, c)
+	assert.Equal(t, len(c.decide(t, s, 15_600, "a", "c")), 0)
+	assert.Equal(t, len(c.decide(t, s, 15_800, "a", "c")), 1)
+}
+
 // Guards against a second report of a window that differs from the first because the store lost its newest writes.
 func TestLostWriteIsDecidedAlike(t *testing.T) {
 	a, b, s := newGateway("a", 1), newGateway("b", 2), &store{}
