usage: tell changed counts of customers alone, more often

Cause: a killed gateway had not told up to 0.4 s of its counts, as each message had all customers of all open windows. Change: messages between the full ones have only the customers whose counts changed.

--- a/entry/usage.go
+++ b/entry/usage.go
@@ -29,14 +29,14 @@
 	usageSubject duty.Subject = "usage"
 	// totalsInterval is the interval at which a gateway tells its totals of the last windows, changed or not, since
 	// datagrams may be lost. It grows with the gateways, up to a part of the window.
-	totalsInterval   = clock.Second
+	totalsInterval   = 2 * clock.Second
 	totalsWindowPart = 2
 	// recentWindows is the number of windows before the current one that are told each time.
 	recentWindows = 2
 	// totalsBytesPerSecond bounds what a gateway sends of changed totals. Beyond fullRateGateways it falls with their
 	// number: what the leader receives stays bounded, and so does the part of all requests that a killed gateway has not
 	// told.
-	totalsBytesPerSecond = 1000
+	totalsBytesPerSecond = 1500
 	fullRateGateways     = 8
 	// minTotalsInterval is the least time between two messages with changed totals.
 	minTotalsInterval = 20 * clock.Millisecond
@@ -165,7 +165,7 @@
 		u.tellAll(now)
 	case now.Sub(u.toldAt) < u.totalsInterval() && u.counter.Complete() == u.toldComplete:
 		if u.counter.HasChanged() && !now.Before(u.sendAfter) {
-			u.sendTotals(now, u.own(u.counter.TakeChanged()))
+			u.sendChanged(now, u.own(u.counter.TakeChanged()))
 		}
 	case !u.toldTwice:
 		u.toldTwice = true
@@ -173,18 +173,17 @@
 	default:
 		u.toldAt, u.toldComplete = now, u.counter.Complete()
 		u.counter.TakeChanged()
-		u.sendTotals(now, u.own(u.counter.Totals(max(current-recentWindows, u.book.Next()))))
+		u.send(u.own(u.counter.Totals(max(current-recentWindows, u.book.Next()))), u.to...)
 	}
 }
 
 // tellAll tells all totals that this gateway has, those of other gateways included.
 func (u *usageManager) tellAll(now clock.Time) {
 	u.toldAt = now
-	u.book.Merge(u.own(u.counter.Totals(u.book.Next())))
-	u.sendTotals(now, u.own(u.counter.Totals(u.book.Next())))
+	u.send(u.own(u.counter.Totals(u.book.Next())), u.to...)
 	for _, t := range u.book.Totals() {
 		if t.Life != usage.Life(u.gateway.incarnation) {
-			u.sendTotals(now, t)
+			u.send(t, u.to...)
 		}
 	}
 }
@@ -227,16 +226,16 @@
 	return 0
 }
 
-// sendTotals merges totals, sends them to the confidants, and delays the next ones by what they took of the rate of bytes.
-func (u *usageManager) sendTotals(now clock.Time, t usage.Totals) {
-	u.book.Merge(t)
+// sendChanged sends totals to the confidants and delays the next ones by what they took of the rate of bytes.
+func (u *usageManager) sendChanged(now clock.Time, t usage.Totals) {
 	bytes := u.send(t, u.to...)
 	rate := totalsBytesPerSecond / u.slowdown()
 	u.sendAfter = now.Add(max(minTotalsInterval, clock.FromMilliseconds(float64(bytes)/rate*float64(clock.Second))))
 }
 
-// send sends totals, in several messages if there are many windows, and returns how many bytes it sent.
+// send merges totals, sends them, in several messages if there are many windows, and returns how many bytes it sent.
 func (u *usageManager) send(t usage.Totals, to ...string) int {
+	u.book.Merge(t)
 	windows := slices.Sorted(maps.Keys(t.Windows))
 	bytes := 0
 	for first := true; first || len(windows) > 0; first = false {
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -29,8 +29,8 @@
 	// pending are the requests that were not counted in a window yet.
 	pending []begun
 	totals  map[Window]Counts
-	// changed are the windows whose totals have changed since TakeChanged.
-	changed map[Window]bool
+	// changed are the customers whose totals have changed since TakeChanged, by window.
+	changed map[Window]map[units.CustomerID]bool
 	until   Instant
 }
 
@@ -42,7 +42,7 @@
 
 // NewCounter returns a Counter for windows of the length.
 func NewCounter(length clock.Span) *Counter {
-	return &Counter{length: length, totals: map[Window]Counts{}, changed: map[Window]bool{}}
+	return &Counter{length: length, totals: map[Window]Counts{}, changed: map[Window]map[units.CustomerID]bool{}}
 }
 
 // Record counts a request of the customer that began to run at a time.
@@ -66,13 +66,16 @@
 		if c.totals[w] == nil {
 			c.totals[w] = Counts{}
 		}
+		if c.changed[w] == nil {
+			c.changed[w] = map[units.CustomerID]bool{}
+		}
 		c.totals[w][b.customer]++
-		c.changed[w] = true
+		c.changed[w][b.customer] = true
 	}
 	c.pending = c.pending[:0]
 	c.until = max(c.until, At(now, offset).Add(-settleTime))
 	current := WindowOf(At(now, offset), c.length)
-	maps.DeleteFunc(c.totals, func(w Window, _ Counts) bool { return w < current-maxWindows })
+	c.forget(current - maxWindows)
 }
 
 // End counts what is left and calls all totals complete: no request runs any longer.
@@ -87,8 +90,13 @@
 func (c *Counter) Forget(next Window) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.forget(next)
+}
+
+// forget is Forget for callers that hold c.mu.
+func (c *Counter) forget(next Window) {
 	maps.DeleteFunc(c.totals, func(w Window, _ Counts) bool { return w < next })
-	maps.DeleteFunc(c.changed, func(w Window, _ bool) bool { return w < next })
+	maps.DeleteFunc(c.changed, func(w Window, _ map[units.CustomerID]bool) bool { return w < next })
 }
 
 // Totals returns the totals of all windows from one on. The VM and the process are left to the caller.
@@ -104,13 +112,16 @@
 	return t
 }
 
-// TakeChanged returns the totals of the windows that have changed since the last call.
+// TakeChanged returns the totals that have changed since the last call.
 func (c *Counter) TakeChanged() Totals {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := Totals{Until: c.until, Windows: map[Window]Counts{}}
-	for w := range c.changed {
-		t.Windows[w] = maps.Clone(c.totals[w])
+	for w, customers := range c.changed {
+		t.Windows[w] = Counts{}
+		for id := range customers {
+			t.Windows[w][id] = c.totals[w][id]
+		}
 	}
 	clear(c.changed)
 	return t
