--- a/duty/calls.go
+++ b/duty/calls.go
@@ -70,6 +70,8 @@
 	// sent is the last call that was made under its proof and may still be carried out; nil if there is none.
 	sent  *C
 	proof Proof
+	// sentDeadline is the deadline of sent.
+	sentDeadline clock.Time
 	// inFlight is set while sent has not ended, repeatAt is when it may be made again, after a delay.
 	inFlight bool
 	repeatAt clock.Time
@@ -143,10 +145,10 @@
 		}
 		repeated := v.sent != nil
 		if !repeated {
-			v.sent = v.due
+			v.sent, v.sentDeadline = v.due, v.deadline
 		}
 		v.inFlight = true
-		return Call[C]{p, *v.sent, repeated, v.deadline}, true
+		return Call[C]{p, *v.sent, repeated, v.sentDeadline}, true
 	}
 	return Call[C]{}, false
 }
--- a/entry/changes.go
+++ b/entry/changes.go
@@ -102,8 +102,10 @@
 	if w == nil || !w.watches || len(w.followers) == 0 {
 		return
 	}
-	// Leaders tell their decisions themselves, in fewer bytes.
-	b.Items = slices.DeleteFunc(slices.Clone(b.Items), func(i platform.Item) bool { return i.Key == usageKey })
+	if g.usage != nil {
+		// Leaders send their decisions themselves, in fewer bytes.
+		b.Items = slices.DeleteFunc(slices.Clone(b.Items), func(i platform.Item) bool { return i.Key == usageKey })
+	}
 	for _, m := range splitChanges(b, g.clock.Now()) {
 		m.Life = g.incarnation
 		g.peers.Send(&wire.Datagram{Body: &wire.Datagram_StoreChanges{StoreChanges: m}}, w.followers...)
--- a/entry/duty.go
+++ b/entry/duty.go
@@ -39,6 +39,10 @@
 	return d
 }
 
+// onStoreEra is called when the store may have lost its newest writes, with a number that grows each time. It may be
+// called from any goroutine.
+func (g *Gateway) onStoreEra(era int64) { g.post(storeEra{era}) }
+
 // holdsDuty reports whether this gateway holds the duty of a proof. It may be called from any goroutine.
 func (g *Gateway) holdsDuty(p duty.Proof) bool {
 	return g.isLeader() && g.leaderEpoch.Load() == int64(p.Epoch)
@@ -56,8 +60,12 @@
 // handle handles the messages of duties.
 func (d *dutyManager) handle(now clock.Time, m message) {
 	switch m := m.(type) {
-	case usageTold:
-		d.usage.handleTold(m)
+	case usageReceived:
+		d.usage.handleReceived(now, m)
+	case storeEra:
+		if d.usage != nil {
+			d.usage.handleEra(now, m)
+		}
 	case usageLoaded:
 		d.usage.handleLoaded(now, m)
 	case usageWritten:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -104,7 +104,7 @@
 		DigestInterval: peers.DigestInterval, AwaitStore: true,
 	})
 	if settings.Cloud.ReportsUsage {
-		g.usage = usage.NewCounter(settings.Bounds.UsageWindow)
+		g.usage = usage.NewCounter(settings.Bounds.UsageWindow, settings.Bounds.UsageDelay)
 	}
 	began := start.Start{At: g.clock.Now(), First: settings.FirstStart}
 	g.relay = relay.New(relay.Options{
@@ -220,7 +220,7 @@
 	}
 	if m.GetUsageTotals() != nil || m.GetUsageReports() != nil || m.GetUsageQuestion() != nil {
 		if g.usage != nil {
-			g.post(usageTold{m.GetUsageTotals(), m.GetUsageReports(), m.GetUsageQuestion(), from})
+			g.post(usageReceived{m.GetUsageTotals(), m.GetUsageReports(), m.GetUsageQuestion(), from})
 		}
 		return
 	}
--- a/entry/scale.go
+++ b/entry/scale.go
@@ -57,9 +57,11 @@
 	calls    *duty.Calls[scaleOrder]
 	planners map[units.ServiceID]*scale.Planner
 	// ordered are the last orders that were carried out under the epoch, invalid the subjects that the platform doesn't know.
-	ordered   map[duty.Subject]carriedOut
-	invalid   map[duty.Subject]bool
-	epoch     units.Epoch
+	ordered map[duty.Subject]carriedOut
+	invalid map[duty.Subject]bool
+	epoch   units.Epoch
+	// config is the version of the configuration for which invalid holds.
+	config    int64
 	plannedAt clock.Time
 }
 
@@ -81,6 +83,11 @@
 		s.epoch = epoch
 		clear(s.planners)
 		clear(s.ordered)
+		clear(s.invalid)
+	}
+	if v := s.controller.configVersion(); v != s.config {
+		s.config = v
+		clear(s.invalid)
 	}
 	if now.Sub(s.plannedAt) >= scaleInterval {
 		s.plannedAt = now
@@ -214,10 +221,12 @@
 	o := s.recordOutcome(now, m.call.Proof, m.took, m.call.Repeated, m.err)
 	klog.InfoS("entry: replicas", "service", m.call.Content.service, "zone", m.call.Content.zone, "replicas", m.call.Content.replicas,
 		"epoch", m.call.Epoch, "outcome", o)
-	switch o {
-	case duty.Acknowledged:
+	switch {
+	case m.call.Epoch != s.epoch:
+		// Another leader may have ordered something else since.
+	case o == duty.Acknowledged:
 		s.ordered[m.call.Subject] = carriedOut{m.call.Content, now}
-	case duty.Invalid:
+	case o == duty.Invalid:
 		s.invalid[m.call.Subject] = true
 	}
 	s.calls.Record(now, m.call, o)
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -27,23 +28,34 @@
 	usageKey = "duties/usage"
 	// usageSubject is the subject of all usage reports.
 	usageSubject duty.Subject = "usage"
-	// totalsInterval is the interval at which a gateway tells its totals of the last windows, changed or not, since
+	// totalsInterval is the interval at which a gateway sends its totals of the last windows, changed or not, since
 	// datagrams may be lost. It grows with the gateways, up to a part of the window.
 	totalsInterval   = 2 * clock.Second
 	totalsWindowPart = 2
-	// recentWindows is the number of windows before the current one that are told each time.
+	// recentWindows is the number of windows before the current one that are sent each time.
 	recentWindows = 2
 	// totalsBytesPerSecond bounds what a gateway sends of changed totals. Beyond fullRateGateways it falls with their
 	// number: what the leader receives stays bounded, and so does the part of all requests that a killed gateway has not
-	// told.
+	// sent.
 	totalsBytesPerSecond = 1500
 	fullRateGateways     = 8
 	// minTotalsInterval is the least time between two messages with changed totals.
 	minTotalsInterval = 20 * clock.Millisecond
-	// windowsPerMessage is the number of windows in one message.
-	windowsPerMessage = 40
-	// deputies is the number of gateways besides the leader that are told the totals: those that would lead next.
-	deputies = 1
+	// maxUsageBytes is the size from which on totals and reports are split into several messages.
+	maxUsageBytes = 8 << 10
+	// countBytes is the size of a count in a message without the name of the customer, windowBytes that of a window.
+	countBytes  = 16
+	windowBytes = 20
+	// standbys is the number of gateways besides the leader that get the totals: those that would lead next.
+	standbys = 1
+	// reportSources is the number of gateways that a new leader asks for the reports that they know.
+	reportSources = 8
+	// spreadTime is the time over which the totals of a complete window are sent by all gateways.
+	spreadTime = 200 * clock.Millisecond
+	// resendDelay is the least time after a decision, and after the last time, before a gateway is sent reports that it
+	// lacks, resentWindows the number of the last windows of which it gets them.
+	resendDelay   = 500 * clock.Millisecond
+	resentWindows = 20
 	// askInterval is the interval at which missing totals are asked for.
 	askInterval = 400 * clock.Millisecond
 	// usageRetryDelay is the time after a failed call to the store before the next one.
@@ -54,27 +66,31 @@
 	// them: other gateways that stop write too.
 	finalTimeout = 300 * time.Millisecond
 	leaveTries   = 5
+	leavePause   = 30 * time.Millisecond
+	// maxStateBytes bounds the value in the store. Beyond it, the last totals are not left there.
+	maxStateBytes = 256 << 10
 )
 
 // Messages about usage.
 type (
-	// usageTold has totals or reports that another gateway has sent.
-	usageTold struct {
+	// usageReceived has totals, reports or a question of another gateway.
+	usageReceived struct {
 		totals  *wire.UsageTotals
 		reports *wire.UsageReports
 		// question is answered to the address from.
 		question *wire.UsageQuestion
 		from     netip.AddrPort
 	}
-	// usageLoaded is the result of reading usageKey under an epoch.
+	// usageLoaded is the result of reading usageKey.
 	usageLoaded struct {
-		epoch units.Epoch
-		item  platform.Item
-		err   error
+		// call is the number of the call.
+		call uint64
+		item platform.Item
+		err  error
 	}
 	// usageWritten is the result of writing it.
 	usageWritten struct {
-		epoch    units.Epoch
+		call     uint64
 		state    usage.State
 		revision units.Revision
 		err      error
@@ -85,6 +101,8 @@
 		took clock.Span
 		err  error
 	}
+	// storeEra means that the store may have lost its newest writes: an answer had a higher era than before.
+	storeEra struct{ era int64 }
 	// usageEnds means that no request runs any longer and that the process ends once done is closed.
 	usageEnds struct{ done chan struct{} }
 )
@@ -93,42 +111,54 @@
 // loop only.
 type usageManager struct {
 	*dutyManager
-	wall     *peers.Wall
-	counter  *usage.Counter
-	book     *usage.Book
-	reporter *usage.Reporter
-	calls    *duty.Calls[usage.Report]
+	wall      *peers.Wall
+	counter   *usage.Counter
+	aggregate *usage.Aggregate
+	reporter  *usage.Reporter
+	calls     *duty.Calls[usage.Report]
 	// offset is the difference from the clock to the time of day, valid once offsetKnown is set.
 	offset      clock.Span
 	offsetKnown bool
-	// to are the gateways that are told the totals, toldAt is when they were told all; 0 if some were not.
-	to []string
-	// toHolder and toVersion are the leader and the version of the list of gateways from which to follows.
-	toHolder  units.VMID
-	toVersion uint64
-	toldAt    clock.Time
-	// toldComplete is the first window that was not completely counted by then. A complete one is told at once.
-	toldComplete usage.Window
-	sendAfter    clock.Time
-	// toldTwice is set once all totals were repeated to the gateways in to.
-	toldTwice bool
-	// epoch is the one under which the reporter has read the store. storePending is set during a call to the store, and
-	// none is made before storeAfter.
+	// recipients are the addresses of the gateways that get the totals, leader and membersVersion the leader and the
+	// version of the list of gateways from which they follow.
+	recipients     []string
+	leader         units.VMID
+	membersVersion uint64
+	// sentAt is when they got the totals of the last windows, sentComplete the first window that was not completely counted
+	// by then, and completeAt when the next one was; 0 if it is not.
+	sentAt       clock.Time
+	sentComplete usage.Window
+	completeAt   clock.Time
+	// changedAfter is when changed totals may be sent next.
+	changedAfter clock.Time
+	// sentTwice is set once all totals were repeated to new recipients.
+	sentTwice bool
+	// epoch is the one under which this gateway leads. storePending is set during a call to the store, storeCall is its
+	// number, and none is made before storeAfter.
 	epoch        units.Epoch
 	storePending bool
+	storeCall    uint64
 	storeAfter   clock.Time
 	askedAt      clock.Time
+	// decidedAt is when this gateway decided last, resentAt when it last sent a gateway the reports that it lacked.
+	decidedAt clock.Time
+	resentAt  map[string]clock.Time
+	// parts are the parts of reports of which not all have arrived.
+	parts map[usage.Window]usage.Counts
 	// final is set once this gateway counts no more.
 	final bool
 }
 
 func newUsageManager(d *dutyManager, pacer *duty.Pacer) *usageManager {
 	g := d.gateway
-	book := usage.NewBook()
+	aggregate := usage.NewAggregate()
 	return &usageManager{
-		dutyManager: d, wall: peers.NewWall(g.clock.Now()), counter: g.usage, book: book,
-		reporter: usage.NewReporter(usage.Options{Length: g.settings.Bounds.UsageWindow, Delay: g.settings.Bounds.UsageDelay}, book),
-		calls:    duty.NewCalls(d.holder, pacer, usage.Report.Equal),
+		dutyManager: d, wall: peers.NewWall(g.clock.Now()), counter: g.usage, aggregate: aggregate,
+		reporter: usage.NewReporter(usage.Options{
+			Length: g.settings.Bounds.UsageWindow, Delay: g.settings.Bounds.UsageDelay, FirstStart: g.settings.FirstStart,
+		}, aggregate),
+		resentAt: map[string]clock.Time{}, parts: map[usage.Window]usage.Counts{},
+		calls: duty.NewCalls(d.holder, pacer, usage.Report.Equal),
 	}
 }
 
@@ -144,46 +174,57 @@
 		return
 	}
 	u.counter.Fold(now, u.offset)
-	u.tell(now)
+	u.aggregate.Prune(u.instant(now), lifeMemory)
+	u.sendDue(now)
 	u.lead(now)
 }
 
 // instant returns the time of day at a time.
 func (u *usageManager) instant(now clock.Time) usage.Instant { return usage.At(now, u.offset) }
 
-// tell sends the totals to the leader and the deputies: all that nothing was decided of when these change, those of the
-// last windows at intervals, and changed ones as soon as the rate of bytes allows.
-func (u *usageManager) tell(now clock.Time) {
-	to := u.to
-	if holder, v := u.controller.orders.elector.Holder(), u.controller.members.Version(); holder != u.toHolder || v != u.toVersion {
-		to, u.toHolder, u.toVersion = u.confidants(), holder, v
+// sendDue sends totals to the leader and the standby: all of undecided windows when these change, those of the last
+// windows at intervals and when a window is complete, and changed ones as soon as the rate of bytes allows.
+func (u *usageManager) sendDue(now clock.Time) {
+	recipients := u.recipients
+	if holder, v := u.controller.orders.elector.Holder(), u.controller.members.Version(); holder != u.leader || v != u.membersVersion {
+		recipients, u.leader, u.membersVersion = u.chooseRecipients(), holder, v
+	}
+	if u.completeAt == 0 && u.counter.Complete() != u.sentComplete {
+		// Not all gateways at the same moment.
+		u.completeAt = now.Add(clock.Span(rand.Int64N(int64(min(spreadTime, u.reporter.Delay/20)) + 1)))
 	}
-	current := usage.WindowOf(u.instant(now), u.reporter.Length)
+	complete := u.completeAt != 0 && !now.Before(u.completeAt)
 	switch {
-	case !slices.Equal(to, u.to):
-		u.to, u.toldTwice = to, false
-		u.tellAll(now)
-	case now.Sub(u.toldAt) < u.totalsInterval() && u.counter.Complete() == u.toldComplete:
-		if u.counter.HasChanged() && !now.Before(u.sendAfter) {
-			u.sendChanged(now, u.own(u.counter.TakeChanged()))
+	case !slices.Equal(recipients, u.recipients):
+		u.recipients, u.sentTwice = recipients, false
+		u.sendAll(now)
+	case complete, now.Sub(u.sentAt) >= u.totalsInterval():
+		if !u.sentTwice {
+			u.sentTwice = true
+			u.sendAll(now)
+			return
 		}
-	case !u.toldTwice:
-		u.toldTwice = true
-		u.tellAll(now)
-	default:
-		u.toldAt, u.toldComplete = now, u.counter.Complete()
-		u.counter.TakeChanged()
-		u.send(u.own(u.counter.Totals(max(current-recentWindows, u.book.Next()))), u.to...)
+		u.recordSent(now)
+		current := usage.WindowOf(u.instant(now), u.reporter.Length)
+		u.send(u.own(u.counter.Totals(max(current-recentWindows, u.aggregate.Next()))), u.recipients...)
+	case u.counter.HasChanged() && !now.Before(u.changedAfter):
+		u.sendChanged(now)
 	}
 }
 
-// tellAll tells all totals that this gateway has, those of other gateways included.
-func (u *usageManager) tellAll(now clock.Time) {
-	u.toldAt = now
-	u.send(u.own(u.counter.Totals(u.book.Next())), u.to...)
-	for _, t := range u.book.Totals() {
+// recordSent records that the totals of the last windows are sent.
+func (u *usageManager) recordSent(now clock.Time) {
+	u.sentAt, u.sentComplete, u.completeAt = now, u.counter.Complete(), 0
+	u.counter.TakeChanged()
+}
+
+// sendAll sends all totals that this gateway has, those of other gateways included.
+func (u *usageManager) sendAll(now clock.Time) {
+	u.recordSent(now)
+	u.send(u.own(u.counter.Totals(u.aggregate.Next())), u.recipients...)
+	for _, t := range u.aggregate.Totals() {
 		if t.Life != usage.Life(u.gateway.incarnation) {
-			u.send(t, u.to...)
+			u.send(t, u.recipients...)
 		}
 	}
 }
@@ -194,16 +235,16 @@
 	return t
 }
 
-// confidants returns the addresses of the leader and of the deputies: the gateways that would lead next, of another zone
-// than the leader if there is one, so that a cut between zones leaves one of them.
-func (u *usageManager) confidants() []string {
+// chooseRecipients returns the addresses of the leader and of the standby: the gateway that would lead next, of another
+// zone than the leader if there is one, so that a cut between zones leaves one of them.
+func (u *usageManager) chooseRecipients() []string {
 	self, holder := u.gateway.settings.VM, u.controller.orders.elector.Holder()
 	var out []string
 	leader, ok := u.controller.members.Get(holder)
 	if ok && leader.VM != self {
 		out = append(out, leader.Address)
 	}
-	missing := deputies
+	missing := standbys
 	if !ok {
 		missing++
 	}
@@ -226,28 +267,29 @@
 	return 0
 }
 
-// sendChanged sends totals to the confidants and delays the next ones by what they took of the rate of bytes.
-func (u *usageManager) sendChanged(now clock.Time, t usage.Totals) {
-	bytes := u.send(t, u.to...)
+// sendChanged sends the totals that have changed, and delays the next ones by what these took of the rate of bytes.
+func (u *usageManager) sendChanged(now clock.Time) {
+	bytes := u.send(u.own(u.counter.TakeChanged()), u.recipients...)
 	rate := totalsBytesPerSecond / u.slowdown()
-	u.sendAfter = now.Add(max(minTotalsInterval, clock.FromMilliseconds(float64(bytes)/rate*float64(clock.Second))))
+	u.changedAfter = now.Add(max(minTotalsInterval, clock.FromMilliseconds(float64(bytes)/rate*float64(clock.Second))))
 }
 
-// send merges totals, sends them, in several messages if there are many windows, and returns how many bytes it sent.
+// send merges totals, sends them, in several messages if they are long, and returns how many bytes it sent. The last
+// message states what is complete; who misses one before it sees that from the sums.
 func (u *usageManager) send(t usage.Totals, to ...string) int {
-	u.book.Merge(t)
-	windows := slices.Sorted(maps.Keys(t.Windows))
+	u.aggregate.Merge(t)
+	parts := splitWindows(t.Windows)
+	if len(parts) == 0 {
+		parts = append(parts, nil)
+	}
 	bytes := 0
-	for first := true; first || len(windows) > 0; first = false {
-		n := min(len(windows), windowsPerMessage)
-		m := &wire.UsageTotals{Vm: string(t.VM), Life: uint64(t.Life)}
-		for _, w := range windows[:n] {
-			m.Windows = append(m.Windows, encodeWindow(w, t.Windows[w]))
-		}
-		windows = windows[n:]
-		if len(windows) == 0 {
-			// What is counted until then is told with the last message.
-			m.UntilMs, m.Final = int64(t.Until), t.Final
+	for i, windows := range parts {
+		m := &wire.UsageTotals{Vm: string(t.VM), Life: uint64(t.Life), Windows: windows}
+		if i == len(parts)-1 {
+			m.UntilMs, m.SentMs, m.Final, m.Unknown = int64(t.Until), int64(t.SentAt), t.Final, int64(u.aggregate.FirstUnknown())
+			for _, w := range slices.Sorted(maps.Keys(t.Sums)) {
+				m.Sums = append(m.Sums, &wire.UsageSum{Window: int64(w), Requests: t.Sums[w]})
+			}
 		}
 		bytes += proto.Size(m) * len(to)
 		u.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_UsageTotals{UsageTotals: m}}, to...)
@@ -255,6 +297,29 @@
 	return bytes
 }
 
+// splitWindows encodes windows in lists that each fit a message.
+func splitWindows(windows map[usage.Window]usage.Counts) [][]*wire.UsageWindow {
+	var out [][]*wire.UsageWindow
+	size := maxUsageBytes
+	for _, w := range slices.Sorted(maps.Keys(windows)) {
+		var part *wire.UsageWindow
+		for _, id := range slices.Sorted(maps.Keys(windows[w])) {
+			n := len(id) + countBytes
+			if size+n+windowBytes > maxUsageBytes {
+				out, part, size = append(out, nil), nil, 0
+			}
+			if part == nil {
+				part = &wire.UsageWindow{Window: int64(w), Customers: int32(len(windows[w]))}
+				out[len(out)-1] = append(out[len(out)-1], part)
+				size += windowBytes
+			}
+			part.Counts = append(part.Counts, &wire.UsageCount{Customer: string(id), Count: windows[w][id]})
+			size += n
+		}
+	}
+	return out
+}
+
 // slowdown returns the factor by which totals are told less often as there are many gateways.
 func (u *usageManager) slowdown() float64 {
 	return max(1, float64(u.controller.gatewayCount)/fullRateGateways)
@@ -266,14 +331,6 @@
 	return min(clock.FromMilliseconds(float64(totalsInterval)*u.slowdown()), longest)
 }
 
-func encodeWindow(w usage.Window, counts usage.Counts) *wire.UsageWindow {
-	m := &wire.UsageWindow{Window: int64(w)}
-	for _, id := range slices.Sorted(maps.Keys(counts)) {
-		m.Counts = append(m.Counts, &wire.UsageCount{Customer: string(id), Count: counts[id]})
-	}
-	return m
-}
-
 func decodeWindow(m *wire.UsageWindow) (usage.Window, usage.Counts) {
 	counts := usage.Counts{}
 	for _, n := range m.GetCounts() {
@@ -282,50 +339,99 @@
 	return usage.Window(m.GetWindow()), counts
 }
 
-// handleTold merges what another gateway has sent.
-func (u *usageManager) handleTold(m usageTold) {
+// handleReceived merges what another gateway has sent, and answers its question.
+func (u *usageManager) handleReceived(now clock.Time, m usageReceived) {
 	if m.totals != nil {
 		t := usage.Totals{
-			VM: units.VMID(m.totals.GetVm()), Life: usage.Life(m.totals.GetLife()), Until: usage.Instant(m.totals.GetUntilMs()),
-			Final: m.totals.GetFinal(), Windows: map[usage.Window]usage.Counts{},
+			VM: units.VMID(m.totals.GetVm()), Life: usage.Life(m.totals.GetLife()), SentAt: clock.Time(m.totals.GetSentMs()),
+			Until: usage.Instant(m.totals.GetUntilMs()), Final: m.totals.GetFinal(),
+			Sums: map[usage.Window]int64{}, Windows: map[usage.Window]usage.Counts{},
 		}
 		for _, w := range m.totals.GetWindows() {
 			window, counts := decodeWindow(w)
 			t.Windows[window] = counts
 		}
-		u.book.Merge(t)
+		for _, v := range m.totals.GetSums() {
+			t.Sums[usage.Window(v.GetWindow())] = v.GetRequests()
+		}
+		u.aggregate.Merge(t)
+		if t.Until != 0 {
+			u.resend(now, usage.Window(m.totals.GetUnknown()), m.from.String())
+		}
 	}
-	for _, vm := range m.question.GetVms() {
-		u.answer(units.VMID(vm), m.from.String())
+	if m.question != nil {
+		u.answer(m.question, m.from.String())
 	}
 	for _, w := range m.reports.GetReports() {
-		window, counts := decodeWindow(w)
-		u.recordDecided(usage.Report{Window: window, Counts: counts})
+		u.receiveReport(w)
 	}
 }
 
-// answer tells a gateway what is known of the totals of a machine.
-func (u *usageManager) answer(vm units.VMID, to string) {
-	if vm == u.gateway.settings.VM && u.offsetKnown {
-		now := u.gateway.clock.Now()
-		u.counter.Fold(now, u.offset)
-		u.book.Merge(u.own(u.counter.Totals(u.book.Next())))
+// receiveReport records a report that another gateway knows, once all of its parts have arrived.
+func (u *usageManager) receiveReport(m *wire.UsageWindow) {
+	window, counts := decodeWindow(m)
+	if _, known := u.aggregate.Report(window); known && len(counts) != int(m.GetCustomers()) {
+		return
 	}
-	for _, t := range u.book.Known(vm) {
-		u.send(t, to)
+	part := u.parts[window]
+	if part == nil {
+		part = usage.Counts{}
+		u.parts[window] = part
 	}
+	maps.Copy(part, counts)
+	if len(part) < int(m.GetCustomers()) {
+		return
+	}
+	u.recordDecided(usage.Report{Window: window, Counts: part})
+	maps.DeleteFunc(u.parts, func(w usage.Window, _ usage.Counts) bool { return w <= window })
 }
 
-// ask asks the gateways that have not told all that they counted, and the deputies for what they know of them: datagrams
+// resend sends a gateway the reports that it lacks, if this one is the leader: the datagrams with them may be lost, and
+// gateways remember reports in case that the store loses its newest writes.
+func (u *usageManager) resend(now clock.Time, unknown usage.Window, to string) {
+	if unknown >= u.aggregate.Next() || u.epoch == 0 || now.Sub(u.decidedAt) < resendDelay || now.Sub(u.resentAt[to]) < resendDelay {
+		return
+	}
+	if _, leads := u.holder.Prove(now, usageSubject); !leads {
+		return
+	}
+	u.resentAt[to] = now
+	if reports := u.aggregate.Reports(max(unknown, u.aggregate.Next()-resentWindows)); len(reports) > 0 {
+		stats.Event("usage_reports_resent")
+		u.sendReports(reports, to)
+	}
+}
+
+// answer sends a gateway what is known of the totals of some machines, and reports.
+func (u *usageManager) answer(m *wire.UsageQuestion, to string) {
+	for _, name := range m.GetVms() {
+		vm := units.VMID(name)
+		if vm == u.gateway.settings.VM && u.offsetKnown {
+			u.counter.Fold(u.gateway.clock.Now(), u.offset)
+			u.aggregate.Merge(u.own(u.counter.Totals(u.aggregate.Next())))
+		}
+		for _, t := range u.aggregate.Known(vm) {
+			u.send(t, to)
+		}
+	}
+	if from := m.GetReportsFrom(); from >= 0 {
+		u.sendReports(u.aggregate.Reports(max(usage.Window(from), u.aggregate.Next()-resentWindows)), to)
+	}
+}
+
+// ask asks the gateways that have not sent all that they counted, and the standby for what it knows of them: datagrams
 // may be lost, and a gateway may be cut off from the leader alone.
 func (u *usageManager) ask(now clock.Time, gateways []units.VMID) {
+	if now.Sub(u.askedAt) < askInterval {
+		return
+	}
 	missing := u.reporter.Missing(u.instant(now), gateways)
-	if len(missing) == 0 || now.Sub(u.askedAt) < askInterval {
+	if len(missing) == 0 {
 		return
 	}
 	u.askedAt = now
-	to := slices.Clone(u.to)
-	m := &wire.UsageQuestion{}
+	to := slices.Clone(u.recipients)
+	m := &wire.UsageQuestion{ReportsFrom: -1}
 	for _, vm := range missing {
 		m.Vms = append(m.Vms, string(vm))
 		if g, ok := u.controller.members.Get(vm); ok && !slices.Contains(to, g.Address) && vm != u.gateway.settings.VM {
@@ -336,25 +442,36 @@
 	u.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_UsageQuestion{UsageQuestion: m}}, to...)
 }
 
-// collect asks all gateways for all totals that they know, since most don't know yet who leads now.
+// collect asks all gateways for all totals that they know, since most don't know yet who leads now, and some of them for
+// the reports that they know.
 func (u *usageManager) collect() {
-	m, to := &wire.UsageQuestion{}, []string{}
-	for _, g := range u.controller.members.All() {
-		m.Vms = append(m.Vms, string(g.VM))
-		if g.VM != u.gateway.settings.VM {
-			to = append(to, g.Address)
+	var vms, first, others []string
+	for _, g := range member.RankStrongest(u.controller.members.All(), leaderKey) {
+		vms = append(vms, string(g.VM))
+		switch {
+		case g.VM == u.gateway.settings.VM:
+		case len(first) < reportSources:
+			first = append(first, g.Address)
+		default:
+			others = append(others, g.Address)
 		}
 	}
-	u.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_UsageQuestion{UsageQuestion: m}}, to...)
+	for _, q := range []struct {
+		from int64
+		to   []string
+	}{{int64(u.aggregate.FirstUnknown()), first}, {-1, others}} {
+		m := &wire.UsageQuestion{Vms: vms, ReportsFrom: q.from}
+		u.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_UsageQuestion{UsageQuestion: m}}, q.to...)
+	}
 }
 
 // recordDecided records what is reported for a window.
 func (u *usageManager) recordDecided(r usage.Report) {
-	if !u.book.Decided(r) {
+	if !u.aggregate.Decided(r) {
 		stats.Event("usage_reports_differ")
 		klog.InfoS("entry: usage report differs from one that is known", "window", r.Window)
 	}
-	u.counter.Forget(u.book.Next())
+	u.counter.Forget(u.aggregate.Next())
 }
 
 // handleItem records what the store says of the decided reports.
@@ -379,30 +496,44 @@
 		return
 	}
 	if u.epoch != proof.Epoch {
-		u.epoch, u.storePending, u.storeAfter = proof.Epoch, false, 0
-		u.reporter.Unload()
-		u.reporter.Collect(u.instant(now))
-		u.collect()
+		u.epoch = proof.Epoch
+		u.reporter.TakeOver(u.instant(now))
+		u.startOver()
 	}
-	u.decide(now, proof.Epoch)
+	u.decide(now)
 	u.report(now)
 }
 
-// decide reads the store, if its state isn't known, and writes what is decided next.
-func (u *usageManager) decide(now clock.Time, epoch units.Epoch) {
-	if u.storePending || now.Before(u.storeAfter) {
+// startOver asks others for what they know, and ignores the results of calls to the store that are in flight.
+func (u *usageManager) startOver() {
+	u.storePending, u.storeAfter = false, 0
+	u.storeCall++
+	u.collect()
+}
+
+// handleEra starts over after the store may have lost its newest writes.
+func (u *usageManager) handleEra(now clock.Time, m storeEra) {
+	u.reporter.SetEra(u.instant(now), m.era)
+	if _, ok := u.holder.Prove(now, usageSubject); ok && u.offsetKnown {
+		u.startOver()
+	}
+}
+
+// decide reads the store, if its state isn't known, and writes what is decided next. A gateway that does not hear most
+// of the others decides nothing: its time of day may be wrong.
+func (u *usageManager) decide(now clock.Time) {
+	if u.storePending || now.Before(u.storeAfter) || !u.wall.Agreed(len(u.controller.members.Registered())) {
 		return
 	}
 	if !u.reporter.Loaded() {
-		u.storePending = true
+		call := u.startStoreCall()
 		u.gateway.startCall(func(ctx context.Context) {
 			item, err := u.gateway.store.Get(ctx, usageKey)
-			u.gateway.post(usageLoaded{epoch, item, err})
+			u.gateway.post(usageLoaded{call, item, err})
 		})
 		return
 	}
-	u.book.Merge(u.own(u.counter.Totals(u.book.Next())))
-	u.book.Prune(u.instant(now), lifeMemory)
+	u.aggregate.Merge(u.own(u.counter.Totals(u.aggregate.Next())))
 	gateways := u.gatewayVMs()
 	u.ask(now, gateways)
 	state, ok := u.reporter.Decide(u.instant(now), gateways, u.customers())
@@ -414,10 +545,9 @@
 		klog.ErrorS(err, "entry: usage not written")
 		return
 	}
-	u.storePending = true
-	revision := u.reporter.Revision()
+	call, revision := u.startStoreCall(), u.reporter.Revision()
 	u.gateway.startCall(func(ctx context.Context) {
-		m := usageWritten{epoch: epoch, state: state}
+		m := usageWritten{call: call, state: state}
 		m.revision, m.err = u.gateway.store.Commit(ctx, platform.Txn{
 			If:  []platform.Condition{{Key: usageKey, Revision: revision}},
 			Put: []platform.Write{{Key: usageKey, Value: value}},
@@ -426,12 +556,19 @@
 	})
 }
 
+// startStoreCall records that a call to the store begins and returns its number.
+func (u *usageManager) startStoreCall() uint64 {
+	u.storePending = true
+	u.storeCall++
+	return u.storeCall
+}
+
 // gatewayVMs returns the machines of all gateways that may have counted.
 func (u *usageManager) gatewayVMs() []units.VMID {
 	all := u.controller.members.All()
 	out := make([]units.VMID, 0, len(all))
 	for _, g := range all {
-		if _, registered := u.controller.members.Get(g.VM); registered || !u.book.Ended(g.VM) {
+		if _, registered := u.controller.members.Get(g.VM); registered || !u.aggregate.Ended(g.VM) {
 			out = append(out, g.VM)
 		}
 	}
@@ -449,7 +586,7 @@
 }
 
 func (u *usageManager) handleLoaded(now clock.Time, m usageLoaded) {
-	if m.epoch != u.epoch {
+	if m.call != u.storeCall {
 		return
 	}
 	u.storePending = false
@@ -468,22 +605,26 @@
 			state = usage.State{}
 		}
 	}
-	u.reporter.Load(state, m.item.Revision)
-	u.counter.Forget(u.book.Next())
-	klog.InfoS("entry: usage read", "epoch", m.epoch, "next", state.Next, "reports", len(state.Reports),
+	u.reporter.Load(u.instant(now), state, m.item.Revision)
+	u.counter.Forget(u.aggregate.Next())
+	if u.reporter.Ahead(u.instant(now)) {
+		stats.Event("usage_ahead")
+		klog.InfoS("entry: usage was decided for windows of the future", "next", state.Next, "current", usage.WindowOf(u.instant(now), u.reporter.Length))
+	}
+	klog.InfoS("entry: usage read", "epoch", u.epoch, "next", state.Next, "reports", len(state.Reports),
 		"revision", m.item.Revision)
 }
 
 func (u *usageManager) recordStoreFailure(now clock.Time, err error) {
 	stats.Event("usage_store_failed")
 	klog.InfoS("entry: usage not read or written", "err", err)
-	u.reporter.Unload()
+	u.reporter.Recheck()
 	u.storeAfter = now.Add(usageRetryDelay)
 }
 
-// handleWritten tells the other gateways what was decided, before it is reported: the store may lose its newest writes.
+// handleWritten sends the other gateways what was decided, before it is reported: the store may lose its newest writes.
 func (u *usageManager) handleWritten(now clock.Time, m usageWritten) {
-	if m.epoch != u.epoch {
+	if m.call != u.storeCall {
 		return
 	}
 	u.storePending = false
@@ -492,12 +633,13 @@
 		return
 	}
 	decided := u.reporter.Written(m.state, m.revision)
-	u.counter.Forget(u.book.Next())
+	u.counter.Forget(u.aggregate.Next())
+	u.decidedAt = now
 	for _, r := range decided {
-		klog.InfoS("entry: usage decided", "window", r.Window, "requests", total(r.Counts), "epoch", m.epoch, "revision", m.revision,
+		klog.InfoS("entry: usage decided", "window", r.Window, "requests", total(r.Counts), "epoch", u.epoch, "revision", m.revision,
 			"late", u.instant(now)-r.Window.End(u.reporter.Length))
 	}
-	u.tellReports(decided)
+	u.sendReports(decided, u.others()...)
 	u.lead(now)
 }
 
@@ -510,22 +652,27 @@
 	return sum
 }
 
-// tellReports tells all other gateways what was decided.
-func (u *usageManager) tellReports(decided []usage.Report) {
-	if len(decided) == 0 {
-		return
-	}
-	m := &wire.UsageReports{}
-	for _, r := range decided {
-		m.Reports = append(m.Reports, encodeWindow(r.Window, r.Counts))
-	}
+// others returns the addresses of all other gateways.
+func (u *usageManager) others() []string {
 	var to []string
 	for _, g := range u.controller.members.All() {
 		if g.VM != u.gateway.settings.VM {
 			to = append(to, g.Address)
 		}
 	}
-	u.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_UsageReports{UsageReports: m}}, to...)
+	return to
+}
+
+// sendReports sends reports to gateways, in several messages if they are long.
+func (u *usageManager) sendReports(reports []usage.Report, to ...string) {
+	windows := map[usage.Window]usage.Counts{}
+	for _, r := range reports {
+		windows[r.Window] = r.Counts
+	}
+	for _, part := range splitWindows(windows) {
+		m := &wire.UsageReports{Reports: part}
+		u.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_UsageReports{UsageReports: m}}, to...)
+	}
 }
 
 // report sends the report that is due.
@@ -552,15 +699,18 @@
 	if o == duty.Acknowledged && now.After(m.call.Deadline) {
 		stats.Event("usage_reports_late")
 	}
-	if o == duty.Acknowledged || o == duty.Invalid {
+	switch o {
+	case duty.Acknowledged:
 		u.reporter.Acknowledge(m.call.Content.Window)
-		u.tellReports([]usage.Report{m.call.Content})
+	case duty.Invalid:
+		// A report is never invalid for good: something between here and there answered. It was not carried out.
+		o = duty.NotSent
 	}
 	u.calls.Record(now, m.call, o)
 	u.lead(now)
 }
 
-// handleEnd tells the last totals. If no other gateway goes on, they are written into the store.
+// handleEnd sends the last totals. If no other gateway goes on, they are written into the store.
 func (u *usageManager) handleEnd(now clock.Time, m usageEnds) {
 	if !u.offsetKnown {
 		close(m.done)
@@ -569,14 +719,14 @@
 	u.final = true
 	u.counter.End(now, u.offset)
 	for range 2 {
-		u.tellAll(now)
+		u.sendAll(now)
 	}
 	othersGoOn := slices.ContainsFunc(u.gateway.peers.FreshDigests(), func(d peers.Digest) bool { return !d.GetLeaving() })
 	if othersGoOn {
 		close(m.done)
 		return
 	}
-	all := u.book.Totals()
+	all := u.aggregate.Totals()
 	u.gateway.startCall(func(ctx context.Context) {
 		defer close(m.done)
 		for range leaveTries {
@@ -585,6 +735,7 @@
 				return
 			}
 			klog.InfoS("entry: last usage not written", "err", err)
+			clock.Sleep(ctx, rand.N(leavePause))
 		}
 	})
 }
@@ -611,6 +762,10 @@
 	if err != nil {
 		return err
 	}
+	if len(value) > maxStateBytes {
+		stats.Event("usage_state_too_large")
+		return nil
+	}
 	_, err = g.store.Commit(ctx, platform.Txn{
 		If:  []platform.Condition{{Key: usageKey, Revision: item.Revision}},
 		Put: []platform.Write{{Key: usageKey, Value: value}},
@@ -618,15 +773,19 @@
 	return err
 }
 
-// endUsage tells the last totals when no request runs any longer.
+// endUsage sends the last totals when no request runs any longer.
 func (g *Gateway) endUsage() {
 	if g.usage == nil {
 		return
 	}
-	m := usageEnds{make(chan struct{})}
-	g.post(m)
+	m, timeout := usageEnds{make(chan struct{})}, time.After(finalTimeout)
+	select {
+	case g.inbox <- m:
+	case <-timeout:
+		return
+	}
 	select {
 	case <-m.done:
-	case <-time.After(finalTimeout):
+	case <-timeout:
 	}
 }
--- a/peers/wall.go
+++ b/peers/wall.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -23,7 +24,7 @@
 	// minWallAge is the least time from the start until the time of day is used.
 	minWallAge = 300 * clock.Millisecond
 	// wallDriftDivisor bounds the drift of two monotonic clocks: the elapsed time divided by it.
-	wallDriftDivisor = 10_000
+	wallDriftDivisor = 5_000
 )
 
 // steadyClock follows the difference between one machine's time of day and its monotonic clock. It passes over steps
@@ -67,13 +68,16 @@
 	// offset is the last estimate, valid once known is set.
 	offset clock.Span
 	known  bool
+	// heard is the number of clocks that the estimate was made from.
+	heard int
 }
 
 // remoteWall is what is known of the time of day of one incarnation of another gateway.
 type remoteWall struct {
 	life uint64
-	// ahead is how far the local clock is ahead of the gateway's, plus the delay of the fastest message.
-	ahead      clock.Span
+	// ahead is how far the local clock is ahead of the gateway's, plus the delay of the fastest message, in milliseconds.
+	// Between two messages it grows by less than one.
+	ahead      float64
 	measuredAt clock.Time
 	// offset is the difference from the gateway's clock to its time of day.
 	offset clock.Span
@@ -100,13 +104,13 @@
 	if d.GetWallMs() == 0 {
 		return
 	}
-	vm, ahead := units.VMID(d.GetVm()), clock.Span(int64(d.ReceivedAt)-d.GetSentMs())
+	vm, ahead := units.VMID(d.GetVm()), float64(int64(d.ReceivedAt)-d.GetSentMs())
 	r, ok := w.remotes[vm]
 	if !ok || r.life != d.GetLife() {
 		r = &remoteWall{life: d.GetLife(), ahead: ahead}
 		w.remotes[vm] = r
 	}
-	r.ahead = min(r.ahead+d.ReceivedAt.Sub(max(r.measuredAt, w.startedAt))/wallDriftDivisor, ahead)
+	r.ahead = min(r.ahead+float64(d.ReceivedAt.Sub(max(r.measuredAt, w.startedAt)))/wallDriftDivisor, ahead)
 	r.measuredAt, r.offset = d.ReceivedAt, clock.Span(d.GetWallMs()-d.GetSentMs())
 }
 
@@ -122,7 +126,7 @@
 			delete(w.remotes, vm)
 			continue
 		}
-		offsets = append(offsets, r.offset-r.ahead)
+		offsets = append(offsets, r.offset-clock.Span(math.Round(r.ahead)))
 	}
 	if !w.known {
 		age := now.Sub(w.startedAt)
@@ -130,6 +134,7 @@
 			return 0, false
 		}
 	}
+	w.heard = len(offsets)
 	slices.SortFunc(offsets, cmp.Compare[clock.Span])
 	low, high := offsets[(len(offsets)-1)/2], offsets[len(offsets)/2]
 	if w.known {
@@ -140,6 +145,10 @@
 	return w.offset, true
 }
 
+// Agreed reports whether more than half of the gateways' clocks were heard, or there are no more than two. A lone gateway
+// with a wrong clock must not decide for all.
+func (w *Wall) Agreed(gateways int) bool { return gateways <= 2 || 2*w.heard > gateways }
+
 // ReadWall returns the machine's time of day in milliseconds since 1970 at the returned time of the clock.
 func ReadWall(c clock.Clock) (clock.Time, int64) {
 	var at clock.Time
--- a/peers/wall_test.go
+++ b/peers/wall_test.go
@@ -96,6 +96,27 @@
 	assert.Assert(t, !ok, "most of the gateways were not heard")
 	_, ok = alone.Offset(4000, 3)
 	assert.Assert(t, ok)
+	assert.Assert(t, !alone.Agreed(3), "one clock decides for three")
+	assert.Assert(t, alone.Agreed(2))
+	assert.Assert(t, machines[0].wall.Agreed(4))
+}
+
+// Guards against a time of day that moves away as the monotonic clocks of the machines drift apart.
+func TestDriftIsFollowed(t *testing.T) {
+	w := peers.NewWall(1)
+	for at := clock.Time(1); at < clock.Time(clock.Hour); at += 400 {
+		// The local clock runs 100 ppm fast; all times of day are right.
+		local := at + at/10_000
+		w.RecordOwn(local, dayStart+int64(at))
+		for i := range 2 {
+			d := &wire.Digest{Vm: string(rune('x' + i)), Life: 1, SentMs: int64(at), WallMs: dayStart + int64(at)}
+			w.RecordDigest(peers.Digest{Digest: d, ReceivedAt: local + 2})
+		}
+		if offset, ok := w.Offset(local, 3); ok {
+			e := clock.Span(int64(local.Add(offset)) - dayStart - int64(at))
+			assert.Assert(t, max(e, -e) <= 5, "%d ms after %d", e, at)
+		}
+	}
 }
 
 // Guards against one of two gateways, or a single one, that follows a step which is taken back.
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -1,9 +1,9 @@
 // Package usage counts how many requests of each customer began to run at upstreams in each window of time, over all
 // gateways, and decides when a window is complete and what is reported for it, once and for all. It performs no I/O.
 //
-// Each gateway has a Counter and tells its totals to the leader and to a deputy. Totals of one process only grow, so that
-// they are merged in any order and any number of times (Book). The leader's Reporter closes the windows in order: what it
-// will report of one is written into the store before it is reported, so that any successor reports the same.
+// Each gateway has a Counter and sends its totals to the leader and to a standby. Totals of one process only grow, so that
+// they are merged in any order and any number of times (Aggregate). The leader's Reporter closes the windows in order: what
+// it will report of one is written into the store before it is reported, so that any successor reports the same.
 package usage
 
 import (
@@ -53,6 +53,15 @@
 	}
 }
 
+// total returns the requests of all customers.
+func (c Counts) total() int64 {
+	sum := int64(0)
+	for _, n := range c {
+		sum += n
+	}
+	return sum
+}
+
 // Life identifies one run of a gateway process.
 type Life uint64
 
@@ -60,10 +69,15 @@
 type Totals struct {
 	VM   units.VMID `json:"vm"`
 	Life Life       `json:"life"`
-	// Until is the instant up to which all of it is counted; 0 if the process does not know the time of day yet.
-	Until Instant `json:"until"`
+	// SentAt is the process's clock when it stated Until and Sums.
+	SentAt clock.Time `json:"-"`
+	// Until is the instant up to which all of it is counted; 0 if these totals don't say.
+	Until Instant `json:"-"`
+	// Sums are the requests of all customers in each window that is not decided, stated with Until. Totals that don't
+	// reach them are incomplete.
+	Sums map[Window]int64 `json:"-"`
 	// Final is set once the process counts no more.
-	Final   bool              `json:"final,omitempty"`
+	Final   bool              `json:"-"`
 	Windows map[Window]Counts `json:"windows"`
 }
 
@@ -80,11 +94,15 @@
 
 // State is the value of the key with which the leaders pass on what they have decided.
 type State struct {
+	// Length is the length of the windows.
+	Length clock.Span `json:"length"`
+	// Era is that of the store when the state was written.
+	Era int64 `json:"era,omitempty"`
 	// Next is the first window of which the report is not decided.
 	Next Window `json:"next"`
 	// Reports are the decided ones that are not known to have arrived, in order.
 	Reports []Report `json:"reports"`
-	// Totals are those of the windows that are not decided, in case that all gateways end.
+	// Totals are those of undecided windows that the last gateway to stop has left.
 	Totals []Totals `json:"totals,omitempty"`
 }
 
@@ -103,7 +121,7 @@
 	if err := json.Unmarshal(data, &s); err != nil {
 		return State{}, fmt.Errorf("decode usage: %w", err)
 	}
-	if s.Next <= 0 {
+	if s.Next <= 0 || s.Length <= 0 {
 		return State{}, fmt.Errorf("decode usage: window %d does not come next", s.Next)
 	}
 	last := Window(0)
