duty, usage: one way to give a duty up, terms of the field

Cause: refusals of orders and of calls to the control API were handled in two ways, a late one of an old epoch ended the present term, and some names were private ones.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -7,6 +7,8 @@
 package duty
 
 import (
+	"maps"
+
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/units"
 )
@@ -33,7 +35,9 @@
 type Holder struct {
 	self   units.VMID
 	leader Leader
-	// givenUp has the last epoch under which a duty was given up, by subject.
+	// epoch is the last one under which a duty was taken, givenUp the subjects whose duty was given up under it or a later
+	// one.
+	epoch   units.Epoch
 	givenUp map[Subject]units.Epoch
 }
 
@@ -46,6 +50,10 @@
 // epoch. The result holds for a call that is made at once.
 func (h *Holder) Prove(now clock.Time, s Subject) (Proof, bool) {
 	epoch, ok := h.leader.OrderEpoch(now)
+	if ok && epoch != h.epoch {
+		h.epoch = epoch
+		maps.DeleteFunc(h.givenUp, func(_ Subject, e units.Epoch) bool { return e < epoch })
+	}
 	if !ok || (h.givenUp[s] != 0 && epoch <= h.givenUp[s]) {
 		return Proof{}, false
 	}
--- a/entry/duty.go
+++ b/entry/duty.go
@@ -107,12 +107,21 @@
 	o := callOutcome(err)
 	stats.Event("duty_calls_" + o.String())
 	klog.InfoS("entry: duty call", "subject", p.Subject, "epoch", p.Epoch, "outcome", o, "took", took, "repeated", repeated, "err", err)
-	if o == duty.Refused && d.holder.Holds(now, p) {
-		d.controller.orders.elector.Lost(now)
+	if o == duty.Refused {
+		d.refused(now, p)
 	}
 	return o
 }
 
+// refused gives up a duty because somebody has seen a later epoch than that of the proof, and the leadership if the
+// proof still holds.
+func (d *dutyManager) refused(now clock.Time, p duty.Proof) {
+	if d.holder.Holds(now, p) {
+		d.controller.orders.elector.Lost(now)
+	}
+	d.holder.GiveUp(p)
+}
+
 // callOutcome maps the result of a call to the control API to an outcome.
 func callOutcome(err error) duty.Outcome {
 	switch {
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -248,8 +248,7 @@
 		"adapter", m.order.Adapter, "expected", m.order.ExpectedOrders, "epoch", m.proof.Epoch, "begun", m.started, "err", m.err)
 	o.ledger.ApplyResult(now, m.order, result)
 	if errors.Is(m.err, platform.ErrStaleEpoch) {
-		o.controller.duties.holder.GiveUp(m.proof)
-		o.elector.Lost(o.gateway.clock.Now())
+		o.controller.duties.refused(o.gateway.clock.Now(), m.proof)
 	}
 	e, ok := o.controller.snapshot.Upstreams[m.order.Upstream]
 	if !ok {
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -320,12 +320,12 @@
 	return out
 }
 
-// slowdown returns the factor by which totals are told less often as there are many gateways.
+// slowdown returns the factor by which totals are sent less often as there are many gateways.
 func (u *usageManager) slowdown() float64 {
 	return max(1, float64(u.controller.gatewayCount)/fullRateGateways)
 }
 
-// totalsInterval returns the interval at which the totals of the last windows are told.
+// totalsInterval returns the interval at which the totals of the last windows are sent.
 func (u *usageManager) totalsInterval() clock.Span {
 	longest := max(u.reporter.Length/totalsWindowPart, totalsInterval)
 	return min(clock.FromMilliseconds(float64(totalsInterval)*u.slowdown()), longest)
@@ -445,8 +445,10 @@
 // collect asks all gateways for all totals that they know, since most don't know yet who leads now, and some of them for
 // the reports that they know.
 func (u *usageManager) collect() {
-	var vms, first, others []string
-	for _, g := range member.RankStrongest(u.controller.members.All(), leaderKey) {
+	ranked := member.RankStrongest(u.controller.members.All(), leaderKey)
+	vms := make([]string, 0, len(ranked))
+	var first, others []string
+	for _, g := range ranked {
 		vms = append(vms, string(g.VM))
 		switch {
 		case g.VM == u.gateway.settings.VM:
--- a/entry/split_test.go
+++ b/entry/usagemsg_test.go
@@ -13,6 +13,13 @@
 	"github.com/magnolialever/magnolialever/wire"
 )
 
+// Guards against a new era of the store that nobody acts on.
+func TestNewEraReachesTheControlLoop(t *testing.T) {
+	g := &Gateway{inbox: make(chan message, 1), background: t.Context()}
+	g.onStoreEra(7)
+	assert.Equal(t, <-g.inbox, message(storeEra{7}))
+}
+
 // Guards against totals and reports of many customers that never arrive, as they don't fit a datagram.
 func TestLongTotalsAreSplit(t *testing.T) {
 	windows, want := map[usage.Window]usage.Counts{}, 0
--- a/peers/wall.go
+++ b/peers/wall.go
@@ -16,10 +16,10 @@
 	// maxStepDoubt is the longest time after which a stepped clock is believed. It is not believed before it has shown its
 	// new time for as long as it had shown the one before.
 	maxStepDoubt = 10 * clock.Minute
-	// maxWallAge is the age from which on what another gateway told of its time of day no longer counts.
+	// maxWallAge is the age from which on the time of day of another gateway's last digest no longer counts.
 	maxWallAge = 30 * clock.Second
 	// wallSettleTime is the time from the start after which the time of day is used although less than half of the
-	// gateways have told theirs.
+	// gateways have sent theirs.
 	wallSettleTime = 3 * clock.Second
 	// minWallAge is the least time from the start until the time of day is used.
 	minWallAge = 300 * clock.Millisecond
--- a/usage/aggregate.go
+++ b/usage/aggregate.go
@@ -157,7 +157,7 @@
 
 // Known returns a copy of the totals of all processes on a VM.
 func (a *Aggregate) Known(vm units.VMID) []Totals {
-	var out []Totals
+	out := make([]Totals, 0, len(a.byVM[vm]))
 	for _, t := range a.byVM[vm] {
 		out = append(out, t.clone())
 	}
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -202,7 +202,8 @@
 		return max(r.state.Next, current-maxBacklog)
 	}
 	first := current
-	if w, ok := r.aggregate.First(); ok && r.FirstStart {
+	if w, ok := r.aggregate.First(); ok && (r.FirstStart || r.era == 0) {
+		// Nothing was reported yet, as far as anybody knows and no write of the store was lost.
 		first = min(first, w)
 	}
 	if w := r.aggregate.Next(); w > 0 {
@@ -244,7 +245,7 @@
 }
 
 // Due returns the report to send next: of those that are in the store and not acknowledged the first one that is not
-// late, or else the first one. One that differs from what this gateway was told before the store lost a write is never
+// late, or else the first one. One that differs from what this gateway received before the store lost a write is never
 // due.
 func (r *Reporter) Due(now Instant) (Report, bool) {
 	late, found := Report{}, false
