usage: a gateway that is cut off leaves its totals in the store

Cause: a cut between gateways keeps the counts of one side from the report although both reach the store. Change: who hears neither the leader nor the standby writes its totals at the end of a window; the leader merges and removes them.

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -140,7 +141,7 @@
 		c.orders.handleItem(m.item)
 		return
 	}
-	if m.item.Key == usageKey {
+	if m.item.Key == usageKey || strings.HasPrefix(m.item.Key, usageTotalsPrefix) {
 		c.duties.handleItem(m.item)
 		return
 	}
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -17,6 +17,7 @@
 	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/peers"
 	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/rawjson"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/usage"
@@ -26,6 +27,8 @@
 const (
 	// usageKey is the key with which the leaders pass on what they have decided to report.
 	usageKey = "duties/usage"
+	// usageTotalsPrefix begins the keys under which gateways that are cut off from the leader leave their totals.
+	usageTotalsPrefix = usageKey + "/"
 	// usageSubject is the subject of all usage reports.
 	usageSubject duty.Subject = "usage"
 	// totalsInterval is the interval at which a gateway sends its totals of the last windows, changed or not, since
@@ -143,6 +146,8 @@
 	// decidedAt is when this gateway decided last, resentAt when it last sent a gateway the reports that it lacked.
 	decidedAt clock.Time
 	resentAt  map[string]clock.Time
+	// storedTotals are the keys of totals that gateways have left in the store.
+	storedTotals map[string]bool
 	// parts are the parts of reports of which not all have arrived.
 	parts map[usage.Window]usage.Counts
 	// final is set once this gateway counts no more.
@@ -157,7 +162,7 @@
 		reporter: usage.NewReporter(usage.Options{
 			Length: g.settings.Bounds.UsageWindow, Delay: g.settings.Bounds.UsageDelay, FirstStart: g.settings.FirstStart,
 		}, aggregate),
-		resentAt: map[string]clock.Time{}, parts: map[usage.Window]usage.Counts{},
+		resentAt: map[string]clock.Time{}, parts: map[usage.Window]usage.Counts{}, storedTotals: map[string]bool{},
 		calls: duty.NewCalls(d.holder, pacer, usage.Report.Equal),
 	}
 }
@@ -205,6 +210,9 @@
 			return
 		}
 		u.recordSent(now)
+		if complete && u.isCutOff() {
+			u.storeTotals()
+		}
 		current := usage.WindowOf(u.instant(now), u.reporter.Length)
 		u.send(u.own(u.counter.Totals(max(current-recentWindows, u.aggregate.Next()))), u.recipients...)
 	case u.counter.HasChanged() && !now.Before(u.changedAfter):
@@ -218,6 +226,81 @@
 	u.counter.TakeChanged()
 }
 
+// isCutOff reports whether this gateway is neither the leader nor hears from one of the gateways that get its totals.
+func (u *usageManager) isCutOff() bool {
+	if u.leader == u.gateway.settings.VM || len(u.recipients) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(u.gateway.peers.FreshDigests(), func(d peers.Digest) bool {
+		return slices.Contains(u.recipients, d.From.String())
+	})
+}
+
+// storeTotals writes the totals of undecided windows into the store, where the leader finds them.
+func (u *usageManager) storeTotals() {
+	t := u.own(u.counter.Totals(u.aggregate.Next()))
+	if len(t.Windows) == 0 {
+		return
+	}
+	m := encodeTotals(t)
+	for _, part := range splitWindows(t.Windows) {
+		m.Windows = append(m.Windows, part...)
+	}
+	value, err := proto.Marshal(m)
+	if err != nil || len(value) > maxStateBytes {
+		stats.Event("usage_state_too_large")
+		return
+	}
+	stats.Event("usage_totals_stored")
+	key := usageTotalsPrefix + string(t.VM)
+	u.gateway.startCall(func(ctx context.Context) {
+		if _, err := u.gateway.store.Commit(ctx, platform.Txn{Put: []platform.Write{{Key: key, Value: value}}}); err != nil {
+			klog.InfoS("entry: usage totals not stored", "err", err)
+		}
+	})
+}
+
+// handleStoredTotals merges totals that a gateway has left in the store. Their key is removed with the next decision.
+func (u *usageManager) handleStoredTotals(i platform.Item) {
+	m := &wire.UsageTotals{}
+	if err := proto.Unmarshal(i.Value, m); err != nil {
+		klog.InfoS("entry: stored usage totals can't be read", "key", rawjson.Shorten(i.Key), "err", err)
+		return
+	}
+	u.aggregate.Merge(decodeTotals(m))
+	u.storedTotals[i.Key] = true
+}
+
+// encodeTotals encodes totals without their windows.
+func encodeTotals(t usage.Totals) *wire.UsageTotals {
+	m := &wire.UsageTotals{
+		Vm: string(t.VM), Life: uint64(t.Life), UntilMs: int64(t.Until), SentMs: int64(t.SentAt), Final: t.Final,
+	}
+	for _, w := range slices.Sorted(maps.Keys(t.Sums)) {
+		m.Sums = append(m.Sums, &wire.UsageSum{Window: int64(w), Requests: t.Sums[w]})
+	}
+	return m
+}
+
+func decodeTotals(m *wire.UsageTotals) usage.Totals {
+	t := usage.Totals{
+		VM: units.VMID(m.GetVm()), Life: usage.Life(m.GetLife()), SentAt: clock.Time(m.GetSentMs()),
+		Until: usage.Instant(m.GetUntilMs()), Final: m.GetFinal(),
+		Sums: map[usage.Window]int64{}, Windows: map[usage.Window]usage.Counts{},
+	}
+	for _, w := range m.GetWindows() {
+		window, counts := decodeWindow(w)
+		if t.Windows[window] == nil {
+			t.Windows[window] = usage.Counts{}
+		}
+		maps.Copy(t.Windows[window], counts)
+	}
+	for _, v := range m.GetSums() {
+		t.Sums[usage.Window(v.GetWindow())] = v.GetRequests()
+	}
+	return t
+}
+
 // sendAll sends all totals that this gateway has, those of other gateways included.
 func (u *usageManager) sendAll(now clock.Time) {
 	u.recordSent(now)
@@ -286,10 +369,8 @@
 	for i, windows := range parts {
 		m := &wire.UsageTotals{Vm: string(t.VM), Life: uint64(t.Life), Windows: windows}
 		if i == len(parts)-1 {
-			m.UntilMs, m.SentMs, m.Final, m.Unknown = int64(t.Until), int64(t.SentAt), t.Final, int64(u.aggregate.FirstUnknown())
-			for _, w := range slices.Sorted(maps.Keys(t.Sums)) {
-				m.Sums = append(m.Sums, &wire.UsageSum{Window: int64(w), Requests: t.Sums[w]})
-			}
+			m = encodeTotals(t)
+			m.Windows, m.Unknown = windows, int64(u.aggregate.FirstUnknown())
 		}
 		bytes += proto.Size(m) * len(to)
 		u.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_UsageTotals{UsageTotals: m}}, to...)
@@ -342,18 +423,7 @@
 // handleReceived merges what another gateway has sent, and answers its question.
 func (u *usageManager) handleReceived(now clock.Time, m usageReceived) {
 	if m.totals != nil {
-		t := usage.Totals{
-			VM: units.VMID(m.totals.GetVm()), Life: usage.Life(m.totals.GetLife()), SentAt: clock.Time(m.totals.GetSentMs()),
-			Until: usage.Instant(m.totals.GetUntilMs()), Final: m.totals.GetFinal(),
-			Sums: map[usage.Window]int64{}, Windows: map[usage.Window]usage.Counts{},
-		}
-		for _, w := range m.totals.GetWindows() {
-			window, counts := decodeWindow(w)
-			t.Windows[window] = counts
-		}
-		for _, v := range m.totals.GetSums() {
-			t.Sums[usage.Window(v.GetWindow())] = v.GetRequests()
-		}
+		t := decodeTotals(m.totals)
 		u.aggregate.Merge(t)
 		if t.Until != 0 {
 			u.resend(now, usage.Window(m.totals.GetUnknown()), m.from.String())
@@ -481,6 +551,10 @@
 	if i.Deleted || i.Unreadable {
 		return
 	}
+	if i.Key != usageKey {
+		u.handleStoredTotals(i)
+		return
+	}
 	state, err := usage.DecodeState(i.Value)
 	if err != nil {
 		return
@@ -548,11 +622,13 @@
 		return
 	}
 	call, revision := u.startStoreCall(), u.reporter.Revision()
+	merged := slices.Sorted(maps.Keys(u.storedTotals))
+	clear(u.storedTotals)
 	u.gateway.startCall(func(ctx context.Context) {
 		m := usageWritten{call: call, state: state}
 		m.revision, m.err = u.gateway.store.Commit(ctx, platform.Txn{
 			If:  []platform.Condition{{Key: usageKey, Revision: revision}},
-			Put: []platform.Write{{Key: usageKey, Value: value}},
+			Put: []platform.Write{{Key: usageKey, Value: value}}, Delete: merged,
 		})
 		u.gateway.post(m)
 	})
--- a/entry/usage_test.go
+++ b/entry/usage_test.go
@@ -213,3 +213,21 @@
 	assert.Equal(t, len(cloud.Calls()), 0)
 	assert.Equal(t, len(c.store.Keys("duties/usage")), 0)
 }
+
+// Guards against the loss of what a gateway counts that reaches the store, but neither the leader nor the standby.
+func TestCutOffGatewayLeavesItsTotalsInTheStore(t *testing.T) {
+	c, cloud := newMeteredCluster(t, 1)
+	c.waitFor("windows are reported", func() bool { return len(cloud.UsageReports()) > 0 })
+	// Another gateway takes the lead and can't be reached.
+	address := "127.0.0.1:9"
+	c.store.Put("gateways/ghost", map[string]any{"vm": "ghost", "address": address, "zone": "zone-b", "cores": 8})
+	c.store.Delete("duties/orders")
+	c.store.PutBytes("duties/orders", []byte("ghost"))
+	time.Sleep(500 * time.Millisecond)
+	sent := c.sendSome(20)
+	c.waitFor("totals are stored", func() bool { return len(c.store.Value("duties/usage/gate-0")) > 0 })
+	c.store.Delete("gateways/ghost")
+	c.store.Delete("duties/orders")
+	c.waitFor("all requests are reported", func() bool { return sumReports(t, cloud) == sent })
+	c.waitFor("the totals are removed", func() bool { return len(c.store.Keys("duties/usage/")) == 0 })
+}
