sched: spread the returns of refused callers, urgent late requests before patient ones

Cause: under a load beyond capacity for seconds, work with an objective of 8 s passes requests that are late against one of 0.5 s; refused callers are all told 0.3 s and are refused again. Change: three turns in a dispatch; a book of returns by target.

--- a/sched/queue.go
+++ b/sched/queue.go
@@ -13,10 +13,18 @@
 // that arrive would use the room for which a large one waits.
 func (s *Scheduler) mustQueue(now clock.Time, a *Attempt) bool {
 	return slices.ContainsFunc(s.queue, func(q *Attempt) bool {
-		return q.target() == a.target() && compareAttempts(q, a) <= 0 && now.Before(q.FirstEventDue) && len(q.Avoid) == 0
+		return q.target() == a.target() && len(q.Avoid) == 0 && goesFirst(now, q, a)
 	})
 }
 
+// goesFirst reports whether a queued request goes before one that arrives for the same target.
+func goesFirst(now clock.Time, queued, added *Attempt) bool {
+	if queued.isLate(now) {
+		return added.turnOf(now, queued.Rank) == patientTurn
+	}
+	return compareAttempts(queued, added) <= 0
+}
+
 func (a *Attempt) target() serviceTarget {
 	return serviceTarget{a.Service.Name, target{a.Model, a.Adapter}}
 }
@@ -31,6 +39,9 @@
 	if r != nil && a.stopLimited {
 		return StopRefusal()
 	}
+	if r != nil && r.Code == units.DeadlineMissed {
+		r.RetryAfter = s.returns.retryAfter(now, a.target(), r.RetryAfter, a.Deadline.Sub(now))
+	}
 	return r
 }
 
@@ -108,15 +119,15 @@
 // QueueLen returns the number of queued requests.
 func (s *Scheduler) QueueLen() int { return len(s.queue) }
 
-// Dispatch starts queued requests that an upstream can take and refuses those past their latest
-// start. Requests that can still meet their latency objective go first: under overload those that are
-// late already would make all others late. It returns the attempts that were dequeued.
+// Dispatch starts queued requests that an upstream can take, in their turns, and refuses those past their latest
+// start. It returns the attempts that were dequeued.
 func (s *Scheduler) Dispatch(now clock.Time) []*Attempt {
 	var dequeued []*Attempt
 	blocked := map[serviceTarget]bool{}
-	for _, late := range []bool{false, true} {
+	lateRank := s.lateRank(now)
+	for _, t := range turns {
 		for _, a := range s.queue {
-			if !a.queued || !now.Before(a.FirstEventDue) != late {
+			if !a.queued || a.turnOf(now, lateRank) != t {
 				continue
 			}
 			if a.stopLimited && s.expire(now, a) || s.tryStart(now, a, blocked) || s.expire(now, a) {
@@ -165,7 +176,7 @@
 		a.Refused = StopRefusal()
 		return true
 	}
-	a.Refused = &Refusal{units.DeadlineMissed, retryAfterBusy}
+	a.Refused = &Refusal{units.DeadlineMissed, s.returns.retryAfter(now, a.target(), retryAfterBusy, a.Deadline.Sub(now))}
 	if c := s.choose(now, &a.Request); c.allPaused() {
 		a.Refused.RetryAfter = spread(c.leastPause)
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -63,6 +63,8 @@
 	reservedTokens units.Tokens
 	expectedMs     float64
 	queued         bool
+	// addedAt is when the request was added.
+	addedAt clock.Time
 	// stopLimited is set if LatestStart is due to the stop of this gateway.
 	stopLimited bool
 }
@@ -94,6 +96,8 @@
 	snap      *view.Snapshot
 	upstreams map[units.UpstreamID]*upstream
 	queue     []*Attempt
+	// returns tells when refused callers should come back.
+	returns returnBook
 	// loadInterval is the interval in which other gateways report their loads.
 	loadInterval clock.Span
 	// stopAt is when all runs have to end because this gateway stops; 0 is no bound. Until routedUntil the platform may
@@ -117,7 +121,7 @@
 	return &Scheduler{
 		zone: zone, coldTolerance: tolerance, process: s, snap: &view.Snapshot{},
 		upstreams: map[units.UpstreamID]*upstream{}, notices: notice.NewBoard(),
-		runs: runRecord{}, running: map[*Attempt]struct{}{},
+		runs: runRecord{}, running: map[*Attempt]struct{}{}, returns: returnBook{},
 	}
 }
 
@@ -171,6 +175,7 @@
 		return a
 	}
 	s.recordWanted(now, &a.Request)
+	s.returns.recordArrival(now, a.target())
 	c := s.choose(now, &a.Request)
 	if c.found() && !s.mustQueue(now, a) {
 		s.start(now, a, c.best)
@@ -205,7 +210,7 @@
 }
 
 func (s *Scheduler) newAttempt(now clock.Time, r Request) *Attempt {
-	a := &Attempt{Request: r, Ready: make(chan struct{})}
+	a := &Attempt{Request: r, Ready: make(chan struct{}), addedAt: now}
 	s.limitStart(now, a)
 	return a
 }
@@ -227,6 +232,7 @@
 	a.pendingPrefill, a.expectedMs = c.uncached, c.estimateMs
 	a.reservedTokens = a.Prompt + a.Output
 	s.running[a] = struct{}{}
+	s.returns.recordStart(now, a.target())
 	u.running++
 	u.reservedTokens += a.reservedTokens
 	u.pendingPrefill += a.pendingPrefill
