quota: ask the pools of a customer in turn

Cause: each withdrawal asked the same pool first. Change: withdrawals ask the pools in turn; a gateway that is a pool itself asks the other one every second time below half.

--- a/quota/account.go
+++ b/quota/account.go
@@ -1,10 +1,13 @@
 package quota
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/units"
 )
 
 // account is the token bucket of one customer at one gateway.
@@ -36,8 +39,8 @@
 	// Until refusedUntil requests are refused without asking the pools; retryAt is when they are
 	// expected to have tokens.
 	refusedUntil, retryAt clock.Time
-	// deposits counts deposits; they go to the pools in turn.
-	deposits int
+	// deposits and withdrawals count both; they go to the pools in turn.
+	deposits, withdrawals int
 }
 
 // reportedTokens is a number of tokens that another gateway has reported.
@@ -168,6 +171,27 @@
 	a.refusedUntil = now.Add(min(retryAfter, refusalTTL))
 }
 
+// inTurn returns the pools in the order in which the next withdrawal asks them. Were the same one always asked first, the
+// other one would stay full, and what is deposited there would be dropped.
+func (a *account) inTurn(pools []units.VMID) []units.VMID {
+	if len(pools) < 2 {
+		return pools
+	}
+	a.withdrawals++
+	first := a.withdrawals % len(pools)
+	return slices.Concat(pools[first:], pools[:first])
+}
+
+// asksOthers reports whether a gateway that pools tokens withdraws those of a request from the other pool although it has
+// enough: every second time from half of its level on, so that the other one doesn't stay full.
+func (a *account) asksOthers() bool {
+	if a.available >= a.capacity/2 {
+		return false
+	}
+	a.withdrawals++
+	return a.withdrawals%2 == 0
+}
+
 // delayUntil returns the time until the bucket holds the tokens.
 func (a *account) delayUntil(tokens float64) clock.Span {
 	return clock.Span((tokens-a.available)/max(a.refillRate, 1)*float64(clock.Second)) + clock.Millisecond
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -121,14 +121,17 @@
 	}
 	a := q.account(now, c)
 	a.recordDemand(now, tokens)
+	others, pooled := q.otherPools(now, c.ID)
 	if a.available >= tokens {
+		if pooled && len(others) > 0 && a.asksOthers() {
+			return Decision{Withdraw: others, Tokens: tokens, Unspent: a.unspent, RetryAfter: a.delayUntil(tokens)}
+		}
 		a.available -= tokens
 		return a.grant(tokens)
 	}
 	if now.Before(a.refusedUntil) {
 		return Decision{RetryAfter: a.retryAt.Sub(now)}
 	}
-	others, pooled := q.otherPools(now, c.ID)
 	if pooled || len(others) == 0 {
 		d := a.takeFromFull(tokens, a.capacity)
 		if d.Granted {
@@ -138,7 +141,7 @@
 			return d
 		}
 	}
-	d := Decision{Withdraw: others, Reserved: max(a.available, 0), Extra: a.reserve(), Unspent: a.unspent, RetryAfter: a.delayUntil(tokens)}
+	d := Decision{Withdraw: a.inTurn(others), Reserved: max(a.available, 0), Extra: a.reserve(), Unspent: a.unspent, RetryAfter: a.delayUntil(tokens)}
 	d.Tokens = tokens - d.Reserved
 	a.available -= d.Reserved
 	return d
@@ -152,7 +155,7 @@
 	a.available += d.Reserved + collected.Tokens
 	tokens := d.Reserved + d.Tokens
 	switch {
-	case collected.Tokens >= d.Tokens-rounding:
+	case collected.Tokens >= d.Tokens-rounding, a.available >= tokens:
 		a.available -= tokens
 		return a.grant(tokens)
 	case !collected.Answered:
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -41,8 +41,10 @@
 	reference                *quota.Limiter
 	requests, wronglyRefused int
 	requested, grantedSum    float64
-	down                     map[int]bool
-	upstreamsDown            bool
+	// referenceSum are the tokens that reference granted.
+	referenceSum  float64
+	down          map[int]bool
+	upstreamsDown bool
 	// waiting are the requests that wait for an upstream, oldest first.
 	waiting    []waitingRequest
 	lost       float64
@@ -158,6 +160,7 @@
 	granted := s.reference.Take(now, s.customer, tokens).Granted
 	if granted {
 		s.reference.Spend(now, s.customer, tokens)
+		s.referenceSum += tokens
 	}
 	if s.take(now, i, tokens) {
 		s.serve(now, i, tokens)
