gauge, pace, sched: learn what upstreams take, keep prompts from stopping streams

Choices weighed the first event of the new request alone, by fixed rates that were the same for all engines. An engine reads prompts in the steps in which it writes tokens, so prompts that come together stop its streams.

Times to first events, between events and of plain calls are learned per service and model, and their ratio per upstream, and shared in digests with the counts of streams that paused beyond the bound. A prompt that would stop streams for too long goes elsewhere, or waits while it can still be on time. Loads that upstreams state in answers are read. Gateways vary their costs a little, so that they don't all send to the same upstream between digests.

--- a/entry/load.go
+++ b/entry/load.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/magnolialever/magnolialever/gauge"
 	"github.com/magnolialever/magnolialever/sched"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
@@ -19,7 +20,8 @@
 func encodeLoad(l sched.Load) *wire.UpstreamShare {
 	return &wire.UpstreamShare{
 		Upstream: hashUpstream(l.Upstream), Running: int32(l.Running), Tokens: int64(l.Tokens), Backlog: int64(l.Backlog),
-		Wanted: int32(l.WantedRate),
+		Wanted: int32(l.WantedRate), Streams: hundredfold(l.Streams), Paused: hundredfold(l.Paused),
+		Stretch: hundredfold(l.Stretch.Ratio), Observations: hundredfold(l.Stretch.Weight),
 	}
 }
 
@@ -27,6 +29,14 @@
 func decodeLoad(u *wire.UpstreamShare) sched.Load {
 	return sched.Load{
 		Running: int(u.GetRunning()), Tokens: units.Tokens(u.GetTokens()), Backlog: units.Tokens(u.GetBacklog()),
-		Gateways: 1, WantedRate: float64(u.GetWanted()),
+		Gateways: min(int(u.GetRunning()), 1), WantedRate: float64(u.GetWanted()), Streams: hundredth(u.GetStreams()), Paused: hundredth(u.GetPaused()),
+		Stretch: gauge.Stretch{Ratio: hundredth(u.GetStretch()), Weight: hundredth(u.GetObservations())},
 	}
 }
+
+// digestScale is what small figures are multiplied by in digests.
+const digestScale = 100
+
+func hundredfold(v float64) int32 { return int32(min(v*digestScale, math.MaxInt32)) }
+
+func hundredth(v int32) float64 { return float64(max(v, 0)) / digestScale }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -33,6 +33,8 @@
 	timedOut bool
 	// stream splits the answer of this attempt.
 	stream *eventSplitter
+	// gaps are the times between events that the scheduler was not told of.
+	gaps eventGaps
 	silence
 }
 
@@ -84,6 +86,7 @@
 		return a.handleCallError(ctx, err)
 	}
 	a.server.recordNotice(a.scheduled.Upstream.Upstream, res)
+	a.recordLoad(res)
 	if outcome, handled := a.handleNotRun(res); handled {
 		return outcome
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -173,8 +173,9 @@
 func (s *Server) SetOtherLoads(m map[units.UpstreamID]sched.Load, interval clock.Span) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Scheduler.SetOtherLoads(m, interval)
-	s.Scheduler.Dispatch(s.Clock.Now())
+	now := s.Clock.Now()
+	s.Scheduler.SetOtherLoads(now, m, interval)
+	s.Scheduler.Dispatch(now)
 }
 
 // Active returns the number of requests in progress.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -92,6 +92,7 @@
 			if a.delivered.events > delivered {
 				a.ticket.Began()
 				a.delivered.lastAt = a.server.Clock.Now()
+				a.recordGap(a.delivered.events - delivered)
 				a.recordProgress()
 			}
 		}
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -1,30 +1,32 @@
 package sched
 
 import (
+	"math/rand/v2"
 	"slices"
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/notice"
+	"github.com/magnolialever/magnolialever/pace"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
 )
 
 const (
-	// prefillTokensPerMs is the prefill rate, in prompt tokens per millisecond, of an engine of
-	// normal speed under load.
-	prefillTokensPerMs = 24.0
-	// idleDelayMs is the time to the first event on an idle upstream.
-	idleDelayMs = 15.0
-	// delayPerRunningMs is the delay of the first event per request that runs at the upstream.
-	delayPerRunningMs = 1.2
-	// plainServiceMs is the service time of one request at an idle plain service.
-	plainServiceMs = 60.0
-	// crossZoneMs is the cost added for an upstream in another availability zone.
-	crossZoneMs = 12.0
+	// crossZoneMs is the cost added for an engine in another availability zone, crossZoneCallMs that for a plain service, whose calls
+	// take little more than the way there.
+	crossZoneMs, crossZoneCallMs = 12.0, 3.0
+	// herdMs is the most by which gateways vary the cost of an engine. They know of each other's requests only from digests, and would
+	// send all prompts of an interval to the same engine.
+	herdMs = 10.0
+	// herdShare is that part for plain services, of the time of a call.
+	herdShare = 0.2
 	// failurePenaltyMs is the cost added at a failure rate of 1; it is scaled by the upstream's
 	// failure rate.
 	failurePenaltyMs = 600.0
+	// latePenaltyMs is the cost of a stream that pauses for too long; it is scaled by the expected part of streams that do. A first event
+	// that comes later but within its objective costs nothing.
+	latePenaltyMs = 600.0
 	// maxMemoryShare is the share of an engine's memory that is reserved for requests; the rest
 	// absorbs answers longer than estimated.
 	maxMemoryShare = 0.9
@@ -37,8 +39,13 @@
 	entry *view.Entry
 	state *upstream
 	// estimateMs is the expected time to the first event. costMs is the score, lowest first:
-	// estimateMs plus penalties for the zone and for failures.
+	// estimateMs plus penalties for the zone, for failures and for pauses of streams.
 	estimateMs, costMs float64
+	// excessMs is by how much the pauses of the streams there are expected to exceed their bound.
+	excessMs float64
+	// running is the number of requests there, backlog the number of prompt tokens that the upstream has not read, over all gateways.
+	running int
+	backlog units.Tokens
 	// waitMs is the part of estimateMs for which the prompt waits for others.
 	waitMs float64
 	// uncached is the number of prompt tokens that the upstream has to prefill.
@@ -62,8 +69,15 @@
 	prefillRate   float64
 	leastShare    float64
 	leastExcessMs float64
+	// stopping is the best of the holders whose streams one more prompt would stop for too long.
+	stopping candidate
+	// mayHold is set if the request may wait for one whose streams it doesn't stop.
+	mayHold bool
 }
 
+// held reports whether the request waits so that streams keep their pace.
+func (c *choice) held() bool { return c.stopping.entry != nil && c.mayHold }
+
 func (c *choice) found() bool { return c.best.entry != nil }
 
 // allPaused reports whether all holders asked for a pause.
@@ -109,16 +123,33 @@
 		if !s.canStart(now, u, e, r) {
 			continue
 		}
-		n := s.estimate(u, e, r)
-		if s.meetsObjective(now, &n, r) {
-			c.consider(n)
-		} else {
+		n := s.estimate(now, u, e, r)
+		switch {
+		case !s.meetsObjective(now, &n, r):
 			c.addOverloaded(now, &n, r)
+		case n.excessMs > 0:
+			c.stopping.consider(n)
+		default:
+			c.best.consider(n)
 		}
 	}
+	c.decidePace(now, r)
 	return c
 }
 
+// decidePace decides what becomes of a request that would stop streams wherever it goes. It waits while it can still be on time. Then it
+// goes where it stops them least: a stream that pauses is late, a request that is never sent is lost.
+func (c *choice) decidePace(now clock.Time, r *Request) {
+	if c.found() || c.stopping.entry == nil {
+		return
+	}
+	if pace.MayHold(now, r.FirstEventDue, r.LatestStart, c.stopping.estimateMs) {
+		c.mayHold = true
+		return
+	}
+	c.best = c.stopping
+}
+
 // addOverloaded counts a holder that doesn't meet the objective.
 func (c *choice) addOverloaded(now clock.Time, n *candidate, r *Request) {
 	excess, share := n.waitMs-waitLimitMs(n, r, usedObjectiveShare), n.state.share(now)
@@ -127,7 +158,7 @@
 	}
 	c.leastExcessMs, c.leastShare = min(c.leastExcessMs, excess), min(c.leastShare, share)
 	c.overloaded++
-	c.prefillRate += prefillTokensPerMs / n.state.slowdown.factor
+	c.prefillRate += n.state.gauge.PrefillRate(now, r.Model)
 }
 
 // hasLoaded reports whether the upstream has the requested model and adapter in memory, by its
@@ -190,27 +221,59 @@
 }
 
 // estimate returns the expected cost of sending a request to an upstream.
-func (s *Scheduler) estimate(u *upstream, e *view.Entry, r *Request) candidate {
-	n := candidate{entry: e, state: u, uncached: max(r.Prompt-u.cachedTokens(r.Model, r.Adapter, r.PromptParts), 0)}
-	running := float64(u.running + u.otherLoad.Running)
+func (s *Scheduler) estimate(now clock.Time, u *upstream, e *view.Entry, r *Request) candidate {
+	n := candidate{
+		entry: e, state: u, uncached: max(r.Prompt-u.cachedTokens(r.Model, r.Adapter, r.PromptParts), 0),
+		running: u.running + u.gauge.OthersRunning(now, u.otherLoad.Running),
+	}
 	if r.Service.Engine != nil {
-		backlog := float64(u.pendingPrefill + u.otherLoad.Backlog)
-		n.waitMs = (idleDelayMs + backlog/prefillTokensPerMs + delayPerRunningMs*running) * u.slowdown.factor
-		n.estimateMs = n.waitMs + float64(n.uncached)/prefillTokensPerMs*u.slowdown.factor
+		s.estimateStream(now, &n, r)
 	} else {
-		occupancy := running / float64(max(e.Slots, 1))
-		n.estimateMs = plainServiceMs * (1 + occupancy*occupancy)
+		n.estimateMs = u.gauge.ServiceMs(now, n.running)
+		n.costMs = n.estimateMs + s.variation(herdShare*n.estimateMs)
+		if e.Zone != s.zone {
+			n.costMs += crossZoneCallMs
+		}
+	}
+	n.costMs += failurePenaltyMs * u.failureRate
+	return n
+}
+
+// variation returns a random cost up to a bound where other gateways choose among the same upstreams.
+func (s *Scheduler) variation(most float64) float64 {
+	if len(s.gateways) <= 1 {
+		return 0
 	}
-	n.costMs = n.estimateMs + failurePenaltyMs*u.failureRate
-	if e.Zone != s.zone {
+	return most * rand.Float64()
+}
+
+// estimateStream adds the expected times of a stream, its own and those of the streams that run at the engine.
+func (s *Scheduler) estimateStream(now clock.Time, n *candidate, r *Request) {
+	u := n.state
+	n.backlog = u.pendingPrefill + u.otherLoad.Backlog
+	n.waitMs = u.gauge.FirstEventMs(now, r.Model, n.backlog, 0, n.running)
+	rate := u.gauge.PrefillRate(now, r.Model)
+	n.estimateMs = n.waitMs + float64(n.uncached)/rate
+	n.costMs = n.estimateMs + s.variation(min(herdMs, n.estimateMs-n.waitMs))
+	if n.entry.Zone != s.zone {
 		n.costMs += crossZoneMs
 	}
-	return n
+	if r.Service.EventGapObjective <= 0 {
+		return
+	}
+	load := pace.Load{
+		Running: n.running, EventMs: u.gauge.EventMs(now, r.Model, n.running+1), Backlog: n.backlog, PrefillRate: rate,
+		MaxEventGap: r.Service.EventGapObjective,
+	}
+	n.excessMs = load.ExcessMs(n.uncached)
+	streams, paused := u.pauses.At(now)
+	share := pace.Share(streams+u.otherLoad.Streams, paused+u.otherLoad.Paused, s.pausedShares[u.gauge.Service()])
+	n.costMs += n.excessMs + latePenaltyMs*share
 }
 
 // consider keeps a candidate if it has the lowest cost. Equal costs are decided by ID.
-func (c *choice) consider(n candidate) {
-	if !c.found() || n.costMs < c.best.costMs || (n.costMs == c.best.costMs && n.entry.ID < c.best.entry.ID) {
-		c.best = n
+func (n *candidate) consider(o candidate) {
+	if n.entry == nil || o.costMs < n.costMs || (o.costMs == n.costMs && o.entry.ID < n.entry.ID) {
+		*n = o
 	}
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -10,6 +10,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/gauge"
 	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/notice"
 	"github.com/magnolialever/magnolialever/start"
@@ -41,6 +42,8 @@
 	Once, Resumable bool
 	// Begun is set if the request has run before, so that a refusal ends it without a whole answer.
 	Begun bool
+	// MaxEventGap is the objective for the pauses of the request's own stream; 0 is none.
+	MaxEventGap clock.Span
 	// Avoid lists upstreams that this request was sent to already.
 	Avoid []units.UpstreamID
 }
@@ -61,8 +64,13 @@
 	// pendingPrefill is the uncached part of the prompt until the first event, then 0.
 	pendingPrefill units.Tokens
 	reservedTokens units.Tokens
-	expectedMs     float64
-	queued         bool
+	// expected is what the time to the first event, or of a plain call, was expected from.
+	expected gauge.Start
+	// streams is set once the first event has arrived, counted once the stream counts among the pauses of its upstream.
+	streams, counted bool
+	queued           bool
+	// held is set while the request waits so that streams keep their pace.
+	held bool
 	// stopLimited is set if LatestStart is due to the stop of this gateway.
 	stopLimited bool
 }
@@ -104,6 +112,9 @@
 	running map[*Attempt]struct{}
 	// notices are what upstreams told this gateway.
 	notices *notice.Board
+	// gauges has what was learned of services, pausedShares the part of a service's streams that paused for too long.
+	gauges       gauge.Services
+	pausedShares map[*gauge.Service]float64
 }
 
 // ColdTolerance is the tolerance of the request rate of a cold upstream, over all gateways. In any
@@ -117,7 +128,7 @@
 	return &Scheduler{
 		zone: zone, coldTolerance: tolerance, process: s, snap: &view.Snapshot{},
 		upstreams: map[units.UpstreamID]*upstream{}, notices: notice.NewBoard(),
-		runs: runRecord{}, running: map[*Attempt]struct{}{},
+		runs: runRecord{}, running: map[*Attempt]struct{}{}, gauges: gauge.Services{}, pausedShares: map[*gauge.Service]float64{},
 	}
 }
 
@@ -140,6 +151,7 @@
 	s.snap = snap
 	for id, e := range snap.Upstreams {
 		u := s.upstream(id)
+		u.gauge.Describe(s.gauges.Get(e.Service), e.Slots)
 		before, existed := old.Upstreams[id]
 		if !existed || before.ProcessStart != e.ProcessStart || before.ReceivedAt != e.ReceivedAt {
 			u.updateDescription(now, e, existed && before.ProcessStart != e.ProcessStart)
@@ -156,7 +168,7 @@
 func (s *Scheduler) upstream(id units.UpstreamID) *upstream {
 	u, ok := s.upstreams[id]
 	if !ok {
-		u = newUpstream(id)
+		u = newUpstream(id, s.gauges.Get(""))
 		s.upstreams[id] = u
 	}
 	return u
@@ -182,7 +194,7 @@
 		close(a.Ready)
 		return a
 	}
-	a.queued = true
+	a.queued, a.held = true, c.held()
 	at, _ := slices.BinarySearchFunc(s.queue, a, compareAttempts)
 	s.queue = slices.Insert(s.queue, at, a)
 	return a
@@ -224,7 +236,8 @@
 func (s *Scheduler) start(now clock.Time, a *Attempt, c candidate) {
 	u := c.state
 	a.Upstream, a.state, a.startedAt = c.entry, u, now
-	a.pendingPrefill, a.expectedMs = c.uncached, c.estimateMs
+	a.pendingPrefill, a.expected = c.uncached, u.gauge.Started(now, a.Model, c.backlog+c.uncached, c.running)
+	a.held = false
 	a.reservedTokens = a.Prompt + a.Output
 	s.running[a] = struct{}{}
 	u.running++
@@ -243,8 +256,54 @@
 	u.pendingPrefill -= a.pendingPrefill
 	a.pendingPrefill = 0
 	u.resetBackoff()
+	a.streams = true
 	if a.Model != "" {
-		u.slowdown.observe(float64(now.Sub(a.startedAt)), a.expectedMs)
+		u.gauge.RecordFirstEvent(now, a.expected, now.Sub(a.startedAt))
+	}
+}
+
+// Gaps are times between events of a stream.
+type Gaps struct {
+	Count int
+	// Total is their sum, Longest the longest of them.
+	Total, Longest clock.Span
+}
+
+// Add adds the time in which a number of events arrived.
+func (g *Gaps) Add(events int, took clock.Span) {
+	g.Count += events
+	g.Total += took
+	g.Longest = max(g.Longest, took)
+}
+
+// RecordGaps records times between events of an answer that goes on.
+func (s *Scheduler) RecordGaps(now clock.Time, a *Attempt, g Gaps) {
+	u := a.state
+	if g.Count <= 0 {
+		return
+	}
+	if a.Model != "" {
+		u.gauge.RecordEvents(now, a.Model, u.running+u.otherLoad.Running, float64(g.Total)/float64(g.Count))
+	}
+	if a.MaxEventGap > 0 && g.Longest > a.MaxEventGap && !a.counted {
+		a.counted = true
+		u.pauses.Add(now, true)
+	}
+}
+
+// RecordReport records what the upstream of a started attempt says of its load in an answer.
+func (s *Scheduler) RecordReport(now clock.Time, a *Attempt, l fleet.ReportedLoad) {
+	a.state.gauge.RecordReport(now, gauge.Report{ReportedLoad: l, Own: a.state.running})
+}
+
+// recordEnd learns from an attempt that was served.
+func (u *upstream) recordEnd(now clock.Time, a *Attempt) {
+	switch {
+	case a.streams && a.MaxEventGap > 0 && !a.counted:
+		a.counted = true
+		u.pauses.Add(now, false)
+	case a.Service.Engine == nil && !a.streams:
+		u.gauge.RecordCall(now, a.expected, now.Sub(a.startedAt))
 	}
 }
 
@@ -290,6 +349,9 @@
 	u.reservedTokens -= a.reservedTokens
 	u.pendingPrefill -= a.pendingPrefill
 	a.pendingPrefill = 0
+	if o == Served {
+		u.recordEnd(now, a)
+	}
 	u.recordOutcome(now, a, o)
 	return s.Dispatch(now)
 }
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -294,7 +294,7 @@
 	s := engine(64)
 	scheduler := newScheduler(entry("one", "zone-a", 64))
 	scheduler.Add(100, newRequest(s, 100))
-	scheduler.SetOtherLoads(map[units.UpstreamID]sched.Load{"one": {Upstream: "one", Running: 3, Tokens: 88_500}}, 200*clock.Millisecond)
+	scheduler.SetOtherLoads(100, map[units.UpstreamID]sched.Load{"one": {Upstream: "one", Running: 3, Tokens: 88_500}}, 200*clock.Millisecond)
 	a := scheduler.Add(100, newRequest(s, 100))
 	assert.Assert(t, a.Upstream == nil, "91,000 of 100,000 tokens would be used")
 }
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -6,6 +6,8 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/gauge"
+	"github.com/magnolialever/magnolialever/pace"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
 )
@@ -44,8 +46,11 @@
 	prefillCredit float64
 	creditAt      clock.Time
 	// wanted is the rate of prompt tokens that this gateway would like to send here.
-	wanted   decayingRate
-	slowdown slowdown
+	wanted decayingRate
+	// gauge is what was learned of the upstream.
+	gauge *gauge.Upstream
+	// pauses counts the streams from here by whether they paused for too long.
+	pauses pace.Pauses
 	// failureRate is the moving average of failed attempts, from 0 to 1.
 	failureRate float64
 	// downUntil ends the backoff after failStreak connection failures in a row.
@@ -86,9 +91,9 @@
 	partID string
 }
 
-func newUpstream(id units.UpstreamID) *upstream {
+func newUpstream(id units.UpstreamID, s *gauge.Service) *upstream {
 	return &upstream{
-		id: id, slowdown: slowdown{factor: 1}, place: unknownPlace,
+		id: id, gauge: gauge.NewUpstream(s), place: unknownPlace,
 		notLoadedUntil: map[target]clock.Time{}, prefixes: map[prefixKey]clock.Time{},
 	}
 }
@@ -101,7 +106,8 @@
 	if restarted {
 		clear(u.prefixes)
 		u.downUntil, u.failStreak, u.failureRate, u.unreachableAt = 0, 0, 0, 0
-		u.slowdown = slowdown{factor: 1}
+		u.gauge.Restart()
+		u.pauses = pace.Pauses{}
 	}
 	if e.ColdFor == 0 && u.coldUntil != 0 && now.Sub(u.coldUntil.Add(-assumedColdTime)) > clock.Second {
 		u.coldUntil = 0
@@ -205,23 +211,3 @@
 func (d *decayingRate) at(now clock.Time) float64 {
 	return d.rate * math.Exp(-float64(now.Sub(d.updatedAt))/float64(wantedTimeConstant))
 }
-
-// slowdown is the moving average of observed over expected time to the first event.
-type slowdown struct {
-	factor float64
-}
-
-const (
-	slowdownWeight = 0.15
-	minSlowdown    = 0.3
-	maxSlowdown    = 10.0
-)
-
-// observe updates the factor with an observed and an expected time to the first event.
-func (p *slowdown) observe(tookMs, expectedMs float64) {
-	if expectedMs <= 0 {
-		return
-	}
-	ratio := min(max(tookMs/expectedMs*p.factor, minSlowdown), maxSlowdown)
-	p.factor += (ratio - p.factor) * slowdownWeight
-}
