pace, sched, entry: gateways tell each other of prompts at once

In a trial of 20 gateways and 38 engines that read up to 4,096 prompt tokens a step, the penalty by counts of pauses and the hold did harm, since all gateways turned to the same engines, and reports 220 ms old were the cause of collisions: prompts are read long before the next digest.

The penalty, the hold and the varied costs go. An engine whose streams here have just stopped costs more.

Tests of sched pass.

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -49,6 +49,8 @@
 	// residencyChanges are recent loads and unloads that the upstreams' descriptions may not show
 	// yet.
 	residencyChanges []residencyChange
+	// prompts tells the other gateways of prompts sent to engines.
+	prompts promptTeller
 	// announcedAt is when this gateway last announced changes to the others.
 	announcedAt clock.Time
 }
@@ -110,6 +112,8 @@
 		c.handleFullRead(now, m.keys)
 	case digestReceived:
 		c.handleDigest(now, m.digest)
+	case promptsTold:
+		c.gateway.relay.RecordGiven(c.prompts.decode(c.snapshot, m.prompts))
 	case residencyChanged:
 		c.mergeResidencyChanges(now, m.changes)
 	case targetMissed:
@@ -195,6 +199,7 @@
 	c.gateway.limiter.onTick(now)
 	c.gateway.relay.SetOtherLoads(c.otherLoads(), peers.DigestInterval(c.gatewayCount))
 	c.announceChanges(now)
+	c.tellPrompts(now)
 	c.gateway.relay.Tick()
 	c.orders.onTick(now)
 	if now.Sub(c.digestSentAt) >= peers.DigestInterval(c.gatewayCount) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -181,6 +181,8 @@
 	digestReceived struct{ digest peers.Digest }
 	// residencyChanged has loads and unloads that the leader has ordered.
 	residencyChanged struct{ changes []*wire.Residency }
+	// promptsTold has prompts that another gateway has sent to engines.
+	promptsTold struct{ prompts *wire.Prompts }
 )
 
 // post sends a message to the control loop and blocks while its inbox is full. Messages are dropped
@@ -199,6 +201,10 @@
 		g.post(residencyChanged{changes.GetChanges()})
 		return
 	}
+	if prompts := m.GetPrompts(); prompts != nil {
+		g.post(promptsTold{prompts})
+		return
+	}
 	if changes := m.GetStoreChanges(); changes != nil {
 		g.feed.Deliver(g.receiveChanges(changes, from))
 		return
--- a/entry/load.go
+++ b/entry/load.go
@@ -20,7 +20,7 @@
 func encodeLoad(l sched.Load) *wire.UpstreamShare {
 	return &wire.UpstreamShare{
 		Upstream: hashUpstream(l.Upstream), Running: int32(l.Running), Tokens: int64(l.Tokens), Backlog: int64(l.Backlog),
-		Wanted: int32(l.WantedRate), Streams: hundredfold(l.Streams), Paused: hundredfold(l.Paused),
+		Wanted:  int32(l.WantedRate),
 		Stretch: hundredfold(l.Stretch.Ratio), Observations: hundredfold(l.Stretch.Weight),
 	}
 }
@@ -29,7 +29,7 @@
 func decodeLoad(u *wire.UpstreamShare) sched.Load {
 	return sched.Load{
 		Running: int(u.GetRunning()), Tokens: units.Tokens(u.GetTokens()), Backlog: units.Tokens(u.GetBacklog()),
-		Gateways: min(int(u.GetRunning()), 1), WantedRate: float64(u.GetWanted()), Streams: hundredth(u.GetStreams()), Paused: hundredth(u.GetPaused()),
+		Gateways: min(int(u.GetRunning()), 1), WantedRate: float64(u.GetWanted()),
 		Stretch: gauge.Stretch{Ratio: hundredth(u.GetStretch()), Weight: hundredth(u.GetObservations())},
 	}
 }
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -7,78 +7,66 @@
 	"github.com/magnolialever/magnolialever/units"
 )
 
-const (
-	// usedBoundShare is the part of the bound on pauses that is planned for; the rest is for what other gateways send meanwhile.
-	usedBoundShare = 0.8
-	// holdMargin is the time that a held request needs at the least for its start, an interval of the control loop.
-	holdMargin = 50 * clock.Millisecond
-	// ownTimeFactor is the part of the expected time to the first event that has to be left when a held request starts.
-	ownTimeFactor = 1.5
-)
-
-// Load is what an engine has to do, over all gateways.
-type Load struct {
-	// Running is the number of requests that run there.
-	Running int
-	// EventMs is the expected time between two events of a stream.
-	EventMs float64
-	// Backlog is the number of prompt tokens that the engine was given within the time of a pause and that it may not have read.
-	Backlog units.Tokens
-	// PrefillRate is the number of prompt tokens that it reads in a millisecond.
-	PrefillRate float64
-	// MaxEventGap is the bound on the pauses of its streams; 0 is none.
-	MaxEventGap clock.Span
+// Prompts is the number of prompt tokens that an engine was given and has not read, as far as it reads them at a known rate. The zero
+// value stands for none.
+type Prompts struct {
+	tokens float64
+	at     clock.Time
 }
 
-// ExcessMs returns by how much the expected longest pause of a stream that runs there exceeds its bound once a prompt is sent; 0 if it doesn't.
-// A prompt alone at an engine stops no other.
-func (l Load) ExcessMs(prompt units.Tokens) float64 {
-	if l.MaxEventGap <= 0 {
-		return 0
-	}
-	pause := l.EventMs
-	if l.Running > 0 {
-		pause += float64(l.Backlog+prompt) / l.PrefillRate
-	}
-	return max(pause-usedBoundShare*float64(l.MaxEventGap), 0)
+// Add adds a prompt that was given now to an engine that reads rate tokens per millisecond.
+func (p *Prompts) Add(now clock.Time, prompt units.Tokens, rate float64) {
+	p.tokens, p.at = p.left(now, rate)+float64(prompt), now
 }
 
-// MayHold reports whether a request whose first event is expected after a time may wait: it still meets its objective, and its latest
-// start is not near.
-func MayHold(now, due, latestStart clock.Time, firstEventMs float64) bool {
-	need := clock.Span(firstEventMs*ownTimeFactor) + holdMargin
-	return due.Sub(now) > need && latestStart.Sub(now) > need
+// Left returns the tokens that have not been read.
+func (p *Prompts) Left(now clock.Time, rate float64) units.Tokens {
+	return units.Tokens(p.left(now, rate))
 }
 
-// Pauses counts streams and those with a pause beyond the bound, forgetting them with time.
-type Pauses struct {
-	streams, paused float64
-	at              clock.Time
+func (p *Prompts) left(now clock.Time, rate float64) float64 {
+	return max(p.tokens-rate*float64(now.Sub(p.at)), 0)
 }
 
-// pausesMemory is the time constant of the counts.
-const pausesMemory = 10 * clock.Second
+// stopMemory is the time constant with which a stop that is over is forgotten. A stream that was stopped writes its next event within a
+// few of these, and a further prompt would stop it again.
+const stopMemory = 150 * clock.Millisecond
+
+// Stops is what the streams that run at an engine show of its batch: it stops while the engine reads prompts, those of gateways that say
+// nothing of it included. The zero value stands for an engine without streams.
+type Stops struct {
+	// streams is the number of streams of this gateway that have begun, lastAt the time of the last event of any of them.
+	streams int
+	lastAt  clock.Time
+	// stoppedMs is how long the batch stood still at stoppedAt.
+	stoppedMs float64
+	stoppedAt clock.Time
+}
 
-// Add counts a stream.
-func (p *Pauses) Add(now clock.Time, paused bool) {
-	p.streams, p.paused = p.At(now)
-	p.at = now
+// Begin records the first event of a stream, End the end of one that has begun.
+func (p *Stops) Begin(now clock.Time) {
 	p.streams++
-	if paused {
-		p.paused++
-	}
+	p.lastAt = now
 }
 
-// At returns the counts as of now.
-func (p *Pauses) At(now clock.Time) (streams, paused float64) {
-	left := math.Exp(-float64(max(now.Sub(p.at), 0)) / float64(pausesMemory))
-	return p.streams * left, p.paused * left
+// End records the end of a stream that has begun.
+func (p *Stops) End() { p.streams-- }
+
+// Event records an event of a stream that came a time after the one before; expectedMs is the usual time.
+func (p *Stops) Event(now clock.Time, gap clock.Span, expectedMs float64) {
+	p.stoppedMs, p.stoppedAt = max(p.past(now), float64(gap)-expectedMs), now
+	p.lastAt = now
 }
 
-// priorStreams is the number of streams for which the mean of the service counts beside those of an upstream.
-const priorStreams = 3.0
+func (p *Stops) past(now clock.Time) float64 {
+	return p.stoppedMs * math.Exp(-float64(max(now.Sub(p.stoppedAt), 0))/float64(stopMemory))
+}
 
-// Share returns the part of an upstream's streams that is expected to pause, by its counts and the share over its service.
-func Share(streams, paused, mean float64) float64 {
-	return (paused + mean*priorStreams) / (streams + priorStreams)
+// Ms returns for how long the batch has stood still lately, a stop that goes on included.
+func (p *Stops) Ms(now clock.Time, expectedMs float64) float64 {
+	stopped := p.past(now)
+	if p.streams > 0 {
+		stopped = max(stopped, float64(now.Sub(p.lastAt))-expectedMs)
+	}
+	return max(stopped, 0)
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -33,8 +33,8 @@
 	timedOut bool
 	// stream splits the answer of this attempt.
 	stream *eventSplitter
-	// gaps are the times between events that the scheduler was not told of.
-	gaps eventGaps
+	// lastEventAt is when the last events of this attempt were complete; 0 before the first one.
+	lastEventAt clock.Time
 	silence
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -250,7 +250,7 @@
 		Rank: x.priority(), FirstEventDue: x.nextEventDue(), LatestStart: x.latestStart(),
 		Deadline: x.arrivedAt.Add(x.timeout), Kind: sched.RunKind{Service: x.service.Name, Route: x.route.Name}, Size: x.runSize(),
 		Once: x.route.RetryMode == fleet.AtMostOnce, Resumable: x.route.RetryMode == fleet.Resumable, Begun: x.runs > 0,
-		MaxEventGap: x.route.MaxEventGap, Avoid: x.tried,
+		Avoid: x.tried,
 	}
 }
 
--- a/relay/gap.go
+++ b/relay/gap.go
@@ -1,38 +1,15 @@
 package relay
 
-import (
-	"github.com/magnolialever/magnolialever/clock"
-	"github.com/magnolialever/magnolialever/sched"
-)
-
-// gapInterval is the interval in which the scheduler is told of the times between events of a stream. A pause that is too long is told
-// at once.
-const gapInterval = 100 * clock.Millisecond
-
-// eventGaps collects the times between events of an attempt.
-type eventGaps struct {
-	// lastAt is when the last events were complete, toldAt when the scheduler was told; 0 before the first event.
-	lastAt, toldAt clock.Time
-	gaps           sched.Gaps
-}
-
-// recordGap records that events are complete, as of the time of the last delivery.
+// recordGap tells the scheduler of events that are complete, as of the time of the last delivery.
 func (a *attempt) recordGap(events int) {
-	now, g := a.delivered.lastAt, &a.gaps
-	if g.lastAt == 0 {
-		g.lastAt, g.toldAt = now, now
-		return
-	}
-	gap := now.Sub(g.lastAt)
-	g.lastAt = now
-	g.gaps.Add(events, gap)
-	if now.Sub(g.toldAt) < gapInterval && (a.route.MaxEventGap <= 0 || gap <= a.route.MaxEventGap) {
+	now, last := a.delivered.lastAt, a.lastEventAt
+	a.lastEventAt = now
+	if last == 0 {
 		return
 	}
 	a.server.mu.Lock()
-	a.server.Scheduler.RecordGaps(now, a.scheduled, g.gaps)
-	a.server.mu.Unlock()
-	g.gaps, g.toldAt = sched.Gaps{}, now
+	defer a.server.mu.Unlock()
+	a.server.Scheduler.RecordEvents(now, a.scheduled, events, now.Sub(last))
 }
 
 // recordLoad records what the response says of the load of its upstream.
--- a/relay/server.go
+++ b/relay/server.go
@@ -173,9 +173,22 @@
 func (s *Server) SetOtherLoads(m map[units.UpstreamID]sched.Load, interval clock.Span) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.Clock.Now()
-	s.Scheduler.SetOtherLoads(now, m, interval)
-	s.Scheduler.Dispatch(now)
+	s.Scheduler.SetOtherLoads(m, interval)
+	s.Scheduler.Dispatch(s.Clock.Now())
+}
+
+// TakeGiven returns the prompts that this gateway sent to engines since the last call.
+func (s *Server) TakeGiven() []sched.Given {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Scheduler.TakeGiven()
+}
+
+// RecordGiven records prompts that another gateway has just sent to engines.
+func (s *Server) RecordGiven(given []sched.Given) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Scheduler.RecordGiven(s.Clock.Now(), given)
 }
 
 // Active returns the number of requests in progress.
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -1,13 +1,11 @@
 package sched
 
 import (
-	"math/rand/v2"
 	"slices"
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/notice"
-	"github.com/magnolialever/magnolialever/pace"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
 )
@@ -16,17 +14,12 @@
 	// crossZoneMs is the cost added for an engine in another availability zone, crossZoneCallMs that for a plain service, whose calls
 	// take little more than the way there.
 	crossZoneMs, crossZoneCallMs = 12.0, 3.0
-	// herdMs is the most by which gateways vary the cost of an engine. They know of each other's requests only from digests, and would
-	// send all prompts of an interval to the same engine.
-	herdMs = 10.0
-	// herdShare is that part for plain services, of the time of a call.
-	herdShare = 0.2
 	// failurePenaltyMs is the cost added at a failure rate of 1; it is scaled by the upstream's
 	// failure rate.
 	failurePenaltyMs = 600.0
-	// latePenaltyMs is the cost of a stream that pauses for too long; it is scaled by the expected part of streams that do. A first event
-	// that comes later but within its objective costs nothing.
-	latePenaltyMs = 600.0
+	// stopCostFactor is the cost of a millisecond for which streams have just stopped, in milliseconds of the time to the first event. It is
+	// above 1, as a first event that comes later costs nothing within its objective, and a prompt at such an engine stops streams again.
+	stopCostFactor = 2.0
 	// maxMemoryShare is the share of an engine's memory that is reserved for requests; the rest
 	// absorbs answers longer than estimated.
 	maxMemoryShare = 0.9
@@ -41,8 +34,6 @@
 	// estimateMs is the expected time to the first event. costMs is the score, lowest first:
 	// estimateMs plus penalties for the zone, for failures and for pauses of streams.
 	estimateMs, costMs float64
-	// excessMs is by how much the pauses of the streams there are expected to exceed their bound.
-	excessMs float64
 	// running is the number of requests there, backlog the number of prompt tokens that the upstream has not read, over all gateways.
 	running int
 	backlog units.Tokens
@@ -69,15 +60,8 @@
 	prefillRate   float64
 	leastShare    float64
 	leastExcessMs float64
-	// stopping is the best of the holders whose streams one more prompt would stop for too long.
-	stopping candidate
-	// mayHold is set if the request may wait for one whose streams it doesn't stop.
-	mayHold bool
 }
 
-// held reports whether the request waits so that streams keep their pace.
-func (c *choice) held() bool { return c.stopping.entry != nil && c.mayHold }
-
 func (c *choice) found() bool { return c.best.entry != nil }
 
 // allPaused reports whether all holders asked for a pause.
@@ -124,32 +108,15 @@
 			continue
 		}
 		n := s.estimate(now, u, e, r)
-		switch {
-		case !s.meetsObjective(now, &n, r):
-			c.addOverloaded(now, &n, r)
-		case n.excessMs > 0:
-			c.stopping.consider(n)
-		default:
+		if s.meetsObjective(now, &n, r) {
 			c.best.consider(n)
+		} else {
+			c.addOverloaded(now, &n, r)
 		}
 	}
-	c.decidePace(now, r)
 	return c
 }
 
-// decidePace decides what becomes of a request that would stop streams wherever it goes. It waits while it can still be on time. Then it
-// goes where it stops them least: a stream that pauses is late, a request that is never sent is lost.
-func (c *choice) decidePace(now clock.Time, r *Request) {
-	if c.found() || c.stopping.entry == nil {
-		return
-	}
-	if pace.MayHold(now, r.FirstEventDue, r.LatestStart, c.stopping.estimateMs) {
-		c.mayHold = true
-		return
-	}
-	c.best = c.stopping
-}
-
 // addOverloaded counts a holder that doesn't meet the objective.
 func (c *choice) addOverloaded(now clock.Time, n *candidate, r *Request) {
 	excess, share := n.waitMs-waitLimitMs(n, r, usedObjectiveShare), n.state.share(now)
@@ -230,7 +197,7 @@
 		s.estimateStream(now, &n, r)
 	} else {
 		n.estimateMs = u.gauge.ServiceMs(now, n.running)
-		n.costMs = n.estimateMs + s.variation(herdShare*n.estimateMs)
+		n.costMs = n.estimateMs
 		if e.Zone != s.zone {
 			n.costMs += crossZoneCallMs
 		}
@@ -239,36 +206,17 @@
 	return n
 }
 
-// variation returns a random cost up to a bound where other gateways choose among the same upstreams.
-func (s *Scheduler) variation(most float64) float64 {
-	if len(s.gateways) <= 1 {
-		return 0
-	}
-	return most * rand.Float64()
-}
-
-// estimateStream adds the expected times of a stream, its own and those of the streams that run at the engine.
+// estimateStream adds the expected time to the first event of an engine, and the cost of stopping the streams that run there.
 func (s *Scheduler) estimateStream(now clock.Time, n *candidate, r *Request) {
 	u := n.state
-	n.backlog = u.pendingPrefill + u.otherLoad.Backlog
-	n.waitMs = u.gauge.FirstEventMs(now, r.Model, n.backlog, 0, n.running)
 	rate := u.gauge.PrefillRate(now, r.Model)
+	n.backlog = u.pendingPrefill + s.othersBacklog(now, u, rate)
+	n.waitMs = u.gauge.FirstEventMs(now, r.Model, n.backlog, 0, n.running)
 	n.estimateMs = n.waitMs + float64(n.uncached)/rate
-	n.costMs = n.estimateMs + s.variation(min(herdMs, n.estimateMs-n.waitMs))
+	n.costMs = n.estimateMs + stopCostFactor*u.stops.Ms(now, u.gauge.EventMs(now, r.Model, n.running))
 	if n.entry.Zone != s.zone {
 		n.costMs += crossZoneMs
 	}
-	if r.Service.EventGapObjective <= 0 {
-		return
-	}
-	load := pace.Load{
-		Running: n.running, EventMs: u.gauge.EventMs(now, r.Model, n.running+1), Backlog: n.backlog, PrefillRate: rate,
-		MaxEventGap: r.Service.EventGapObjective,
-	}
-	n.excessMs = load.ExcessMs(n.uncached)
-	streams, paused := u.pauses.At(now)
-	share := pace.Share(streams+u.otherLoad.Streams, paused+u.otherLoad.Paused, s.pausedShares[u.gauge.Service()])
-	n.costMs += n.excessMs + latePenaltyMs*share
 }
 
 // consider keeps a candidate if it has the lowest cost. Equal costs are decided by ID.
--- a/sched/fleet_test.go
+++ b/sched/fleet_test.go
@@ -100,7 +100,7 @@
 				digests[i] = s.Loads(now)
 			}
 			if now%40 == 0 {
-				s.SetOtherLoads(now, sumOthers(digests, i), l.digestInterval)
+				s.SetOtherLoads(sumOthers(digests, i), l.digestInterval)
 				s.Dispatch(now)
 			}
 		}
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -13,7 +13,7 @@
 // that arrive would use the room for which a large one waits.
 func (s *Scheduler) mustQueue(now clock.Time, a *Attempt) bool {
 	return slices.ContainsFunc(s.queue, func(q *Attempt) bool {
-		return q.target() == a.target() && compareAttempts(q, a) <= 0 && now.Before(q.FirstEventDue) && len(q.Avoid) == 0 && !q.held
+		return q.target() == a.target() && compareAttempts(q, a) <= 0 && now.Before(q.FirstEventDue) && len(q.Avoid) == 0
 	})
 }
 
@@ -145,9 +145,8 @@
 	}
 	c := s.choose(now, &a.Request)
 	if !c.found() {
-		a.held = c.held()
-		// Other requests for the target may go to upstreams that this one avoids, or be small enough to stop no stream.
-		blocked[t] = len(a.Avoid) == 0 && !a.held
+		// Other requests for the target may go to upstreams that this one avoids.
+		blocked[t] = len(a.Avoid) == 0
 		return false
 	}
 	a.queued = false
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -42,8 +42,6 @@
 	Once, Resumable bool
 	// Begun is set if the request has run before, so that a refusal ends it without a whole answer.
 	Begun bool
-	// MaxEventGap is the objective for the pauses of the request's own stream; 0 is none.
-	MaxEventGap clock.Span
 	// Avoid lists upstreams that this request was sent to already.
 	Avoid []units.UpstreamID
 }
@@ -66,11 +64,9 @@
 	reservedTokens units.Tokens
 	// expected is what the time to the first event, or of a plain call, was expected from.
 	expected gauge.Start
-	// streams is set once the first event has arrived, counted once the stream counts among the pauses of its upstream.
-	streams, counted bool
-	queued           bool
-	// held is set while the request waits so that streams keep their pace.
-	held bool
+	// streams is set once the first event has arrived.
+	streams bool
+	queued  bool
 	// stopLimited is set if LatestStart is due to the stop of this gateway.
 	stopLimited bool
 }
@@ -112,9 +108,12 @@
 	running map[*Attempt]struct{}
 	// notices are what upstreams told this gateway.
 	notices *notice.Board
-	// gauges has what was learned of services, pausedShares the part of a service's streams that paused for too long.
-	gauges       gauge.Services
-	pausedShares map[*gauge.Service]float64
+	// gauges has what was learned of services.
+	gauges gauge.Services
+	// given are the prompt tokens sent to engines that other gateways were not told of.
+	given map[units.UpstreamID]units.Tokens
+	// othersToldAt is when another gateway last told of its prompts.
+	othersToldAt clock.Time
 }
 
 // ColdTolerance is the tolerance of the request rate of a cold upstream, over all gateways. In any
@@ -128,7 +127,7 @@
 	return &Scheduler{
 		zone: zone, coldTolerance: tolerance, process: s, snap: &view.Snapshot{},
 		upstreams: map[units.UpstreamID]*upstream{}, notices: notice.NewBoard(),
-		runs: runRecord{}, running: map[*Attempt]struct{}{}, gauges: gauge.Services{}, pausedShares: map[*gauge.Service]float64{},
+		runs: runRecord{}, running: map[*Attempt]struct{}{}, gauges: gauge.Services{}, given: map[units.UpstreamID]units.Tokens{},
 	}
 }
 
@@ -160,6 +159,7 @@
 	for id, u := range s.upstreams {
 		if _, ok := snap.Upstreams[id]; !ok && u.running == 0 {
 			delete(s.upstreams, id)
+			delete(s.given, id)
 		}
 	}
 	return s.Dispatch(now)
@@ -194,7 +194,7 @@
 		close(a.Ready)
 		return a
 	}
-	a.queued, a.held = true, c.held()
+	a.queued = true
 	at, _ := slices.BinarySearchFunc(s.queue, a, compareAttempts)
 	s.queue = slices.Insert(s.queue, at, a)
 	return a
@@ -237,7 +237,6 @@
 	u := c.state
 	a.Upstream, a.state, a.startedAt = c.entry, u, now
 	a.pendingPrefill, a.expected = c.uncached, u.gauge.Started(now, a.Model, c.backlog+c.uncached, c.running)
-	a.held = false
 	a.reservedTokens = a.Prompt + a.Output
 	s.running[a] = struct{}{}
 	u.running++
@@ -245,6 +244,9 @@
 	u.pendingPrefill += a.pendingPrefill
 	u.recordStart(now)
 	u.prefillCredit -= float64(c.uncached)
+	if a.Service.Engine != nil && c.uncached > 0 {
+		s.given[a.Upstream.ID] += c.uncached
+	}
 	u.recordPrefixes(now, a.Model, a.Adapter, a.PromptParts)
 	close(a.Ready)
 }
@@ -256,39 +258,24 @@
 	u.pendingPrefill -= a.pendingPrefill
 	a.pendingPrefill = 0
 	u.resetBackoff()
-	a.streams = true
+	if !a.streams {
+		a.streams = true
+		u.stops.Begin(now)
+	}
 	if a.Model != "" {
 		u.gauge.RecordFirstEvent(now, a.expected, now.Sub(a.startedAt))
 	}
 }
 
-// Gaps are times between events of a stream.
-type Gaps struct {
-	Count int
-	// Total is their sum, Longest the longest of them.
-	Total, Longest clock.Span
-}
-
-// Add adds the time in which a number of events arrived.
-func (g *Gaps) Add(events int, took clock.Span) {
-	g.Count += events
-	g.Total += took
-	g.Longest = max(g.Longest, took)
-}
-
-// RecordGaps records times between events of an answer that goes on.
-func (s *Scheduler) RecordGaps(now clock.Time, a *Attempt, g Gaps) {
+// RecordEvents records that a number of events of an answer arrived together, a time after those before.
+func (s *Scheduler) RecordEvents(now clock.Time, a *Attempt, events int, gap clock.Span) {
 	u := a.state
-	if g.Count <= 0 {
+	if events <= 0 || a.Model == "" {
 		return
 	}
-	if a.Model != "" {
-		u.gauge.RecordEvents(now, a.Model, u.running+u.otherLoad.Running, float64(g.Total)/float64(g.Count))
-	}
-	if a.MaxEventGap > 0 && g.Longest > a.MaxEventGap && !a.counted {
-		a.counted = true
-		u.pauses.Add(now, true)
-	}
+	running := u.running + u.otherLoad.Running
+	u.stops.Event(now, gap, u.gauge.EventMs(now, a.Model, running))
+	u.gauge.RecordEvents(now, a.Model, running, float64(gap)/float64(events))
 }
 
 // RecordReport records what the upstream of a started attempt says of its load in an answer.
@@ -296,17 +283,6 @@
 	a.state.gauge.RecordReport(now, gauge.Report{ReportedLoad: l, Own: a.state.running})
 }
 
-// recordEnd learns from an attempt that was served.
-func (u *upstream) recordEnd(now clock.Time, a *Attempt) {
-	switch {
-	case a.streams && a.MaxEventGap > 0 && !a.counted:
-		a.counted = true
-		u.pauses.Add(now, false)
-	case a.Service.Engine == nil && !a.streams:
-		u.gauge.RecordCall(now, a.expected, now.Sub(a.startedAt))
-	}
-}
-
 // RecordSilence records that the upstream of a started attempt has been silent for too long, although the attempt goes
 // on. New requests treat it as one whose connection failed.
 func (s *Scheduler) RecordSilence(now clock.Time, a *Attempt) { a.state.recordConnectionFailure(now) }
@@ -346,11 +322,14 @@
 	s.recordRun(now, a, o)
 	u := a.state
 	u.running--
+	if a.streams {
+		u.stops.End()
+	}
 	u.reservedTokens -= a.reservedTokens
 	u.pendingPrefill -= a.pendingPrefill
 	a.pendingPrefill = 0
-	if o == Served {
-		u.recordEnd(now, a)
+	if o == Served && a.Service.Engine == nil && !a.streams {
+		u.gauge.RecordCall(now, a.expected, now.Sub(a.startedAt))
 	}
 	u.recordOutcome(now, a, o)
 	return s.Dispatch(now)
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -36,7 +36,11 @@
 }
 
 func newScheduler(entries ...*view.Entry) *sched.Scheduler {
-	t := sched.New("zone-a", sched.ColdTolerance{Factor: 1.5, Slack: 5}, start.Start{})
+	return newZoneScheduler("zone-a", entries...)
+}
+
+func newZoneScheduler(z units.Zone, entries ...*view.Entry) *sched.Scheduler {
+	t := sched.New(z, sched.ColdTolerance{Factor: 1.5, Slack: 5}, start.Start{})
 	t.SetView(1, snapshot(entries...))
 	return t
 }
@@ -294,7 +298,7 @@
 	s := engine(64)
 	scheduler := newScheduler(entry("one", "zone-a", 64))
 	scheduler.Add(100, newRequest(s, 100))
-	scheduler.SetOtherLoads(100, map[units.UpstreamID]sched.Load{"one": {Upstream: "one", Running: 3, Tokens: 88_500}}, 200*clock.Millisecond)
+	scheduler.SetOtherLoads(map[units.UpstreamID]sched.Load{"one": {Upstream: "one", Running: 3, Tokens: 88_500}}, 200*clock.Millisecond)
 	a := scheduler.Add(100, newRequest(s, 100))
 	assert.Assert(t, a.Upstream == nil, "91,000 of 100,000 tokens would be used")
 }
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -41,6 +41,8 @@
 	reservedTokens units.Tokens
 	pendingPrefill units.Tokens
 	otherLoad      Load
+	// othersPrompts are the prompts that other gateways told of as they sent them.
+	othersPrompts pace.Prompts
 	// prefillCredit is the number of prompt tokens that this gateway may send, as of creditAt, while
 	// other gateways use the upstream too.
 	prefillCredit float64
@@ -49,8 +51,8 @@
 	wanted decayingRate
 	// gauge is what was learned of the upstream.
 	gauge *gauge.Upstream
-	// pauses counts the streams from here by whether they paused for too long.
-	pauses pace.Pauses
+	// stops is what the streams from here show of its batch.
+	stops pace.Stops
 	// failureRate is the moving average of failed attempts, from 0 to 1.
 	failureRate float64
 	// downUntil ends the backoff after failStreak connection failures in a row.
@@ -107,7 +109,7 @@
 		clear(u.prefixes)
 		u.downUntil, u.failStreak, u.failureRate, u.unreachableAt = 0, 0, 0, 0
 		u.gauge.Restart()
-		u.pauses = pace.Pauses{}
+		u.othersPrompts = pace.Prompts{}
 	}
 	if e.ColdFor == 0 && u.coldUntil != 0 && now.Sub(u.coldUntil.Add(-assumedColdTime)) > clock.Second {
 		u.coldUntil = 0
