sched, entry: count memory of requests that digests don't show yet

Messages about prompts also hold the memory that they need, and follow the dispatch of a tick at once instead of one tick later. What others are expected to have sent and not told yet stays free.

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -199,8 +199,8 @@
 	c.gateway.limiter.onTick(now)
 	c.gateway.relay.SetOtherLoads(c.otherLoads(), peers.DigestInterval(c.gatewayCount))
 	c.announceChanges(now)
-	c.tellPrompts(now)
 	c.gateway.relay.Tick()
+	c.tellPrompts(now)
 	c.orders.onTick(now)
 	if now.Sub(c.digestSentAt) >= peers.DigestInterval(c.gatewayCount) {
 		c.sendDigest(now)
--- a/entry/prompts.go
+++ b/entry/prompts.go
@@ -39,7 +39,7 @@
 func encodePrompts(given []sched.Given) *wire.Prompts {
 	m := &wire.Prompts{}
 	for _, g := range given {
-		m.Prompts = append(m.Prompts, &wire.Prompt{Upstream: hashUpstream(g.Upstream), Tokens: int64(g.Tokens)})
+		m.Prompts = append(m.Prompts, &wire.Prompt{Upstream: hashUpstream(g.Upstream), Tokens: int64(g.Tokens), Reserved: int64(g.Reserved)})
 	}
 	return m
 }
@@ -54,8 +54,8 @@
 	}
 	given := make([]sched.Given, 0, len(m.GetPrompts()))
 	for _, w := range m.GetPrompts() {
-		if id, ok := p.ids[w.GetUpstream()]; ok && w.GetTokens() > 0 {
-			given = append(given, sched.Given{Upstream: id, Tokens: units.Tokens(w.GetTokens())})
+		if id, ok := p.ids[w.GetUpstream()]; ok && w.GetTokens() >= 0 && w.GetReserved() >= 0 {
+			given = append(given, sched.Given{Upstream: id, Tokens: units.Tokens(w.GetTokens()), Reserved: units.Tokens(w.GetReserved())})
 		}
 	}
 	return given
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -70,3 +70,26 @@
 	}
 	return max(stopped, 0)
 }
+
+// Fresh is an amount that other gateways told of and that their digests don't show yet. The zero value stands for none.
+type Fresh struct {
+	amount float64
+	at     clock.Time
+}
+
+// Add adds an amount; gateways send digests once in an interval.
+func (f *Fresh) Add(now clock.Time, amount units.Tokens, interval clock.Span) {
+	f.amount, f.at = f.left(now, interval)+float64(amount), now
+}
+
+// Left returns the amount that digests don't show yet, on average: those of all gateways have come after an interval.
+func (f *Fresh) Left(now clock.Time, interval clock.Span) units.Tokens {
+	return units.Tokens(f.left(now, interval))
+}
+
+func (f *Fresh) left(now clock.Time, interval clock.Span) float64 {
+	if f.amount <= 0 {
+		return 0
+	}
+	return f.amount * math.Exp(-float64(max(now.Sub(f.at), 0))/float64(max(interval, 1)))
+}
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -17,12 +17,11 @@
 	// failurePenaltyMs is the cost added at a failure rate of 1; it is scaled by the upstream's
 	// failure rate.
 	failurePenaltyMs = 600.0
-	// stopCostFactor is the cost of a millisecond for which streams have just stopped, in milliseconds of the time to the first event. It is
-	// above 1, as a first event that comes later costs nothing within its objective, and a prompt at such an engine stops streams again.
-	stopCostFactor = 2.0
 	// maxMemoryShare is the share of an engine's memory that is reserved for requests; the rest
 	// absorbs answers longer than estimated.
 	maxMemoryShare = 0.9
+	// maxUnheardShare is the largest share that is kept free for what other gateways have sent and not told of yet.
+	maxUnheardShare = 0.1
 	// plainQueuePerSlot is the number of requests per slot that may queue at a plain upstream.
 	plainQueuePerSlot = 1.5
 )
@@ -158,8 +157,9 @@
 	if running >= max(e.Slots, 1) {
 		return false
 	}
-	used := u.reservedTokens + u.otherLoad.Tokens + r.Prompt + r.Output
-	return float64(used) <= maxMemoryShare*float64(r.Service.Engine.MemoryTokens) || running == 0
+	memory := float64(r.Service.Engine.MemoryTokens)
+	used := float64(u.reservedTokens + s.othersTokens(now, u) + r.Prompt + r.Output)
+	return used+min(s.unheardTokens(now, u, r), maxUnheardShare*memory) <= maxMemoryShare*memory || running == 0
 }
 
 // withinColdLimit reports whether one more request keeps this gateway's part of the request rate of a
@@ -213,7 +213,7 @@
 	n.backlog = u.pendingPrefill + s.othersBacklog(now, u, rate)
 	n.waitMs = u.gauge.FirstEventMs(now, r.Model, n.backlog, 0, n.running)
 	n.estimateMs = n.waitMs + float64(n.uncached)/rate
-	n.costMs = n.estimateMs + stopCostFactor*u.stops.Ms(now, u.gauge.EventMs(now, r.Model, n.running))
+	n.costMs = n.estimateMs + u.stops.Ms(now, u.gauge.EventMs(now, r.Model, n.running))
 	if n.entry.Zone != s.zone {
 		n.costMs += crossZoneMs
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -110,8 +110,8 @@
 	notices *notice.Board
 	// gauges has what was learned of services.
 	gauges gauge.Services
-	// given are the prompt tokens sent to engines that other gateways were not told of.
-	given map[units.UpstreamID]units.Tokens
+	// given is what was sent to engines that other gateways were not told of.
+	given map[units.UpstreamID]Given
 	// othersToldAt is when another gateway last told of its prompts.
 	othersToldAt clock.Time
 }
@@ -127,7 +127,7 @@
 	return &Scheduler{
 		zone: zone, coldTolerance: tolerance, process: s, snap: &view.Snapshot{},
 		upstreams: map[units.UpstreamID]*upstream{}, notices: notice.NewBoard(),
-		runs: runRecord{}, running: map[*Attempt]struct{}{}, gauges: gauge.Services{}, given: map[units.UpstreamID]units.Tokens{},
+		runs: runRecord{}, running: map[*Attempt]struct{}{}, gauges: gauge.Services{}, given: map[units.UpstreamID]Given{},
 	}
 }
 
@@ -244,9 +244,7 @@
 	u.pendingPrefill += a.pendingPrefill
 	u.recordStart(now)
 	u.prefillCredit -= float64(c.uncached)
-	if a.Service.Engine != nil && c.uncached > 0 {
-		s.given[a.Upstream.ID] += c.uncached
-	}
+	s.recordGiven(a, c.uncached)
 	u.recordPrefixes(now, a.Model, a.Adapter, a.PromptParts)
 	close(a.Ready)
 }
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -43,6 +43,8 @@
 	otherLoad      Load
 	// othersPrompts are the prompts that other gateways told of as they sent them.
 	othersPrompts pace.Prompts
+	// othersReserved is the memory that these need, until digests show it.
+	othersReserved pace.Fresh
 	// prefillCredit is the number of prompt tokens that this gateway may send, as of creditAt, while
 	// other gateways use the upstream too.
 	prefillCredit float64
@@ -109,7 +111,7 @@
 		clear(u.prefixes)
 		u.downUntil, u.failStreak, u.failureRate, u.unreachableAt = 0, 0, 0, 0
 		u.gauge.Restart()
-		u.othersPrompts = pace.Prompts{}
+		u.othersPrompts, u.othersReserved = pace.Prompts{}, pace.Fresh{}
 	}
 	if e.ColdFor == 0 && u.coldUntil != 0 && now.Sub(u.coldUntil.Add(-assumedColdTime)) > clock.Second {
 		u.coldUntil = 0
