--- a/entry/controller.go
+++ b/entry/controller.go
@@ -51,6 +51,7 @@
 	residencyChanges []residencyChange
 	// prompts tells the other gateways of prompts sent to engines.
 	prompts promptTeller
+	learned learnedPublisher
 	// announcedAt is when this gateway last announced changes to the others.
 	announcedAt clock.Time
 }
@@ -82,6 +83,8 @@
 		case <-t.C:
 			c.onTick()
 			c.publishLeadership()
+		case <-c.gateway.prompted:
+			c.tellPrompts(c.gateway.clock.Now())
 		}
 	}
 }
@@ -201,6 +204,7 @@
 	c.announceChanges(now)
 	c.gateway.relay.Tick()
 	c.tellPrompts(now)
+	c.learned.publish(now, c.gateway.relay.Learned)
 	c.orders.onTick(now)
 	if now.Sub(c.digestSentAt) >= peers.DigestInterval(c.gatewayCount) {
 		c.sendDigest(now)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,6 +69,8 @@
 	keyValidity     keyValidity
 	demand          demandMeter
 	inbox           chan message
+	// prompted receives a value when a prompt was assigned to an engine.
+	prompted chan struct{}
 	// leaderUntil is the clock.Time until which this gateway is the leader; 0 if it is not.
 	leaderUntil atomic.Int64
 	// storeWatch is nil until the gateways are known.
@@ -86,7 +88,7 @@
 func New(settings *platform.Settings) (*Gateway, error) {
 	g := &Gateway{
 		settings: settings, clock: clock.Boot{}, store: platform.NewStore(settings.StoreAddress),
-		inbox: make(chan message, inboxSize), incarnation: rand.Uint64(),
+		inbox: make(chan message, inboxSize), prompted: make(chan struct{}, 1), incarnation: rand.Uint64(),
 		demand: demandMeter{meter: assign.NewMeter()}, background: context.Background(),
 	}
 	tolerance := quota.Tolerance{Rate: settings.Bounds.QuotaOvershoot, Tokens: settings.Bounds.QuotaSlack}
@@ -119,6 +121,7 @@
 		OnModelUse: func(s units.ServiceID, m units.ModelID, adapter string, work float64) {
 			g.demand.recordWork(g.clock.Now(), assign.Target{Service: s, Model: m, Adapter: adapter}, work)
 		},
+		OnPrompt: g.promptSent,
 	})
 	g.requestVerdicts = parts.NewVerdictKeeper(g.clock, g.relay.Verdicts(), verdictStore{g.store})
 	g.bounds.Store(&settings.Bounds)
--- a/entry/prompts.go
+++ b/entry/prompts.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// minTellInterval and tellIntervalPerGateway are the parts of the interval in which a gateway tells the others of its prompts, so
-	// that none receives more than 500 such messages a second.
-	minTellInterval        = 40 * clock.Millisecond
-	tellIntervalPerGateway = 2 * clock.Millisecond
+	// minTellInterval and tellIntervalPerGateway bound how often a gateway tells the others of its prompts, so that none receives
+	// more than 1,000 such messages a second. It tells of a prompt at once unless it has just told of another.
+	minTellInterval        = 10 * clock.Millisecond
+	tellIntervalPerGateway = clock.Millisecond
 	// maxTellInterval is the interval from which on prompts are not told: they would be read long before.
-	maxTellInterval = 400 * clock.Millisecond
+	maxTellInterval = 200 * clock.Millisecond
 )
 
 // promptTeller tells other gateways of the prompts that this one sends to engines, long before the next digest.
@@ -78,3 +78,11 @@
 	}
 	c.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_Prompts{Prompts: encodePrompts(given)}}, to...)
 }
+
+// promptSent asks the control loop to tell of a prompt. It does not block.
+func (g *Gateway) promptSent() {
+	select {
+	case g.prompted <- struct{}{}:
+	default:
+	}
+}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -96,8 +96,6 @@
 	ColdRate float64
 	// FirstEventObjective is the shortest latency objective of the service's streams; 0 is none.
 	FirstEventObjective clock.Span
-	// EventGapObjective is the shortest objective for the pauses of the service's streams; 0 is none.
-	EventGapObjective clock.Span
 	// Engine is nil for plain services.
 	Engine *Engine
 }
@@ -148,22 +146,12 @@
 // ShortestObjective returns the shortest latency objective of the streams whose routes lead to the
 // service; 0 if there is none.
 func (c *Config) ShortestObjective(service units.ServiceID) clock.Span {
-	return c.shortest(service, func(r *Route) clock.Span { return r.TargetLatency })
-}
-
-// ShortestEventGap returns the shortest objective for the pauses of the streams whose routes lead to the service; 0 if
-// there is none.
-func (c *Config) ShortestEventGap(service units.ServiceID) clock.Span {
-	return c.shortest(service, func(r *Route) clock.Span { return r.MaxEventGap })
-}
-
-func (c *Config) shortest(service units.ServiceID, objective func(r *Route) clock.Span) clock.Span {
 	shortest := clock.Span(0)
 	for _, routes := range c.routes {
 		for _, r := range routes {
 			leads := slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service })
-			if o := objective(r); r.Stream && leads && o > 0 && (shortest == 0 || o < shortest) {
-				shortest = o
+			if r.Stream && leads && r.TargetLatency > 0 && (shortest == 0 || r.TargetLatency < shortest) {
+				shortest = r.TargetLatency
 			}
 		}
 	}
--- a/gauge/upstream.go
+++ b/gauge/upstream.go
@@ -91,6 +91,11 @@
 // Limit returns how many requests at once the upstream takes well, over all gateways.
 func (u *Upstream) Limit() int { return int(u.limit.value(u.slots)) }
 
+// Known reports whether answers told something of the upstream lately.
+func (u *Upstream) Known(now clock.Time) bool {
+	return max(u.first.weight(now), u.events.weight(now), u.calls.weight(now)) > minWeight
+}
+
 // Start is what the time of a request was expected from.
 type Start struct {
 	Model units.ModelID
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -303,6 +303,9 @@
 		x.refuseUnplaced(scheduled.Refused)
 		return nil
 	}
+	if x.service.Engine != nil && x.server.OnPrompt != nil {
+		x.server.OnPrompt()
+	}
 	return scheduled
 }
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -34,7 +34,7 @@
 	Refund(c *fleet.Customer, tokens float64)
 }
 
-// Options are the dependencies and limits of a Server. All fields but Start, Parts, OnVerdict, SendTimeout and BodyBudget are required; the
+// Options are the dependencies and limits of a Server. All fields but Start, Parts, OnVerdict, OnPrompt, SendTimeout and BodyBudget are required; the
 // functions are called from concurrent requests.
 type Options struct {
 	Clock clock.Clock
@@ -65,6 +65,8 @@
 	// OnModelUse is called for each request that names a model, with its work as estimated by
 	// assign.Work.
 	OnModelUse func(s units.ServiceID, m units.ModelID, adapter string, work float64)
+	// OnPrompt is called after a prompt was assigned to an engine; may be nil.
+	OnPrompt func()
 }
 
 // Server is the http.Handler for callers. Its methods are safe for concurrent use.
@@ -191,6 +193,13 @@
 	s.Scheduler.RecordGiven(s.Clock.Now(), given)
 }
 
+// Learned returns what was learned of at most a number of upstreams.
+func (s *Server) Learned(most int) []sched.Learned {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Scheduler.Learned(s.Clock.Now(), most)
+}
+
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
