--- a/relay/server.go
+++ b/relay/server.go
@@ -34,7 +34,7 @@
 	Refund(c *fleet.Customer, tokens float64)
 }
 
-// Options are the dependencies and limits of a Server. All fields but Start, Parts, OnVerdict, SendTimeout and BodyBudget are required; the
+// Options are the dependencies and limits of a Server. All fields but Start, Parts, OnVerdict, OnPrompt, SendTimeout and BodyBudget are required; the
 // functions are called from concurrent requests.
 type Options struct {
 	Clock clock.Clock
@@ -67,6 +67,8 @@
 	OnModelUse func(s units.ServiceID, m units.ModelID, adapter string, work float64)
 	// OnBegin is called once for each request of a customer that an upstream began to run, with when that was; may be nil.
 	OnBegin func(c units.CustomerID, at clock.Time)
+	// OnPrompt is called after a prompt was assigned to an engine; may be nil.
+	OnPrompt func()
 }
 
 // Server is the http.Handler for callers. Its methods are safe for concurrent use.
@@ -186,6 +188,27 @@
 	s.Scheduler.Dispatch(s.Clock.Now())
 }
 
+// TakeGiven returns the prompts that this gateway sent to engines since the last call.
+func (s *Server) TakeGiven() []sched.Given {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Scheduler.TakeGiven()
+}
+
+// RecordGiven records prompts that another gateway has just sent to engines.
+func (s *Server) RecordGiven(given []sched.Given) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Scheduler.RecordGiven(s.Clock.Now(), given)
+}
+
+// Learned returns what was learned of at most a number of upstreams.
+func (s *Server) Learned(most int) []sched.Learned {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Scheduler.Learned(s.Clock.Now(), most)
+}
+
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -10,6 +10,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/gauge"
 	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/notice"
 	"github.com/magnolialever/magnolialever/start"
@@ -61,8 +62,11 @@
 	// pendingPrefill is the uncached part of the prompt until the first event, then 0.
 	pendingPrefill units.Tokens
 	reservedTokens units.Tokens
-	expectedMs     float64
-	queued         bool
+	// expected is what the time to the first event, or of a plain call, was expected from.
+	expected gauge.Start
+	// streams is set once the first event has arrived.
+	streams bool
+	queued  bool
 	// addedAt is when the request was added.
 	addedAt clock.Time
 	// stopLimited is set if LatestStart is due to the stop of this gateway.
@@ -108,6 +112,12 @@
 	running map[*Attempt]struct{}
 	// notices are what upstreams told this gateway.
 	notices *notice.Board
+	// gauges has what was learned of services.
+	gauges gauge.Services
+	// given is what was sent to engines that other gateways were not told of.
+	given map[units.UpstreamID]Given
+	// othersToldAt is when another gateway last told of its prompts.
+	othersToldAt clock.Time
 }
 
 // ColdTolerance is the tolerance of the request rate of a cold upstream, over all gateways. In any
@@ -121,7 +131,8 @@
 	return &Scheduler{
 		zone: zone, coldTolerance: tolerance, process: s, snap: &view.Snapshot{},
 		upstreams: map[units.UpstreamID]*upstream{}, notices: notice.NewBoard(),
-		runs: runRecord{}, running: map[*Attempt]struct{}{}, returns: returnBook{},
+		runs: runRecord{}, running: map[*Attempt]struct{}{}, gauges: gauge.Services{}, given: map[units.UpstreamID]Given{},
+		returns: returnBook{},
 	}
 }
 
@@ -144,6 +155,7 @@
 	s.snap = snap
 	for id, e := range snap.Upstreams {
 		u := s.upstream(id)
+		u.gauge.Describe(s.gauges.Get(e.Service), e.Slots)
 		before, existed := old.Upstreams[id]
 		if !existed || before.ProcessStart != e.ProcessStart || before.ReceivedAt != e.ReceivedAt {
 			u.updateDescription(now, e, existed && before.ProcessStart != e.ProcessStart)
@@ -152,6 +164,7 @@
 	for id, u := range s.upstreams {
 		if _, ok := snap.Upstreams[id]; !ok && u.running == 0 {
 			delete(s.upstreams, id)
+			delete(s.given, id)
 		}
 	}
 	return s.Dispatch(now)
@@ -160,7 +173,7 @@
 func (s *Scheduler) upstream(id units.UpstreamID) *upstream {
 	u, ok := s.upstreams[id]
 	if !ok {
-		u = newUpstream(id)
+		u = newUpstream(id, s.gauges.Get(""))
 		s.upstreams[id] = u
 	}
 	return u
@@ -229,7 +242,7 @@
 func (s *Scheduler) start(now clock.Time, a *Attempt, c candidate) {
 	u := c.state
 	a.Upstream, a.state, a.startedAt = c.entry, u, now
-	a.pendingPrefill, a.expectedMs = c.uncached, c.estimateMs
+	a.pendingPrefill, a.expected = c.uncached, u.gauge.Started(now, a.Model, c.backlog+c.uncached, c.running)
 	a.reservedTokens = a.Prompt + a.Output
 	s.running[a] = struct{}{}
 	s.returns.recordStart(now, a.target())
@@ -238,6 +251,7 @@
 	u.pendingPrefill += a.pendingPrefill
 	u.recordStart(now)
 	u.prefillCredit -= float64(c.uncached)
+	s.recordGiven(a, c.uncached)
 	u.recordPrefixes(now, a.Model, a.Adapter, a.PromptParts)
 	close(a.Ready)
 }
@@ -249,9 +263,29 @@
 	u.pendingPrefill -= a.pendingPrefill
 	a.pendingPrefill = 0
 	u.resetBackoff()
+	if !a.streams {
+		a.streams = true
+		u.stops.Begin(now)
+	}
 	if a.Model != "" {
-		u.slowdown.observe(float64(now.Sub(a.startedAt)), a.expectedMs)
+		u.gauge.RecordFirstEvent(now, a.expected, now.Sub(a.startedAt))
+	}
+}
+
+// RecordEvents records that a number of events of an answer arrived together, a time after those before.
+func (s *Scheduler) RecordEvents(now clock.Time, a *Attempt, events int, gap clock.Span) {
+	u := a.state
+	if events <= 0 || a.Model == "" {
+		return
 	}
+	running := u.running + u.otherLoad.Running
+	u.stops.Event(now, gap, u.gauge.EventMs(now, a.Model, running))
+	u.gauge.RecordEvents(now, a.Model, running, float64(gap)/float64(events))
+}
+
+// RecordReport records what the upstream of a started attempt says of its load in an answer.
+func (s *Scheduler) RecordReport(now clock.Time, a *Attempt, l fleet.ReportedLoad) {
+	a.state.gauge.RecordReport(now, gauge.Report{ReportedLoad: l, Own: a.state.running})
 }
 
 // RecordSilence records that the upstream of a started attempt has been silent for too long, although the attempt goes
@@ -293,9 +327,15 @@
 	s.recordRun(now, a, o)
 	u := a.state
 	u.running--
+	if a.streams {
+		u.stops.End()
+	}
 	u.reservedTokens -= a.reservedTokens
 	u.pendingPrefill -= a.pendingPrefill
 	a.pendingPrefill = 0
+	if o == Served && a.Service.Engine == nil && !a.streams {
+		u.gauge.RecordCall(now, a.expected, now.Sub(a.startedAt))
+	}
 	u.recordOutcome(now, a, o)
 	return s.Dispatch(now)
 }
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -36,7 +36,11 @@
 }
 
 func newScheduler(entries ...*view.Entry) *sched.Scheduler {
-	t := sched.New("zone-a", sched.ColdTolerance{Factor: 1.5, Slack: 5}, start.Start{})
+	return newZoneScheduler("zone-a", entries...)
+}
+
+func newZoneScheduler(z units.Zone, entries ...*view.Entry) *sched.Scheduler {
+	t := sched.New(z, sched.ColdTolerance{Factor: 1.5, Slack: 5}, start.Start{})
 	t.SetView(1, snapshot(entries...))
 	return t
 }
