--- a/entry/controller.go
+++ b/entry/controller.go
@@ -51,6 +51,9 @@
 	// residencyChanges are recent loads and unloads that the upstreams' descriptions may not show
 	// yet.
 	residencyChanges []residencyChange
+	// prompts tells the other gateways of prompts sent to engines.
+	prompts promptTeller
+	learned learnedPublisher
 	// announcedAt is when this gateway last announced changes to the others.
 	announcedAt clock.Time
 }
@@ -83,6 +86,8 @@
 		case <-t.C:
 			c.onTick()
 			c.publishLeadership()
+		case <-c.gateway.prompted:
+			c.tellPrompts(c.gateway.clock.Now())
 		}
 	}
 }
@@ -115,6 +120,8 @@
 		c.handleFullRead(now, m.keys)
 	case digestReceived:
 		c.handleDigest(now, m.digest)
+	case promptsTold:
+		c.gateway.relay.RecordGiven(c.prompts.decode(c.snapshot, m.prompts))
 	case residencyChanged:
 		c.mergeResidencyChanges(now, m.changes)
 	case targetMissed:
@@ -208,6 +215,8 @@
 	c.gateway.relay.SetOtherLoads(c.otherLoads(), peers.DigestInterval(c.gatewayCount))
 	c.announceChanges(now)
 	c.gateway.relay.Tick()
+	c.tellPrompts(now)
+	c.learned.publish(now, c.gateway.relay.Learned)
 	c.orders.onTick(now)
 	c.duties.onTick(now)
 	if now.Sub(c.digestSentAt) >= peers.DigestInterval(c.gatewayCount) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -70,6 +70,8 @@
 	keyValidity     keyValidity
 	demand          demandMeter
 	inbox           chan message
+	// prompted receives a value when a prompt was assigned to an engine.
+	prompted chan struct{}
 	// leaderUntil is the clock.Time until which this gateway is the leader; 0 if it is not.
 	leaderUntil atomic.Int64
 	// leaderEpoch is the units.Epoch of that.
@@ -91,7 +93,7 @@
 func New(settings *platform.Settings) (*Gateway, error) {
 	g := &Gateway{
 		settings: settings, clock: clock.Boot{}, store: platform.NewStore(settings.StoreAddress),
-		inbox: make(chan message, inboxSize), incarnation: rand.Uint64(),
+		inbox: make(chan message, inboxSize), prompted: make(chan struct{}, 1), incarnation: rand.Uint64(),
 		demand: demandMeter{meter: assign.NewMeter()}, background: context.Background(),
 	}
 	tolerance := quota.Tolerance{Rate: settings.Bounds.QuotaOvershoot, Tokens: settings.Bounds.QuotaSlack}
@@ -127,6 +129,7 @@
 		OnModelUse: func(s units.ServiceID, m units.ModelID, adapter string, work float64) {
 			g.demand.recordWork(g.clock.Now(), assign.Target{Service: s, Model: m, Adapter: adapter}, work)
 		},
+		OnPrompt: g.promptSent,
 	})
 	if g.usage != nil {
 		g.relay.OnBegin = func(c units.CustomerID, at clock.Time) { g.usage.Record(g.clock.Now(), at, c) }
@@ -192,6 +195,8 @@
 	digestReceived struct{ digest peers.Digest }
 	// residencyChanged has loads and unloads that the leader has ordered.
 	residencyChanged struct{ changes []*wire.Residency }
+	// promptsTold has prompts that another gateway has sent to engines.
+	promptsTold struct{ prompts *wire.Prompts }
 )
 
 // post sends a message to the control loop and blocks while its inbox is full. Messages are dropped
@@ -210,6 +215,10 @@
 		g.post(residencyChanged{changes.GetChanges()})
 		return
 	}
+	if prompts := m.GetPrompts(); prompts != nil {
+		g.post(promptsTold{prompts})
+		return
+	}
 	if changes := m.GetStoreChanges(); changes != nil {
 		g.feed.Deliver(g.receiveChanges(changes, from))
 		return
