platform, elect, feed: epochs that grow when the store comes back older

The epoch of a leader was the revision at which it took its key. A store that comes back from an older copy gives out revisions again, so that a later leader had a lower epoch (5 after 48 in TestEpochsGrowWhenStoreReturnsOlder), renewed a lease that another gateway had got under the same number, and followed watches from revisions with other content.

Revisions hold the store's era (header Store-Era) above their low 40 bits (package epoch); without the header they are those of today. Calls that refer to an earlier era fail, late answers of one are ignored. At a new era a gateway gives up leadership, writes its registration again, reads everything and keeps what is missing until others have had the time to write it again; it tells the other gateways at once. A new leader waits until any lease of the era before has ended.

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/feed"
 	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/peers"
@@ -107,7 +108,9 @@
 	case itemReceived:
 		c.handleItem(now, m)
 	case fullReadDone:
-		c.handleFullRead(now, m.keys)
+		c.handleFullRead(now, m.read)
+	case eraBegan:
+		c.beginEra(now, m.era)
 	case digestReceived:
 		c.handleDigest(now, m.digest)
 	case residencyChanged:
@@ -162,18 +165,21 @@
 }
 
 // handleFullRead removes gateways whose keys a full read did not return, and records that there is
-// no leader if its key is missing.
-func (c *controller) handleFullRead(now clock.Time, keys map[string]bool) {
+// no leader if its key is missing. A store that came back from an older copy may lack gateways that run; they register again.
+func (c *controller) handleFullRead(now clock.Time, r feed.FullRead) {
+	if !r.Keys[leaderKey] {
+		c.orders.elector.RecordHolder(now, r.Revision, "")
+	}
+	if r.Settling {
+		return
+	}
 	listed := map[units.VMID]bool{c.gateway.settings.VM: true}
-	for k := range keys {
+	for k := range r.Keys {
 		if vm, ok := member.ParseKey(k); ok {
 			listed[vm] = true
 		}
 	}
 	c.members.RemoveUnlisted(now, listed)
-	if !keys[leaderKey] {
-		c.orders.elector.RecordHolder(now, c.snapshot.Revision, "")
-	}
 }
 
 // handleDigest merges the crash suspects and parts of another gateway, and plans soon if that gateway had misses.
@@ -305,6 +311,7 @@
 	d := &wire.Digest{
 		Vm: string(c.gateway.settings.VM), Life: c.gateway.incarnation, Number: c.digestNumber, Zone: string(c.gateway.settings.Zone),
 		Config: c.configVersion(), ConfirmedMs: confirmationAge(now, c.confirmedAt), SentMs: int64(now), Leaving: c.draining,
+		Era: int64(c.gateway.store.Era()),
 	}
 	for _, l := range c.gateway.relay.Loads() {
 		d.Shares = append(d.Shares, encodeLoad(l))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"github.com/magnolialever/magnolialever/assign"
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/epoch"
 	"github.com/magnolialever/magnolialever/feed"
 	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/parts"
@@ -71,6 +72,10 @@
 	inbox           chan message
 	// leaderUntil is the clock.Time until which this gateway is the leader; 0 if it is not.
 	leaderUntil atomic.Int64
+	// heardEra is the latest epoch.Era that another gateway has told of.
+	heardEra atomic.Int64
+	// register receives a value when the registration has to be written again.
+	register chan struct{}
 	// storeWatch is nil until the gateways are known.
 	storeWatch atomic.Pointer[storeWatch]
 	// incarnation is a random number that identifies this run of the process.
@@ -86,7 +91,7 @@
 func New(settings *platform.Settings) (*Gateway, error) {
 	g := &Gateway{
 		settings: settings, clock: clock.Boot{}, store: platform.NewStore(settings.StoreAddress),
-		inbox: make(chan message, inboxSize), incarnation: rand.Uint64(),
+		inbox: make(chan message, inboxSize), register: make(chan struct{}, 1), incarnation: rand.Uint64(),
 		demand: demandMeter{meter: assign.NewMeter()}, background: context.Background(),
 	}
 	tolerance := quota.Tolerance{Rate: settings.Bounds.QuotaOvershoot, Tokens: settings.Bounds.QuotaSlack}
@@ -122,11 +127,15 @@
 	})
 	g.requestVerdicts = parts.NewVerdictKeeper(g.clock, g.relay.Verdicts(), verdictStore{g.store})
 	g.bounds.Store(&settings.Bounds)
+	g.store.OnEra = g.beginEra
 	g.store.OnCall = func(_ string, elapsed clock.Span, _ error) { storeCallTime.Record(elapsed.Duration()) }
 	transport, err := peers.Listen(peers.Options{
 		Clock: g.clock, VM: settings.VM, Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
-		Life:      g.incarnation,
-		OnDigest:  func(d peers.Digest) { g.post(digestReceived{d}) },
+		Life: g.incarnation,
+		OnDigest: func(d peers.Digest) {
+			g.hearEra(d.GetEra())
+			g.post(digestReceived{d})
+		},
 		OnMessage: g.handleMessage,
 	})
 	if err != nil {
@@ -138,7 +147,7 @@
 		OnChange:    func(s *view.Snapshot) { g.post(viewChanged{s}) },
 		OnConfirm:   func(at clock.Time) { g.post(storeConfirmed{at}) },
 		OnOtherItem: func(i platform.Item) { g.post(itemReceived{i}) },
-		OnFullRead:  func(keys map[string]bool) { g.post(fullReadDone{keys}) },
+		OnFullRead:  func(r feed.FullRead) { g.post(fullReadDone{r}) },
 		Pause:       g.watchPause,
 		OnBatch:     g.sendChanges,
 
@@ -175,8 +184,10 @@
 	storeConfirmed struct{ at clock.Time }
 	// itemReceived has an item of the store that is not part of the view.
 	itemReceived struct{ item platform.Item }
-	// fullReadDone has all keys of the store after a full read.
-	fullReadDone struct{ keys map[string]bool }
+	// fullReadDone means that all items of the store were read.
+	fullReadDone struct{ read feed.FullRead }
+	// eraBegan means that the store came back from an older copy, or that its first era is known.
+	eraBegan struct{ era epoch.Era }
 	// digestReceived has a digest from another gateway.
 	digestReceived struct{ digest peers.Digest }
 	// residencyChanged has loads and unloads that the leader has ordered.
@@ -203,6 +214,10 @@
 		g.feed.Deliver(g.receiveChanges(changes, from))
 		return
 	}
+	if m.GetEraNotice() != nil {
+		g.hearEra(m.GetEraNotice().GetEra())
+		return
+	}
 	if m.GetPart() != nil {
 		g.partExchange.Handle(m.GetPart(), parts.Sender{Address: from.String()})
 		return
@@ -289,4 +304,4 @@
 }
 
 // noLease stands for no lease.
-const noLease = platform.LeaseID(0)
+var noLease platform.LeaseID
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -9,6 +9,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/elect"
+	"github.com/magnolialever/magnolialever/epoch"
 	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/units"
@@ -70,7 +71,31 @@
 	}
 	o.lease, o.ttl, o.renewedAt = m.lease, m.ttl, m.startedAt
 	o.elector.Acquired(now, m.startedAt, m.epoch, m.ttl)
-	klog.InfoS("entry: duty taken", "epoch", m.epoch)
+	klog.InfoS("entry: duty taken", "epoch", m.epoch, "era", epoch.OfEpoch(m.epoch), "held", o.elector.Holds(now))
+}
+
+// beginEra gives up leadership when the store has come back from an older copy.
+func (o *orderManager) beginEra(now clock.Time, era epoch.Era) {
+	if o.elector.Holds(now) {
+		klog.InfoS("entry: duty lost", "err", platform.ErrNewEra)
+	}
+	o.elector.BeginEra(now, era)
+}
+
+// removeStrayKey removes the leader's key if it names this gateway although it can't be the leader.
+func (o *orderManager) removeStrayKey(now clock.Time) {
+	revision, ok := o.elector.StrayKey(now, max(elect.LeaseTTL, o.gateway.settings.MinLeaseTTL))
+	if !ok || now.Sub(o.strayRemovedAt) < acquireRetryDelay {
+		return
+	}
+	o.strayRemovedAt = now
+	klog.InfoS("entry: removing a leader's key without a leader", "revision", revision)
+	o.gateway.startCall(func(ctx context.Context) {
+		txn := platform.Txn{If: []platform.Condition{{Key: leaderKey, Revision: revision}}, Delete: []string{leaderKey}}
+		if _, err := o.gateway.store.Commit(ctx, txn); err != nil {
+			klog.InfoS("entry: leader's key not removed", "err", err)
+		}
+	})
 }
 
 // renewLease renews the leader's lease. The result is a leaseRenewed message.
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -95,6 +95,8 @@
 	planRequested bool
 	planCost      clock.Span
 	client        *platform.OrderClient
+	// strayRemovedAt is when the removal of a stray key of the leader was last tried.
+	strayRemovedAt clock.Time
 	// draining is set from the beginning of a planned stop; the gateway then stays out of
 	// elections.
 	draining bool
@@ -102,10 +104,13 @@
 
 func newOrderManager(g *Gateway, c *controller) *orderManager {
 	ledger := assign.NewLedger()
+	elector := elect.New(g.settings.VM, g.settings.Bounds.LeaseTTL, g.settings.Bounds.Fenced)
+	if g.settings.FirstStart {
+		elector.SetFirstStart()
+	}
 	return &orderManager{
-		gateway: g, controller: c,
-		elector: elect.New(g.settings.VM, g.settings.Bounds.LeaseTTL, g.settings.Bounds.Fenced),
-		ledger:  ledger, planner: assign.NewPlanner(ledger), client: platform.NewOrderClient(platform.OrderOptions{
+		gateway: g, controller: c, elector: elector,
+		ledger: ledger, planner: assign.NewPlanner(ledger), client: platform.NewOrderClient(platform.OrderOptions{
 			IsLeader: g.isLeader, Accepts: g.relay.Accepts, OnNotice: g.relay.RecordNotice,
 		}),
 	}
@@ -124,6 +129,7 @@
 	default:
 		o.vacantSince = now
 	}
+	o.removeStrayKey(now)
 	if o.planDue(now) {
 		o.plan(now)
 	}
@@ -243,7 +249,7 @@
 		"adapter", m.order.Adapter, "expected", m.order.ExpectedOrders, "epoch", m.epoch, "begun", m.started, "err", m.err)
 	o.ledger.ApplyResult(now, m.order, result)
 	if errors.Is(m.err, platform.ErrStaleEpoch) {
-		o.elector.Lost(o.gateway.clock.Now())
+		o.elector.Refused(o.gateway.clock.Now(), m.epoch)
 	}
 	e, ok := o.controller.snapshot.Upstreams[m.order.Upstream]
 	if !ok {
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -21,6 +21,9 @@
 	registrationRenewals = 3
 	// registrationRetryDelay is the least delay after a failed call; the jitter is at most as long.
 	registrationRetryDelay = 500 * time.Millisecond
+	// maxRegisterDelay bounds the random delay before the registration is written again because the store has lost it: all
+	// gateways write at that time.
+	maxRegisterDelay = 100 * time.Millisecond
 	// revokeTimeout limits the call that revokes a lease at a planned stop.
 	revokeTimeout = 500 * time.Millisecond
 )
@@ -48,7 +51,12 @@
 			klog.InfoS("entry: gateway registration not renewed", "err", err)
 			delay = registrationRetryDelay + rand.N(registrationRetryDelay)
 		}
-		clock.Sleep(ctx, delay)
+		select {
+		case <-ctx.Done():
+		case <-time.After(delay):
+		case <-r.gateway.register:
+			clock.Sleep(ctx, rand.N(maxRegisterDelay))
+		}
 	}
 	if r.lease == noLease {
 		return nil
--- a/feed/batch.go
+++ b/feed/batch.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/epoch"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
@@ -59,10 +60,14 @@
 			return
 		case <-timer.C:
 			return
+		case <-f.eraBegan:
+			if f.beginEra() {
+				timer.Reset(rand.N(maxGapDelay))
+			}
 		case b := <-f.batches:
 			switch f.handleBatch(ctx, b) {
 			case batchConfirmed:
-				timer.Reset(f.Pause().Duration())
+				timer.Reset(f.pause())
 			case batchMissing:
 				timer.Reset(rand.N(maxGapDelay))
 			case batchUnconfirmed:
@@ -86,7 +91,8 @@
 // handleBatch applies a batch if it continues the state. What it tells about the store's revision holds
 // in any case.
 func (f *Feed) handleBatch(ctx context.Context, b Batch) batchResult {
-	if !f.synced {
+	if !f.synced || epoch.Of(b.Revision) < epoch.Of(f.state.Revision()) {
+		// What the store said in an earlier era tells nothing of the state that it came back with.
 		return batchUnconfirmed
 	}
 	missing := b.After > f.state.Revision()
--- a/feed/confirm_test.go
+++ b/feed/confirm_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/epoch"
 	"github.com/magnolialever/magnolialever/feed"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/units"
@@ -55,6 +56,8 @@
 	return units.Revision(n)
 }
 
+func (*datedStore) Era() epoch.Era { return 0 }
+
 func (s *datedStore) Revision(context.Context) (units.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -125,7 +128,7 @@
 	f := &auditedFeed{store: s}
 	f.feed = feed.New(feed.Options{
 		Clock: s.clock, Store: s, OnChange: f.onChange, OnConfirm: f.onConfirm,
-		OthersConfirmedAt: func() clock.Time { return 0 }, OnOtherItem: func(platform.Item) {}, OnFullRead: func(map[string]bool) {},
+		OthersConfirmedAt: func() clock.Time { return 0 }, OnOtherItem: func(platform.Item) {}, OnFullRead: func(feed.FullRead) {},
 		Pause: func() clock.Span { return 60 * clock.Millisecond }, ConfirmInterval: func() clock.Span { return 20 * clock.Millisecond }, OnBatch: func(feed.Batch) {},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -12,6 +12,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/epoch"
+	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/rawjson"
 	"github.com/magnolialever/magnolialever/stats"
@@ -29,6 +31,8 @@
 
 // Store is the part of the platform's store that a Feed reads.
 type Store interface {
+	// Era returns the latest known era of the store. Calls that refer to an earlier one fail.
+	Era() epoch.Era
 	// Range returns all items under the prefix and the revision of the store at that time.
 	Range(ctx context.Context, prefix string) ([]platform.Item, units.Revision, error)
 	// Revision returns the revision of the store. All changes that were acknowledged before the call
@@ -55,8 +59,8 @@
 	// OnOtherItem is called for items that are not part of the view, such as the keys of other
 	// gateways.
 	OnOtherItem func(i platform.Item)
-	// OnFullRead is called after a full read with the keys of all items in the store.
-	OnFullRead func(keys map[string]bool)
+	// OnFullRead is called after a full read.
+	OnFullRead func(r FullRead)
 	// Pause returns the delay before the next watch, from the last confirmation on. Each call to the
 	// store is billed, so the delay batches changes that come close together.
 	Pause func() clock.Span
@@ -69,6 +73,16 @@
 	OnBatch func(b Batch)
 }
 
+// FullRead says what a full read returned.
+type FullRead struct {
+	// Keys are the keys of all items in the store.
+	Keys map[string]bool
+	// Revision is the revision of the store before the read.
+	Revision units.Revision
+	// Returned is set after the store has come back from an older copy, Settling while it may not have got back what it lost.
+	Returned, Settling bool
+}
+
 // Feed reads the store and follows its changes. It is not safe for concurrent use.
 type Feed struct {
 	Options
@@ -88,14 +102,48 @@
 	readRevisions map[string]units.Revision
 	// batchAt is when a batch last confirmed the state.
 	batchAt clock.Time
+	// era is the store's era that a full read was tried in, eraBegan receives a value when there may be a later one.
+	era      epoch.Era
+	eraBegan chan struct{}
+	// rereadAt is when everything is read again, as what the store lost is written again by then; 0 is never.
+	rereadAt clock.Time
 }
 
 // New returns a Feed. Run starts it.
 func New(o Options) *Feed {
 	return &Feed{
 		Options: o, state: view.New(), ignoredRevisions: map[string]units.Revision{}, batches: make(chan Batch, maxBatches),
-		readRevisions: map[string]units.Revision{},
+		readRevisions: map[string]units.Revision{}, eraBegan: make(chan struct{}, 1),
+	}
+}
+
+// CheckEra makes the Feed read everything at once if Store.Era has risen. It is safe for concurrent use.
+func (f *Feed) CheckEra() {
+	select {
+	case f.eraBegan <- struct{}{}:
+	default:
+	}
+}
+
+// beginEra records the store's era and reports whether it has risen since the last full read began. Revisions of the earlier
+// one may exist again with other content then, so that no watch can continue from them.
+func (f *Feed) beginEra() bool {
+	era := f.Store.Era()
+	if era <= f.era {
+		return false
 	}
+	returned := f.state.Revision() != 0
+	f.era = era
+	if !returned {
+		return false
+	}
+	now := f.Clock.Now()
+	f.synced = false
+	f.state.BeginEra(now)
+	f.rereadAt = f.state.SettledAt()
+	stats.Event("store_returns")
+	klog.InfoS("feed: store came back from an older copy, reading the full state", "era", era, "revision", f.state.Revision())
+	return true
 }
 
 // Run follows the store until ctx is canceled. It retries failed calls with backoff.
@@ -134,6 +182,15 @@
 	klog.InfoS("feed: outage is over", "revision", f.state.Revision(), "recovered", now.Sub(f.state.RecoveredAt()))
 }
 
+// pause returns the delay before the next call, which is not after rereadAt.
+func (f *Feed) pause() time.Duration {
+	pause := f.Pause()
+	if f.rereadAt != 0 {
+		pause = min(pause, max(f.rereadAt.Sub(f.Clock.Now()), clock.Millisecond))
+	}
+	return pause.Duration()
+}
+
 // nextDelay returns the delay before the next call, given the result of the last one.
 func (f *Feed) nextDelay(err error) time.Duration {
 	if err == nil {
@@ -144,7 +201,15 @@
 		if f.state.Behind() {
 			return minRetryDelay
 		}
-		return f.Pause().Duration()
+		return f.pause()
+	}
+	if f.beginEra() {
+		// All gateways read the full state now.
+		return rand.N(maxGapDelay)
+	}
+	if errors.Is(err, platform.ErrNewEra) || errors.Is(err, platform.ErrLateAnswer) {
+		f.synced = false
+		return minRetryDelay
 	}
 	if errors.Is(err, platform.ErrCompacted) {
 		klog.InfoS("feed: history after the revision was compacted, reading the full state", "revision", f.state.Revision())
@@ -178,7 +243,8 @@
 
 // sync reads the store: all of it, or the next changes once the state is synced.
 func (f *Feed) sync(ctx context.Context) error {
-	if !f.synced {
+	f.beginEra()
+	if !f.synced || f.rereadAt != 0 && !f.Clock.Now().Before(f.rereadAt) {
 		return f.readAll(ctx)
 	}
 	if f.storeDown {
@@ -267,13 +333,17 @@
 	if err != nil {
 		return err
 	}
+	f.beginEra()
+	if epoch.Of(rev) < f.era {
+		return platform.ErrLateAnswer
+	}
 	now := f.Clock.Now()
 	f.recordStoreAnswer(now)
 	f.state.Advance(rev)
 	f.state.RecordStoreRevision(started, rev)
 	upstreams, zonesOut, keys := map[units.UpstreamID]bool{}, map[units.Zone]bool{}, map[string]bool{}
 	for _, i := range items {
-		f.apply(now, i)
+		f.applyRead(now, i)
 		if i.Key == "" {
 			// It may be any key. An upstream that can't be read gets no requests, a zone stays excluded.
 			maps.Copy(zonesOut, f.state.Snapshot().ExcludedZones)
@@ -295,8 +365,12 @@
 	maps.DeleteFunc(f.ignoredRevisions, gone)
 	maps.DeleteFunc(f.readRevisions, gone)
 	f.state.RemoveUnlisted(now, upstreams, zonesOut)
-	f.OnFullRead(keys)
+	returned, settling := f.rereadAt != 0, now.Before(f.rereadAt)
+	f.OnFullRead(FullRead{Keys: keys, Revision: rev, Returned: returned, Settling: settling})
 	f.synced = true
+	if !settling {
+		f.rereadAt = 0
+	}
 	f.OnChange(f.state.Snapshot())
 	f.OnConfirm(f.state.ConfirmedAt())
 	klog.InfoS("feed: full state read", "items", len(items), "revision", rev)
@@ -305,6 +379,15 @@
 
 // apply applies one change to the state and reports whether the view changed.
 func (f *Feed) apply(now clock.Time, i platform.Item) bool {
+	return f.applyItem(now, i, f.state.SetUpstream)
+}
+
+// applyRead is apply for an item of a full read.
+func (f *Feed) applyRead(now clock.Time, i platform.Item) {
+	f.applyItem(now, i, f.state.SetReadUpstream)
+}
+
+func (f *Feed) applyItem(now clock.Time, i platform.Item, setUpstream func(now clock.Time, u *fleet.Upstream)) bool {
 	c, err := platform.DecodeItem(i)
 	if err != nil {
 		f.recordIgnored(i, err)
@@ -324,7 +407,7 @@
 			klog.InfoS("feed: customer", "version", c.Config.Version, "customer", u.ID, "rate", u.Rate, "burst", u.Burst)
 		}
 	case c.Upstream != nil:
-		f.state.SetUpstream(now, c.Upstream)
+		setUpstream(now, c.Upstream)
 		klog.InfoS("feed: upstream", "upstream", c.Upstream.ID, "draining", c.Upstream.Draining, "cold", c.Upstream.ColdFor,
 			"models", len(c.Upstream.Models), "revision", i.Revision)
 	case c.RemovedUpstream != "":
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/epoch"
 	"github.com/magnolialever/magnolialever/feed"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/units"
@@ -56,6 +57,8 @@
 	s.items[i.Key] = i
 }
 
+func (s *scriptedStore) Era() epoch.Era { return epoch.Of(s.revision) }
+
 func (s *scriptedStore) Range(context.Context, string) ([]platform.Item, units.Revision, error) {
 	return nil, s.revision, s.call("range")
 }
@@ -103,7 +106,7 @@
 	}
 	f.feed = feed.New(feed.Options{
 		Clock: f.clock, Store: f.store, OnChange: func(s *view.Snapshot) { f.views <- s }, OnConfirm: func(clock.Time) {},
-		OthersConfirmedAt: func() clock.Time { return 0 }, OnOtherItem: func(platform.Item) {}, OnFullRead: func(map[string]bool) {}, Pause: func() clock.Span { return pause },
+		OthersConfirmedAt: func() clock.Time { return 0 }, OnOtherItem: func(platform.Item) {}, OnFullRead: func(feed.FullRead) {}, Pause: func() clock.Span { return pause },
 		ConfirmInterval: func() clock.Span { return clock.Second },
 		OnBatch:         func(feed.Batch) {},
 	})
--- a/feed/unreadable_test.go
+++ b/feed/unreadable_test.go
@@ -52,7 +52,7 @@
 	s.calls, s.revision = map[string]int{}, 7
 	f := feed.New(feed.Options{
 		Clock: clock.System{}, Store: s, OnChange: func(v *view.Snapshot) { last = v }, OnConfirm: func(clock.Time) {},
-		OthersConfirmedAt: func() clock.Time { return 0 }, OnOtherItem: func(i platform.Item) { assert.Check(t, i.Key != "") }, OnFullRead: func(map[string]bool) {},
+		OthersConfirmedAt: func() clock.Time { return 0 }, OnOtherItem: func(i platform.Item) { assert.Check(t, i.Key != "") }, OnFullRead: func(feed.FullRead) {},
 		Pause: func() clock.Span { return 20 }, ConfirmInterval: func() clock.Span { return clock.Hour },
 		OnBatch: func(b feed.Batch) { batches = append(batches, b) },
 	})
@@ -98,7 +98,7 @@
 	f := feed.New(feed.Options{
 		Clock: clock.System{}, Store: &churningStore{scriptedStore{revision: 1, calls: map[string]int{}}},
 		OnChange: func(*view.Snapshot) {}, OnConfirm: func(clock.Time) {}, OthersConfirmedAt: func() clock.Time { return 0 }, OnOtherItem: func(platform.Item) {},
-		OnFullRead: func(map[string]bool) {}, Pause: func() clock.Span { return 1 }, ConfirmInterval: func() clock.Span { return clock.Hour },
+		OnFullRead: func(feed.FullRead) {}, Pause: func() clock.Span { return 1 }, ConfirmInterval: func() clock.Span { return clock.Hour },
 		OnBatch: func(feed.Batch) {},
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
--- a/view/view.go
+++ b/view/view.go
@@ -11,9 +11,17 @@
 	"github.com/magnolialever/magnolialever/units"
 )
 
-// reregisterTime is the time after a store outage within which live upstreams write their expired
-// entries again.
-const reregisterTime = 2200 * clock.Millisecond
+const (
+	// reregisterTime is the time after a store outage within which live upstreams write their expired
+	// entries again.
+	reregisterTime = 2200 * clock.Millisecond
+	// rewriteTime is the time after the return of the store from an older copy within which the operator writes again what
+	// was lost. Until then the store's word doesn't confirm that there is no newer configuration.
+	rewriteTime = clock.Second
+	// maxRewriteTime is rewriteTime while the store's configuration is older than the known one. It bounds the refusals where
+	// the operator doesn't write at all.
+	maxRewriteTime = 10 * clock.Second
+)
 
 // Entry is the last description of an upstream.
 type Entry struct {
@@ -59,6 +67,10 @@
 	// recoveredAt is the earliest known time at which the store answered any gateway after the last outage that this one
 	// has seen; 0 is never.
 	recoveredAt clock.Time
+	// eraAt is when this gateway learned that the store came back from an older copy; 0 is never. storeVersion is the version of
+	// the configuration that the store has had since; 0 if none was read.
+	eraAt        clock.Time
+	storeVersion int64
 }
 
 // New returns an empty State.
@@ -133,11 +145,42 @@
 func (s *State) Behind() bool { return s.snap.Revision < s.storeRevision }
 
 func (s *State) confirm() {
-	if !s.Behind() {
+	if !s.Behind() && !s.mayLackConfig(s.storeAt) {
 		s.confirmedAt = max(s.confirmedAt, s.storeAt)
 	}
 }
 
+// mayLackConfig reports whether the store may have lost a configuration that the operator has not written again at the time. It
+// may be one that no gateway has seen, and that withdraws keys.
+func (s *State) mayLackConfig(at clock.Time) bool {
+	if s.eraAt == 0 {
+		return false
+	}
+	limit := rewriteTime
+	if s.snap.Config != nil && s.storeVersion < s.snap.Config.Version {
+		limit = maxRewriteTime
+	}
+	return at.Sub(s.eraAt) < limit
+}
+
+// BeginEra records that this gateway has learned at a time that the store came back from an older copy. What it read before is
+// kept until others have had the time to write again what was lost.
+func (s *State) BeginEra(now clock.Time) {
+	s.eraAt, s.storeVersion, s.recoveredAt = now, 0, now
+}
+
+// SettledAt returns when what is missing or older in the store than here counts: all that was lost is written again by then. It
+// is 0 if nothing was lost.
+func (s *State) SettledAt() clock.Time {
+	if s.eraAt == 0 {
+		return 0
+	}
+	return s.eraAt.Add(reregisterTime)
+}
+
+// settling reports whether what was lost may not have been written again.
+func (s *State) settling(now clock.Time) bool { return now.Before(s.SettledAt()) }
+
 // mayReregister reports whether live upstreams may not have written their entries again since an
 // outage.
 func (s *State) mayReregister(now clock.Time) bool {
@@ -147,6 +190,7 @@
 // SetConfig replaces the configuration if the version is newer and reports whether it did. Reads
 // can arrive out of order.
 func (s *State) SetConfig(c *fleet.Config) bool {
+	s.storeVersion = c.Version
 	if s.snap.Config != nil && c.Version <= s.snap.Config.Version {
 		return false
 	}
@@ -172,6 +216,20 @@
 	s.snap.Upstreams[u.ID] = e
 }
 
+// SetReadUpstream is SetUpstream for a description from a full read. While the store may not have got back what it lost, the
+// description may be older than the known one, which is kept then. One that says that the process leaves counts in any case.
+func (s *State) SetReadUpstream(now clock.Time, u *fleet.Upstream) {
+	old, ok := s.snap.Upstreams[u.ID]
+	switch {
+	case !ok || !s.settling(now) || u.ProcessStart > old.ProcessStart || u.ProcessStart == old.ProcessStart && u.Draining:
+		s.SetUpstream(now, u)
+	case old.RemoveAt != 0 && u.ProcessStart == old.ProcessStart:
+		listed := *old
+		listed.RemoveAt = 0
+		s.snap.Upstreams[u.ID] = &listed
+	}
+}
+
 // claimAddress removes other upstreams with the same address that started earlier, and reports whether
 // none started later. Entries of unknown services may come from other writers and claim nothing.
 func (s *State) claimAddress(u *fleet.Upstream) bool {
@@ -251,7 +309,8 @@
 // description arrives.
 const assumedColdTime = 3 * clock.Second
 
-// RemoveUnlisted removes upstreams and includes zones that a full read did not return.
+// RemoveUnlisted removes upstreams and includes zones that a full read did not return. Zones stay excluded while the store may
+// not have got back what it lost.
 func (s *State) RemoveUnlisted(now clock.Time, listed map[units.UpstreamID]bool, excluded map[units.Zone]bool) {
 	for id, e := range s.snap.Upstreams {
 		if !listed[id] && e.RemoveAt == 0 {
@@ -259,7 +318,7 @@
 		}
 	}
 	for z := range s.snap.ExcludedZones {
-		if !excluded[z] {
+		if !excluded[z] && !s.settling(now) {
 			s.SetZoneExcluded(now, z, false)
 		}
 	}
