feed, parts, entry: keep what a returned store has lost

A store that comes back from an older copy has an older configuration, lacks verdicts, exclusions and registrations, and shows upstreams as they were. A gateway that starts asks the others for their versions before it uses its first view.

--- a/coord/verdicts.go
+++ b/coord/verdicts.go
@@ -75,7 +75,7 @@
 		case !ok:
 			stats.Event("verdicts_unreadable")
 		case e.Deleted:
-			c.verdicts.Removed(part)
+			c.verdicts.Removed(part, 0)
 		default:
 			c.applyVerdict(part, e.Value)
 		}
@@ -104,5 +104,5 @@
 		klog.InfoS("coord: invalid verdict ignored", "part", part, "err", err)
 		return
 	}
-	c.verdicts.Stored(v)
+	c.verdicts.Stored(v, 0)
 }
--- a/entry/controller.go
+++ b/entry/controller.go
@@ -30,6 +30,12 @@
 	members *member.List
 	// snapshot is the latest view of the store.
 	snapshot *view.Snapshot
+	// published is set once a view with a configuration is in use, held while the first one is not.
+	published, held bool
+	// used is the view that was put into use last.
+	used *view.Snapshot
+	// eraAt is when this gateway learned of the store's era, askedAt when it asked the others for their digests; 0 is never.
+	eraAt, askedAt clock.Time
 	// confirmedAt is when the view was last known to be current.
 	confirmedAt  clock.Time
 	keys         keyBelief
@@ -57,6 +63,7 @@
 func newController(g *Gateway) *controller {
 	c := &controller{gateway: g, members: member.NewList(), snapshot: &view.Snapshot{}, drainRequested: make(chan struct{}, 1)}
 	c.members.Set(g.self())
+	c.used = c.snapshot
 	c.orders = newOrderManager(g, c)
 	return c
 }
@@ -97,10 +104,7 @@
 		c.snapshot = m.snapshot
 		// A full read brings the other gateways first: shares of limits depend on their number.
 		c.applyMembers(now)
-		if m.snapshot.Config != nil {
-			c.gateway.limiter.setCustomers(m.snapshot.Config.Customers())
-		}
-		c.publishView(now)
+		c.useView(now)
 	case storeConfirmed:
 		c.confirmedAt = max(c.confirmedAt, m.at)
 		c.gateway.partExchange.RecordStoreRead(m.at)
@@ -111,6 +115,8 @@
 		c.handleFullRead(now, m.read)
 	case eraBegan:
 		c.beginEra(now, m.era)
+	case digestAsked:
+		c.gateway.peers.Reply(&wire.Datagram{Body: &wire.Datagram_Digest{Digest: c.newDigest(now)}}, m.from)
 	case digestReceived:
 		c.handleDigest(now, m.digest)
 	case residencyChanged:
@@ -170,6 +176,9 @@
 	if !r.Keys[leaderKey] {
 		c.orders.elector.RecordHolder(now, r.Revision, "")
 	}
+	if r.Returned {
+		c.restoreVerdicts(r.Keys)
+	}
 	if r.Settling {
 		return
 	}
@@ -195,6 +204,7 @@
 
 func (c *controller) onTick() {
 	now := c.gateway.clock.Now()
+	c.useView(now)
 	c.updateKeyValidity(now)
 	c.applyMembers(now)
 	c.gateway.partExchange.OnTick()
@@ -259,7 +269,9 @@
 // is old, other gateways' confirmations by the store.
 func (c *controller) updateKeyValidity(now clock.Time) {
 	revocationDelay := c.gateway.bounds.Load().RevocationDelay
-	c.keys.confirm(c.confirmedAt, "")
+	if !c.held && !c.lacksConfig(c.confirmedAt) {
+		c.keys.confirm(c.confirmedAt, "")
+	}
 	if now.Sub(c.keys.confirmedAt) >= clock.Span(float64(revocationDelay)*ownConfirmationShare) {
 		c.useConfirmations()
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -190,6 +190,8 @@
 	eraBegan struct{ era epoch.Era }
 	// digestReceived has a digest from another gateway.
 	digestReceived struct{ digest peers.Digest }
+	// digestAsked means that a gateway that has just started wants a digest.
+	digestAsked struct{ from netip.AddrPort }
 	// residencyChanged has loads and unloads that the leader has ordered.
 	residencyChanged struct{ changes []*wire.Residency }
 )
@@ -216,6 +218,9 @@
 	}
 	if m.GetEraNotice() != nil {
 		g.hearEra(m.GetEraNotice().GetEra())
+		if m.GetEraNotice().GetAsks() {
+			g.post(digestAsked{from})
+		}
 		return
 	}
 	if m.GetPart() != nil {
--- a/entry/residency.go
+++ b/entry/residency.go
@@ -29,7 +29,11 @@
 
 // publishView passes the view of the store to the relay, with the residency changes applied that
 // the upstreams' descriptions don't show yet.
-func (c *controller) publishView(now clock.Time) { c.gateway.relay.SetView(c.changedView(now)) }
+func (c *controller) publishView(now clock.Time) {
+	if !c.held {
+		c.gateway.relay.SetView(c.changedView(now))
+	}
+}
 
 // changedView returns the view of the store with the residency changes applied, and forgets those that are over.
 func (c *controller) changedView(now clock.Time) *view.Snapshot {
--- a/entry/verdicts.go
+++ b/entry/verdicts.go
@@ -36,7 +36,7 @@
 // handleVerdict handles a change of a verdict in the store, by any gateway. about has the part or request of its key.
 func (c *controller) handleVerdict(k *parts.Keeper, about parts.Verdict, item platform.Item) {
 	if item.Deleted {
-		k.Removed(about.Part)
+		k.Removed(about.Part, item.Revision)
 		return
 	}
 	v, err := parts.DecodeVerdict(about.Part, item.Value)
@@ -45,5 +45,5 @@
 		return
 	}
 	v.Request = about.Request
-	k.Stored(v)
+	k.Stored(v, item.Revision)
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -57,18 +57,30 @@
 	s.items[i.Key] = i
 }
 
-func (s *scriptedStore) Era() epoch.Era { return epoch.Of(s.revision) }
+// eraRevision returns a revision in an era.
+func eraRevision(era epoch.Era, own int64) units.Revision {
+	r, _ := epoch.Join(era, own)
+	return r
+}
+
+func (s *scriptedStore) Era() epoch.Era { return epoch.Of(s.currentRevision()) }
+
+func (s *scriptedStore) currentRevision() units.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
 
 func (s *scriptedStore) Range(context.Context, string) ([]platform.Item, units.Revision, error) {
-	return nil, s.revision, s.call("range")
+	return nil, s.currentRevision(), s.call("range")
 }
 
 func (s *scriptedStore) Revision(context.Context) (units.Revision, error) {
-	return s.revision, s.call("revision")
+	return s.currentRevision(), s.call("revision")
 }
 
 func (s *scriptedStore) Watch(context.Context, string, units.Revision, clock.Span) ([]platform.Item, units.Revision, error) {
-	return nil, s.revision, s.call("watch")
+	return nil, s.currentRevision(), s.call("watch")
 }
 
 func (s *scriptedStore) Get(_ context.Context, key string) (platform.Item, error) {
--- a/parts/keeper.go
+++ b/parts/keeper.go
@@ -9,7 +9,9 @@
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/epoch"
 	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/units"
 )
 
 const (
@@ -22,6 +24,11 @@
 	verdictDelay = clock.Second
 	// verdictPoll is the interval at which verdicts that are due are looked for while some wait.
 	verdictPoll = 200 * time.Millisecond
+	// maxEnded bounds the removals that are remembered.
+	maxEnded = 4096
+	// maxRewriteDelay bounds the random delay before a verdict that the store has lost or got back is written or removed again,
+	// as other gateways would do the same. A change by one of them is seen by then.
+	maxRewriteDelay = 2 * clock.Second
 	// verdictRetryDelay is the least delay after a failed call; the jitter is at most as long.
 	verdictRetryDelay = 500 * time.Millisecond
 )
@@ -54,12 +61,16 @@
 	pending map[ID]pendingVerdict
 	// stored are the parts with a verdict in the store, written those with one that this gateway wrote.
 	stored, written map[ID]bool
+	// ended has the revisions at which verdicts were last removed from the store, for those of the last maxEnded.
+	ended map[ID]units.Revision
 }
 
 // pendingVerdict is a verdict that is written from a time on.
 type pendingVerdict struct {
 	Verdict
 	due clock.Time
+	// again is set if the store has lost, or got back, what was written before.
+	again bool
 }
 
 // NewKeeper returns a Keeper of the verdicts that the Guard reaches.
@@ -73,7 +84,7 @@
 func NewVerdictKeeper(c clock.Clock, known Verdicts, s VerdictStore) *Keeper {
 	return &Keeper{
 		clock: c, known: known, store: s, added: make(chan struct{}, 1),
-		pending: map[ID]pendingVerdict{}, stored: map[ID]bool{}, written: map[ID]bool{},
+		pending: map[ID]pendingVerdict{}, stored: map[ID]bool{}, written: map[ID]bool{}, ended: map[ID]units.Revision{},
 	}
 }
 
@@ -86,7 +97,7 @@
 	if v.Crashes == 0 {
 		delete(k.pending, v.Part)
 		if k.written[v.Part] || own && k.stored[v.Part] {
-			k.push(pendingVerdict{v, now})
+			k.push(pendingVerdict{v, now, false})
 		}
 		return
 	}
@@ -95,7 +106,7 @@
 		klog.InfoS("parts: verdict not kept, too many wait", "part", v.Part, "crashes", v.Crashes)
 		return
 	}
-	k.push(pendingVerdict{v, now.Add(verdictDelay)})
+	k.push(pendingVerdict{v, now.Add(verdictDelay), false})
 }
 
 // push adds a pending verdict. The caller holds k.mu.
@@ -107,22 +118,68 @@
 	}
 }
 
-// Stored handles a verdict that was read from the store, written by any gateway.
-func (k *Keeper) Stored(v Verdict) {
+// Stored handles a verdict that was read from the store, written by any gateway at the revision. One that had ended before the
+// store came back from an older copy is removed again.
+func (k *Keeper) Stored(v Verdict, revision units.Revision) {
 	k.mu.Lock()
+	if p, waiting := k.pending[v.Part]; waiting && p.again && p.Crashes > 0 {
+		// Another gateway has written it again.
+		delete(k.pending, v.Part)
+	}
 	k.stored[v.Part] = true
+	ended, known := k.ended[v.Part]
+	returned := known && epoch.MayPrecede(revision, ended) && k.known.Verdict(v.Part).Crashes == 0
+	if returned {
+		k.pushAgain(Verdict{Part: v.Part, Request: v.Request})
+	}
 	k.mu.Unlock()
+	if returned {
+		return
+	}
 	if k.known.Restore(v) {
 		klog.InfoS("parts: part refused on the store's word", "part", v.Part, "request", v.Request, "crashes", v.Crashes)
 	}
 }
 
-// Removed records that the store has no verdict on the part any more.
-func (k *Keeper) Removed(part ID) {
+// Removed records that the store has no verdict on the part any more, as of the revision.
+func (k *Keeper) Removed(part ID, revision units.Revision) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.pending[part].again && k.pending[part].Crashes == 0 {
+		delete(k.pending, part)
+	}
 	delete(k.stored, part)
 	delete(k.written, part)
+	if len(k.ended) >= maxEnded {
+		clear(k.ended)
+	}
+	k.ended[part] = revision
+}
+
+// StoreReturned handles a full read of a store that has come back from an older copy: verdicts that hold and are not
+// listed are written again.
+func (k *Keeper) StoreReturned(listed map[ID]bool, request bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	// What this gateway wrote may not have been read yet.
+	for _, kept := range []map[ID]bool{k.stored, k.written} {
+		for part := range kept {
+			_, waiting := k.pending[part]
+			if v := k.known.Verdict(part); !listed[part] && !waiting && v.Crashes > 0 {
+				v.Request = request
+				k.pushAgain(v)
+			}
+		}
+	}
+}
+
+// pushAgain adds a pending verdict that any gateway may write. The caller holds k.mu.
+func (k *Keeper) pushAgain(v Verdict) {
+	if len(k.pending) >= maxVerdicts {
+		return
+	}
+	klog.InfoS("parts: store came back without this change of a verdict", "part", v.Part, "request", v.Request, "crashes", v.Crashes)
+	k.push(pendingVerdict{v, k.clock.Now().Add(rand.N(maxRewriteDelay)), true})
 }
 
 // next returns a verdict that is due, and false if there is none. waiting is set if some are not due yet.
--- a/parts/keeper_test.go
+++ b/parts/keeper_test.go
@@ -10,7 +10,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/epoch"
 	"github.com/magnolialever/magnolialever/parts"
+	"github.com/magnolialever/magnolialever/units"
 )
 
 // memoryVerdicts is a VerdictStore in memory.
@@ -90,3 +92,41 @@
 		assert.NilError(t, <-done)
 	})
 }
+
+// eraRevision returns a revision in an era.
+func eraRevision(era epoch.Era, own int64) units.Revision {
+	r, _ := epoch.Join(era, own)
+	return r
+}
+
+// Guards against verdicts that are lost with a store that comes back from an older copy, so that the part ends upstreams again
+// after a restart of all gateways, and against ones that come back although answers had ended them.
+func TestVerdictsOutliveReturnOfStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, store := parts.NewGuard(bubbleClock{time.Now()}), &memoryVerdicts{current: map[parts.ID]parts.Verdict{}}
+		k := parts.NewKeeper(g, store)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- k.Run(ctx) }()
+		// Another gateway, which has ended since, wrote both.
+		lost, ended := parts.Verdict{Part: 7, Crashes: 2}, parts.Verdict{Part: 8, Crashes: 2}
+		k.Stored(lost, eraRevision(1, 50))
+		k.Stored(ended, eraRevision(1, 51))
+		g.Merge(parts.Suspect{Part: ended.Part, BeganAt: bubbleClock{time.Now()}.Now() + 1})
+		k.Removed(ended.Part, eraRevision(1, 60))
+		store.current[ended.Part] = ended
+		k.Stored(ended, eraRevision(2, 51))
+		k.StoreReturned(map[parts.ID]bool{ended.Part: true}, false)
+		assert.Equal(t, g.Verdict(ended.Part).Crashes, 0)
+		time.Sleep(3 * time.Second)
+		_, isLost := store.current[lost.Part]
+		_, isEnded := store.current[ended.Part]
+		assert.Assert(t, isLost && !isEnded, "%v", store.current)
+		// A verdict that is reached anew counts.
+		k.Removed(ended.Part, eraRevision(2, 52))
+		k.Stored(parts.Verdict{Part: 9, Crashes: 2}, eraRevision(2, 55))
+		assert.Equal(t, g.Verdict(9).Crashes, 2)
+		cancel()
+		assert.NilError(t, <-done)
+	})
+}
