entry: tests of gateways whose store comes back older

Gateways that the store has forgotten, keys that it knows no longer as withdrawn, verdicts that it has lost, and gateways that do not reach it, each brought about by a stand-in that comes back from a copy.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -34,6 +34,8 @@
 	app      *fakes.Replica
 	llm      *fakes.Replica
 	gateways []*testGateway
+	// restarts is set if gateways that are started are not those of the first start.
+	restarts bool
 }
 
 type testGateway struct {
@@ -158,7 +160,7 @@
 	public, first := freePorts(c.t)
 	ready, _ := freePorts(c.t)
 	settings := &platform.Settings{
-		VM: units.VMID(name), Zone: "zone-a", IP: "127.0.0.1", FirstStart: true, PublicAddress: public, ReadyAddress: ready,
+		VM: units.VMID(name), Zone: "zone-a", IP: "127.0.0.1", FirstStart: !c.restarts, PublicAddress: public, ReadyAddress: ready,
 		FirstPort: first, LastPort: first + 1, StoreAddress: storeAddress, MinLeaseTTL: clock.Second,
 		MemoryMegabytes: 284,
 		Bounds: platform.Bounds{
--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -87,3 +87,65 @@
 		})
 	}
 }
+
+// Guards against gateways that others no longer know, because the store has forgotten them: limits would be divided by fewer. They
+// register at once, not with their next renewal, and none goes on with a lease of another one.
+func TestGatewaysRegisterWhenStoreReturnsOlder(t *testing.T) {
+	c, copied := newEraCluster(t, 3)
+	c.returnFrom(copied, nil)
+	returnedAt := time.Now()
+	c.waitFor("gateways are registered", func() bool { return len(c.store.Keys("gateways/")) == 3 })
+	assert.Assert(t, time.Since(returnedAt) < 1500*time.Millisecond, "after %v", time.Since(returnedAt))
+	leader := string(c.gateways[0].settings.VM)
+	c.waitFor("leader", func() bool { leader = string(c.store.Value("duties/orders")); return leader != "" })
+	for _, g := range c.gateways {
+		if string(g.settings.VM) != leader {
+			g.stop()
+			assert.NilError(t, <-g.runErr)
+			g.runErr <- nil
+		}
+	}
+	assert.Equal(t, len(c.store.Keys("gateways/")), 1, "the gateways that stopped are registered")
+	assert.Equal(t, string(c.store.Value("duties/orders")), leader, "another gateway ended the leader's lease")
+}
+
+// Guards against a withdrawn key that works again because the store came back with the configuration before, at gateways that
+// have seen the newer one and at one that starts then; and against gateways that stay closed once it is written again.
+func TestWithdrawnKeyStaysWithdrawnWhenStoreReturnsOlder(t *testing.T) {
+	c, copied := newEraCluster(t, 2)
+	c.store.Put(fakes.ConfigKey, fakes.Config(2, "other"))
+	for _, g := range c.gateways {
+		c.waitFor("key is withdrawn", func() bool { return c.responseStatus(g, "/once/a", apiKey) == http.StatusUnauthorized })
+	}
+	c.returnFrom(copied, nil)
+	// The others know of the one that starts, so that it knows of them.
+	c.waitFor("gateways are registered", func() bool { return len(c.store.Keys("gateways/")) == 2 })
+	c.restarts = true
+	c.gateways = append(c.gateways, c.startGateway("gate-2"))
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for i, g := range c.gateways {
+			assert.Assert(t, c.responseStatus(g, "/once/a", apiKey) != http.StatusOK, "gateway %d", i)
+		}
+	}
+	c.store.Put(fakes.ConfigKey, fakes.Config(2, "other"))
+	for _, g := range c.gateways {
+		c.waitFor("other key is accepted", func() bool { return c.responseStatus(g, "/once/a", "other") == http.StatusOK })
+		assert.Equal(t, c.responseStatus(g, "/once/a", apiKey), http.StatusUnauthorized)
+	}
+}
+
+// Guards against a part that ends upstreams again after a restart of all gateways, because the store has forgotten the verdict.
+func TestVerdictIsWrittenAgainWhenStoreReturnsOlder(t *testing.T) {
+	c, _ := newEraCluster(t, 1)
+	c.store.Put(fakes.UpstreamKeyPrefix+"llm-1", c.llm.Description(fakes.EngineService, "zone-a", "draining"))
+	c.addCrashingEngines(5, "dead1")
+	copied := c.store.Copy()
+	assert.Equal(t, c.sendParts(c.gateways[0], "sound", "shared", "own"), http.StatusOK)
+	for i := range 6 {
+		c.sendParts(c.gateways[0], fmt.Sprint("bad", i), "shared", "dead1", fmt.Sprint("own", i))
+	}
+	c.waitFor("verdict is written", func() bool { return len(c.store.Keys("parts/")) == 1 })
+	c.returnFrom(copied, nil)
+	assert.Equal(t, len(c.store.Keys("parts/")), 0)
+	c.waitFor("verdict is written again", func() bool { return len(c.store.Keys("parts/")) == 1 })
+}
--- /dev/null
+++ b/entry/hear_test.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/elect"
+	"github.com/magnolialever/magnolialever/epoch"
+	"github.com/magnolialever/magnolialever/feed"
+	"github.com/magnolialever/magnolialever/member"
+	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+// newCutOffGateway returns a gateway that does not reach the store, and its control loop, which nobody runs.
+func newCutOffGateway(t *testing.T) (*Gateway, *controller) {
+	t.Helper()
+	l, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	port := netip.MustParseAddrPort(l.LocalAddr().String()).Port()
+	l.Close()
+	g, err := New(&platform.Settings{VM: "self", IP: "127.0.0.1", FirstPort: int(port), LastPort: int(port) + 1, StoreAddress: "127.0.0.1:1"})
+	assert.NilError(t, err)
+	return g, newController(g)
+}
+
+// Guards against a leader that goes on after the store has forgotten it, because it does not reach the store itself; and against late
+// or odd messages that bring back an earlier era.
+func TestGatewayCutOffFromStoreHearsOfNewEra(t *testing.T) {
+	g, c := newCutOffGateway(t)
+	notice := func(era int64) {
+		g.handleMessage(&wire.Datagram{Body: &wire.Datagram_EraNotice{EraNotice: &wire.EraNotice{Era: era}}}, netip.AddrPort{})
+		for len(g.inbox) > 0 {
+			c.handle(<-g.inbox)
+		}
+	}
+	notice(1)
+	now := g.clock.Now()
+	free, _ := epoch.Join(1, 5)
+	taken, _ := epoch.Join(1, 6)
+	c.orders.elector.RecordHolder(now, free, "")
+	c.orders.elector.Acquired(now, now, units.Epoch(taken), elect.LeaseTTL)
+	for _, era := range []int64{0, 1, -3, 1 << 50} {
+		notice(era)
+		assert.Equal(t, g.store.Era(), epoch.Era(1), "notice of %d", era)
+	}
+	assert.Assert(t, c.orders.elector.Holds(now))
+	notice(3)
+	assert.Equal(t, g.store.Era(), epoch.Era(3))
+	assert.Assert(t, !c.orders.elector.Holds(now), "it goes on under an epoch of the era before")
+	notice(2)
+	assert.Equal(t, g.store.Era(), epoch.Era(3), "a late notice")
+	assert.Equal(t, c.newDigest(now).GetEra(), int64(3), "digests tell of it too")
+}
+
+// Guards against shares of limits that grow because the store has forgotten gateways that run: they stay until all have had
+// the time to register again.
+func TestForgottenGatewaysStay(t *testing.T) {
+	_, c := newCutOffGateway(t)
+	for i := range 3 {
+		c.members.Set(member.Gateway{VM: units.VMID(fmt.Sprint("gate-", i)), Address: fmt.Sprint("127.0.0.1:", 10+i)})
+	}
+	c.handleFullRead(clock.Time(1000), feed.FullRead{Keys: map[string]bool{}, Revision: 5, Returned: true, Settling: true})
+	assert.Equal(t, len(c.members.Registered()), 4)
+	c.handleFullRead(clock.Time(4000), feed.FullRead{Keys: map[string]bool{member.Key("gate-1"): true}, Revision: 9, Returned: true})
+	assert.Equal(t, len(c.members.Registered()), 2)
+}
