--- a/soak/config_test.go
+++ b/soak/config_test.go
@@ -41,11 +41,16 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.version++
+	o.fleet.store.Put(fakes.ConfigKey, o.config())
+	o.writtenAt[o.version] = time.Now()
+}
+
+// config returns the current version. The caller holds o.mu.
+func (o *operator) config() map[string]any {
 	config := fakes.Config(o.version, apiKey, keyOf(o.version), keyOf(o.version-1))
 	fakes.AddRoute(config, routeOf(o.version))
 	fakes.AddRoute(config, routeOf(o.version-1))
-	o.fleet.store.Put(fakes.ConfigKey, config)
-	o.writtenAt[o.version] = time.Now()
+	return config
 }
 
 // current returns the last version written.
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -225,6 +225,8 @@
 	// faultsBegun and faultsEnded count the ends and pauses of gateways' processes, which may lose or miss what
 	// others know.
 	faultsBegun, faultsEnded atomic.Int64
+	// returns counts the returns of the store from an older copy.
+	returns atomic.Int64
 }
 
 // stopwatch counts time, except while pauses, which may overlap, last.
@@ -269,6 +271,7 @@
 func newFleet(t *testing.T, seed uint64) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: fakes.NewStore(), record: newRecord(), seed: seed, storeUp: newStopwatch()}
+	f.store.SetEra(1)
 	f.operator = newOperator(f)
 	for i := range engineCount {
 		f.engines = append(f.engines, newUpstream(f, fmt.Sprint("engine-", i), fakes.EngineService))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,6 +37,8 @@
 	// busy are the gateways with a lasting fault, outages the number of outages of the store that last.
 	busy    map[*gateway]bool
 	outages int
+	// returning is set while the store comes back from a copy.
+	returning bool
 }
 
 func (x *faults) span(least, most int) time.Duration {
@@ -46,7 +48,7 @@
 // kinds returns the kinds of faults of a fleet on the platform; those that come more often are repeated.
 func (x *faults) kinds() []func() {
 	return []func(){x.freeze, x.kill, x.stop, x.reload, x.loseStore, x.crash, x.crash, x.leave, x.pause, x.pause,
-		x.disturbStore, x.disturbUpstream, x.disturbUpstream, x.disturbUpstream, x.change, x.change, x.change}
+		x.returnStore, x.disturbStore, x.disturbUpstream, x.disturbUpstream, x.disturbUpstream, x.change, x.change, x.change}
 }
 
 // run injects faults of some kinds until the context is done.
@@ -227,7 +229,10 @@
 	}
 }
 
-func soak(t *testing.T, seed uint64) {
+func soak(t *testing.T, seed uint64) { play(t, seed, (*faults).kinds) }
+
+// play plays faults of some kinds.
+func play(t *testing.T, seed uint64, kinds func(x *faults) []func()) {
 	f := newFleet(t, seed)
 	ctx, cancel := context.WithTimeout(context.Background(), *duration)
 	defer cancel()
@@ -237,7 +242,7 @@
 	}
 	x := &faults{fleet: f, random: rand.New(rand.NewPCG(seed, 1_000_000)), busy: map[*gateway]bool{}}
 	f.spoil.Store(true)
-	x.run(ctx, x.kinds())
+	x.run(ctx, kinds(x))
 	f.spoil.Store(false)
 	group.Wait()
 	f.lasting.Wait()
@@ -246,10 +251,12 @@
 	for _, b := range f.record.check() {
 		t.Error(b)
 	}
+	f.checkTerms()
 	// A gateway that ended or stood still may have lost or missed what was seen.
 	faultCount := int(f.faultsBegun.Load())
 	assert.Assert(t, f.record.deadlyEnds <= 3+faultCount, "%d upstreams ended by a part, %d gateways ended or stood still", f.record.deadlyEnds, faultCount)
-	t.Logf("served %v, %d upstreams ended by a part, %d gateways ended or stood still", f.record.served, f.record.deadlyEnds, faultCount)
+	t.Logf("served %v, %d upstreams ended by a part, %d gateways ended or stood still, the store returned %d times", f.record.served, f.record.deadlyEnds, faultCount,
+		f.returns.Load())
 }
 
 // checkService waits until each gateway serves a request of each kind, and the last version of the configuration.
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -95,10 +95,19 @@
 		replica.AddModel("small", "a1")
 	}
 	u.replica, u.leaves, u.pauseUntil = replica, false, time.Time{}
-	u.fleet.store.Put(fakes.UpstreamKeyPrefix+u.id(), u.replica.Description(u.service, "zone-a", "ready"))
+	u.describe()
 	return nil
 }
 
+// describe writes the key of the process that runs. The caller holds u.mu.
+func (u *upstream) describe() {
+	state := "ready"
+	if u.leaves {
+		state = "draining"
+	}
+	u.fleet.store.Put(fakes.UpstreamKeyPrefix+u.id(), u.replica.Description(u.service, "zone-a", state))
+}
+
 // crash ends the process if it is the one with the number and it runs. It reports whether it did.
 func (u *upstream) crash(process int) bool {
 	u.mu.Lock()
@@ -156,7 +165,7 @@
 		return 0, false
 	}
 	u.leaves, u.leftAt, u.late, u.leaveFaults = true, u.fleet.storeUp.read(), 0, int(u.fleet.faultsEnded.Load())
-	u.fleet.store.Put(fakes.UpstreamKeyPrefix+u.id(), u.replica.Description(u.service, "zone-a", "draining"))
+	u.describe()
 	return u.process, true
 }
 
