--- a/entry/controller.go
+++ b/entry/controller.go
@@ -36,11 +36,12 @@
 	used *view.Snapshot
 	// eraAt is when this gateway learned of the store's era, askedAt when it asked the others for their digests; 0 is never.
 	eraAt, askedAt clock.Time
-	// confirmedAt is when the view was last known to be current.
-	confirmedAt  clock.Time
-	keys         keyBelief
-	keyLog       keyBeliefLog
-	digestSentAt clock.Time
+	// confirmedAt is when the view was last known to match the store, keysConfirmedAt when it was also known to have the newest
+	// configuration.
+	confirmedAt, keysConfirmedAt clock.Time
+	keys                         keyBelief
+	keyLog                       keyBeliefLog
+	digestSentAt                 clock.Time
 	// demandSentAt is when the last digest was sent to the leader.
 	demandSentAt clock.Time
 	// digestNumber is the number of the last digest, from 1.
@@ -270,6 +271,7 @@
 func (c *controller) updateKeyValidity(now clock.Time) {
 	revocationDelay := c.gateway.bounds.Load().RevocationDelay
 	if !c.held && !c.lacksConfig(c.confirmedAt) {
+		c.keysConfirmedAt = c.confirmedAt
 		c.keys.confirm(c.confirmedAt, "")
 	}
 	if now.Sub(c.keys.confirmedAt) >= clock.Span(float64(revocationDelay)*ownConfirmationShare) {
@@ -284,8 +286,10 @@
 // which the digest was sent; one that can't be dated yet is not used.
 func (c *controller) useConfirmations() {
 	for _, d := range chooseConfirmers(c.gateway.peers.FreshDigests(), c.keys.confirmedAt, c.configVersion()) {
-		if sentAt, ok := c.gateway.peers.SentAt(d.From, d.GetLife(), clock.Time(d.GetSentMs())); ok {
-			c.keys.confirm(sentAt.Add(-clock.Span(d.GetConfirmedMs())), units.VMID(d.GetVm()))
+		sentAt, ok := c.gateway.peers.SentAt(d.From, d.GetLife(), clock.Time(d.GetSentMs()))
+		at := sentAt.Add(-clock.Span(d.GetConfirmedMs()))
+		if ok && !c.mayPrecedeRewrite(d, at) {
+			c.keys.confirm(at, units.VMID(d.GetVm()))
 		}
 	}
 }
@@ -322,7 +326,7 @@
 	c.digestNumber++
 	d := &wire.Digest{
 		Vm: string(c.gateway.settings.VM), Life: c.gateway.incarnation, Number: c.digestNumber, Zone: string(c.gateway.settings.Zone),
-		Config: c.configVersion(), ConfirmedMs: confirmationAge(now, c.confirmedAt), SentMs: int64(now), Leaving: c.draining,
+		Config: c.configVersion(), ConfirmedMs: confirmationAge(now, c.keysConfirmedAt), SentMs: int64(now), Leaving: c.draining,
 		Era: int64(c.gateway.store.Era()),
 	}
 	for _, l := range c.gateway.relay.Loads() {
--- a/entry/era.go
+++ b/entry/era.go
@@ -6,6 +6,8 @@
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/epoch"
 	"github.com/magnolialever/magnolialever/parts"
+	"github.com/magnolialever/magnolialever/peers"
+	"github.com/magnolialever/magnolialever/view"
 	"github.com/magnolialever/magnolialever/wire"
 )
 
@@ -120,3 +122,14 @@
 	c.gateway.verdicts.StoreReturned(listed, false)
 	c.gateway.requestVerdicts.StoreReturned(requests, true)
 }
+
+// mayPrecedeRewrite reports whether the confirmation in another gateway's digest, as of a time, may be by a store that has lost a
+// configuration and in which the operator has not written again. That gateway may have started since, and not know.
+func (c *controller) mayPrecedeRewrite(d peers.Digest, at clock.Time) bool {
+	if c.eraAt == 0 || d.GetEra() < int64(c.gateway.store.Era()) {
+		// What the store said before it came back is true of the time before.
+		return false
+	}
+	age := at.Sub(c.eraAt)
+	return age < view.RewriteTime || age < maxConfigWait && d.GetConfig() < c.configVersion()
+}
--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -149,3 +149,15 @@
 	assert.Equal(t, len(c.store.Keys("parts/")), 0)
 	c.waitFor("verdict is written again", func() bool { return len(c.store.Keys("parts/")) == 1 })
 }
+
+// Guards against a fleet without a leader: the store came back while a gateway took the leader's key, which now has the lease
+// of another owner, or none.
+func TestStrayKeyOfLeaderIsRemoved(t *testing.T) {
+	c, _ := newEraCluster(t, 1)
+	c.gateways[0].stop()
+	assert.NilError(t, <-c.gateways[0].runErr)
+	c.store.PutBytes("duties/orders", []byte("gate-0"))
+	c.gateways[0] = c.startGateway("gate-0")
+	c.waitFor("gateway is ready", func() bool { return c.readyStatus(c.gateways[0]) == http.StatusOK })
+	c.load("a1")
+}
--- a/entry/hear_test.go
+++ b/entry/hear_test.go
@@ -12,9 +12,12 @@
 	"github.com/magnolialever/magnolialever/elect"
 	"github.com/magnolialever/magnolialever/epoch"
 	"github.com/magnolialever/magnolialever/feed"
+	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/member"
+	"github.com/magnolialever/magnolialever/peers"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/view"
 	"github.com/magnolialever/magnolialever/wire"
 )
 
@@ -71,3 +74,23 @@
 	c.handleFullRead(clock.Time(4000), feed.FullRead{Keys: map[string]bool{member.Key("gate-1"): true}, Revision: 9, Returned: true})
 	assert.Equal(t, len(c.members.Registered()), 2)
 }
+
+// Guards against keys that others' words confirm after the store has lost a newer configuration: a gateway that has started since
+// does not know that there was one.
+func TestConfirmationsBeforeRewriteDontCount(t *testing.T) {
+	g, c := newCutOffGateway(t)
+	c.snapshot = &view.Snapshot{Config: &fleet.Config{Version: 7}}
+	c.handle(eraBegan{1})
+	c.eraAt = 0
+	digest := func(era, version int64) peers.Digest {
+		return peers.Digest{Digest: &wire.Digest{Era: era, Config: version}}
+	}
+	assert.Assert(t, !c.mayPrecedeRewrite(digest(1, 7), 500), "nothing was lost")
+	g.store.ObserveEra(2)
+	c.eraAt = 1000
+	assert.Assert(t, c.mayPrecedeRewrite(digest(2, 7), 1500))
+	assert.Assert(t, !c.mayPrecedeRewrite(digest(1, 7), 900), "the store said so before it came back")
+	assert.Assert(t, !c.mayPrecedeRewrite(digest(2, 7), 2500))
+	assert.Assert(t, c.mayPrecedeRewrite(digest(2, 6), 2500), "the operator has not written again")
+	assert.Assert(t, !c.mayPrecedeRewrite(digest(2, 6), 1000+clock.Time(maxConfigWait)))
+}
--- a/view/view.go
+++ b/view/view.go
@@ -15,10 +15,10 @@
 	// reregisterTime is the time after a store outage within which live upstreams write their expired
 	// entries again.
 	reregisterTime = 2200 * clock.Millisecond
-	// rewriteTime is the time after the return of the store from an older copy within which the operator writes again what
+	// RewriteTime is the time after the return of the store from an older copy within which the operator writes again what
 	// was lost. Until then the store's word doesn't confirm that there is no newer configuration.
-	rewriteTime = clock.Second
-	// maxRewriteTime is rewriteTime while the store's configuration is older than the known one. It bounds the refusals where
+	RewriteTime = clock.Second
+	// maxRewriteTime is RewriteTime while the store's configuration is older than the known one. It bounds the refusals where
 	// the operator doesn't write at all.
 	maxRewriteTime = 10 * clock.Second
 )
@@ -156,7 +156,7 @@
 	if s.eraAt == 0 {
 		return false
 	}
-	limit := rewriteTime
+	limit := RewriteTime
 	if s.snap.Config != nil && s.storeVersion < s.snap.Config.Version {
 		limit = maxRewriteTime
 	}
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -153,3 +153,28 @@
 	s.RecordStoreRevision(2500, 41)
 	assert.Equal(t, s.ConfirmedAt(), clock.Time(3000), "an older confirmation that arrives late changes nothing")
 }
+
+// Guards against models that count as loaded, or as missing, by a description from before the store was lost: the known one
+// of the same process stays until it was written again. That of a later process counts at once.
+func TestDescriptionOfReturnedStoreMayBeOlder(t *testing.T) {
+	s := view.New()
+	describe := func(start int64, models ...units.ModelID) *fleet.Upstream {
+		u := &fleet.Upstream{ID: "one", Address: "10.0.0.1:80", ProcessStart: start}
+		for _, m := range models {
+			u.Models = append(u.Models, fleet.Resident{Model: m})
+		}
+		return u
+	}
+	holds := func(m units.ModelID) bool { return s.Snapshot().Upstreams["one"].Holds(m, "") }
+	s.SetUpstream(1000, describe(5, "small", "large"))
+	s.BeginEra(2000)
+	s.SetReadUpstream(2010, describe(5, "small"))
+	assert.Assert(t, holds("large"))
+	assert.Equal(t, s.Snapshot().Upstreams["one"].ReceivedAt, clock.Time(1000), "it is no later description")
+	s.SetReadUpstream(2020, describe(4, "other"))
+	assert.Assert(t, holds("large"))
+	s.SetReadUpstream(2030, describe(6, "other"))
+	assert.Assert(t, holds("other"))
+	s.SetReadUpstream(s.SettledAt(), describe(6, "small"))
+	assert.Assert(t, holds("small"))
+}
