relay, agent, gate, copies: answers with odd statuses are no answers

An upstream in trouble answered with status 000. The gateway on the platform passed 600 to 999 on; agents passed on what net/http takes, stored it as the result of a call that must not be repeated, and gates would have panicked when they replayed it. Final statuses are 200 to 599 now; a request with another one may have run (502, X-Run may-have-run at gates). A head with such a status, or with one that can't be parsed, ends a body like that of any other answer.

Measured: TestOddStatusIsNotPassedOn, TestOddHeadIsNotPartOfABody (relay) and TestOddStatusIsNoAnswer (agent) fail before and pass now.

--- a/agent/body.go
+++ b/agent/body.go
@@ -34,9 +34,10 @@
 // isSecondHead reports whether a head in the body of resp is that of a second answer to its request: it has the same
 // status and fields, and was not written earlier. Upstreams of agents echo no request ids, and a connection carries one
 // request, so that nothing else tells a second answer from a text on HTTP. One with another status or other fields
-// counts as text, since a text that counted as an answer would fail each time.
+// counts as text, since a text that counted as an answer would fail each time. A status that no answer has is that of an
+// upstream in trouble.
 func isSecondHead(resp *http.Response, status int, h http.Header) bool {
-	if status != resp.StatusCode || len(h) != len(resp.Header) {
+	if status != resp.StatusCode && copies.IsFinalStatus(status) || len(h) != len(resp.Header) {
 		return false
 	}
 	for name, values := range resp.Header {
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -103,6 +103,10 @@
 		return tokenCounts{}, failedCall(ctx, err, connected.Load())
 	}
 	defer resp.Body.Close()
+	if !copies.IsFinalStatus(resp.StatusCode) {
+		stats.Event("odd_status")
+		return tokenCounts{}, &refusal{code: units.UpstreamFailed, mayHaveRun: true, message: fmt.Sprintf("status %q of the answer is out of range", resp.Status)}
+	}
 	f.onNotice(parseNotice(resp, c.Kind != kindService))
 	m := newMeter(c)
 	if req := m.checkStatus(resp); req != nil {
--- a/copies/copies.go
+++ b/copies/copies.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/textproto"
 )
 
 // ErrSecondAnswer means that the head of another answer stands in a body. What follows belongs to no request, and
@@ -133,7 +134,8 @@
 	if r.examined == 0 {
 		n := bytes.IndexByte(data[:min(len(data), maxStatusBytes)], '\n') + 1
 		switch {
-		case !mayBeStatusLine(data), n > 0 && !bytes.HasSuffix(data[:n], []byte("\r\n")), n == 0 && len(data) >= maxStatusBytes:
+		case !mayBeOddStatusLine(data), n > 0 && !bytes.HasSuffix(data[:n], []byte("\r\n")), n == 0 && len(data) >= maxStatusBytes,
+			!mayBeStatusLine(data) && bytes.Count(data[:n], statusPrefix) > 1:
 			return content, len(statusPrefix)
 		case n == 0:
 			return undecided, 0
@@ -160,13 +162,31 @@
 
 // decide returns what the whole head is.
 func (r *Reader) decide(head []byte) (verdict, int) {
+	if status, header, ok := parseHead(head); ok && r.options.IsAnswer(status, header) {
+		return answer, 0
+	}
+	return content, len(head)
+}
+
+// parseHead returns the status and the header of a whole head, and whether it can be parsed. The status is 0 if it, or the
+// length of the body, can't be: an upstream in trouble writes such answers.
+func parseHead(head []byte) (status int, header http.Header, ok bool) {
 	res, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil) //nolint:bodyclose // it has no body
-	if err != nil || !r.options.IsAnswer(res.StatusCode, res.Header) {
-		return content, len(head)
+	if err == nil {
+		return res.StatusCode, res.Header, true
 	}
-	return answer, 0
+	_, fields, _ := bytes.Cut(head, []byte("\n"))
+	mime, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(fields))).ReadMIMEHeader()
+	mime.Del("Transfer-Encoding") // as ReadResponse does
+	return 0, http.Header(mime), err == nil
 }
 
+// IsFinalStatus reports whether a final answer may have the status: 200 to 599.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
+// maxStatus is the largest status of HTTP.
+const maxStatus = 599
+
 // mayBeStatusLine reports whether data, which begins with statusPrefix, goes on like a status line: a digit, a space and
 // three digits, as far as there are bytes.
 func mayBeStatusLine(data []byte) bool {
@@ -178,6 +198,16 @@
 	return true
 }
 
+// mayBeOddStatusLine is mayBeStatusLine with any word in place of the three digits.
+func mayBeOddStatusLine(data []byte) bool {
+	for i, c := range data[len(statusPrefix):min(len(data), len(statusPrefix)+3)] {
+		if i == 0 && (c < '0' || c > '9') || i == 1 && c != ' ' || i == 2 && c <= ' ' {
+			return false
+		}
+	}
+	return true
+}
+
 // isHeaderLine reports whether a line begins with the name of a header field and a colon.
 func isHeaderLine(line []byte) bool {
 	name, _, found := bytes.Cut(line, []byte(":"))
@@ -201,5 +231,5 @@
 
 // BeginsHead reports whether the data begins like the head of an answer.
 func BeginsHead(data []byte) bool {
-	return len(data) > len(statusPrefix) && bytes.HasPrefix(data, statusPrefix) && mayBeStatusLine(data)
+	return len(data) > len(statusPrefix) && bytes.HasPrefix(data, statusPrefix) && mayBeOddStatusLine(data)
 }
--- a/gate/response.go
+++ b/gate/response.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/magnolialever/magnolialever/copies"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -16,13 +17,11 @@
 // is buffered completely, another upstream can still serve the request.
 const maxBufferedBytes = 1 << 20
 
-// maxStatus is the largest HTTP status that is accepted from an upstream.
-const maxStatus = 599
-
 var (
 	errEventGap     = errors.New("events are missing in the response stream")
 	errEventTooLong = errors.New("an event of the response stream is too long")
 	errNoLastEvent  = errors.New("the response stream ended before its last event")
+	errOddStatus    = errors.New("the status of the answer is out of range")
 	errCallerWrite  = errors.New("write response to the caller")
 )
 
@@ -68,9 +67,12 @@
 // handleHead takes the status and headers of an attempt. A resumed response must be an event stream
 // with status 200.
 func (r *response) handleHead(h *wire.Head) error {
-	if r.headReceived || h.Status < http.StatusOK || h.Status > maxStatus {
+	if r.headReceived {
 		return errFrameOrder
 	}
+	if !copies.IsFinalStatus(int(h.Status)) {
+		return errOddStatus
+	}
 	r.headReceived = true
 	r.status, r.header = int(h.Status), h.Header
 	r.isEventStream = isEventStream(h.Header)
@@ -197,6 +199,10 @@
 // replay sends a stored response to the caller.
 func (r *response) replay(s *StoredResponse) error {
 	r.reset()
+	if !copies.IsFinalStatus(s.Status) {
+		// Another version of the program has stored it.
+		return errOddStatus
+	}
 	r.headReceived = true
 	r.status, r.header, r.buffer = s.Status, s.Header, s.Body
 	return r.finish()
--- a/relay/call.go
+++ b/relay/call.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/copies"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/stats"
 )
@@ -161,6 +162,9 @@
 // errSwitched means that an upstream changed the protocol of the connection, which no request asks for.
 var errSwitched = errors.New("the upstream changed the protocol")
 
+// errOddStatus means that an answer has a status that no answer has. The request may have run.
+var errOddStatus = errors.New("the answer's status is out of range")
+
 // readHead reads response heads until one belongs to the request, since an upstream may send a late
 // second response to an earlier request on the connection.
 func (rs *response) readHead(r *request) error {
@@ -228,9 +232,13 @@
 		if res.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errSwitched
 		}
-		if res.StatusCode >= http.StatusOK {
+		if copies.IsFinalStatus(res.StatusCode) {
 			return res, nil
 		}
+		if res.StatusCode < http.StatusContinue || res.StatusCode >= http.StatusOK {
+			stats.Event("odd_status")
+			return nil, fmt.Errorf("%w: %q", errOddStatus, res.Status)
+		}
 	}
 	return nil, errors.New("too many informational responses")
 }
