gate: stored answers with odd statuses are not replayed

An agent of an earlier version reports an answer with status 000 as the result of a call that must not be repeated; the gateway panicked (invalid WriteHeader code 0) when it replayed it. The caller gets outcome_unknown now.

Measured: TestOddStatusIsNotPassedOn of gate panics before and passes now.

--- a/gate/record.go
+++ b/gate/record.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"github.com/magnolialever/magnolialever/copies"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 )
@@ -26,6 +27,11 @@
 	if s == nil {
 		return false, nil
 	}
+	if !copies.IsFinalStatus(s.Status) {
+		// An agent of another version has reported it.
+		r.retryBlocked = true
+		return false, &Problem{Code: units.OutcomeUnknown, Message: errOddStatus.Error(), MayHaveRun: true}
+	}
 	if s.BodyOmitted {
 		r.retryBlocked = true
 		message := fmt.Sprintf("the call completed with status %d, but its response was too large to be stored", s.Status)
