--- a/coord/verdicts.go
+++ b/coord/verdicts.go
@@ -104,5 +104,5 @@
 		klog.InfoS("coord: invalid verdict ignored", "part", part, "err", err)
 		return
 	}
-	c.verdicts.Stored(v, 0)
+	c.verdicts.Stored(v)
 }
--- a/copies/copies.go
+++ b/copies/copies.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/textproto"
+	"regexp"
 )
 
 // ErrSecondAnswer means that the head of another answer stands in a body. What follows belongs to no request, and
@@ -224,11 +225,17 @@
 	return 0
 }
 
-// HasStatusCode reports whether a partial head has a whole status code.
+// HasStatusCode reports whether a partial head has a whole status code, be it an odd number.
 func HasStatusCode(head []byte) bool {
-	return len(head) >= len(statusPrefix)+5 && mayBeStatusLine(head)
+	if len(head) < len(statusPrefix)+5 {
+		return false
+	}
+	return mayBeStatusLine(head) || oddStatusCode.Match(head)
 }
 
+// oddStatusCode matches the begin of a status line with any number. A word in its place is too common in texts on HTTP.
+var oddStatusCode = regexp.MustCompile(`^HTTP/1\.[0-9] [+-]?[0-9]+[ \r]`)
+
 // BeginsHead reports whether the data begins like the head of an answer.
 func BeginsHead(data []byte) bool {
 	return len(data) > len(statusPrefix) && bytes.HasPrefix(data, statusPrefix) && mayBeOddStatusLine(data)
--- a/elect/elect.go
+++ b/elect/elect.go
@@ -64,13 +64,21 @@
 	if era <= h.era {
 		return
 	}
-	if h.era != 0 || h.holderKnown || !h.firstStart {
+	if h.era != 0 || h.holderKnown || !h.firstStart || era > 1 {
 		h.eraAt = now
 	}
 	h.endEpoch(now)
 	h.era, h.holder, h.holderKnown = era, "", false
 }
 
+// GiveUp gives up this gateway's epoch, if it has one, because the store may have forgotten it.
+func (h *Elector) GiveUp(now clock.Time) {
+	if h.epoch != 0 {
+		h.endEpoch(now)
+		h.holder, h.holderKnown = "", false
+	}
+}
+
 // SetFirstStart records that the whole system starts for the first time, so that no earlier leader holds a lease.
 func (h *Elector) SetFirstStart() { h.firstStart = true }
 
@@ -112,10 +120,10 @@
 // Acquired records that the key was created with a lease requested at begin. The previous lease
 // has ended by then; if replicas don't reject older epochs, the first order also waits for
 // takeoverDelay, so that the previous leader's last order is at least that old. An epoch of an earlier era is of no use: the
-// store has forgotten it.
-func (h *Elector) Acquired(now, begin clock.Time, e units.Epoch, ttl clock.Span) {
+// store has forgotten it. It reports whether the gateway is the leader.
+func (h *Elector) Acquired(now, begin clock.Time, e units.Epoch, ttl clock.Span) bool {
 	if epoch.OfEpoch(e) < h.era {
-		return
+		return false
 	}
 	h.BeginEra(now, epoch.OfEpoch(e))
 	h.epoch, h.holder = e, h.self
@@ -127,6 +135,7 @@
 	if h.eraAt != 0 {
 		h.ordersFrom = max(h.ordersFrom, h.eraAt.Add(ttl))
 	}
+	return true
 }
 
 // Renewed records that a call that started at begin renewed the lease for the TTL.
--- a/entry/controller.go
+++ b/entry/controller.go
@@ -34,8 +34,14 @@
 	published, held bool
 	// used is the view that was put into use last.
 	used *view.Snapshot
-	// eraAt is when this gateway learned of the store's era, askedAt when it asked the others for their digests; 0 is never.
-	eraAt, askedAt clock.Time
+	// eraAt is when this gateway learned of the store's era; 0 is never. askedVersion is the version of members that was asked
+	// for digests.
+	eraAt        clock.Time
+	askedVersion uint64
+	// heardConfig is the highest version of the configuration that another gateway uses. newerHeardAt is when the first one was
+	// heard that is higher than this gateway's; 0 if none is.
+	heardConfig  int64
+	newerHeardAt clock.Time
 	// confirmedAt is when the view was last known to match the store, keysConfirmedAt when it was also known to have the newest
 	// configuration.
 	confirmedAt, keysConfirmedAt clock.Time
@@ -116,6 +122,8 @@
 		c.handleFullRead(now, m.read)
 	case eraBegan:
 		c.beginEra(now, m.era)
+	case eraHeard:
+		c.handleHeardEra(now, m.era)
 	case digestAsked:
 		c.gateway.peers.Reply(&wire.Datagram{Body: &wire.Datagram_Digest{Digest: c.newDigest(now)}}, m.from)
 	case digestReceived:
@@ -145,11 +153,11 @@
 		return
 	}
 	if part, ok := parts.ParseVerdictKey(m.item.Key); ok {
-		c.handleVerdict(c.gateway.verdicts, parts.Verdict{Part: part}, m.item)
+		c.handleVerdict(c.gateway.verdicts, parts.Verdict{Part: part}, m)
 		return
 	}
 	if request, ok := parts.ParseRequestVerdictKey(m.item.Key); ok {
-		c.handleVerdict(c.gateway.requestVerdicts, parts.Verdict{Part: request, Request: true}, m.item)
+		c.handleVerdict(c.gateway.requestVerdicts, parts.Verdict{Part: request, Request: true}, m)
 		return
 	}
 	vm, ok := member.ParseKey(m.item.Key)
@@ -197,6 +205,7 @@
 	for _, w := range d.GetSuspects() {
 		c.gateway.relay.MergeSuspect(decodeSuspect(now, w))
 	}
+	c.hearConfig(d)
 	c.gateway.partExchange.Merge(d.GetParts(), parts.Sender{VM: units.VMID(d.GetVm()), Address: d.From.String()}, d.GetLife(), d.GetSentMs())
 	if d.HasMisses() {
 		c.orders.planSoon()
@@ -230,6 +239,7 @@
 		klog.InfoS("entry: gateways", "count", n, "before", c.gatewayCount)
 	}
 	c.gatewayCount = n
+	c.gateway.gateways.Store(int64(n))
 	c.gateway.peers.SetGateways(n)
 	all, registered := c.members.All(), c.members.Registered()
 	c.gateway.relay.SetGateways(c.gateway.settings.VM, all)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,6 +74,8 @@
 	leaderUntil atomic.Int64
 	// heardEra is the latest epoch.Era that another gateway has told of.
 	heardEra atomic.Int64
+	// gateways is the number of gateways.
+	gateways atomic.Int64
 	// register receives a value when the registration has to be written again.
 	register chan struct{}
 	// storeWatch is nil until the gateways are known.
@@ -146,7 +148,7 @@
 		Clock: g.clock, Store: g.store,
 		OnChange:    func(s *view.Snapshot) { g.post(viewChanged{s}) },
 		OnConfirm:   func(at clock.Time) { g.post(storeConfirmed{at}) },
-		OnOtherItem: func(i platform.Item) { g.post(itemReceived{i}) },
+		OnOtherItem: func(i platform.Item, restored bool) { g.post(itemReceived{i, restored}) },
 		OnFullRead:  func(r feed.FullRead) { g.post(fullReadDone{r}) },
 		Pause:       g.watchPause,
 		OnBatch:     g.sendChanges,
@@ -183,13 +185,19 @@
 	// storeConfirmed means that the view was current at the time.
 	storeConfirmed struct{ at clock.Time }
 	// itemReceived has an item of the store that is not part of the view.
-	itemReceived struct{ item platform.Item }
+	itemReceived struct {
+		item platform.Item
+		// restored is set if the store may have brought it back from an older copy.
+		restored bool
+	}
 	// fullReadDone means that all items of the store were read.
 	fullReadDone struct{ read feed.FullRead }
 	// eraBegan means that the store came back from an older copy, or that its first era is known.
 	eraBegan struct{ era epoch.Era }
 	// digestReceived has a digest from another gateway.
 	digestReceived struct{ digest peers.Digest }
+	// eraHeard means that another gateway knows of a later era.
+	eraHeard struct{ era epoch.Era }
 	// digestAsked means that a gateway that has just started wants a digest.
 	digestAsked struct{ from netip.AddrPort }
 	// residencyChanged has loads and unloads that the leader has ordered.
--- a/entry/era.go
+++ b/entry/era.go
@@ -12,34 +12,44 @@
 )
 
 const (
-	// askTime is how long a gateway that starts waits for the digests of others, which take a round trip and a turn of their
-	// control loops.
-	askTime = 150 * clock.Millisecond
 	// maxConfigWait bounds the time for which a gateway waits for a configuration that the store has lost. It bounds the
 	// refusals where the operator doesn't write it again, or where this process can't read it.
 	maxConfigWait = 10 * clock.Second
 )
 
-// beginEra handles a later era of the store, from an answer of the store or from another gateway. It is called from the
-// goroutine that has received it.
+// beginEra handles a later era in an answer of the store. It is called from the goroutine that has received it.
 func (g *Gateway) beginEra(era int64) {
+	g.callStore()
+	g.post(eraBegan{epoch.Era(era)})
+}
+
+// callStore makes the feed and the registration call the store soon.
+func (g *Gateway) callStore() {
 	g.feed.CheckEra()
 	select {
 	case g.register <- struct{}{}:
 	default:
 	}
-	g.post(eraBegan{epoch.Era(era)})
 }
 
-// hearEra records the era of the store that another gateway knows of; 0 if it knows of none. It must not be called from the
-// control loop, to which it sends a message.
+// hearEra handles the era of the store that another gateway knows of; 0 if it knows of none. A later one ends leadership, and lets
+// this gateway call the store: only the store's own word makes what it said before late, as a message may be wrong. It must
+// not be called from the control loop, to which it sends a message.
 func (g *Gateway) hearEra(era int64) {
-	if era <= g.heardEra.Load() || !epoch.Valid(era) {
+	if era <= max(g.heardEra.Load(), int64(g.store.Era())) || !epoch.Valid(era) {
 		return
 	}
 	// The goroutine that receives messages is the only one that sets it.
 	g.heardEra.Store(era)
-	g.store.ObserveEra(epoch.Era(era))
+	g.callStore()
+	g.post(eraHeard{epoch.Era(era)})
+}
+
+// handleHeardEra gives up what may have been lost in an era that another gateway has told of.
+func (c *controller) handleHeardEra(now clock.Time, era epoch.Era) {
+	klog.InfoS("entry: era of the store, by another gateway", "era", era)
+	c.eraAt = now
+	c.orders.elector.GiveUp(now)
 }
 
 // beginEra ends what rests on the era before, and tells the other gateways unless one of them has told this one: those cut off
@@ -81,31 +91,37 @@
 	c.publishView(now)
 }
 
-// mayLackConfig reports whether the store may have lost a newer configuration than the first one that this process has read. It
-// asks the other gateways, if there are any.
+// mayLackConfig reports whether the store may have lost a newer configuration than the first one that this process has read: none
+// of the other gateways has told its version yet, and the operator may not have had the time to write again. It asks each that
+// becomes known, as the store may have lost their registrations as well.
 func (c *controller) mayLackConfig(now clock.Time) bool {
-	if c.gateway.store.Era() == 0 || c.gateway.settings.FirstStart || len(c.members.All()) <= 1 {
+	era := c.gateway.store.Era()
+	if era == 0 || c.gateway.settings.FirstStart && era <= 1 {
 		return false
 	}
-	if c.askedAt == 0 {
-		c.askedAt = now
+	if c.askedVersion != c.members.Version() {
+		c.askedVersion = c.members.Version()
 		c.sendEra(true)
 	}
-	return now.Sub(c.askedAt) < askTime || c.lacksConfig(now)
+	unknown := len(c.gateway.peers.FreshDigests()) == 0 && now.Sub(c.eraAt) < view.RewriteTime
+	return unknown || c.lacksConfig(now)
 }
 
 // lacksConfig reports whether another gateway used a newer configuration before the time. If the store confirmed the
 // view as of that time, it has lost that configuration.
 func (c *controller) lacksConfig(at clock.Time) bool {
-	if c.eraAt == 0 || at.Sub(c.eraAt) >= maxConfigWait {
-		return false
+	if c.heardConfig <= c.configVersion() {
+		c.newerHeardAt = 0
 	}
-	for _, d := range c.gateway.peers.FreshDigests() {
-		if d.GetConfig() > c.configVersion() && d.ReceivedAt.Before(at) {
-			return true
-		}
+	return c.eraAt != 0 && at.Sub(c.eraAt) < maxConfigWait && c.newerHeardAt != 0 && c.newerHeardAt.Before(at)
+}
+
+// hearConfig records the version of the configuration in a digest.
+func (c *controller) hearConfig(d peers.Digest) {
+	c.heardConfig = max(c.heardConfig, d.GetConfig())
+	if d.GetConfig() > c.configVersion() && c.newerHeardAt == 0 {
+		c.newerHeardAt = d.ReceivedAt
 	}
-	return false
 }
 
 // restoreVerdicts writes verdicts again that a store that came back from an older copy has lost, given its keys.
@@ -126,8 +142,8 @@
 // mayPrecedeRewrite reports whether the confirmation in another gateway's digest, as of a time, may be by a store that has lost a
 // configuration and in which the operator has not written again. That gateway may have started since, and not know.
 func (c *controller) mayPrecedeRewrite(d peers.Digest, at clock.Time) bool {
-	if c.eraAt == 0 || d.GetEra() < int64(c.gateway.store.Era()) {
-		// What the store said before it came back is true of the time before.
+	if c.eraAt == 0 || d.GetEra() != 0 && d.GetEra() < int64(c.gateway.store.Era()) {
+		// What the store said before it came back is true of the time before. 0 is unknown.
 		return false
 	}
 	age := at.Sub(c.eraAt)
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -69,9 +69,12 @@
 		klog.InfoS("entry: duty not taken", "err", m.err)
 		return
 	}
+	if !o.elector.Acquired(now, m.startedAt, m.epoch, m.ttl) {
+		klog.InfoS("entry: duty not taken", "epoch", m.epoch, "err", platform.ErrNewEra)
+		return
+	}
 	o.lease, o.ttl, o.renewedAt = m.lease, m.ttl, m.startedAt
-	o.elector.Acquired(now, m.startedAt, m.epoch, m.ttl)
-	klog.InfoS("entry: duty taken", "epoch", m.epoch, "era", epoch.OfEpoch(m.epoch), "held", o.elector.Holds(now))
+	klog.InfoS("entry: duty taken", "epoch", m.epoch, "era", epoch.OfEpoch(m.epoch))
 }
 
 // beginEra gives up leadership when the store has come back from an older copy.
--- a/entry/registration.go
+++ b/entry/registration.go
@@ -21,9 +21,9 @@
 	registrationRenewals = 3
 	// registrationRetryDelay is the least delay after a failed call; the jitter is at most as long.
 	registrationRetryDelay = 500 * time.Millisecond
-	// maxRegisterDelay bounds the random delay before the registration is written again because the store has lost it: all
-	// gateways write at that time.
-	maxRegisterDelay = 100 * time.Millisecond
+	// registerDelayPerGateway, times the number of gateways, bounds the random delay before the registration is written again
+	// because the store has lost it: all gateways write then, twice each, and the store takes several hundred writes a second.
+	registerDelayPerGateway = 6 * time.Millisecond
 	// revokeTimeout limits the call that revokes a lease at a planned stop.
 	revokeTimeout = 500 * time.Millisecond
 )
@@ -55,7 +55,7 @@
 		case <-ctx.Done():
 		case <-time.After(delay):
 		case <-r.gateway.register:
-			clock.Sleep(ctx, rand.N(maxRegisterDelay))
+			clock.Sleep(ctx, rand.N(registerDelayPerGateway*time.Duration(r.gateway.gateways.Load()+1)))
 		}
 	}
 	if r.lease == noLease {
--- a/entry/verdicts.go
+++ b/entry/verdicts.go
@@ -34,7 +34,8 @@
 }
 
 // handleVerdict handles a change of a verdict in the store, by any gateway. about has the part or request of its key.
-func (c *controller) handleVerdict(k *parts.Keeper, about parts.Verdict, item platform.Item) {
+func (c *controller) handleVerdict(k *parts.Keeper, about parts.Verdict, m itemReceived) {
+	item := m.item
 	if item.Deleted {
 		k.Removed(about.Part, item.Revision)
 		return
@@ -45,5 +46,9 @@
 		return
 	}
 	v.Request = about.Request
-	k.Stored(v, item.Revision)
+	if m.restored {
+		k.Returned(v, item.Revision)
+		return
+	}
+	k.Stored(v)
 }
--- a/feed/batch.go
+++ b/feed/batch.go
@@ -61,9 +61,9 @@
 		case <-timer.C:
 			return
 		case <-f.eraBegan:
-			if f.beginEra() {
-				timer.Reset(rand.N(maxGapDelay))
-			}
+			// The next answer of the store tells its era, if this gateway has only heard of it.
+			f.beginEra()
+			timer.Reset(rand.N(maxGapDelay))
 		case b := <-f.batches:
 			switch f.handleBatch(ctx, b) {
 			case batchConfirmed:
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -22,6 +22,10 @@
 )
 
 const (
+	// maxLateTime is the time after which the store's eras are taken to have gone back for good.
+	maxLateTime = 10 * clock.Second
+	// maxRereadDelay bounds the random delay of the second full read after a return of the store, which all gateways do.
+	maxRereadDelay = 500 * clock.Millisecond
 	// watchTimeout is how long the store holds a watch open without a change.
 	watchTimeout = clock.Second
 	// minRetryDelay and maxRetry bound the backoff after a failed call, before jitter.
@@ -57,8 +61,8 @@
 	// OnConfirm is called with the latest time as of which the view is known to have been current.
 	OnConfirm func(at clock.Time)
 	// OnOtherItem is called for items that are not part of the view, such as the keys of other
-	// gateways.
-	OnOtherItem func(i platform.Item)
+	// gateways. restored is set if the store may have brought it back from an older copy.
+	OnOtherItem func(i platform.Item, restored bool)
 	// OnFullRead is called after a full read.
 	OnFullRead func(r FullRead)
 	// Pause returns the delay before the next watch, from the last confirmation on. Each call to the
@@ -105,6 +109,12 @@
 	// era is the store's era that a full read was tried in, eraBegan receives a value when there may be a later one.
 	era      epoch.Era
 	eraBegan chan struct{}
+	// lateSince is when the first of the answers of an earlier era came; 0 if the last call had another result.
+	lateSince clock.Time
+	// confirmAt is when the store's word confirms keys again; 0 is never.
+	confirmAt clock.Time
+	// restoring is set while an item of the first full read after a return is applied.
+	restoring bool
 	// rereadAt is when everything is read again, as what the store lost is written again by then; 0 is never.
 	rereadAt clock.Time
 }
@@ -117,7 +127,7 @@
 	}
 }
 
-// CheckEra makes the Feed read everything at once if Store.Era has risen. It is safe for concurrent use.
+// CheckEra makes the Feed call the store at once, and read everything if Store.Era has risen. It is safe for concurrent use.
 func (f *Feed) CheckEra() {
 	select {
 	case f.eraBegan <- struct{}{}:
@@ -140,7 +150,7 @@
 	now := f.Clock.Now()
 	f.synced = false
 	f.state.BeginEra(now)
-	f.rereadAt = f.state.SettledAt()
+	f.confirmAt, f.rereadAt = now.Add(view.RewriteTime), f.state.SettledAt().Add(rand.N(maxRereadDelay))
 	stats.Event("store_returns")
 	klog.InfoS("feed: store came back from an older copy, reading the full state", "era", era, "revision", f.state.Revision())
 	return true
@@ -182,11 +192,32 @@
 	klog.InfoS("feed: outage is over", "revision", f.state.Revision(), "recovered", now.Sub(f.state.RecoveredAt()))
 }
 
-// pause returns the delay before the next call, which is not after rereadAt.
+// recordLateAnswer counts answers of an earlier era, given the result of a call. If there are no others for maxLateTime, the
+// era that is known was wrong, or the store was set up anew: only a process that starts believes it again.
+func (f *Feed) recordLateAnswer(err error) {
+	if !errors.Is(err, platform.ErrLateAnswer) {
+		f.lateSince = 0
+		return
+	}
+	stats.Event("store_answers_late")
+	now := f.Clock.Now()
+	if f.lateSince == 0 {
+		f.lateSince = now
+	}
+	if now.Sub(f.lateSince) >= maxLateTime {
+		f.lateSince = now
+		klog.ErrorS(err, "feed: store states an earlier era than it did before; gateways have to be restarted", "era", f.era)
+	}
+}
+
+// pause returns the delay before the next call, which is not after rereadAt nor confirmAt.
 func (f *Feed) pause() time.Duration {
-	pause := f.Pause()
+	pause, now := f.Pause(), f.Clock.Now()
 	if f.rereadAt != 0 {
-		pause = min(pause, max(f.rereadAt.Sub(f.Clock.Now()), clock.Millisecond))
+		pause = min(pause, max(f.rereadAt.Sub(now), clock.Millisecond))
+	}
+	if f.confirmAt.After(now) {
+		pause = min(pause, f.confirmAt.Sub(now)+clock.Millisecond)
 	}
 	return pause.Duration()
 }
@@ -194,6 +225,7 @@
 // nextDelay returns the delay before the next call, given the result of the last one.
 func (f *Feed) nextDelay(err error) time.Duration {
 	if err == nil {
+		f.lateSince = 0
 		if f.storeDown {
 			klog.InfoS("feed: store answers again", "revision", f.state.Revision())
 		}
@@ -207,7 +239,7 @@
 		// All gateways read the full state now.
 		return rand.N(maxGapDelay)
 	}
-	if errors.Is(err, platform.ErrNewEra) || errors.Is(err, platform.ErrLateAnswer) {
+	if errors.Is(err, platform.ErrNewEra) {
 		f.synced = false
 		return minRetryDelay
 	}
@@ -222,6 +254,7 @@
 		f.synced = false
 		return 0
 	}
+	f.recordLateAnswer(err)
 	stats.Event("store_failed")
 	if pause := f.Pause(); f.batchAt != 0 && f.Clock.Now().Sub(f.batchAt) < pause {
 		// Other gateways reach the store; this one waits for their batches.
@@ -384,7 +417,9 @@
 
 // applyRead is apply for an item of a full read.
 func (f *Feed) applyRead(now clock.Time, i platform.Item) {
+	f.restoring = now.Before(f.rereadAt)
 	f.applyItem(now, i, f.state.SetReadUpstream)
+	f.restoring = false
 }
 
 func (f *Feed) applyItem(now clock.Time, i platform.Item, setUpstream func(now clock.Time, u *fleet.Upstream)) bool {
@@ -420,7 +455,7 @@
 		f.state.SetZoneExcluded(now, c.RestoredZone, false)
 		klog.InfoS("feed: zone is back", "zone", c.RestoredZone, "revision", i.Revision)
 	case i.Key != "":
-		f.OnOtherItem(i)
+		f.OnOtherItem(i, f.restoring)
 		return false
 	default:
 		return false
--- a/parts/keeper.go
+++ b/parts/keeper.go
@@ -61,8 +61,14 @@
 	pending map[ID]pendingVerdict
 	// stored are the parts with a verdict in the store, written those with one that this gateway wrote.
 	stored, written map[ID]bool
-	// ended has the revisions at which verdicts were last removed from the store, for those of the last maxEnded.
-	ended map[ID]units.Revision
+	// ended are the last removals of verdicts from the store, at most maxEnded.
+	ended map[ID]removal
+}
+
+// removal is that of a verdict from the store at a revision, which this gateway learned at a time.
+type removal struct {
+	revision units.Revision
+	at       clock.Time
 }
 
 // pendingVerdict is a verdict that is written from a time on.
@@ -84,7 +90,7 @@
 func NewVerdictKeeper(c clock.Clock, known Verdicts, s VerdictStore) *Keeper {
 	return &Keeper{
 		clock: c, known: known, store: s, added: make(chan struct{}, 1),
-		pending: map[ID]pendingVerdict{}, stored: map[ID]bool{}, written: map[ID]bool{}, ended: map[ID]units.Revision{},
+		pending: map[ID]pendingVerdict{}, stored: map[ID]bool{}, written: map[ID]bool{}, ended: map[ID]removal{},
 	}
 }
 
@@ -118,24 +124,36 @@
 	}
 }
 
-// Stored handles a verdict that was read from the store, written by any gateway at the revision. One that had ended before the
-// store came back from an older copy is removed again.
-func (k *Keeper) Stored(v Verdict, revision units.Revision) {
+// Returned handles a verdict that a store which came back from an older copy has at the revision. One that had ended before
+// is removed again; others are handled as by Stored.
+func (k *Keeper) Returned(v Verdict, revision units.Revision) {
+	if !k.hadEnded(v, revision) {
+		k.Stored(v)
+	}
+}
+
+// hadEnded reports whether a verdict had ended before the store came back, and lets it be removed again then.
+func (k *Keeper) hadEnded(v Verdict, revision units.Revision) bool {
 	k.mu.Lock()
-	if p, waiting := k.pending[v.Part]; waiting && p.again && p.Crashes > 0 {
-		// Another gateway has written it again.
-		delete(k.pending, v.Part)
+	defer k.mu.Unlock()
+	last, ok := k.ended[v.Part]
+	if !ok || k.clock.Now().Sub(last.at) >= VerdictTTL || !epoch.MayPrecede(revision, last.revision) || k.known.Verdict(v.Part).Crashes > 0 {
+		return false
 	}
 	k.stored[v.Part] = true
-	ended, known := k.ended[v.Part]
-	returned := known && epoch.MayPrecede(revision, ended) && k.known.Verdict(v.Part).Crashes == 0
-	if returned {
-		k.pushAgain(Verdict{Part: v.Part, Request: v.Request})
+	k.pushAgain(Verdict{Part: v.Part, Request: v.Request})
+	return true
+}
+
+// Stored handles a verdict that was read from the store, written by any gateway.
+func (k *Keeper) Stored(v Verdict) {
+	k.mu.Lock()
+	if k.pending[v.Part].again {
+		// Another gateway has written it, again or anew.
+		delete(k.pending, v.Part)
 	}
+	k.stored[v.Part] = true
 	k.mu.Unlock()
-	if returned {
-		return
-	}
 	if k.known.Restore(v) {
 		klog.InfoS("parts: part refused on the store's word", "part", v.Part, "request", v.Request, "crashes", v.Crashes)
 	}
@@ -153,7 +171,7 @@
 	if len(k.ended) >= maxEnded {
 		clear(k.ended)
 	}
-	k.ended[part] = revision
+	k.ended[part] = removal{revision, k.clock.Now()}
 }
 
 // StoreReturned handles a full read of a store that has come back from an older copy: verdicts that hold and are not
--- a/view/view.go
+++ b/view/view.go
@@ -184,7 +184,7 @@
 // mayReregister reports whether live upstreams may not have written their entries again since an
 // outage.
 func (s *State) mayReregister(now clock.Time) bool {
-	return s.recoveredAt != 0 && now.Sub(s.recoveredAt) < reregisterTime
+	return s.recoveredAt != 0 && now.Sub(s.recoveredAt) < reregisterTime || s.settling(now)
 }
 
 // SetConfig replaces the configuration if the version is newer and reports whether it did. Reads
@@ -266,7 +266,7 @@
 	}
 	if s.mayReregister(now) && !e.Draining {
 		lapsed := *e
-		lapsed.RemoveAt = s.recoveredAt.Add(reregisterTime)
+		lapsed.RemoveAt = max(s.recoveredAt.Add(reregisterTime), s.SettledAt())
 		s.snap.Upstreams[id] = &lapsed
 		return
 	}
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -178,3 +178,20 @@
 	s.SetReadUpstream(s.SettledAt(), describe(6, "small"))
 	assert.Assert(t, holds("small"))
 }
+
+// Guards against live upstreams that are dropped at once when the store returns to a gateway whose calls had failed: another
+// one had reached it meanwhile, so that the outage before counted as over for long.
+func TestForgottenUpstreamStaysAfterOutage(t *testing.T) {
+	s := view.New()
+	s.SetUpstream(900, upstream("one"))
+	s.RecordStoreFailure(1000)
+	s.RecordOthersAnswer(1300)
+	s.BeginEra(4000)
+	s.RecordStoreAnswer(4050)
+	s.RemoveUnlisted(4050, nil, nil)
+	assert.Assert(t, has(s, "one"))
+	s.Expire(s.SettledAt() - 1)
+	assert.Assert(t, has(s, "one"))
+	s.Expire(s.SettledAt())
+	assert.Assert(t, !has(s, "one"))
+}
