--- a/gate/response.go
+++ b/gate/response.go
@@ -71,6 +71,7 @@
 		return errFrameOrder
 	}
 	if !copies.IsFinalStatus(int(h.Status)) {
+		stats.Event("odd_status")
 		return errOddStatus
 	}
 	r.headReceived = true
