--- a/entry/controller.go
+++ b/entry/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -38,6 +39,8 @@
 	// for digests.
 	eraAt        clock.Time
 	askedVersion uint64
+	// askedBy are the addresses that get a digest with the next tick.
+	askedBy []netip.AddrPort
 	// heardConfig is the highest version of the configuration that another gateway uses. newerHeardAt is when the first one was
 	// heard that is higher than this gateway's; 0 if none is.
 	heardConfig  int64
@@ -125,7 +128,9 @@
 	case eraHeard:
 		c.handleHeardEra(now, m.era)
 	case digestAsked:
-		c.gateway.peers.Reply(&wire.Datagram{Body: &wire.Datagram_Digest{Digest: c.newDigest(now)}}, m.from)
+		if len(c.askedBy) < maxAskedBy {
+			c.askedBy = append(c.askedBy, m.from)
+		}
 	case digestReceived:
 		c.handleDigest(now, m.digest)
 	case residencyChanged:
@@ -215,6 +220,7 @@
 func (c *controller) onTick() {
 	now := c.gateway.clock.Now()
 	c.useView(now)
+	c.answerAsked(now)
 	c.updateKeyValidity(now)
 	c.applyMembers(now)
 	c.gateway.partExchange.OnTick()
--- a/entry/era.go
+++ b/entry/era.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	// maxAskedBy bounds the digests that are sent to those who ask, in one tick. Others get the regular ones.
+	maxAskedBy = 64
 	// maxConfigWait bounds the time for which a gateway waits for a configuration that the store has lost. It bounds the
 	// refusals where the operator doesn't write it again, or where this process can't read it.
 	maxConfigWait = 10 * clock.Second
@@ -76,6 +78,18 @@
 	c.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_EraNotice{EraNotice: notice}}, to...)
 }
 
+// answerAsked sends a digest to those who asked for one since the last tick.
+func (c *controller) answerAsked(now clock.Time) {
+	if len(c.askedBy) == 0 {
+		return
+	}
+	m := &wire.Datagram{Body: &wire.Datagram_Digest{Digest: c.newDigest(now)}}
+	for _, to := range c.askedBy {
+		c.gateway.peers.Reply(m, to)
+	}
+	c.askedBy = c.askedBy[:0]
+}
+
 // useView puts a view into use, unless it is the first one and the store may have lost a newer configuration.
 func (c *controller) useView(now clock.Time) {
 	config := c.snapshot.Config
