--- a/coord/verdicts.go
+++ b/coord/verdicts.go
@@ -75,7 +75,7 @@
 		case !ok:
 			stats.Event("verdicts_unreadable")
 		case e.Deleted:
-			c.verdicts.Removed(part)
+			c.verdicts.Removed(part, 0)
 		default:
 			c.applyVerdict(part, e.Value)
 		}
--- a/entry/controller.go
+++ b/entry/controller.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/feed"
 	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/peers"
@@ -30,11 +32,26 @@
 	members *member.List
 	// snapshot is the latest view of the store.
 	snapshot *view.Snapshot
-	// confirmedAt is when the view was last known to be current.
-	confirmedAt  clock.Time
-	keys         keyBelief
-	keyLog       keyBeliefLog
-	digestSentAt clock.Time
+	// published is set once a view with a configuration is in use, held while the first one is not.
+	published, held bool
+	// used is the view that was put into use last.
+	used *view.Snapshot
+	// eraAt is when this gateway learned of the store's era; 0 is never. askedVersion is the version of members that was asked
+	// for digests.
+	eraAt        clock.Time
+	askedVersion uint64
+	// askedBy are the addresses that get a digest with the next tick.
+	askedBy []netip.AddrPort
+	// heardConfig is the highest version of the configuration that another gateway uses. newerHeardAt is when the first one was
+	// heard that is higher than this gateway's; 0 if none is.
+	heardConfig  int64
+	newerHeardAt clock.Time
+	// confirmedAt is when the view was last known to match the store, keysConfirmedAt when it was also known to have the newest
+	// configuration.
+	confirmedAt, keysConfirmedAt clock.Time
+	keys                         keyBelief
+	keyLog                       keyBeliefLog
+	digestSentAt                 clock.Time
 	// demandSentAt is when the last digest was sent to the leader.
 	demandSentAt clock.Time
 	// digestNumber is the number of the last digest, from 1.
@@ -61,6 +78,7 @@
 func newController(g *Gateway) *controller {
 	c := &controller{gateway: g, members: member.NewList(), snapshot: &view.Snapshot{}, drainRequested: make(chan struct{}, 1)}
 	c.members.Set(g.self())
+	c.used = c.snapshot
 	c.orders = newOrderManager(g, c)
 	c.duties = newDutyManager(g, c)
 	return c
@@ -106,10 +124,7 @@
 		c.snapshot = m.snapshot
 		// A full read brings the other gateways first: shares of limits depend on their number.
 		c.applyMembers(now)
-		if m.snapshot.Config != nil {
-			c.gateway.limiter.setCustomers(m.snapshot.Config.Customers())
-		}
-		c.publishView(now)
+		c.useView(now)
 	case storeConfirmed:
 		c.confirmedAt = max(c.confirmedAt, m.at)
 		c.gateway.partExchange.RecordStoreRead(m.at)
@@ -117,7 +132,15 @@
 	case itemReceived:
 		c.handleItem(now, m)
 	case fullReadDone:
-		c.handleFullRead(now, m.keys)
+		c.handleFullRead(now, m.read)
+	case eraBegan:
+		c.beginEra(now, m.era)
+	case eraHeard:
+		c.handleHeardEra(now, m.era)
+	case digestAsked:
+		if len(c.askedBy) < maxAskedBy {
+			c.askedBy = append(c.askedBy, m.from)
+		}
 	case digestReceived:
 		c.handleDigest(now, m.digest)
 	case promptsTold:
@@ -153,11 +176,11 @@
 		return
 	}
 	if part, ok := parts.ParseVerdictKey(m.item.Key); ok {
-		c.handleVerdict(c.gateway.verdicts, parts.Verdict{Part: part}, m.item)
+		c.handleVerdict(c.gateway.verdicts, parts.Verdict{Part: part}, m)
 		return
 	}
 	if request, ok := parts.ParseRequestVerdictKey(m.item.Key); ok {
-		c.handleVerdict(c.gateway.requestVerdicts, parts.Verdict{Part: request, Request: true}, m.item)
+		c.handleVerdict(c.gateway.requestVerdicts, parts.Verdict{Part: request, Request: true}, m)
 		return
 	}
 	vm, ok := member.ParseKey(m.item.Key)
@@ -180,18 +203,24 @@
 }
 
 // handleFullRead removes gateways whose keys a full read did not return, and records that there is
-// no leader if its key is missing.
-func (c *controller) handleFullRead(now clock.Time, keys map[string]bool) {
+// no leader if its key is missing. A store that came back from an older copy may lack gateways that run; they register again.
+func (c *controller) handleFullRead(now clock.Time, r feed.FullRead) {
+	if !r.Keys[leaderKey] {
+		c.orders.elector.RecordHolder(now, r.Revision, "")
+	}
+	if r.Returned {
+		c.restoreVerdicts(r.Keys)
+	}
+	if r.Settling {
+		return
+	}
 	listed := map[units.VMID]bool{c.gateway.settings.VM: true}
-	for k := range keys {
+	for k := range r.Keys {
 		if vm, ok := member.ParseKey(k); ok {
 			listed[vm] = true
 		}
 	}
 	c.members.RemoveUnlisted(now, listed)
-	if !keys[leaderKey] {
-		c.orders.elector.RecordHolder(now, c.snapshot.Revision, "")
-	}
 }
 
 // handleDigest merges the crash suspects and parts of another gateway, and plans soon if that gateway had misses.
@@ -199,6 +228,7 @@
 	for _, w := range d.GetSuspects() {
 		c.gateway.relay.MergeSuspect(decodeSuspect(now, w))
 	}
+	c.hearConfig(d)
 	c.gateway.partExchange.Merge(d.GetParts(), parts.Sender{VM: units.VMID(d.GetVm()), Address: d.From.String()}, d.GetLife(), d.GetSentMs())
 	c.duties.handleDigest(d)
 	if d.HasMisses() {
@@ -208,6 +238,8 @@
 
 func (c *controller) onTick() {
 	now := c.gateway.clock.Now()
+	c.useView(now)
+	c.answerAsked(now)
 	c.updateKeyValidity(now)
 	c.applyMembers(now)
 	c.gateway.partExchange.OnTick()
@@ -235,6 +267,7 @@
 		klog.InfoS("entry: gateways", "count", n, "before", c.gatewayCount)
 	}
 	c.gatewayCount = n
+	c.gateway.gateways.Store(int64(n))
 	c.gateway.peers.SetGateways(n)
 	all, registered := c.members.All(), c.members.Registered()
 	c.gateway.relay.SetGateways(c.gateway.settings.VM, all)
@@ -275,7 +308,10 @@
 // is old, other gateways' confirmations by the store.
 func (c *controller) updateKeyValidity(now clock.Time) {
 	revocationDelay := c.gateway.bounds.Load().RevocationDelay
-	c.keys.confirm(c.confirmedAt, "")
+	if !c.held && !c.lacksConfig(c.confirmedAt) {
+		c.keysConfirmedAt = c.confirmedAt
+		c.keys.confirm(c.confirmedAt, "")
+	}
 	if now.Sub(c.keys.confirmedAt) >= clock.Span(float64(revocationDelay)*ownConfirmationShare) {
 		c.useConfirmations()
 	}
@@ -288,8 +324,10 @@
 // which the digest was sent; one that can't be dated yet is not used.
 func (c *controller) useConfirmations() {
 	for _, d := range chooseConfirmers(c.gateway.peers.FreshDigests(), c.keys.confirmedAt, c.configVersion()) {
-		if sentAt, ok := c.gateway.peers.SentAt(d.From, d.GetLife(), clock.Time(d.GetSentMs())); ok {
-			c.keys.confirm(sentAt.Add(-clock.Span(d.GetConfirmedMs())), units.VMID(d.GetVm()))
+		sentAt, ok := c.gateway.peers.SentAt(d.From, d.GetLife(), clock.Time(d.GetSentMs()))
+		at := sentAt.Add(-clock.Span(d.GetConfirmedMs()))
+		if ok && !c.mayPrecedeRewrite(d, at) {
+			c.keys.confirm(at, units.VMID(d.GetVm()))
 		}
 	}
 }
@@ -326,7 +364,8 @@
 	c.digestNumber++
 	d := &wire.Digest{
 		Vm: string(c.gateway.settings.VM), Life: c.gateway.incarnation, Number: c.digestNumber, Zone: string(c.gateway.settings.Zone),
-		Config: c.configVersion(), ConfirmedMs: confirmationAge(now, c.confirmedAt), SentMs: int64(now), Leaving: c.draining,
+		Config: c.configVersion(), ConfirmedMs: confirmationAge(now, c.keysConfirmedAt), SentMs: int64(now), Leaving: c.draining,
+		Era: int64(c.gateway.store.Era()),
 	}
 	for _, l := range c.gateway.relay.Loads() {
 		d.Shares = append(d.Shares, encodeLoad(l))
--- a/entry/duty.go
+++ b/entry/duty.go
@@ -116,9 +116,7 @@
 // refused gives up a duty because somebody has seen a later epoch than that of the proof, and the leadership if the
 // proof still holds.
 func (d *dutyManager) refused(now clock.Time, p duty.Proof) {
-	if d.holder.Holds(now, p) {
-		d.controller.orders.elector.Lost(now)
-	}
+	d.controller.orders.elector.Refused(now, p.Epoch)
 	d.holder.GiveUp(p)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"github.com/magnolialever/magnolialever/assign"
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/epoch"
 	"github.com/magnolialever/magnolialever/feed"
 	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/parts"
@@ -76,6 +77,12 @@
 	leaderUntil atomic.Int64
 	// leaderEpoch is the units.Epoch of that.
 	leaderEpoch atomic.Int64
+	// heardEra is the latest epoch.Era that another gateway has told of.
+	heardEra atomic.Int64
+	// gateways is the number of gateways.
+	gateways atomic.Int64
+	// register receives a value when the registration has to be written again.
+	register chan struct{}
 	// usage counts the requests of customers; nil if the gateways don't report them.
 	usage *usage.Counter
 	// storeWatch is nil until the gateways are known.
@@ -93,7 +100,7 @@
 func New(settings *platform.Settings) (*Gateway, error) {
 	g := &Gateway{
 		settings: settings, clock: clock.Boot{}, store: platform.NewStore(settings.StoreAddress),
-		inbox: make(chan message, inboxSize), prompted: make(chan struct{}, 1), incarnation: rand.Uint64(),
+		inbox: make(chan message, inboxSize), register: make(chan struct{}, 1), prompted: make(chan struct{}, 1), incarnation: rand.Uint64(),
 		demand: demandMeter{meter: assign.NewMeter()}, background: context.Background(),
 	}
 	tolerance := quota.Tolerance{Rate: settings.Bounds.QuotaOvershoot, Tokens: settings.Bounds.QuotaSlack}
@@ -136,11 +143,15 @@
 	}
 	g.requestVerdicts = parts.NewVerdictKeeper(g.clock, g.relay.Verdicts(), verdictStore{g.store})
 	g.bounds.Store(&settings.Bounds)
+	g.store.OnEra = g.beginEra
 	g.store.OnCall = func(_ string, elapsed clock.Span, _ error) { storeCallTime.Record(elapsed.Duration()) }
 	transport, err := peers.Listen(peers.Options{
 		Clock: g.clock, VM: settings.VM, Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
-		Life:      g.incarnation,
-		OnDigest:  func(d peers.Digest) { g.post(digestReceived{d}) },
+		Life: g.incarnation,
+		OnDigest: func(d peers.Digest) {
+			g.hearEra(d.GetEra())
+			g.post(digestReceived{d})
+		},
 		OnMessage: g.handleMessage,
 	})
 	if err != nil {
@@ -151,8 +162,8 @@
 		Clock: g.clock, Store: g.store,
 		OnChange:    func(s *view.Snapshot) { g.post(viewChanged{s}) },
 		OnConfirm:   func(at clock.Time) { g.post(storeConfirmed{at}) },
-		OnOtherItem: func(i platform.Item) { g.post(itemReceived{i}) },
-		OnFullRead:  func(keys map[string]bool) { g.post(fullReadDone{keys}) },
+		OnOtherItem: func(i platform.Item, restored bool) { g.post(itemReceived{i, restored}) },
+		OnFullRead:  func(r feed.FullRead) { g.post(fullReadDone{r}) },
 		Pause:       g.watchPause,
 		OnBatch:     g.sendChanges,
 
@@ -188,11 +199,21 @@
 	// storeConfirmed means that the view was current at the time.
 	storeConfirmed struct{ at clock.Time }
 	// itemReceived has an item of the store that is not part of the view.
-	itemReceived struct{ item platform.Item }
-	// fullReadDone has all keys of the store after a full read.
-	fullReadDone struct{ keys map[string]bool }
+	itemReceived struct {
+		item platform.Item
+		// restored is set if the store may have brought it back from an older copy.
+		restored bool
+	}
+	// fullReadDone means that all items of the store were read.
+	fullReadDone struct{ read feed.FullRead }
+	// eraBegan means that the store came back from an older copy, or that its first era is known.
+	eraBegan struct{ era epoch.Era }
 	// digestReceived has a digest from another gateway.
 	digestReceived struct{ digest peers.Digest }
+	// eraHeard means that another gateway knows of a later era.
+	eraHeard struct{ era epoch.Era }
+	// digestAsked means that a gateway that has just started wants a digest.
+	digestAsked struct{ from netip.AddrPort }
 	// residencyChanged has loads and unloads that the leader has ordered.
 	residencyChanged struct{ changes []*wire.Residency }
 	// promptsTold has prompts that another gateway has sent to engines.
@@ -223,6 +244,13 @@
 		g.feed.Deliver(g.receiveChanges(changes, from))
 		return
 	}
+	if m.GetEraNotice() != nil {
+		g.hearEra(m.GetEraNotice().GetEra())
+		if m.GetEraNotice().GetAsks() {
+			g.post(digestAsked{from})
+		}
+		return
+	}
 	if m.GetPart() != nil {
 		g.partExchange.Handle(m.GetPart(), parts.Sender{Address: from.String()})
 		return
@@ -316,4 +344,4 @@
 }
 
 // noLease stands for no lease.
-const noLease = platform.LeaseID(0)
+var noLease platform.LeaseID
--- /dev/null
+++ b/entry/era.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"k8s.io/klog/v2"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/epoch"
+	"github.com/magnolialever/magnolialever/parts"
+	"github.com/magnolialever/magnolialever/peers"
+	"github.com/magnolialever/magnolialever/view"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+const (
+	// maxAskedBy bounds the digests that are sent to those who ask, in one tick. Others get the regular ones.
+	maxAskedBy = 64
+	// maxConfigWait bounds the time for which a gateway waits for a configuration that the store has lost. It bounds the
+	// refusals where the operator doesn't write it again, or where this process can't read it.
+	maxConfigWait = 10 * clock.Second
+)
+
+// beginEra handles a later era in an answer of the store. It is called from the goroutine that has received it.
+func (g *Gateway) beginEra(era int64) {
+	g.callStore()
+	g.post(eraBegan{epoch.Era(era)})
+	g.onStoreEra(era)
+}
+
+// callStore makes the feed and the registration call the store soon.
+func (g *Gateway) callStore() {
+	g.feed.CheckEra()
+	select {
+	case g.register <- struct{}{}:
+	default:
+	}
+}
+
+// hearEra handles the era of the store that another gateway knows of; 0 if it knows of none. A later one ends leadership, and lets
+// this gateway call the store: only the store's own word makes what it said before late, as a message may be wrong. It must
+// not be called from the control loop, to which it sends a message.
+func (g *Gateway) hearEra(era int64) {
+	if era <= max(g.heardEra.Load(), int64(g.store.Era())) || !epoch.Valid(era) {
+		return
+	}
+	// The goroutine that receives messages is the only one that sets it.
+	g.heardEra.Store(era)
+	g.callStore()
+	g.post(eraHeard{epoch.Era(era)})
+}
+
+// handleHeardEra gives up what may have been lost in an era that another gateway has told of.
+func (c *controller) handleHeardEra(now clock.Time, era epoch.Era) {
+	klog.InfoS("entry: era of the store, by another gateway", "era", era)
+	c.eraAt = now
+	c.orders.elector.GiveUp(now)
+}
+
+// beginEra ends what rests on the era before, and tells the other gateways unless one of them has told this one: those cut off
+// from the store would learn of it by the next digest only.
+func (c *controller) beginEra(now clock.Time, era epoch.Era) {
+	klog.InfoS("entry: era of the store", "era", era, "heard", c.gateway.heardEra.Load())
+	c.eraAt = now
+	c.orders.beginEra(now, era)
+	if int64(era) <= c.gateway.heardEra.Load() {
+		return
+	}
+	c.sendEra(false)
+}
+
+// sendEra tells the other gateways the era of the store, and may ask them for their digests.
+func (c *controller) sendEra(asks bool) {
+	var to []string
+	for _, m := range c.members.All() {
+		if m.VM != c.gateway.settings.VM {
+			to = append(to, m.Address)
+		}
+	}
+	notice := &wire.EraNotice{Era: int64(c.gateway.store.Era()), Asks: asks}
+	c.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_EraNotice{EraNotice: notice}}, to...)
+}
+
+// answerAsked sends a digest to those who asked for one since the last tick.
+func (c *controller) answerAsked(now clock.Time) {
+	if len(c.askedBy) == 0 {
+		return
+	}
+	m := &wire.Datagram{Body: &wire.Datagram_Digest{Digest: c.newDigest(now)}}
+	for _, to := range c.askedBy {
+		c.gateway.peers.Reply(m, to)
+	}
+	c.askedBy = c.askedBy[:0]
+}
+
+// useView puts a view into use, unless it is the first one and the store may have lost a newer configuration.
+func (c *controller) useView(now clock.Time) {
+	config := c.snapshot.Config
+	c.held = config != nil && !c.published && c.mayLackConfig(now)
+	if c.held || c.used == c.snapshot {
+		return
+	}
+	c.used = c.snapshot
+	if config != nil {
+		c.published = true
+		c.gateway.limiter.setCustomers(config.Customers())
+	}
+	c.publishView(now)
+}
+
+// mayLackConfig reports whether the store may have lost a newer configuration than the first one that this process has read: none
+// of the other gateways has told its version yet, and the operator may not have had the time to write again. It asks each that
+// becomes known, as the store may have lost their registrations as well.
+func (c *controller) mayLackConfig(now clock.Time) bool {
+	era := c.gateway.store.Era()
+	if era == 0 || c.gateway.settings.FirstStart && era <= 1 {
+		return false
+	}
+	if c.askedVersion != c.members.Version() {
+		c.askedVersion = c.members.Version()
+		c.sendEra(true)
+	}
+	unknown := len(c.gateway.peers.FreshDigests()) == 0 && now.Sub(c.eraAt) < view.RewriteTime
+	return unknown || c.lacksConfig(now)
+}
+
+// lacksConfig reports whether another gateway used a newer configuration before the time. If the store confirmed the
+// view as of that time, it has lost that configuration.
+func (c *controller) lacksConfig(at clock.Time) bool {
+	if c.heardConfig <= c.configVersion() {
+		c.newerHeardAt = 0
+	}
+	return c.eraAt != 0 && at.Sub(c.eraAt) < maxConfigWait && c.newerHeardAt != 0 && c.newerHeardAt.Before(at)
+}
+
+// hearConfig records the version of the configuration in a digest.
+func (c *controller) hearConfig(d peers.Digest) {
+	c.heardConfig = max(c.heardConfig, d.GetConfig())
+	if d.GetConfig() > c.configVersion() && c.newerHeardAt == 0 {
+		c.newerHeardAt = d.ReceivedAt
+	}
+}
+
+// restoreVerdicts writes verdicts again that a store that came back from an older copy has lost, given its keys.
+func (c *controller) restoreVerdicts(keys map[string]bool) {
+	listed, requests := map[parts.ID]bool{}, map[parts.ID]bool{}
+	for k := range keys {
+		if part, ok := parts.ParseVerdictKey(k); ok {
+			listed[part] = true
+		}
+		if request, ok := parts.ParseRequestVerdictKey(k); ok {
+			requests[request] = true
+		}
+	}
+	c.gateway.verdicts.StoreReturned(listed, false)
+	c.gateway.requestVerdicts.StoreReturned(requests, true)
+}
+
+// mayPrecedeRewrite reports whether the confirmation in another gateway's digest, as of a time, may be by a store that has lost a
+// configuration and in which the operator has not written again. That gateway may have started since, and not know.
+func (c *controller) mayPrecedeRewrite(d peers.Digest, at clock.Time) bool {
+	if c.eraAt == 0 || d.GetEra() != 0 && d.GetEra() < int64(c.gateway.store.Era()) {
+		// What the store said before it came back is true of the time before. 0 is unknown.
+		return false
+	}
+	age := at.Sub(c.eraAt)
+	return age < view.RewriteTime || age < maxConfigWait && d.GetConfig() < c.configVersion()
+}
--- /dev/null
+++ b/entry/hear_test.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/elect"
+	"github.com/magnolialever/magnolialever/epoch"
+	"github.com/magnolialever/magnolialever/feed"
+	"github.com/magnolialever/magnolialever/fleet"
+	"github.com/magnolialever/magnolialever/member"
+	"github.com/magnolialever/magnolialever/peers"
+	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/platform/fakes"
+	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/view"
+	"github.com/magnolialever/magnolialever/wire"
+)
+
+// newCutOffGateway returns a gateway that does not reach the store, and its control loop, which nobody runs.
+func newCutOffGateway(t *testing.T) (*Gateway, *controller) {
+	t.Helper()
+	l, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	port := netip.MustParseAddrPort(l.LocalAddr().String()).Port()
+	l.Close()
+	g, err := New(&platform.Settings{VM: "self", IP: "127.0.0.1", FirstPort: int(port), LastPort: int(port) + 1, StoreAddress: "127.0.0.1:1"})
+	assert.NilError(t, err)
+	return g, newController(g)
+}
+
+// Guards against a leader that goes on after the store has forgotten it, because it does not reach the store itself; and against late
+// or odd messages that bring back an earlier era.
+func TestGatewayCutOffFromStoreHearsOfNewEra(t *testing.T) {
+	g, c := newCutOffGateway(t)
+	notice := func(era int64) {
+		g.handleMessage(&wire.Datagram{Body: &wire.Datagram_EraNotice{EraNotice: &wire.EraNotice{Era: era}}}, netip.AddrPort{})
+		for len(g.inbox) > 0 {
+			c.handle(<-g.inbox)
+		}
+	}
+	now := g.clock.Now()
+	c.handle(eraBegan{1})
+	free, _ := epoch.Join(1, 5)
+	taken, _ := epoch.Join(1, 6)
+	c.orders.elector.RecordHolder(now, free, "")
+	c.orders.elector.Acquired(now, now, units.Epoch(taken), elect.LeaseTTL)
+	for _, era := range []int64{0, -3, 1 << 50} {
+		notice(era)
+	}
+	assert.Assert(t, c.orders.elector.Holds(now), "no later era")
+	notice(8_000_000)
+	assert.Assert(t, !c.orders.elector.Holds(now), "it goes on although the store may have forgotten it")
+	assert.Equal(t, g.store.Era(), epoch.Era(0), "only the store's own word makes its answers late")
+	assert.Equal(t, c.newDigest(now).GetEra(), int64(0), "others' words are not passed on")
+	again, _ := epoch.Join(1, 7)
+	c.orders.elector.RecordHolder(now, again, "")
+	assert.Assert(t, c.orders.elector.Acquired(now, now, units.Epoch(again)+1, elect.LeaseTTL), "a wrong notice ends leadership for good")
+	notice(2)
+	assert.Assert(t, c.orders.elector.Holds(now), "a late notice")
+}
+
+// Guards against keys of an older configuration that a gateway accepts once the others have sent more digests: what it heard before
+// the store confirmed its own still counts.
+func TestNewerConfigIsRemembered(t *testing.T) {
+	_, c := newCutOffGateway(t)
+	c.snapshot, c.eraAt = &view.Snapshot{Config: &fleet.Config{Version: 5}}, 900
+	for _, at := range []clock.Time{1000, 1200, 1400} {
+		c.hearConfig(peers.Digest{Digest: &wire.Digest{Config: 8}, ReceivedAt: at})
+	}
+	assert.Assert(t, c.lacksConfig(1100))
+	assert.Assert(t, !c.lacksConfig(950), "the others may have read it since")
+	c.snapshot = &view.Snapshot{Config: &fleet.Config{Version: 8}}
+	assert.Assert(t, !c.lacksConfig(1500))
+}
+
+// Guards against shares of limits that grow because the store has forgotten gateways that run: they stay until all have had
+// the time to register again.
+func TestForgottenGatewaysStay(t *testing.T) {
+	_, c := newCutOffGateway(t)
+	for i := range 3 {
+		c.members.Set(member.Gateway{VM: units.VMID(fmt.Sprint("gate-", i)), Address: fmt.Sprint("127.0.0.1:", 10+i)})
+	}
+	c.handleFullRead(clock.Time(1000), feed.FullRead{Keys: map[string]bool{}, Revision: 5, Returned: true, Settling: true})
+	assert.Equal(t, len(c.members.Registered()), 4)
+	c.handleFullRead(clock.Time(4000), feed.FullRead{Keys: map[string]bool{member.Key("gate-1"): true}, Revision: 9, Returned: true})
+	assert.Equal(t, len(c.members.Registered()), 2)
+}
+
+// Guards against keys that others' words confirm after the store has lost a newer configuration: a gateway that has started since
+// does not know that there was one.
+func TestConfirmationsBeforeRewriteDontCount(t *testing.T) {
+	g, c := newCutOffGateway(t)
+	c.snapshot = &view.Snapshot{Config: &fleet.Config{Version: 7}}
+	c.handle(eraBegan{1})
+	c.eraAt = 0
+	digest := func(era, version int64) peers.Digest {
+		return peers.Digest{Digest: &wire.Digest{Era: era, Config: version}}
+	}
+	assert.Assert(t, !c.mayPrecedeRewrite(digest(1, 7), 500), "nothing was lost")
+	fake := fakes.NewStore()
+	defer fake.Close()
+	fake.SetEra(2)
+	g.store = platform.NewStore(fake.Addr())
+	_, err := g.store.Revision(context.Background())
+	assert.NilError(t, err)
+	c.eraAt = 1000
+	assert.Assert(t, c.mayPrecedeRewrite(digest(2, 7), 1500))
+	assert.Assert(t, !c.mayPrecedeRewrite(digest(1, 7), 900), "the store said so before it came back")
+	assert.Assert(t, c.mayPrecedeRewrite(digest(0, 7), 1500), "an earlier version of the program does not know eras")
+	assert.Assert(t, !c.mayPrecedeRewrite(digest(2, 7), 2500))
+	assert.Assert(t, c.mayPrecedeRewrite(digest(2, 6), 2500), "the operator has not written again")
+	assert.Assert(t, !c.mayPrecedeRewrite(digest(2, 6), 1000+clock.Time(maxConfigWait)))
+}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/epoch"
 	"github.com/magnolialever/magnolialever/feed"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/units"
@@ -56,16 +57,30 @@
 	s.items[i.Key] = i
 }
 
+// eraRevision returns a revision in an era.
+func eraRevision(era epoch.Era, own int64) units.Revision {
+	r, _ := epoch.Join(era, own)
+	return r
+}
+
+func (s *scriptedStore) Era() epoch.Era { return epoch.Of(s.currentRevision()) }
+
+func (s *scriptedStore) currentRevision() units.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 func (s *scriptedStore) Range(context.Context, string) ([]platform.Item, units.Revision, error) {
-	return nil, s.revision, s.call("range")
+	return nil, s.currentRevision(), s.call("range")
 }
 
 func (s *scriptedStore) Revision(context.Context) (units.Revision, error) {
-	return s.revision, s.call("revision")
+	return s.currentRevision(), s.call("revision")
 }
 
 func (s *scriptedStore) Watch(context.Context, string, units.Revision, clock.Span) ([]platform.Item, units.Revision, error) {
-	return nil, s.revision, s.call("watch")
+	return nil, s.currentRevision(), s.call("watch")
 }
 
 func (s *scriptedStore) Get(_ context.Context, key string) (platform.Item, error) {
@@ -103,7 +118,7 @@
 	}
 	f.feed = feed.New(feed.Options{
 		Clock: f.clock, Store: f.store, OnChange: func(s *view.Snapshot) { f.views <- s }, OnConfirm: func(clock.Time) {},
-		OthersConfirmedAt: func() clock.Time { return 0 }, OnOtherItem: func(platform.Item) {}, OnFullRead: func(map[string]bool) {}, Pause: func() clock.Span { return pause },
+		OthersConfirmedAt: func() clock.Time { return 0 }, OnOtherItem: func(platform.Item, bool) {}, OnFullRead: func(feed.FullRead) {}, Pause: func() clock.Span { return pause },
 		ConfirmInterval: func() clock.Span { return clock.Second },
 		OnBatch:         func(feed.Batch) {},
 	})
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -230,6 +230,11 @@
 	// faultsBegun and faultsEnded count the ends and pauses of gateways' processes, which may lose or miss what
 	// others know.
 	faultsBegun, faultsEnded atomic.Int64
+	// returns counts the returns of the store from an older copy.
+	returns atomic.Int64
+	// orders is the number of orders that were accepted, eras is set if the store states its era.
+	orders int
+	eras   bool
 }
 
 // stopwatch counts time, except while pauses, which may overlap, last.
@@ -271,9 +276,12 @@
 }
 
 // newFleet starts a fleet and waits until its gateways are ready.
-func newFleet(t *testing.T, seed uint64) *fleet {
+func newFleet(t *testing.T, seed uint64, eras bool) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: fakes.NewStore(), record: newRecord(), seed: seed, storeUp: newStopwatch(), cloud: fakes.NewCloud()}
+	f := &fleet{t: t, store: fakes.NewStore(), record: newRecord(), seed: seed, eras: eras, storeUp: newStopwatch(), cloud: fakes.NewCloud()}
+	if eras {
+		f.store.SetEra(1)
+	}
 	f.operator = newOperator(f)
 	for i := range engineCount {
 		f.engines = append(f.engines, newUpstream(f, fmt.Sprint("engine-", i), fakes.EngineService))
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -153,3 +153,45 @@
 	s.RecordStoreRevision(2500, 41)
 	assert.Equal(t, s.ConfirmedAt(), clock.Time(3000), "an older confirmation that arrives late changes nothing")
 }
+
+// Guards against models that count as loaded, or as missing, by a description from before the store was lost: the known one
+// of the same process stays until it was written again. That of a later process counts at once.
+func TestDescriptionOfReturnedStoreMayBeOlder(t *testing.T) {
+	s := view.New()
+	describe := func(start int64, models ...units.ModelID) *fleet.Upstream {
+		u := &fleet.Upstream{ID: "one", Address: "10.0.0.1:80", ProcessStart: start}
+		for _, m := range models {
+			u.Models = append(u.Models, fleet.Resident{Model: m})
+		}
+		return u
+	}
+	holds := func(m units.ModelID) bool { return s.Snapshot().Upstreams["one"].Holds(m, "") }
+	s.SetUpstream(1000, describe(5, "small", "large"))
+	s.BeginEra(2000)
+	s.SetReadUpstream(2010, describe(5, "small"))
+	assert.Assert(t, holds("large"))
+	assert.Equal(t, s.Snapshot().Upstreams["one"].ReceivedAt, clock.Time(1000), "it is no later description")
+	s.SetReadUpstream(2020, describe(4, "other"))
+	assert.Assert(t, holds("large"))
+	s.SetReadUpstream(2030, describe(6, "other"))
+	assert.Assert(t, holds("other"))
+	s.SetReadUpstream(s.SettledAt(), describe(6, "small"))
+	assert.Assert(t, holds("small"))
+}
+
+// Guards against live upstreams that are dropped at once when the store returns to a gateway whose calls had failed: another
+// one had reached it meanwhile, so that the outage before counted as over for long.
+func TestForgottenUpstreamStaysAfterOutage(t *testing.T) {
+	s := view.New()
+	s.SetUpstream(900, upstream("one"))
+	s.RecordStoreFailure(1000)
+	s.RecordOthersAnswer(1300)
+	s.BeginEra(4000)
+	s.RecordStoreAnswer(4050)
+	s.RemoveUnlisted(4050, nil, nil)
+	assert.Assert(t, has(s, "one"))
+	s.Expire(s.SettledAt() - 1)
+	assert.Assert(t, has(s, "one"))
+	s.Expire(s.SettledAt())
+	assert.Assert(t, !has(s, "one"))
+}
