assign, entry, relay: copies follow refused and waiting work

Until the answer to an order had come, a missing model could be ordered a second time. Change: digests to the leader carry the work that was refused and that waits past half of its objective. From it the planner works out what a model lacks beyond the copies that are on their way, and adds as many as that needs where there is room, for the model that lacks most first. A copy is unloaded for it only if the others can take its work, it did not just come and its model was not short lately. Orders in flight count as copies. The planner is split by job.

--- a/assign/adapter.go
+++ b/assign/adapter.go
@@ -8,6 +8,10 @@
 	"github.com/magnolialever/magnolialever/clock"
 )
 
+// minAdapterAge is the time after its load or last request during which an adapter isn't
+// unloaded.
+const minAdapterAge = 800 * clock.Millisecond
+
 // addMissingAdapters orders the requested adapters that no copy of their model has loaded,
 // those with the most misses first.
 func (r *round) addMissingAdapters() {
@@ -27,57 +31,47 @@
 }
 
 // hasAdapter reports whether a copy of the model has the adapter or is loading it.
-func (r *round) hasAdapter(t Target) bool {
-	return slices.ContainsFunc(r.copies[t.Model], func(s *upstreamState) bool {
-		c, ok := s.models[t.Model]
-		if !ok {
-			return false
-		}
-		_, ok = c.adapters[t.Adapter]
-		return ok
-	})
-}
+func (r *round) hasAdapter(t Target) bool { return len(r.holders(t)) > 0 }
 
 // addAdapter orders the adapter on the upstream of the least-loaded copy of its model. On
 // an upstream whose adapter slots are all in use, it orders the unload of the least recently
 // requested adapter instead; a later round loads the new one.
 func (r *round) addAdapter(t Target) {
-	m, ok := r.engine.Model(t.Model)
+	m, ok := r.models[t.Model]
 	if !ok {
 		return
 	}
-	var best *upstreamState
+	var best *placement
 	bestCost := math.Inf(1)
-	for _, s := range r.copies[t.Model] {
-		c, has := s.models[t.Model]
+	for _, l := range r.copies[t.Model] {
 		// An upstream refuses adapter orders while it executes a model order.
-		if !has || c.loading || r.ordered[s] || !s.canSendModelOrder(r.now) {
+		if !l.loaded() || l.ordered || !l.canSendModelOrder(r.now) {
 			continue
 		}
-		cost := float64(r.input.InFlight[r.ids[s]]) + 2*float64(s.adapters())
-		if s.adapters() >= r.engine.AdapterSlots {
-			if _, ok := r.leastRecentAdapter(s); !ok {
+		cost := float64(r.input.InFlight[l.id]) + 2*float64(l.adapters())
+		if l.adapters() >= r.engine.AdapterSlots {
+			if _, ok := r.leastRecentAdapter(l.site); !ok {
 				continue
 			}
 			cost += 100
 		}
 		if cost < bestCost {
-			best, bestCost = s, cost
+			best, bestCost = l, cost
 		}
 	}
 	switch {
 	case best == nil:
 	case best.adapters() >= r.engine.AdapterSlots:
-		v, _ := r.leastRecentAdapter(best)
-		r.addOrder(best, PlannedOrder{Unload: true, Model: v.Model, Adapter: v.Adapter})
-	case best.usedMegabytes(r.engine)+m.AdapterMegabytes <= r.engine.MemoryMegabytes:
-		r.addOrder(best, PlannedOrder{Model: t.Model, Adapter: t.Adapter})
+		v, _ := r.leastRecentAdapter(best.site)
+		r.addOrder(best.site, PlannedOrder{Unload: true, Model: v.Model, Adapter: v.Adapter})
+	case best.usedMegabytes+m.AdapterMegabytes <= r.engine.MemoryMegabytes:
+		r.addOrder(best.site, PlannedOrder{Model: t.Model, Adapter: t.Adapter})
 	}
 }
 
 // leastRecentAdapter returns the least recently requested adapter of the upstream; ok is
 // false if all of its adapters were loaded or requested within minAdapterAge.
-func (r *round) leastRecentAdapter(s *upstreamState) (Target, bool) {
+func (r *round) leastRecentAdapter(s *site) (Target, bool) {
 	var best Target
 	bestAt := clock.Time(math.MaxInt64)
 	for model, c := range s.models {
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -17,7 +17,7 @@
 
 // cluster is a set of engines that execute orders in simulated time.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	service *fleet.Service
 	engines map[units.UpstreamID]*engine
 	ledger  *assign.Ledger
@@ -56,6 +56,7 @@
 	acceptedOrders int64
 	activeOrder    *assign.PlannedOrder
 	activeUntil    clock.Time
+	zone units.Zone
 	// reportedAt is the time of the last description.
 	reportedAt clock.Time
 	lost       bool
@@ -64,7 +65,7 @@
 }
 
 // newCluster returns a cluster with three models loaded on each engine.
-func newCluster(t *testing.T, engines, models int) *cluster {
+func newCluster(t testing.TB, engines, models int) *cluster {
 	spec := &fleet.Engine{Slots: 64, MemoryTokens: 100_000, MemoryMegabytes: 230_000, AdapterSlots: 4, LoadsPerSecond: 1.6}
 	for i := range models {
 		spec.Models = append(spec.Models, fleet.Model{
@@ -77,7 +78,7 @@
 	}
 	c.planner = assign.NewPlanner(c.ledger)
 	for i := range engines {
-		e := &engine{models: map[units.ModelID]map[string]bool{}, onDisk: map[units.ModelID]bool{}, reportedAt: 1}
+		e := &engine{models: map[units.ModelID]map[string]bool{}, onDisk: map[units.ModelID]bool{}, reportedAt: 1, zone: "a"}
 		c.engines[units.UpstreamID(fmt.Sprint("e", i))] = e
 		for k := range 3 {
 			e.models[modelName((3*i+k)%models)] = map[string]bool{}
@@ -95,7 +96,7 @@
 		if e.lost {
 			continue
 		}
-		u := &fleet.Upstream{ID: id, Service: service, Zone: "a", ProcessStart: 1 + e.restarts, Models: e.residents()}
+		u := &fleet.Upstream{ID: id, Service: service, Zone: e.zone, ProcessStart: 1 + e.restarts, Models: e.residents()}
 		for m := range e.onDisk {
 			u.OnDisk = append(u.OnDisk, m)
 		}
@@ -231,7 +232,7 @@
 				n++
 			}
 		}
-		assert.Assert(c.t, float64(n) <= 1.6*5*1.1+3, "%d loads within 5 s", n)
+		assert.Assert(c.t, float64(n) <= c.service.Engine.LoadsPerSecond*5*1.1+3, "%d loads within 5 s", n)
 	}
 }
 
--- a/assign/gaps.go
+++ b/assign/gaps.go
@@ -8,12 +8,15 @@
 	"github.com/magnolialever/magnolialever/units"
 )
 
+// maxPendingHotCopies is the maximum number of pending copies of a model that is hot, but not short.
+const maxPendingHotCopies = 3
+
 // pendingCopies returns the number of copies of the model that are loading or have a
 // reservation.
 func (r *round) pendingCopies(m units.ModelID) int {
 	n := 0
-	for _, s := range r.copies[m] {
-		if s.models[m] != nil && s.models[m].loading {
+	for _, l := range r.copies[m] {
+		if !l.loaded() {
 			n++
 		}
 	}
@@ -25,51 +28,21 @@
 	return n
 }
 
-// addMissingCopies adds copies where requests can't be served: first of requested models
-// without a copy, then of models whose copies are all overloaded. Within each group, the
-// models with the most work come first.
+// addMissingCopies adds a copy of each requested model without one. The models with the most work come first.
 func (r *round) addMissingCopies() {
-	type gap struct {
-		model   units.ModelID
-		work    float64
-		missing bool
-	}
-	var gaps []gap
+	var missing []units.ModelID
 	for _, m := range r.engine.Models {
-		demand, copies := r.demands[m.Name], r.copies[m.Name]
-		if len(copies) == 0 {
-			if demand.Misses > 0 || demand.WorkRate > 1 {
-				gaps = append(gaps, gap{m.Name, demand.WorkRate, true})
-			}
-			continue
-		}
-		if excess := r.excessWork(copies); excess > 0 && r.pendingCopies(m.Name) < maxPendingCopies {
-			gaps = append(gaps, gap{m.Name, min(excess, demand.WorkRate), false})
+		if r.demands[m.Name].requested() && len(r.copies[m.Name]) == 0 {
+			missing = append(missing, m.Name)
 		}
 	}
-	// Requests for a model without a copy are refused, while requests for a model with
-	// overloaded copies are only delayed.
-	slices.SortStableFunc(gaps, func(a, b gap) int {
-		return cmp.Or(compareTrueFirst(a.missing, b.missing), cmp.Compare(b.work, a.work))
-	})
-	for _, g := range gaps {
-		if g.missing && r.hasReservation(g.model) {
-			r.loadWhereFits(g.model)
+	slices.SortStableFunc(missing, func(a, b units.ModelID) int { return cmp.Compare(r.workOf(b), r.workOf(a)) })
+	for _, id := range missing {
+		if r.hasReservation(id) {
+			r.loadWhereFits(id)
 			continue
 		}
-		r.addCopy(g.model, g.missing, math.Inf(1))
-	}
-}
-
-// compareTrueFirst is a comparison function that sorts true before false.
-func compareTrueFirst(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
-	default:
-		return 1
+		r.addCopy(id, true, math.Inf(1))
 	}
 }
 
@@ -88,19 +61,16 @@
 // cancels the model's reservations. This is faster than the reserved upstream, where the
 // unload waits for all requests that run on the victim.
 func (r *round) loadWhereFits(id units.ModelID) {
-	m, ok := r.engine.Model(id)
+	m, ok := r.models[id]
 	if !ok || !r.mayLoad(id) {
 		return
 	}
-	var best *upstreamState
-	for _, s := range r.states {
-		if r.ordered[s] || !s.canSendModelOrder(r.now) || !r.withinStoreBudget(s, id) || !r.fits(s, m) {
-			continue
-		}
-		if _, busy := r.p.reservations[r.ids[s]]; busy {
+	var best *site
+	for _, s := range r.sites {
+		if s.ordered || !s.canSendModelOrder(r.now) || r.isReserved(s) || !r.withinStoreBudget(s, id) || !r.fits(s, m) {
 			continue
 		}
-		if best == nil || r.workRate[s] < r.workRate[best] {
+		if best == nil || s.workRate < best.workRate {
 			best = s
 		}
 	}
@@ -115,19 +85,6 @@
 	r.orderLoad(best, id)
 }
 
-// excessWork returns the work above engineCapacity of the upstreams, in prompt tokens/s, or 0
-// if one of them has spare capacity.
-func (r *round) excessWork(states []*upstreamState) float64 {
-	excess := 0.0
-	for _, s := range states {
-		if r.workRate[s] <= engineCapacity {
-			return 0
-		}
-		excess += r.workRate[s] - engineCapacity
-	}
-	return excess
-}
-
 // addHotCopies adds copies of models whose copies all exceed highUtilization.
 func (r *round) addHotCopies() {
 	type hot struct {
@@ -136,35 +93,27 @@
 	}
 	var list []hot
 	for _, m := range r.engine.Models {
-		copies := r.copies[m.Name]
-		if len(copies) == 0 || r.demands[m.Name].WorkRate <= 0 {
+		copies, work := r.copies[m.Name], r.workOf(m.Name)
+		if len(copies) == 0 || work <= 0 {
 			continue
 		}
-		leastRate := math.Inf(1)
-		for _, s := range copies {
-			leastRate = min(leastRate, r.workRate[s])
-		}
-		wanted := int(math.Ceil(r.demands[m.Name].WorkRate / (highUtilization * engineCapacity)))
-		if leastRate > highUtilization*engineCapacity && r.pendingCopies(m.Name) < max(wanted-len(copies)+r.pendingCopies(m.Name), 1) {
+		leastRate, pending := leastWork(copies), r.pendingCopies(m.Name)
+		wanted := int(math.Ceil(work / (highUtilization * engineCapacity)))
+		if leastRate > highUtilization*engineCapacity && pending < min(max(wanted-len(copies)+pending, 1), maxPendingHotCopies) {
 			list = append(list, hot{m.Name, leastRate})
 		}
 	}
 	slices.SortStableFunc(list, func(a, b hot) int { return cmp.Compare(b.workRate, a.workRate) })
 	for _, h := range list {
-		if r.pendingCopies(h.model) < maxPendingCopies {
-			r.addCopy(h.model, false, h.workRate)
-		}
+		r.addCopy(h.model, false, h.workRate)
 	}
 }
 
-// maxPendingCopies is the maximum number of pending copies of one model.
-const maxPendingCopies = 3
-
 // restoreUnrequested adds a copy of each model that has none and isn't requested, while the
 // load budget allows it, because demand may shift to such a model at any time.
 func (r *round) restoreUnrequested() {
 	for _, m := range r.engine.Models {
-		if len(r.copies[m.Name]) == 0 && r.pendingCopies(m.Name) == 0 && r.p.loadTokens[r.service.Name] >= spareLoadTokens {
+		if len(r.copies[m.Name]) == 0 && r.pendingCopies(m.Name) == 0 && r.budget.tokens >= spareLoadTokens {
 			r.addCopy(m.Name, false, math.Inf(1))
 		}
 	}
--- a/assign/ledger.go
+++ b/assign/ledger.go
@@ -71,6 +71,10 @@
 	stale bool
 	// callPending is set while an order or a read of a report is in flight.
 	callPending bool
+	// pendingOrder is the order in flight; nil if there is none.
+	pendingOrder *PlannedOrder
+	// described is set once the models of the process are known.
+	described bool
 	// activeOrder is the model order that the upstream executes since activeSince.
 	activeOrder *PlannedOrder
 	activeSince clock.Time
@@ -91,6 +95,8 @@
 	adapters map[string]clock.Time
 	loading  bool
 	since    clock.Time
+	// loadedAt is when the load ended; 0 if it ended before this ledger knew the process.
+	loadedAt clock.Time
 }
 
 func newCopy(now clock.Time) *modelCopy {
@@ -201,12 +207,15 @@
 		c, ok := s.models[m.Model]
 		if !ok || c.loading {
 			c = newCopy(now)
+			if s.described {
+				c.loadedAt = now
+			}
 		}
 		c.adapters = s.mergeAdapters(now, c.adapters, m.Adapters)
 		fresh[m.Model] = c
 	}
 	s.reconcileOrder(now, fresh)
-	s.models = fresh
+	s.models, s.described = fresh, true
 }
 
 // mergeAdapters returns the adapters that the upstream listed and those that were ordered
@@ -280,7 +289,7 @@
 	if !ok {
 		return
 	}
-	s.callPending = false
+	s.callPending, s.pendingOrder = false, nil
 	if (r == Accepted || r == Unanswered) && o.Adapter == "" && !o.Unload {
 		s.loading, s.loadingSince = o.Model, now
 	}
@@ -363,13 +372,23 @@
 	return slices.Contains(e.OnDisk, m) || slices.Contains(e.InMemory, m)
 }
 
+// unloads reports whether the upstream unloads the model, or is about to.
+func (s *upstreamState) unloads(m units.ModelID) bool {
+	for _, o := range []*PlannedOrder{s.activeOrder, s.pendingOrder} {
+		if o != nil && o.Unload && o.Adapter == "" && o.Model == m {
+			return true
+		}
+	}
+	return false
+}
+
 // usedMegabytes returns the memory of the models and adapters that are resident or loading. An
 // order with unknown outcome doesn't count, because the upstream executes it late only if it
 // has accepted no other order in between.
-func (s *upstreamState) usedMegabytes(e *fleet.Engine) float64 {
+func (s *upstreamState) usedMegabytes(models map[units.ModelID]*fleet.Model) float64 {
 	total := 0.0
 	for id, c := range s.models {
-		if m, ok := e.Model(id); ok {
+		if m, ok := models[id]; ok {
 			total += m.WeightMegabytes + float64(len(c.adapters))*m.AdapterMegabytes
 		}
 	}
--- /dev/null
+++ b/assign/load_test.go
@@ -0,0 +1,199 @@
+package assign_test
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/assign"
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+const (
+	// engineRate is what an engine can serve, in prompt tokens/s.
+	engineRate = 40_000.0
+	// digestDelay is the time between two digests.
+	digestDelay = 300 * clock.Millisecond
+	// requestRate is the size of the parts in which work is placed, in prompt tokens/s.
+	requestRate = 2000.0
+)
+
+// traffic is the work that callers offer to a cluster, and what becomes of it.
+type traffic struct {
+	*cluster
+	// offered is the work of each model in prompt tokens/s.
+	offered map[units.ModelID]float64
+	// zone is where the callers of all models are; empty if they are everywhere.
+	zone  units.Zone
+	meter *assign.Meter
+	// served and total are sums over all models since the last reset, in prompt tokens; local is the part of served in zone.
+	served, total, local float64
+	digestAt             clock.Time
+	// lastWork is the work of each engine in the last 50 ms, by which requests choose.
+	lastWork map[*engine]float64
+}
+
+// newTraffic returns a cluster of engines in three zones with a weight store of the rate.
+func newTraffic(t testing.TB, engines, models int, rate float64) *traffic {
+	c := newCluster(t, engines, models)
+	c.service.Engine.LoadsPerSecond = rate
+	for i := range engines {
+		c.engines[units.UpstreamID(fmt.Sprint("e", i))].zone = units.Zone([]string{"a", "b", "c"}[i%3])
+	}
+	return &traffic{cluster: c, offered: map[units.ModelID]float64{}, meter: assign.NewMeter()}
+}
+
+// offer sets the work of the models from m on to the rate each.
+func (w *traffic) offer(from, to int, rate float64) {
+	for i := from; i < to; i++ {
+		w.offered[modelName(i)] = rate
+	}
+}
+
+// play runs the cluster under the traffic.
+func (w *traffic) play(from, to clock.Time) {
+	for now := from; now < to; now += 50 {
+		w.serve(now)
+		if now.Sub(w.digestAt) >= digestDelay {
+			w.digestAt = now
+			w.demand = map[assign.Target]assign.Demand{}
+			for t, demand := range w.meter.Demand(now) {
+				w.demand[t] = assign.Demand{}.Add(w.zone, demand)
+			}
+		}
+		w.run(now, now+1)
+	}
+}
+
+// serve places the work of 50 ms at the engines that have the models, the least loaded first.
+func (w *traffic) serve(now clock.Time) {
+	work := map[*engine]float64{}
+	var models []units.ModelID
+	for m := range w.offered {
+		models = append(models, m)
+	}
+	slices.Sort(models)
+	left := maps.Clone(w.offered)
+	for len(models) > 0 {
+		models = slices.DeleteFunc(models, func(m units.ModelID) bool { return left[m] <= 0 })
+		for _, m := range models {
+			part := min(left[m], requestRate)
+			left[m] -= part
+			w.total += part * 0.05
+			w.place(now, m, part, work)
+		}
+	}
+	w.lastWork = work
+}
+
+func (w *traffic) place(now clock.Time, m units.ModelID, part float64, work map[*engine]float64) {
+	target := assign.Target{Service: service, Model: m}
+	var best *engine
+	least, held := math.Inf(1), false
+	for _, e := range w.engines {
+		if _, has := e.models[m]; !has || e.lost || e.activeOrder != nil && e.activeOrder.Unload && e.activeOrder.Model == m {
+			continue
+		}
+		held = true
+		cost := work[e] + w.lastWork[e]
+		if w.zone != "" && e.zone != w.zone {
+			cost += engineRate / 10
+		}
+		if work[e]+part <= engineRate && cost < least {
+			best, least = e, cost
+		}
+	}
+	w.meter.RecordWork(now, target, part*0.05)
+	if !held {
+		w.meter.RecordMiss(now, target)
+	}
+	if best == nil {
+		w.meter.RecordRefused(now, target, part*0.05)
+		return
+	}
+	work[best] += part
+	w.served += part * 0.05
+	if best.zone == w.zone {
+		w.local += part * 0.05
+	}
+}
+
+// share returns the part of the work that was served since the last call.
+func (w *traffic) share() float64 {
+	share := w.served / w.total
+	w.served, w.total, w.local = 0, 0, 0
+	return share
+}
+
+// loads returns the number of loads from the weight store.
+func (w *traffic) loads() int { return len(w.storeLoads) }
+
+// Guards against a model that jumps to the work of ten engines and is refused for longer than a few loads take, while
+// engines have room.
+func TestJumpOfOneModelIsFollowed(t *testing.T) {
+	w := newTraffic(t, 56, 121, 10)
+	w.offer(0, 121, 8000)
+	w.play(1, 8001)
+	before := w.share()
+	w.offered[modelName(7)] = 400_000
+	after := 0.0
+	for from := clock.Time(8001); from < 16_000; from += 1000 {
+		w.play(from, from+1000)
+		after = w.share()
+		t.Logf("%d ms after the jump: served %.3f, %d copies, %d loads", from+1000-8001, after, w.copies(modelName(7)), w.loads())
+	}
+	assert.Assert(t, after > 0.97, "%.3f served after 7 s", after)
+	t.Logf("%.3f before", before)
+	w.checkStoreRate()
+}
+
+// Guards against copies that are moved to and fro when demand moves between two models every 4 s.
+func TestDemandThatMovesToAndFro(t *testing.T) {
+	w := newTraffic(t, 18, 36, 10)
+	w.offer(0, 36, 5000)
+	w.play(1, 6001)
+	w.share()
+	for i := range 10 {
+		from := clock.Time(6001 + 4000*i)
+		w.offered[modelName(3)], w.offered[modelName(9)] = 5000, 5000
+		w.offered[modelName(3+6*(i%2))] = 200_000
+		w.play(from, from+4000)
+		t.Logf("period %d: served %.3f, %d loads, %d orders", i, w.share(), w.loads(), w.sentOrders)
+	}
+	w.checkStoreRate()
+}
+
+// Guards against models whose copies were lost with a quarter of the engines and that stay short although the engines
+// come back with their disks.
+func TestQuarterOfEnginesCrash(t *testing.T) {
+	w := newTraffic(t, 56, 121, 10)
+	for _, e := range w.engines {
+		for m := range e.models {
+			e.onDisk[m] = true
+		}
+	}
+	w.offer(0, 121, 5000)
+	w.offer(0, 20, 30_000)
+	w.play(1, 8001)
+	t.Logf("before %.3f", w.share())
+	for i := 0; i < 56; i += 4 {
+		e := w.engines[units.UpstreamID(fmt.Sprint("e", i))]
+		e.lost, e.activeOrder = true, nil
+	}
+	w.play(8001, 10_001)
+	t.Logf("down %.3f", w.share())
+	for i := 0; i < 56; i += 4 {
+		e := w.engines[units.UpstreamID(fmt.Sprint("e", i))]
+		*e = engine{models: map[units.ModelID]map[string]bool{}, onDisk: e.onDisk, restarts: 1, reportedAt: 10_001, zone: e.zone}
+	}
+	for from := clock.Time(10_001); from < 18_000; from += 2000 {
+		w.play(from, from+2000)
+		t.Logf("back for %d ms: %.3f, %d loads", from+2000-10_001, w.share(), w.loads())
+	}
+	w.checkStoreRate()
+}
--- a/assign/meter.go
+++ b/assign/meter.go
@@ -16,6 +16,9 @@
 	// outputWeight is the work of one output token, in prompt tokens: engines process
 	// prompts in large chunks and generate output token by token.
 	outputWeight = 6.0
+	// refusalTimeConstant is the time constant of the average of refused work: a shortage is over a moment after the
+	// last refusal.
+	refusalTimeConstant = clock.Second
 	// minDemand is the demand, in prompt tokens/s, below which a target is dropped.
 	minDemand = 0.5
 )
@@ -30,6 +33,8 @@
 	updatedAt clock.Time
 	misses    int
 	lastMiss  clock.Time
+	// refusedRate is in prompt tokens/s, decayed up to updatedAt.
+	refusedRate float64
 }
 
 // Meter measures the demand for models and adapters at one gateway.
@@ -53,6 +58,7 @@
 func (f *targetDemand) decay(now clock.Time) {
 	if span := now.Sub(f.updatedAt); span > 0 {
 		f.workRate *= math.Exp(-float64(span) / float64(demandTimeConstant))
+		f.refusedRate *= math.Exp(-float64(span) / float64(refusalTimeConstant))
 		f.updatedAt = now
 	}
 	if f.misses > 0 && now.Sub(f.lastMiss) > missTTL {
@@ -65,6 +71,12 @@
 	m.targetDemand(now, t).workRate += work / demandTimeConstant.Seconds()
 }
 
+// RecordRefused records a request for the target that no upstream could start in time; work is its cost in prompt
+// tokens. RecordWork counts the request too.
+func (m *Meter) RecordRefused(now clock.Time, t Target, work float64) {
+	m.targetDemand(now, t).refusedRate += work / refusalTimeConstant.Seconds()
+}
+
 // RecordMiss records a request for a target that no upstream had loaded.
 func (m *Meter) RecordMiss(now clock.Time, t Target) {
 	f := m.targetDemand(now, t)
@@ -77,11 +89,11 @@
 	out := make(map[Target]Demand, len(m.targets))
 	for t, f := range m.targets {
 		f.decay(now)
-		if f.workRate < minDemand && f.misses == 0 {
+		if f.workRate < minDemand && f.refusedRate < minDemand && f.misses == 0 {
 			delete(m.targets, t)
 			continue
 		}
-		out[t] = Demand{WorkRate: f.workRate, Misses: f.misses}
+		out[t] = Demand{WorkRate: f.workRate, Misses: f.misses, RefusedRate: f.refusedRate}
 	}
 	return out
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -119,6 +119,9 @@
 		OnModelUse: func(s units.ServiceID, m units.ModelID, adapter string, work float64) {
 			g.demand.recordWork(g.clock.Now(), assign.Target{Service: s, Model: m, Adapter: adapter}, work)
 		},
+		OnModelShort: func(s units.ServiceID, m units.ModelID, adapter string, work float64) {
+			g.demand.recordRefused(g.clock.Now(), assign.Target{Service: s, Model: m, Adapter: adapter}, work)
+		},
 	})
 	g.requestVerdicts = parts.NewVerdictKeeper(g.clock, g.relay.Verdicts(), verdictStore{g.store})
 	g.bounds.Store(&settings.Bounds)
@@ -219,30 +222,6 @@
 	g.backgroundCalls.Go(func() { call(g.background) })
 }
 
-// demandMeter is an assign.Meter that is safe for concurrent use.
-type demandMeter struct {
-	mu    sync.Mutex
-	meter *assign.Meter
-}
-
-func (m *demandMeter) recordWork(now clock.Time, t assign.Target, work float64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.meter.RecordWork(now, t, work)
-}
-
-func (m *demandMeter) recordMiss(now clock.Time, t assign.Target) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.meter.RecordMiss(now, t)
-}
-
-func (m *demandMeter) current(now clock.Time) map[assign.Target]assign.Demand {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.meter.Demand(now)
-}
-
 // Run serves callers until the context is done and then drains. It returns the errors of all its
 // goroutines, or nil after a graceful stop. It must be called only once.
 func (g *Gateway) Run(ctx context.Context) error {
--- a/entry/residency.go
+++ b/entry/residency.go
@@ -180,21 +180,6 @@
 	}
 }
 
-// totalDemand returns the sum of all gateways' demand for each model and adapter.
-func (c *controller) totalDemand(now clock.Time) map[assign.Target]assign.Demand {
-	sum := c.gateway.demand.current(now)
-	for _, d := range c.gateway.peers.FreshDigests() {
-		for _, n := range d.GetNeeds() {
-			t := assign.Target{Service: units.ServiceID(n.GetService()), Model: units.ModelID(n.GetModel()), Adapter: n.GetAdapter()}
-			demand := sum[t]
-			demand.WorkRate += n.GetTokens()
-			demand.Misses += int(n.GetMissed())
-			sum[t] = demand
-		}
-	}
-	return sum
-}
-
 // minUnreachableZones is the number of availability zones whose gateways must fail to connect to an
 // upstream before it counts as unreachable: a zone may only be cut off from the upstream's.
 const minUnreachableZones = 2
@@ -273,9 +258,5 @@
 	for _, id := range c.gateway.relay.Unreachable() {
 		d.Unreachable = append(d.Unreachable, string(id))
 	}
-	for t, n := range c.gateway.demand.current(now) {
-		d.Needs = append(d.Needs, &wire.ModelNeed{
-			Service: string(t.Service), Model: string(t.Model), Adapter: t.Adapter, Tokens: n.WorkRate, Missed: int32(n.Misses),
-		})
-	}
+	d.Needs = encodeDemand(c.ownDemand(now))
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -8,7 +8,6 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/magnolialever/magnolialever/assign"
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/parts"
@@ -179,7 +178,7 @@
 	}
 	x.server.recordRequest(x.service.Name)
 	if x.callerRequest.Model != "" {
-		x.server.OnModelUse(x.service.Name, x.callerRequest.Model, x.callerRequest.Adapter, assign.Work(x.callerRequest.PromptTokens, x.callerRequest.ExpectedOutput()))
+		x.server.OnModelUse(x.service.Name, x.callerRequest.Model, x.callerRequest.Adapter, x.work())
 	}
 	for !x.finished {
 		x.tryUpstream(ctx)
@@ -296,6 +295,7 @@
 		<-scheduled.Ready
 	}
 	if scheduled.Refused != nil {
+		x.recordShortage(scheduled.Refused.Code)
 		x.reason = "no place"
 		if scheduled.Refused.Code == units.Draining {
 			x.reason = mayOutlastStop
--- a/relay/server.go
+++ b/relay/server.go
@@ -34,7 +34,7 @@
 	Refund(c *fleet.Customer, tokens float64)
 }
 
-// Options are the dependencies and limits of a Server. All fields but Start, Parts, OnVerdict, SendTimeout and BodyBudget are required; the
+// Options are the dependencies and limits of a Server. All fields but Start, Parts, OnVerdict, OnModelShort, SendTimeout and BodyBudget are required; the
 // functions are called from concurrent requests.
 type Options struct {
 	Clock clock.Clock
@@ -65,6 +65,9 @@
 	// OnModelUse is called for each request that names a model, with its work as estimated by
 	// assign.Work.
 	OnModelUse func(s units.ServiceID, m units.ModelID, adapter string, work float64)
+	// OnModelShort is called for each request that is refused because the upstreams that have loaded its model or adapter
+	// are full, or none has, with its work; may be nil.
+	OnModelShort func(s units.ServiceID, m units.ModelID, adapter string, work float64)
 }
 
 // Server is the http.Handler for callers. Its methods are safe for concurrent use.
