--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -56,7 +56,7 @@
 	acceptedOrders int64
 	activeOrder    *assign.PlannedOrder
 	activeUntil    clock.Time
-	zone units.Zone
+	zone           units.Zone
 	// reportedAt is the time of the last description.
 	reportedAt clock.Time
 	lost       bool
--- a/assign/gaps.go
+++ b/assign/gaps.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/units"
 )
 
@@ -85,6 +87,48 @@
 	r.orderLoad(best, id)
 }
 
+// addFasterCopies adds a copy of each requested model that no upstream has loaded yet, where a host has it and there is
+// memory for it, if its loads from the weight store will take longer than that: an upstream that comes back from a crash
+// still has the models on its disk that others began to load.
+func (r *round) addFasterCopies() {
+	for i := range r.engine.Models {
+		m := &r.engine.Models[i]
+		if !r.demands[m.Name].requested() || len(r.copies[m.Name]) == 0 || r.isLoaded(m.Name) || !r.mayLoad(m.Name) {
+			continue
+		}
+		if r.nextArrival(m).Sub(r.now) <= 2*hostLoadTime {
+			continue
+		}
+		if s := r.emptiestHost(m); s != nil {
+			r.orderLoad(s, m.Name)
+		}
+	}
+}
+
+// nextArrival returns when the first copy of a model that is being loaded is expected to be there.
+func (r *round) nextArrival(m *fleet.Model) clock.Time {
+	next := clock.Time(math.MaxInt64)
+	for _, l := range r.copies[m.Name] {
+		next = min(next, l.arrival(r.now, m))
+	}
+	return next
+}
+
+// emptiestHost returns the least loaded site that has a copy of the model on its host and memory for it; nil if there is
+// none.
+func (r *round) emptiestHost(m *fleet.Model) *site {
+	var best *site
+	for _, s := range r.sites {
+		if _, has := s.models[m.Name]; has || s.ordered || !s.canSendModelOrder(r.now) || r.isReserved(s) || !s.hasHostCopy(m.Name) || !r.fits(s, m) {
+			continue
+		}
+		if best == nil || s.workRate < best.workRate {
+			best = s
+		}
+	}
+	return best
+}
+
 // addHotCopies adds copies of models whose copies all exceed highUtilization.
 func (r *round) addHotCopies() {
 	type hot struct {
--- a/assign/plan.go
+++ b/assign/plan.go
@@ -84,6 +84,7 @@
 		r := p.newRound(now, &input, s)
 		r.loadReserved()
 		r.addMissingCopies()
+		r.addFasterCopies()
 		r.addMissingAdapters()
 		r.addShortCopies()
 		r.addHotCopies()
--- a/assign/round.go
+++ b/assign/round.go
@@ -35,6 +35,18 @@
 // loaded reports whether requests can be sent to the copy.
 func (l *placement) loaded() bool { return l.copy != nil && !l.copy.loading }
 
+// arrival returns when a copy that is being loaded is expected to be there.
+func (l *placement) arrival(now clock.Time, m *fleet.Model) clock.Time {
+	o, since := l.activeOrder, l.activeSince
+	if o == nil || o.Unload || o.Model != l.model {
+		o, since = l.pendingOrder, now
+	}
+	if o != nil && !o.FromWeightStore {
+		return since.Add(hostLoadTime)
+	}
+	return since.Add(m.StoreLoadTime)
+}
+
 // round is the state of one planning round for one service.
 type round struct {
 	p       *Planner
