assign: further copies of adapters, and copies in the zones that ask for them

Cause: an adapter got one copy only, however many of its requests were refused there. Copies were placed without regard to where callers are, and traffic between zones is paid for. Change: an adapter that is short is ordered at as many copies of its model as its work needs; its model counts as short only for what those can't take. Zones with a greater part of the demand than of the copies go first among like places, and a zone whose average work is a tenth of an engine's gets a copy of its own while the weight store has little to load. An unload counts the work of its zone that would have to cross zones.

--- a/assign/fill.go
+++ b/assign/fill.go
@@ -54,10 +54,7 @@
 	}
 	var holders []*placement
 	for _, l := range r.copies[t.Model] {
-		if l.copy == nil {
-			continue
-		}
-		if _, has := l.copy.adapters[t.Adapter]; has {
+		if l.hasAdapter(t.Adapter) {
 			holders = append(holders, l)
 		}
 	}
--- a/assign/meter.go
+++ b/assign/meter.go
@@ -18,7 +18,7 @@
 	outputWeight = 6.0
 	// refusalTimeConstant is the time constant of the average of refused work: a shortage is over a moment after the
 	// last refusal.
-	refusalTimeConstant = clock.Second
+	refusalTimeConstant = 700 * clock.Millisecond
 	// minDemand is the demand, in prompt tokens/s, below which a target is dropped.
 	minDemand = 0.5
 )
--- a/assign/place.go
+++ b/assign/place.go
@@ -24,6 +24,8 @@
 	storeLoadCost = 0.3
 	// crowdedCost is the cost of a site that has to unload a second model before the load.
 	crowdedCost = 2.0
+	// zoneCost is the cost of a site in a zone that asks for no copy.
+	zoneCost = 0.2
 )
 
 // addCopy orders one more copy of the model on the upstream with the lowest cost (load, unload
@@ -63,6 +65,9 @@
 		if !s.hasHostCopy(id) {
 			cost += storeLoadCost
 		}
+		if demand := r.demands[id]; demand.WorkRate > 0 {
+			cost += zoneCost * (1 - r.zoneDeficit(id, s.entry.Zone)/demand.WorkRate)
+		}
 		if cost < bestCost {
 			best, victim, bestCost = s, v, cost
 		}
--- a/assign/plan.go
+++ b/assign/plan.go
@@ -50,6 +50,7 @@
 	reservations map[units.UpstreamID]reservation
 	// peaks holds the greatest recent work of each model.
 	peaks map[modelKey]peak
+	zones zoneAverages
 }
 
 type reservation struct {
@@ -63,6 +64,7 @@
 	return &Planner{
 		ledger: l, budgets: map[units.ServiceID]*loadBudget{}, lastRequested: map[Target]clock.Time{},
 		reservations: map[units.UpstreamID]reservation{}, peaks: map[modelKey]peak{},
+		zones: zoneAverages{work: map[zoneKey]float64{}},
 	}
 }
 
@@ -74,6 +76,7 @@
 			p.lastRequested[t] = now
 		}
 	}
+	p.zones.update(now, input.Demand)
 	p.dropReservations(now, input.ExcludedZones)
 	var orders []PlannedOrder
 	for _, id := range sortedServices(input.Services) {
@@ -86,9 +89,11 @@
 		r.addMissingCopies()
 		r.addFasterCopies()
 		r.addMissingAdapters()
+		r.addFurtherAdapters()
 		r.addShortCopies()
 		r.addHotCopies()
 		r.restoreUnrequested()
+		r.addZoneCopies()
 		orders = append(orders, r.orders...)
 	}
 	return orders
--- a/assign/round.go
+++ b/assign/round.go
@@ -60,6 +60,8 @@
 	sites []*site
 	// demands is the demand for each model, its adapters included.
 	demands map[units.ModelID]*Demand
+	// shortAdapters lists the adapters of a model that are short.
+	shortAdapters map[units.ModelID][]Target
 	// recentModels are the models requested within lastCopyIdleTime.
 	recentModels map[units.ModelID]bool
 	// copies lists the sites that have or load a model, without those that unload it.
@@ -75,7 +77,8 @@
 	r := &round{
 		p: p, now: now, input: input, service: s, engine: s.Engine, models: make(map[units.ModelID]*fleet.Model, len(s.Engine.Models)),
 		copies: map[units.ModelID][]*placement{}, demands: map[units.ModelID]*Demand{}, recentModels: map[units.ModelID]bool{},
-		budget: p.budget(now, s), maxStoreLoads: maxStoreLoads(s.Engine),
+		shortAdapters: map[units.ModelID][]Target{},
+		budget:        p.budget(now, s), maxStoreLoads: maxStoreLoads(s.Engine),
 	}
 	for i := range s.Engine.Models {
 		m := &s.Engine.Models[i]
@@ -85,6 +88,9 @@
 	for t, demand := range input.Demand {
 		if sum, ok := r.demands[t.Model]; ok && t.Service == s.Name {
 			sum.merge(&demand)
+			if t.Adapter != "" && demand.shortage() > 0 {
+				r.shortAdapters[t.Model] = append(r.shortAdapters[t.Model], t)
+			}
 		}
 	}
 	for t, at := range p.lastRequested {
--- a/assign/short.go
+++ b/assign/short.go
@@ -92,7 +92,23 @@
 // need returns the work of a model, in prompt tokens/s, that neither its copies nor those that are on their way can take.
 func (r *round) need(id units.ModelID) float64 {
 	demand := r.demands[id]
-	return max(demand.shortage()-r.pendingRoom(id), min(r.excessWork(r.copies[id]), demand.WorkRate))
+	return max(demand.shortage()-r.adapterRoom(id)-r.pendingRoom(id), min(r.excessWork(r.copies[id]), demand.WorkRate))
+}
+
+// adapterRoom returns the part of a model's shortage for which there is room at its copies that lack the adapter.
+func (r *round) adapterRoom(id units.ModelID) float64 {
+	room := 0.0
+	for _, t := range r.shortAdapters[id] {
+		demand := r.input.Demand[t]
+		free := 0.0
+		for _, l := range r.copies[id] {
+			if l.loaded() && !l.hasAdapter(t.Adapter) {
+				free += r.room(l.site)
+			}
+		}
+		room += min(free, demand.shortage())
+	}
+	return room
 }
 
 // pendingRoom returns the capacity of the copies of a model that are on their way, and of those that just came to the
@@ -118,8 +134,12 @@
 	case l.copy.loadedAt == 0:
 		return 0
 	}
-	age := now.Sub(l.copy.loadedAt) - reportDelay
-	return math.Exp(-float64(max(age, 0)) / float64(refusalTimeConstant))
+	return unseenPart(now.Sub(l.copy.loadedAt))
+}
+
+// unseenPart returns the part of the known refusals that are older than the age.
+func unseenPart(age clock.Span) float64 {
+	return math.Exp(-float64(max(age-reportDelay, 0)) / float64(refusalTimeConstant))
 }
 
 // excessWork returns the work above the capacity of the upstreams, in prompt tokens/s, or 0
@@ -170,6 +190,10 @@
 			gain, delay = min(r.room(s)+v.modelWork, need), delay+expectedUnloadTime
 		}
 		value := gain*paybackTime.Seconds()/(paybackTime+delay).Seconds() - lossWeight*loss
+		value += zoneWeight * min(r.zoneDeficit(id, s.entry.Zone), gain)
+		if v != nil {
+			value -= zoneWeight * r.zoneLoss(s, v.model)
+		}
 		if gain >= minGain*s.capacity && value > bestValue {
 			best, victim, bestValue, bestGain = s, v, value, gain
 		}
