assign: a model that is short may take the place of one that nobody has asked for in 12 s

A model without a copy is restored at once where a host has it, and takes no other copy's place while models are short. Copies of a model that was short within the time of two loads stay.

--- a/assign/gaps.go
+++ b/assign/gaps.go
@@ -154,10 +154,21 @@
 }
 
 // restoreUnrequested adds a copy of each model that has none and isn't requested, while the
-// load budget allows it, because demand may shift to such a model at any time.
+// load budget allows it or a host has it, because demand may shift to such a model at any time. While other models are
+// short, none is unloaded for it.
 func (r *round) restoreUnrequested() {
 	for _, m := range r.engine.Models {
-		if len(r.copies[m.Name]) == 0 && r.pendingCopies(m.Name) == 0 && r.budget.tokens >= spareLoadTokens {
+		if len(r.copies[m.Name]) > 0 || r.pendingCopies(m.Name) > 0 {
+			continue
+		}
+		switch {
+		case r.budget.tokens < spareLoadTokens:
+			if s := r.emptiestHost(&m); s != nil && r.mayLoad(m.Name) {
+				r.orderLoad(s, m.Name)
+			}
+		case r.short > 0:
+			r.loadWhereFits(m.Name)
+		default:
 			r.addCopy(m.Name, false, math.Inf(1))
 		}
 	}
--- a/assign/place.go
+++ b/assign/place.go
@@ -96,7 +96,7 @@
 	var victim units.ModelID
 	least := math.Inf(1)
 	for id, c := range s.models {
-		if c.loading || r.now.Sub(c.since) < minCopyAge && !missing || !missing && !r.fitsWithout(s, m, r.megabytes(s, id)) {
+		if c.loading || !missing && (r.now.Sub(c.since) < minCopyAge || r.isHeld(id) || !r.fitsWithout(s, m, r.megabytes(s, id))) {
 			continue
 		}
 		rest := len(r.copies[id]) - 1
--- a/assign/round.go
+++ b/assign/round.go
@@ -67,6 +67,8 @@
 	// copies lists the sites that have or load a model, without those that unload it.
 	copies map[units.ModelID][]*placement
 	budget *loadBudget
+	// short is the number of models that need further copies.
+	short int
 	// storeLoads is the number of loads from the weight store in flight, maxStoreLoads its limit, reservedLoads the number
 	// of those that will follow unloads.
 	storeLoads, maxStoreLoads, reservedLoads int
--- a/assign/short.go
+++ b/assign/short.go
@@ -22,6 +22,9 @@
 	// holdLoads is the number of store loads for whose time a copy is kept after the last demand that needed it: to take
 	// it away and to bring it back costs two.
 	holdLoads = 2
+	// idleCopyLoss is the part of an engine's capacity that the last copy of a model counts for that nobody has asked for
+	// in lastCopyIdleTime, twice that if it has to come back from the weight store.
+	idleCopyLoss = 0.1
 )
 
 // peak is the greatest work of a model since a time.
@@ -60,10 +63,11 @@
 func (r *round) addShortCopies() {
 	needs := map[units.ModelID]float64{}
 	for id := range r.models {
-		if need := r.need(id); need > 0 && len(r.copies[id]) > 0 && r.mayLoad(id) {
+		if need := r.need(id); need > minGain*engineCapacity && len(r.copies[id]) > 0 && r.mayLoad(id) {
 			needs[id] = need
 		}
 	}
+	r.short = len(needs)
 	for {
 		id, need := greatestNeed(needs)
 		if need < minGain*engineCapacity {
@@ -212,8 +216,8 @@
 }
 
 // leastLoss returns the copy at a site whose unload makes room for the model and puts the least work at risk, and that
-// work in prompt tokens/s. It returns nil if there is none: copies that just came, the last ones and those of models that
-// were short lately stay.
+// work in prompt tokens/s. It returns nil if there is none: copies that just came, the last ones of models that were
+// requested lately and those of models that were short lately stay. All last copies stay while no request is refused.
 func (r *round) leastLoss(s *site, wanted units.ModelID) (*placement, float64) {
 	var best *placement
 	least := math.Inf(1)
@@ -222,11 +226,14 @@
 			continue
 		}
 		l, spare, rest := r.spareWithout(s, id)
-		if l == nil || rest == 0 {
+		if l == nil || rest == 0 && (r.recentModels[id] || len(r.copies[id]) > 1 || r.demands[wanted].shortage() == 0) {
 			continue
 		}
 		held := max(l.modelWork, r.p.peaks[modelKey{r.service.Name, id}].workRate/float64(len(r.copies[id])))
 		loss := max(held-spare, 0)
+		if rest == 0 {
+			loss = r.idleLoss(s, id)
+		}
 		if best == nil || loss < least || loss == least && (l.modelWork < best.modelWork || l.modelWork == best.modelWork && l.model < best.model) {
 			best, least = l, loss
 		}
@@ -234,6 +241,14 @@
 	return best, least
 }
 
+// idleLoss returns what the last copy of a model that nobody asks for counts, in prompt tokens/s.
+func (r *round) idleLoss(s *site, id units.ModelID) float64 {
+	if s.hasHostCopy(id) {
+		return idleCopyLoss * s.capacity
+	}
+	return 2 * idleCopyLoss * s.capacity
+}
+
 // spareWithout returns the copy of a model at a site, the spare capacity of the other loaded copies and their number.
 func (r *round) spareWithout(s *site, id units.ModelID) (*placement, float64, int) {
 	var own *placement
@@ -252,7 +267,7 @@
 
 // moveWork adds the work of a copy that is unloaded to the others.
 func (r *round) moveWork(l *placement) {
-	others := float64(len(r.copies[l.model]) - 1)
+	others := float64(max(len(r.copies[l.model])-1, 1))
 	for _, o := range r.copies[l.model] {
 		if o != l {
 			o.workRate += l.modelWork / others
