--- a/assign/short.go
+++ b/assign/short.go
@@ -10,9 +10,9 @@
 const (
 	// minGain is the least part of a site's capacity that a further copy of a model that is short has to win.
 	minGain = 0.1
-	// paybackTime is how long the work that a further copy wins is expected to last, to compare it with the time that the
-	// copy takes to come.
-	paybackTime = 8 * clock.Second
+	// demandLifetime is the time in which demand is expected to fall to a third, by which the time that a copy takes to come
+	// is judged.
+	demandLifetime = 6 * clock.Second
 	// hostLoadTime is the duration of a load from the host's copy.
 	hostLoadTime = 800 * clock.Millisecond
 	// reportDelay is the time until refusals are known here.
@@ -193,7 +193,7 @@
 			}
 			gain, delay = min(r.room(s)+v.modelWork, need), delay+expectedUnloadTime
 		}
-		value := gain*paybackTime.Seconds()/(paybackTime+delay).Seconds() - lossWeight*loss
+		value := gain*math.Exp(-float64(delay)/float64(demandLifetime)) - lossWeight*loss
 		value += zoneWeight * min(r.zoneDeficit(id, s.entry.Zone), gain)
 		if v != nil {
 			value -= zoneWeight * r.zoneLoss(s, v.model)
