assign, entry, wire: adapters with copies, lost unloads, loads under way, limit of loads over leaders

Work of an adapter counted for the one upstream that has it, so that other copies of its model looked idle, and a model got no copies because of room at copies whose adapter slots were all in use. Unloads for zones alone waited for running requests while their upstream took no adapters. An unload that was lost or refused kept its upstream reserved for 6 s. Adapters in use were unloaded again and again, each time announced to all gateways. A new leader did not know what the one before had loaded. Change: work is estimated by model, adapters get a further copy where a slot is free from 0.05 of an engine's work each, a refused unload waits 2 s, a reservation ends with its unload, the expected time of an unload is weighed, zones alone move only idle copies while no model is short.

--- a/assign/adapter.go
+++ b/assign/adapter.go
@@ -17,6 +17,9 @@
 	// minAdapterGain is the least part of an engine's capacity that a further copy of an adapter has to win. It is lower
 	// than that of a model, as adapters load in milliseconds.
 	minAdapterGain = 0.02
+	// hotAdapterWork is the work at each copy of an adapter, as a share of an engine's capacity, above which it gets another
+	// one where a slot is free.
+	hotAdapterWork = 0.05
 )
 
 // addMissingAdapters orders the requested adapters that no copy of their model has loaded,
@@ -116,16 +119,15 @@
 	return won
 }
 
-// addHotAdapter orders the adapter at a copy of its model with a free slot if the upstreams that have it all exceed
-// highUtilization.
+// addHotAdapter orders the adapter at a copy of its model with a free slot if there is more than hotAdapterWork for each of
+// those that have it.
 func (r *round) addHotAdapter(t Target) {
-	least := leastWork(r.holders(t))
-	if least <= highUtilization*engineCapacity {
+	if r.input.Demand[t].WorkRate <= hotAdapterWork*engineCapacity*float64(len(r.holders(t))) {
 		return
 	}
 	var best *placement
 	for _, l := range r.copies[t.Model] {
-		if r.takesAdapter(l, t) && l.adapters() < r.engine.AdapterSlots && l.workRate <= least*lowUtilization && (best == nil || l.workRate < best.workRate) {
+		if r.takesAdapter(l, t) && l.adapters() < r.engine.AdapterSlots && (best == nil || l.workRate < best.workRate) {
 			best = l
 		}
 	}
@@ -199,7 +201,7 @@
 }
 
 // leastRecentAdapter returns the least recently requested adapter of the upstream; ok is
-// false if all of its adapters were loaded or requested within minAge.
+// false if all of its adapters were loaded or requested within minAge, or the upstream refused to unload them.
 func (r *round) leastRecentAdapter(s *site, minAge clock.Span) (Target, bool) {
 	var best Target
 	bestAt := clock.Time(math.MaxInt64)
@@ -207,7 +209,7 @@
 		for name, since := range c.adapters {
 			t := Target{r.service.Name, model, name}
 			at := r.p.lastRequested[t]
-			if r.now.Sub(since) < minAge || r.now.Sub(at) < minAge && at != 0 {
+			if r.now.Sub(since) < minAge || r.now.Sub(at) < minAge && at != 0 || r.now.Sub(s.unloadRefusedAt[t]) < refusedUnloadDelay && s.unloadRefusedAt[t] != 0 {
 				continue
 			}
 			if at < bestAt || (at == bestAt && name < best.Adapter) {
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -36,6 +36,8 @@
 	unreachable, replaced map[units.UpstreamID]bool
 	// paused are the engines that asked for a pause.
 	paused map[units.UpstreamID]bool
+	// inUse is set if engines refuse to unload adapters.
+	inUse bool
 	// ordersTo counts the orders by engine.
 	ordersTo map[units.UpstreamID]int
 	// deadly is the model whose loads end the engines, ended the number of engines that it ended.
@@ -183,7 +185,7 @@
 // adapter slots. It returns false if the engine refuses the order.
 func (c *cluster) execute(now clock.Time, o assign.PlannedOrder) bool {
 	e := c.engines[o.Upstream]
-	if e.lost || e.acceptedOrders != o.ExpectedOrders || (e.activeOrder != nil && o.Adapter == "") {
+	if c.inUse && o.Unload && o.Adapter != "" || e.lost || e.acceptedOrders != o.ExpectedOrders || (e.activeOrder != nil && o.Adapter == "") {
 		return false
 	}
 	e.acceptedOrders++
--- a/assign/fill.go
+++ b/assign/fill.go
@@ -5,10 +5,10 @@
 	"slices"
 )
 
-// waterFillPasses is the number of times that the work of every target is redistributed.
+// waterFillPasses is the number of times that the work of every model is redistributed.
 const waterFillPasses = 3
 
-// stream is the work of a target and the copies that can serve it.
+// stream is the work of a model and the copies that can serve it.
 type stream struct {
 	workRate float64
 	copies   []*placement
@@ -16,8 +16,7 @@
 	shares []float64
 }
 
-// estimateWork sets the work of the sites and copies. It spreads the demand for each target over the copies that can
-// serve it so that their sites are loaded as evenly as the other work there allows.
+// estimateWork sets the work of the sites and copies. It spreads the demand for each model over its copies so that their sites are loaded as evenly as the other work there allows.
 func (r *round) estimateWork() {
 	streams := r.streams()
 	for range waterFillPasses {
@@ -27,23 +26,15 @@
 	}
 }
 
-// streams returns the work of each target with the copies that can serve it, in a fixed order.
+// streams returns the work of each model with its copies. Adapters count for their models: they follow to further copies
+// within milliseconds.
 func (r *round) streams() []stream {
-	var targets []Target
-	for t, demand := range r.input.Demand {
-		if t.Service == r.service.Name && demand.WorkRate > 0 && len(r.copies[t.Model]) > 0 {
-			targets = append(targets, t)
+	streams := make([]stream, 0, len(r.engine.Models))
+	for _, m := range r.engine.Models {
+		if copies, work := r.copies[m.Name], r.workOf(m.Name); len(copies) > 0 && work > 0 {
+			streams = append(streams, stream{workRate: work, copies: slices.Clone(copies), shares: make([]float64, len(copies))})
 		}
 	}
-	slices.SortFunc(targets, func(a, b Target) int { return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter)) })
-	streams := make([]stream, len(targets))
-	for i, t := range targets {
-		copies := r.holders(t)
-		if len(copies) == 0 {
-			copies = slices.Clone(r.copies[t.Model])
-		}
-		streams[i] = stream{workRate: r.input.Demand[t].WorkRate, copies: copies, shares: make([]float64, len(copies))}
-	}
 	return streams
 }
 
--- a/assign/ledger.go
+++ b/assign/ledger.go
@@ -23,6 +23,9 @@
 	// refusedRetryDelay is the delay before the next call to an upstream that refused an
 	// order or sent an outdated report.
 	refusedRetryDelay = 150 * clock.Millisecond
+	// refusedUnloadDelay is the delay before the next order to unload an adapter that the upstream refused to unload: it is
+	// in use. Gateways stop using it for each try.
+	refusedUnloadDelay = 2 * clock.Second
 	// errorRetryDelay is the delay before the next call to an upstream that didn't respond.
 	errorRetryDelay = 100 * clock.Millisecond
 )
@@ -82,6 +85,8 @@
 	// has had no visible effect yet; empty if there is none.
 	loading      units.ModelID
 	loadingSince clock.Time
+	// unloadRefusedAt is when the upstream last refused to unload an adapter.
+	unloadRefusedAt map[Target]clock.Time
 	// retryAt is the earliest time of the next call.
 	retryAt clock.Time
 	// lastAccepted is the time of the last accepted order.
@@ -148,7 +153,7 @@
 			if ok {
 				l.recordEnd(now, s)
 			}
-			s = &upstreamState{processStart: e.ProcessStart, acceptedOrders: -1, stale: true, models: map[units.ModelID]*modelCopy{}}
+			s = &upstreamState{processStart: e.ProcessStart, acceptedOrders: -1, stale: true, models: map[units.ModelID]*modelCopy{}, unloadRefusedAt: map[Target]clock.Time{}}
 			l.states[id] = s
 		}
 		if s.entry == nil || s.entry.ReceivedAt != e.ReceivedAt {
@@ -304,6 +309,9 @@
 	case Refused:
 		s.stale = true
 		s.retryAt = now.Add(refusedRetryDelay)
+		if o.Unload && o.Adapter != "" {
+			s.unloadRefusedAt[Target{o.Service, o.Model, o.Adapter}] = now
+		}
 	case Unanswered:
 		s.stale = true
 		s.retryAt = now.Add(errorRetryDelay)
--- a/assign/load_test.go
+++ b/assign/load_test.go
@@ -28,12 +28,15 @@
 	*cluster
 	// offered is the work of each model in prompt tokens/s.
 	offered map[units.ModelID]float64
+	// adapters is the number of adapters of each model among which its work is divided; 0 is none.
+	adapters int
 	// zone is where the callers of all models are; empty if they are everywhere.
 	zone  units.Zone
 	meter *assign.Meter
 	// served and total are sums over all models since the last reset, in prompt tokens; local is the part of served in zone.
 	served, total, local float64
 	digestAt             clock.Time
+	turn                 int
 	// lastWork is the work of each engine in the last 50 ms, by which requests choose.
 	lastWork map[*engine]float64
 }
@@ -93,10 +96,14 @@
 
 func (w *traffic) place(now clock.Time, m units.ModelID, part float64, work map[*engine]float64) {
 	target := assign.Target{Service: service, Model: m}
+	if w.adapters > 0 {
+		w.turn++
+		target.Adapter = fmt.Sprint("a", 1+w.turn%w.adapters)
+	}
 	var best *engine
 	least, held := math.Inf(1), false
 	for _, e := range w.engines {
-		if _, has := e.models[m]; !has || e.lost || e.activeOrder != nil && e.activeOrder.Unload && e.activeOrder.Model == m {
+		if adapters, has := e.models[m]; !has || target.Adapter != "" && !adapters[target.Adapter] || e.lost || e.activeOrder != nil && e.activeOrder.Unload && e.activeOrder.Model == m {
 			continue
 		}
 		held = true
@@ -203,7 +210,7 @@
 func TestZoneOfCallersGetsCopies(t *testing.T) {
 	w := newTraffic(t, 18, 36, 10)
 	w.zone = "a"
-	w.offer(0, 6, 5000)
+	w.offer(3, 6, 10_000)
 	w.play(1, 20_001)
 	w.share()
 	before := w.sentOrders
@@ -228,3 +235,19 @@
 	}
 	assert.Assert(t, n >= 3, "%d copies of the adapter", n)
 }
+
+// Guards against unloads of an adapter in use that are ordered again at once, while gateways stop using it for each, and
+// against a model that waits for an unload that was lost.
+func TestRefusedUnloadsAreNotRepeatedAtOnce(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	for i := range 4 {
+		c.engines["e0"].models[modelName(0)][fmt.Sprint("a", i)] = true
+	}
+	c.inUse = true
+	c.setDemand(modelName(0), "a9", 3000, 2)
+	c.run(1, 4001)
+	assert.Assert(t, c.sentOrders <= 12, "%d orders in 4 s", c.sentOrders)
+	c.inUse = false
+	c.run(4001, 6501)
+	assert.Assert(t, c.engines["e0"].models[modelName(0)]["a9"])
+}
--- a/assign/plan.go
+++ b/assign/plan.go
@@ -35,8 +35,8 @@
 	// be unloaded for a requested model without a copy.
 	lastCopyIdleTime = 12 * clock.Second
 	// reservationTTL is how long an upstream is reserved for a model after the unload that makes
-	// room for it was ordered.
-	reservationTTL = 6 * clock.Second
+	// room for it was ordered. The unload waits for requests that run.
+	reservationTTL = 12 * clock.Second
 )
 
 // Planner decides which models and adapters to load and unload.
--- a/assign/round.go
+++ b/assign/round.go
@@ -41,10 +41,15 @@
 	if o == nil || o.Unload || o.Model != l.model {
 		o, since = l.pendingOrder, now
 	}
-	if o != nil && !o.FromWeightStore {
-		return since.Add(hostLoadTime)
+	return since.Add(LoadTime(m, o == nil || o.FromWeightStore))
+}
+
+// LoadTime returns how long the load of a model takes, from the weight store or from a copy of the upstream's host.
+func LoadTime(m *fleet.Model, fromWeightStore bool) clock.Span {
+	if fromWeightStore {
+		return m.StoreLoadTime
 	}
-	return since.Add(m.StoreLoadTime)
+	return hostLoadTime
 }
 
 // round is the state of one planning round for one service.
@@ -163,7 +168,14 @@
 			delete(r.p.reservations, s.id)
 			continue
 		}
-		if r.mayLoad(m.Name) && s.canSendModelOrder(r.now) && !s.ordered && r.fits(s, m) && r.withinStoreBudget(s, m.Name) {
+		if !r.mayLoad(m.Name) || !s.canSendModelOrder(r.now) || s.ordered {
+			continue
+		}
+		switch {
+		case !r.fits(s, m):
+			// The unload was refused, or has been lost.
+			delete(r.p.reservations, s.id)
+		case r.withinStoreBudget(s, m.Name):
 			delete(r.p.reservations, s.id)
 			r.orderLoad(s, m.Name)
 		}
--- a/assign/short.go
+++ b/assign/short.go
@@ -17,6 +17,11 @@
 	hostLoadTime = 800 * clock.Millisecond
 	// reportDelay is the time until refusals are known here.
 	reportDelay = 300 * clock.Millisecond
+	// typicalRequest is the work of a request in prompt tokens, typicalRun how long one runs under load. minUnloadTime is how
+	// long the unload of a copy takes at which none runs.
+	typicalRequest = 4000.0
+	typicalRun     = 4 * clock.Second
+	minUnloadTime  = 300 * clock.Millisecond
 	// lossWeight is the weight of work that an unload puts at risk, against the work that the load wins.
 	lossWeight = 2.0
 	// holdLoads is the number of store loads for whose time a copy is kept after the last demand that needed it: to take
@@ -99,6 +104,15 @@
 	return max(demand.shortage()-r.adapterRoom(id)-r.pendingRoom(id), min(r.excessWork(r.copies[id]), demand.WorkRate))
 }
 
+// hasSlot reports whether a site can load a further adapter, if need be in place of an idle one.
+func (r *round) hasSlot(s *site) bool {
+	if s.adapters() < r.engine.AdapterSlots {
+		return true
+	}
+	_, ok := r.leastRecentAdapter(s, minIdleAdapterAge)
+	return ok
+}
+
 // adapterRoom returns the part of a model's shortage for which there is room at its copies that lack the adapter.
 func (r *round) adapterRoom(id units.ModelID) float64 {
 	room := 0.0
@@ -106,7 +120,7 @@
 		demand := r.input.Demand[t]
 		free := 0.0
 		for _, l := range r.copies[id] {
-			if l.loaded() && !l.hasAdapter(t.Adapter) {
+			if l.loaded() && !l.hasAdapter(t.Adapter) && r.hasSlot(l.site) {
 				free += r.room(l.site)
 			}
 		}
@@ -175,10 +189,7 @@
 		if _, has := s.models[id]; has || s.ordered || !s.canSendModelOrder(r.now) || r.isReserved(s) {
 			continue
 		}
-		gain, delay, loss := min(r.room(s), need), hostLoadTime, 0.0
-		if !s.hasHostCopy(id) {
-			delay = m.StoreLoadTime
-		}
+		gain, delay, loss := min(r.room(s), need), LoadTime(m, !s.hasHostCopy(id)), 0.0
 		var v *placement
 		if r.fits(s, m) {
 			if !r.withinStoreBudget(s, id) {
@@ -191,7 +202,7 @@
 			if v, loss = r.leastLoss(s, id); v == nil {
 				continue
 			}
-			gain, delay = min(r.room(s)+v.modelWork, need), delay+expectedUnloadTime
+			gain, delay = min(r.room(s)+v.modelWork, need), delay+v.unloadTime()
 		}
 		value := gain*math.Exp(-float64(delay)/float64(demandLifetime)) - lossWeight*loss
 		value += zoneWeight * min(r.zoneDeficit(id, s.entry.Zone), gain)
@@ -249,6 +260,12 @@
 	return 2 * idleCopyLoss * s.capacity
 }
 
+// unloadTime returns how long the unload of a copy is expected to take: it waits for the requests that run there.
+func (l *placement) unloadTime() clock.Span {
+	running := l.modelWork / typicalRequest * typicalRun.Seconds()
+	return minUnloadTime + clock.Span(float64(typicalRun)*(1-math.Exp(-running)))
+}
+
 // spareWithout returns the copy of a model at a site, the spare capacity of the other loaded copies and their number.
 func (r *round) spareWithout(s *site, id units.ModelID) (*placement, float64, int) {
 	var own *placement
--- a/assign/zones.go
+++ b/assign/zones.go
@@ -17,7 +17,10 @@
 	// zoneWeight is the weight of work that crosses zones, against work that is refused.
 	zoneWeight = 0.25
 	// minZoneWork is the work of a zone, as a share of an engine's capacity, that is worth a copy of its own.
-	minZoneWork = 0.1
+	minZoneWork = 0.2
+	// idleWork is the work, as a share of a site's capacity, up to which a copy may go for a zone alone: its unload waits for
+	// few requests.
+	idleWork = 0.02
 	// zoneLoadsShare is the share of the weight store's concurrent loads up to which copies are added for a zone alone.
 	zoneLoadsShare = 0.25
 )
@@ -97,6 +100,9 @@
 // addZoneCopies adds copies of models in zones that ask for them and have none, the greatest work first, while the weight
 // store has little else to load.
 func (r *round) addZoneCopies() {
+	if r.short > 0 {
+		return
+	}
 	type gap struct {
 		model units.ModelID
 		zone  units.Zone
@@ -141,7 +147,7 @@
 		if !r.fits(s, m) {
 			var loss float64
 			v, loss = r.leastLoss(s, m.Name)
-			if v == nil || loss > 0 || r.zoneLoss(s, v.model) > work/2 {
+			if v == nil || loss > 0 || v.modelWork > idleWork*s.capacity || r.zoneLoss(s, v.model) > work/2 {
 				continue
 			}
 		}
--- a/entry/controller.go
+++ b/entry/controller.go
@@ -49,6 +49,8 @@
 	// residencyChanges are recent loads and unloads that the upstreams' descriptions may not show
 	// yet.
 	residencyChanges []residencyChange
+	// pendingLoads are loads that go on, or were announced lately.
+	pendingLoads []pendingLoad
 	// announcedAt is when this gateway last announced changes to the others.
 	announcedAt clock.Time
 }
@@ -112,6 +114,8 @@
 		c.handleDigest(now, m.digest)
 	case residencyChanged:
 		c.mergeResidencyChanges(now, m.changes)
+	case loadsAnnounced:
+		c.mergeLoads(now, m.loads)
 	case targetMissed:
 		c.handleMiss(now)
 	case leaseAcquired:
@@ -195,6 +199,7 @@
 	c.gateway.limiter.onTick(now)
 	c.gateway.relay.SetOtherLoads(c.otherLoads(), peers.DigestInterval(c.gatewayCount))
 	c.announceChanges(now)
+	c.announceLoads(now)
 	c.gateway.relay.Tick()
 	c.orders.onTick(now)
 	if now.Sub(c.digestSentAt) >= peers.DigestInterval(c.gatewayCount) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -184,6 +184,8 @@
 	digestReceived struct{ digest peers.Digest }
 	// residencyChanged has loads and unloads that the leader has ordered.
 	residencyChanged struct{ changes []*wire.Residency }
+	// loadsAnnounced has loads that the leader has ordered and that go on.
+	loadsAnnounced struct{ loads []*wire.PendingLoad }
 )
 
 // post sends a message to the control loop and blocks while its inbox is full. Messages are dropped
@@ -202,6 +204,10 @@
 		g.post(residencyChanged{changes.GetChanges()})
 		return
 	}
+	if loads := m.GetPendingLoads(); loads != nil {
+		g.post(loadsAnnounced{loads.GetLoads()})
+		return
+	}
 	if changes := m.GetStoreChanges(); changes != nil {
 		g.feed.Deliver(g.receiveChanges(changes, from))
 		return
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -89,6 +89,8 @@
 	acquireDelay clock.Span
 	ledger       *assign.Ledger
 	planner      *assign.Planner
+	// plannedEpoch is the epoch of the last round.
+	plannedEpoch units.Epoch
 	plannedAt    clock.Time
 	// planRequested is set when a round should start before planInterval. planCost is the time that
 	// the last round took.
@@ -146,6 +148,10 @@
 	if !ok {
 		return
 	}
+	if epoch != o.plannedEpoch {
+		o.plannedEpoch = epoch
+		o.planner.RecordTakeover(now, services)
+	}
 	paused := o.controller.pausedUpstreams()
 	for _, id := range o.ledger.StaleUpstreams(now) {
 		if !paused[id] {
@@ -260,6 +266,8 @@
 		o.planSoon()
 	case m.order.Adapter != "":
 		o.planSoon()
+	case !m.order.Unload && result == assign.Accepted:
+		o.controller.recordLoad(now, e, m.order)
 	}
 }
 
--- a/entry/residency.go
+++ b/entry/residency.go
@@ -46,6 +46,7 @@
 			s.Upstreams[r.upstream] = &changed
 		}
 	}
+	c.addLoads(now, &s)
 	return &s
 }
 
@@ -101,13 +102,7 @@
 		return
 	}
 	c.announcedAt = now
-	var to []string
-	for _, g := range c.members.All() {
-		if g.VM != c.gateway.settings.VM {
-			to = append(to, g.Address)
-		}
-	}
-	c.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_ResidencyChanges{ResidencyChanges: m}}, to...)
+	c.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_ResidencyChanges{ResidencyChanges: m}}, c.otherGateways()...)
 }
 
 // discardUnload removes the residency change of an unload that the upstream did not accept.
--- a/view/view.go
+++ b/view/view.go
@@ -24,6 +24,15 @@
 	WarmAt clock.Time
 	// RemoveAt is when an entry that expired during an outage is removed; 0 is never.
 	RemoveAt clock.Time
+	// Loading are the models that the upstream is loading.
+	Loading []PendingLoad
+}
+
+// PendingLoad is a model that an upstream is loading.
+type PendingLoad struct {
+	Model units.ModelID
+	// ReadyAt is when the load is expected to be done.
+	ReadyAt clock.Time
 }
 
 // IsCold reports whether the upstream is expected to be cold at the time.
