assign: an adapter without a copy takes the slot of a further copy of another one

Cause: with adapter slots nearly all in use, further copies of adapters kept others from being loaded at all.

--- a/assign/adapter.go
+++ b/assign/adapter.go
@@ -102,7 +102,7 @@
 		}
 		room := r.room(l.site)
 		if l.adapters() >= r.engine.AdapterSlots {
-			if _, ok := r.leastRecentAdapter(l.site, minIdleAdapterAge); !ok {
+			if _, ok := r.leastRecentAdapter(l.site, minIdleAdapterAge, false); !ok {
 				continue
 			}
 			room /= 2
@@ -111,7 +111,7 @@
 			best, most = l, room
 		}
 	}
-	if best == nil || !r.orderAdapter(best, t, minIdleAdapterAge) {
+	if best == nil || !r.orderAdapter(best, t, minIdleAdapterAge, false) {
 		return 0
 	}
 	won := min(most, need)
@@ -132,7 +132,7 @@
 		}
 	}
 	if best != nil {
-		r.orderAdapter(best, t, minIdleAdapterAge)
+		r.orderAdapter(best, t, minIdleAdapterAge, false)
 	}
 }
 
@@ -167,7 +167,7 @@
 		}
 		cost := float64(r.input.InFlight[l.id]) + 2*float64(l.adapters())
 		if l.adapters() >= r.engine.AdapterSlots {
-			if _, ok := r.leastRecentAdapter(l.site, minAdapterAge); !ok {
+			if _, ok := r.leastRecentAdapter(l.site, minAdapterAge, true); !ok {
 				continue
 			}
 			cost += 100
@@ -177,17 +177,17 @@
 		}
 	}
 	if best != nil {
-		r.orderAdapter(best, t, minAdapterAge)
+		r.orderAdapter(best, t, minAdapterAge, true)
 	}
 }
 
 // orderAdapter orders an adapter on an upstream. If all its adapter slots are in use, it orders the unload of the least
-// recently requested adapter instead, unless that is younger than minAge; a later round loads the new one. It returns
+// recently requested adapter instead, as leastRecentAdapter chooses it; a later round loads the new one. It returns
 // false if it ordered nothing.
-func (r *round) orderAdapter(l *placement, t Target, minAge clock.Span) bool {
+func (r *round) orderAdapter(l *placement, t Target, minAge clock.Span, further bool) bool {
 	switch m := r.models[t.Model]; {
 	case l.adapters() >= r.engine.AdapterSlots:
-		v, ok := r.leastRecentAdapter(l.site, minAge)
+		v, ok := r.leastRecentAdapter(l.site, minAge, further)
 		if !ok {
 			return false
 		}
@@ -200,16 +200,20 @@
 	return true
 }
 
-// leastRecentAdapter returns the least recently requested adapter of the upstream; ok is
-// false if all of its adapters were loaded or requested within minAge, or the upstream refused to unload them.
-func (r *round) leastRecentAdapter(s *site, minAge clock.Span) (Target, bool) {
+// leastRecentAdapter returns the least recently requested adapter of the upstream; ok is false if all of its adapters were
+// loaded or requested within minAge, or the upstream refused to unload them. With further set, adapters that another
+// upstream has too come first, whenever they were requested.
+func (r *round) leastRecentAdapter(s *site, minAge clock.Span, further bool) (Target, bool) {
 	var best Target
 	bestAt := clock.Time(math.MaxInt64)
 	for model, c := range s.models {
 		for name, since := range c.adapters {
 			t := Target{r.service.Name, model, name}
 			at := r.p.lastRequested[t]
-			if r.now.Sub(since) < minAge || r.now.Sub(at) < minAge && at != 0 || r.now.Sub(s.unloadRefusedAt[t]) < refusedUnloadDelay && s.unloadRefusedAt[t] != 0 {
+			if further && r.now.Sub(since) >= minAge && r.hasOtherHolder(s, t) {
+				at = 0
+			}
+			if r.now.Sub(since) < minAge || at != 0 && r.now.Sub(at) < minAge || r.unloadRefused(s, t) {
 				continue
 			}
 			if at < bestAt || (at == bestAt && name < best.Adapter) {
@@ -219,3 +223,14 @@
 	}
 	return best, best.Adapter != ""
 }
+
+// hasOtherHolder reports whether another upstream has the adapter too.
+func (r *round) hasOtherHolder(s *site, t Target) bool {
+	return slices.ContainsFunc(r.copies[t.Model], func(l *placement) bool { return l.site != s && l.loaded() && l.hasAdapter(t.Adapter) })
+}
+
+// unloadRefused reports whether the upstream refused to unload the adapter a moment ago.
+func (r *round) unloadRefused(s *site, t Target) bool {
+	at := s.unloadRefusedAt[t]
+	return at != 0 && r.now.Sub(at) < refusedUnloadDelay
+}
--- a/assign/short.go
+++ b/assign/short.go
@@ -109,7 +109,7 @@
 	if s.adapters() < r.engine.AdapterSlots {
 		return true
 	}
-	_, ok := r.leastRecentAdapter(s, minIdleAdapterAge)
+	_, ok := r.leastRecentAdapter(s, minIdleAdapterAge, false)
 	return ok
 }
 
