assign, entry: say which models are short and how much of the weight store is used

Cause: nothing told an operator that a model lacked copies, or that the weight store held them back.

--- a/assign/load_test.go
+++ b/assign/load_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/magnolialever/magnolialever/assign"
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/units"
 )
 
@@ -251,3 +252,77 @@
 	c.run(4001, 6501)
 	assert.Assert(t, c.engines["e0"].models[modelName(0)]["a9"])
 }
+
+// Guards against rare models that are asked for at once and wait for each other's loads although the weight store and the
+// engines could take them together.
+func TestRareModelsAskedForAtOnce(t *testing.T) {
+	w := newTraffic(t, 56, 121, 10)
+	w.offer(0, 100, 8000)
+	w.play(1, 3001)
+	for _, e := range w.engines {
+		for i := 101; i < 121; i++ {
+			delete(e.models, modelName(i))
+		}
+		e.acceptedOrders++
+		e.reportedAt = 3000
+	}
+	w.offer(101, 121, 3000)
+	w.play(3001, 3002)
+	w.share()
+	w.play(3002, 9502)
+	w.share()
+	w.play(9502, 10_502)
+	for i := 101; i < 121; i++ {
+		assert.Assert(t, w.copies(modelName(i)) > 0, "model %d", i)
+	}
+	assert.Assert(t, w.share() > 0.99)
+	w.checkStoreRate()
+}
+
+// Guards against exceeding the limit of a slow weight store, and against leaving it idle, while one model after another
+// becomes hot on a small deployment, and over changes of the leader, with and without word of the loads of the one before.
+func TestSlowWeightStoreIsUsedWithinItsLimit(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		w := newTraffic(t, 12, 25, 1.6)
+		other := assign.NewPlanner(w.ledger)
+		for i := range 8 {
+			clear(w.offered)
+			w.offer(0, 25, 3000)
+			w.offered[modelName(3*i)] = 200_000
+			from, known := clock.Time(6000*i+1), w.loads()
+			w.play(from, from+6000)
+			w.planner, other = other, w.planner
+			if told {
+				for range w.loads() - known {
+					w.planner.RecordLoad(from+6000, w.service)
+				}
+			}
+			w.planner.RecordTakeover(from+6000, map[units.ServiceID]*fleet.Service{service: w.service})
+		}
+		assert.Assert(t, w.loads() > 24, "%d loads in 48 s", w.loads())
+		w.checkStoreRate()
+	}
+}
+
+// Guards against orders for a model twice, at two engines, while the answer to the first one is awaited.
+func TestOrderInFlightCountsAsCopy(t *testing.T) {
+	c := newCluster(t, 3, 9)
+	for _, e := range c.engines {
+		clear(e.models)
+	}
+	c.ledger.UpdateUpstreams(1, c.entries(), map[units.ServiceID]bool{service: true})
+	for id := range c.engines {
+		c.ledger.ApplyReport(1, id, 0, nil, false)
+	}
+	c.setDemand(modelName(0), "", 3000, 2)
+	input := assign.PlanInput{Services: map[units.ServiceID]*fleet.Service{service: c.service}, Demand: c.demand}
+	loads := 0
+	for now := clock.Time(1); now < 500; now += 5 {
+		for _, o := range c.planner.Plan(now, input) {
+			if o.Model == modelName(0) {
+				loads++
+			}
+		}
+	}
+	assert.Equal(t, loads, 1)
+}
--- a/assign/plan.go
+++ b/assign/plan.go
@@ -51,6 +51,8 @@
 	// peaks holds the greatest recent work of each model.
 	peaks map[modelKey]peak
 	zones zoneAverages
+	// status is the result of the last round.
+	status Status
 }
 
 type reservation struct {
@@ -78,6 +80,7 @@
 	}
 	p.zones.update(now, input.Demand)
 	p.dropReservations(now, input.ExcludedZones)
+	p.status = Status{}
 	var orders []PlannedOrder
 	for _, id := range sortedServices(input.Services) {
 		s := input.Services[id]
@@ -94,6 +97,7 @@
 		r.addHotCopies()
 		r.restoreUnrequested()
 		r.addZoneCopies()
+		r.recordStatus()
 		orders = append(orders, r.orders...)
 	}
 	return orders
--- a/assign/short.go
+++ b/assign/short.go
@@ -66,6 +66,7 @@
 		}
 		if need := r.need(m); need > minGain*engineCapacity && r.mayLoad(m) {
 			needs[m] = need
+			r.recordShort(m, need)
 		}
 	}
 	r.short = len(needs)
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -91,6 +91,7 @@
 	planner      *assign.Planner
 	// plannedEpoch is the epoch of the last round.
 	plannedEpoch units.Epoch
+	statusLog    statusLog
 	plannedAt    clock.Time
 	// planRequested is set when a round should start before planInterval. planCost is the time that
 	// the last round took.
@@ -106,8 +107,9 @@
 	ledger := assign.NewLedger()
 	return &orderManager{
 		gateway: g, controller: c,
-		elector: elect.New(g.settings.VM, g.settings.Bounds.LeaseTTL, g.settings.Bounds.Fenced),
-		ledger:  ledger, planner: assign.NewPlanner(ledger), client: platform.NewOrderClient(platform.OrderOptions{
+		elector:   elect.New(g.settings.VM, g.settings.Bounds.LeaseTTL, g.settings.Bounds.Fenced),
+		statusLog: statusLog{loggedAt: map[assign.Target]clock.Time{}},
+		ledger:    ledger, planner: assign.NewPlanner(ledger), client: platform.NewOrderClient(platform.OrderOptions{
 			IsLeader: g.isLeader, Accepts: g.relay.Accepts, OnNotice: g.relay.RecordNotice,
 		}),
 	}
@@ -166,6 +168,7 @@
 	for _, order := range o.planner.Plan(now, input) {
 		o.sendOrder(now, order, epoch)
 	}
+	o.statusLog.record(now, o.planner.Status())
 	o.planCost = o.gateway.clock.Now().Sub(now)
 }
 
