--- a/entry/controller.go
+++ b/entry/controller.go
@@ -51,6 +51,8 @@
 	residencyChanges []residencyChange
 	// pendingLoads are loads that go on, or were announced lately.
 	pendingLoads []pendingLoad
+	// loadsAnnouncedAt is when this gateway last announced loads under way.
+	loadsAnnouncedAt clock.Time
 	// announcedAt is when this gateway last announced changes to the others.
 	announcedAt clock.Time
 }
--- a/entry/residency_loads.go
+++ b/entry/residency_loads.go
@@ -13,6 +13,10 @@
 // lateLoadTime is how long a load may take longer than expected until it no longer counts.
 const lateLoadTime = 2 * clock.Second
 
+// minLoadAnnounceInterval is the least time between two announcements of loads under way; it grows by a millisecond for
+// each gateway, as nothing waits for them.
+const minLoadAnnounceInterval = 100 * clock.Millisecond
+
 // pendingLoad is a load of a model that the leader has ordered.
 type pendingLoad struct {
 	upstream units.UpstreamID
@@ -54,6 +58,9 @@
 // announceLoads sends the loads that this gateway has ordered and not announced yet to all other gateways, and once more
 // those announced announceRepeatDelay ago.
 func (c *controller) announceLoads(now clock.Time) {
+	if now.Sub(c.loadsAnnouncedAt) < minLoadAnnounceInterval+clock.Span(c.gatewayCount) {
+		return
+	}
 	m := &wire.PendingLoads{}
 	for i := range c.pendingLoads {
 		l := &c.pendingLoads[i]
@@ -68,6 +75,7 @@
 		})
 	}
 	if len(m.Loads) > 0 {
+		c.loadsAnnouncedAt = now
 		c.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_PendingLoads{PendingLoads: m}}, c.otherGateways()...)
 	}
 }
@@ -112,7 +120,8 @@
 // addLoads adds the loads that go on to the entries of a view, and forgets the others.
 func (c *controller) addLoads(now clock.Time, s *view.Snapshot) {
 	c.pendingLoads = slices.DeleteFunc(c.pendingLoads, func(l pendingLoad) bool {
-		return l.isOver(now, s.Upstreams[l.upstream]) && !(l.ordered && l.announcements < maxAnnouncements && now.Sub(l.readyAt) < lateLoadTime)
+		announced := !l.ordered || l.announcements >= maxAnnouncements || now.Sub(l.readyAt) >= lateLoadTime
+		return announced && l.isOver(now, s.Upstreams[l.upstream])
 	})
 	for _, l := range c.pendingLoads {
 		e := s.Upstreams[l.upstream]
