assign: the last copy of an idle model counts for little against work that is refused

Cause: after 12 s without a request, a model's last copy still outweighed 8,000 to 16,000 tokens/s of refused work, so that it stayed where copies of refused models had to come from the weight store.

--- a/assign/short.go
+++ b/assign/short.go
@@ -19,7 +19,7 @@
 	// typicalRequest is the work of a request in prompt tokens, typicalRun how long one runs under load. minUnloadTime is how
 	// long the unload of a copy takes at which none runs.
 	typicalRequest = 4000.0
-	typicalRun     = 4 * clock.Second
+	typicalRun     = 2 * clock.Second
 	minUnloadTime  = 300 * clock.Millisecond
 	// lossWeight is the weight of work that an unload puts at risk, against the work that the load wins.
 	lossWeight = 2.0
@@ -28,7 +28,7 @@
 	holdLoads = 2
 	// idleCopyLoss is the part of an engine's capacity that the last copy of a model counts for that nobody has asked for
 	// in lastCopyIdleTime, twice that if it has to come back from the weight store.
-	idleCopyLoss = 0.1
+	idleCopyLoss = 0.02
 )
 
 // peak is the greatest work of a model since a time.
