--- a/assign/ledger.go
+++ b/assign/ledger.go
@@ -193,26 +193,28 @@
 
 // ApplyReport applies a report of the upstream: its number of accepted orders, its resident
 // models and whether it executes a model order. A report that predates the last order is
-// dropped and has to be read again after refusedRetryDelay.
-func (l *Ledger) ApplyReport(now clock.Time, id units.UpstreamID, acceptedOrders int64, models []fleet.Resident, activeOrder bool) {
+// dropped and has to be read again after refusedRetryDelay. It returns the model order that the report shows to be
+// accepted although its answer was lost; nil if there is none.
+func (l *Ledger) ApplyReport(now clock.Time, id units.UpstreamID, acceptedOrders int64, models []fleet.Resident, activeOrder bool) *PlannedOrder {
 	s, ok := l.states[id]
 	if !ok {
-		return
+		return nil
 	}
 	s.callPending = false
-	if o := s.pendingOrder; o != nil {
-		s.pendingOrder = nil
-		if activeOrder && s.activeOrder == nil && o.Adapter == "" && acceptedOrders == o.ExpectedOrders+1 {
-			// The answer was lost, not the order.
-			s.recordAccepted(now, *o)
-		}
+	accepted := s.pendingOrder
+	s.pendingOrder = nil
+	if accepted != nil && activeOrder && s.activeOrder == nil && accepted.Adapter == "" && acceptedOrders == accepted.ExpectedOrders+1 {
+		s.recordAccepted(now, *accepted)
+	} else {
+		accepted = nil
 	}
 	if acceptedOrders < s.acceptedOrders || (activeOrder && s.activeOrder == nil) {
 		s.retryAt = now.Add(refusedRetryDelay)
-		return
+		return accepted
 	}
 	s.acceptedOrders, s.stale = acceptedOrders, false
 	l.applyResidents(now, s, models)
+	return accepted
 }
 
 // applyResidents replaces the models with those that the upstream listed, plus the one that
--- a/entry/controller.go
+++ b/entry/controller.go
@@ -46,6 +46,7 @@
 	drainRequested chan struct{}
 	draining       bool
 	orders         *orderManager
+	duties         *dutyManager
 	// residencyChanges are recent loads and unloads that the upstreams' descriptions may not show
 	// yet.
 	residencyChanges []residencyChange
@@ -53,6 +54,9 @@
 	pendingLoads []pendingLoad
 	// loadsAnnouncedAt is when this gateway last announced loads under way.
 	loadsAnnouncedAt clock.Time
+	// prompts tells the other gateways of prompts sent to engines.
+	prompts promptTeller
+	learned learnedPublisher
 	// announcedAt is when this gateway last announced changes to the others.
 	announcedAt clock.Time
 }
@@ -61,6 +65,7 @@
 	c := &controller{gateway: g, members: member.NewList(), snapshot: &view.Snapshot{}, drainRequested: make(chan struct{}, 1)}
 	c.members.Set(g.self())
 	c.orders = newOrderManager(g, c)
+	c.duties = newDutyManager(g, c)
 	return c
 }
 
@@ -84,12 +89,16 @@
 		case <-t.C:
 			c.onTick()
 			c.publishLeadership()
+		case <-c.gateway.prompted:
+			c.tellPrompts(c.gateway.clock.Now())
 		}
 	}
 }
 
 // publishLeadership makes known to other goroutines until when this gateway is the leader.
 func (c *controller) publishLeadership() {
+	epoch, _ := c.orders.elector.OrderEpoch(c.gateway.clock.Now())
+	c.gateway.leaderEpoch.Store(int64(epoch))
 	c.gateway.leaderUntil.Store(int64(c.orders.elector.LeaderUntil()))
 }
 
@@ -114,6 +123,8 @@
 		c.handleFullRead(now, m.keys)
 	case digestReceived:
 		c.handleDigest(now, m.digest)
+	case promptsTold:
+		c.gateway.relay.RecordGiven(c.prompts.decode(c.snapshot, m.prompts))
 	case residencyChanged:
 		c.mergeResidencyChanges(now, m.changes)
 	case loadsAnnounced:
@@ -128,6 +139,8 @@
 		c.orders.handleOrderResult(now, m)
 	case reportResult:
 		c.orders.handleReport(now, m)
+	default:
+		c.duties.handle(now, m)
 	}
 }
 
@@ -140,6 +153,10 @@
 		c.orders.handleItem(m.item)
 		return
 	}
+	if m.item.Key == usageKey {
+		c.duties.handleItem(m.item)
+		return
+	}
 	if part, ok := parts.ParseVerdictKey(m.item.Key); ok {
 		c.handleVerdict(c.gateway.verdicts, parts.Verdict{Part: part}, m.item)
 		return
@@ -188,6 +205,7 @@
 		c.gateway.relay.MergeSuspect(decodeSuspect(now, w))
 	}
 	c.gateway.partExchange.Merge(d.GetParts(), parts.Sender{VM: units.VMID(d.GetVm()), Address: d.From.String()}, d.GetLife(), d.GetSentMs())
+	c.duties.handleDigest(d)
 	if d.HasMisses() {
 		c.orders.planSoon()
 	}
@@ -203,7 +221,10 @@
 	c.announceChanges(now)
 	c.announceLoads(now)
 	c.gateway.relay.Tick()
+	c.tellPrompts(now)
+	c.learned.publish(now, c.gateway.relay.Learned)
 	c.orders.onTick(now)
+	c.duties.onTick(now)
 	if now.Sub(c.digestSentAt) >= peers.DigestInterval(c.gatewayCount) {
 		c.sendDigest(now)
 	}
@@ -318,5 +339,6 @@
 	}
 	d.Parts = parts.EncodeSuspects(now, c.gateway.parts.Suspects(maxDigestParts))
 	d.Suspects = encodeSuspects(now, c.gateway.relay.Suspects())
+	d.WallMs = c.duties.wallMillis(now)
 	return d
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,6 +30,7 @@
 	"github.com/magnolialever/magnolialever/start"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/usage"
 	"github.com/magnolialever/magnolialever/view"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -69,8 +70,14 @@
 	keyValidity     keyValidity
 	demand          demandMeter
 	inbox           chan message
+	// prompted receives a value when a prompt was assigned to an engine.
+	prompted chan struct{}
 	// leaderUntil is the clock.Time until which this gateway is the leader; 0 if it is not.
 	leaderUntil atomic.Int64
+	// leaderEpoch is the units.Epoch of that.
+	leaderEpoch atomic.Int64
+	// usage counts the requests of customers; nil if the gateways don't report them.
+	usage *usage.Counter
 	// storeWatch is nil until the gateways are known.
 	storeWatch atomic.Pointer[storeWatch]
 	// incarnation is a random number that identifies this run of the process.
@@ -86,7 +93,7 @@
 func New(settings *platform.Settings) (*Gateway, error) {
 	g := &Gateway{
 		settings: settings, clock: clock.Boot{}, store: platform.NewStore(settings.StoreAddress),
-		inbox: make(chan message, inboxSize), incarnation: rand.Uint64(),
+		inbox: make(chan message, inboxSize), prompted: make(chan struct{}, 1), incarnation: rand.Uint64(),
 		demand: demandMeter{meter: assign.NewMeter()}, background: context.Background(),
 	}
 	tolerance := quota.Tolerance{Rate: settings.Bounds.QuotaOvershoot, Tokens: settings.Bounds.QuotaSlack}
@@ -98,6 +105,9 @@
 		Clock: g.clock, VM: settings.VM, Life: g.incarnation, Guard: g.parts, Transport: g.partTransport,
 		DigestInterval: peers.DigestInterval, AwaitStore: true,
 	})
+	if settings.Cloud.ReportsUsage {
+		g.usage = usage.NewCounter(settings.Bounds.UsageWindow, settings.Bounds.UsageDelay)
+	}
 	began := start.Start{At: g.clock.Now(), First: settings.FirstStart}
 	g.relay = relay.New(relay.Options{
 		Start:       began,
@@ -122,7 +132,11 @@
 		OnModelShort: func(s units.ServiceID, m units.ModelID, adapter string, work float64) {
 			g.demand.recordRefused(g.clock.Now(), assign.Target{Service: s, Model: m, Adapter: adapter}, work)
 		},
+		OnPrompt: g.promptSent,
 	})
+	if g.usage != nil {
+		g.relay.OnBegin = func(c units.CustomerID, at clock.Time) { g.usage.Record(g.clock.Now(), at, c) }
+	}
 	g.requestVerdicts = parts.NewVerdictKeeper(g.clock, g.relay.Verdicts(), verdictStore{g.store})
 	g.bounds.Store(&settings.Bounds)
 	g.store.OnCall = func(_ string, elapsed clock.Span, _ error) { storeCallTime.Record(elapsed.Duration()) }
@@ -186,6 +200,8 @@
 	residencyChanged struct{ changes []*wire.Residency }
 	// loadsAnnounced has loads that the leader has ordered and that go on.
 	loadsAnnounced struct{ loads []*wire.PendingLoad }
+	// promptsTold has prompts that another gateway has sent to engines.
+	promptsTold struct{ prompts *wire.Prompts }
 )
 
 // post sends a message to the control loop and blocks while its inbox is full. Messages are dropped
@@ -208,6 +224,10 @@
 		g.post(loadsAnnounced{loads.GetLoads()})
 		return
 	}
+	if prompts := m.GetPrompts(); prompts != nil {
+		g.post(promptsTold{prompts})
+		return
+	}
 	if changes := m.GetStoreChanges(); changes != nil {
 		g.feed.Deliver(g.receiveChanges(changes, from))
 		return
@@ -216,6 +236,12 @@
 		g.partExchange.Handle(m.GetPart(), parts.Sender{Address: from.String()})
 		return
 	}
+	if m.GetUsageTotals() != nil || m.GetUsageReports() != nil || m.GetUsageQuestion() != nil {
+		if g.usage != nil {
+			g.post(usageReceived{m.GetUsageTotals(), m.GetUsageReports(), m.GetUsageQuestion(), from})
+		}
+		return
+	}
 	g.limiter.handleMessage(m, from)
 }
 
@@ -249,6 +275,7 @@
 		go func() { errs <- task(background) }()
 	}
 	err := g.serve(ctx, c)
+	g.endUsage()
 	cancel()
 	for range tasks {
 		err = errors.Join(err, <-errs)
--- a/entry/residency.go
+++ b/entry/residency.go
@@ -253,5 +253,6 @@
 	for _, id := range c.gateway.relay.Unreachable() {
 		d.Unreachable = append(d.Unreachable, string(id))
 	}
+	d.Waits = c.duties.encodeWaits()
 	d.Needs = encodeDemand(c.ownDemand(now))
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -92,6 +92,7 @@
 			if a.delivered.events > delivered {
 				a.ticket.Began()
 				a.delivered.lastAt = a.server.Clock.Now()
+				a.recordGap(a.delivered.events - delivered)
 				a.recordProgress()
 			}
 		}
@@ -107,6 +108,9 @@
 // writeEvents adds bytes of the stream and sends the events that are complete to the caller.
 func (a *attempt) writeEvents(res *response, flusher *http.ResponseController, data []byte) error {
 	complete, splitErr := a.stream.add(data)
+	if a.delivered.events > 0 {
+		a.recordBegin(a.server.Clock.Now())
+	}
 	if len(complete) == 0 {
 		return splitErr
 	}
--- a/sched/load.go
+++ b/sched/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/gauge"
 	"github.com/magnolialever/magnolialever/units"
 )
 
@@ -18,6 +19,8 @@
 	// WantedRate is the rate of prompt tokens per second of the requests for which the upstream is one
 	// of the possible ones, divided among those.
 	WantedRate float64
+	// Stretch is the recent ratio of observed over expected times between events.
+	Stretch gauge.Stretch
 }
 
 // Add returns the sum of two loads at the same upstream.
@@ -25,17 +28,22 @@
 	return Load{
 		Upstream: other.Upstream, Running: l.Running + other.Running, Tokens: l.Tokens + other.Tokens,
 		Backlog: l.Backlog + other.Backlog, Gateways: l.Gateways + other.Gateways, WantedRate: l.WantedRate + other.WantedRate,
+		Stretch: l.Stretch.Add(other.Stretch),
 	}
 }
 
-// Loads returns the work in flight from this gateway, by upstream in no order.
+// minToldWeight is the number of recent observations up to which what was seen of an upstream is not told to others.
+const minToldWeight = 0.2
+
+// Loads returns the work in flight from this gateway and what it has seen lately, by upstream in no order.
 func (s *Scheduler) Loads(now clock.Time) []Load {
 	out := make([]Load, 0, len(s.upstreams))
 	for id, u := range s.upstreams {
-		if u.running > 0 {
+		stretch := u.gauge.Stretch(now)
+		if u.running > 0 || stretch.Weight > minToldWeight {
 			out = append(out, Load{
-				Upstream: id, Running: u.running, Tokens: u.reservedTokens, Backlog: u.pendingPrefill, Gateways: 1,
-				WantedRate: u.wanted.at(now),
+				Upstream: id, Running: u.running, Tokens: u.reservedTokens, Backlog: u.pendingPrefill, Gateways: min(u.running, 1),
+				WantedRate: u.wanted.at(now), Stretch: stretch,
 			})
 		}
 	}
@@ -62,5 +70,6 @@
 	s.loadInterval = interval
 	for id, u := range s.upstreams {
 		u.otherLoad = loads[id]
+		u.gauge.SetOthers(u.otherLoad.Stretch)
 	}
 }
