--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -17,7 +17,7 @@
 
 // cluster is a set of engines that execute orders in simulated time.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	service *fleet.Service
 	engines map[units.UpstreamID]*engine
 	ledger  *assign.Ledger
@@ -27,8 +27,10 @@
 	storeLoads []clock.Time
 	// unansweredEvery is n if each n-th order is unanswered and executed 3 s late; 0 means none.
 	unansweredEvery int
-	sentOrders      int
-	lateOrders      []lateOrder
+	// lostAnswers is set if orders are executed, but no answer arrives.
+	lostAnswers bool
+	sentOrders  int
+	lateOrders  []lateOrder
 	// unloadTime is the duration of an unload, which waits for the running requests.
 	unloadTime clock.Span
 	// unreachable are the engines to which gateways can't connect; replaced are those at whose addresses
@@ -36,6 +38,8 @@
 	unreachable, replaced map[units.UpstreamID]bool
 	// paused are the engines that asked for a pause.
 	paused map[units.UpstreamID]bool
+	// inUse is set if engines refuse to unload adapters.
+	inUse bool
 	// ordersTo counts the orders by engine.
 	ordersTo map[units.UpstreamID]int
 	// deadly is the model whose loads end the engines, ended the number of engines that it ended.
@@ -56,6 +60,7 @@
 	acceptedOrders int64
 	activeOrder    *assign.PlannedOrder
 	activeUntil    clock.Time
+	zone           units.Zone
 	// reportedAt is the time of the last description.
 	reportedAt clock.Time
 	lost       bool
@@ -64,7 +69,7 @@
 }
 
 // newCluster returns a cluster with three models loaded on each engine.
-func newCluster(t *testing.T, engines, models int) *cluster {
+func newCluster(t testing.TB, engines, models int) *cluster {
 	spec := &fleet.Engine{Slots: 64, MemoryTokens: 100_000, MemoryMegabytes: 230_000, AdapterSlots: 4, LoadsPerSecond: 1.6}
 	for i := range models {
 		spec.Models = append(spec.Models, fleet.Model{
@@ -77,7 +82,7 @@
 	}
 	c.planner = assign.NewPlanner(c.ledger)
 	for i := range engines {
-		e := &engine{models: map[units.ModelID]map[string]bool{}, onDisk: map[units.ModelID]bool{}, reportedAt: 1}
+		e := &engine{models: map[units.ModelID]map[string]bool{}, onDisk: map[units.ModelID]bool{}, reportedAt: 1, zone: "a"}
 		c.engines[units.UpstreamID(fmt.Sprint("e", i))] = e
 		for k := range 3 {
 			e.models[modelName((3*i+k)%models)] = map[string]bool{}
@@ -95,7 +100,7 @@
 		if e.lost {
 			continue
 		}
-		u := &fleet.Upstream{ID: id, Service: service, Zone: "a", ProcessStart: 1 + e.restarts, Models: e.residents()}
+		u := &fleet.Upstream{ID: id, Service: service, Zone: e.zone, ProcessStart: 1 + e.restarts, Models: e.residents()}
 		for m := range e.onDisk {
 			u.OnDisk = append(u.OnDisk, m)
 		}
@@ -171,6 +176,11 @@
 		c.ledger.ApplyResult(now, o, assign.Unanswered)
 		return
 	}
+	if c.lostAnswers {
+		c.execute(now, o)
+		c.ledger.ApplyResult(now, o, assign.Unanswered)
+		return
+	}
 	if c.execute(now, o) {
 		c.ledger.ApplyResult(now, o, assign.Accepted)
 	} else {
@@ -182,7 +192,7 @@
 // adapter slots. It returns false if the engine refuses the order.
 func (c *cluster) execute(now clock.Time, o assign.PlannedOrder) bool {
 	e := c.engines[o.Upstream]
-	if e.lost || e.acceptedOrders != o.ExpectedOrders || (e.activeOrder != nil && o.Adapter == "") {
+	if c.inUse && o.Unload && o.Adapter != "" || e.lost || e.acceptedOrders != o.ExpectedOrders || (e.activeOrder != nil && o.Adapter == "") {
 		return false
 	}
 	e.acceptedOrders++
@@ -231,7 +241,7 @@
 				n++
 			}
 		}
-		assert.Assert(c.t, float64(n) <= 1.6*5*1.1+3, "%d loads within 5 s", n)
+		assert.Assert(c.t, float64(n) <= c.service.Engine.LoadsPerSecond*5*1.1+3, "%d loads within 5 s", n)
 	}
 }
 
--- a/assign/fill.go
+++ b/assign/fill.go
@@ -3,59 +3,73 @@
 import (
 	"cmp"
 	"slices"
-
-	"github.com/magnolialever/magnolialever/units"
 )
 
 // waterFillPasses is the number of times that the work of every model is redistributed.
 const waterFillPasses = 3
 
-// estimateWork sets r.workRate. It spreads the demand of each model over its copies so that
-// their upstreams are loaded as evenly as the other models on them allow.
+// stream is the work of a model and the copies that can serve it.
+type stream struct {
+	workRate float64
+	copies   []*placement
+	// shares are the parts of the work at each of the copies.
+	shares []float64
+}
+
+// estimateWork sets the work of the sites and copies. It spreads the demand for each model over its copies so that their sites are loaded as evenly as the other work there allows.
 func (r *round) estimateWork() {
-	r.workRate = map[*upstreamState]float64{}
-	for _, s := range r.states {
-		if r.input.Paused[r.ids[s]] {
-			r.workRate[s] = engineCapacity
+	streams := r.streams()
+	for range waterFillPasses {
+		for i := range streams {
+			streams[i].spread()
 		}
 	}
-	shares := map[units.ModelID]map[*upstreamState]float64{}
-	for range waterFillPasses {
-		for _, m := range r.engine.Models {
-			copies := r.copies[m.Name]
-			work := r.demands[m.Name].WorkRate
-			if len(copies) == 0 || work <= 0 {
-				continue
-			}
-			for s, share := range shares[m.Name] {
-				r.workRate[s] -= share
-			}
-			shares[m.Name] = waterFill(copies, r.workRate, work)
-			for s, share := range shares[m.Name] {
-				r.workRate[s] += share
-			}
+}
+
+// streams returns the work of each model with its copies. Adapters count for their models: they follow to further copies
+// within milliseconds.
+func (r *round) streams() []stream {
+	streams := make([]stream, 0, len(r.models))
+	for _, m := range r.models {
+		if len(m.copies) > 0 && m.demand.WorkRate > 0 {
+			streams = append(streams, stream{workRate: m.demand.WorkRate, copies: slices.Clone(m.copies), shares: make([]float64, len(m.copies))})
+		}
+	}
+	return streams
+}
+
+// holders returns the copies of the model that have the adapter, or load it.
+func (m *modelState) holders(adapter string) []*placement {
+	var holders []*placement
+	for _, l := range m.copies {
+		if l.hasAdapter(adapter) {
+			holders = append(holders, l)
 		}
 	}
+	return holders
 }
 
-// waterFill distributes work (prompt tokens/s) over upstreams whose present work rates are
-// given, the least loaded first, and returns the share of each.
-func waterFill(states []*upstreamState, workRate map[*upstreamState]float64, work float64) map[*upstreamState]float64 {
-	order := slices.Clone(states)
-	slices.SortStableFunc(order, func(a, b *upstreamState) int { return cmp.Compare(workRate[a], workRate[b]) })
-	shares := map[*upstreamState]float64{}
-	// Finds the smallest n whose common level stays below the load of the next upstream.
+// spread distributes the work over the copies, the least loaded first.
+func (w *stream) spread() {
+	for i, l := range w.copies {
+		l.workRate -= w.shares[i]
+		l.modelWork -= w.shares[i]
+	}
+	slices.SortStableFunc(w.copies, func(a, b *placement) int { return cmp.Compare(a.workRate, b.workRate) })
+	clear(w.shares)
+	// Finds the smallest n whose common level stays below the load of the next site.
 	total := 0.0
-	for n := 1; n <= len(order); n++ {
-		total += workRate[order[n-1]]
-		level := (work + total) / float64(n)
-		if n < len(order) && level > workRate[order[n]] {
+	for n := 1; n <= len(w.copies); n++ {
+		total += w.copies[n-1].workRate
+		level := (w.workRate + total) / float64(n)
+		if n < len(w.copies) && level > w.copies[n].workRate {
 			continue
 		}
-		for _, s := range order[:n] {
-			shares[s] = max(level-workRate[s], 0)
+		for i, l := range w.copies[:n] {
+			w.shares[i] = max(level-l.workRate, 0)
+			l.workRate += w.shares[i]
+			l.modelWork += w.shares[i]
 		}
-		break
+		return
 	}
-	return shares
 }
--- a/assign/ledger.go
+++ b/assign/ledger.go
@@ -23,6 +23,11 @@
 	// refusedRetryDelay is the delay before the next call to an upstream that refused an
 	// order or sent an outdated report.
 	refusedRetryDelay = 150 * clock.Millisecond
+	// refusedUnloadDelay is the delay before the next order to unload an adapter that the upstream refused to unload: it is
+	// in use. Gateways stop using it for each try.
+	refusedUnloadDelay = 2 * clock.Second
+	// unansweredTTL is how long an order without an answer counts as accepted while no report can be read.
+	unansweredTTL = 1500 * clock.Millisecond
 	// errorRetryDelay is the delay before the next call to an upstream that didn't respond.
 	errorRetryDelay = 100 * clock.Millisecond
 )
@@ -71,6 +76,12 @@
 	stale bool
 	// callPending is set while an order or a read of a report is in flight.
 	callPending bool
+	// pendingOrder is the order in flight, or one without an answer until the next report; nil if there is none.
+	pendingOrder *PlannedOrder
+	// unansweredAt is when pendingOrder was given up without an answer; 0 while it is in flight.
+	unansweredAt clock.Time
+	// described is set once the models of the process are known.
+	described bool
 	// activeOrder is the model order that the upstream executes since activeSince.
 	activeOrder *PlannedOrder
 	activeSince clock.Time
@@ -78,6 +89,8 @@
 	// has had no visible effect yet; empty if there is none.
 	loading      units.ModelID
 	loadingSince clock.Time
+	// unloadRefusedAt is when the upstream last refused to unload an adapter.
+	unloadRefusedAt map[Target]clock.Time
 	// retryAt is the earliest time of the next call.
 	retryAt clock.Time
 	// lastAccepted is the time of the last accepted order.
@@ -91,6 +104,8 @@
 	adapters map[string]clock.Time
 	loading  bool
 	since    clock.Time
+	// loadedAt is when the load ended; 0 if it ended before this ledger knew the process.
+	loadedAt clock.Time
 }
 
 func newCopy(now clock.Time) *modelCopy {
@@ -142,7 +157,7 @@
 			if ok {
 				l.recordEnd(now, s)
 			}
-			s = &upstreamState{processStart: e.ProcessStart, acceptedOrders: -1, stale: true, models: map[units.ModelID]*modelCopy{}}
+			s = &upstreamState{processStart: e.ProcessStart, acceptedOrders: -1, stale: true, models: map[units.ModelID]*modelCopy{}, unloadRefusedAt: map[Target]clock.Time{}}
 			l.states[id] = s
 		}
 		if s.entry == nil || s.entry.ReceivedAt != e.ReceivedAt {
@@ -178,19 +193,28 @@
 
 // ApplyReport applies a report of the upstream: its number of accepted orders, its resident
 // models and whether it executes a model order. A report that predates the last order is
-// dropped and has to be read again after refusedRetryDelay.
-func (l *Ledger) ApplyReport(now clock.Time, id units.UpstreamID, acceptedOrders int64, models []fleet.Resident, activeOrder bool) {
+// dropped and has to be read again after refusedRetryDelay. It returns the model order that the report shows to be
+// accepted although its answer was lost; nil if there is none.
+func (l *Ledger) ApplyReport(now clock.Time, id units.UpstreamID, acceptedOrders int64, models []fleet.Resident, activeOrder bool) *PlannedOrder {
 	s, ok := l.states[id]
 	if !ok {
-		return
+		return nil
 	}
 	s.callPending = false
+	accepted := s.pendingOrder
+	s.pendingOrder = nil
+	if accepted != nil && activeOrder && s.activeOrder == nil && accepted.Adapter == "" && acceptedOrders == accepted.ExpectedOrders+1 {
+		s.recordAccepted(now, *accepted)
+	} else {
+		accepted = nil
+	}
 	if acceptedOrders < s.acceptedOrders || (activeOrder && s.activeOrder == nil) {
 		s.retryAt = now.Add(refusedRetryDelay)
-		return
+		return accepted
 	}
 	s.acceptedOrders, s.stale = acceptedOrders, false
 	l.applyResidents(now, s, models)
+	return accepted
 }
 
 // applyResidents replaces the models with those that the upstream listed, plus the one that
@@ -201,12 +225,15 @@
 		c, ok := s.models[m.Model]
 		if !ok || c.loading {
 			c = newCopy(now)
+			if s.described {
+				c.loadedAt = now
+			}
 		}
 		c.adapters = s.mergeAdapters(now, c.adapters, m.Adapters)
 		fresh[m.Model] = c
 	}
 	s.reconcileOrder(now, fresh)
-	s.models = fresh
+	s.models, s.described = fresh, true
 }
 
 // mergeAdapters returns the adapters that the upstream listed and those that were ordered
@@ -280,7 +307,10 @@
 	if !ok {
 		return
 	}
-	s.callPending = false
+	s.callPending, s.pendingOrder, s.unansweredAt = false, nil, 0
+	if r == Unanswered {
+		s.pendingOrder, s.unansweredAt = &o, now
+	}
 	if (r == Accepted || r == Unanswered) && o.Adapter == "" && !o.Unload {
 		s.loading, s.loadingSince = o.Model, now
 	}
@@ -295,6 +325,9 @@
 	case Refused:
 		s.stale = true
 		s.retryAt = now.Add(refusedRetryDelay)
+		if o.Unload && o.Adapter != "" {
+			s.unloadRefusedAt[Target{o.Service, o.Model, o.Adapter}] = now
+		}
 	case Unanswered:
 		s.stale = true
 		s.retryAt = now.Add(errorRetryDelay)
@@ -363,13 +396,32 @@
 	return slices.Contains(e.OnDisk, m) || slices.Contains(e.InMemory, m)
 }
 
+// expectedOrder returns the order in flight, or one without an answer that the upstream may have accepted; nil if there
+// is none.
+func (s *upstreamState) expectedOrder(now clock.Time) *PlannedOrder {
+	if s.unansweredAt != 0 && now.Sub(s.unansweredAt) > unansweredTTL {
+		return nil
+	}
+	return s.pendingOrder
+}
+
+// unloads reports whether the upstream unloads the model, or is about to.
+func (s *upstreamState) unloads(now clock.Time, m units.ModelID) bool {
+	for _, o := range []*PlannedOrder{s.activeOrder, s.expectedOrder(now)} {
+		if o != nil && o.Unload && o.Adapter == "" && o.Model == m {
+			return true
+		}
+	}
+	return false
+}
+
 // usedMegabytes returns the memory of the models and adapters that are resident or loading. An
 // order with unknown outcome doesn't count, because the upstream executes it late only if it
 // has accepted no other order in between.
-func (s *upstreamState) usedMegabytes(e *fleet.Engine) float64 {
+func (s *upstreamState) usedMegabytes(models map[units.ModelID]*modelState) float64 {
 	total := 0.0
 	for id, c := range s.models {
-		if m, ok := e.Model(id); ok {
+		if m, ok := models[id]; ok {
 			total += m.WeightMegabytes + float64(len(c.adapters))*m.AdapterMegabytes
 		}
 	}
--- a/entry/controller.go
+++ b/entry/controller.go
@@ -68,6 +68,10 @@
 	// residencyChanges are recent loads and unloads that the upstreams' descriptions may not show
 	// yet.
 	residencyChanges []residencyChange
+	// pendingLoads are loads that go on, or were announced lately.
+	pendingLoads []pendingLoad
+	// loadsAnnouncedAt is when this gateway last announced loads under way.
+	loadsAnnouncedAt clock.Time
 	// prompts tells the other gateways of prompts sent to engines.
 	prompts promptTeller
 	learned learnedPublisher
@@ -147,6 +151,8 @@
 		c.gateway.relay.RecordGiven(c.prompts.decode(c.snapshot, m.prompts))
 	case residencyChanged:
 		c.mergeResidencyChanges(now, m.changes)
+	case loadsAnnounced:
+		c.mergeLoads(now, m.loads)
 	case targetMissed:
 		c.handleMiss(now)
 	case leaseAcquired:
@@ -246,6 +252,7 @@
 	c.gateway.limiter.onTick(now)
 	c.gateway.relay.SetOtherLoads(c.otherLoads(), peers.DigestInterval(c.gatewayCount))
 	c.announceChanges(now)
+	c.announceLoads(now)
 	c.gateway.relay.Tick()
 	c.tellPrompts(now)
 	c.learned.publish(now, c.gateway.relay.Learned)
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -90,6 +90,9 @@
 	acquireDelay clock.Span
 	ledger       *assign.Ledger
 	planner      *assign.Planner
+	// plannedEpoch is the epoch of the last round.
+	plannedEpoch units.Epoch
+	statusLog    statusLog
 	plannedAt    clock.Time
 	// planRequested is set when a round should start before planInterval. planCost is the time that
 	// the last round took.
@@ -111,7 +114,8 @@
 	}
 	return &orderManager{
 		gateway: g, controller: c, elector: elector,
-		ledger: ledger, planner: assign.NewPlanner(ledger), client: platform.NewOrderClient(platform.OrderOptions{
+		statusLog: statusLog{loggedAt: map[assign.Target]clock.Time{}},
+		ledger:    ledger, planner: assign.NewPlanner(ledger), client: platform.NewOrderClient(platform.OrderOptions{
 			IsLeader: g.isLeader, Accepts: g.relay.Accepts, OnNotice: g.relay.RecordNotice,
 		}),
 	}
@@ -149,9 +153,14 @@
 		hasEngine[id] = service.Engine != nil
 	}
 	o.ledger.UpdateUpstreams(now, o.controller.snapshot.Upstreams, hasEngine)
-	if _, ok := o.elector.OrderEpoch(now); !ok {
+	epoch, ok := o.elector.OrderEpoch(now)
+	if !ok {
 		return
 	}
+	if epoch != o.plannedEpoch {
+		o.plannedEpoch = epoch
+		o.planner.RecordTakeover(now, services)
+	}
 	paused := o.controller.pausedUpstreams()
 	for _, id := range o.ledger.StaleUpstreams(now) {
 		if !paused[id] {
@@ -166,6 +175,7 @@
 	for _, order := range o.planner.Plan(now, input) {
 		o.sendOrder(now, order)
 	}
+	o.statusLog.record(now, o.planner.Status())
 	o.planCost = o.gateway.clock.Now().Sub(now)
 }
 
@@ -209,7 +219,18 @@
 		o.ledger.ReportFailed(now, m.upstream)
 		return
 	}
-	o.ledger.ApplyReport(now, m.upstream, m.report.AcceptedOrders, m.report.Models, m.report.Busy)
+	accepted := o.ledger.ApplyReport(now, m.upstream, m.report.AcceptedOrders, m.report.Models, m.report.Busy)
+	e, ok := o.controller.snapshot.Upstreams[m.upstream]
+	switch {
+	case accepted == nil || !ok:
+	case accepted.Unload:
+		// It was announced when it was sent, and discarded as there was no answer.
+		o.controller.recordResidencyChange(now, residencyChange{
+			e.ID, e.ProcessStart, accepted.Model, "", true, accepted.ExpectedOrders + 1, now, announcement{ordered: true},
+		})
+	default:
+		o.controller.recordLoad(now, e, *accepted)
+	}
 }
 
 // sendOrder sends an order. An unload is announced to the other gateways first, so that they stop
@@ -271,6 +292,8 @@
 		o.planSoon()
 	case m.order.Adapter != "":
 		o.planSoon()
+	case !m.order.Unload && result == assign.Accepted:
+		o.controller.recordLoad(now, e, m.order)
 	}
 }
 
