crowd: tests with callers that keep to no limits

Cause: callers that nobody controls ended the processes of systems like this one, and no test plays them.

--- /dev/null
+++ b/crowd/doc.go
@@ -0,0 +1,2 @@
+// Package crowd tests gateways as separate processes under crowds of callers that keep to no limits.
+package crowd
