listen, budget, entry: bound what callers hold at the gateway on the platform

Cause: a parsed field takes many times its size, net/http reads heads of 64 KB whatever the configuration says, the system keeps megabytes that nobody has read for each connection, readiness and metrics had no limit of connections, and the limit for callers did not follow the descriptors. Change: package listen sees heads before net/http parses them. A head of up to 4 KiB and 64 lines belongs to its connection; what exceeds that is held in a pool of a tenth of the memory, from which requests that have not arrived whole give way, the idlest first, then the slowest. Sizes and times of heads and idle connections follow the configuration. The system keeps 64 KiB a connection. Package budget shares memory and descriptors among the listeners and decides which connection gives way to a new one: those without any answer have half of the places at most before they give way to each other.

--- /dev/null
+++ b/budget/head.go
@@ -0,0 +1,58 @@
+package budget
+
+import (
+	"bytes"
+
+	"github.com/magnolialever/magnolialever/units"
+)
+
+const (
+	// FreeHeadBytes and FreeHeadFields are the size of a head up to which it takes nothing of the pool. Connections count
+	// with it.
+	FreeHeadBytes  = 4 << 10
+	FreeHeadFields = 64
+	// fieldBytes is what a field takes when it is parsed, besides its own bytes: 87 bytes measured for fields of 3 to 5
+	// bytes, and an entry of the map that grows.
+	fieldBytes = 128
+)
+
+// Head counts the head of one request as it arrives.
+type Head struct {
+	// Bytes and Lines are what has arrived, Ended is set once the empty line has been seen.
+	Bytes, Lines int
+	Ended        bool
+}
+
+var (
+	lineEnd   = []byte("\n")
+	headEnd   = []byte("\n\r\n")
+	headEndLF = []byte("\n\n")
+)
+
+// Add counts bytes that have arrived and returns the number of them that belong to the head. An end that is spread over two
+// calls is not seen; then what follows counts as well, which is more than the head and never less.
+func (h *Head) Add(p []byte) int {
+	if h.Ended {
+		return 0
+	}
+	n := len(p)
+	if i := bytes.Index(p, headEnd); i >= 0 {
+		n, h.Ended = i+len(headEnd), true
+	} else if i := bytes.Index(p, headEndLF); i >= 0 {
+		n, h.Ended = i+len(headEndLF), true
+	}
+	h.AddLines(p[:n])
+	return n
+}
+
+// AddLines counts bytes that may belong to a head, whatever they hold.
+func (h *Head) AddLines(p []byte) {
+	h.Bytes += len(p)
+	h.Lines += bytes.Count(p, lineEnd)
+}
+
+// Claim returns what the head has to hold of the pool.
+func (h *Head) Claim() units.Bytes {
+	over := max(h.Bytes-FreeHeadBytes, 0) + max(h.Lines-FreeHeadFields, 0)*fieldBytes
+	return units.Bytes(over)
+}
--- a/entry/connlimit.go
+++ b/entry/connlimit.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"container/list"
 	"context"
 	"net"
 	"net/http"
@@ -10,41 +9,34 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/magnolialever/magnolialever/budget"
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/listen"
 	"github.com/magnolialever/magnolialever/socket"
 	"github.com/magnolialever/magnolialever/stats"
 )
 
-// maxConnections is the limit on connections from callers. A gateway has 4,100 file descriptors and
-// needs up to one more per request, for its connection to an upstream.
-const maxConnections = 1800
-
-// newConnTimeout is the time after which a connection that has carried no request counts as idle for CloseIdle.
+// newConnTimeout is the time after which a connection that has carried no request counts as idle for closeIdle.
 const newConnTimeout = 5 * time.Second
 
 // connLimiter limits the number of open connections of an HTTP server and closes idle ones. At the limit, a new
-// connection closes the one that has been idle for longest; its caller repeats a request that was
-// not read yet. If no connection is idle, the new one is closed. It is safe for concurrent use.
+// connection closes the one that gives way to it; its caller repeats a request that was
+// not read yet. If none does, the new one is closed. It is safe for concurrent use.
 type connLimiter struct {
-	limit int
-	mu    sync.Mutex
-	// idle lists the connections without a request in flight, least recently used first.
-	idle *list.List
-	// idleElements has an entry for each open connection: its element in idle, or nil while a
-	// request is in flight.
-	idleElements map[net.Conn]*list.Element
+	// name is that of the server in log lines, event that of the counter of connections that were closed.
+	name, event string
+	limit       int
+	mu          sync.Mutex
+	connections *budget.Connections[net.Conn]
 	// newSince has the connections that have carried no request, with the time of their opening.
 	newSince map[net.Conn]time.Time
-	// closed has the idle connections that were closed and whose goroutines have not ended. A request that one of
-	// them reads all the same must not be served: its answer could not be sent.
-	closed map[net.Conn]bool
 	// full is set if the limit was reached when the last connection was opened.
 	full bool
 }
 
-func newConnLimiter(limit int) *connLimiter {
+func newConnLimiter(name, event string, limit int) *connLimiter {
 	return &connLimiter{
-		limit: limit, idle: list.New(), idleElements: map[net.Conn]*list.Element{},
-		newSince: map[net.Conn]time.Time{}, closed: map[net.Conn]bool{},
+		name: name, event: event, limit: limit, connections: budget.NewConnections[net.Conn](limit), newSince: map[net.Conn]time.Time{},
 	}
 }
 
@@ -52,20 +44,18 @@
 func (c *connLimiter) onStateChange(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.removeIdle(conn)
 	delete(c.newSince, conn)
 	switch state {
 	case http.StateNew:
-		c.enforceLimit(conn)
-		c.idleElements[conn] = c.idle.PushBack(conn)
-		c.newSince[conn] = time.Now()
+		if c.enforceLimit(conn) {
+			c.newSince[conn] = time.Now()
+		}
 	case http.StateIdle:
-		c.idleElements[conn] = c.idle.PushBack(conn)
+		c.connections.Idle(conn)
 	case http.StateActive:
-		c.idleElements[conn] = nil
+		c.connections.Busy(conn)
 	case http.StateClosed, http.StateHijacked:
-		delete(c.idleElements, conn)
-		delete(c.closed, conn)
+		c.connections.Closed(conn)
 	}
 }
 
@@ -80,18 +70,24 @@
 // handler returns a handler that serves requests by next, but those of connections that were closed while they were read.
 func (c *connLimiter) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, _ := r.Context().Value(connKey{}).(net.Conn); c.isClosed(conn) {
+		conn, _ := r.Context().Value(connKey{}).(net.Conn)
+		if c.isClosed(conn) {
 			stats.Event("requests_on_closed_connections")
 			panic(http.ErrAbortHandler)
 		}
+		if l, ok := conn.(*listen.Conn); ok {
+			l.Begin(r)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// isClosed reports whether the connection was closed and its goroutine has not ended. A request that it reads all the same
+// must not be served: its answer could not be sent.
 func (c *connLimiter) isClosed(conn net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closed[conn]
+	return c.connections.IsClosing(conn)
 }
 
 // closeIdle closes the idle connections, and those without a request since newConnTimeout. A connection on which a request
@@ -99,9 +95,7 @@
 func (c *connLimiter) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for e := c.idle.Front(); e != nil; {
-		conn, _ := e.Value.(net.Conn)
-		e = e.Next()
+	for _, conn := range c.connections.IdleOnes() {
 		if opened, isNew := c.newSince[conn]; isNew && time.Since(opened) < newConnTimeout || isArriving(conn) {
 			continue
 		}
@@ -111,17 +105,24 @@
 
 // isArriving reports whether a request has begun to arrive on a connection that waits for one.
 func isArriving(conn net.Conn) bool {
-	if c, ok := conn.(*socket.Conn); ok {
+	if c, ok := conn.(interface{ Arriving() bool }); ok {
 		return c.Arriving()
 	}
 	return socket.Peek(conn) == socket.Unread
 }
 
-// close closes an idle connection. The caller holds c.mu.
+// progressOf returns how far the request on a connection is.
+func progressOf(conn net.Conn) budget.Progress {
+	p := budget.Progress{Arriving: isArriving(conn)}
+	if c, ok := conn.(*listen.Conn); ok {
+		p.Incomplete, p.At = c.Incomplete()
+	}
+	return p
+}
+
+// close closes a connection. The caller holds c.mu.
 func (c *connLimiter) close(conn net.Conn) {
-	c.removeIdle(conn)
-	c.idleElements[conn] = nil
-	c.closed[conn] = true
+	c.connections.Closing(conn)
 	closeIgnoringError(conn)
 }
 
@@ -129,33 +130,37 @@
 func (c *connLimiter) open() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.idleElements)
+	return c.connections.Known()
 }
 
-func (c *connLimiter) removeIdle(conn net.Conn) {
-	if e := c.idleElements[conn]; e != nil {
-		c.idle.Remove(e)
-	}
-}
-
-// enforceLimit closes a connection if the added one, which is not yet recorded, exceeds the limit.
-func (c *connLimiter) enforceLimit(added net.Conn) {
-	full := len(c.idleElements) >= c.limit
+// enforceLimit closes a connection if the added one exceeds the limit. It returns false if that is the added one.
+func (c *connLimiter) enforceLimit(added net.Conn) bool {
+	full := c.connections.Full()
 	if full != c.full {
 		c.full = full
-		klog.InfoS("entry: callers' connections", "count", len(c.idleElements), "most", c.limit, "full", full)
+		klog.InfoS("entry: callers' connections", "server", c.name, "count", c.connections.Known(), "most", c.limit, "full", full)
 	}
 	if !full {
-		return
+		c.connections.Opened(added)
+		return true
 	}
-	stats.Event("caller_connections_closed")
-	for e := c.idle.Front(); e != nil; e = e.Next() {
-		if evicted, _ := e.Value.(net.Conn); !isArriving(evicted) {
-			c.close(evicted)
-			return
-		}
+	stats.Event(c.event)
+	now := clock.Time(0)
+	if l, ok := added.(*listen.Conn); ok {
+		now = l.Now()
+	}
+	if c.connections.Overfull() {
+		closeIgnoringError(added)
+		return false
+	}
+	victim, ok := c.connections.Victim(now, progressOf)
+	if !ok {
+		closeIgnoringError(added)
+		return false
 	}
-	closeIgnoringError(added)
+	c.close(victim)
+	c.connections.Opened(added)
+	return true
 }
 
 // closeIgnoringError closes a connection that is no longer used, so that an error doesn't matter.
--- a/entry/connlimit_test.go
+++ b/entry/connlimit_test.go
@@ -21,7 +21,7 @@
 	release := make(chan struct{})
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	limiter := newConnLimiter(4)
+	limiter := newConnLimiter("public", "caller_connections_closed", 4)
 	server := &http.Server{ConnState: limiter.onStateChange, ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(
 		func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/held" {
@@ -65,14 +65,12 @@
 	assert.NilError(t, readResponse(busy))
 	assert.NilError(t, server.Close())
 	assert.ErrorIs(t, <-serveErr, http.ErrServerClosed)
-	limiter.mu.Lock()
-	defer limiter.mu.Unlock()
-	assert.Assert(t, len(limiter.idleElements) <= 4+1, "%d connections", len(limiter.idleElements))
+	assert.Assert(t, limiter.open() <= 4+1, "%d connections", limiter.open())
 }
 
 // Guards against a new connection that closes one with a request in flight.
 func TestBusyConnectionsAreKept(t *testing.T) {
-	limiter := newConnLimiter(2)
+	limiter := newConnLimiter("public", "caller_connections_closed", 2)
 	var serverConns, clientConns []net.Conn
 	for range 3 {
 		serverConn, clientConn := net.Pipe()
@@ -94,7 +92,7 @@
 // Guards against a request that is served, and may run, on an idle connection that was closed while the request was read:
 // its answer can't be sent.
 func TestRequestOnClosedConnectionIsNotServed(t *testing.T) {
-	limiter := newConnLimiter(4)
+	limiter := newConnLimiter("public", "caller_connections_closed", 4)
 	var served atomic.Int64
 	closing := make(chan struct{})
 	server := httptest.NewUnstartedServer(limiter.handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) })))
@@ -129,7 +127,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer listener.Close()
-	limiter := newConnLimiter(4)
+	limiter := newConnLimiter("public", "caller_connections_closed", 4)
 	conns := [2]net.Conn{}
 	for i := range conns {
 		caller, err := net.Dial("tcp", listener.Addr().String())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/assign"
+	"github.com/magnolialever/magnolialever/budget"
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/feed"
 	"github.com/magnolialever/magnolialever/member"
@@ -52,10 +53,12 @@
 type Gateway struct {
 	settings *platform.Settings
 	// bounds are the bounds of the settings that were loaded last.
-	bounds  atomic.Pointer[platform.Bounds]
-	clock   clock.Clock
-	store   *platform.Store
-	relay   *relay.Server
+	bounds atomic.Pointer[platform.Bounds]
+	clock  clock.Clock
+	store  *platform.Store
+	relay  *relay.Server
+	// heads is the budget for heads of requests at all listeners.
+	heads   *budget.Pool
 	limiter *rateLimiter
 	parts   *parts.Guard
 	// partExchange shares the decisions about parts of prompts with the other gateways.
@@ -89,6 +92,7 @@
 		inbox: make(chan message, inboxSize), incarnation: rand.Uint64(),
 		demand: demandMeter{meter: assign.NewMeter()}, background: context.Background(),
 	}
+	g.heads = budget.NewPool(g.memory() / budget.HeadsPart)
 	tolerance := quota.Tolerance{Rate: settings.Bounds.QuotaOvershoot, Tokens: settings.Bounds.QuotaSlack}
 	g.limiter = newRateLimiter(settings.VM, g.clock, quota.New(settings.VM, settings.FirstStart, tolerance), g.incarnation)
 	g.parts = parts.NewGuard(g.clock)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -8,23 +8,36 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/magnolialever/magnolialever/budget"
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/listen"
 	"github.com/magnolialever/magnolialever/socket"
+	"github.com/magnolialever/magnolialever/units"
 )
 
 const (
 	// callerIdleTimeout is longer than callers reuse an idle connection, so that the caller closes
-	// the connection first.
+	// the connection first. The configuration may state a longer one.
 	callerIdleTimeout = 75 * time.Second
-	// headerTimeout is the time within which a request's header has to arrive.
-	headerTimeout = 10 * time.Second
-	// maxHeaderBytes is the limit on the size of a request's header.
+	// headerTimeout and maxHeaderBytes are the time within which a request's header has to arrive, and its size, if the
+	// configuration states none.
+	headerTimeout  = 10 * clock.Second
 	maxHeaderBytes = 64 << 10
+	// longestHeaderTimeout and largestHeaderBytes are what net/http allows; package listen has the limits that hold.
+	longestHeaderTimeout = 5 * time.Minute
+	largestHeaderBytes   = 1 << 20
+	// writeTimeout is the time in which a caller has to take 64 KiB of an answer.
+	writeTimeout = clock.Minute
+	// unreadPart divides the memory of the process to give the bound on what the system has received and nobody has read.
+	unreadPart = 10
+	// defaultMemory is the memory of a process whose settings don't say.
+	defaultMemory = 284 << 20
 	// readinessDelay is how long new connections are accepted after a stop was requested: the
 	// platform stops routing to the gateway after two failed readiness checks, a second apart.
 	readinessDelay = 2800 * clock.Millisecond
@@ -53,24 +66,87 @@
 // httpServer is an HTTP server with its listener.
 type httpServer struct {
 	// name identifies the server in errors.
-	name     string
-	listener net.Listener
-	server   *http.Server
+	name string
+	// tcp is the listener of the system, listener the one that serves it.
+	tcp         net.Listener
+	listener    *listen.Listener
+	connections *connLimiter
+	server      *http.Server
 	// served is closed when no more connections are accepted.
 	served chan struct{}
 }
 
 // listen opens a listener on the host:port address for a server with the handler. It does not serve
 // yet.
-func (g *Gateway) listen(name, address string, h http.Handler) (*httpServer, error) {
+func (g *Gateway) listen(name, address string, most int, h http.Handler) (*httpServer, error) {
 	l, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
 	}
-	return &httpServer{name, l, &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: klog.NewStandardLogger("WARNING"),
-	}, make(chan struct{})}, nil
+	s := &httpServer{name: name, tcp: l, served: make(chan struct{})}
+	s.listener = listen.New(l, listen.Options{
+		Heads: g.heads, HeadBytes: g.headBytes, HeadTimeout: g.headTimeout, IdleTimeout: g.idleTimeout, WriteTimeout: writeTimeout,
+		UnreadBytes: g.memory() / unreadPart, Busy: busyAnswer, TooLarge: tooLargeAnswer,
+	})
+	event := "caller_connections_closed"
+	if name != publicName {
+		event = name + "_connections_closed"
+	}
+	s.connections = newConnLimiter(name, event, most)
+	s.server = &http.Server{
+		Handler: s.connections.handler(h), ReadHeaderTimeout: longestHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: largestHeaderBytes,
+		ErrorLog: klog.NewStandardLogger("WARNING"), ConnContext: s.connections.connContext,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			s.listener.OnStateChange(c, state)
+			s.connections.onStateChange(c, state)
+		},
+	}
+	return s, nil
+}
+
+// Names of the servers.
+const (
+	publicName  = "public"
+	readyName   = "ready"
+	metricsName = "metrics"
+)
+
+// Answers to heads that are not parsed: for lack of room, and beyond the limit. The request has not run.
+var (
+	busyAnswer     = listen.Answer(http.StatusServiceUnavailable, "Retry-After: 1.000\r\n", `{"code":"`+string(units.QueueFull)+`"}`)
+	tooLargeAnswer = listen.Answer(http.StatusRequestHeaderFieldsTooLarge, "", `{"code":"`+string(units.InvalidRequest)+`"}`)
+)
+
+// memory returns the size of the process's memory.
+func (g *Gateway) memory() units.Bytes {
+	if g.settings.MemoryMegabytes <= 0 {
+		return defaultMemory
+	}
+	return units.Bytes(g.settings.MemoryMegabytes) << 20
+}
+
+// headBytes returns the limit on the size of a request's header.
+func (g *Gateway) headBytes() int {
+	if c := g.relay.Config(); c != nil && c.MaxHeaderBytes > 0 {
+		return c.MaxHeaderBytes
+	}
+	return maxHeaderBytes
+}
+
+// headTimeout returns the limit on the time within which a request's header has to arrive.
+func (g *Gateway) headTimeout() clock.Span {
+	if c := g.relay.Config(); c != nil && c.HeaderTimeout > 0 {
+		return c.HeaderTimeout
+	}
+	return headerTimeout
+}
+
+// idleTimeout returns how long callers may reuse an idle connection; 0 is unknown.
+func (g *Gateway) idleTimeout() clock.Span {
+	if c := g.relay.Config(); c != nil {
+		return c.IdleTimeout
+	}
+	return 0
 }
 
 // serve serves callers, readiness checks and metrics until the context is done and then drains. It
@@ -85,23 +161,21 @@
 	})
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /debug/vars", expvar.Handler())
-	public, err := g.listen("public", g.settings.PublicAddress, g.relay)
+	shares := budget.Share(budget.Machine{Memory: g.memory(), Descriptors: g.settings.Descriptors})
+	public, err := g.listen(publicName, g.settings.PublicAddress, shares.Connections, g.relay)
 	if err != nil {
 		return err
 	}
-	public.listener = socket.Listener{Listener: public.listener}
-	connections := newConnLimiter(maxConnections)
-	public.server.ConnState, public.server.ConnContext = connections.onStateChange, connections.connContext
-	public.server.Handler = connections.handler(g.relay)
 	admin := []*httpServer{}
 	for name, endpoint := range map[string]struct {
 		address string
+		most    int
 		handler http.Handler
 	}{
-		"ready":   {g.settings.ReadyAddress, ready},
-		"metrics": {net.JoinHostPort(g.settings.IP, strconv.Itoa(g.settings.FirstPort+MetricsPortOffset)), metrics},
+		readyName:   {g.settings.ReadyAddress, shares.ReadyConnections, ready},
+		metricsName: {net.JoinHostPort(g.settings.IP, strconv.Itoa(g.settings.FirstPort+MetricsPortOffset)), shares.MetricsConnections, metrics},
 	} {
-		s, err := g.listen(name, endpoint.address, endpoint.handler)
+		s, err := g.listen(name, endpoint.address, endpoint.most, endpoint.handler)
 		if err != nil {
 			return err
 		}
@@ -109,7 +183,12 @@
 		admin = append(admin, s)
 	}
 	errs := make(chan error, len(admin)+1)
+	checks, endChecks := context.WithCancel(context.WithoutCancel(ctx))
+	var checksDone sync.WaitGroup
+	defer checksDone.Wait()
+	defer endChecks()
 	for _, s := range append(admin, public) {
+		checksDone.Go(func() { s.listener.Run(checks) })
 		go func() { errs <- s.run() }()
 	}
 	select {
@@ -118,7 +197,7 @@
 		return err
 	}
 	stopping.Store(true)
-	err = g.drain(c, public, connections)
+	err = g.drain(c, public, public.connections)
 	for _, s := range admin {
 		err = errors.Join(err, s.server.Close())
 	}
@@ -152,7 +231,7 @@
 		time.Sleep(drainPollInterval)
 	}
 	// What a busy process has not accepted yet would be reset.
-	for end := g.clock.Now().Add(backlogTimeout); socket.Waiting(public.listener) && g.clock.Now().Before(min(end, endAt)); {
+	for end := g.clock.Now().Add(backlogTimeout); socket.Waiting(public.tcp) && g.clock.Now().Before(min(end, endAt)); {
 		time.Sleep(drainPollInterval)
 	}
 	// http.Server.Shutdown would drop requests that it reads from now on, on connections that were accepted before.
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -120,9 +120,13 @@
 	Version int64
 	// MaxBodyBytes bounds the body of a request; 0 is unknown.
 	MaxBodyBytes int64
-	services     map[units.ServiceID]*Service
-	routes       map[string][]*Route
-	keys         map[string]*Customer
+	// MaxHeaderBytes and HeaderTimeout bound the size of a request's header and the time in which it arrives, IdleTimeout is
+	// how long callers may expect an idle connection to stay open; 0 is unknown.
+	MaxHeaderBytes             int
+	HeaderTimeout, IdleTimeout clock.Span
+	services                   map[units.ServiceID]*Service
+	routes                     map[string][]*Route
+	keys                       map[string]*Customer
 	// If customers is empty, requests need no key.
 	customers []*Customer
 }
--- /dev/null
+++ b/listen/listen.go
@@ -0,0 +1,187 @@
+// Package listen accepts callers' connections and sees the heads of requests before net/http parses them, as a parsed field
+// takes many times its size. It holds heads within a budget that all listeners of a process share, and ends connections
+// that stop half-way through a head or an answer.
+package listen
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/magnolialever/magnolialever/budget"
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/socket"
+	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/units"
+)
+
+const (
+	// headSlop is what a head may take beyond its limit, as net/http has it.
+	headSlop = 4 << 10
+	// headMargin is the time that a head may take beyond its limit: its first and last bytes may wait for a busy process.
+	headMargin = 2 * clock.Second
+	// checkInterval is the interval at which connections are looked at. The time of what they do is that of the last look.
+	checkInterval = 100 * time.Millisecond
+	// receiveBufferBytes is what the system keeps of bytes that the process has not read, for each connection; the system
+	// doubles it. It counts as memory of the process.
+	receiveBufferBytes = 32 << 10
+	// writePieceBytes is the size of the pieces of an answer, one of which has to be taken within the time for a write.
+	writePieceBytes = 64 << 10
+)
+
+// Options are the limits of a Listener. All functions are called from many goroutines.
+type Options struct {
+	// Heads is the budget for the heads of requests.
+	Heads *budget.Pool
+	// HeadBytes returns the limit on the size of a head, HeadTimeout the one on the time from its first byte to its last.
+	HeadBytes   func() int
+	HeadTimeout func() clock.Span
+	// IdleTimeout returns the least time for which an idle connection stays open, if that is longer than the server's; 0 is
+	// none.
+	IdleTimeout func() clock.Span
+	// WriteTimeout bounds the time for a piece of an answer of 64 KiB; 0 is no limit.
+	WriteTimeout clock.Span
+	// UnreadBytes bounds the bytes that the system has received for all connections and the process has not read.
+	UnreadBytes units.Bytes
+	// Busy and TooLarge are the whole answers to a head that finds no room in the budget, and to one beyond the limit.
+	Busy, TooLarge []byte
+}
+
+// Listener accepts connections as Conn. Run has to be called too.
+type Listener struct {
+	net.Listener
+	options Options
+	began   time.Time
+	// now is the time of the last look in milliseconds since began.
+	now atomic.Int64
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// New returns a listener that accepts the connections of l.
+func New(l net.Listener, o Options) *Listener {
+	socket.SetReceiveBuffer(l, receiveBufferBytes)
+	return &Listener{Listener: l, options: o, began: time.Now(), conns: map[*Conn]struct{}{}}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	n, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := newConn(n, l)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+	return c, nil
+}
+
+// time returns the time of the last look.
+func (l *Listener) time() clock.Time { return clock.Time(l.now.Load()) }
+
+// Run ends connections that are too slow, until the context is done.
+func (l *Listener) Run(ctx context.Context) {
+	t := time.NewTicker(checkInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			l.now.Store(time.Since(l.began).Milliseconds())
+			l.check()
+		}
+	}
+}
+
+// check looks at all connections once.
+func (l *Listener) check() {
+	now, headTimeout := l.time(), l.options.HeadTimeout()+headMargin
+	l.mu.Lock()
+	all := make([]*Conn, 0, len(l.conns))
+	for c := range l.conns {
+		all = append(all, c)
+	}
+	l.mu.Unlock()
+	for _, c := range all {
+		switch {
+		case c.phase.Load() == waiting && !c.served.Load() && now.Sub(clock.Time(c.progressAt.Load())) > headTimeout && !c.Arriving():
+			c.end("connections_without_request")
+		case c.phase.Load() == inHead && now.Sub(clock.Time(c.headAt.Load())) > headTimeout:
+			c.end("heads_too_slow")
+		case l.options.WriteTimeout > 0 && c.writing.Load() && now.Sub(clock.Time(c.writeAt.Load())) > l.options.WriteTimeout:
+			c.end("answers_not_taken")
+		}
+	}
+	l.checkUnread(all)
+}
+
+// checkUnread ends connections that have most unread bytes until all have no more than their bound.
+func (l *Listener) checkUnread(all []*Conn) {
+	if l.options.UnreadBytes <= 0 || units.Bytes(len(all))*2*receiveBufferBytes <= l.options.UnreadBytes {
+		return
+	}
+	unread := make([]int, len(all))
+	sum := units.Bytes(0)
+	for i, c := range all {
+		unread[i] = socket.UnreadBytes(c.Conn.Conn)
+		sum += units.Bytes(unread[i])
+	}
+	for sum > l.options.UnreadBytes {
+		most := 0
+		for i := range unread {
+			if unread[i] > unread[most] {
+				most = i
+			}
+		}
+		if unread[most] == 0 {
+			return
+		}
+		all[most].end("unread_requests_closed")
+		sum -= units.Bytes(unread[most])
+		unread[most] = 0
+	}
+}
+
+// OnStateChange is a http.Server.ConnState hook.
+func (l *Listener) OnStateChange(n net.Conn, s http.ConnState) {
+	c, ok := n.(*Conn)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateActive:
+		c.phase.Store(inBody)
+	case http.StateIdle:
+		c.endRequest()
+	case http.StateNew, http.StateClosed, http.StateHijacked:
+	}
+}
+
+// Answer returns a whole answer that closes the connection. fields are further fields of its head, each with its end.
+func Answer(status int, fields, body string) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), fields, len(body), body)
+}
+
+// errRefused ends the reading of a head that was answered. net/http answers other errors than those of the network with
+// status 400.
+var errRefused = &net.OpError{Op: "read", Err: errors.New("head of the request was refused")}
+
+// refuse answers a head and counts the event.
+func (c *Conn) refuse(answer []byte, event string) error {
+	stats.Event(event)
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refuseTimeout))
+	_, _ = c.Conn.Write(answer)
+	return errRefused
+}
+
+// refuseTimeout bounds the write of a refusal.
+const refuseTimeout = time.Second
--- a/relay/server.go
+++ b/relay/server.go
@@ -177,6 +177,9 @@
 	s.Scheduler.Dispatch(s.Clock.Now())
 }
 
+// Config returns the configuration in use; nil before the first one.
+func (s *Server) Config() *fleet.Config { return s.view.Load().Config }
+
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -69,3 +69,27 @@
 	})
 	return err == nil && waiting
 }
+
+// SetReceiveBuffer sets the size of the system's buffer for bytes that the process has not read, for each connection that the
+// listener accepts from then on. The system doubles it. Listeners that can't are left as they are.
+func SetReceiveBuffer(l net.Listener, bytes int) {
+	control(l, func(fd int) { _ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes) })
+}
+
+// UnreadBytes returns the number of bytes that have arrived and that the process has not read; 0 if it can't be told.
+func UnreadBytes(c net.Conn) int {
+	n := 0
+	control(c, func(fd int) { n, _ = unix.IoctlGetInt(fd, unix.SIOCINQ) })
+	return n
+}
+
+// control calls f with the descriptor of a connection or listener, unless it has none.
+func control(v any, f func(fd int)) {
+	s, ok := v.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := s.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { f(int(fd)) })
+	}
+}
