relay, listen: bodies and unread answers give way to others when their budget is used up

Cause: bodies that stop just short of their end held the whole budget until their time limit, and answers that nobody reads the one for answers, so that ordinary requests were refused, or failed after they had run.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -32,18 +32,20 @@
 	claim := func(name string) *budget.Claim {
 		return &budget.Claim{Yield: func() { yielded = append(yielded, name) }}
 	}
+	progressAt := clock.Time(0)
 	whole, idle, slow, fast, last := claim("whole"), claim("idle"), claim("slow"), claim("fast"), claim("last")
+	slow.ProgressAt, fast.ProgressAt = func() clock.Time { return progressAt }, func() clock.Time { return progressAt }
 	assert.Assert(t, p.Take(whole, 0, 40))
-	p.Arrived(whole)
+	assert.Assert(t, p.Keep(whole))
 	assert.Assert(t, p.Take(idle, 0, 20))
 	assert.Assert(t, p.Take(slow, 0, 10))
 	assert.Assert(t, p.Take(fast, 0, 20))
 	now := clock.Time(0).Add(1500 * clock.Millisecond)
-	p.Progress(slow, now)
-	p.Progress(fast, now)
+	progressAt = now
 	assert.Assert(t, p.Take(last, now, 20))
 	assert.DeepEqual(t, yielded, []string{"idle"})
 	assert.Assert(t, !p.Take(idle, now, 1), "a claim that has given way takes nothing")
+	assert.Assert(t, !p.Keep(idle), "nor does it come back")
 	assert.Assert(t, p.Take(last, now, 20))
 	assert.DeepEqual(t, yielded, []string{"idle", "slow"})
 	assert.Assert(t, !p.Take(last, now, 101))
@@ -72,7 +74,7 @@
 			case 0:
 				p.Release(c)
 			case 1:
-				p.Arrived(c)
+				p.Keep(c)
 			default:
 				p.Take(c, now, units.Bytes(rapid.IntRange(1, 400).Draw(t, "bytes")))
 			}
--- a/budget/pool.go
+++ b/budget/pool.go
@@ -41,10 +41,13 @@
 	held units.Bytes
 	// beganAt is when it first took bytes, progressAt when it last took some.
 	beganAt, progressAt clock.Time
-	// arrived is set once the request has arrived whole, yielded once the claim has given way.
-	arrived, yielded bool
+	// kept is set while the claim doesn't give way, yielded once it has given way.
+	kept, yielded bool
 }
 
+// Kept makes a claim one that does not give way until it is offered. It has to be called before the claim takes bytes.
+func (c *Claim) Kept() { c.kept = true }
+
 // Used returns the number of bytes that are held.
 func (p *Pool) Used() units.Bytes {
 	p.mu.Lock()
@@ -91,7 +94,7 @@
 func (p *Pool) victim(asking *Claim, now clock.Time) *Claim {
 	var idlest, slowest *Claim
 	for c := range p.claims {
-		if c == asking || c.arrived || c.Yield == nil {
+		if c == asking || c.kept || c.Yield == nil {
 			continue
 		}
 		if now.Sub(c.lastProgress()) >= idleSpan && (idlest == nil || c.lastProgress().Before(idlest.lastProgress())) {
@@ -123,25 +126,20 @@
 	return float64(c.held) / max(float64(now.Sub(c.beganAt)), 1)
 }
 
-// Progress records that more of the request has arrived, without taking more.
-func (p *Pool) Progress(c *Claim, now clock.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c.progressAt = now
-}
-
-// Arrived records that the request has arrived whole.
-func (p *Pool) Arrived(c *Claim) {
+// Keep records that the request has arrived whole, so that the claim gives way no more. It returns false if it has given way
+// already; then Yield ends the request.
+func (p *Pool) Keep(c *Claim) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.arrived = true
+	c.kept = !c.yielded
+	return c.kept
 }
 
-// Yielded reports whether the claim has given way.
-func (p *Pool) Yielded(c *Claim) bool {
+// Offer records that the claim may give way again, from now on.
+func (p *Pool) Offer(c *Claim, now clock.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return c.yielded
+	c.kept, c.beganAt, c.progressAt = false, now, now
 }
 
 // Release returns what the claim holds. The claim can be used again.
@@ -149,7 +147,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.remove(c)
-	c.arrived, c.yielded = false, false
+	c.kept, c.yielded = false, false
 }
 
 func (p *Pool) remove(c *Claim) {
--- a/entry/connlimit.go
+++ b/entry/connlimit.go
@@ -71,13 +71,11 @@
 func (c *connLimiter) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, _ := r.Context().Value(connKey{}).(net.Conn)
-		if c.isClosed(conn) {
+		l, ok := conn.(*listen.Conn)
+		if c.isClosed(conn) || ok && !l.Begin(r) {
 			stats.Event("requests_on_closed_connections")
 			panic(http.ErrAbortHandler)
 		}
-		if l, ok := conn.(*listen.Conn); ok {
-			l.Begin(r)
-		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/listen/conn.go
+++ b/listen/conn.go
@@ -1,6 +1,7 @@
 package listen
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -203,22 +204,27 @@
 	return p == inHead || p == inBody, clock.Time(c.progressAt.Load())
 }
 
-// Begin records that the handler begins with the request, and follows the body. The handler has to use the request that it
-// changes.
-func (c *Conn) Begin(r *http.Request) {
+// Begin records that the handler begins with the request, and follows its body. It returns false if the connection has given
+// way to others, so that the request must not be served.
+func (c *Conn) Begin(r *http.Request) bool {
 	if r.Body == nil || r.Body == http.NoBody {
-		c.setArrived()
-		return
+		return c.setArrived()
 	}
 	r.Body = &body{r.Body, c}
+	return true
 }
 
-func (c *Conn) setArrived() {
+// setArrived records that the request has arrived whole. It returns false if the connection has given way meanwhile.
+func (c *Conn) setArrived() bool {
 	if c.phase.CompareAndSwap(inBody, arrived) && c.head.Claim() > 0 {
-		c.listener.options.Heads.Arrived(&c.claim)
+		return c.listener.options.Heads.Keep(&c.claim)
 	}
+	return true
 }
 
+// errGivenWay ends the reading of a body whose connection has given way to others.
+var errGivenWay = errors.New("connection has given way to others")
+
 // body is the body of a request that tells its connection when it has ended.
 type body struct {
 	io.ReadCloser
@@ -229,7 +235,9 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF { //nolint:errorlint // bodies return it as it is
-		b.conn.setArrived()
+		if !b.conn.setArrived() {
+			return n, errGivenWay
+		}
 	}
 	return n, err
 }
--- a/relay/body.go
+++ b/relay/body.go
@@ -10,8 +10,10 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/magnolialever/magnolialever/budget"
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/units"
 )
 
 const (
@@ -25,10 +27,13 @@
 	discardTimeout = 2 * time.Second
 )
 
+// longPast is a deadline that ends reads and writes at once.
+var longPast = time.Unix(1, 0)
+
 // errBodyBudget means that buffering the body would exceed the budget for request bodies.
 var errBodyBudget = errors.New("budget for request bodies is exhausted")
 
-// bodyBudget limits the bytes of request bodies buffered at once. It is safe for concurrent use.
+// bodyBudget limits the bytes of incomplete events buffered at once. It is safe for concurrent use.
 type bodyBudget struct {
 	used  atomic.Int64
 	limit int64
@@ -45,32 +50,82 @@
 
 func (b *bodyBudget) release(n int64) { b.used.Add(-n) }
 
+// holding is what one body holds of a budget.Pool, beyond the first initialBufferBytes, which are free: they are part of what
+// a connection takes.
+type holding struct {
+	pool  *budget.Pool
+	clock clock.Clock
+	// owner is told when the body gives way.
+	owner yielder
+	claim budget.Claim
+	// used is set once the claim holds bytes.
+	used bool
+	// progressAt is the clock.Time of the last bytes that arrived or were sent.
+	progressAt atomic.Int64
+}
+
+// yielder ends the reading or writing of a body. yieldBudget is called from any goroutine.
+type yielder interface{ yieldBudget() }
+
+func (h *holding) take(n int64) bool {
+	if !h.used {
+		h.used = true
+		h.claim.Yield = h.owner.yieldBudget
+		h.claim.ProgressAt = func() clock.Time { return clock.Time(h.progressAt.Load()) }
+	}
+	return h.pool.Take(&h.claim, h.clock.Now(), units.Bytes(n))
+}
+
+// progress records progress of a body that holds bytes.
+func (h *holding) progress() {
+	if h.used {
+		h.progressAt.Store(int64(h.clock.Now()))
+	}
+}
+
+// keep records that the body gives way no more. It returns false if it has given way.
+func (h *holding) keep() bool { return !h.used || h.pool.Keep(&h.claim) }
+
+// offer records that the body may give way again.
+func (h *holding) offer() {
+	if h.used {
+		h.pool.Offer(&h.claim, h.clock.Now())
+	}
+}
+
+func (h *holding) release() {
+	if h.used {
+		h.pool.Release(&h.claim)
+	}
+}
+
 // readAll reads a body. length is the announced length in bytes, negative if unknown. The caller
-// has to release the acquired bytes, also after an error. The error is errBodyBudget when the
+// has to release the holding, also after an error. The error is errBodyBudget when the
 // budget is exhausted; other errors come from in.
-func (b *bodyBudget) readAll(in io.Reader, length int64) (data []byte, acquired int64, err error) {
+func (h *holding) readAll(in io.Reader, length int64) (data []byte, err error) {
 	first := int64(initialBufferBytes)
 	if length >= 0 {
 		// One byte more than announced, so that the read that meets the end needs no larger buffer.
 		first = min(length+1, initialBufferBytes)
 	}
+	data = make([]byte, 0, first)
 	for {
 		if len(data) == cap(data) {
-			grow := max(int64(cap(data)), first)
-			if !b.acquire(grow) {
-				return nil, acquired, errBodyBudget
+			grow := int64(cap(data))
+			if !h.take(grow) {
+				return nil, errBodyBudget
 			}
-			acquired += grow
-			data = append(make([]byte, 0, int64(cap(data))+grow), data...)
+			data = append(make([]byte, 0, 2*grow), data...)
 		}
 		n, err := in.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
 		if errors.Is(err, io.EOF) {
-			return data, acquired, nil
+			return data, nil
 		}
 		if err != nil {
-			return nil, acquired, fmt.Errorf("read body: %w", err)
+			return nil, fmt.Errorf("read body: %w", err)
 		}
+		h.progress()
 	}
 }
 
@@ -132,8 +187,13 @@
 		return invalidBody
 	}
 	x.bodyBegun = true
-	data, bodyBudgetHeld, err := x.server.bodyBudget.readAll(in, x.httpRequest.ContentLength)
-	x.bodyBudgetHeld = bodyBudgetHeld
+	x.bodyHeld.pool, x.bodyHeld.clock, x.bodyHeld.owner = x.server.bodies, x.server.Clock, bodyReader{x}
+	data, err := x.bodyHeld.readAll(in, x.httpRequest.ContentLength)
+	if !x.bodyHeld.keep() {
+		// Its connection can't be used any longer.
+		x.bodyEnded = true
+		return bodyBudgetExceeded
+	}
 	if errors.Is(err, errBodyBudget) {
 		return bodyBudgetExceeded
 	}
@@ -153,5 +213,13 @@
 	return nil
 }
 
+// bodyReader ends the reading of a request's body.
+type bodyReader struct{ *exchange }
+
+func (x bodyReader) yieldBudget() {
+	stats.Event("bodies_given_way")
+	_ = http.NewResponseController(x.writer).SetReadDeadline(longPast)
+}
+
 // bodyBudgetRetryAfter is sent as Retry-After when the body budget is exhausted.
 const bodyBudgetRetryAfter = clock.Second
--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -25,6 +25,16 @@
 	// length is the announced length of the body, which the answer to a HEAD request lacks; negative if unknown.
 	length int64
 	body   []byte
+	// held is what the body holds of the server's budget.
+	held holding
+}
+
+// answerWriter ends the writing of an answer.
+type answerWriter struct{ *exchange }
+
+func (x answerWriter) yieldBudget() {
+	stats.Event("answers_given_way")
+	_ = http.NewResponseController(x.writer).SetWriteDeadline(longPast)
 }
 
 // relayBuffered reads the whole response and sends it to the caller. While the request may run again,
@@ -40,8 +50,12 @@
 		res.abort()
 		return a.handleCallError(ctx, err)
 	}
-	body, held, err := a.server.responseBudget.readAll(io.LimitReader(res.body, maxBufferedBytes+1), res.length)
-	defer a.server.responseBudget.release(held)
+	p := &bufferedResponse{attempt: a, status: res.status, header: res.header, length: res.length}
+	p.held.pool, p.held.clock, p.held.owner = a.server.answers, a.server.Clock, answerWriter{a.exchange}
+	defer p.held.release()
+	// Only a caller that does not read its answer gives way.
+	p.held.claim.Kept()
+	body, err := p.held.readAll(io.LimitReader(res.body, maxBufferedBytes+1), res.length)
 	if err == nil && len(body) > maxBufferedBytes {
 		err = errors.New("response is too large")
 	}
@@ -57,7 +71,7 @@
 	if res.status < http.StatusInternalServerError {
 		a.ticket.Began()
 	}
-	p := &bufferedResponse{a, res.status, res.header, res.length, body}
+	p.body = body
 	if res.status >= 500 && a.route.RetryMode != fleet.AtMostOnce && a.runs < a.route.MaxAttempts && res.status != http.StatusGatewayTimeout {
 		a.failureResponse = p
 		a.failed("status " + strconv.Itoa(res.status))
@@ -85,7 +99,21 @@
 		h.Set("Connection", "close")
 	}
 	x.writer.WriteHeader(p.status)
-	if _, err := x.writer.Write(p.body); err != nil {
-		stats.Event("answers_not_sent")
+	p.held.offer()
+	for rest := p.body; ; {
+		n := min(len(rest), answerPieceBytes)
+		if _, err := x.writer.Write(rest[:n]); err != nil {
+			stats.Event("answers_not_sent")
+			break
+		}
+		if rest = rest[n:]; len(rest) == 0 {
+			break
+		}
+		p.held.progress()
 	}
+	// The deadline that ended the write may come late and hit the next answer on the connection.
+	x.aborted = !p.held.keep()
 }
+
+// answerPieceBytes is the size of the pieces of an answer by which its progress is seen.
+const answerPieceBytes = 64 << 10
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -50,8 +50,8 @@
 	body          []byte
 	// bodyBegun is set once the body is read, bodyEnded once nothing more of it can be read.
 	bodyBegun, bodyEnded bool
-	// bodyBudgetHeld is the number of bytes acquired from the server's body budget.
-	bodyBudgetHeld int64
+	// bodyHeld is what the body holds of the server's budget.
+	bodyHeld holding
 	// fingerprint identifies the contents of the request: it is the same for retries by the caller.
 	fingerprint retry.Fingerprint
 	// prompt is what the request shares with others.
--- a/relay/server.go
+++ b/relay/server.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/magnolialever/magnolialever/budget"
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/member"
@@ -77,14 +78,15 @@
 	// stop has the times of a stop of this gateway; nil if none was requested.
 	stop atomic.Pointer[stopTimes]
 	// ended is done once the grace period of a stop is over for requests; end makes it so.
-	ended      context.Context
-	end        context.CancelFunc
-	bodyBudget bodyBudget
+	ended context.Context
+	end   context.CancelFunc
+	// bodies limits the bytes of request bodies buffered at once.
+	bodies *budget.Pool
 	// reach tells which silent upstreams can be reached.
 	reach reach
-	// responseBudget limits the bytes of upstreams' responses buffered at once. It has the same limit
-	// as bodyBudget, but is separate: an answer must not fail because of requests that wait.
-	responseBudget bodyBudget
+	// answers limits the bytes of upstreams' responses buffered at once. It has the same limit
+	// as bodies, but is separate: an answer must not fail because of requests that wait.
+	answers *budget.Pool
 	// eventBudget limits the bytes of incomplete events, apart from both: upstreams that never end an event must not fail
 	// sound answers.
 	eventBudget bodyBudget
@@ -109,12 +111,11 @@
 	if s.Parts == nil {
 		s.Parts = parts.NewGuard(o.Clock)
 	}
-	s.bodyBudget.limit = o.BodyBudget
-	if s.bodyBudget.limit <= 0 {
-		s.bodyBudget.limit = DefaultBodyBudget
+	if s.BodyBudget <= 0 {
+		s.BodyBudget = DefaultBodyBudget
 	}
-	s.responseBudget.limit = s.bodyBudget.limit
-	s.eventBudget.limit = s.bodyBudget.limit / eventBudgetPart
+	s.bodies, s.answers = budget.NewPool(units.Bytes(s.BodyBudget)), budget.NewPool(units.Bytes(s.BodyBudget))
+	s.eventBudget.limit = s.BodyBudget / eventBudgetPart
 	s.ended, s.end = context.WithCancel(context.Background())
 	s.view.Store(&view.Snapshot{})
 	return s
@@ -192,7 +193,7 @@
 	// In this order the view may be newer than the one whose keys are usable, but not older.
 	x.keysUsable = s.KeysUsable(x.arrivedAt)
 	x.view = s.view.Load()
-	defer func() { s.bodyBudget.release(x.bodyBudgetHeld) }()
+	defer x.bodyHeld.release()
 	if s.stopping() {
 		w.Header().Set("Connection", "close")
 	}
