gate, coord: bound what callers and operators hold at gateways with agents

Cause: heads of 60 KB of short fields took 1.1 MB each at the listeners for callers and administration, the operators' listener had no limit of connections, a full listener let others wait for as long as its callers stood still, and the soft memory limit of the runtime did not follow the limit on bodies. Change: the listeners of package listen and the pools of package budget as on the platform. At a full listener connections that have stood still for 0.5 s give way to those that wait, without an answer first. limits.head_buffer_bytes bounds heads (a quarter of buffer_bytes); the soft memory limit is twice buffer_bytes, which is 512 MB by default, as before.

--- a/cmds/gateway.go
+++ b/cmds/gateway.go
@@ -18,17 +18,20 @@
 // often than by default saves pauses, and the soft memory limit bounds what request bodies take.
 // The environment variables GOGC and GOMEMLIMIT take precedence.
 const (
-	gcPercent        = 400
-	memoryLimitBytes = 512 << 20
+	gcPercent = 400
+	// memoryPerBuffer is the soft memory limit in relation to the limit on buffers of bodies, minMemoryBytes its least value.
+	memoryPerBuffer = 2
+	minMemoryBytes  = 64 << 20
 )
 
-// configureGC sets the garbage collector's target percentage and the soft memory limit.
-func configureGC() {
+// configureGC sets the garbage collector's target percentage and the soft memory limit, for a gateway whose buffers of
+// bodies take bufferBytes at most.
+func configureGC(bufferBytes int64) {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimitBytes)
+		debug.SetMemoryLimit(max(bufferBytes*memoryPerBuffer, minMemoryBytes))
 	}
 }
 
@@ -55,7 +58,7 @@
 	if err != nil {
 		return usageError(err)
 	}
-	configureGC()
+	configureGC(s.Gate.Limits.WithDefaults().MaxBufferBytes)
 	g, err := coord.NewGateway(s)
 	if err != nil {
 		return fmt.Errorf("gateway: %w", err)
--- a/coord/ops.go
+++ b/coord/ops.go
@@ -10,7 +10,10 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/magnolialever/magnolialever/budget"
+	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/config"
+	"github.com/magnolialever/magnolialever/listen"
 	"github.com/magnolialever/magnolialever/opsrv"
 	"github.com/magnolialever/magnolialever/store"
 	"github.com/magnolialever/magnolialever/syncer"
@@ -25,6 +28,11 @@
 	opsIdleTimeout = 2 * time.Minute
 	opsHeaderBytes = 16 << 10
 	opsStopTimeout = 10 * time.Second
+	// opsConnections bounds the connections to the operators' listener, opsHeadBytes what the heads of requests there take
+	// beyond 4 KiB and 64 lines each, opsUnreadBytes what the system has received and nobody has read.
+	opsConnections = 64
+	opsHeadBytes   = 8 << 20
+	opsUnreadBytes = 8 << 20
 )
 
 // minBootstrapBytes is the minimum length of a bootstrap credential, against guessing.
@@ -49,7 +57,7 @@
 
 // operatorServer is the HTTP server of the operators' interface.
 type operatorServer struct {
-	listener net.Listener
+	listener *listen.Listener
 	server   *http.Server
 }
 
@@ -62,7 +70,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for operators: %w", err)
 	}
-	return &operatorServer{listener: l, server: &http.Server{
+	o := &operatorServer{server: &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: opsHeaderTimeout,
 		ReadTimeout:       opsTimeout,
@@ -70,7 +78,16 @@
 		IdleTimeout:       opsIdleTimeout,
 		MaxHeaderBytes:    opsHeaderBytes,
 		ErrorLog:          klog.NewStandardLogger("WARNING"),
-	}}, nil
+	}}
+	o.listener = listen.New(l, listen.Options{
+		Heads: budget.NewPool(opsHeadBytes), HeadBytes: func() int { return opsHeaderBytes },
+		HeadTimeout: func() clock.Span { return clock.Span(opsHeaderTimeout.Milliseconds()) },
+		IdleTimeout: func() clock.Span { return 0 }, UnreadBytes: opsUnreadBytes,
+		Busy:     listen.Answer(http.StatusServiceUnavailable, "Retry-After: 1\r\n", ""),
+		TooLarge: listen.Answer(http.StatusRequestHeaderFieldsTooLarge, "", ""),
+	})
+	o.listener.Attach(o.server, listen.NewLimiter("ops", "operator", opsConnections))
+	return o, nil
 }
 
 // run serves until the context is done, then waits up to opsStopTimeout for the calls in progress.
@@ -78,6 +95,10 @@
 func (o *operatorServer) run(ctx context.Context) error {
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- o.server.Serve(o.listener) }()
+	checks, endChecks := context.WithCancel(context.WithoutCancel(ctx))
+	checked := make(chan struct{})
+	go func() { o.listener.Run(checks); close(checked) }()
+	defer func() { endChecks(); <-checked }()
 	<-ctx.Done()
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), opsStopTimeout)
 	defer cancel()
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -70,7 +70,7 @@
 	// tcp is the listener of the system, listener the one that serves it.
 	tcp         net.Listener
 	listener    *listen.Listener
-	connections *connLimiter
+	connections *listen.Limiter
 	server      *http.Server
 	// served is closed when no more connections are accepted.
 	served chan struct{}
@@ -88,25 +88,18 @@
 		Heads: g.heads, HeadBytes: g.headBytes, HeadTimeout: g.headTimeout, IdleTimeout: g.idleTimeout, WriteTimeout: writeTimeout,
 		UnreadBytes: g.memory() / unreadPart, Busy: busyAnswer, TooLarge: tooLargeAnswer,
 	})
-	event := "caller_connections_closed"
-	if name != publicName {
-		event = name + "_connections_closed"
-	}
-	s.connections = newConnLimiter(name, event, most)
+	s.connections = listen.NewLimiter("entry", name, most)
 	s.server = &http.Server{
-		Handler: s.connections.handler(h), ReadHeaderTimeout: longestHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: largestHeaderBytes,
-		ErrorLog: klog.NewStandardLogger("WARNING"), ConnContext: s.connections.connContext,
-		ConnState: func(c net.Conn, state http.ConnState) {
-			s.listener.OnStateChange(c, state)
-			s.connections.onStateChange(c, state)
-		},
+		Handler: h, ReadHeaderTimeout: longestHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: largestHeaderBytes,
+		ErrorLog: klog.NewStandardLogger("WARNING"),
 	}
+	s.listener.Attach(s.server, s.connections)
 	return s, nil
 }
 
 // Names of the servers.
 const (
-	publicName  = "public"
+	publicName  = "caller"
 	readyName   = "ready"
 	metricsName = "metrics"
 )
@@ -215,7 +208,7 @@
 
 // drain stops the public server gracefully. Requests in flight are completed as far as the grace period allows, and
 // ended right before it is over.
-func (g *Gateway) drain(c *controller, public *httpServer, connections *connLimiter) error {
+func (g *Gateway) drain(c *controller, public *httpServer, connections *listen.Limiter) error {
 	startedAt := g.clock.Now()
 	klog.InfoS("entry: stopping", "active", g.relay.Active())
 	gracePeriod := g.bounds.Load().GracePeriod
@@ -254,12 +247,12 @@
 
 // closeConnections closes the connections that are idle, and others after their next answer, until none is open or the
 // time has come. It reports whether none is open.
-func (g *Gateway) closeConnections(connections *connLimiter, end clock.Time) bool {
-	for connections.open() > 0 {
+func (g *Gateway) closeConnections(connections *listen.Limiter, end clock.Time) bool {
+	for connections.Open() > 0 {
 		if !g.clock.Now().Before(end) {
 			return false
 		}
-		connections.closeIdle()
+		connections.CloseIdle()
 		time.Sleep(drainPollInterval)
 	}
 	return true
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/magnolialever/magnolialever/budget"
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/config"
 	"github.com/magnolialever/magnolialever/parts"
@@ -91,11 +92,12 @@
 	agents      *linkSet
 	gateways    *linkSet
 	inFlight    *inFlightRequests
-	bodyBudget  bodyBudget
-	public      *listener
-	admin       *listener
-	peers       *peerServer
-	draining    atomic.Bool
+	// bodies bounds the total size of request body buffers.
+	bodies   *budget.Pool
+	public   *listener
+	admin    *listener
+	peers    *peerServer
+	draining atomic.Bool
 	// startsEnded is set when a stop lets no more requests start.
 	startsEnded atomic.Bool
 	// capacityChanged is notified when an upstream may accept requests that it did not accept
@@ -108,7 +110,7 @@
 func New(o Options) (*Server, error) {
 	o.setDefaults()
 	s := &Server{options: o, clock: o.Clock, inFlight: newInFlightRequests(&o.Settings.Limits)}
-	s.bodyBudget.limit = o.Settings.Limits.MaxBufferBytes
+	s.bodies = budget.NewPool(units.Bytes(o.Settings.Limits.MaxBufferBytes))
 	s.wireOptions = wire.Options{
 		Self:   wire.Identity{ID: o.Node.ID, Role: wire.Gateway, Zone: o.Node.Zone},
 		Secret: o.Secret,
@@ -132,10 +134,11 @@
 		return err
 	}
 	l := &s.options.Settings.Limits
-	if s.public, err = newListener(publicName, s.options.Settings.PublicAddress, handler, l); err != nil {
+	heads := budget.NewPool(units.Bytes(l.MaxHeadBuffers))
+	if s.public, err = newListener(publicName, s.options.Settings.PublicAddress, handler, l, heads); err != nil {
 		return err
 	}
-	if s.admin, err = newListener(adminName, s.options.Node.AdminAddress, s.adminHandler(), l); err != nil {
+	if s.admin, err = newListener(adminName, s.options.Node.AdminAddress, s.adminHandler(), l, heads); err != nil {
 		return err
 	}
 	n, err := net.Listen("tcp", s.options.Node.PeerAddress) //nolint:noctx // no context at start
@@ -195,6 +198,8 @@
 	tasks.start(func() { s.agents.run(work) })
 	tasks.start(func() { s.gateways.run(work) })
 	tasks.start(func() { s.peers.run(work) })
+	tasks.start(func() { s.public.tcp.heads.Run(work) })
+	tasks.start(func() { s.admin.tcp.heads.Run(work) })
 	tasks.start(s.public.serve)
 	tasks.start(s.admin.serve)
 	klog.Infof("gate: serving callers on %s, gateways on %s, admin on %s", s.Addr(), s.PeerAddr(), s.AdminAddr())
--- a/gate/listen.go
+++ b/gate/listen.go
@@ -1,16 +1,24 @@
 package gate
 
 import (
+	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/magnolialever/magnolialever/budget"
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/listen"
 	"github.com/magnolialever/magnolialever/socket"
+	"github.com/magnolialever/magnolialever/stats"
+	"github.com/magnolialever/magnolialever/units"
 )
 
 // Names of the listeners.
@@ -19,6 +27,23 @@
 	adminName  = "admin"
 )
 
+// maxAdminConnections bounds the connections to the listener for administration.
+const maxAdminConnections = 64
+
+// Answers to heads that are not parsed: for lack of room, and beyond the limit.
+var (
+	busyAnswer     = headAnswer(newProblem(units.QueueFull, "the gateway has too many request headers in memory"), http.StatusServiceUnavailable)
+	tooLargeAnswer = headAnswer(newProblem(units.InvalidRequest, "the header is too large"), http.StatusRequestHeaderFieldsTooLarge)
+)
+
+func headAnswer(p *Problem, status int) []byte {
+	fields := headerRun + ": " + runHeaderNotRun + "\r\n"
+	if status == http.StatusServiceUnavailable {
+		fields += headerRetryAfter + ": 1\r\n"
+	}
+	return listen.Answer(status, fields, string(p.encode()))
+}
+
 // listener is an HTTP server with its TCP listener.
 type listener struct {
 	name string
@@ -29,7 +54,7 @@
 }
 
 // newListener opens the listener at address, as IP:port. The name appears in logs and errors.
-func newListener(name, address string, h http.Handler, l *Limits) (*listener, error) {
+func newListener(name, address string, h http.Handler, l *Limits, heads *budget.Pool) (*listener, error) {
 	n, err := net.Listen("tcp", address) //nolint:noctx // no context at start
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s address: %w", name, err)
@@ -46,8 +71,27 @@
 	if name == adminName {
 		s.ReadTimeout, s.WriteTimeout = l.HeaderTimeout.Duration(), l.WriteTimeout.Duration()
 	}
-	tcp := newLimitedListener(n, l.MaxConnections)
-	s.ConnState = tcp.onStateChange
+	most := l.MaxConnections
+	if name == adminName {
+		most = min(most, maxAdminConnections)
+	}
+	tcp := newLimitedListener(listen.New(n, listen.Options{
+		Heads: heads, HeadBytes: func() int { return l.MaxHeaderBytes }, HeadTimeout: func() clock.Span { return l.HeaderTimeout },
+		IdleTimeout: func() clock.Span { return 0 }, WriteTimeout: l.WriteTimeout, UnreadBytes: units.Bytes(l.MaxHeadBuffers),
+		Busy: busyAnswer, TooLarge: tooLargeAnswer,
+	}), most)
+	s.ConnState, s.ConnContext = tcp.onStateChange, func(ctx context.Context, c net.Conn) context.Context {
+		if own, ok := c.(*limitedConn); ok {
+			c = own.Conn
+		}
+		return listen.WithConn(ctx, c)
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !listen.Begin(r) {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
 	return &listener{name: name, tcp: tcp, http: s, served: make(chan struct{})}, nil
 }
 
@@ -62,10 +106,19 @@
 // newConnTimeout is the age from which a connection that has carried no request counts as idle.
 const newConnTimeout = 5 * time.Second
 
+const (
+	// roomInterval is the interval at which a full listener looks for connections that give way, staleTime the time without
+	// progress from which on they do, and roomPart divides the limit to give the number of those that give way at once.
+	roomInterval = 100 * time.Millisecond
+	staleTime    = 500 * clock.Millisecond
+	roomPart     = 8
+)
+
 // limitedListener bounds the number of open connections; further ones wait in the backlog of the
-// socket. It closes idle connections.
+// socket, while connections that have stood still give way to them. It closes idle connections.
 type limitedListener struct {
 	net.Listener
+	heads  *listen.Listener
 	slots  chan struct{}
 	closed chan struct{}
 	once   sync.Once
@@ -78,9 +131,9 @@
 	conns map[*limitedConn]struct{}
 }
 
-func newLimitedListener(l net.Listener, limit int) *limitedListener {
+func newLimitedListener(l *listen.Listener, limit int) *limitedListener {
 	return &limitedListener{
-		Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{}),
+		Listener: l, heads: l, slots: make(chan struct{}, limit), closed: make(chan struct{}),
 		stopSlots: make(chan struct{}, limit), stopping: make(chan struct{}), conns: map[*limitedConn]struct{}{},
 	}
 }
@@ -101,9 +154,21 @@
 	select {
 	case b.slots <- struct{}{}:
 		return b.slots, nil
-	case <-b.closed:
-		return nil, net.ErrClosed
-	case <-b.stopping:
+	default:
+	}
+	t := time.NewTicker(roomInterval)
+	defer t.Stop()
+	for waiting := true; waiting; {
+		select {
+		case b.slots <- struct{}{}:
+			return b.slots, nil
+		case <-b.closed:
+			return nil, net.ErrClosed
+		case <-b.stopping:
+			waiting = false
+		case <-t.C:
+			b.makeRoom()
+		}
 	}
 	select {
 	case b.slots <- struct{}{}:
@@ -115,6 +180,44 @@
 	}
 }
 
+// makeRoom closes connections that have stood still, if others wait: those without an answer first, and those that have
+// stood still for longest.
+func (b *limitedListener) makeRoom() {
+	if !socket.Waiting(b.heads.Listener) {
+		return
+	}
+	type stale struct {
+		conn   *limitedConn
+		served bool
+		since  clock.Time
+	}
+	var found []stale
+	b.mu.Lock()
+	for c := range b.conns {
+		if incomplete, at := c.Incomplete(); (incomplete || c.isWaiting()) && c.Now().Sub(at) >= staleTime {
+			found = append(found, stale{c, c.Served(), at})
+		}
+	}
+	b.mu.Unlock()
+	slices.SortFunc(found, func(x, y stale) int {
+		if x.served != y.served {
+			return cmp.Compare(boolInt(x.served), boolInt(y.served))
+		}
+		return cmp.Compare(x.since, y.since)
+	})
+	for _, f := range found[:min(len(found), max(cap(b.slots)/roomPart, 1))] {
+		stats.Event("caller_connections_closed")
+		_ = f.conn.Close()
+	}
+}
+
+func boolInt(v bool) int {
+	if v {
+		return 1
+	}
+	return 0
+}
+
 // Accept implements net.Listener.
 func (b *limitedListener) Accept() (net.Conn, error) {
 	slots, err := b.takeSlot()
@@ -126,7 +229,12 @@
 		<-slots
 		return nil, err
 	}
-	c := &limitedConn{Conn: socket.NewConn(n), listener: b, slots: slots, openedAt: time.Now(), state: http.StateNew}
+	inner, ok := n.(*listen.Conn)
+	if !ok {
+		<-slots
+		return nil, fmt.Errorf("accept: connection of type %T", n)
+	}
+	c := &limitedConn{Conn: inner, listener: b, slots: slots, openedAt: time.Now(), state: http.StateNew}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.conns[c] = struct{}{}
@@ -145,6 +253,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.state = s
+		b.heads.OnStateChange(c.Conn, s)
 	}
 }
 
@@ -165,7 +274,7 @@
 
 // limitedConn frees its slot when it is closed.
 type limitedConn struct {
-	*socket.Conn
+	*listen.Conn
 	listener *limitedListener
 	slots    chan struct{}
 	once     sync.Once
@@ -175,6 +284,14 @@
 	state http.ConnState
 }
 
+// isWaiting reports whether the connection waits for a request of which nothing has arrived.
+func (c *limitedConn) isWaiting() bool {
+	c.mu.Lock()
+	s := c.state
+	c.mu.Unlock()
+	return (s == http.StateIdle || s == http.StateNew) && !c.Arriving()
+}
+
 // isIdle reports whether the connection carries no request. One of which a part has arrived counts, also if nobody has
 // read it yet, as on a busy machine.
 func (c *limitedConn) isIdle() bool {
--- a/gate/read.go
+++ b/gate/read.go
@@ -8,6 +8,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/magnolialever/magnolialever/budget"
+	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 )
 
@@ -19,26 +22,22 @@
 	maxPooledBodyBytes = 256 << 10
 )
 
-// bodyBudget bounds the total size of request body buffers, in bytes.
-type bodyBudget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// reserve takes n bytes from the budget, and reports whether they were available.
-func (b *bodyBudget) reserve(n int) bool {
-	if b.used.Add(int64(n)) <= b.limit {
-		return true
-	}
-	b.used.Add(-int64(n))
-	return false
-}
-
-func (b *bodyBudget) release(n int) { b.used.Add(-int64(n)) }
-
 // bodyBuffer is a request body in a pooled buffer.
 type bodyBuffer struct {
 	data []byte
+	// claim is what the buffer holds of the server's budget beyond initialBodyBytes, which are free: a request slot counts
+	// with them. progressAt is the clock.Time of the last bytes of it.
+	claim      budget.Claim
+	progressAt atomic.Int64
+}
+
+// newBodyBuffer returns an empty buffer from the pool of buffers.
+func newBodyBuffer() *bodyBuffer {
+	b := bodyBuffers.Get().(*bodyBuffer)
+	if b.claim.ProgressAt == nil {
+		b.claim.ProgressAt = func() clock.Time { return clock.Time(b.progressAt.Load()) }
+	}
+	return b
 }
 
 var bodyBuffers = sync.Pool{New: func() any { return &bodyBuffer{data: make([]byte, 0, initialBodyBytes)} }}
@@ -46,7 +45,8 @@
 // releaseBody returns the buffer to the pool and its size to the budget. The body must not be used
 // afterwards.
 func (s *Server) releaseBody(b *bodyBuffer) {
-	s.bodyBudget.release(cap(b.data))
+	s.bodies.Release(&b.claim)
+	b.claim.Yield = nil
 	if cap(b.data) > maxPooledBodyBytes {
 		return
 	}
@@ -61,13 +61,24 @@
 	if x.request.ContentLength > l.MaxBodyBytes {
 		return nil, newProblem(units.BodyTooLarge, "the body is too large")
 	}
-	b := bodyBuffers.Get().(*bodyBuffer)
-	if !s.bodyBudget.reserve(cap(b.data)) {
-		bodyBuffers.Put(b)
-		return nil, newProblem(units.QueueFull, "the gateway has too many request bodies in memory")
+	b := newBodyBuffer()
+	controller := x.writer.controller
+	b.claim.Yield = func() {
+		stats.Event("bodies_given_way")
+		_ = controller.SetReadDeadline(time.Unix(1, 0))
+	}
+	if more := cap(b.data) - initialBodyBytes; more > 0 && !s.bodies.Take(&b.claim, s.clock.Now(), units.Bytes(more)) {
+		s.releaseBody(b)
+		return nil, bodiesFull()
 	}
 	limited := http.MaxBytesReader(x.writer.response, io.NopCloser(src), l.MaxBodyBytes)
-	if p := s.fillBody(b, limited); p != nil {
+	p := s.fillBody(b, limited)
+	if !s.bodies.Keep(&b.claim) {
+		// The deadline that ends the reading may come late and hit the next request on the connection.
+		x.writer.Header().Set("Connection", "close")
+		p = bodiesFull()
+	}
+	if p != nil {
 		s.releaseBody(b)
 		return nil, p
 	}
@@ -76,14 +87,22 @@
 	return b, nil
 }
 
+// bodiesFull returns the refusal of a request whose body finds no room.
+func bodiesFull() *Problem {
+	return newProblem(units.QueueFull, "the gateway has too many request bodies in memory")
+}
+
 // fillBody reads src to its end into b, and grows the buffer as needed.
 func (s *Server) fillBody(b *bodyBuffer, src io.Reader) *Problem {
 	for {
 		if len(b.data) == cap(b.data) && !s.growBody(b) {
-			return newProblem(units.QueueFull, "the gateway has too many request bodies in memory")
+			return bodiesFull()
 		}
 		n, err := src.Read(b.data[len(b.data):cap(b.data)])
 		b.data = b.data[:len(b.data)+n]
+		if cap(b.data) > initialBodyBytes {
+			b.progressAt.Store(int64(s.clock.Now()))
+		}
 		var tooLarge *http.MaxBytesError
 		switch {
 		case err == nil:
@@ -100,7 +119,7 @@
 // growBody doubles the buffer. It returns false when the budget is exhausted.
 func (s *Server) growBody(b *bodyBuffer) bool {
 	additional := cap(b.data)
-	if !s.bodyBudget.reserve(additional) {
+	if !s.bodies.Take(&b.claim, s.clock.Now(), units.Bytes(additional)) {
 		return false
 	}
 	grown := make([]byte, len(b.data), 2*additional)
--- a/gate/settings.go
+++ b/gate/settings.go
@@ -48,6 +48,9 @@
 	MaxCustomerRequests int `json:"customer_requests"`
 	// MaxBufferBytes bounds the total size of request body buffers.
 	MaxBufferBytes int64 `json:"buffer_bytes"`
+	// MaxHeadBuffers bounds what the headers of all requests in memory take beyond 4 KiB and 64 lines each; by default a
+	// quarter of MaxBufferBytes.
+	MaxHeadBuffers int64 `json:"head_buffer_bytes"`
 	// LiveDeadline, NormalDeadline and NightDeadline are the times from the arrival of a request to
 	// the start of its response, by class.
 	LiveDeadline   clock.Span `json:"live"`
@@ -75,6 +78,9 @@
 	NightDeadline:       clock.Hour,
 }
 
+// headBufferPart divides MaxBufferBytes to give the default of MaxHeadBuffers.
+const headBufferPart = 4
+
 // maxBodyBytes leaves room for the other fields of a wire.Call in a frame of the largest size.
 const maxBodyBytes = 15 << 20
 
@@ -93,11 +99,19 @@
 	orDefault(&l.MaxRequests, d.MaxRequests)
 	orDefault(&l.MaxCustomerRequests, d.MaxCustomerRequests)
 	orDefault(&l.MaxBufferBytes, d.MaxBufferBytes)
+	orDefault(&l.MaxHeadBuffers, l.MaxBufferBytes/headBufferPart)
 	orDefault(&l.LiveDeadline, d.LiveDeadline)
 	orDefault(&l.NormalDeadline, d.NormalDeadline)
 	orDefault(&l.NightDeadline, d.NightDeadline)
 }
 
+// WithDefaults returns the limits with the defaults of those that are not set.
+func (l Limits) WithDefaults() Limits {
+	s := Settings{Limits: l}
+	s.setDefaults()
+	return s.Limits
+}
+
 // orDefault sets a zero value to the fallback.
 func orDefault[T comparable](value *T, fallback T) {
 	var zero T
@@ -131,6 +145,7 @@
 		{"limits.requests", int64(l.MaxRequests)},
 		{"limits.customer_requests", int64(l.MaxCustomerRequests)},
 		{"limits.buffer_bytes", l.MaxBufferBytes},
+		{"limits.head_buffer_bytes", l.MaxHeadBuffers},
 		{"limits.header", int64(l.HeaderTimeout)},
 		{"limits.body", int64(l.BodyTimeout)},
 		{"limits.write", int64(l.WriteTimeout)},
--- a/gate/stop.go
+++ b/gate/stop.go
@@ -92,7 +92,7 @@
 func (l *listener) shutdown() {
 	end := time.Now().Add(abortTimeout)
 	l.tcp.beginStop()
-	for socket.Waiting(l.tcp.Listener) && time.Now().Before(end) {
+	for socket.Waiting(l.tcp.heads.Listener) && time.Now().Before(end) {
 		time.Sleep(closePollInterval)
 	}
 	_ = l.tcp.Close()
--- a/listen/conn.go
+++ b/listen/conn.go
@@ -175,6 +175,7 @@
 	c.head = budget.Head{}
 	c.idleSet = false
 	c.served.Store(true)
+	c.progressAt.Store(c.listener.now.Load())
 	c.phase.Store(waiting)
 }
 
@@ -198,15 +199,18 @@
 // Now returns the time by which Incomplete dates progress.
 func (c *Conn) Now() clock.Time { return c.listener.time() }
 
+// Served reports whether the connection has carried an answer.
+func (c *Conn) Served() bool { return c.served.Load() }
+
 // Incomplete reports whether a part of a request has arrived, and when the last byte of it did.
 func (c *Conn) Incomplete() (bool, clock.Time) {
 	p := c.phase.Load()
 	return p == inHead || p == inBody, clock.Time(c.progressAt.Load())
 }
 
-// Begin records that the handler begins with the request, and follows its body. It returns false if the connection has given
-// way to others, so that the request must not be served.
-func (c *Conn) Begin(r *http.Request) bool {
+// begin records that the handler begins with the request, and follows its body. It returns false if the connection has given
+// way to others.
+func (c *Conn) begin(r *http.Request) bool {
 	if r.Body == nil || r.Body == http.NoBody {
 		return c.setArrived()
 	}
--- a/entry/connlimit.go
+++ b/listen/limit.go
@@ -1,4 +1,4 @@
-package entry
+package listen
 
 import (
 	"context"
@@ -11,37 +11,47 @@
 
 	"github.com/magnolialever/magnolialever/budget"
 	"github.com/magnolialever/magnolialever/clock"
-	"github.com/magnolialever/magnolialever/listen"
 	"github.com/magnolialever/magnolialever/socket"
 	"github.com/magnolialever/magnolialever/stats"
 )
 
-// newConnTimeout is the time after which a connection that has carried no request counts as idle for closeIdle.
+// newConnTimeout is the time after which a connection that has carried no request counts as idle for CloseIdle.
 const newConnTimeout = 5 * time.Second
 
-// connLimiter limits the number of open connections of an HTTP server and closes idle ones. At the limit, a new
+// Limiter limits the number of open connections of an HTTP server and closes idle ones. At the limit, a new
 // connection closes the one that gives way to it; its caller repeats a request that was
 // not read yet. If none does, the new one is closed. It is safe for concurrent use.
-type connLimiter struct {
-	// name is that of the server in log lines, event that of the counter of connections that were closed.
-	name, event string
-	limit       int
-	mu          sync.Mutex
-	connections *budget.Connections[net.Conn]
+type Limiter struct {
+	// prefix begins log lines, name is that of the server in them, event that of the counter of connections that were closed.
+	prefix, name, event string
+	limit               int
+	mu                  sync.Mutex
+	connections         *budget.Connections[net.Conn]
 	// newSince has the connections that have carried no request, with the time of their opening.
 	newSince map[net.Conn]time.Time
 	// full is set if the limit was reached when the last connection was opened.
 	full bool
 }
 
-func newConnLimiter(name, event string, limit int) *connLimiter {
-	return &connLimiter{
-		name: name, event: event, limit: limit, connections: budget.NewConnections[net.Conn](limit), newSince: map[net.Conn]time.Time{},
+// NewLimiter returns a limiter for a server whose log lines begin with the prefix. At most so many connections are open.
+func NewLimiter(prefix, name string, limit int) *Limiter {
+	return &Limiter{
+		prefix: prefix, name: name, event: name + "_connections_closed", limit: limit,
+		connections: budget.NewConnections[net.Conn](limit), newSince: map[net.Conn]time.Time{},
 	}
 }
 
-// onStateChange records a change of a connection's state. It is an http.Server.ConnState hook.
-func (c *connLimiter) onStateChange(conn net.Conn, state http.ConnState) {
+// Attach makes the server use the listener and the limiter. It replaces the server's hooks and wraps its handler.
+func (l *Listener) Attach(s *http.Server, m *Limiter) {
+	s.Handler, s.ConnContext = m.Handler(s.Handler), m.ConnContext
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		l.OnStateChange(c, state)
+		m.OnStateChange(c, state)
+	}
+}
+
+// OnStateChange records a change of a connection's state. It is an http.Server.ConnState hook.
+func (c *Limiter) OnStateChange(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.newSince, conn)
@@ -62,17 +72,28 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
-// connContext adds the connection to the context of its requests. It is an http.Server.ConnContext hook.
-func (c *connLimiter) connContext(ctx context.Context, conn net.Conn) context.Context {
+// WithConn adds a connection to the context of its requests.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// handler returns a handler that serves requests by next, but those of connections that were closed while they were read.
-func (c *connLimiter) handler(next http.Handler) http.Handler {
+// ConnContext adds the connection to the context of its requests. It is an http.Server.ConnContext hook.
+func (c *Limiter) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return WithConn(ctx, conn)
+}
+
+// Begin records that a handler begins with the request, if its connection is a Conn, and follows its body. It returns false
+// if the connection has given way to others, so that the request must not be served.
+func Begin(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(*Conn)
+	return !ok || c.begin(r)
+}
+
+// Handler returns a handler that serves requests by next, but those of connections that were closed while they were read.
+func (c *Limiter) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, _ := r.Context().Value(connKey{}).(net.Conn)
-		l, ok := conn.(*listen.Conn)
-		if c.isClosed(conn) || ok && !l.Begin(r) {
+		if c.isClosed(conn) || !Begin(r) {
 			stats.Event("requests_on_closed_connections")
 			panic(http.ErrAbortHandler)
 		}
@@ -82,15 +103,15 @@
 
 // isClosed reports whether the connection was closed and its goroutine has not ended. A request that it reads all the same
 // must not be served: its answer could not be sent.
-func (c *connLimiter) isClosed(conn net.Conn) bool {
+func (c *Limiter) isClosed(conn net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.connections.IsClosing(conn)
 }
 
-// closeIdle closes the idle connections, and those without a request since newConnTimeout. A connection on which a request
+// CloseIdle closes the idle connections, and those without a request since newConnTimeout. A connection on which a request
 // has begun to arrive is not idle.
-func (c *connLimiter) closeIdle() {
+func (c *Limiter) CloseIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, conn := range c.connections.IdleOnes() {
@@ -112,31 +133,31 @@
 // progressOf returns how far the request on a connection is.
 func progressOf(conn net.Conn) budget.Progress {
 	p := budget.Progress{Arriving: isArriving(conn)}
-	if c, ok := conn.(*listen.Conn); ok {
+	if c, ok := conn.(*Conn); ok {
 		p.Incomplete, p.At = c.Incomplete()
 	}
 	return p
 }
 
 // close closes a connection. The caller holds c.mu.
-func (c *connLimiter) close(conn net.Conn) {
+func (c *Limiter) close(conn net.Conn) {
 	c.connections.Closing(conn)
 	closeIgnoringError(conn)
 }
 
-// open returns the number of open connections.
-func (c *connLimiter) open() int {
+// Open returns the number of open connections.
+func (c *Limiter) Open() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.connections.Known()
 }
 
 // enforceLimit closes a connection if the added one exceeds the limit. It returns false if that is the added one.
-func (c *connLimiter) enforceLimit(added net.Conn) bool {
+func (c *Limiter) enforceLimit(added net.Conn) bool {
 	full := c.connections.Full()
 	if full != c.full {
 		c.full = full
-		klog.InfoS("entry: callers' connections", "server", c.name, "count", c.connections.Known(), "most", c.limit, "full", full)
+		klog.InfoS(c.prefix+": callers' connections", "server", c.name, "count", c.connections.Known(), "most", c.limit, "full", full)
 	}
 	if !full {
 		c.connections.Opened(added)
@@ -144,7 +165,7 @@
 	}
 	stats.Event(c.event)
 	now := clock.Time(0)
-	if l, ok := added.(*listen.Conn); ok {
+	if l, ok := added.(*Conn); ok {
 		now = l.Now()
 	}
 	if c.connections.Overfull() {
--- a/entry/connlimit_test.go
+++ b/listen/limit_test.go
@@ -1,4 +1,4 @@
-package entry
+package listen
 
 import (
 	"bufio"
@@ -21,8 +21,8 @@
 	release := make(chan struct{})
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	limiter := newConnLimiter("public", "caller_connections_closed", 4)
-	server := &http.Server{ConnState: limiter.onStateChange, ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(
+	limiter := NewLimiter("test", "caller", 4)
+	server := &http.Server{ConnState: limiter.OnStateChange, ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(
 		func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/held" {
 				<-release
@@ -65,19 +65,19 @@
 	assert.NilError(t, readResponse(busy))
 	assert.NilError(t, server.Close())
 	assert.ErrorIs(t, <-serveErr, http.ErrServerClosed)
-	assert.Assert(t, limiter.open() <= 4+1, "%d connections", limiter.open())
+	assert.Assert(t, limiter.Open() <= 4+1, "%d connections", limiter.Open())
 }
 
 // Guards against a new connection that closes one with a request in flight.
 func TestBusyConnectionsAreKept(t *testing.T) {
-	limiter := newConnLimiter("public", "caller_connections_closed", 2)
+	limiter := NewLimiter("test", "caller", 2)
 	var serverConns, clientConns []net.Conn
 	for range 3 {
 		serverConn, clientConn := net.Pipe()
 		serverConns, clientConns = append(serverConns, serverConn), append(clientConns, clientConn)
-		limiter.onStateChange(serverConn, http.StateNew)
+		limiter.OnStateChange(serverConn, http.StateNew)
 		if len(serverConns) < 3 {
-			limiter.onStateChange(serverConn, http.StateActive)
+			limiter.OnStateChange(serverConn, http.StateActive)
 		}
 	}
 	_, err := clientConns[2].Read(make([]byte, 1))
@@ -92,18 +92,18 @@
 // Guards against a request that is served, and may run, on an idle connection that was closed while the request was read:
 // its answer can't be sent.
 func TestRequestOnClosedConnectionIsNotServed(t *testing.T) {
-	limiter := newConnLimiter("public", "caller_connections_closed", 4)
+	limiter := NewLimiter("test", "caller", 4)
 	var served atomic.Int64
 	closing := make(chan struct{})
-	server := httptest.NewUnstartedServer(limiter.handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) })))
-	server.Config.ConnContext = limiter.connContext
+	server := httptest.NewUnstartedServer(limiter.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) })))
+	server.Config.ConnContext = limiter.ConnContext
 	server.Config.ConnState = func(conn net.Conn, state http.ConnState) {
 		if state == http.StateActive && served.Load() > 0 {
 			// The second request has been read.
-			limiter.closeIdle()
+			limiter.CloseIdle()
 			close(closing)
 		}
-		limiter.onStateChange(conn, state)
+		limiter.OnStateChange(conn, state)
 	}
 	server.Start()
 	defer server.Close()
@@ -127,7 +127,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer listener.Close()
-	limiter := newConnLimiter("public", "caller_connections_closed", 4)
+	limiter := NewLimiter("test", "caller", 4)
 	conns := [2]net.Conn{}
 	for i := range conns {
 		caller, err := net.Dial("tcp", listener.Addr().String())
@@ -137,14 +137,14 @@
 		assert.NilError(t, err)
 		defer conns[i].Close()
 		for _, state := range []http.ConnState{http.StateNew, http.StateActive, http.StateIdle} {
-			limiter.onStateChange(conns[i], state)
+			limiter.OnStateChange(conns[i], state)
 		}
 		if i == 0 {
 			fmt.Fprint(caller, "GET / HTTP/1.1\r\n")
 		}
 	}
 	time.Sleep(20 * time.Millisecond)
-	limiter.closeIdle()
+	limiter.CloseIdle()
 	assert.Assert(t, !limiter.isClosed(conns[0]))
 	assert.Assert(t, limiter.isClosed(conns[1]))
 }
--- a/listen/listen_test.go
+++ b/listen/listen_test.go
@@ -32,8 +32,6 @@
 	heads   *budget.Pool
 }
 
-type connKey struct{}
-
 // newServer starts a server; its options have headTimeout and a server's idle time of 200 ms.
 func newServer(t testing.TB, headTimeout, idleTimeout clock.Span, wrap bool) *server {
 	t.Helper()
@@ -47,14 +45,12 @@
 	})
 	h := &http.Server{ReadHeaderTimeout: time.Minute, IdleTimeout: 200 * time.Millisecond, MaxHeaderBytes: 1 << 20}
 	h.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*listen.Conn); ok {
-			c.Begin(r)
-		}
+		listen.Begin(r)
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = io.WriteString(w, "done")
 	})
 	h.ConnState = l.OnStateChange
-	h.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	h.ConnContext = listen.WithConn
 	ctx, cancel := context.WithCancel(context.Background())
 	served, checked := make(chan error, 1), make(chan struct{})
 	go func() { l.Run(ctx); close(checked) }()
@@ -161,7 +157,7 @@
 
 // Guards against heads that take more than the pool together: the one that stands still gives way.
 func TestHeadsThatStandStillGiveWay(t *testing.T) {
-	s := newServer(t, time500, 0, true)
+	s := newServer(t, 10*clock.Second, 0, true)
 	open := get + fields(2500)
 	_, first := s.dial(open)
 	s.awaitHeld(300_000)
