--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -168,11 +169,33 @@
 	}
 }
 
-// Guards against the same at a gateway with agents, at its listeners for callers, operators and administration.
+// streams returns what opens streams of a session between processes and sends so many bytes on each, without a handshake.
+func streams(count, size int) string {
+	var b []byte
+	frame := func(kind byte, flags uint16, id, length int) {
+		b = append(b, 0, kind)
+		b = binary.BigEndian.AppendUint16(b, flags)
+		b = binary.BigEndian.AppendUint32(b, uint32(id))
+		b = binary.BigEndian.AppendUint32(b, uint32(length))
+	}
+	const (
+		data, windowUpdate = 0, 1
+		syn                = 1
+	)
+	for i := range count {
+		frame(windowUpdate, syn, 2*i+1, 0)
+		frame(data, 0, 2*i+1, size)
+		b = append(b, make([]byte, size)...)
+	}
+	return string(b)
+}
+
+// Guards against the same at a gateway with agents, at its listeners for callers, operators, administration and peers.
 func TestGateOutlivesCrowds(t *testing.T) {
 	public := func(p *process) string { return p.public }
 	operators := func(p *process) string { return p.operators }
 	admin := func(p *process) string { return p.ready }
+	peers := func(p *process) string { return p.peers }
 	head := shortFields(longHead)
 	body := strings.Repeat("a", legal)
 	for name, test := range map[string]struct {
@@ -191,6 +214,8 @@
 		"connections without a byte": {public, send("")},
 		"without a byte, operators":  {operators, send("")},
 		"without a byte, admin":      {admin, send("")},
+		"without a byte, peers":      {peers, send("")},
+		"streams, peers":             {peers, send(streams(8, 128<<10))},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := startGate(t)
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -50,7 +50,8 @@
 	largeAnswer = 1 << 20
 )
 
-var binary string
+// program is the path of the program under test.
+var program string
 
 // starts are the starts of processes. A child gets its signal when the thread ends that started it, so that one thread
 // starts all.
@@ -63,7 +64,7 @@
 			start()
 		}
 	}()
-	os.Exit(build.Run(m, &binary))
+	os.Exit(build.Run(m, &program))
 }
 
 // process is a gateway under test.
@@ -71,9 +72,9 @@
 	t   *testing.T
 	cmd *exec.Cmd
 	// public, ready and metrics are its addresses; ready is that of the readiness check at readyPath, metrics that of
-	// /debug/vars, operators that of the operators' interface, if there is one.
-	public, ready, metrics, operators string
-	readyPath                         string
+	// /debug/vars, operators that of the operators' interface and peers that of other gateways, if there is one.
+	public, ready, metrics, operators, peers string
+	readyPath                                string
 	// ordinary returns a request of an ordinary caller.
 	ordinary func() *http.Request
 	// megabytes and descriptors are its bounds.
@@ -91,7 +92,7 @@
 func (p *process) start(env []string, args ...string) {
 	p.t.Helper()
 	p.exited = make(chan error, 1)
-	p.cmd = exec.Command(binary, args...)
+	p.cmd = exec.Command(program, args...)
 	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stdout, p.cmd.Stderr = &p.output, &p.output
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -153,7 +154,7 @@
 // measure records the descriptors and unread bytes of now.
 func (p *process) measure() {
 	files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
-	unread := unreadBytes(p.public, p.ready, p.metrics, p.operators)
+	unread := unreadBytes(p.public, p.ready, p.metrics, p.operators, p.peers)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mostDescriptors = max(p.mostDescriptors, len(files))
@@ -310,6 +311,7 @@
 	p.ready, _ = freeAddress(t)
 	p.metrics = p.ready
 	peer, _ := freeAddress(t)
+	p.peers = peer
 	p.ordinary = func() *http.Request {
 		r, _ := http.NewRequest(http.MethodGet, "http://"+p.public+"/v1/models", http.NoBody)
 		r.Header.Set("Authorization", "Bearer "+apiKey)
