wire, agent: bound what peers hold before they have proved the secret, and the agent's listener for administration

Cause: the session of a peer takes 256 KB for each of its streams before its handshake. Change: 16 KB are read of a peer before it has proved the secret; the rest waits. At most 384 peers at once have not, the oldest gives way. The agent's listener for administration has the limits of package listen and 64 connections.

--- a/agent/server.go
+++ b/agent/server.go
@@ -14,7 +14,9 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/magnolialever/magnolialever/budget"
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/listen"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/syncer"
 	"github.com/magnolialever/magnolialever/tree"
@@ -26,6 +28,11 @@
 	headerTimeout       = 5 * time.Second
 	adminTimeout        = 10 * time.Second
 	maxAdminHeaderBytes = 8 << 10
+	// maxAdminConnections bounds the connections to the listener for administration, adminHeadBytes what the heads of requests
+	// there take beyond 4 KiB and 64 lines each, adminUnreadBytes what the system has received and nobody has read.
+	maxAdminConnections = 64
+	adminHeadBytes      = 4 << 20
+	adminUnreadBytes    = 4 << 20
 	// closeTimeout is the time for gateways to read the last frames before sessions close.
 	closeTimeout = 500 * time.Millisecond
 	// leaveTimeout is the time for gateways to hear that the agent leaves. One that has not read Leave has no Pong since then
@@ -261,9 +268,20 @@
 		WriteTimeout:      adminTimeout,
 		MaxHeaderBytes:    maxAdminHeaderBytes,
 	}
+	l := listen.New(s.adminListener, listen.Options{
+		Heads: budget.NewPool(adminHeadBytes), HeadBytes: func() int { return maxAdminHeaderBytes },
+		HeadTimeout: func() clock.Span { return clock.Span(headerTimeout.Milliseconds()) },
+		IdleTimeout: func() clock.Span { return 0 }, UnreadBytes: adminUnreadBytes,
+		Busy: listen.Answer(http.StatusServiceUnavailable, "", ""), TooLarge: listen.Answer(http.StatusRequestHeaderFieldsTooLarge, "", ""),
+	})
+	l.Attach(h, listen.NewLimiter("agent", "admin", maxAdminConnections))
+	checked := make(chan struct{})
+	checks, endChecks := context.WithCancel(ctx)
+	go func() { l.Run(checks); close(checked) }()
+	defer func() { endChecks(); <-checked }()
 	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
 	defer stop()
-	if err := h.Serve(s.adminListener); !errors.Is(err, http.ErrServerClosed) {
+	if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve administration: %w", err)
 	}
 	return nil
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -111,13 +111,20 @@
 	if o.TLS != nil {
 		conn = tls.Server(conn, o.TLS)
 	}
-	conn = newBatchConn(conn)
+	strange := newStrangeConn(conn)
+	accepting.add(strange)
+	defer accepting.remove(strange)
+	conn = newBatchConn(strange)
 	mux, err := yamux.Server(conn, muxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("accept session: %w", err)
 	}
-	return authenticate(mux, o, false)
+	s, err := authenticate(mux, o, false)
+	if err == nil {
+		close(strange.known)
+	}
+	return s, err
 }
 
 func muxConfig() *yamux.Config {
