listen, entry, tools: which unread requests end first, the crowds' tests run alone

Cause: ordinary requests that a busy process has not read could end before bytes that wait behind a request in progress; the tests with crowds load the whole machine. Change: unread bytes behind a request that has arrived end first, then those of connections that stand still. A connection without a first request stays as long as an idle one. tools/testrun runs package crowd after all others. Result: go test ./entry ./listen ./budget pass.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -40,18 +40,18 @@
 	// connectionBytes is what a connection takes with a head that needs no claim: two buffers of 4 KiB, the stacks of two
 	// goroutines, the parsed head, and what the system has received for it.
 	connectionBytes = 48 << 10
-	// connectionsPart, HeadsPart and BodiesPart divide the memory to give the shares. A body may be in memory twice while it
+	// connectionsPart, headsPart and bodiesPart divide the memory to give the shares. A body may be in memory twice while it
 	// is sent.
 	connectionsPart = 2
-	HeadsPart       = 10
-	BodiesPart      = 5
+	headsPart       = 10
+	bodiesPart      = 5
 )
 
 // Share divides a machine among what callers may hold.
 func Share(m Machine) Shares {
 	s := Shares{
 		Connections: MaxConnections, ReadyConnections: maxReadyConnections, MetricsConnections: maxMetricsConnections,
-		Heads: m.Memory / HeadsPart, Bodies: m.Memory / BodiesPart,
+		Heads: m.Memory / headsPart, Bodies: m.Memory / bodiesPart,
 	}
 	if m.Memory > 0 {
 		s.Connections = min(s.Connections, int(m.Memory/connectionsPart/connectionBytes))
--- a/budget/head.go
+++ b/budget/head.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// FreeHeadBytes and FreeHeadFields are the size of a head up to which it takes nothing of the pool. Connections count
-	// with it.
-	FreeHeadBytes  = 4 << 10
+	// FreeHeadBytes is the size of a head up to which it takes nothing of the pool. Connections count with it.
+	FreeHeadBytes = 4 << 10
+	// FreeHeadFields is the number of lines likewise.
 	FreeHeadFields = 64
 	// fieldBytes is what a field takes when it is parsed, besides its own bytes: 87 bytes measured for fields of 3 to 5
 	// bytes, and an entry of the map that grows.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,10 +38,6 @@
 // storeCallTime is the duration of calls to the store. A watch without a change takes a second.
 var storeCallTime = stats.NewHistogram("entry_store_call_ms")
 
-// bodyBudgetPart divides the memory of the process to give the limit on buffered request bodies. A body
-// may be in memory twice while it is sent.
-const bodyBudgetPart = 5
-
 // sendTimeoutShare is the part of the delay within which upstreams that leave get no more requests for which a request may
 // be on its way.
 const sendTimeoutShare = 0.75
@@ -57,6 +53,8 @@
 	clock  clock.Clock
 	store  *platform.Store
 	relay  *relay.Server
+	// shares are the parts of the machine that callers may use.
+	shares budget.Shares
 	// heads is the budget for heads of requests at all listeners.
 	heads   *budget.Pool
 	limiter *rateLimiter
@@ -92,7 +90,8 @@
 		inbox: make(chan message, inboxSize), incarnation: rand.Uint64(),
 		demand: demandMeter{meter: assign.NewMeter()}, background: context.Background(),
 	}
-	g.heads = budget.NewPool(g.memory() / budget.HeadsPart)
+	g.shares = budget.Share(budget.Machine{Memory: g.memory(), Descriptors: settings.Descriptors})
+	g.heads = budget.NewPool(g.shares.Heads)
 	tolerance := quota.Tolerance{Rate: settings.Bounds.QuotaOvershoot, Tokens: settings.Bounds.QuotaSlack}
 	g.limiter = newRateLimiter(settings.VM, g.clock, quota.New(settings.VM, settings.FirstStart, tolerance), g.incarnation)
 	g.parts = parts.NewGuard(g.clock)
@@ -110,7 +109,7 @@
 		Scheduler:   sched.New(settings.Zone, sched.ColdTolerance{Factor: settings.Bounds.ColdFactor, Slack: settings.Bounds.ColdSlack}, began),
 		Limiter:     g.limiter,
 		SendTimeout: clock.Span(float64(settings.Bounds.DrainDelay) * sendTimeoutShare),
-		BodyBudget:  int64(settings.MemoryMegabytes) << 20 / bodyBudgetPart,
+		BodyBudget:  int64(g.shares.Bodies),
 		Retries: retry.WindowLimit{
 			Ratio: settings.Bounds.RetryRatio, Slack: settings.Bounds.RetrySlack, Span: settings.Bounds.RetryWindow,
 		},
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -14,7 +14,6 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/magnolialever/magnolialever/budget"
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/listen"
 	"github.com/magnolialever/magnolialever/socket"
@@ -154,8 +153,7 @@
 	})
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /debug/vars", expvar.Handler())
-	shares := budget.Share(budget.Machine{Memory: g.memory(), Descriptors: g.settings.Descriptors})
-	public, err := g.listen(publicName, g.settings.PublicAddress, shares.Connections, g.relay)
+	public, err := g.listen(publicName, g.settings.PublicAddress, g.shares.Connections, g.relay)
 	if err != nil {
 		return err
 	}
@@ -165,8 +163,8 @@
 		most    int
 		handler http.Handler
 	}{
-		readyName:   {g.settings.ReadyAddress, shares.ReadyConnections, ready},
-		metricsName: {net.JoinHostPort(g.settings.IP, strconv.Itoa(g.settings.FirstPort+MetricsPortOffset)), shares.MetricsConnections, metrics},
+		readyName:   {g.settings.ReadyAddress, g.shares.ReadyConnections, ready},
+		metricsName: {net.JoinHostPort(g.settings.IP, strconv.Itoa(g.settings.FirstPort+MetricsPortOffset)), g.shares.MetricsConnections, metrics},
 	} {
 		s, err := g.listen(name, endpoint.address, endpoint.most, endpoint.handler)
 		if err != nil {
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -4,11 +4,13 @@
 package listen
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +32,8 @@
 	// receiveBufferBytes is what the system keeps of bytes that the process has not read, for each connection; the system
 	// doubles it. It counts as memory of the process.
 	receiveBufferBytes = 32 << 10
+	// staleTime is the time without progress from which on a connection stands still.
+	staleTime = 500 * clock.Millisecond
 	// writePieceBytes is the size of the pieces of an answer, one of which has to be taken within the time for a write.
 	writePieceBytes = 64 << 10
 )
@@ -104,6 +108,8 @@
 // check looks at all connections once.
 func (l *Listener) check() {
 	now, headTimeout := l.time(), l.options.HeadTimeout()+headMargin
+	// A connection may be opened long before its first request, as it may wait for the next one.
+	firstTimeout := max(headTimeout, l.options.IdleTimeout())
 	l.mu.Lock()
 	all := make([]*Conn, 0, len(l.conns))
 	for c := range l.conns {
@@ -112,7 +118,7 @@
 	l.mu.Unlock()
 	for _, c := range all {
 		switch {
-		case c.phase.Load() == waiting && !c.served.Load() && now.Sub(clock.Time(c.progressAt.Load())) > headTimeout && !c.Arriving():
+		case c.phase.Load() == waiting && !c.served.Load() && now.Sub(clock.Time(c.progressAt.Load())) > firstTimeout && !c.Arriving():
 			c.end("connections_without_request")
 		case c.phase.Load() == inHead && now.Sub(clock.Time(c.headAt.Load())) > headTimeout:
 			c.end("heads_too_slow")
@@ -123,30 +129,43 @@
 	l.checkUnread(all)
 }
 
-// checkUnread ends connections that have most unread bytes until all have no more than their bound.
+// checkUnread ends connections with unread bytes until all have no more than their bound: first those on which bytes wait
+// behind a request that has arrived, then those that have stood still, then others; of each the ones with most.
 func (l *Listener) checkUnread(all []*Conn) {
 	if l.options.UnreadBytes <= 0 || units.Bytes(len(all))*2*receiveBufferBytes <= l.options.UnreadBytes {
 		return
 	}
-	unread := make([]int, len(all))
-	sum := units.Bytes(0)
-	for i, c := range all {
-		unread[i] = socket.UnreadBytes(c.Conn.Conn)
-		sum += units.Bytes(unread[i])
+	type unread struct {
+		conn  *Conn
+		order int
+		bytes int
 	}
-	for sum > l.options.UnreadBytes {
-		most := 0
-		for i := range unread {
-			if unread[i] > unread[most] {
-				most = i
-			}
+	now, sum := l.time(), units.Bytes(0)
+	var list []unread
+	for _, c := range all {
+		n := socket.UnreadBytes(c.Conn.Conn)
+		sum += units.Bytes(n)
+		order := 2
+		switch {
+		case c.phase.Load() == arrived:
+			order = 0
+		case now.Sub(clock.Time(c.progressAt.Load())) >= staleTime:
+			order = 1
+		}
+		if n > 0 {
+			list = append(list, unread{c, order, n})
 		}
-		if unread[most] == 0 {
+	}
+	if sum <= l.options.UnreadBytes {
+		return
+	}
+	slices.SortFunc(list, func(x, y unread) int { return cmp.Or(cmp.Compare(x.order, y.order), cmp.Compare(y.bytes, x.bytes)) })
+	for _, u := range list {
+		if sum <= l.options.UnreadBytes {
 			return
 		}
-		all[most].end("unread_requests_closed")
-		sum -= units.Bytes(unread[most])
-		unread[most] = 0
+		u.conn.end("unread_requests_closed")
+		sum -= units.Bytes(u.bytes)
 	}
 }
 
@@ -178,7 +197,7 @@
 // refuse answers a head and counts the event.
 func (c *Conn) refuse(answer []byte, event string) error {
 	stats.Event(event)
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refuseTimeout))
+	_ = c.SetWriteDeadline(time.Now().Add(refuseTimeout))
 	_, _ = c.Conn.Write(answer)
 	return errRefused
 }
--- a/tools/testrun/main.go
+++ b/tools/testrun/main.go
@@ -11,6 +11,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -72,24 +73,41 @@
 	return known, nil
 }
 
-// runTests runs "go test". Its error is not nil if a test failed or the output is incomplete.
+// alonePackages are the packages whose tests load the machine as a whole. They run after all others, one after the other.
+var alonePackages = []string{modulePath + "crowd"}
+
+// runTests runs the tests of all packages. Its error is not nil if a test failed or the output is incomplete.
 func runTests() (*result, error) {
 	r := &result{output: map[testName][]string{}}
+	out, err := exec.Command("go", "list", "./...").Output()
+	if err != nil {
+		return r, fmt.Errorf("list packages: %w", err)
+	}
+	packages := slices.DeleteFunc(strings.Fields(string(out)), func(p string) bool { return slices.Contains(alonePackages, p) })
+	err = r.runGoTest(packages...)
+	for _, p := range alonePackages {
+		err = errors.Join(err, r.runGoTest(p))
+	}
+	return r, err
+}
+
+// runGoTest runs "go test" for packages and adds the events to the result.
+func (r *result) runGoTest(packages ...string) error {
 	// Disables the test cache: package system runs a binary that it builds itself, and the cache
 	// does not track the sources of that binary.
-	c := exec.Command("go", "test", "-count=1", "-race", "-timeout", "8m", "-json", "./...")
+	c := exec.Command("go", append([]string{"test", "-count=1", "-race", "-timeout", "8m", "-json"}, packages...)...)
 	c.Stderr = os.Stderr
 	out, err := c.StdoutPipe()
 	if err != nil {
-		return r, fmt.Errorf("open output: %w", err)
+		return fmt.Errorf("open output: %w", err)
 	}
 	if err := c.Start(); err != nil {
-		return r, fmt.Errorf("start go test: %w", err)
+		return fmt.Errorf("start go test: %w", err)
 	}
 	if err := r.readEvents(out); err != nil {
-		return r, err
+		return err
 	}
-	return r, c.Wait()
+	return c.Wait()
 }
 
 // readEvents adds the events in the output until its end.
