--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -20,6 +20,10 @@
 		assert.Check(t, 2*s.Connections+s.ReadyConnections+s.MetricsConnections < m.Descriptors, "%+v: %+v", m, s)
 		assert.Check(t, s.Heads+s.Bodies <= m.Memory/2)
 	}
+	smallest := budget.Share(budget.Machine{Memory: 144 << 20, Descriptors: 2950})
+	assert.Equal(t, smallest.Connections, 1247, "docs/OPERATIONS.md")
+	assert.Equal(t, smallest.Heads>>20, units.Bytes(14))
+	assert.Equal(t, smallest.Bodies>>20, units.Bytes(28))
 	assert.Equal(t, budget.Share(budget.Machine{Memory: 536 << 20, Descriptors: 10_300}).Connections, budget.MaxConnections)
 	assert.Equal(t, budget.Share(budget.Machine{Memory: 284 << 20}).Connections, budget.MaxConnections)
 }
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -1,17 +1,24 @@
 package crowd
 
 import (
+	"bufio"
 	"context"
 	"encoding/binary"
 	"fmt"
 	"io"
+	"maps"
+	"math/rand/v2"
 	"net"
+	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/magnolialever/magnolialever/platform/fakes"
 )
 
@@ -27,18 +34,19 @@
 // connection fails.
 type shape func(ctx context.Context, c net.Conn)
 
-// run lets the crowd loose on the address, and returns when it has gone.
-func (p *process) run(address string, s shape) {
+// run lets the crowd loose, each caller on the next target for each of its connections, and returns when it has gone.
+func (p *process) run(next func() target) {
 	ctx, cancel := context.WithTimeout(context.Background(), crowdTime)
 	defer cancel()
 	var group sync.WaitGroup
 	for range callers {
 		group.Go(func() {
 			for ctx.Err() == nil {
-				c, err := net.DialTimeout("tcp", address, time.Second)
+				to := next()
+				c, err := net.DialTimeout("tcp", to.address(p), time.Second)
 				if err == nil {
 					stop := context.AfterFunc(ctx, func() { c.Close() })
-					s(ctx, c)
+					to.shape(ctx, c)
 					stop()
 					c.Close()
 				}
@@ -113,19 +121,21 @@
 	longHead = 62 << 10
 )
 
-// Guards against a process that ends, hangs, or takes more memory or descriptors than its machine has, because of callers
-// that keep to no limits, and against one that serves nobody afterwards.
-func TestEntryOutlivesCrowds(t *testing.T) {
+// target is what a caller does at an address of a process.
+type target struct {
+	address func(*process) string
+	shape   shape
+}
+
+// entryTargets returns what crowds do at a gateway on the platform, by name.
+func entryTargets() map[string]target {
 	public := func(p *process) string { return p.public }
 	ready := func(p *process) string { return p.ready }
 	metrics := func(p *process) string { return p.metrics }
 	few := shortFields(headSize)
 	body := strings.Repeat("a", legal)
 	oneByteChunks := strings.Repeat("1\r\na\r\n", 1000)
-	for name, test := range map[string]struct {
-		address func(*process) string
-		shape   shape
-	}{
+	return map[string]target{
 		"short fields, no body":             {public, send(begin("POST", "/read/a", few, length(100), headEnd))},
 		"short fields, head open":           {public, send(begin("POST", "/read/a", few))},
 		"short fields, no route":            {public, send(begin("POST", "/nowhere", few, length(100), headEnd))},
@@ -160,15 +170,60 @@
 				_ = tcp.SetLinger(0)
 			}
 		}},
-	} {
+	}
+}
+
+// Guards against a process that ends, hangs, or takes more memory or descriptors than its machine has, because of callers
+// that keep to no limits, and against one that serves nobody afterwards.
+func TestEntryOutlivesCrowds(t *testing.T) {
+	for name, test := range entryTargets() {
 		t.Run(name, func(t *testing.T) {
 			p := startEntry(t)
-			p.run(test.address(p), test.shape)
+			p.run(func() target { return test })
 			p.check()
 		})
 	}
 }
 
+// Guards against bounds that hold for one kind of callers only, and not for all kinds together.
+func TestEntryOutlivesMixedCrowd(t *testing.T) {
+	all := slices.Collect(maps.Values(entryTargets()))
+	p := startEntry(t)
+	p.run(func() target { return all[rand.IntN(len(all))] })
+	p.check()
+}
+
+// Guards against limits that refuse a single request within those of the configuration.
+func TestEntryServesRequestsWithinLimits(t *testing.T) {
+	p := startEntry(t)
+	body := strings.Repeat("a", legal)
+	for name, text := range map[string]string{
+		"short fields":       begin("POST", "/read/a", shortFields(headSize), length(6), headEnd) + "prompt",
+		"long field":         begin("POST", "/read/a", "Long: "+body[:headSize]+headEnd, length(6), headEnd) + "prompt",
+		"longest body":       begin("POST", "/read/a", length(legal), headEnd) + body,
+		"chunks of one byte": begin("POST", "/read/a", chunked, headEnd) + strings.Repeat("1\r\na\r\n", 10_000) + "0\r\n\r\n",
+		"expects":            begin("POST", "/read/a", length(6), expects, headEnd) + "prompt",
+		"sent ahead":         strings.Repeat(begin("GET", "/read/a", headEnd), 20),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := net.Dial("tcp", p.public)
+			assert.NilError(t, err)
+			defer c.Close()
+			assert.NilError(t, c.SetDeadline(time.Now().Add(recoveryTime)))
+			_, err = io.WriteString(c, text)
+			assert.NilError(t, err)
+			in := bufio.NewReader(c)
+			for status := http.StatusContinue; status != http.StatusOK; {
+				res, err := http.ReadResponse(in, nil)
+				assert.NilError(t, err)
+				res.Body.Close()
+				status = res.StatusCode
+				assert.Assert(t, status == http.StatusOK || status == http.StatusContinue, "status %d", status)
+			}
+		})
+	}
+}
+
 // streams returns what opens streams of a session between processes and sends so many bytes on each, without a handshake.
 func streams(count, size int) string {
 	var b []byte
@@ -198,10 +253,7 @@
 	peers := func(p *process) string { return p.peers }
 	head := shortFields(longHead)
 	body := strings.Repeat("a", legal)
-	for name, test := range map[string]struct {
-		address func(*process) string
-		shape   shape
-	}{
+	for name, test := range map[string]target{
 		"short fields, head open":    {public, send(begin("POST", "/v1/completions", head))},
 		"short fields, no body":      {public, send(begin("POST", "/v1/completions", head, "Content-Type: application/json\r\n", length(100), headEnd))},
 		"short fields, no route":     {public, send(begin("POST", "/nowhere", head, length(100), headEnd))},
@@ -219,7 +271,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := startGate(t)
-			p.run(test.address(p), test.shape)
+			p.run(func() target { return test })
 			p.check()
 		})
 	}
--- a/listen/conn.go
+++ b/listen/conn.go
@@ -11,7 +11,6 @@
 	"github.com/magnolialever/magnolialever/budget"
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/socket"
-	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 )
 
@@ -192,7 +191,7 @@
 
 // end closes the connection for the reason that the event names. What it holds is released once its server has closed it too.
 func (c *Conn) end(event string) {
-	stats.Event(event)
+	c.listener.record(event)
 	_ = c.Conn.Close()
 }
 
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/magnolialever/magnolialever/budget"
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/socket"
@@ -29,6 +31,8 @@
 	headMargin = 2 * clock.Second
 	// checkInterval is the interval at which connections are looked at. The time of what they do is that of the last look.
 	checkInterval = 100 * time.Millisecond
+	// logInterval is the least time between two log lines of an event.
+	logInterval = clock.Second
 	// receiveBufferBytes is what the system keeps of bytes that the process has not read, for each connection; the system
 	// doubles it. It counts as memory of the process.
 	receiveBufferBytes = 32 << 10
@@ -66,12 +70,14 @@
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
+	// events counts what was refused or closed since the last log line, by the name of the counter.
+	events map[string]int
 }
 
 // New returns a listener that accepts the connections of l.
 func New(l net.Listener, o Options) *Listener {
 	socket.SetReceiveBuffer(l, receiveBufferBytes)
-	return &Listener{Listener: l, options: o, began: time.Now(), conns: map[*Conn]struct{}{}}
+	return &Listener{Listener: l, options: o, began: time.Now(), conns: map[*Conn]struct{}{}, events: map[string]int{}}
 }
 
 // Accept implements net.Listener.
@@ -94,6 +100,7 @@
 func (l *Listener) Run(ctx context.Context) {
 	t := time.NewTicker(checkInterval)
 	defer t.Stop()
+	loggedAt := l.time()
 	for {
 		select {
 		case <-ctx.Done():
@@ -101,10 +108,35 @@
 		case <-t.C:
 			l.now.Store(time.Since(l.began).Milliseconds())
 			l.check()
+			if now := l.time(); now.Sub(loggedAt) >= logInterval {
+				loggedAt = now
+				l.logEvents()
+			}
 		}
 	}
 }
 
+// record counts a refusal or the end of a connection.
+func (l *Listener) record(event string) {
+	stats.Event(event)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.events[event]++
+}
+
+// logEvents logs what was recorded since the last call, in one line for each event.
+func (l *Listener) logEvents() {
+	l.mu.Lock()
+	events := l.events
+	if len(events) > 0 {
+		l.events = map[string]int{}
+	}
+	l.mu.Unlock()
+	for event, n := range events {
+		klog.InfoS("listen: callers refused or closed", "listener", l.Addr(), "event", event, "count", n, "heads", l.options.Heads.Used())
+	}
+}
+
 // check looks at all connections once.
 func (l *Listener) check() {
 	now, headTimeout := l.time(), l.options.HeadTimeout()+headMargin
@@ -196,7 +228,7 @@
 
 // refuse answers a head and counts the event.
 func (c *Conn) refuse(answer []byte, event string) error {
-	stats.Event(event)
+	c.listener.record(event)
 	_ = c.SetWriteDeadline(time.Now().Add(refuseTimeout))
 	_, _ = c.Conn.Write(answer)
 	return errRefused
