--- a/budget/budget.go
+++ b/budget/budget.go
@@ -22,6 +22,8 @@
 	Heads units.Bytes
 	// Bodies bounds the buffered bodies of requests.
 	Bodies units.Bytes
+	// Unread bounds what the system has received for callers and the process has not read.
+	Unread units.Bytes
 }
 
 const (
@@ -35,30 +37,34 @@
 	// ownDescriptors is the number of descriptors that a process uses for itself: its listeners, calls to the store,
 	// sockets for other gateways, reports and orders of the leader.
 	ownDescriptors = 64
-	// descriptorsPerCaller is the number of descriptors that a connection may need: its own, and one to an upstream.
-	descriptorsPerCaller = 2
+	// callersShare of descriptorShares of the other descriptors are for connections of callers; the rest is for connections to
+	// upstreams, of which only running requests need one, and for connections that are closing.
+	callersShare     = 2
+	descriptorShares = 3
 	// connectionBytes is what a connection takes with a head that needs no claim: two buffers of 4 KiB, the stacks of two
-	// goroutines, the parsed head, and what the system has received for it.
-	connectionBytes = 48 << 10
-	// connectionsPart, headsPart and bodiesPart divide the memory to give the shares. A body may be in memory twice while it
-	// is sent.
-	connectionsPart = 2
-	headsPart       = 10
-	bodiesPart      = 5
+	// goroutines and the parsed head. 9 KiB were measured for one without a request.
+	connectionBytes = 24 << 10
+	// The parts of the memory in percent. Answers have the same part as bodies, incomplete events half of it.
+	connectionsPercent = 30
+	headsPercent       = 5
+	bodiesPercent      = 15
+	unreadPercent      = 5
+	percent            = 100
 )
 
 // Share divides a machine among what callers may hold.
 func Share(m Machine) Shares {
 	s := Shares{
 		Connections: MaxConnections, ReadyConnections: maxReadyConnections, MetricsConnections: maxMetricsConnections,
-		Heads: m.Memory / headsPart, Bodies: m.Memory / bodiesPart,
+		Heads: m.Memory * headsPercent / percent, Bodies: m.Memory * bodiesPercent / percent,
+		Unread: m.Memory * unreadPercent / percent,
 	}
 	if m.Memory > 0 {
-		s.Connections = min(s.Connections, int(m.Memory/connectionsPart/connectionBytes))
+		s.Connections = min(s.Connections, int(m.Memory*connectionsPercent/percent/connectionBytes))
 	}
 	if m.Descriptors > 0 {
 		left := m.Descriptors - ownDescriptors - s.ReadyConnections - s.MetricsConnections
-		s.Connections = min(s.Connections, left*closingPart/(closingPart+1)/descriptorsPerCaller)
+		s.Connections = min(s.Connections, left*callersShare/descriptorShares)
 	}
 	s.Connections = max(s.Connections, minConnections)
 	return s
--- a/budget/conns.go
+++ b/budget/conns.go
@@ -111,7 +111,7 @@
 func (s *Connections[K]) Full() bool { return len(s.all)-s.closing >= s.limit }
 
 // Overfull reports whether connections that are being closed, whose descriptors the system may still hold, take too many
-// beyond the limit. Then nothing gives way to a new connection.
+// beyond the limit. Then a new connection has to wait.
 func (s *Connections[K]) Overfull() bool { return len(s.all) >= s.limit+max(s.limit/closingPart, 1) }
 
 // IdleOnes returns the connections without a request in progress, least recently used first.
@@ -148,7 +148,7 @@
 	var since clock.Time
 	for _, c := range s.all {
 		p := progress(c.key)
-		if !c.closing && p.Incomplete && (stalest == nil || p.At.Before(since)) {
+		if !c.closing && p.Incomplete && now.Sub(p.At) >= idleSpan && (stalest == nil || p.At.Before(since)) {
 			stalest, since = c, p.At
 		}
 	}
--- a/budget/head.go
+++ b/budget/head.go
@@ -21,6 +21,8 @@
 	// Bytes and Lines are what has arrived, Ended is set once the empty line has been seen.
 	Bytes, Lines int
 	Ended        bool
+	// begun is set once a byte other than those of empty lines has arrived, which net/http skips before a request.
+	begun bool
 }
 
 var (
@@ -33,7 +35,18 @@
 // calls is not seen; then what follows counts as well, which is more than the head and never less.
 func (h *Head) Add(p []byte) int {
 	if h.Ended {
-		return 0
+		// The parser reads on, so that its head has not ended.
+		h.AddLines(p)
+		return len(p)
+	}
+	skipped := 0
+	if !h.begun {
+		skipped = len(p) - len(bytes.TrimLeft(p, "\r\n"))
+		h.AddLines(p[:skipped])
+		if p = p[skipped:]; len(p) == 0 {
+			return skipped
+		}
+		h.begun = true
 	}
 	n := len(p)
 	if i := bytes.Index(p, headEnd); i >= 0 {
@@ -42,7 +55,7 @@
 		n, h.Ended = i+len(headEndLF), true
 	}
 	h.AddLines(p[:n])
-	return n
+	return skipped + n
 }
 
 // AddLines counts bytes that may belong to a head, whatever they hold.
--- a/budget/pool.go
+++ b/budget/pool.go
@@ -19,6 +19,8 @@
 // what they hold. It is safe for concurrent use.
 type Pool struct {
 	limit units.Bytes
+	// idleSpan and minRateSpan are the constants of the same name, or what SetPatience has set.
+	idleSpan, minRateSpan clock.Span
 
 	mu     sync.Mutex // guards the fields below
 	used   units.Bytes
@@ -27,9 +29,13 @@
 
 // NewPool returns a pool of so many bytes.
 func NewPool(limit units.Bytes) *Pool {
-	return &Pool{limit: limit, claims: map[*Claim]struct{}{}}
+	return &Pool{limit: limit, idleSpan: idleSpan, minRateSpan: minRateSpan, claims: map[*Claim]struct{}{}}
 }
 
+// SetPatience sets the time for which a claim may be without progress, or slow, before it gives way. It has to be called
+// before the pool is used.
+func (p *Pool) SetPatience(s clock.Span) { p.idleSpan, p.minRateSpan = s, s }
+
 // Claim is what one request holds of a pool. Its zero value holds nothing.
 type Claim struct {
 	// Yield is called for a claim that gives way, without a lock. It has to end the request, which then calls Release.
@@ -59,7 +65,7 @@
 // claims may give way first.
 func (p *Pool) Take(c *Claim, now clock.Time, n units.Bytes) bool {
 	p.mu.Lock()
-	if c.yielded || n > p.limit {
+	if c.yielded || c.held+n > p.limit {
 		p.mu.Unlock()
 		return false
 	}
@@ -97,17 +103,17 @@
 		if c == asking || c.kept || c.Yield == nil {
 			continue
 		}
-		if now.Sub(c.lastProgress()) >= idleSpan && (idlest == nil || c.lastProgress().Before(idlest.lastProgress())) {
+		if now.Sub(c.lastProgress()) >= p.idleSpan && (idlest == nil || c.lastProgress().Before(idlest.lastProgress())) {
 			idlest = c
 		}
-		if now.Sub(c.beganAt) >= minRateSpan && (slowest == nil || c.rate(now) < slowest.rate(now)) {
+		if now.Sub(c.beganAt) >= p.minRateSpan && (slowest == nil || c.rate(now) < slowest.rate(now)) {
 			slowest = c
 		}
 	}
 	if idlest != nil {
 		return idlest
 	}
-	if slowest != nil && now.Sub(asking.beganAt) >= minRateSpan && asking.held > 0 && asking.rate(now) <= slowest.rate(now) {
+	if slowest != nil && now.Sub(asking.beganAt) >= p.minRateSpan && asking.held > 0 && asking.rate(now) <= slowest.rate(now) {
 		return nil
 	}
 	return slowest
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -33,8 +33,6 @@
 	largestHeaderBytes   = 1 << 20
 	// writeTimeout is the time in which a caller has to take 64 KiB of an answer.
 	writeTimeout = clock.Minute
-	// unreadPart divides the memory of the process to give the bound on what the system has received and nobody has read.
-	unreadPart = 10
 	// defaultMemory is the memory of a process whose settings don't say.
 	defaultMemory = 284 << 20
 	// readinessDelay is how long new connections are accepted after a stop was requested: the
@@ -85,7 +83,7 @@
 	s := &httpServer{name: name, tcp: l, served: make(chan struct{})}
 	s.listener = listen.New(l, listen.Options{
 		Heads: g.heads, HeadBytes: g.headBytes, HeadTimeout: g.headTimeout, IdleTimeout: g.idleTimeout, WriteTimeout: writeTimeout,
-		UnreadBytes: g.memory() / unreadPart, Busy: busyAnswer, TooLarge: tooLargeAnswer,
+		UnreadBytes: g.shares.Unread, Busy: busyAnswer, TooLarge: tooLargeAnswer,
 	})
 	s.connections = listen.NewLimiter("entry", name, most)
 	s.server = &http.Server{
--- a/gate/listen.go
+++ b/gate/listen.go
@@ -87,10 +87,11 @@
 		return listen.WithConn(ctx, c)
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !listen.Begin(r) {
+		followed, ok := listen.Begin(r)
+		if !ok {
 			panic(http.ErrAbortHandler)
 		}
-		h.ServeHTTP(w, r)
+		h.ServeHTTP(w, followed)
 	})
 	return &listener{name: name, tcp: tcp, http: s, served: make(chan struct{})}, nil
 }
@@ -205,9 +206,15 @@
 		}
 		return cmp.Compare(x.since, y.since)
 	})
-	for _, f := range found[:min(len(found), max(cap(b.slots)/roomPart, 1))] {
-		stats.Event("caller_connections_closed")
-		_ = f.conn.Close()
+	most := max(cap(b.slots)/roomPart, 1)
+	if len(found) > 0 && found[0].served {
+		most = max(most/roomPart, 1)
+	}
+	for _, f := range found[:min(len(found), most)] {
+		if f.conn.TryEnd() {
+			stats.Event("caller_connections_closed")
+			_ = f.conn.Close()
+		}
 	}
 }
 
--- a/listen/conn.go
+++ b/listen/conn.go
@@ -23,6 +23,8 @@
 	inHead
 	inBody
 	arrived
+	// ended is one that has been closed before its request arrived whole.
+	ended
 )
 
 // readBufferBytes is the size of the buffer through which net/http reads. Longer reads go to the handler and leave nothing.
@@ -51,6 +53,8 @@
 	idleSet bool
 	// refused is the error of all further reads.
 	refused error
+	// answered is set once a refusal was written; net/http may write another one.
+	answered bool
 }
 
 func newConn(n net.Conn, l *Listener) *Conn {
@@ -104,7 +108,7 @@
 	c.idleSet = false
 	c.head, c.rest = rest, budget.Head{}
 	c.headAt.Store(c.listener.now.Load())
-	c.phase.Store(inHead)
+	c.phase.CompareAndSwap(waiting, inHead)
 }
 
 // addToHead counts bytes of a head. It returns an error if the head was refused.
@@ -113,18 +117,19 @@
 	used := c.head.Add(p)
 	c.rest = budget.Head{}
 	c.rest.AddLines(p[used:])
-	return c.holdHead(before)
+	return c.holdHead(before, true)
 }
 
-// holdHead takes the room of the head that exceeds the bytes held before.
-func (c *Conn) holdHead(before units.Bytes) error {
+// holdHead takes the room of the head that exceeds the bytes held before. A refusal is only written if answer is set: a head
+// that net/http has in its buffer may be whole.
+func (c *Conn) holdHead(before units.Bytes, answer bool) error {
 	l := c.listener
 	if c.head.Bytes > l.options.HeadBytes()+headSlop {
-		return c.refuse(l.options.TooLarge, "heads_too_large")
+		return c.refuse(answer, l.options.TooLarge, "heads_too_large")
 	}
 	after := c.head.Claim()
 	if after > before && !l.options.Heads.Take(&c.claim, l.time(), after-before) {
-		return c.refuse(l.options.Busy, "heads_refused")
+		return c.refuse(answer, l.options.Busy, "heads_refused")
 	}
 	return nil
 }
@@ -135,7 +140,7 @@
 	if c.phase.Load() == waiting {
 		if c.idleSet && c.rest.Bytes > 0 {
 			c.beginHead(c.rest)
-			c.refused = c.holdHead(0)
+			c.refused = c.holdHead(0, false)
 		}
 		if span := c.listener.options.IdleTimeout(); c.served.Load() && !c.idleSet && span > 0 {
 			if least := time.Now().Add(span.Duration()); !t.IsZero() && t.Before(least) {
@@ -149,6 +154,9 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
+	if c.answered {
+		return len(b), nil
+	}
 	c.writeAt.Store(c.listener.now.Load())
 	c.writing.Store(true)
 	defer c.writing.Store(false)
@@ -175,7 +183,9 @@
 	c.idleSet = false
 	c.served.Store(true)
 	c.progressAt.Store(c.listener.now.Load())
-	c.phase.Store(waiting)
+	if !c.phase.CompareAndSwap(arrived, waiting) {
+		c.phase.CompareAndSwap(inBody, waiting)
+	}
 }
 
 // Close implements net.Conn.
@@ -189,8 +199,30 @@
 	return err
 }
 
-// end closes the connection for the reason that the event names. What it holds is released once its server has closed it too.
+// TryEnd marks the connection as ended, unless its request has arrived whole and may run. Then it returns false. The caller
+// closes it.
+func (c *Conn) TryEnd() bool {
+	for {
+		p := c.phase.Load()
+		if p == arrived {
+			return false
+		}
+		if c.phase.CompareAndSwap(p, ended) {
+			return true
+		}
+	}
+}
+
+// end closes the connection for the reason that the event names, unless its request has arrived. What it holds is released
+// once its server has closed it too.
 func (c *Conn) end(event string) {
+	if c.TryEnd() {
+		c.endAnyway(event)
+	}
+}
+
+// endAnyway closes the connection also if its request has arrived.
+func (c *Conn) endAnyway(event string) {
 	c.listener.record(event)
 	_ = c.Conn.Close()
 }
@@ -207,22 +239,27 @@
 	return p == inHead || p == inBody, clock.Time(c.progressAt.Load())
 }
 
-// begin records that the handler begins with the request, and follows its body. It returns false if the connection has given
-// way to others.
-func (c *Conn) begin(r *http.Request) bool {
-	if r.Body == nil || r.Body == http.NoBody {
-		return c.setArrived()
+// begin records that the handler begins with the request, and returns the request with a body that is followed. It returns
+// false if the connection has given way to others, or its head was refused.
+func (c *Conn) begin(r *http.Request) (*http.Request, bool) {
+	switch {
+	case c.refused != nil || c.phase.Load() == ended:
+		return r, false
+	case r.Body == nil || r.Body == http.NoBody:
+		return r, c.setArrived()
 	}
-	r.Body = &body{r.Body, c}
-	return true
+	// net/http looks at the body of its own request when it ends the answer.
+	followed := *r
+	followed.Body = &body{r.Body, c}
+	return &followed, true
 }
 
 // setArrived records that the request has arrived whole. It returns false if the connection has given way meanwhile.
 func (c *Conn) setArrived() bool {
-	if c.phase.CompareAndSwap(inBody, arrived) && c.head.Claim() > 0 {
-		return c.listener.options.Heads.Keep(&c.claim)
+	if !c.phase.CompareAndSwap(inBody, arrived) {
+		return c.phase.Load() == arrived
 	}
-	return true
+	return c.head.Claim() == 0 || c.listener.options.Heads.Keep(&c.claim)
 }
 
 // errGivenWay ends the reading of a body whose connection has given way to others.
--- a/listen/limit.go
+++ b/listen/limit.go
@@ -43,6 +43,7 @@
 
 // Attach makes the server use the listener and the limiter. It replaces the server's hooks and wraps its handler.
 func (l *Listener) Attach(s *http.Server, m *Limiter) {
+	l.limiter = m
 	s.Handler, s.ConnContext = m.Handler(s.Handler), m.ConnContext
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		l.OnStateChange(c, state)
@@ -83,21 +84,26 @@
 }
 
 // Begin records that a handler begins with the request, if its connection is a Conn, and follows its body. It returns false
-// if the connection has given way to others, so that the request must not be served.
-func Begin(r *http.Request) bool {
+// if the connection has given way to others, so that the request must not be served. The handler has to use the request that
+// it returns.
+func Begin(r *http.Request) (*http.Request, bool) {
 	c, ok := r.Context().Value(connKey{}).(*Conn)
-	return !ok || c.begin(r)
+	if !ok {
+		return r, true
+	}
+	return c.begin(r)
 }
 
 // Handler returns a handler that serves requests by next, but those of connections that were closed while they were read.
 func (c *Limiter) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, _ := r.Context().Value(connKey{}).(net.Conn)
-		if c.isClosed(conn) || !Begin(r) {
+		followed, ok := Begin(r)
+		if !ok || c.isClosed(conn) {
 			stats.Event("requests_on_closed_connections")
 			panic(http.ErrAbortHandler)
 		}
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(w, followed)
 	})
 }
 
@@ -139,10 +145,21 @@
 	return p
 }
 
-// close closes a connection. The caller holds c.mu.
-func (c *Limiter) close(conn net.Conn) {
+// close closes a connection, unless its request has arrived meanwhile. The caller holds c.mu.
+func (c *Limiter) close(conn net.Conn) bool {
+	if l, ok := conn.(*Conn); ok && !l.TryEnd() {
+		return false
+	}
 	c.connections.Closing(conn)
 	closeIgnoringError(conn)
+	return true
+}
+
+// overfull reports whether too many connections are still closing.
+func (c *Limiter) overfull() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.connections.Overfull()
 }
 
 // Open returns the number of open connections.
@@ -168,16 +185,11 @@
 	if l, ok := added.(*Conn); ok {
 		now = l.Now()
 	}
-	if c.connections.Overfull() {
-		closeIgnoringError(added)
-		return false
-	}
 	victim, ok := c.connections.Victim(now, progressOf)
-	if !ok {
+	if !ok || !c.close(victim) {
 		closeIgnoringError(added)
 		return false
 	}
-	c.close(victim)
 	c.connections.Opened(added)
 	return true
 }
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -31,15 +31,24 @@
 	headMargin = 2 * clock.Second
 	// checkInterval is the interval at which connections are looked at. The time of what they do is that of the last look.
 	checkInterval = 100 * time.Millisecond
+	// acceptDelay is the interval at which a listener looks whether connections that are closing have ended.
+	acceptDelay = 2 * time.Millisecond
+	// longPause is the time between two looks from which on the process has stood still, so that times of progress say nothing.
+	longPause = clock.Second
+	// minFirstTimeout is the least time for which a connection may wait for its first request.
+	minFirstTimeout = 10 * clock.Second
+	// aheadBytes is the number of unread bytes behind a request that has arrived from which on its connection may be closed:
+	// a caller that waits for its answer sends none.
+	aheadBytes = 4 << 10
 	// logInterval is the least time between two log lines of an event.
 	logInterval = clock.Second
-	// receiveBufferBytes is what the system keeps of bytes that the process has not read, for each connection; the system
-	// doubles it. It counts as memory of the process.
-	receiveBufferBytes = 32 << 10
+	// bufferBytes is what the system keeps of bytes that the process has not read, or that its caller has not taken, for each
+	// connection; the system doubles it. It counts as memory of the process.
+	bufferBytes = 32 << 10
 	// staleTime is the time without progress from which on a connection stands still.
 	staleTime = 500 * clock.Millisecond
 	// writePieceBytes is the size of the pieces of an answer, one of which has to be taken within the time for a write.
-	writePieceBytes = 64 << 10
+	writePieceBytes = 16 << 10
 )
 
 // Options are the limits of a Listener. All functions are called from many goroutines.
@@ -52,7 +61,7 @@
 	// IdleTimeout returns the least time for which an idle connection stays open, if that is longer than the server's; 0 is
 	// none.
 	IdleTimeout func() clock.Span
-	// WriteTimeout bounds the time for a piece of an answer of 64 KiB; 0 is no limit.
+	// WriteTimeout bounds the time for a piece of an answer of 16 KiB; 0 is no limit.
 	WriteTimeout clock.Span
 	// UnreadBytes bounds the bytes that the system has received for all connections and the process has not read.
 	UnreadBytes units.Bytes
@@ -65,6 +74,9 @@
 	net.Listener
 	options Options
 	began   time.Time
+	// limiter limits the connections; nil without a limit of its own. closed is set once no more are accepted.
+	limiter *Limiter
+	closed  atomic.Bool
 	// now is the time of the last look in milliseconds since began.
 	now atomic.Int64
 
@@ -76,12 +88,16 @@
 
 // New returns a listener that accepts the connections of l.
 func New(l net.Listener, o Options) *Listener {
-	socket.SetReceiveBuffer(l, receiveBufferBytes)
+	socket.SetBuffers(l, bufferBytes, bufferBytes)
 	return &Listener{Listener: l, options: o, began: time.Now(), conns: map[*Conn]struct{}{}, events: map[string]int{}}
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
+	for l.limiter != nil && !l.closed.Load() && l.limiter.overfull() {
+		// Connections that wait in the system's backlog are not lost.
+		time.Sleep(acceptDelay)
+	}
 	n, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -93,6 +109,12 @@
 	return c, nil
 }
 
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.closed.Store(true)
+	return l.Listener.Close()
+}
+
 // time returns the time of the last look.
 func (l *Listener) time() clock.Time { return clock.Time(l.now.Load()) }
 
@@ -106,8 +128,11 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+			before := l.time()
 			l.now.Store(time.Since(l.began).Milliseconds())
-			l.check()
+			if l.time().Sub(before) < longPause {
+				l.check()
+			}
 			if now := l.time(); now.Sub(loggedAt) >= logInterval {
 				loggedAt = now
 				l.logEvents()
@@ -141,7 +166,7 @@
 func (l *Listener) check() {
 	now, headTimeout := l.time(), l.options.HeadTimeout()+headMargin
 	// A connection may be opened long before its first request, as it may wait for the next one.
-	firstTimeout := max(headTimeout, l.options.IdleTimeout())
+	firstTimeout := max(headTimeout, minFirstTimeout, l.options.IdleTimeout())
 	l.mu.Lock()
 	all := make([]*Conn, 0, len(l.conns))
 	for c := range l.conns {
@@ -152,19 +177,19 @@
 		switch {
 		case c.phase.Load() == waiting && !c.served.Load() && now.Sub(clock.Time(c.progressAt.Load())) > firstTimeout && !c.Arriving():
 			c.end("connections_without_request")
-		case c.phase.Load() == inHead && now.Sub(clock.Time(c.headAt.Load())) > headTimeout:
+		case c.phase.Load() == inHead && now.Sub(clock.Time(c.headAt.Load())) > headTimeout && socket.UnreadBytes(c.Conn.Conn) == 0:
 			c.end("heads_too_slow")
 		case l.options.WriteTimeout > 0 && c.writing.Load() && now.Sub(clock.Time(c.writeAt.Load())) > l.options.WriteTimeout:
-			c.end("answers_not_taken")
+			c.endAnyway("answers_not_taken")
 		}
 	}
 	l.checkUnread(all)
 }
 
 // checkUnread ends connections with unread bytes until all have no more than their bound: first those on which bytes wait
-// behind a request that has arrived, then those that have stood still, then others; of each the ones with most.
+// behind a request that has arrived, then those that have stood still; of each the ones with most.
 func (l *Listener) checkUnread(all []*Conn) {
-	if l.options.UnreadBytes <= 0 || units.Bytes(len(all))*2*receiveBufferBytes <= l.options.UnreadBytes {
+	if l.options.UnreadBytes <= 0 || units.Bytes(len(all))*2*bufferBytes <= l.options.UnreadBytes {
 		return
 	}
 	type unread struct {
@@ -177,15 +202,12 @@
 	for _, c := range all {
 		n := socket.UnreadBytes(c.Conn.Conn)
 		sum += units.Bytes(n)
-		order := 2
-		switch {
-		case c.phase.Load() == arrived:
-			order = 0
-		case now.Sub(clock.Time(c.progressAt.Load())) >= staleTime:
-			order = 1
-		}
-		if n > 0 {
-			list = append(list, unread{c, order, n})
+		switch phase := c.phase.Load(); {
+		case n == 0:
+		case phase == arrived && n > aheadBytes:
+			list = append(list, unread{c, 0, n})
+		case phase != arrived && now.Sub(clock.Time(c.progressAt.Load())) >= staleTime:
+			list = append(list, unread{c, 1, n})
 		}
 	}
 	if sum <= l.options.UnreadBytes {
@@ -196,7 +218,11 @@
 		if sum <= l.options.UnreadBytes {
 			return
 		}
-		u.conn.end("unread_requests_closed")
+		if u.order == 0 {
+			u.conn.endAnyway("unread_requests_closed")
+		} else {
+			u.conn.end("unread_requests_closed")
+		}
 		sum -= units.Bytes(u.bytes)
 	}
 }
@@ -209,7 +235,9 @@
 	}
 	switch s {
 	case http.StateActive:
-		c.phase.Store(inBody)
+		if !c.phase.CompareAndSwap(inHead, inBody) {
+			c.phase.CompareAndSwap(waiting, inBody)
+		}
 	case http.StateIdle:
 		c.endRequest()
 	case http.StateNew, http.StateClosed, http.StateHijacked:
@@ -222,15 +250,18 @@
 		status, http.StatusText(status), fields, len(body), body)
 }
 
-// errRefused ends the reading of a head that was answered. net/http answers other errors than those of the network with
-// status 400.
+// errRefused ends the reading of a head that was refused. net/http may answer it with status 400 all the same, which Write
+// drops.
 var errRefused = &net.OpError{Op: "read", Err: errors.New("head of the request was refused")}
 
 // refuse answers a head and counts the event.
-func (c *Conn) refuse(answer []byte, event string) error {
+func (c *Conn) refuse(write bool, answer []byte, event string) error {
 	c.listener.record(event)
-	_ = c.SetWriteDeadline(time.Now().Add(refuseTimeout))
-	_, _ = c.Conn.Write(answer)
+	if write {
+		_ = c.SetWriteDeadline(time.Now().Add(refuseTimeout))
+		_, _ = c.Conn.Write(answer)
+	}
+	c.answered = true
 	return errRefused
 }
 
--- a/relay/body.go
+++ b/relay/body.go
@@ -189,7 +189,12 @@
 	x.bodyBegun = true
 	x.bodyHeld.pool, x.bodyHeld.clock, x.bodyHeld.owner = x.server.bodies, x.server.Clock, bodyReader{x}
 	data, err := x.bodyHeld.readAll(in, x.httpRequest.ContentLength)
-	if !x.bodyHeld.keep() {
+	kept := x.bodyHeld.keep()
+	if err != nil {
+		// What is read from now on is discarded.
+		x.bodyHeld.release()
+	}
+	if !kept {
 		// Its connection can't be used any longer.
 		x.bodyEnded = true
 		return bodyBudgetExceeded
--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -116,4 +116,4 @@
 }
 
 // answerPieceBytes is the size of the pieces of an answer by which its progress is seen.
-const answerPieceBytes = 64 << 10
+const answerPieceBytes = 8 << 10
--- a/relay/server.go
+++ b/relay/server.go
@@ -99,6 +99,10 @@
 	gateways     int
 }
 
+// answerPatience is the time for which an answer may stand still, or be taken slowly, before it gives way to others: its
+// request has run.
+const answerPatience = 10 * clock.Second
+
 // eventBudgetPart divides the budget for bodies to give that for incomplete events.
 const eventBudgetPart = 2
 
@@ -115,6 +119,7 @@
 		s.BodyBudget = DefaultBodyBudget
 	}
 	s.bodies, s.answers = budget.NewPool(units.Bytes(s.BodyBudget)), budget.NewPool(units.Bytes(s.BodyBudget))
+	s.answers.SetPatience(answerPatience)
 	s.eventBudget.limit = s.BodyBudget / eventBudgetPart
 	s.ended, s.end = context.WithCancel(context.Background())
 	s.view.Store(&view.Snapshot{})
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -70,10 +70,14 @@
 	return err == nil && waiting
 }
 
-// SetReceiveBuffer sets the size of the system's buffer for bytes that the process has not read, for each connection that the
-// listener accepts from then on. The system doubles it. Listeners that can't are left as they are.
-func SetReceiveBuffer(l net.Listener, bytes int) {
-	control(l, func(fd int) { _ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes) })
+// SetBuffers sets the sizes of the system's buffers for bytes that the process has not read, and for those that the other side
+// has not taken, for each connection that the listener accepts from then on. The system doubles them. Listeners that can't are
+// left as they are.
+func SetBuffers(l net.Listener, receive, send int) {
+	control(l, func(fd int) {
+		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receive)
+		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, send)
+	})
 }
 
 // UnreadBytes returns the number of bytes that have arrived and that the process has not read; 0 if it can't be told.
