--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,7 @@
 	"github.com/magnolialever/magnolialever/start"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
+	"github.com/magnolialever/magnolialever/usage"
 	"github.com/magnolialever/magnolialever/view"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -70,8 +71,14 @@
 	keyValidity     keyValidity
 	demand          demandMeter
 	inbox           chan message
+	// prompted receives a value when a prompt was assigned to an engine.
+	prompted chan struct{}
 	// leaderUntil is the clock.Time until which this gateway is the leader; 0 if it is not.
 	leaderUntil atomic.Int64
+	// leaderEpoch is the units.Epoch of that.
+	leaderEpoch atomic.Int64
+	// usage counts the requests of customers; nil if the gateways don't report them.
+	usage *usage.Counter
 	// storeWatch is nil until the gateways are known.
 	storeWatch atomic.Pointer[storeWatch]
 	// incarnation is a random number that identifies this run of the process.
@@ -87,7 +94,7 @@
 func New(settings *platform.Settings) (*Gateway, error) {
 	g := &Gateway{
 		settings: settings, clock: clock.Boot{}, store: platform.NewStore(settings.StoreAddress),
-		inbox: make(chan message, inboxSize), incarnation: rand.Uint64(),
+		inbox: make(chan message, inboxSize), prompted: make(chan struct{}, 1), incarnation: rand.Uint64(),
 		demand: demandMeter{meter: assign.NewMeter()}, background: context.Background(),
 	}
 	g.shares = budget.Share(budget.Machine{Memory: g.memory(), Descriptors: settings.Descriptors})
@@ -101,6 +108,9 @@
 		Clock: g.clock, VM: settings.VM, Life: g.incarnation, Guard: g.parts, Transport: g.partTransport,
 		DigestInterval: peers.DigestInterval, AwaitStore: true,
 	})
+	if settings.Cloud.ReportsUsage {
+		g.usage = usage.NewCounter(settings.Bounds.UsageWindow, settings.Bounds.UsageDelay)
+	}
 	began := start.Start{At: g.clock.Now(), First: settings.FirstStart}
 	g.relay = relay.New(relay.Options{
 		Start:       began,
@@ -122,7 +132,11 @@
 		OnModelUse: func(s units.ServiceID, m units.ModelID, adapter string, work float64) {
 			g.demand.recordWork(g.clock.Now(), assign.Target{Service: s, Model: m, Adapter: adapter}, work)
 		},
+		OnPrompt: g.promptSent,
 	})
+	if g.usage != nil {
+		g.relay.OnBegin = func(c units.CustomerID, at clock.Time) { g.usage.Record(g.clock.Now(), at, c) }
+	}
 	g.requestVerdicts = parts.NewVerdictKeeper(g.clock, g.relay.Verdicts(), verdictStore{g.store})
 	g.bounds.Store(&settings.Bounds)
 	g.store.OnCall = func(_ string, elapsed clock.Span, _ error) { storeCallTime.Record(elapsed.Duration()) }
@@ -184,6 +198,8 @@
 	digestReceived struct{ digest peers.Digest }
 	// residencyChanged has loads and unloads that the leader has ordered.
 	residencyChanged struct{ changes []*wire.Residency }
+	// promptsTold has prompts that another gateway has sent to engines.
+	promptsTold struct{ prompts *wire.Prompts }
 )
 
 // post sends a message to the control loop and blocks while its inbox is full. Messages are dropped
@@ -202,6 +218,10 @@
 		g.post(residencyChanged{changes.GetChanges()})
 		return
 	}
+	if prompts := m.GetPrompts(); prompts != nil {
+		g.post(promptsTold{prompts})
+		return
+	}
 	if changes := m.GetStoreChanges(); changes != nil {
 		g.feed.Deliver(g.receiveChanges(changes, from))
 		return
@@ -210,6 +230,12 @@
 		g.partExchange.Handle(m.GetPart(), parts.Sender{Address: from.String()})
 		return
 	}
+	if m.GetUsageTotals() != nil || m.GetUsageReports() != nil || m.GetUsageQuestion() != nil {
+		if g.usage != nil {
+			g.post(usageReceived{m.GetUsageTotals(), m.GetUsageReports(), m.GetUsageQuestion(), from})
+		}
+		return
+	}
 	g.limiter.handleMessage(m, from)
 }
 
@@ -267,6 +293,7 @@
 		go func() { errs <- task(background) }()
 	}
 	err := g.serve(ctx, c)
+	g.endUsage()
 	cancel()
 	for range tasks {
 		err = errors.Join(err, <-errs)
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -11,23 +11,17 @@
 )
 
 const (
-	// prefillTokensPerMs is the prefill rate, in prompt tokens per millisecond, of an engine of
-	// normal speed under load.
-	prefillTokensPerMs = 24.0
-	// idleDelayMs is the time to the first event on an idle upstream.
-	idleDelayMs = 15.0
-	// delayPerRunningMs is the delay of the first event per request that runs at the upstream.
-	delayPerRunningMs = 1.2
-	// plainServiceMs is the service time of one request at an idle plain service.
-	plainServiceMs = 60.0
-	// crossZoneMs is the cost added for an upstream in another availability zone.
-	crossZoneMs = 12.0
+	// crossZoneMs is the cost added for an engine in another availability zone, crossZoneCallMs that for a plain service, whose calls
+	// take little more than the way there.
+	crossZoneMs, crossZoneCallMs = 12.0, 3.0
 	// failurePenaltyMs is the cost added at a failure rate of 1; it is scaled by the upstream's
 	// failure rate.
 	failurePenaltyMs = 600.0
 	// maxMemoryShare is the share of an engine's memory that is reserved for requests; the rest
 	// absorbs answers longer than estimated.
 	maxMemoryShare = 0.9
+	// maxUnheardShare is the largest share that is kept free for what other gateways have sent and not told of yet.
+	maxUnheardShare = 0.1
 	// plainQueuePerSlot is the number of requests per slot that may queue at a plain upstream.
 	plainQueuePerSlot = 1.5
 )
@@ -37,8 +31,11 @@
 	entry *view.Entry
 	state *upstream
 	// estimateMs is the expected time to the first event. costMs is the score, lowest first:
-	// estimateMs plus penalties for the zone and for failures.
+	// estimateMs plus penalties for the zone, for failures and for pauses of streams.
 	estimateMs, costMs float64
+	// running is the number of requests there, backlog the number of prompt tokens that the upstream has not read, over all gateways.
+	running int
+	backlog units.Tokens
 	// waitMs is the part of estimateMs for which the prompt waits for others.
 	waitMs float64
 	// uncached is the number of prompt tokens that the upstream has to prefill.
@@ -109,9 +106,9 @@
 		if !s.canStart(now, u, e, r) {
 			continue
 		}
-		n := s.estimate(u, e, r)
+		n := s.estimate(now, u, e, r)
 		if s.meetsObjective(now, &n, r) {
-			c.consider(n)
+			c.best.consider(n)
 		} else {
 			c.addOverloaded(now, &n, r)
 		}
@@ -127,7 +124,7 @@
 	}
 	c.leastExcessMs, c.leastShare = min(c.leastExcessMs, excess), min(c.leastShare, share)
 	c.overloaded++
-	c.prefillRate += prefillTokensPerMs / n.state.slowdown.factor
+	c.prefillRate += n.state.gauge.PrefillRate(now, r.Model)
 }
 
 // hasLoaded reports whether the upstream has the requested model and adapter in memory, by its
@@ -160,8 +157,9 @@
 	if running >= max(e.Slots, 1) {
 		return false
 	}
-	used := u.reservedTokens + u.otherLoad.Tokens + r.Prompt + r.Output
-	return float64(used) <= maxMemoryShare*float64(r.Service.Engine.MemoryTokens) || running == 0
+	memory := float64(r.Service.Engine.MemoryTokens)
+	used := float64(u.reservedTokens + s.othersTokens(now, u) + r.Prompt + r.Output)
+	return used+min(s.unheardTokens(now, u, r), maxUnheardShare*memory) <= maxMemoryShare*memory || running == 0
 }
 
 // withinColdLimit reports whether one more request keeps this gateway's part of the request rate of a
@@ -190,27 +188,40 @@
 }
 
 // estimate returns the expected cost of sending a request to an upstream.
-func (s *Scheduler) estimate(u *upstream, e *view.Entry, r *Request) candidate {
-	n := candidate{entry: e, state: u, uncached: max(r.Prompt-u.cachedTokens(r.Model, r.Adapter, r.PromptParts), 0)}
-	running := float64(u.running + u.otherLoad.Running)
+func (s *Scheduler) estimate(now clock.Time, u *upstream, e *view.Entry, r *Request) candidate {
+	n := candidate{
+		entry: e, state: u, uncached: max(r.Prompt-u.cachedTokens(r.Model, r.Adapter, r.PromptParts), 0),
+		running: u.running + u.gauge.OthersRunning(now, u.otherLoad.Running),
+	}
 	if r.Service.Engine != nil {
-		backlog := float64(u.pendingPrefill + u.otherLoad.Backlog)
-		n.waitMs = (idleDelayMs + backlog/prefillTokensPerMs + delayPerRunningMs*running) * u.slowdown.factor
-		n.estimateMs = n.waitMs + float64(n.uncached)/prefillTokensPerMs*u.slowdown.factor
+		s.estimateStream(now, &n, r)
 	} else {
-		occupancy := running / float64(max(e.Slots, 1))
-		n.estimateMs = plainServiceMs * (1 + occupancy*occupancy)
+		n.estimateMs = u.gauge.ServiceMs(now, n.running)
+		n.costMs = n.estimateMs
+		if e.Zone != s.zone {
+			n.costMs += crossZoneCallMs
+		}
 	}
-	n.costMs = n.estimateMs + failurePenaltyMs*u.failureRate
-	if e.Zone != s.zone {
+	n.costMs += failurePenaltyMs * u.failureRate
+	return n
+}
+
+// estimateStream adds the expected time to the first event of an engine, and the cost of stopping the streams that run there.
+func (s *Scheduler) estimateStream(now clock.Time, n *candidate, r *Request) {
+	u := n.state
+	rate := u.gauge.PrefillRate(now, r.Model)
+	n.backlog = u.pendingPrefill + s.othersBacklog(now, u, rate)
+	n.waitMs = u.gauge.FirstEventMs(now, r.Model, n.backlog, 0, n.running)
+	n.estimateMs = n.waitMs + float64(n.uncached)/rate
+	n.costMs = n.estimateMs + u.stops.Ms(now, u.gauge.EventMs(now, r.Model, n.running))
+	if n.entry.Zone != s.zone {
 		n.costMs += crossZoneMs
 	}
-	return n
 }
 
 // consider keeps a candidate if it has the lowest cost. Equal costs are decided by ID.
-func (c *choice) consider(n candidate) {
-	if !c.found() || n.costMs < c.best.costMs || (n.costMs == c.best.costMs && n.entry.ID < c.best.entry.ID) {
-		c.best = n
+func (n *candidate) consider(o candidate) {
+	if n.entry == nil || o.costMs < n.costMs || (o.costMs == n.costMs && o.entry.ID < n.entry.ID) {
+		*n = o
 	}
 }
