--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -34,7 +34,7 @@
 // connection fails.
 type shape func(ctx context.Context, c net.Conn)
 
-// run lets the crowd loose, each caller on the next target for each of its connections, and returns when it has gone.
+// run runs all callers, each with the next target for each of its connections, and returns when they have ended.
 func (p *process) run(next func() target) {
 	ctx, cancel := context.WithTimeout(context.Background(), crowdTime)
 	defer cancel()
