--- a/relay/status_test.go
+++ b/relay/status_test.go
@@ -26,7 +26,7 @@
 						r.Respond("200 OK", "first")
 						return
 					}
-					r.WriteRaw(fakes.Head(r.RequestID, status+" Odd") + "Not-Executed: 1\r\nContent-Type: text/event-stream\r\nContent-Length: 4\r\n\r\nbody")
+					r.WriteRaw(fakes.Head(r.RequestID, status+" Odd") + fakes.NotRunField + "Content-Type: text/event-stream\r\nContent-Length: 4\r\n\r\nbody")
 					r.CloseConnection()
 				})
 				g := newTestGateway(t, replica)
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -57,8 +57,8 @@
 		return &Refusal{units.QueueFull, retryAfterBusy}
 	case c.holders == 0 && c.avoided > 0 && a.Model == "":
 		return &Refusal{units.NoUpstream, retryAfterBusy}
-	case a.ModelMissing && timeLeft < s.loadTime(a):
-		return &Refusal{units.ModelLoading, s.loadTime(a)}
+	case a.ModelMissing && timeLeft < s.copyTime(now, a):
+		return &Refusal{units.ModelLoading, s.copyTime(now, a)}
 	case c.allPaused() && c.leastPause > timeLeft:
 		return &Refusal{units.QueueFull, spread(c.leastPause)}
 	}
@@ -89,6 +89,16 @@
 	return clock.Span(max(c.leastExcessMs, 0) + float64(tokens)/share)
 }
 
+// copyTime returns the time until a copy of the requested model is there: by a load that goes on, or else by one that
+// begins now. It is 0 if only the adapter is missing.
+func (s *Scheduler) copyTime(now clock.Time, a *Attempt) clock.Span {
+	longest := s.loadTime(a)
+	if left, ok := s.NextCopy(now, a); ok {
+		return min(left, longest)
+	}
+	return longest
+}
+
 // loadTime returns the longest time to load the requested model from the weight store. It is 0 if
 // only the adapter is missing, as adapters load in milliseconds.
 func (s *Scheduler) loadTime(a *Attempt) clock.Span {
