--- a/gauge/gauge_test.go
+++ b/gauge/gauge_test.go
@@ -38,7 +38,7 @@
 		feed(u, now+500, now+1000, 25, "large")
 	}
 	for m, rate := range map[units.ModelID]float64{model: 75, "large": 25} {
-		took := u.FirstEventMs(30_000, m, 0, 1000, 5)
+		took := u.Speed(30_000, m).FirstEventMs(0, 1000, 5)
 		want := 20 + 1000/rate
 		assert.Check(t, took > 0.6*want && took < 1.6*want, "%s: %.1f ms, %.1f ms true", m, took, want)
 	}
@@ -48,7 +48,7 @@
 func TestNewUpstreamBeginsWithItsService(t *testing.T) {
 	s := gauge.Services{}.Get("engines")
 	feed(newUpstream(s, 64), 1, 30_000, 100, model)
-	took := newUpstream(s, 64).FirstEventMs(30_000, model, 0, 1000, 5)
+	took := newUpstream(s, 64).Speed(30_000, model).FirstEventMs(0, 1000, 5)
 	assert.Check(t, took < 45, "%.1f ms, 30 true", took)
 }
 
@@ -61,11 +61,11 @@
 		}
 	}
 	events(1, 10_000, 35)
-	usual := u.EventMs(10_000, model, 5)
+	usual := u.Speed(10_000, model).EventMs(5)
 	events(10_000, 11_000, 175)
-	assert.Check(t, u.EventMs(11_000, model, 5) > 2.5*usual, "%.1f ms, usual %.1f", u.EventMs(11_000, model, 5), usual)
+	assert.Check(t, u.Speed(11_000, model).EventMs(5) > 2.5*usual, "%.1f ms, usual %.1f", u.Speed(11_000, model).EventMs(5), usual)
 	events(11_000, 12_000, 35)
-	assert.Check(t, u.EventMs(12_000, model, 5) < 1.5*usual, "%.1f ms, usual %.1f", u.EventMs(12_000, model, 5), usual)
+	assert.Check(t, u.Speed(12_000, model).EventMs(5) < 1.5*usual, "%.1f ms, usual %.1f", u.Speed(12_000, model).EventMs(5), usual)
 }
 
 // Guards against load that an upstream is given up to its slots although it slows down when they are half full.
--- a/gauge/upstream.go
+++ b/gauge/upstream.go
@@ -63,24 +63,36 @@
 // slowness returns by how much the upstream says that it is slower than usual.
 func (u *Upstream) slowness(now clock.Time) float64 { return u.report.slownessAt(now, u.reportedAt) }
 
-// FirstEventMs returns the expected time to the first event of a prompt whose uncached part has to be read after a backlog of
-// others, beside running requests.
-func (u *Upstream) FirstEventMs(now clock.Time, m units.ModelID, backlog, uncached units.Tokens, running int) float64 {
-	return u.service.curves(m).first.at(firstFeatures(backlog+uncached, running)) * u.firstRatio(now)
+// Speed is how fast an engine works with a model at a time.
+type Speed struct {
+	curves *engineCurves
+	// first and events are the ratios of its times over those of the service.
+	first, events float64
 }
 
-func (u *Upstream) firstRatio(now clock.Time) float64 {
-	return u.first.current(now, u.stretch(now)) * u.slowness(now)
+// Speed returns how fast the upstream works with a model now.
+func (u *Upstream) Speed(now clock.Time, m units.ModelID) Speed {
+	stretch, slowness := u.stretch(now), u.slowness(now)
+	return Speed{u.service.curves(m), u.first.current(now, stretch) * slowness, stretch * slowness}
 }
 
-// PrefillRate returns the rate, in prompt tokens per millisecond, at which the upstream reads prompts.
-func (u *Upstream) PrefillRate(now clock.Time, m units.ModelID) float64 {
-	return promptScale / (u.service.curves(m).first.weights[1] * u.firstRatio(now))
+// FirstEventMs returns the expected time to the first event of a prompt whose uncached part has to be read after a backlog of
+// others, beside running requests.
+func (v Speed) FirstEventMs(backlog, uncached units.Tokens, running int) float64 {
+	return v.curves.first.at(firstFeatures(backlog+uncached, running)) * v.first
 }
 
+// PrefillRate returns the rate, in prompt tokens per millisecond, at which the upstream reads prompts.
+func (v Speed) PrefillRate() float64 { return promptScale / (v.curves.first.weights[1] * v.first) }
+
 // EventMs returns the expected time between two events of a stream beside running requests.
-func (u *Upstream) EventMs(now clock.Time, m units.ModelID, running int) float64 {
-	return u.service.curves(m).event.at(eventFeatures(running)) * u.stretch(now) * u.slowness(now)
+func (v Speed) EventMs(running int) float64 {
+	return v.curves.event.at(eventFeatures(running)) * v.events
+}
+
+// PrefillRate returns the rate at which the upstream reads prompts of a model, or of any if m is empty.
+func (u *Upstream) PrefillRate(now clock.Time, m units.ModelID) float64 {
+	return u.Speed(now, m).PrefillRate()
 }
 
 // ServiceMs returns the expected time of a call of a plain service beside running requests.
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -36,6 +36,8 @@
 	// running is the number of requests there, backlog the number of prompt tokens that the upstream has not read, over all gateways.
 	running int
 	backlog units.Tokens
+	// rate is the number of prompt tokens that an engine reads in a millisecond; 0 for plain services.
+	rate float64
 	// waitMs is the part of estimateMs for which the prompt waits for others.
 	waitMs float64
 	// uncached is the number of prompt tokens that the upstream has to prefill.
@@ -124,7 +126,7 @@
 	}
 	c.leastExcessMs, c.leastShare = min(c.leastExcessMs, excess), min(c.leastShare, share)
 	c.overloaded++
-	c.prefillRate += n.state.gauge.PrefillRate(now, r.Model)
+	c.prefillRate += n.rate
 }
 
 // hasLoaded reports whether the upstream has the requested model and adapter in memory, by its
@@ -209,11 +211,12 @@
 // estimateStream adds the expected time to the first event of an engine, and the cost of stopping the streams that run there.
 func (s *Scheduler) estimateStream(now clock.Time, n *candidate, r *Request) {
 	u := n.state
-	rate := u.gauge.PrefillRate(now, r.Model)
-	n.backlog = u.pendingPrefill + s.othersBacklog(now, u, rate)
-	n.waitMs = u.gauge.FirstEventMs(now, r.Model, n.backlog, 0, n.running)
-	n.estimateMs = n.waitMs + float64(n.uncached)/rate
-	n.costMs = n.estimateMs + u.stops.Ms(now, u.gauge.EventMs(now, r.Model, n.running))
+	speed := u.gauge.Speed(now, r.Model)
+	n.rate = speed.PrefillRate()
+	n.backlog = u.pendingPrefill + s.othersBacklog(now, u, n.rate)
+	n.waitMs = speed.FirstEventMs(n.backlog, 0, n.running)
+	n.estimateMs = n.waitMs + float64(n.uncached)/n.rate
+	n.costMs = n.estimateMs + u.stops.Ms(now, speed.EventMs(n.running))
 	if n.entry.Zone != s.zone {
 		n.costMs += crossZoneMs
 	}
--- a/sched/learned.go
+++ b/sched/learned.go
@@ -33,7 +33,8 @@
 		running := u.running + u.gauge.OthersRunning(now, u.otherLoad.Running)
 		l := Learned{Upstream: id, Running: running, Limit: u.gauge.Limit()}
 		if len(e.Models) > 0 {
-			l.PrefillRate, l.EventMs = u.gauge.PrefillRate(now, e.Models[0].Model), u.gauge.EventMs(now, e.Models[0].Model, running)
+			speed := u.gauge.Speed(now, e.Models[0].Model)
+			l.PrefillRate, l.EventMs = speed.PrefillRate(), speed.EventMs(running)
 		} else {
 			l.ServiceMs = u.gauge.ServiceMs(now, running)
 		}
--- a/sched/room.go
+++ b/sched/room.go
@@ -36,7 +36,7 @@
 	if headroomMs >= 0 && n.waitMs < float64(r.Service.FirstEventObjective)*freeShare {
 		return true
 	}
-	return headroomMs >= 0 && u.hasCredit(now, headroomMs*u.gauge.PrefillRate(now, r.Model), float64(n.uncached), s.loadInterval)
+	return headroomMs >= 0 && u.hasCredit(now, headroomMs*n.rate, float64(n.uncached), s.loadInterval)
 }
 
 // waitLimitMs returns how long a prompt may wait for others at an upstream so that its first event
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -279,7 +279,7 @@
 		return
 	}
 	running := u.running + u.otherLoad.Running
-	u.stops.Event(now, gap, u.gauge.EventMs(now, a.Model, running))
+	u.stops.Event(now, gap, u.gauge.Speed(now, a.Model).EventMs(running))
 	u.gauge.RecordEvents(now, a.Model, running, float64(gap)/float64(events))
 }
 
