--- a/wire/wire.go
+++ b/wire/wire.go
@@ -111,10 +111,10 @@
 	if o.TLS != nil {
 		conn = tls.Server(conn, o.TLS)
 	}
-	strange := newStrangeConn(conn)
-	accepting.add(strange)
-	defer accepting.remove(strange)
-	conn = newBatchConn(strange)
+	handshake := newHandshakeConn(conn)
+	handshakes.add(handshake)
+	defer handshakes.remove(handshake)
+	conn = newBatchConn(handshake)
 	mux, err := yamux.Server(conn, muxConfig())
 	if err != nil {
 		_ = conn.Close()
@@ -122,7 +122,7 @@
 	}
 	s, err := authenticate(mux, o, false)
 	if err == nil {
-		close(strange.known)
+		close(handshake.known)
 	}
 	return s, err
 }
