--- a/entry/era.go
+++ b/entry/era.go
@@ -23,6 +23,7 @@
 func (g *Gateway) beginEra(era int64) {
 	g.callStore()
 	g.post(eraBegan{epoch.Era(era)})
+	g.onStoreEra(era)
 }
 
 // callStore makes the feed and the registration call the store soon.
