soak, parts: read logs and verdicts in tests under a lock

Change: a log buffer that is safe for concurrent use; the bubble is waited for before the map is read.

--- a/parts/keeper_test.go
+++ b/parts/keeper_test.go
@@ -114,11 +114,13 @@
 		k.Stored(ended)
 		g.Merge(parts.Suspect{Part: ended.Part, BeganAt: bubbleClock{time.Now()}.Now() + 1})
 		k.Removed(ended.Part, eraRevision(1, 60))
+		synctest.Wait()
 		store.current[ended.Part] = ended
 		k.Returned(ended, eraRevision(2, 51))
 		k.StoreReturned(map[parts.ID]bool{ended.Part: true}, false)
 		assert.Equal(t, g.Verdict(ended.Part).Crashes, 0)
 		time.Sleep(3 * time.Second)
+		synctest.Wait()
 		_, isLost := store.current[lost.Part]
 		_, isEnded := store.current[ended.Part]
 		assert.Assert(t, isLost && !isEnded, "%v", store.current)
@@ -128,6 +130,7 @@
 		k.Stored(store.current[9])
 		assert.Equal(t, g.Verdict(9).Crashes, 2)
 		time.Sleep(3 * time.Second)
+		synctest.Wait()
 		assert.Equal(t, len(store.current), 2, "%v", store.current)
 		cancel()
 		assert.NilError(t, <-done)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -73,7 +73,7 @@
 	cmd    *exec.Cmd
 	exited chan error
 	// logs are those of all processes; the next one begins when the output of the one before has ended.
-	logs bytes.Buffer
+	logs logBuffer
 }
 
 // nextPort is the next port to use; ports lie below those that the kernel gives to outgoing connections.
@@ -237,6 +237,26 @@
 	eras   bool
 }
 
+// logBuffer collects what processes write. It is safe for concurrent use.
+type logBuffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(p)
+}
+
+// Bytes returns a copy of all that was written.
+func (b *logBuffer) Bytes() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bytes.Clone(b.data.Bytes())
+}
+
 // stopwatch counts time, except while pauses, which may overlap, last.
 type stopwatch struct {
 	mu      sync.Mutex // guards the fields below
--- a/soak/return_test.go
+++ b/soak/return_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"cmp"
 	"fmt"
 	"regexp"
@@ -102,10 +101,7 @@
 // terms returns the terms that gateways have logged.
 func (f *fleet) terms() (out []term) {
 	for _, g := range f.gateways {
-		g.mu.Lock()
-		logs := bytes.Clone(g.logs.Bytes())
-		g.mu.Unlock()
-		for _, m := range dutyTaken.FindAllSubmatch(logs, -1) {
+		for _, m := range dutyTaken.FindAllSubmatch(g.logs.Bytes(), -1) {
 			at, err := time.ParseDuration(fmt.Sprintf("%sh%sm%ss", m[1], m[2], m[3]))
 			assert.NilError(f.t, err)
 			epoch, err := strconv.ParseInt(string(m[4]), 10, 64)
