sched, entry: name prompts sent to engines, not what was given or told

A reader met "given", "told" and "unheard" for one idea: prompts that a gateway sent to engines and the messages about them to other gateways.

Comments state units and what is skipped. No behavior, message or metric changes.

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -72,8 +72,8 @@
 	pendingLoads []pendingLoad
 	// loadsAnnouncedAt is when this gateway last announced loads under way.
 	loadsAnnouncedAt clock.Time
-	// prompts tells the other gateways of prompts sent to engines.
-	prompts promptTeller
+	// prompts reports to the other gateways the prompts sent to engines.
+	prompts promptSender
 	learned learnedPublisher
 	// announcedAt is when this gateway last announced changes to the others.
 	announcedAt clock.Time
@@ -109,7 +109,7 @@
 			c.onTick()
 			c.publishLeadership()
 		case <-c.gateway.prompted:
-			c.tellPrompts(c.gateway.clock.Now())
+			c.sendPrompts(c.gateway.clock.Now())
 		}
 	}
 }
@@ -148,7 +148,7 @@
 	case digestReceived:
 		c.handleDigest(now, m.digest)
 	case promptsTold:
-		c.gateway.relay.RecordGiven(c.prompts.decode(c.snapshot, m.prompts))
+		c.gateway.relay.RecordOthersSent(c.prompts.decode(c.snapshot, m.prompts))
 	case residencyChanged:
 		c.mergeResidencyChanges(now, m.changes)
 	case loadsAnnounced:
@@ -254,7 +254,7 @@
 	c.announceChanges(now)
 	c.announceLoads(now)
 	c.gateway.relay.Tick()
-	c.tellPrompts(now)
+	c.sendPrompts(now)
 	c.learned.publish(now, c.gateway.relay.Learned)
 	c.orders.onTick(now)
 	c.duties.onTick(now)
--- a/relay/server.go
+++ b/relay/server.go
@@ -200,18 +200,18 @@
 // Config returns the configuration in use; nil before the first one.
 func (s *Server) Config() *fleet.Config { return s.view.Load().Config }
 
-// TakeGiven returns the prompts that this gateway sent to engines since the last call.
-func (s *Server) TakeGiven() []sched.Given {
+// TakeSent returns the prompts that this gateway sent to engines since the last call, one entry an engine.
+func (s *Server) TakeSent() []sched.SentPrompts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.Scheduler.TakeGiven()
+	return s.Scheduler.TakeSent()
 }
 
-// RecordGiven records prompts that another gateway has just sent to engines.
-func (s *Server) RecordGiven(given []sched.Given) {
+// RecordOthersSent records prompts that another gateway has just sent to engines.
+func (s *Server) RecordOthersSent(sent []sched.SentPrompts) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Scheduler.RecordGiven(s.Clock.Now(), given)
+	s.Scheduler.RecordOthersSent(s.Clock.Now(), sent)
 }
 
 // Learned returns what was learned of at most a number of upstreams.
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -20,8 +20,8 @@
 	// maxMemoryShare is the share of an engine's memory that is reserved for requests; the rest
 	// absorbs answers longer than estimated.
 	maxMemoryShare = 0.9
-	// maxUnheardShare is the largest share that is kept free for what other gateways have sent and not told of yet.
-	maxUnheardShare = 0.1
+	// maxUnreportedShare is the largest share of an engine's memory that is kept free for prompts of other gateways not reported yet.
+	maxUnreportedShare = 0.1
 	// plainQueuePerSlot is the number of requests per slot that may queue at a plain upstream.
 	plainQueuePerSlot = 1.5
 )
@@ -161,7 +161,7 @@
 	}
 	memory := float64(r.Service.Engine.MemoryTokens)
 	used := float64(u.reservedTokens + s.othersTokens(now, u) + r.Prompt + r.Output)
-	return used+min(s.unheardTokens(now, u, r), maxUnheardShare*memory) <= maxMemoryShare*memory || running == 0
+	return used+min(s.unreportedTokens(now, u, r), maxUnreportedShare*memory) <= maxMemoryShare*memory || running == 0
 }
 
 // withinColdLimit reports whether one more request keeps this gateway's part of the request rate of a
--- a/sched/load.go
+++ b/sched/load.go
@@ -32,15 +32,15 @@
 	}
 }
 
-// minToldWeight is the number of recent observations up to which what was seen of an upstream is not told to others.
-const minToldWeight = 0.2
+// minReportedWeight is the number of recent observations up to which what was seen of an upstream is not sent to other gateways.
+const minReportedWeight = 0.2
 
 // Loads returns the work in flight from this gateway and what it has seen lately, by upstream in no order.
 func (s *Scheduler) Loads(now clock.Time) []Load {
 	out := make([]Load, 0, len(s.upstreams))
 	for id, u := range s.upstreams {
 		stretch := u.gauge.Stretch(now)
-		if u.running > 0 || stretch.Weight > minToldWeight {
+		if u.running > 0 || stretch.Weight > minReportedWeight {
 			out = append(out, Load{
 				Upstream: id, Running: u.running, Tokens: u.reservedTokens, Backlog: u.pendingPrefill, Gateways: min(u.running, 1),
 				WantedRate: u.wanted.at(now), Stretch: stretch,
--- a/sched/pace_test.go
+++ b/sched/pace_test.go
@@ -124,10 +124,10 @@
 	at := now.Add(-clock.Span(index) * 37)
 	s.SetOtherLoads(sumOthers(digests, index), paceDigests)
 	s.Dispatch(at)
-	given := s.TakeGiven()
+	sent := s.TakeSent()
 	for i, o := range gateways {
 		if i != index {
-			o.RecordGiven(at, given)
+			o.RecordOthersSent(at, sent)
 		}
 	}
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -114,10 +114,10 @@
 	notices *notice.Board
 	// gauges has what was learned of services.
 	gauges gauge.Services
-	// given is what was sent to engines that other gateways were not told of.
-	given map[units.UpstreamID]Given
-	// othersToldAt is when another gateway last told of its prompts.
-	othersToldAt clock.Time
+	// sent are the prompts that were sent to engines and not yet reported to the other gateways.
+	sent map[units.UpstreamID]SentPrompts
+	// othersSentAt is when another gateway last reported its prompts; 0 is never.
+	othersSentAt clock.Time
 }
 
 // ColdTolerance is the tolerance of the request rate of a cold upstream, over all gateways. In any
@@ -131,7 +131,7 @@
 	return &Scheduler{
 		zone: zone, coldTolerance: tolerance, process: s, snap: &view.Snapshot{},
 		upstreams: map[units.UpstreamID]*upstream{}, notices: notice.NewBoard(),
-		runs: runRecord{}, running: map[*Attempt]struct{}{}, gauges: gauge.Services{}, given: map[units.UpstreamID]Given{},
+		runs: runRecord{}, running: map[*Attempt]struct{}{}, gauges: gauge.Services{}, sent: map[units.UpstreamID]SentPrompts{},
 		returns: returnBook{},
 	}
 }
@@ -164,7 +164,7 @@
 	for id, u := range s.upstreams {
 		if _, ok := snap.Upstreams[id]; !ok && u.running == 0 {
 			delete(s.upstreams, id)
-			delete(s.given, id)
+			delete(s.sent, id)
 		}
 	}
 	return s.Dispatch(now)
@@ -251,7 +251,7 @@
 	u.pendingPrefill += a.pendingPrefill
 	u.recordStart(now)
 	u.prefillCredit -= float64(c.uncached)
-	s.recordGiven(a, c.uncached)
+	s.recordSent(a, c.uncached)
 	u.recordPrefixes(now, a.Model, a.Adapter, a.PromptParts)
 	close(a.Ready)
 }
