entry: say that an era and a configuration came by message, not "heard"

heardEra, hearConfig and held did not say who named the era, or what was held; the glossary gives "received at" for "heard". They are peersEra, receiveEra, recordConfig, peersConfig, newerConfigAt and withheld now, with comments that say why.

The list of all other gateways was built in five places; four of them now use otherGateways, which stands beside sendDigest. sendDigest itself keeps its own, as it leaves the leader out. The log field heard stays.

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -32,8 +32,9 @@
 	members *member.List
 	// snapshot is the latest view of the store.
 	snapshot *view.Snapshot
-	// published is set once a view with a configuration is in use, held while the first one is not.
-	published, held bool
+	// published is set once a view with a configuration is in use. withheld is set while the first one is not put into use,
+	// as the store may have lost a newer configuration.
+	published, withheld bool
 	// used is the view that was put into use last.
 	used *view.Snapshot
 	// eraAt is when this gateway learned of the store's era; 0 is never. askedVersion is the version of members that was asked
@@ -42,10 +43,10 @@
 	askedVersion uint64
 	// askedBy are the addresses that get a digest with the next tick.
 	askedBy []netip.AddrPort
-	// heardConfig is the highest version of the configuration that another gateway uses. newerHeardAt is when the first one was
-	// heard that is higher than this gateway's; 0 if none is.
-	heardConfig  int64
-	newerHeardAt clock.Time
+	// peersConfig is the highest version of the configuration in the other gateways' digests. newerConfigAt is when the first
+	// one arrived that is higher than this gateway's; 0 if none is.
+	peersConfig   int64
+	newerConfigAt clock.Time
 	// confirmedAt is when the view was last known to match the store, keysConfirmedAt when it was also known to have the newest
 	// configuration.
 	confirmedAt, keysConfirmedAt clock.Time
@@ -139,8 +140,8 @@
 		c.handleFullRead(now, m.read)
 	case eraBegan:
 		c.beginEra(now, m.era)
-	case eraHeard:
-		c.handleHeardEra(now, m.era)
+	case eraReceived:
+		c.handleReceivedEra(now, m.era)
 	case digestAsked:
 		if len(c.askedBy) < maxAskedBy {
 			c.askedBy = append(c.askedBy, m.from)
@@ -234,7 +235,7 @@
 	for _, w := range d.GetSuspects() {
 		c.gateway.relay.MergeSuspect(decodeSuspect(now, w))
 	}
-	c.hearConfig(d)
+	c.recordConfig(d)
 	c.gateway.partExchange.Merge(d.GetParts(), parts.Sender{VM: units.VMID(d.GetVm()), Address: d.From.String()}, d.GetLife(), d.GetSentMs())
 	c.duties.handleDigest(d)
 	if d.HasMisses() {
@@ -315,7 +316,7 @@
 // is old, other gateways' confirmations by the store.
 func (c *controller) updateKeyValidity(now clock.Time) {
 	revocationDelay := c.gateway.bounds.Load().RevocationDelay
-	if !c.held && !c.lacksConfig(c.confirmedAt) {
+	if !c.withheld && !c.lacksConfig(c.confirmedAt) {
 		c.keysConfirmedAt = c.confirmedAt
 		c.keys.confirm(c.confirmedAt, "")
 	}
@@ -339,6 +340,17 @@
 	}
 }
 
+// otherGateways returns the addresses of all other gateways.
+func (c *controller) otherGateways() []string {
+	var to []string
+	for _, g := range c.members.All() {
+		if g.VM != c.gateway.settings.VM {
+			to = append(to, g.Address)
+		}
+	}
+	return to
+}
+
 // sendDigest sends a digest of this gateway's state to all other gateways. Only the leader gets the
 // demand for models, which is by far the largest part.
 func (c *controller) sendDigest(now clock.Time) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -78,8 +78,8 @@
 	leaderUntil atomic.Int64
 	// leaderEpoch is the units.Epoch of that.
 	leaderEpoch atomic.Int64
-	// heardEra is the latest epoch.Era that another gateway has told of.
-	heardEra atomic.Int64
+	// peersEra is the latest epoch.Era in a message of another gateway; 0 if there was none.
+	peersEra atomic.Int64
 	// gateways is the number of gateways.
 	gateways atomic.Int64
 	// register receives a value when the registration has to be written again.
@@ -155,7 +155,7 @@
 		Clock: g.clock, VM: settings.VM, Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
 		Life: g.incarnation,
 		OnDigest: func(d peers.Digest) {
-			g.hearEra(d.GetEra())
+			g.receiveEra(d.GetEra())
 			g.post(digestReceived{d})
 		},
 		OnMessage: g.handleMessage,
@@ -216,8 +216,8 @@
 	eraBegan struct{ era epoch.Era }
 	// digestReceived has a digest from another gateway.
 	digestReceived struct{ digest peers.Digest }
-	// eraHeard means that another gateway knows of a later era.
-	eraHeard struct{ era epoch.Era }
+	// eraReceived means that a message of another gateway named a later era.
+	eraReceived struct{ era epoch.Era }
 	// digestAsked means that a gateway that has just started wants a digest.
 	digestAsked struct{ from netip.AddrPort }
 	// residencyChanged has loads and unloads that the leader has ordered.
@@ -257,7 +257,7 @@
 		return
 	}
 	if m.GetEraNotice() != nil {
-		g.hearEra(m.GetEraNotice().GetEra())
+		g.receiveEra(m.GetEraNotice().GetEra())
 		if m.GetEraNotice().GetAsks() {
 			g.post(digestAsked{from})
 		}
--- a/entry/era.go
+++ b/entry/era.go
@@ -35,33 +35,33 @@
 	}
 }
 
-// hearEra handles the era of the store that another gateway knows of; 0 if it knows of none. A later one ends leadership, and lets
-// this gateway call the store: only the store's own word makes what it said before late, as a message may be wrong. It must
-// not be called from the control loop, to which it sends a message.
-func (g *Gateway) hearEra(era int64) {
-	if era <= max(g.heardEra.Load(), int64(g.store.Era())) || !epoch.Valid(era) {
+// receiveEra handles the era of the store that a message of another gateway names; 0 if it names none. A later one ends
+// leadership and makes this gateway call the store: the message may be wrong, so that only an answer of the store begins the
+// era here. It must not be called from the control loop, to which it sends a message.
+func (g *Gateway) receiveEra(era int64) {
+	if era <= max(g.peersEra.Load(), int64(g.store.Era())) || !epoch.Valid(era) {
 		return
 	}
 	// The goroutine that receives messages is the only one that sets it.
-	g.heardEra.Store(era)
+	g.peersEra.Store(era)
 	g.callStore()
-	g.post(eraHeard{epoch.Era(era)})
+	g.post(eraReceived{epoch.Era(era)})
 }
 
-// handleHeardEra gives up what may have been lost in an era that another gateway has told of.
-func (c *controller) handleHeardEra(now clock.Time, era epoch.Era) {
+// handleReceivedEra gives up leadership, whose key the store may have lost in an era that another gateway has named.
+func (c *controller) handleReceivedEra(now clock.Time, era epoch.Era) {
 	klog.InfoS("entry: era of the store, by another gateway", "era", era)
 	c.eraAt = now
 	c.orders.elector.GiveUp(now)
 }
 
-// beginEra ends what rests on the era before, and tells the other gateways unless one of them has told this one: those cut off
-// from the store would learn of it by the next digest only.
+// beginEra ends what rests on the era before. It sends the era to the other gateways, unless one of them has sent it: those
+// cut off from the store would learn of it by the next digest only.
 func (c *controller) beginEra(now clock.Time, era epoch.Era) {
-	klog.InfoS("entry: era of the store", "era", era, "heard", c.gateway.heardEra.Load())
+	klog.InfoS("entry: era of the store", "era", era, "heard", c.gateway.peersEra.Load())
 	c.eraAt = now
 	c.orders.beginEra(now, era)
-	if int64(era) <= c.gateway.heardEra.Load() {
+	if int64(era) <= c.gateway.peersEra.Load() {
 		return
 	}
 	c.sendEra(false)
@@ -69,14 +69,8 @@
 
 // sendEra tells the other gateways the era of the store, and may ask them for their digests.
 func (c *controller) sendEra(asks bool) {
-	var to []string
-	for _, m := range c.members.All() {
-		if m.VM != c.gateway.settings.VM {
-			to = append(to, m.Address)
-		}
-	}
 	notice := &wire.EraNotice{Era: int64(c.gateway.store.Era()), Asks: asks}
-	c.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_EraNotice{EraNotice: notice}}, to...)
+	c.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_EraNotice{EraNotice: notice}}, c.otherGateways()...)
 }
 
 // answerAsked sends a digest to those who asked for one since the last tick.
@@ -94,8 +88,8 @@
 // useView puts a view into use, unless it is the first one and the store may have lost a newer configuration.
 func (c *controller) useView(now clock.Time) {
 	config := c.snapshot.Config
-	c.held = config != nil && !c.published && c.mayLackConfig(now)
-	if c.held || c.used == c.snapshot {
+	c.withheld = config != nil && !c.published && c.mayLackConfig(now)
+	if c.withheld || c.used == c.snapshot {
 		return
 	}
 	c.used = c.snapshot
@@ -106,9 +100,9 @@
 	c.publishView(now)
 }
 
-// mayLackConfig reports whether the store may have lost a newer configuration than the first one that this process has read: none
-// of the other gateways has told its version yet, and the operator may not have had the time to write again. It asks each that
-// becomes known, as the store may have lost their registrations as well.
+// mayLackConfig reports whether the store may have lost a newer configuration than the first one that this process has read: no
+// digest of another gateway has arrived yet, and the operator may not have had the time to write again. It asks each gateway
+// that becomes known for a digest, as the store may have lost registrations as well.
 func (c *controller) mayLackConfig(now clock.Time) bool {
 	era := c.gateway.store.Era()
 	if era == 0 || c.gateway.settings.FirstStart && era <= 1 {
@@ -125,17 +119,17 @@
 // lacksConfig reports whether another gateway used a newer configuration before the time. If the store confirmed the
 // view as of that time, it has lost that configuration.
 func (c *controller) lacksConfig(at clock.Time) bool {
-	if c.heardConfig <= c.configVersion() {
-		c.newerHeardAt = 0
+	if c.peersConfig <= c.configVersion() {
+		c.newerConfigAt = 0
 	}
-	return c.eraAt != 0 && at.Sub(c.eraAt) < maxConfigWait && c.newerHeardAt != 0 && c.newerHeardAt.Before(at)
+	return c.eraAt != 0 && at.Sub(c.eraAt) < maxConfigWait && c.newerConfigAt != 0 && c.newerConfigAt.Before(at)
 }
 
-// hearConfig records the version of the configuration in a digest.
-func (c *controller) hearConfig(d peers.Digest) {
-	c.heardConfig = max(c.heardConfig, d.GetConfig())
-	if d.GetConfig() > c.configVersion() && c.newerHeardAt == 0 {
-		c.newerHeardAt = d.ReceivedAt
+// recordConfig records the version of the configuration in a digest.
+func (c *controller) recordConfig(d peers.Digest) {
+	c.peersConfig = max(c.peersConfig, d.GetConfig())
+	if d.GetConfig() > c.configVersion() && c.newerConfigAt == 0 {
+		c.newerConfigAt = d.ReceivedAt
 	}
 }
 
--- a/entry/hear_test.go
+++ b/entry/peer_era_test.go
@@ -66,13 +66,13 @@
 	assert.Assert(t, c.orders.elector.Holds(now), "a late notice")
 }
 
-// Guards against keys of an older configuration that a gateway accepts once the others have sent more digests: what it heard before
+// Guards against keys of an older configuration that a gateway accepts once the others have sent more digests: what arrived before
 // the store confirmed its own still counts.
 func TestNewerConfigIsRemembered(t *testing.T) {
 	_, c := newCutOffGateway(t)
 	c.snapshot, c.eraAt = &view.Snapshot{Config: &fleet.Config{Version: 5}}, 900
 	for _, at := range []clock.Time{1000, 1200, 1400} {
-		c.hearConfig(peers.Digest{Digest: &wire.Digest{Config: 8}, ReceivedAt: at})
+		c.recordConfig(peers.Digest{Digest: &wire.Digest{Config: 8}, ReceivedAt: at})
 	}
 	assert.Assert(t, c.lacksConfig(1100))
 	assert.Assert(t, !c.lacksConfig(950), "the others may have read it since")
--- a/entry/prompts.go
+++ b/entry/prompts.go
@@ -71,13 +71,7 @@
 	if len(sent) == 0 {
 		return
 	}
-	var to []string
-	for _, g := range c.members.All() {
-		if g.VM != c.gateway.settings.VM {
-			to = append(to, g.Address)
-		}
-	}
-	c.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_Prompts{Prompts: encodePrompts(sent)}}, to...)
+	c.gateway.peers.Send(&wire.Datagram{Body: &wire.Datagram_Prompts{Prompts: encodePrompts(sent)}}, c.otherGateways()...)
 }
 
 // promptSent asks the control loop to report a prompt to the other gateways. It does not block.
--- a/entry/residency.go
+++ b/entry/residency.go
@@ -30,7 +30,7 @@
 // publishView passes the view of the store to the relay, with the residency changes applied that
 // the upstreams' descriptions don't show yet.
 func (c *controller) publishView(now clock.Time) {
-	if !c.held {
+	if !c.withheld {
 		c.gateway.relay.SetView(c.changedView(now))
 	}
 }
--- a/entry/residency_loads.go
+++ b/entry/residency_loads.go
@@ -133,14 +133,3 @@
 		s.Upstreams[l.upstream] = &changed
 	}
 }
-
-// otherGateways returns the addresses of all other gateways.
-func (c *controller) otherGateways() []string {
-	var to []string
-	for _, g := range c.members.All() {
-		if g.VM != c.gateway.settings.VM {
-			to = append(to, g.Address)
-		}
-	}
-	return to
-}
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -717,7 +717,7 @@
 		klog.InfoS("entry: usage decided", "window", r.Window, "requests", total(r.Counts), "epoch", u.epoch, "revision", m.revision,
 			"late", u.instant(now)-r.Window.End(u.reporter.Length))
 	}
-	u.sendReports(decided, u.others()...)
+	u.sendReports(decided, u.controller.otherGateways()...)
 	u.lead(now)
 }
 
@@ -730,17 +730,6 @@
 	return sum
 }
 
-// others returns the addresses of all other gateways.
-func (u *usageManager) others() []string {
-	var to []string
-	for _, g := range u.controller.members.All() {
-		if g.VM != u.gateway.settings.VM {
-			to = append(to, g.Address)
-		}
-	}
-	return to
-}
-
 // sendReports sends reports to gateways, in several messages if they are long.
 func (u *usageManager) sendReports(reports []usage.Report, to ...string) {
 	windows := map[usage.Window]usage.Counts{}
