usage: one term, incarnation, for one run of a process

The glossary calls one run of a process its incarnation, and lists "life" as an earlier name. Package usage had both Life and lives for it, and Aggregate.lives held totals. The type and field are Incarnation (the JSON name life stays), the map is totals, and lifeMemory is processMemory.

Counts.Total replaces the second copy of the same sum in entry.

go test ./usage and go test -run 'Usage|Totals' ./entry pass.

--- a/entry/usage.go
+++ b/entry/usage.go
@@ -63,8 +63,8 @@
 	askInterval = 400 * clock.Millisecond
 	// usageRetryDelay is the time after a failed call to the store before the next one.
 	usageRetryDelay = 300 * clock.Millisecond
-	// lifeMemory is how long a process without counts is remembered.
-	lifeMemory = clock.Minute
+	// processMemory is how long a process without counts is kept after its last message.
+	processMemory = clock.Minute
 	// finalTimeout bounds the wait for the last totals to be sent or written at a stop, leaveTries the attempts to write
 	// them: other gateways that stop write too.
 	finalTimeout = 300 * time.Millisecond
@@ -179,7 +179,7 @@
 		return
 	}
 	u.counter.Fold(now, u.offset)
-	u.aggregate.Prune(u.instant(now), lifeMemory)
+	u.aggregate.Prune(u.instant(now), processMemory)
 	u.sendDue(now)
 	u.lead(now)
 }
@@ -274,7 +274,7 @@
 // encodeTotals encodes totals without their windows.
 func encodeTotals(t usage.Totals) *wire.UsageTotals {
 	m := &wire.UsageTotals{
-		Vm: string(t.VM), Life: uint64(t.Life), UntilMs: int64(t.Until), SentMs: int64(t.SentAt), Final: t.Final,
+		Vm: string(t.VM), Life: uint64(t.Incarnation), UntilMs: int64(t.Until), SentMs: int64(t.SentAt), Final: t.Final,
 	}
 	for _, w := range slices.Sorted(maps.Keys(t.Sums)) {
 		m.Sums = append(m.Sums, &wire.UsageSum{Window: int64(w), Requests: t.Sums[w]})
@@ -284,7 +284,7 @@
 
 func decodeTotals(m *wire.UsageTotals) usage.Totals {
 	t := usage.Totals{
-		VM: units.VMID(m.GetVm()), Life: usage.Life(m.GetLife()), SentAt: clock.Time(m.GetSentMs()),
+		VM: units.VMID(m.GetVm()), Incarnation: usage.Incarnation(m.GetLife()), SentAt: clock.Time(m.GetSentMs()),
 		Until: usage.Instant(m.GetUntilMs()), Final: m.GetFinal(),
 		Sums: map[usage.Window]int64{}, Windows: map[usage.Window]usage.Counts{},
 	}
@@ -306,7 +306,7 @@
 	u.recordSent(now)
 	u.send(u.own(u.counter.Totals(u.aggregate.Next())), u.recipients...)
 	for _, t := range u.aggregate.Totals() {
-		if t.Life != usage.Life(u.gateway.incarnation) {
+		if t.Incarnation != usage.Incarnation(u.gateway.incarnation) {
 			u.send(t, u.recipients...)
 		}
 	}
@@ -314,7 +314,7 @@
 
 // own completes this gateway's totals.
 func (u *usageManager) own(t usage.Totals) usage.Totals {
-	t.VM, t.Life, t.Final = u.gateway.settings.VM, usage.Life(u.gateway.incarnation), u.final
+	t.VM, t.Incarnation, t.Final = u.gateway.settings.VM, usage.Incarnation(u.gateway.incarnation), u.final
 	return t
 }
 
@@ -367,7 +367,7 @@
 	}
 	bytes := 0
 	for i, windows := range parts {
-		m := &wire.UsageTotals{Vm: string(t.VM), Life: uint64(t.Life), Windows: windows}
+		m := &wire.UsageTotals{Vm: string(t.VM), Life: uint64(t.Incarnation), Windows: windows}
 		if i == len(parts)-1 {
 			m = encodeTotals(t)
 			m.Windows, m.Unknown = windows, int64(u.aggregate.FirstUnknown())
@@ -714,22 +714,13 @@
 	u.counter.Forget(u.aggregate.Next())
 	u.decidedAt = now
 	for _, r := range decided {
-		klog.InfoS("entry: usage decided", "window", r.Window, "requests", total(r.Counts), "epoch", u.epoch, "revision", m.revision,
+		klog.InfoS("entry: usage decided", "window", r.Window, "requests", r.Counts.Total(), "epoch", u.epoch, "revision", m.revision,
 			"late", u.instant(now)-r.Window.End(u.reporter.Length))
 	}
 	u.sendReports(decided, u.controller.otherGateways()...)
 	u.lead(now)
 }
 
-// total returns the sum of all counts.
-func total(counts usage.Counts) int64 {
-	sum := int64(0)
-	for _, n := range counts {
-		sum += n
-	}
-	return sum
-}
-
 // sendReports sends reports to gateways, in several messages if they are long.
 func (u *usageManager) sendReports(reports []usage.Report, to ...string) {
 	windows := map[usage.Window]usage.Counts{}
--- a/usage/aggregate.go
+++ b/usage/aggregate.go
@@ -20,7 +20,8 @@
 // Aggregate has what a gateway knows of the counts of all gateways, and of what was decided. It is not safe for concurrent
 // use.
 type Aggregate struct {
-	lives map[Life]*Totals
+	// totals are those of all known processes, merged from their messages.
+	totals map[Incarnation]*Totals
 	// byVM has the same totals, in the order in which the processes became known.
 	byVM    map[units.VMID][]*Totals
 	reports map[Window]Report
@@ -30,15 +31,15 @@
 
 // NewAggregate returns an empty Aggregate.
 func NewAggregate() *Aggregate {
-	return &Aggregate{lives: map[Life]*Totals{}, byVM: map[units.VMID][]*Totals{}, reports: map[Window]Report{}}
+	return &Aggregate{totals: map[Incarnation]*Totals{}, byVM: map[units.VMID][]*Totals{}, reports: map[Window]Report{}}
 }
 
 // Merge adds totals of a process. They may be old, repeated or incomplete.
 func (a *Aggregate) Merge(t Totals) {
-	known, ok := a.lives[t.Life]
+	known, ok := a.totals[t.Incarnation]
 	if !ok {
-		known = &Totals{VM: t.VM, Life: t.Life, Windows: map[Window]Counts{}}
-		a.lives[t.Life] = known
+		known = &Totals{VM: t.VM, Incarnation: t.Incarnation, Windows: map[Window]Counts{}}
+		a.totals[t.Incarnation] = known
 		a.byVM[t.VM] = append(a.byVM[t.VM], known)
 	}
 	known.Final = known.Final || t.Final
@@ -66,7 +67,7 @@
 	a.reports[r.Window] = r
 	a.next = max(a.next, r.Window+1)
 	maps.DeleteFunc(a.reports, func(w Window, _ Report) bool { return w < a.next-keptReports })
-	for _, t := range a.lives {
+	for _, t := range a.totals {
 		maps.DeleteFunc(t.Windows, func(w Window, _ Counts) bool { return w < a.next })
 	}
 	return true
@@ -113,7 +114,7 @@
 // Sum returns the counts of a window over all gateways.
 func (a *Aggregate) Sum(w Window) Counts {
 	sum := Counts{}
-	for _, t := range a.lives {
+	for _, t := range a.totals {
 		sum.add(t.Windows[w])
 	}
 	return sum
@@ -122,7 +123,7 @@
 // First returns the first window of which there are counts, and false if there is none.
 func (a *Aggregate) First() (Window, bool) {
 	first, ok := Window(0), false
-	for _, t := range a.lives {
+	for _, t := range a.totals {
 		for w := range t.Windows {
 			if !ok || w < first {
 				first, ok = w, true
@@ -146,7 +147,7 @@
 // at the instant.
 func (a *Aggregate) Covers(vm units.VMID, w Window, end Instant) bool {
 	t := a.last(vm)
-	return t != nil && t.Until >= end && t.Windows[w].total() >= t.Sums[w]
+	return t != nil && t.Until >= end && t.Windows[w].Total() >= t.Sums[w]
 }
 
 // Ended reports whether the process that was started last on a VM has said that it counts no more.
@@ -174,25 +175,25 @@
 	return out
 }
 
-// Totals returns a copy of the totals of all processes that have counts, in order of their lives.
+// Totals returns a copy of the totals of all processes that have counts, in order of their incarnations.
 func (a *Aggregate) Totals() []Totals {
 	var out []Totals
-	for _, t := range a.lives {
+	for _, t := range a.totals {
 		if len(t.Windows) > 0 {
 			out = append(out, t.clone())
 		}
 	}
-	slices.SortFunc(out, func(x, y Totals) int { return cmp.Compare(x.Life, y.Life) })
+	slices.SortFunc(out, func(x, y Totals) int { return cmp.Compare(x.Incarnation, y.Incarnation) })
 	return out
 }
 
 // Prune forgets processes without counts that have said nothing for the span before the instant.
 func (a *Aggregate) Prune(now Instant, age clock.Span) {
-	for life, t := range a.lives {
+	for id, t := range a.totals {
 		if len(t.Windows) > 0 || t.Until.Add(age) >= now {
 			continue
 		}
-		delete(a.lives, life)
+		delete(a.totals, id)
 		a.byVM[t.VM] = slices.DeleteFunc(a.byVM[t.VM], func(other *Totals) bool { return other == t })
 		if len(a.byVM[t.VM]) == 0 {
 			delete(a.byVM, t.VM)
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -127,7 +127,7 @@
 		if w >= from {
 			t.Windows[w] = maps.Clone(n)
 		}
-		t.Sums[w] = n.total()
+		t.Sums[w] = n.Total()
 	}
 	if len(t.Sums) > maxSums {
 		// Nothing is stated of the later ones.
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -177,7 +177,7 @@
 	}
 	before := a.Totals()
 	for _, t := range withoutDecided(all, s.Next) {
-		a.Merge(Totals{VM: t.VM, Life: t.Life, Windows: t.Windows})
+		a.Merge(Totals{VM: t.VM, Incarnation: t.Incarnation, Windows: t.Windows})
 	}
 	s.Totals = a.Totals()
 	return s, !reflect.DeepEqual(before, s.Totals)
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// total returns the requests of all customers.
-func (c Counts) total() int64 {
+// Total returns the number of requests of all customers.
+func (c Counts) Total() int64 {
 	sum := int64(0)
 	for _, n := range c {
 		sum += n
@@ -62,13 +62,13 @@
 	return sum
 }
 
-// Life identifies one run of a gateway process.
-type Life uint64
+// Incarnation identifies one run of a gateway process.
+type Incarnation uint64
 
 // Totals are what one run of a gateway process has counted so far, of some windows.
 type Totals struct {
-	VM   units.VMID `json:"vm"`
-	Life Life       `json:"life"`
+	VM          units.VMID  `json:"vm"`
+	Incarnation Incarnation `json:"life"`
 	// SentAt is the process's clock when it stated Until and Sums.
 	SentAt clock.Time `json:"-"`
 	// Until is the instant up to which all of it is counted; 0 if these totals don't say.
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -19,17 +19,17 @@
 
 // gateway is a gateway of the tests, whose clock begins with the first window.
 type gateway struct {
-	vm       units.VMID
-	life     usage.Life
-	counter  *usage.Counter
-	known    *usage.Aggregate
-	reporter *usage.Reporter
+	vm          units.VMID
+	incarnation usage.Incarnation
+	counter     *usage.Counter
+	known       *usage.Aggregate
+	reporter    *usage.Reporter
 }
 
 const offset = clock.Span(int64(window) * int64(length))
 
-func newGateway(vm units.VMID, life usage.Life) *gateway {
-	g := &gateway{vm: vm, life: life, counter: usage.NewCounter(length, delay), known: usage.NewAggregate()}
+func newGateway(vm units.VMID, incarnation usage.Incarnation) *gateway {
+	g := &gateway{vm: vm, incarnation: incarnation, counter: usage.NewCounter(length, delay), known: usage.NewAggregate()}
 	g.reporter = usage.NewReporter(usage.Options{Length: length, Delay: delay, FirstStart: true}, g.known)
 	return g
 }
@@ -45,7 +45,7 @@
 func (g *gateway) tell(now clock.Time, to ...*gateway) {
 	g.counter.Fold(now, offset)
 	t := g.counter.Totals(0)
-	t.VM, t.Life = g.vm, g.life
+	t.VM, t.Incarnation = g.vm, g.incarnation
 	for _, other := range to {
 		other.known.Merge(t)
 	}
@@ -202,7 +202,7 @@
 	b.counter.Fold(6100, offset)
 	changed, all := b.counter.TakeChanged(), b.counter.Totals(window+1)
 	for _, t := range []*usage.Totals{&changed, &all} {
-		t.VM, t.Life = "b", 2
+		t.VM, t.Incarnation = "b", 2
 		a.known.Merge(*t)
 	}
 	a.tell(6100, a)
