budget, relay, assign: say what "held" and "patience" stood for

held was the bytes of a claim, a response's claim on a pool, and a model that was short lately. They are Claim.bytes, bodyClaim and recentlyShort now, and the field of an exchange is bodyClaim.

Claim.Kept read like a question; it is Protect.

go test ./budget passes, and so do the tests of assign (Short, Copies, Capacity, Adapter, Plan) and of relay (Body, Bodies, Buffer, Budget, Slow, GiveWay) that -run selects.

--- a/assign/place.go
+++ b/assign/place.go
@@ -82,7 +82,7 @@
 	least := math.Inf(1)
 	for _, l := range s.copies {
 		v := l.model
-		if !missing && (v.held || r.now.Sub(l.copy.since) < minCopyAge || !r.fitsWithout(s, m, l.megabytes)) {
+		if !missing && (v.recentlyShort || r.now.Sub(l.copy.since) < minCopyAge || !r.fitsWithout(s, m, l.megabytes)) {
 			continue
 		}
 		rest := len(v.copies) - 1
--- a/assign/round.go
+++ b/assign/round.go
@@ -40,8 +40,8 @@
 	reserved []*site
 	// recent is set if it was requested within lastCopyIdleTime.
 	recent bool
-	// held is set if it was short lately, so that it needs all its copies if that demand comes back.
-	held bool
+	// recentlyShort is set if it was short a few loads ago, so that it needs all its copies if that demand comes back.
+	recentlyShort bool
 	// peakWork is its greatest recent work in prompt tokens/s.
 	peakWork float64
 }
--- a/assign/short.go
+++ b/assign/short.go
@@ -52,7 +52,7 @@
 		}
 		r.p.peaks[m.key] = last
 		m.peakWork = last.workRate
-		m.held = last.shortAt != 0 && r.now.Sub(last.shortAt) < hold
+		m.recentlyShort = last.shortAt != 0 && r.now.Sub(last.shortAt) < hold
 	}
 }
 
@@ -236,7 +236,7 @@
 	least := math.Inf(1)
 	for _, l := range s.copies {
 		m := l.model
-		if m.held || l.copy.loadedAt != 0 && r.now.Sub(l.copy.loadedAt) < minCopyAge || !r.fitsWithout(s, wanted, l.megabytes) {
+		if m.recentlyShort || l.copy.loadedAt != 0 && r.now.Sub(l.copy.loadedAt) < minCopyAge || !r.fitsWithout(s, wanted, l.megabytes) {
 			continue
 		}
 		spare, rest := r.spareWithout(l)
--- a/budget/pool.go
+++ b/budget/pool.go
@@ -19,7 +19,7 @@
 // what they hold. It is safe for concurrent use.
 type Pool struct {
 	limit units.Bytes
-	// idleSpan and minRateSpan are the constants of the same name, or what SetPatience has set.
+	// idleSpan and minRateSpan are the constants of the same name, or what SetYieldDelay has set.
 	idleSpan, minRateSpan clock.Span
 
 	mu     sync.Mutex // guards the fields below
@@ -32,9 +32,9 @@
 	return &Pool{limit: limit, idleSpan: idleSpan, minRateSpan: minRateSpan, claims: map[*Claim]struct{}{}}
 }
 
-// SetPatience sets the time for which a claim may be without progress, or slow, before it gives way. It has to be called
+// SetYieldDelay sets the time for which a claim may be without progress, or slow, before it gives way. It has to be called
 // before the pool is used.
-func (p *Pool) SetPatience(s clock.Span) { p.idleSpan, p.minRateSpan = s, s }
+func (p *Pool) SetYieldDelay(s clock.Span) { p.idleSpan, p.minRateSpan = s, s }
 
 // Claim is what one request holds of a pool. Its zero value holds nothing.
 type Claim struct {
@@ -44,28 +44,29 @@
 	ProgressAt func() clock.Time
 
 	// The fields below are guarded by the mutex of the pool.
-	held units.Bytes
+	// bytes is what the claim holds.
+	bytes units.Bytes
 	// beganAt is when it first took bytes, progressAt when it last took some.
 	beganAt, progressAt clock.Time
 	// kept is set while the claim doesn't give way, yielded once it has given way.
 	kept, yielded bool
 }
 
-// Kept makes a claim one that does not give way until it is offered. It has to be called before the claim takes bytes.
-func (c *Claim) Kept() { c.kept = true }
+// Protect makes a claim one that does not give way until Pool.Offer. It has to be called before the claim takes bytes.
+func (c *Claim) Protect() { c.kept = true }
 
-// Used returns the number of bytes that are held.
+// Used returns the number of bytes that claims hold.
 func (p *Pool) Used() units.Bytes {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.used
 }
 
-// Take adds n bytes to what the claim holds. It returns false if the pool has no room, and holds what it held then. Other
+// Take adds n bytes to what the claim holds. It returns false if the pool has no room, and leaves the claim as it was. Other
 // claims may give way first.
 func (p *Pool) Take(c *Claim, now clock.Time, n units.Bytes) bool {
 	p.mu.Lock()
-	if c.yielded || c.held+n > p.limit {
+	if c.yielded || c.bytes+n > p.limit {
 		p.mu.Unlock()
 		return false
 	}
@@ -81,12 +82,12 @@
 	}
 	ok := p.used+n <= p.limit
 	if ok {
-		if c.held == 0 {
+		if c.bytes == 0 {
 			c.beganAt = now
 			p.claims[c] = struct{}{}
 		}
 		p.used += n
-		c.held += n
+		c.bytes += n
 		c.progressAt = now
 	}
 	p.mu.Unlock()
@@ -113,7 +114,7 @@
 	if idlest != nil {
 		return idlest
 	}
-	if slowest != nil && now.Sub(asking.beganAt) >= p.minRateSpan && asking.held > 0 && asking.rate(now) <= slowest.rate(now) {
+	if slowest != nil && now.Sub(asking.beganAt) >= p.minRateSpan && asking.bytes > 0 && asking.rate(now) <= slowest.rate(now) {
 		return nil
 	}
 	return slowest
@@ -129,7 +130,7 @@
 
 // rate returns the bytes that the claim has taken in a millisecond.
 func (c *Claim) rate(now clock.Time) float64 {
-	return float64(c.held) / max(float64(now.Sub(c.beganAt)), 1)
+	return float64(c.bytes) / max(float64(now.Sub(c.beganAt)), 1)
 }
 
 // Keep records that the request has arrived whole, so that the claim gives way no more. It returns false if it has given way
@@ -157,7 +158,7 @@
 }
 
 func (p *Pool) remove(c *Claim) {
-	p.used -= c.held
-	c.held = 0
+	p.used -= c.bytes
+	c.bytes = 0
 	delete(p.claims, c)
 }
--- a/relay/body.go
+++ b/relay/body.go
@@ -50,12 +50,12 @@
 
 func (b *bodyBudget) release(n int64) { b.used.Add(-n) }
 
-// holding is what one body holds of a budget.Pool, beyond the first initialBufferBytes, which are free: they are part of what
+// bodyClaim is what one body holds of a budget.Pool, beyond the first initialBufferBytes, which are free: they are part of what
 // a connection takes.
-type holding struct {
+type bodyClaim struct {
 	pool  *budget.Pool
 	clock clock.Clock
-	// owner is told when the body gives way.
+	// owner ends the request when the body gives way.
 	owner yielder
 	claim budget.Claim
 	// used is set once the claim holds bytes.
@@ -67,42 +67,45 @@
 // yielder ends the reading or writing of a body. yieldBudget is called from any goroutine.
 type yielder interface{ yieldBudget() }
 
-func (h *holding) take(n int64) bool {
-	if !h.used {
-		h.used = true
-		h.claim.Yield = h.owner.yieldBudget
-		h.claim.ProgressAt = func() clock.Time { return clock.Time(h.progressAt.Load()) }
+func (b *bodyClaim) take(n int64) bool {
+	if !b.used {
+		b.used = true
+		b.claim.Yield = b.owner.yieldBudget
+		b.claim.ProgressAt = func() clock.Time { return clock.Time(b.progressAt.Load()) }
 	}
-	return h.pool.Take(&h.claim, h.clock.Now(), units.Bytes(n))
+	return b.pool.Take(&b.claim, b.clock.Now(), units.Bytes(n))
 }
 
 // progress records progress of a body that holds bytes.
-func (h *holding) progress() {
-	if h.used {
-		h.progressAt.Store(int64(h.clock.Now()))
+func (b *bodyClaim) progress() {
+	if b.used {
+		b.progressAt.Store(int64(b.clock.Now()))
 	}
 }
 
+// protect makes the body one that does not give way until offer. It has to be called before the body is read.
+func (b *bodyClaim) protect() { b.claim.Protect() }
+
 // keep records that the body gives way no more. It returns false if it has given way.
-func (h *holding) keep() bool { return !h.used || h.pool.Keep(&h.claim) }
+func (b *bodyClaim) keep() bool { return !b.used || b.pool.Keep(&b.claim) }
 
 // offer records that the body may give way again.
-func (h *holding) offer() {
-	if h.used {
-		h.pool.Offer(&h.claim, h.clock.Now())
+func (b *bodyClaim) offer() {
+	if b.used {
+		b.pool.Offer(&b.claim, b.clock.Now())
 	}
 }
 
-func (h *holding) release() {
-	if h.used {
-		h.pool.Release(&h.claim)
+func (b *bodyClaim) release() {
+	if b.used {
+		b.pool.Release(&b.claim)
 	}
 }
 
 // readAll reads a body. length is the announced length in bytes, negative if unknown. The caller
-// has to release the holding, also after an error. The error is errBodyBudget when the
+// has to release the claim, also after an error. The error is errBodyBudget when the
 // budget is exhausted; other errors come from in.
-func (h *holding) readAll(in io.Reader, length int64) (data []byte, err error) {
+func (b *bodyClaim) readAll(in io.Reader, length int64) (data []byte, err error) {
 	first := int64(initialBufferBytes)
 	if length >= 0 {
 		// One byte more than announced, so that the read that meets the end needs no larger buffer.
@@ -112,7 +115,7 @@
 	for {
 		if len(data) == cap(data) {
 			grow := int64(cap(data))
-			if !h.take(grow) {
+			if !b.take(grow) {
 				return nil, errBodyBudget
 			}
 			data = append(make([]byte, 0, 2*grow), data...)
@@ -125,7 +128,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("read body: %w", err)
 		}
-		h.progress()
+		b.progress()
 	}
 }
 
@@ -187,12 +190,12 @@
 		return invalidBody
 	}
 	x.bodyBegun = true
-	x.bodyHeld.pool, x.bodyHeld.clock, x.bodyHeld.owner = x.server.bodies, x.server.Clock, bodyReader{x}
-	data, err := x.bodyHeld.readAll(in, x.httpRequest.ContentLength)
-	kept := x.bodyHeld.keep()
+	x.bodyClaim.pool, x.bodyClaim.clock, x.bodyClaim.owner = x.server.bodies, x.server.Clock, bodyReader{x}
+	data, err := x.bodyClaim.readAll(in, x.httpRequest.ContentLength)
+	kept := x.bodyClaim.keep()
 	if err != nil {
 		// What is read from now on is discarded.
-		x.bodyHeld.release()
+		x.bodyClaim.release()
 	}
 	if !kept {
 		// Its connection can't be used any longer.
--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -25,8 +25,8 @@
 	// length is the announced length of the body, which the answer to a HEAD request lacks; negative if unknown.
 	length int64
 	body   []byte
-	// held is what the body holds of the server's budget.
-	held holding
+	// claim is what the body holds of the server's budget.
+	claim bodyClaim
 }
 
 // answerWriter ends the writing of an answer.
@@ -55,11 +55,11 @@
 		return a.handleCallError(ctx, err)
 	}
 	p := &bufferedResponse{attempt: a, status: res.status, header: res.header, length: res.length}
-	p.held.pool, p.held.clock, p.held.owner = a.server.answers, a.server.Clock, answerWriter{a.exchange}
-	defer p.held.release()
+	p.claim.pool, p.claim.clock, p.claim.owner = a.server.answers, a.server.Clock, answerWriter{a.exchange}
+	defer p.claim.release()
 	// Only a caller that does not read its answer gives way.
-	p.held.claim.Kept()
-	body, err := p.held.readAll(io.LimitReader(res.body, maxBufferedBytes+1), res.length)
+	p.claim.protect()
+	body, err := p.claim.readAll(io.LimitReader(res.body, maxBufferedBytes+1), res.length)
 	if err == nil && len(body) > maxBufferedBytes {
 		err = errors.New("response is too large")
 	}
@@ -103,7 +103,7 @@
 		h.Set("Connection", "close")
 	}
 	x.writer.WriteHeader(p.status)
-	p.held.offer()
+	p.claim.offer()
 	for rest := p.body; ; {
 		n := min(len(rest), answerPieceBytes)
 		if _, err := x.writer.Write(rest[:n]); err != nil {
@@ -113,10 +113,10 @@
 		if rest = rest[n:]; len(rest) == 0 {
 			break
 		}
-		p.held.progress()
+		p.claim.progress()
 	}
 	// The deadline that ended the write may come late and hit the next answer on the connection.
-	x.aborted = !p.held.keep()
+	x.aborted = !p.claim.keep()
 }
 
 // answerPieceBytes is the size of the pieces of an answer by which its progress is seen.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -49,8 +49,8 @@
 	body          []byte
 	// bodyBegun is set once the body is read, bodyEnded once nothing more of it can be read.
 	bodyBegun, bodyEnded bool
-	// bodyHeld is what the body holds of the server's budget.
-	bodyHeld holding
+	// bodyClaim is what the body holds of the server's budget.
+	bodyClaim bodyClaim
 	// fingerprint identifies the contents of the request: it is the same for retries by the caller.
 	fingerprint retry.Fingerprint
 	// prompt is what the request shares with others.
--- a/relay/server.go
+++ b/relay/server.go
@@ -106,9 +106,9 @@
 	gateways     int
 }
 
-// answerPatience is the time for which an answer may stand still, or be taken slowly, before it gives way to others: its
-// request has run.
-const answerPatience = 10 * clock.Second
+// answerYieldDelay is the time for which an answer may make no progress, or be taken slowly, before it gives way to others.
+// It is longer than that of a request's body, as the request has run.
+const answerYieldDelay = 10 * clock.Second
 
 // eventBudgetPart divides the budget for bodies to give that for incomplete events.
 const eventBudgetPart = 2
@@ -126,7 +126,7 @@
 		s.BodyBudget = DefaultBodyBudget
 	}
 	s.bodies, s.answers = budget.NewPool(units.Bytes(s.BodyBudget)), budget.NewPool(units.Bytes(s.BodyBudget))
-	s.answers.SetPatience(answerPatience)
+	s.answers.SetYieldDelay(answerYieldDelay)
 	s.eventBudget.limit = s.BodyBudget / eventBudgetPart
 	s.ended, s.end = context.WithCancel(context.Background())
 	s.view.Store(&view.Snapshot{})
@@ -233,7 +233,7 @@
 	// In this order the view may be newer than the one whose keys are usable, but not older.
 	x.keysUsable = s.KeysUsable(x.arrivedAt)
 	x.view = s.view.Load()
-	defer x.bodyHeld.release()
+	defer x.bodyClaim.release()
 	if s.stopping() {
 		w.Header().Set("Connection", "close")
 	}
