scale, peers, listen: names for delays, tolerances and a majority of clocks

Planner code asked a reader to guess at hold, holdBoots, noise, has, taken and waitPatience; they are lowerDelay, lowerDelayBoots, loadTolerance, Expected, withdrawn and maxWait. entry repeated Zone.has and uses Zone.Expected now. Wall.Agreed is HasMajority and its heard is clocks; headSlop is headExcessBytes. Comments state units and what is counted.

--- a/entry/scale.go
+++ b/entry/scale.go
@@ -134,13 +134,9 @@
 	if s.invalid[subject] {
 		return
 	}
-	known := z.Present
-	if z.Ordered > 0 {
-		known = z.Ordered
-	}
 	last := s.ordered[subject]
 	missing := z.Present < o.replicas && last.at != 0 && now.Sub(last.at) >= scaleBoots*max(boot, clock.Second)
-	if o.replicas == known && !missing && !s.calls.Pending(now, subject) {
+	if o.replicas == z.Expected() && !missing && !s.calls.Pending(now, subject) {
 		s.calls.Withdraw(subject)
 		return
 	}
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -598,7 +598,7 @@
 // decide reads the store, if its state isn't known, and writes what is decided next. A gateway that does not hear most
 // of the others decides nothing: its time of day may be wrong.
 func (u *usageManager) decide(now clock.Time) {
-	if u.storePending || now.Before(u.storeAfter) || !u.wall.Agreed(len(u.controller.members.Registered())) {
+	if u.storePending || now.Before(u.storeAfter) || !u.wall.HasMajority(len(u.controller.members.Registered())) {
 		return
 	}
 	if !u.reporter.Loaded() {
--- a/listen/conn.go
+++ b/listen/conn.go
@@ -124,7 +124,7 @@
 // that net/http has in its buffer may be whole.
 func (c *Conn) holdHead(before units.Bytes, answer bool) error {
 	l := c.listener
-	if c.head.Bytes > l.options.HeadBytes()+headSlop {
+	if c.head.Bytes > l.options.HeadBytes()+headExcessBytes {
 		return c.refuse(answer, l.options.TooLarge, "heads_too_large")
 	}
 	after := c.head.Claim()
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -25,8 +25,8 @@
 )
 
 const (
-	// headSlop is what a head may take beyond its limit, as net/http has it.
-	headSlop = 4 << 10
+	// headExcessBytes is what a head may take beyond its limit: net/http allows as much.
+	headExcessBytes = 4 << 10
 	// headMargin is the time that a head may take beyond its limit: its first and last bytes may wait for a busy process.
 	headMargin = 2 * clock.Second
 	// checkInterval is the interval at which connections are looked at. The time of what they do is that of the last look.
--- a/peers/wall.go
+++ b/peers/wall.go
@@ -13,9 +13,9 @@
 const (
 	// stepSize is the difference from which on a clock was stepped: what daemons correct gradually stays below it.
 	stepSize = 200 * clock.Millisecond
-	// maxStepDoubt is the longest time after which a stepped clock is believed. It is not believed before it has shown its
+	// maxStepDelay is the longest time after which a stepped clock is used again. It is not used before it has shown its
 	// new time for as long as it had shown the one before.
-	maxStepDoubt = 10 * clock.Minute
+	maxStepDelay = 10 * clock.Minute
 	// maxWallAge is the age from which on the time of day of another gateway's last digest no longer counts.
 	maxWallAge = 30 * clock.Second
 	// wallSettleTime is the time from the start after which the time of day is used although less than half of the
@@ -48,7 +48,7 @@
 		s.offset, s.steppedAt = offset, 0
 	case s.steppedAt == 0 || !near(offset, s.stepped):
 		s.stepped, s.steppedAt = offset, now
-	case now.Sub(s.steppedAt) >= min(s.steppedAt.Sub(s.since), maxStepDoubt):
+	case now.Sub(s.steppedAt) >= min(s.steppedAt.Sub(s.since), maxStepDelay):
 		*s = steadyClock{known: true, offset: offset, since: s.steppedAt}
 	default:
 		s.stepped = offset
@@ -68,13 +68,13 @@
 	// offset is the last estimate, valid once known is set.
 	offset clock.Span
 	known  bool
-	// heard is the number of clocks that the estimate was made from.
-	heard int
+	// clocks is the number of clocks that the estimate was made from.
+	clocks int
 }
 
 // remoteWall is what is known of the time of day of one incarnation of another gateway.
 type remoteWall struct {
-	life uint64
+	incarnation uint64
 	// ahead is how far the local clock is ahead of the gateway's, plus the delay of the fastest message, in milliseconds.
 	// Between two messages it grows by less than one.
 	ahead      float64
@@ -106,8 +106,8 @@
 	}
 	vm, ahead := units.VMID(d.GetVm()), float64(int64(d.ReceivedAt)-d.GetSentMs())
 	r, ok := w.remotes[vm]
-	if !ok || r.life != d.GetLife() {
-		r = &remoteWall{life: d.GetLife(), ahead: ahead}
+	if !ok || r.incarnation != d.GetLife() {
+		r = &remoteWall{incarnation: d.GetLife(), ahead: ahead}
 		w.remotes[vm] = r
 	}
 	r.ahead = min(r.ahead+float64(d.ReceivedAt.Sub(max(r.measuredAt, w.startedAt)))/wallDriftDivisor, ahead)
@@ -134,7 +134,7 @@
 			return 0, false
 		}
 	}
-	w.heard = len(offsets)
+	w.clocks = len(offsets)
 	slices.SortFunc(offsets, cmp.Compare[clock.Span])
 	low, high := offsets[(len(offsets)-1)/2], offsets[len(offsets)/2]
 	if w.known {
@@ -145,9 +145,9 @@
 	return w.offset, true
 }
 
-// Agreed reports whether more than half of the gateways' clocks were heard, or there are no more than two. A lone gateway
+// HasMajority reports whether more than half of the gateways' clocks are known, or there are no more than two. A lone gateway
 // with a wrong clock must not decide for all.
-func (w *Wall) Agreed(gateways int) bool { return gateways <= 2 || 2*w.heard > gateways }
+func (w *Wall) HasMajority(gateways int) bool { return gateways <= 2 || 2*w.clocks > gateways }
 
 // ReadWall returns the machine's time of day in milliseconds since 1970 at the returned time of the clock.
 func ReadWall(c clock.Clock) (clock.Time, int64) {
--- a/peers/wall_test.go
+++ b/peers/wall_test.go
@@ -96,9 +96,9 @@
 	assert.Assert(t, !ok, "most of the gateways were not heard")
 	_, ok = alone.Offset(4000, 3)
 	assert.Assert(t, ok)
-	assert.Assert(t, !alone.Agreed(3), "one clock decides for three")
-	assert.Assert(t, alone.Agreed(2))
-	assert.Assert(t, machines[0].wall.Agreed(4))
+	assert.Assert(t, !alone.HasMajority(3), "one clock decides for three")
+	assert.Assert(t, alone.HasMajority(2))
+	assert.Assert(t, machines[0].wall.HasMajority(4))
 }
 
 // Guards against a time of day that moves away as the monotonic clocks of the machines drift apart.
--- a/scale/scale.go
+++ b/scale/scale.go
@@ -24,24 +24,25 @@
 	trendWindow = 30 * clock.Second
 	// maxTrendShare bounds what the trend adds to the load.
 	maxTrendShare = 0.5
-	// noise is the part of a replica by which the load may exceed a step without another replica.
-	noise = 0.15
-	// waitPatience is how long requests have to wait before the replicas count as weaker than thought. waitPerReplica is
+	// loadTolerance is the part of a replica by which the load may exceed a step without another replica.
+	loadTolerance = 0.15
+	// maxWait is how long requests may wait before the replicas count as weaker than their nominal capacity. waitPerReplica is
 	// the number of waiting requests a replica from which on they wait for replicas and not for each other.
-	waitPatience   = 1500 * clock.Millisecond
+	maxWait        = 1500 * clock.Millisecond
 	waitPerReplica = 0.5
 	// maxStep is the part by which waiting requests raise the number of replicas at a time.
 	maxStep = 0.5
-	// minHold is the least time for which the load has to allow fewer replicas, holdBoots the same in times of a start.
+	// minLowerDelay is the least time for which the load has to allow fewer replicas, lowerDelayBoots the same as a multiple of
+	// the time that a replica takes to start.
 	// downInterval is the least time between two replicas that are taken away.
-	minHold      = 30 * clock.Second
-	holdBoots    = 3
-	downInterval = 5 * clock.Second
+	minLowerDelay   = 30 * clock.Second
+	lowerDelayBoots = 3
+	downInterval    = 5 * clock.Second
 	// memoryShare is the part of the memory of the replicas left that models may take when one is taken away.
 	memoryShare = 0.85
-	// minStrength bounds how weak replicas are thought to be, as a part of their nominal capacity.
+	// minStrength bounds the estimated strength of a replica, as a part of its nominal capacity.
 	minStrength = 0.25
-	// strengthWindow is the time in which replicas that were found weak are trusted again.
+	// strengthWindow is the time constant with which the estimated strength returns to the nominal capacity.
 	strengthWindow = 2 * clock.Minute
 	// historyStep is the resolution of the highest loads of the past.
 	historyStep = clock.Second
@@ -118,7 +119,7 @@
 	}
 	least, most := in.Min*len(usable), max(in.Max, in.Min)*len(usable)
 	up, down := p.need(&in, upUse), p.need(&in, downUse)
-	p.recordPeak(now, down, p.hold(&in))
+	p.recordPeak(now, down, p.lowerDelay(&in))
 	switch {
 	case up > p.total:
 		p.total = up
@@ -135,8 +136,8 @@
 	return slices.DeleteFunc(slices.Clone(zones), func(z Zone) bool { return z.Excluded })
 }
 
-// has returns how many replicas a zone has or will have without another order.
-func (z *Zone) has() int {
+// Expected returns how many replicas a zone has or will have without another order.
+func (z *Zone) Expected() int {
 	if z.Ordered > 0 {
 		return z.Ordered
 	}
@@ -146,7 +147,7 @@
 func ordered(zones []Zone) int {
 	n := 0
 	for _, z := range zones {
-		n += z.has()
+		n += z.Expected()
 	}
 	return n
 }
@@ -176,7 +177,7 @@
 		p.waitingSince = now
 	}
 	coming := cold > 0 || p.total > present
-	if now.Sub(p.waitingSince) < waitPatience || coming {
+	if now.Sub(p.waitingSince) < maxWait || coming {
 		return
 	}
 	// All replicas work and requests wait: they can do no more than this. The load includes what waits, so that the step
@@ -186,18 +187,20 @@
 	p.waitingSince = now
 }
 
-// need returns the number of replicas that the load, as it will be when a replica has started, uses to a part.
+// need returns the number of replicas of which the load that is expected when another one has started uses the part use.
 func (p *Planner) need(in *Input, use float64) int {
 	load := max(p.load, in.Load*0.5)
-	if rise := p.load - p.trend; rise > p.trend*noise {
+	if rise := p.load - p.trend; rise > p.trend*loadTolerance {
 		perMs := rise / float64(trendWindow-loadWindow)
 		load += min(perMs*float64(in.Boot), load*maxTrendShare)
 	}
-	return max(int(math.Ceil(load/(use*p.strength)-noise)), 1)
+	return max(int(math.Ceil(load/(use*p.strength)-loadTolerance)), 1)
 }
 
-// hold returns the time for which the load has to allow fewer replicas.
-func (p *Planner) hold(in *Input) clock.Span { return max(minHold, holdBoots*in.Boot) }
+// lowerDelay returns the time for which the load has to allow fewer replicas.
+func (p *Planner) lowerDelay(in *Input) clock.Span {
+	return max(minLowerDelay, lowerDelayBoots*in.Boot)
+}
 
 // recordPeak records the number of replicas that is needed now.
 func (p *Planner) recordPeak(now clock.Time, need int, keep clock.Span) {
@@ -209,10 +212,10 @@
 	p.peaks = append(p.peaks, peak{now, need})
 }
 
-// mayLower reports whether one replica less holds the load of the whole hold time, and the models.
+// mayLower reports whether one replica less can take the highest load within lowerDelay, and has memory for the models.
 func (p *Planner) mayLower(now clock.Time, in *Input) bool {
-	hold := p.hold(in)
-	if len(p.peaks) == 0 || now.Sub(p.peaks[0].at) < hold-historyStep || in.Waiting > 0 {
+	delay := p.lowerDelay(in)
+	if len(p.peaks) == 0 || now.Sub(p.peaks[0].at) < delay-historyStep || in.Waiting > 0 {
 		return false
 	}
 	if p.loweredAt != 0 && now.Sub(p.loweredAt) < downInterval {
@@ -235,7 +238,7 @@
 	}
 	left := total - in.Min*len(usable)
 	order := slices.Clone(usable)
-	slices.SortStableFunc(order, func(a, b Zone) int { return b.has() - a.has() })
+	slices.SortStableFunc(order, func(a, b Zone) int { return b.Expected() - a.Expected() })
 	for left > 0 {
 		given := false
 		for _, z := range order {
@@ -251,18 +254,18 @@
 	}
 	starting := slices.ContainsFunc(usable, func(z Zone) bool { return z.Present-z.Cold < out[z.Name] })
 	for _, z := range usable {
-		n := out[z.Name] + z.taken()
+		n := out[z.Name] + z.withdrawn()
 		if starting {
 			// Replicas move to another zone once those there can take the load.
-			n = max(n, z.has())
+			n = max(n, z.Expected())
 		}
 		out[z.Name] = min(n, max(in.Max, in.Min))
 	}
 	return out
 }
 
-// taken returns how many of the leaving replicas were taken away without an order for fewer.
-func (z *Zone) taken() int {
+// withdrawn returns how many of the leaving replicas the platform has taken away without an order for fewer.
+func (z *Zone) withdrawn() int {
 	if z.Ordered == 0 {
 		return z.Leaving
 	}
