gauge, pace, duty, docs: stated and reported, not told, believed or fresh

gauge, pace and their pages said what upstreams or gateways "tell" and what is "believed". Upstreams state a load, gateways report prompts by messages and send digests; a number is used or ignored. pace.Fresh is SinceDigest, limit.missing is reduction, and in duty subject.enter and wait are beginEpoch and delayNext. Doc comments name units.

--- a/duty/calls.go
+++ b/duty/calls.go
@@ -136,7 +136,7 @@
 			continue
 		}
 		v := c.subjects[s]
-		v.enter(p)
+		v.beginEpoch(p)
 		if v.due == nil || v.inFlight || now.Before(v.repeatAt) {
 			continue
 		}
@@ -153,8 +153,9 @@
 	return Call[C]{}, false
 }
 
-// enter forgets the call of an earlier epoch: it is refused once a call of this one was seen.
-func (v *subject[C]) enter(p Proof) {
+// beginEpoch forgets the call of an earlier epoch, if the proof is of another one: the earlier call is refused once one of the
+// new epoch was seen.
+func (v *subject[C]) beginEpoch(p Proof) {
 	if v.proof == p {
 		return
 	}
@@ -179,10 +180,10 @@
 	v.inFlight = false
 	switch o {
 	case Unanswered:
-		v.wait(now)
+		v.delayNext(now)
 		return false
 	case Postponed, NotSent:
-		v.wait(now)
+		v.delayNext(now)
 		if !call.Repeated {
 			// Nothing of it is on its way.
 			v.sent = nil
@@ -203,8 +204,8 @@
 	return wasDue
 }
 
-// wait delays the next call, longer each time.
-func (v *subject[C]) wait(now clock.Time) {
+// delayNext delays the next call, longer each time.
+func (v *subject[C]) delayNext(now clock.Time) {
 	v.delay = min(max(v.delay*2, minRepeatDelay), maxRepeatDelay)
 	v.repeatAt = now.Add(v.delay)
 }
--- a/gauge/limit.go
+++ b/gauge/limit.go
@@ -14,18 +14,19 @@
 	limitMemory = 10 * clock.Second
 )
 
-// limit is the number of requests at once that an upstream takes well. The zero value stands for the slots of the upstream.
+// limit is the number of requests that an upstream can run at once without becoming slow. The zero value
+// stands for the slots of the upstream.
 type limit struct {
-	// missing is what the slots exceed the limit by.
-	missing float64
-	at      clock.Time
+	// reduction is the number of slots above the limit, as of at.
+	reduction float64
+	at        clock.Time
 }
 
-func (l *limit) value(slots int) float64 { return max(float64(slots)-l.missing, 1) }
+func (l *limit) value(slots int) float64 { return max(float64(slots)-l.reduction, 1) }
 
 // observe learns from an answer that took gradient times as long as it would on an idle upstream, beside running requests.
 func (l *limit) observe(now clock.Time, slots, running int, gradient float64) {
-	l.missing *= decay(now.Sub(l.at), limitMemory)
+	l.reduction *= decay(now.Sub(l.at), limitMemory)
 	l.at = now
 	v := l.value(slots)
 	if float64(running) < v*nearLimit {
@@ -37,5 +38,5 @@
 	case gradient < fastGradient:
 		v += limitRise
 	}
-	l.missing = max(float64(slots)-max(v, 1), 0)
+	l.reduction = max(float64(slots)-max(v, 1), 0)
 }
--- a/gauge/report.go
+++ b/gauge/report.go
@@ -5,7 +5,7 @@
 	"github.com/magnolialever/magnolialever/fleet"
 )
 
-// Report is what an upstream tells of itself in an answer.
+// Report is the load that an upstream states in an answer.
 type Report struct {
 	fleet.ReportedLoad
 	// Own is the number of requests that this gateway had running there.
@@ -17,9 +17,9 @@
 	slownessMemory = 150 * clock.Millisecond
 	// runningMemory is that of the reported number of requests of other gateways.
 	runningMemory = 250 * clock.Millisecond
-	// minSlowness and maxSlowness bound the reported slowness that is believed.
+	// minSlowness and maxSlowness bound the reported slowness, as a factor of service times.
 	minSlowness, maxSlowness = 0.5, 10.0
-	// contradicted is the ratio of observed over expected times from which on a report of little load is not believed.
+	// contradicted is the ratio of observed over expected times from which on a report of fewer requests than are known is ignored.
 	contradicted = 1.5
 )
 
@@ -31,18 +31,18 @@
 	return 1 + (s-1)*decay(now.Sub(reportedAt), slownessMemory)
 }
 
-// RecordReport records what an answer tells of the upstream.
+// RecordReport records the load that an upstream stated in an answer.
 func (u *Upstream) RecordReport(now clock.Time, r Report) { u.report, u.reportedAt = r, now }
 
-// OthersRunning returns the number of requests of other gateways: the one known from these, corrected by what the upstream told
-// a moment ago. Fewer are not believed while answers are slower than the report explains.
+// OthersRunning returns the number of requests of other gateways: the one known from these, corrected by what the upstream stated
+// a moment ago. A lower number is ignored while answers are slower than it explains.
 func (u *Upstream) OthersRunning(now clock.Time, known int) int {
 	if u.reportedAt == 0 {
 		return known
 	}
-	told := max(u.report.Running+u.report.Waiting-u.report.Own, 0)
-	if told < known && max(u.calls.value, u.first.value) > contradicted {
+	reported := max(u.report.Running+u.report.Waiting-u.report.Own, 0)
+	if reported < known && max(u.calls.value, u.first.value) > contradicted {
 		return known
 	}
-	return known + int(float64(told-known)*decay(now.Sub(u.reportedAt), runningMemory))
+	return known + int(float64(reported-known)*decay(now.Sub(u.reportedAt), runningMemory))
 }
--- a/gauge/upstream.go
+++ b/gauge/upstream.go
@@ -100,10 +100,10 @@
 	return u.service.calls.at(callFeatures(running, u.limit.value(u.slots))) * u.calls.current(now, 1) * u.slowness(now)
 }
 
-// Limit returns how many requests at once the upstream takes well, over all gateways.
+// Limit returns how many requests of all gateways the upstream can run at once without becoming slow.
 func (u *Upstream) Limit() int { return int(u.limit.value(u.slots)) }
 
-// Known reports whether answers told something of the upstream lately.
+// Known reports whether the times of recent answers of the upstream outweigh the mean of its service.
 func (u *Upstream) Known(now clock.Time) bool {
 	return max(u.first.weight(now), u.events.weight(now), u.calls.weight(now)) > minWeight
 }
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -32,8 +32,8 @@
 // few of these, and a further prompt would stop it again.
 const stopMemory = 150 * clock.Millisecond
 
-// Stops is what the streams that run at an engine show of its batch: it stops while the engine reads prompts, those of gateways that say
-// nothing of it included. The zero value stands for an engine without streams.
+// Stops is what the streams that run at an engine show of its batch: it stops while the engine reads prompts, those of gateways that send
+// no messages included. The zero value stands for an engine without streams.
 type Stops struct {
 	// streams is the number of streams of this gateway that have begun, lastAt the time of the last event of any of them.
 	streams int
@@ -43,7 +43,7 @@
 	stoppedAt clock.Time
 }
 
-// Begin records the first event of a stream, End the end of one that has begun.
+// Begin records the first event of a stream.
 func (p *Stops) Begin(now clock.Time) {
 	p.streams++
 	p.lastAt = now
@@ -58,11 +58,12 @@
 	p.lastAt = now
 }
 
+// past returns what is left, in milliseconds, of the last stop that is over.
 func (p *Stops) past(now clock.Time) float64 {
 	return p.stoppedMs * math.Exp(-float64(max(now.Sub(p.stoppedAt), 0))/float64(stopMemory))
 }
 
-// Ms returns for how long the batch has stood still lately, a stop that goes on included.
+// Ms returns for how many milliseconds the batch has stood still lately, a stop that goes on included.
 func (p *Stops) Ms(now clock.Time, expectedMs float64) float64 {
 	stopped := p.past(now)
 	if p.streams > 0 {
@@ -71,25 +72,26 @@
 	return max(stopped, 0)
 }
 
-// Fresh is an amount that other gateways told of and that their digests don't show yet. The zero value stands for none.
-type Fresh struct {
+// SinceDigest is an amount, in tokens, that other gateways have reported by messages since their last digests. The zero value
+// stands for none.
+type SinceDigest struct {
 	amount float64
 	at     clock.Time
 }
 
 // Add adds an amount; gateways send digests once in an interval.
-func (f *Fresh) Add(now clock.Time, amount units.Tokens, interval clock.Span) {
-	f.amount, f.at = f.left(now, interval)+float64(amount), now
+func (u *SinceDigest) Add(now clock.Time, amount units.Tokens, interval clock.Span) {
+	u.amount, u.at = u.left(now, interval)+float64(amount), now
 }
 
 // Left returns the amount that digests don't show yet, on average: those of all gateways have come after an interval.
-func (f *Fresh) Left(now clock.Time, interval clock.Span) units.Tokens {
-	return units.Tokens(f.left(now, interval))
+func (u *SinceDigest) Left(now clock.Time, interval clock.Span) units.Tokens {
+	return units.Tokens(u.left(now, interval))
 }
 
-func (f *Fresh) left(now clock.Time, interval clock.Span) float64 {
-	if f.amount <= 0 {
+func (u *SinceDigest) left(now clock.Time, interval clock.Span) float64 {
+	if u.amount <= 0 {
 		return 0
 	}
-	return f.amount * math.Exp(-float64(max(now.Sub(f.at), 0))/float64(max(interval, 1)))
+	return u.amount * math.Exp(-float64(max(now.Sub(u.at), 0))/float64(max(interval, 1)))
 }
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -33,7 +33,7 @@
 
 // Guards against memory that is counted for good, or not at all until a digest shows it.
 func TestFreshAmountsGiveWayToDigests(t *testing.T) {
-	var f pace.Fresh
+	var f pace.SinceDigest
 	f.Add(1000, 900, 200)
 	assert.Equal(t, int(f.Left(1000, 200)), 900)
 	assert.Check(t, f.Left(2200, 200) < 5)
--- a/sched/upstream.go
+++ b/sched/upstream.go
@@ -41,10 +41,10 @@
 	reservedTokens units.Tokens
 	pendingPrefill units.Tokens
 	otherLoad      Load
-	// othersPrompts are the prompts that other gateways told of as they sent them.
+	// othersPrompts are the prompts that other gateways reported as they sent them.
 	othersPrompts pace.Prompts
 	// othersReserved is the memory that these need, until digests show it.
-	othersReserved pace.Fresh
+	othersReserved pace.SinceDigest
 	// prefillCredit is the number of prompt tokens that this gateway may send, as of creditAt, while
 	// other gateways use the upstream too.
 	prefillCredit float64
@@ -111,7 +111,7 @@
 		clear(u.prefixes)
 		u.downUntil, u.failStreak, u.failureRate, u.unreachableAt = 0, 0, 0, 0
 		u.gauge.Restart()
-		u.othersPrompts, u.othersReserved = pace.Prompts{}, pace.Fresh{}
+		u.othersPrompts, u.othersReserved = pace.Prompts{}, pace.SinceDigest{}
 	}
 	if e.ColdFor == 0 && u.coldUntil != 0 && now.Sub(u.coldUntil.Add(-assumedColdTime)) > clock.Second {
 		u.coldUntil = 0
