--- a/entry/entry.go
+++ b/entry/entry.go
@@ -119,16 +119,43 @@
 		g.usage = usage.NewCounter(settings.Bounds.UsageWindow, settings.Bounds.UsageDelay)
 	}
 	began := start.Start{At: g.clock.Now(), First: settings.FirstStart}
-	g.relay = relay.New(relay.Options{
+	g.relay = g.newRelay(began)
+	if g.usage != nil {
+		g.relay.OnBegin = func(c units.CustomerID, at clock.Time) { g.usage.Record(g.clock.Now(), at, c) }
+	}
+	g.requestVerdicts = parts.NewVerdictKeeper(g.clock, g.relay.Verdicts(), verdictStore{g.store})
+	g.bounds.Store(&settings.Bounds)
+	g.store.OnEra = g.beginEra
+	g.store.OnCall = func(_ string, elapsed clock.Span, _ error) { storeCallTime.Record(elapsed.Duration()) }
+	transport, err := peers.Listen(peers.Options{
+		Clock: g.clock, VM: settings.VM, Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
+		Life: g.incarnation,
+		OnDigest: func(d peers.Digest) {
+			g.receiveEra(d.GetEra())
+			g.post(digestReceived{d})
+		},
+		OnMessage: g.handleMessage,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
+	g.peers, g.limiter.peers, g.partTransport.peers = transport, transport, transport
+	g.feed = g.newFeed()
+	return g, nil
+}
+
+// newRelay returns the server for callers' requests. It needs the limiter and the parts, which it uses, and the settings.
+func (g *Gateway) newRelay(began start.Start) *relay.Server {
+	return relay.New(relay.Options{
 		Start:       began,
 		Parts:       g.parts,
 		Clock:       g.clock,
-		Scheduler:   sched.New(settings.Zone, sched.ColdTolerance{Factor: settings.Bounds.ColdFactor, Slack: settings.Bounds.ColdSlack}, began),
+		Scheduler:   sched.New(g.settings.Zone, sched.ColdTolerance{Factor: g.settings.Bounds.ColdFactor, Slack: g.settings.Bounds.ColdSlack}, began),
 		Limiter:     g.limiter,
-		SendTimeout: clock.Span(float64(settings.Bounds.DrainDelay) * sendTimeoutShare),
+		SendTimeout: clock.Span(float64(g.settings.Bounds.DrainDelay) * sendTimeoutShare),
 		BodyBudget:  int64(g.shares.Bodies),
 		Retries: retry.WindowLimit{
-			Ratio: settings.Bounds.RetryRatio, Slack: settings.Bounds.RetrySlack, Span: settings.Bounds.RetryWindow,
+			Ratio: g.settings.Bounds.RetryRatio, Slack: g.settings.Bounds.RetrySlack, Span: g.settings.Bounds.RetryWindow,
 		},
 		KeysUsable: g.keyValidity.valid,
 		OnVerdict:  func(v parts.Verdict) { g.requestVerdicts.Add(v, true) },
@@ -144,27 +171,11 @@
 		},
 		OnPrompt: g.promptSent,
 	})
-	if g.usage != nil {
-		g.relay.OnBegin = func(c units.CustomerID, at clock.Time) { g.usage.Record(g.clock.Now(), at, c) }
-	}
-	g.requestVerdicts = parts.NewVerdictKeeper(g.clock, g.relay.Verdicts(), verdictStore{g.store})
-	g.bounds.Store(&settings.Bounds)
-	g.store.OnEra = g.beginEra
-	g.store.OnCall = func(_ string, elapsed clock.Span, _ error) { storeCallTime.Record(elapsed.Duration()) }
-	transport, err := peers.Listen(peers.Options{
-		Clock: g.clock, VM: settings.VM, Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
-		Life: g.incarnation,
-		OnDigest: func(d peers.Digest) {
-			g.receiveEra(d.GetEra())
-			g.post(digestReceived{d})
-		},
-		OnMessage: g.handleMessage,
-	})
-	if err != nil {
-		return nil, fmt.Errorf("entry: %w", err)
-	}
-	g.peers, g.limiter.peers, g.partTransport.peers = transport, transport, transport
-	g.feed = feed.New(feed.Options{
+}
+
+// newFeed returns the feed of the store, which posts changes to the control loop and batches to other gateways.
+func (g *Gateway) newFeed() *feed.Feed {
+	return feed.New(feed.Options{
 		Clock: g.clock, Store: g.store,
 		OnChange:    func(s *view.Snapshot) { g.post(viewChanged{s}) },
 		OnConfirm:   func(at clock.Time) { g.post(storeConfirmed{at}) },
@@ -176,7 +187,6 @@
 		ConfirmInterval:   g.confirmInterval,
 		OthersConfirmedAt: g.othersConfirmedAt,
 	})
-	return g, nil
 }
 
 // Reload applies changed settings while the gateway runs. Only RevocationDelay and GracePeriod take
