budget, listen, gate: one constant for connections that give way

500 ms without progress stood in budget, listen and gate under two names, and 5 s for a new connection in listen and gate. They are budget.IdleSpan and listen.NewConnTimeout now, with the same values. In a test of gauge an upstream was a liar; it is the slow one.

go test ./budget ./listen ./gauge and go test -run 'Listen|Conn|Limit' ./gate pass.

--- a/budget/conns.go
+++ b/budget/conns.go
@@ -148,7 +148,7 @@
 	var since clock.Time
 	for _, c := range s.all {
 		p := progress(c.key)
-		if !c.closing && p.Incomplete && now.Sub(p.At) >= idleSpan && (stalest == nil || p.At.Before(since)) {
+		if !c.closing && p.Incomplete && now.Sub(p.At) >= IdleSpan && (stalest == nil || p.At.Before(since)) {
 			stalest, since = c, p.At
 		}
 	}
@@ -168,7 +168,7 @@
 		if !p.Incomplete && (c.idle == nil || p.Arriving) {
 			continue
 		}
-		if now.Sub(p.At) >= idleSpan {
+		if now.Sub(p.At) >= IdleSpan {
 			return c
 		}
 		if oldest == nil {
--- a/budget/pool.go
+++ b/budget/pool.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// idleSpan is the time without progress from which on a claim gives way to one that makes progress.
-	idleSpan = 500 * clock.Millisecond
+	// IdleSpan is the time without progress from which on a claim or a connection gives way to others.
+	IdleSpan = 500 * clock.Millisecond
 	// minRateSpan is the age from which on the rate of a claim is compared with that of others.
 	minRateSpan = clock.Second
 )
@@ -19,7 +19,7 @@
 // what they hold. It is safe for concurrent use.
 type Pool struct {
 	limit units.Bytes
-	// idleSpan and minRateSpan are the constants of the same name, or what SetYieldDelay has set.
+	// idleSpan and minRateSpan are IdleSpan and the constant of the same name, or what SetYieldDelay has set.
 	idleSpan, minRateSpan clock.Span
 
 	mu     sync.Mutex // guards the fields below
@@ -29,7 +29,7 @@
 
 // NewPool returns a pool of so many bytes.
 func NewPool(limit units.Bytes) *Pool {
-	return &Pool{limit: limit, idleSpan: idleSpan, minRateSpan: minRateSpan, claims: map[*Claim]struct{}{}}
+	return &Pool{limit: limit, idleSpan: IdleSpan, minRateSpan: minRateSpan, claims: map[*Claim]struct{}{}}
 }
 
 // SetYieldDelay sets the time for which a claim may be without progress, or slow, before it gives way. It has to be called
--- a/gate/listen.go
+++ b/gate/listen.go
@@ -104,14 +104,10 @@
 	}
 }
 
-// newConnTimeout is the age from which a connection that has carried no request counts as idle.
-const newConnTimeout = 5 * time.Second
-
 const (
-	// roomInterval is the interval at which a full listener looks for connections that give way, staleTime the time without
-	// progress from which on they do, and roomPart divides the limit to give the number of those that give way at once.
+	// roomInterval is the interval at which a full listener looks for connections that give way. roomPart divides the limit to
+	// give the number of those that give way at once.
 	roomInterval = 100 * time.Millisecond
-	staleTime    = 500 * clock.Millisecond
 	roomPart     = 8
 )
 
@@ -195,7 +191,7 @@
 	var found []stale
 	b.mu.Lock()
 	for c := range b.conns {
-		if incomplete, at := c.Incomplete(); (incomplete || c.isWaiting()) && c.Now().Sub(at) >= staleTime {
+		if incomplete, at := c.Incomplete(); (incomplete || c.isWaiting()) && c.Now().Sub(at) >= budget.IdleSpan {
 			found = append(found, stale{c, c.Served(), at})
 		}
 	}
@@ -305,7 +301,7 @@
 	c.mu.Lock()
 	s := c.state
 	c.mu.Unlock()
-	if s != http.StateIdle && (s != http.StateNew || time.Since(c.openedAt) < newConnTimeout) {
+	if s != http.StateIdle && (s != http.StateNew || time.Since(c.openedAt) < listen.NewConnTimeout) {
 		return false
 	}
 	return !c.Arriving()
--- a/gauge/gauge_test.go
+++ b/gauge/gauge_test.go
@@ -92,13 +92,13 @@
 // Guards against an upstream that says that it is idle and fast while its answers are slow: what callers see counts.
 func TestReportsThatContradictAnswersAreNotBelieved(t *testing.T) {
 	s := gauge.Services{}.Get("app")
-	honest, liar := newUpstream(s, 6), newUpstream(s, 6)
+	fast, slow := newUpstream(s, 6), newUpstream(s, 6)
 	now := clock.Time(1)
 	for ; now < 5000; now += 25 {
 		idle := gauge.Report{ReportedLoad: fleet.ReportedLoad{Slots: 6, Slowness: 1}}
-		for _, u := range []*gauge.Upstream{honest, liar} {
+		for _, u := range []*gauge.Upstream{fast, slow} {
 			took := clock.Span(15)
-			if u == liar {
+			if u == slow {
 				took = 120
 			}
 			started := u.Started(now, "", 0, 1)
@@ -106,9 +106,9 @@
 			u.RecordCall(now, started, took)
 		}
 	}
-	assert.Check(t, liar.ServiceMs(now, 1) > 3*honest.ServiceMs(now, 1), "%.1f and %.1f ms", liar.ServiceMs(now, 1), honest.ServiceMs(now, 1))
-	assert.Equal(t, liar.OthersRunning(now, 4), 4, "it says 0")
-	assert.Check(t, honest.OthersRunning(now, 4) <= 1, "its report is some milliseconds old")
+	assert.Check(t, slow.ServiceMs(now, 1) > 3*fast.ServiceMs(now, 1), "%.1f and %.1f ms", slow.ServiceMs(now, 1), fast.ServiceMs(now, 1))
+	assert.Equal(t, slow.OthersRunning(now, 4), 4, "it says 0")
+	assert.Check(t, fast.OthersRunning(now, 4) <= 1, "its report is some milliseconds old")
 }
 
 // Guards against a reported slowness that is used after it has passed: it changes many times a second.
--- a/listen/limit.go
+++ b/listen/limit.go
@@ -15,8 +15,8 @@
 	"github.com/magnolialever/magnolialever/stats"
 )
 
-// newConnTimeout is the time after which a connection that has carried no request counts as idle for CloseIdle.
-const newConnTimeout = 5 * time.Second
+// NewConnTimeout is the time after which a connection that has carried no request counts as idle for CloseIdle.
+const NewConnTimeout = 5 * time.Second
 
 // Limiter limits the number of open connections of an HTTP server and closes idle ones. At the limit, a new
 // connection closes the one that gives way to it; its caller repeats a request that was
@@ -115,13 +115,13 @@
 	return c.connections.IsClosing(conn)
 }
 
-// CloseIdle closes the idle connections, and those without a request since newConnTimeout. A connection on which a request
+// CloseIdle closes the idle connections, and those without a request since NewConnTimeout. A connection on which a request
 // has begun to arrive is not idle.
 func (c *Limiter) CloseIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, conn := range c.connections.IdleOnes() {
-		if opened, isNew := c.newSince[conn]; isNew && time.Since(opened) < newConnTimeout || isArriving(conn) {
+		if opened, isNew := c.newSince[conn]; isNew && time.Since(opened) < NewConnTimeout || isArriving(conn) {
 			continue
 		}
 		c.close(conn)
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -45,8 +45,6 @@
 	// bufferBytes is what the system keeps of bytes that the process has not read, or that its caller has not taken, for each
 	// connection; the system doubles it. It counts as memory of the process.
 	bufferBytes = 32 << 10
-	// staleTime is the time without progress from which on a connection stands still.
-	staleTime = 500 * clock.Millisecond
 	// writePieceBytes is the size of the pieces of an answer, one of which has to be taken within the time for a write.
 	writePieceBytes = 16 << 10
 )
@@ -206,7 +204,7 @@
 		case n == 0:
 		case phase == arrived && n > aheadBytes:
 			list = append(list, unread{c, 0, n})
-		case phase != arrived && now.Sub(clock.Time(c.progressAt.Load())) >= staleTime:
+		case phase != arrived && now.Sub(clock.Time(c.progressAt.Load())) >= budget.IdleSpan:
 			list = append(list, unread{c, 1, n})
 		}
 	}
