entry: name the message about prompts as the others are named

promptsTold was the one message that another gateway sends without "received" in its name; it is promptsReceived.

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -148,7 +148,7 @@
 		}
 	case digestReceived:
 		c.handleDigest(now, m.digest)
-	case promptsTold:
+	case promptsReceived:
 		c.gateway.relay.RecordOthersSent(c.prompts.decode(c.snapshot, m.prompts))
 	case residencyChanged:
 		c.mergeResidencyChanges(now, m.changes)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -234,8 +234,8 @@
 	residencyChanged struct{ changes []*wire.Residency }
 	// loadsAnnounced has loads that the leader has ordered and that go on.
 	loadsAnnounced struct{ loads []*wire.PendingLoad }
-	// promptsTold has prompts that another gateway has sent to engines.
-	promptsTold struct{ prompts *wire.Prompts }
+	// promptsReceived has prompts that another gateway has sent to engines.
+	promptsReceived struct{ prompts *wire.Prompts }
 )
 
 // post sends a message to the control loop and blocks while its inbox is full. Messages are dropped
@@ -259,7 +259,7 @@
 		return
 	}
 	if prompts := m.GetPrompts(); prompts != nil {
-		g.post(promptsTold{prompts})
+		g.post(promptsReceived{prompts})
 		return
 	}
 	if changes := m.GetStoreChanges(); changes != nil {
