--- a/review/stand2/drain.go
+++ b/review/stand2/drain.go
@@ -40,6 +40,8 @@
 		w.addReplica(fmt.Sprint("i-app-", i), apps, "praha-a", 6, nil, handle)
 	}
 	g := w.addGateway("front-praha-a-1", "praha-a", true)
+	w.addGateway("front-praha-b-1", "praha-b", true)
+	w.addGateway("front-praha-c-1", "praha-c", true)
 	w.awaitReady()
 	time.Sleep(2 * time.Second)
 	end := make(chan struct{})
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -128,6 +128,7 @@
 [zones]
 praha-a = "cz-central"
 praha-b = "cz-central"
+praha-c = "cz-central"
 [listen]
 front = %q
 ready = %q
