--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # review/build-2.sh. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/magnolialever ] && [ -x target/review-2 ] || { echo "build first: deploy/system.toml, review/build-2.sh"; exit 2; }
-exec target/review-2 drain target/magnolialever review/10/record.txt
+exec target/review-2 refused target/magnolialever review/10/record.txt
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -201,6 +201,10 @@
 	must(cmd.Start())
 	g.cmd, g.exited = cmd, exited
 	g.starts++
+	if g.starts == 1 {
+		// Settings say bootstrap = true only when the whole system starts for the first time.
+		time.AfterFunc(restartDelay/2, g.endBootstrap)
+	}
 	g.w.record.logf("%s: process %d started", g.name, g.starts)
 	go func() {
 		err := cmd.Wait()
@@ -216,6 +220,13 @@
 	}()
 }
 
+// endBootstrap changes the settings for the next processes.
+func (g *gateway) endBootstrap() {
+	data, err := os.ReadFile(g.settings)
+	must(err)
+	must(os.WriteFile(g.settings, []byte(strings.Replace(string(data), "bootstrap = true", "bootstrap = false", 1)), 0o600))
+}
+
 func (g *gateway) signal(s syscall.Signal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
