--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -35,11 +35,12 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(trouble bool, program string, r *record) bool{
-	"memory":  memoryCase,
-	"refused": refusedCase,
-	"popular": popularCase,
-	"blind":   blindCase,
-	"drain":   drainCase,
+	"memory":   memoryCase,
+	"refused":  refusedCase,
+	"popular":  popularCase,
+	"blind":    blindCase,
+	"drain":    drainCase,
+	"returned": returnedCase,
 }
 
 func main() {
