entry: only gateways that know what the store lost end the wait of one that starts

Cause: a process that starts in a later era waits for another gateway's version, or for the second within which the operator writes again. Any digest ended that wait, that of a process that had just started too; the store's confirmations of keys were held back only in processes that had read it before; and what a gateway had only heard of a newer version ended with the one that had used it.

Change: digests say which era is settled for their sender and pass on that there is a newer configuration. Confirmations of keys wait for a settled era in a process that starts, too. The control loop uses nothing of an era whose begin it has not handled.

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/clock"
+	"github.com/magnolialever/magnolialever/epoch"
 	"github.com/magnolialever/magnolialever/feed"
 	"github.com/magnolialever/magnolialever/member"
 	"github.com/magnolialever/magnolialever/parts"
@@ -37,14 +38,17 @@
 	published, withheld bool
 	// used is the view that was put into use last.
 	used *view.Snapshot
-	// eraAt is when this gateway learned of the store's era; 0 is never. askedVersion is the version of members that was asked
-	// for digests.
-	eraAt        clock.Time
+	// era is the store's era, eraAt when this gateway learned of it or of a later one; 0 is never.
+	era   epoch.Era
+	eraAt clock.Time
+	// settledEra is the latest era of which this gateway, or another one, knows that what the store had lost is written again.
+	settledEra epoch.Era
+	// askedVersion is the version of members that was asked for digests.
 	askedVersion uint64
 	// askedBy are the addresses that get a digest with the next tick.
 	askedBy []netip.AddrPort
 	// peersConfig is the highest version of the configuration in the other gateways' digests. newerConfigAt is when the first
-	// one arrived that is higher than this gateway's; 0 if none is.
+	// one arrived that is higher than this gateway's; 0 if there is none.
 	peersConfig   int64
 	newerConfigAt clock.Time
 	// confirmedAt is when the view was last known to match the store, keysConfirmedAt when it was also known to have the newest
@@ -139,7 +143,7 @@
 	case fullReadDone:
 		c.handleFullRead(now, m.read)
 	case eraBegan:
-		c.beginEra(now, m.era)
+		c.beginEra(m)
 	case eraReceived:
 		c.handleReceivedEra(now, m.era)
 	case digestAsked:
@@ -316,7 +320,8 @@
 // is old, other gateways' confirmations by the store.
 func (c *controller) updateKeyValidity(now clock.Time) {
 	revocationDelay := c.gateway.bounds.Load().RevocationDelay
-	if !c.withheld && !c.lacksConfig(c.confirmedAt) {
+	if c.confirmedAt != 0 && !c.withheld && !c.lacksConfig(c.confirmedAt) && c.trustsStore(c.confirmedAt) {
+		c.settledEra = max(c.settledEra, c.era)
 		c.keysConfirmedAt = c.confirmedAt
 		c.keys.confirm(c.confirmedAt, "")
 	}
@@ -384,7 +389,10 @@
 	d := &wire.Digest{
 		Vm: string(c.gateway.settings.VM), Life: c.gateway.incarnation, Number: c.digestNumber, Zone: string(c.gateway.settings.Zone),
 		Config: c.configVersion(), ConfirmedMs: confirmationAge(now, c.keysConfirmedAt), SentMs: int64(now), Leaving: c.draining,
-		Era: int64(c.gateway.store.Era()),
+		Era: int64(c.gateway.store.Era()), SettledEra: int64(c.settledEra),
+	}
+	if c.lacksConfig(now) {
+		d.NewestConfig = c.peersConfig
 	}
 	for _, l := range c.gateway.relay.Loads() {
 		d.Shares = append(d.Shares, encodeLoad(l))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -222,8 +222,11 @@
 	}
 	// fullReadDone means that all items of the store were read.
 	fullReadDone struct{ read feed.FullRead }
-	// eraBegan means that the store came back from an older copy, or that its first era is known.
-	eraBegan struct{ era epoch.Era }
+	// eraBegan means that the store came back from an older copy, or that its first era is known, since the time.
+	eraBegan struct {
+		era epoch.Era
+		at  clock.Time
+	}
 	// digestReceived has a digest from another gateway.
 	digestReceived struct{ digest peers.Digest }
 	// eraReceived means that a message of another gateway named a later era.
--- a/entry/era.go
+++ b/entry/era.go
@@ -21,8 +21,9 @@
 
 // beginEra handles a later era in an answer of the store. It is called from the goroutine that has received it.
 func (g *Gateway) beginEra(era int64) {
+	at := g.clock.Now()
 	g.callStore()
-	g.post(eraBegan{epoch.Era(era)})
+	g.post(eraBegan{epoch.Era(era), at})
 	g.onStoreEra(era)
 }
 
@@ -57,11 +58,14 @@
 
 // beginEra ends what rests on the era before. It sends the era to the other gateways, unless one of them has sent it: those
 // cut off from the store would learn of it by the next digest only.
-func (c *controller) beginEra(now clock.Time, era epoch.Era) {
-	klog.InfoS("entry: era of the store", "era", era, "heard", c.gateway.peersEra.Load())
-	c.eraAt = now
-	c.orders.beginEra(now, era)
-	if int64(era) <= c.gateway.peersEra.Load() {
+func (c *controller) beginEra(m eraBegan) {
+	klog.InfoS("entry: era of the store", "era", m.era, "heard", c.gateway.peersEra.Load())
+	if m.era <= c.era {
+		return
+	}
+	c.era, c.eraAt = m.era, m.at
+	c.orders.beginEra(m.at, m.era)
+	if int64(m.era) <= c.gateway.peersEra.Load() {
 		return
 	}
 	c.sendEra(false)
@@ -100,20 +104,31 @@
 	c.publishView(now)
 }
 
-// mayLackConfig reports whether the store may have lost a newer configuration than the first one that this process has read: no
-// digest of another gateway has arrived yet, and the operator may not have had the time to write again. It asks each gateway
-// that becomes known for a digest, as the store may have lost registrations as well.
+// mayLackConfig reports whether the store may have lost a newer configuration than the first one that this process has read. It
+// asks each gateway that becomes known for a digest, as the store may have lost registrations as well.
 func (c *controller) mayLackConfig(now clock.Time) bool {
-	era := c.gateway.store.Era()
-	if era == 0 || c.gateway.settings.FirstStart && era <= 1 {
-		return false
+	if c.trustsStore(now) {
+		return c.lacksConfig(now)
 	}
 	if c.askedVersion != c.members.Version() {
 		c.askedVersion = c.members.Version()
 		c.sendEra(true)
 	}
-	unknown := len(c.gateway.peers.FreshDigests()) == 0 && now.Sub(c.eraAt) < view.RewriteTime
-	return unknown || c.lacksConfig(now)
+	return true
+}
+
+// trustsStore reports whether the store has no older configuration at a time than the operator wrote last, as far as the time
+// tells: it has lost none, or the operator has had the time to write it again. The word of a gateway that does not know that
+// either, as it has just started, counts nothing.
+func (c *controller) trustsStore(at clock.Time) bool {
+	if c.era < c.gateway.store.Era() {
+		// The control loop has not handled the begin of the era.
+		return false
+	}
+	if c.era == 0 || c.gateway.settings.FirstStart && c.era <= 1 || c.settledEra >= c.era {
+		return true
+	}
+	return at.Sub(c.eraAt) >= view.RewriteTime
 }
 
 // lacksConfig reports whether another gateway used a newer configuration before the time. If the store confirmed the
@@ -125,12 +140,16 @@
 	return c.eraAt != 0 && at.Sub(c.eraAt) < maxConfigWait && c.newerConfigAt != 0 && c.newerConfigAt.Before(at)
 }
 
-// recordConfig records the version of the configuration in a digest.
+// recordConfig records what a digest says of the configuration and of the store's era.
 func (c *controller) recordConfig(d peers.Digest) {
-	c.peersConfig = max(c.peersConfig, d.GetConfig())
-	if d.GetConfig() > c.configVersion() && c.newerConfigAt == 0 {
+	version := max(d.GetConfig(), d.GetNewestConfig())
+	c.peersConfig = max(c.peersConfig, version)
+	if version > c.configVersion() && c.newerConfigAt == 0 {
 		c.newerConfigAt = d.ReceivedAt
 	}
+	if epoch.Valid(d.GetSettledEra()) {
+		c.settledEra = max(c.settledEra, epoch.Era(d.GetSettledEra()))
+	}
 }
 
 // restoreVerdicts writes verdicts again that a store that came back from an older copy has lost, given its keys.
--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -161,3 +161,78 @@
 	c.waitFor("gateway is ready", func() bool { return c.readyStatus(c.gateways[0]) == http.StatusOK })
 	c.load("a1")
 }
+
+// acceptsWithdrawnKey sends requests with the key that was taken away to all gateways for a time, and reports whether one was
+// served.
+func (c *cluster) acceptsWithdrawnKey(d time.Duration) bool {
+	c.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for _, g := range c.gateways {
+			if c.responseStatus(g, "/once/a", apiKey) == http.StatusOK {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// end stops a gateway and returns when it has ended.
+func (c *cluster) end(g *testGateway) {
+	c.t.Helper()
+	g.stop()
+	assert.NilError(c.t, <-g.runErr)
+	c.gateways = slices.DeleteFunc(c.gateways, func(o *testGateway) bool { return o == g })
+}
+
+// withdrawKey writes a configuration without the key that gateways accepted so far.
+func (c *cluster) withdrawKey() { c.store.Put(fakes.ConfigKey, fakes.Config(2, "other")) }
+
+// Guards against a withdrawn key that works again after a return of the store and a restart of all gateways: each takes the
+// word of another one that has just started, too.
+func TestWithdrawnKeyStaysWithdrawnWhenAllRestart(t *testing.T) {
+	c, _ := newEraCluster(t, 2)
+	copied := c.store.Copy()
+	c.withdrawKey()
+	for _, g := range c.gateways {
+		c.waitFor("key is withdrawn", func() bool { return c.responseStatus(g, "/once/a", apiKey) == http.StatusUnauthorized })
+	}
+	for len(c.gateways) > 0 {
+		c.end(c.gateways[0])
+	}
+	c.returnFrom(copied, nil)
+	c.restarts = true
+	for i := range 2 {
+		c.gateways = append(c.gateways, c.startGateway(fmt.Sprint("gate-", i)))
+	}
+	assert.Assert(t, !c.acceptsWithdrawnKey(700*time.Millisecond), "a withdrawn key is accepted before the operator has written again")
+	c.withdrawKey()
+	assert.Assert(t, !c.acceptsWithdrawnKey(time.Second), "a withdrawn key is accepted after the operator has written again")
+	for _, g := range c.gateways {
+		c.waitFor("other key is accepted", func() bool { return c.responseStatus(g, "/once/a", "other") == http.StatusOK })
+	}
+}
+
+// Guards against the same where the gateways restart one after the other: the last one that knew the newer configuration has
+// ended, and the one that it told has not used it.
+func TestWithdrawnKeyStaysWithdrawnWhenGatewaysRestartInTurn(t *testing.T) {
+	c, _ := newEraCluster(t, 2)
+	copied := c.store.Copy()
+	c.withdrawKey()
+	for _, g := range c.gateways {
+		c.waitFor("key is withdrawn", func() bool { return c.responseStatus(g, "/once/a", apiKey) == http.StatusUnauthorized })
+	}
+	first, second := c.gateways[0], c.gateways[1]
+	c.returnFrom(copied, nil)
+	c.waitFor("gateways are registered", func() bool { return len(c.store.Keys("gateways/")) == 2 })
+	c.restarts = true
+	c.end(first)
+	c.gateways = append(c.gateways, c.startGateway("gate-2"))
+	assert.Assert(t, !c.acceptsWithdrawnKey(500*time.Millisecond), "one gateway has restarted")
+	c.end(second)
+	c.gateways = append(c.gateways, c.startGateway("gate-3"))
+	assert.Assert(t, !c.acceptsWithdrawnKey(2*time.Second), "both gateways have restarted")
+	c.withdrawKey()
+	for _, g := range c.gateways {
+		c.waitFor("other key is accepted", func() bool { return c.responseStatus(g, "/once/a", "other") == http.StatusOK })
+	}
+}
--- a/entry/peer_era_test.go
+++ b/entry/peer_era_test.go
@@ -46,7 +46,7 @@
 		}
 	}
 	now := g.clock.Now()
-	c.handle(eraBegan{1})
+	c.handle(eraBegan{era: 1, at: now})
 	free, _ := epoch.Join(1, 5)
 	taken, _ := epoch.Join(1, 6)
 	c.orders.elector.RecordHolder(now, free, "")
@@ -98,8 +98,7 @@
 func TestConfirmationsBeforeRewriteDontCount(t *testing.T) {
 	g, c := newCutOffGateway(t)
 	c.snapshot = &view.Snapshot{Config: &fleet.Config{Version: 7}}
-	c.handle(eraBegan{1})
-	c.eraAt = 0
+	c.handle(eraBegan{era: 1})
 	digest := func(era, version int64) peers.Digest {
 		return peers.Digest{Digest: &wire.Digest{Era: era, Config: version}}
 	}
@@ -118,3 +117,45 @@
 	assert.Assert(t, c.mayPrecedeRewrite(digest(2, 6), 2500), "the operator has not written again")
 	assert.Assert(t, !c.mayPrecedeRewrite(digest(2, 6), 1000+clock.Time(maxConfigWait)))
 }
+
+// Guards against a gateway that starts after a return of the store and takes the word of one that does not know either what was
+// lost; against one that waits although another one knows that nothing is missing; and against a control loop that has not
+// heard of the era yet.
+func TestOnlyGatewaysThatKnowEndTheWait(t *testing.T) {
+	g, c := newCutOffGateway(t)
+	fake := fakes.NewStore()
+	defer fake.Close()
+	fake.SetEra(2)
+	g.store = platform.NewStore(fake.Addr())
+	c.snapshot = &view.Snapshot{Config: &fleet.Config{Version: 7}}
+	assert.Assert(t, !c.mayLackConfig(1000), "the store states no era")
+	_, err := g.store.Revision(context.Background())
+	assert.NilError(t, err)
+	assert.Assert(t, c.mayLackConfig(1000), "the begin of the era is not handled")
+	c.handle(eraBegan{era: 2, at: 1000})
+	digest := func(d *wire.Digest) peers.Digest { return peers.Digest{Digest: d, ReceivedAt: 1100} }
+	c.recordConfig(digest(&wire.Digest{Era: 2, Config: 7, ConfirmedMs: 10}))
+	c.recordConfig(digest(&wire.Digest{Era: 2, Config: 7, SettledEra: 1}))
+	c.recordConfig(digest(&wire.Digest{Era: 2, Config: 7, SettledEra: 1 << 60}))
+	assert.Assert(t, c.mayLackConfig(1100))
+	assert.Assert(t, !c.mayLackConfig(1000+clock.Time(view.RewriteTime)), "the operator has written again")
+	c.confirmedAt = 1100
+	c.updateKeyValidity(1200)
+	assert.Equal(t, c.keysConfirmedAt, clock.Time(0))
+	assert.Equal(t, c.newDigest(1200).GetSettledEra(), int64(1), "it does not know")
+	c.recordConfig(digest(&wire.Digest{Era: 2, Config: 7, SettledEra: 2}))
+	assert.Assert(t, !c.mayLackConfig(1100), "another gateway knows")
+	c.updateKeyValidity(1200)
+	assert.Equal(t, c.keysConfirmedAt, clock.Time(1100))
+	assert.Equal(t, c.newDigest(1200).GetSettledEra(), int64(2))
+}
+
+// Guards against a newer configuration that is forgotten with the last gateway that used it.
+func TestNewerConfigIsPassedOn(t *testing.T) {
+	_, c := newCutOffGateway(t)
+	c.snapshot, c.eraAt = &view.Snapshot{Config: &fleet.Config{Version: 5}}, 900
+	assert.Equal(t, c.newDigest(1000).GetNewestConfig(), int64(0))
+	c.recordConfig(peers.Digest{Digest: &wire.Digest{Config: 5, NewestConfig: 8}, ReceivedAt: 1000})
+	assert.Equal(t, c.newDigest(1100).GetNewestConfig(), int64(8))
+	assert.Equal(t, c.newDigest(900+clock.Time(maxConfigWait)).GetNewestConfig(), int64(0), "the operator does not write it again")
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -142,15 +142,14 @@
 	if era <= f.era {
 		return false
 	}
-	returned := f.state.Revision() != 0
-	f.era = era
+	now, returned := f.Clock.Now(), f.state.Revision() != 0
+	f.era, f.confirmAt = era, now.Add(view.RewriteTime)
 	if !returned {
 		return false
 	}
-	now := f.Clock.Now()
 	f.synced = false
 	f.state.BeginEra(now)
-	f.confirmAt, f.rereadAt = now.Add(view.RewriteTime), f.state.SettledAt().Add(rand.N(maxRereadDelay))
+	f.rereadAt = f.state.SettledAt().Add(rand.N(maxRereadDelay))
 	stats.Event("store_returns")
 	klog.InfoS("feed: store came back from an older copy, reading the full state", "era", era, "revision", f.state.Revision())
 	return true
@@ -338,13 +337,17 @@
 // readRevision reads the revision of the store, unless the state was confirmed a short time ago.
 func (f *Feed) readRevision(ctx context.Context) error {
 	started := f.Clock.Now()
-	if started.Sub(f.state.ConfirmedAt()) < f.ConfirmInterval() {
+	confirms := f.confirmAt != 0 && !started.Before(f.confirmAt)
+	if !confirms && started.Sub(f.state.ConfirmedAt()) < f.ConfirmInterval() {
 		return nil
 	}
 	revision, err := f.Store.Revision(ctx)
 	if err != nil {
 		return err
 	}
+	if confirms {
+		f.confirmAt = 0
+	}
 	f.state.RecordStoreRevision(started, revision)
 	f.OnConfirm(f.state.ConfirmedAt())
 	return nil
