relay, gate: no answer of a run says by its status that the request has not run

Cause: the status of an upstream's final answer was returned unchanged whatever it means to callers, and a 421 counted as a statement that the request has not run even with the receipt of a run.

Change: retry.ClaimsNotRun names the four statuses. At gateways on the platform an answer with one of them and without the statement is a failed run: a request that may be repeated goes elsewhere, others get 502. Gateways with agents answer calls that must not run twice with 502 and may-have-run; stored answers of that kind are not sent again.

--- a/gate/record.go
+++ b/gate/record.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/magnolialever/magnolialever/copies"
+	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 )
@@ -27,10 +28,9 @@
 	if s == nil {
 		return false, nil
 	}
-	if !copies.IsFinalStatus(s.Status) {
-		// An agent of another version has reported it.
+	if err := checkStored(s.Status); err != nil {
 		r.retryBlocked = true
-		return false, &Problem{Code: units.OutcomeUnknown, Message: errOddStatus.Error(), MayHaveRun: true}
+		return false, &Problem{Code: units.OutcomeUnknown, Message: err.Error(), MayHaveRun: true}
 	}
 	if s.BodyOmitted {
 		r.retryBlocked = true
@@ -41,6 +41,18 @@
 	return true, a.responseProblem(r.response.replay(s))
 }
 
+// checkStored returns why a status that an agent has reported, or a gateway of another version has stored, must not be sent to
+// the caller of a call that must not run twice.
+func checkStored(status int) error {
+	switch {
+	case !copies.IsFinalStatus(status):
+		return errOddStatus
+	case retry.ClaimsNotRun(status):
+		return errClaimsNotRun
+	}
+	return nil
+}
+
 // onceAttempt returns the identity of the attempt for Once.
 func (r *relay) onceAttempt(a *attempt) OnceAttempt {
 	return OnceAttempt{
--- a/gate/response.go
+++ b/gate/response.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/magnolialever/magnolialever/copies"
+	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -22,6 +23,7 @@
 	errEventTooLong = errors.New("an event of the response stream is too long")
 	errNoLastEvent  = errors.New("the response stream ended before its last event")
 	errOddStatus    = errors.New("the status of the answer is out of range")
+	errClaimsNotRun = errors.New("the status of the answer says that the request has not run, but the upstream has answered it")
 	errCallerWrite  = errors.New("write response to the caller")
 )
 
@@ -32,6 +34,8 @@
 	receivedAt time.Time
 	// resumable is set for requests whose event stream can continue on another upstream.
 	resumable bool
+	// atMostOnce is set for requests that must not run twice.
+	atMostOnce bool
 	// headOnly is set for HEAD requests: the body is dropped.
 	headOnly bool
 	// keepBody is set when the body has to be stored for repeated calls.
@@ -74,6 +78,10 @@
 		stats.Event("odd_status")
 		return errOddStatus
 	}
+	if r.atMostOnce && retry.ClaimsNotRun(int(h.Status)) {
+		stats.Event("not_run_unfounded")
+		return errClaimsNotRun
+	}
 	r.headReceived = true
 	r.status, r.header = int(h.Status), h.Header
 	r.isEventStream = isEventStream(h.Header)
--- a/gate/serve.go
+++ b/gate/serve.go
@@ -21,6 +21,7 @@
 		writer:     x.writer,
 		receivedAt: x.startTime,
 		resumable:  q.stream,
+		atMostOnce: !q.info.Idempotent,
 		headOnly:   q.method == http.MethodHead,
 		keepBody:   q.idempotencyKey != "",
 	}
--- a/gate/status_test.go
+++ b/gate/status_test.go
@@ -50,3 +50,34 @@
 		assert.Check(t, w.StatusCode == http.StatusConflict && w.Header.Get("X-Run") == "may-have-run", "%d stored: %d %q", status, w.StatusCode, body)
 	}
 }
+
+// Guards against a caller that makes a call again, which must not run twice and has run, as the status of the service's answer says
+// that it has not; and against a stored answer that says so.
+func TestStatusOfRunDoesNotSayNotRun(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		run := func(c *agentCall) {
+			_ = c.sendHead(uint32(status), "text/plain")
+			_ = c.sendPart(0, "failed")
+			c.sendDone()
+		}
+		s := startGateway(t, func(o *gate.Options) {
+			withService(o)
+			o.Once = &gate.MemoryOnce{}
+		}, newFakeAgent(t, "a1", run))
+		for _, header := range [][]string{nil, {"Idempotency-Key", "k"}} {
+			w, _ := sendRequest(t, s, "POST", "/svc/cases/book", "x", header...)
+			assert.Check(t, w.StatusCode == http.StatusBadGateway && w.Header.Get("X-Run") == "may-have-run", "%d, %v: %d", status, header, w.StatusCode)
+		}
+		w, _ := sendRequest(t, s, "POST", "/svc/cases/book", "x", "Idempotency-Key", "k")
+		assert.Check(t, w.StatusCode == http.StatusConflict && w.Header.Get("X-Run") == "may-have-run", "%d again: %d", status, w.StatusCode)
+		w, body := sendRequest(t, s, "GET", "/svc/cases/state", "")
+		assert.Check(t, w.StatusCode == status && body == "failed", "%d of a call that may be repeated: %d", status, w.StatusCode)
+
+		s = startGateway(t, func(o *gate.Options) {
+			withService(o)
+			o.Once = &storedOnce{status: status}
+		}, newFakeAgent(t, "a1", run))
+		w, _ = sendRequest(t, s, "POST", "/svc/cases/book", "x", "Idempotency-Key", "k")
+		assert.Check(t, w.StatusCode == http.StatusConflict && w.Header.Get("X-Run") == "may-have-run", "%d stored: %d", status, w.StatusCode)
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/magnolialever/magnolialever/fleet"
 	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/platform"
+	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/sched"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
@@ -92,6 +93,9 @@
 	}
 	a.runs++
 	a.headRead = true
+	if retry.ClaimsNotRun(res.status) {
+		return a.rejectClaim(ctx, res)
+	}
 	if res.Encoded || (res.status < 300 && !res.HasReceipt) {
 		res.abort()
 		// An intermediary responded, or nothing shows that the replica ran the request.
@@ -107,6 +111,17 @@
 	return a.relayBuffered(ctx, res)
 }
 
+// rejectClaim handles a response whose status says that the request has not run, which the upstream does not state. The status
+// must not reach the caller, who would send the request again.
+func (a *attempt) rejectClaim(ctx context.Context, res *response) sched.Outcome {
+	stats.Event("not_run_unfounded")
+	a.recordPlainBegin(res)
+	discardResponse(res)
+	a.failed("status " + strconv.Itoa(res.status) + " of a request that may have run")
+	a.retryOrGiveUp(ctx)
+	return sched.Failed
+}
+
 // rejectContinuation handles a response that is not a stream to a request that should resume one. No
 // part of it may reach the caller, whose stream is incomplete.
 func (a *attempt) rejectContinuation(ctx context.Context, res *response) sched.Outcome {
--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -41,10 +41,7 @@
 // it keeps a 5xx response instead, for the case that no other upstream succeeds.
 func (a *attempt) relayBuffered(ctx context.Context, res *response) sched.Outcome {
 	a.buffering = true
-	if !a.route.Stream && !res.NotRun && (res.HasReceipt || res.Instance != "") {
-		// The upstream runs a plain call as soon as it gets it.
-		a.recordBegin(a.assignedAt)
-	}
+	a.recordPlainBegin(res)
 	now, deadline := a.server.Clock.Now(), a.arrivedAt.Add(a.timeout)
 	if a.next != nil {
 		// From then on handleSilence looks whether the successor answers.
@@ -88,6 +85,13 @@
 	return sched.Served
 }
 
+// recordPlainBegin records that the upstream began to run a plain call, which it does as soon as it gets it.
+func (a *attempt) recordPlainBegin(res *response) {
+	if !a.route.Stream && !res.NotRun && (res.HasReceipt || res.Instance != "") {
+		a.recordBegin(a.assignedAt)
+	}
+}
+
 // writeBuffered sends a buffered response to the caller and finishes the request.
 func (x *exchange) writeBuffered(p *bufferedResponse) {
 	x.finished = true
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -12,6 +12,7 @@
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/parts"
+	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/sched"
 )
 
@@ -102,7 +103,8 @@
 
 // answers reports, once it has ended, whether the upstream has begun to answer the request.
 func (s *successor) answers() bool {
-	return s.err == nil && !s.res.NotRun && !s.res.Encoded && s.res.HasReceipt && s.res.status < http.StatusInternalServerError &&
+	return s.err == nil && !s.res.NotRun && !s.res.Encoded && s.res.HasReceipt &&
+		s.res.status < http.StatusInternalServerError && !retry.ClaimsNotRun(s.res.status) &&
 		(!s.attempt.delivered.headSent || s.res.status == http.StatusOK && s.res.EventStream)
 }
 
