budget: items of lists count towards the budget for heads

Seen: callers with heads of legal size take more memory than the machine has: 325 MB of 284 with 1,750 callers that send a Prompt-Prefix of 3,701 parts and a body a byte short; here 195 MB of 96 with 400 callers that send a Trailer of 4,700 names.

Cause: the budget counted bytes and lines of a head; a list in one line is parsed into a map or slice of many times its bytes, the names of trailers by net/http before any handler.

Change: commas count like lines, beyond 64 of both together. crowd has flags for sizes of runs by hand.

Each single request of these shapes is served (TestEntryServesRequestsWithinLimits).

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -94,12 +94,19 @@
 	})
 }
 
-// Guards against heads of ordinary requests that depend on the pool, and against ones of many short fields that don't.
+// Guards against heads of ordinary requests that depend on the pool, and against ones of many short fields, or a list of many
+// short items, that don't.
 func TestHeadClaims(t *testing.T) {
 	var ordinary, short, split budget.Head
 	ordinary.Add([]byte("GET / HTTP/1.1\r\n" + strings.Repeat("Name: value\r\n", 20) + "\r\n" + strings.Repeat("\n", 8000)))
 	assert.Equal(t, ordinary.Claim(), units.Bytes(0))
 	assert.Assert(t, ordinary.Ended)
+	list := budget.Head{}
+	list.Add([]byte("GET / HTTP/1.1\r\nTrailer: a" + strings.Repeat(",a", 3000) + "\r\n\r\n"))
+	assert.Assert(t, list.Claim() > 2900*87)
+	list = budget.Head{}
+	list.Add([]byte("GET / HTTP/1.1\r\nAccept: text/html" + strings.Repeat(",text/plain", 40) + "\r\n\r\n"))
+	assert.Equal(t, list.Claim(), units.Bytes(0))
 	short.Add([]byte("GET / HTTP/1.1\r\n" + strings.Repeat("abc:\n", 3000) + "\n"))
 	assert.Assert(t, short.Claim() > 3000*87)
 	for _, piece := range []string{"GET / HTTP/1.1\r\n", "a: b\r", "\n\r", "\nbody"} {
--- a/budget/head.go
+++ b/budget/head.go
@@ -9,24 +9,27 @@
 const (
 	// FreeHeadBytes is the size of a head up to which it takes nothing of the pool. Connections count with it.
 	FreeHeadBytes = 4 << 10
-	// FreeHeadFields is the number of lines likewise.
+	// FreeHeadFields is the number of lines and items of lists likewise.
 	FreeHeadFields = 64
-	// fieldBytes is what a field takes when it is parsed, besides its own bytes: 87 bytes measured for fields of 3 to 5
-	// bytes, and an entry of the map that grows.
+	// fieldBytes is what a field, or an item of a list, takes when it is parsed, besides its own bytes: 87 bytes measured for
+	// fields of 3 to 5 bytes, and an entry of the map that grows.
 	fieldBytes = 128
 )
 
 // Head counts the head of one request as it arrives.
 type Head struct {
-	// Bytes and Lines are what has arrived, Ended is set once the empty line has been seen.
-	Bytes, Lines int
-	Ended        bool
+	// Bytes and Lines are what has arrived, Items the further items of its lists, which commas separate. Some lists are parsed
+	// into maps, the names of trailers by net/http itself.
+	Bytes, Lines, Items int
+	// Ended is set once the empty line has been seen.
+	Ended bool
 	// begun is set once a byte other than those of empty lines has arrived, which net/http skips before a request.
 	begun bool
 }
 
 var (
 	lineEnd   = []byte("\n")
+	itemEnd   = []byte(",")
 	headEnd   = []byte("\n\r\n")
 	headEndLF = []byte("\n\n")
 )
@@ -62,10 +65,11 @@
 func (h *Head) AddLines(p []byte) {
 	h.Bytes += len(p)
 	h.Lines += bytes.Count(p, lineEnd)
+	h.Items += bytes.Count(p, itemEnd)
 }
 
 // Claim returns what the head has to hold of the pool.
 func (h *Head) Claim() units.Bytes {
-	over := max(h.Bytes-FreeHeadBytes, 0) + max(h.Lines-FreeHeadFields, 0)*fieldBytes
+	over := max(h.Bytes-FreeHeadBytes, 0) + max(h.Lines+h.Items-FreeHeadFields, 0)*fieldBytes
 	return units.Bytes(over)
 }
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"flag"
 	"fmt"
 	"io"
 	"maps"
@@ -22,24 +23,26 @@
 	"github.com/magnolialever/magnolialever/platform/fakes"
 )
 
-const (
-	// callers is the size of a crowd, crowdTime how long it lasts.
-	callers   = 400
-	crowdTime = 3 * time.Second
-	// pieceDelay is the time between the pieces of callers that are slow.
-	pieceDelay = 100 * time.Millisecond
+// Sizes of crowds and machines. Those of CI are the defaults; others are for runs by hand.
+var (
+	callers   = flag.Int("crowd.callers", 400, "number of callers of a crowd")
+	crowdTime = flag.Duration("crowd.time", 3*time.Second, "time for which a crowd lasts")
+	megabytes = flag.Int("crowd.megabytes", 0, "memory of the machines of gateways on the platform, with 4,000 descriptors, in place of the tests' own; 0 is theirs")
 )
 
+// pieceDelay is the time between the pieces of callers that are slow.
+const pieceDelay = 100 * time.Millisecond
+
 // shape is what one caller of a crowd does on a connection, over and over until the crowd ends. It returns when the
 // connection fails.
 type shape func(ctx context.Context, c net.Conn)
 
 // run runs all callers, each with the next target for each of its connections, and returns when they have ended.
 func (p *process) run(next func() target) {
-	ctx, cancel := context.WithTimeout(context.Background(), crowdTime)
+	ctx, cancel := context.WithTimeout(context.Background(), *crowdTime)
 	defer cancel()
 	var group sync.WaitGroup
-	for range callers {
+	for range *callers {
 		group.Go(func() {
 			for ctx.Err() == nil {
 				to := next()
@@ -196,10 +199,18 @@
 // Guards against limits that refuse a single request within those of the configuration.
 func TestEntryServesRequestsWithinLimits(t *testing.T) {
 	p := startEntry(t)
+	p.await("a request with parts after the start, until which the gateway may not know those that crash upstreams", func() bool {
+		r := p.ordinary()
+		r.Header.Set("Prompt-Prefix", "first:1,own:1")
+		return p.answers(r)
+	})
 	body := strings.Repeat("a", legal)
 	for name, text := range map[string]string{
 		"short fields":       begin("POST", "/read/a", shortFields(headSize), length(6), headEnd) + "prompt",
 		"long field":         begin("POST", "/read/a", "Long: "+body[:headSize]+headEnd, length(6), headEnd) + "prompt",
+		"many parts":         begin("POST", "/read/a", "Prompt-Prefix: "+items(":1", ",")+"\r\n", length(6), headEnd) + "prompt",
+		"many trailers":      begin("POST", "/read/a", chunked, "Trailer: "+differentItems(",")+"\r\n", headEnd) + "6\r\nprompt\r\n0\r\n\r\n",
+		"many items":         begin("POST", "/read/a", "List: "+items("", ",")+"\r\n", length(6), headEnd) + "prompt",
 		"longest body":       begin("POST", "/read/a", length(legal), headEnd) + body,
 		"chunks of one byte": begin("POST", "/read/a", chunked, headEnd) + strings.Repeat("1\r\na\r\n", 10_000) + "0\r\n\r\n",
 		"expects":            begin("POST", "/read/a", length(6), expects, headEnd) + "prompt",
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -141,8 +141,11 @@
 }
 
 // serves reports whether one ordinary request is answered with 200.
-func (p *process) serves() bool {
-	res, err := client.Do(p.ordinary())
+func (p *process) serves() bool { return p.answers(p.ordinary()) }
+
+// answers reports whether the request is answered with 200.
+func (p *process) answers(r *http.Request) bool {
+	res, err := client.Do(r)
 	if err != nil {
 		return false
 	}
@@ -236,6 +239,18 @@
 // startEntry starts a gateway on the platform, with a store and an upstream.
 func startEntry(t *testing.T) *process {
 	t.Helper()
+	return startEntryOn(t, machine{memoryMegabytes, maxDescriptors})
+}
+
+// machine is what the settings of a gateway on the platform say of its VM; reservedDescriptors of the descriptors are for files.
+type machine struct{ megabytes, descriptors int }
+
+// startEntryOn is startEntry on a machine.
+func startEntryOn(t *testing.T, m machine) *process {
+	t.Helper()
+	if *megabytes > 0 {
+		m = machine{*megabytes, 4000}
+	}
 	s := fakes.NewStore()
 	t.Cleanup(s.Close)
 	replica, err := fakes.NewReplica("app-1", func(r *fakes.Request) {
@@ -249,7 +264,7 @@
 	t.Cleanup(replica.Close)
 	s.Put(fakes.ConfigKey, fakes.Config(1, apiKey))
 	s.Put(fakes.UpstreamKeyPrefix+"app-1", replica.Description(fakes.AppService, "zone-a", "ready"))
-	p := &process{t: t, readyPath: "/readiness", megabytes: memoryMegabytes, descriptors: maxDescriptors - reservedDescriptors}
+	p := &process{t: t, readyPath: "/readiness", megabytes: m.megabytes, descriptors: m.descriptors - reservedDescriptors}
 	p.public, _ = freeAddress(t)
 	p.ready, _ = freeAddress(t)
 	_, first := freeAddress(t)
@@ -276,7 +291,7 @@
 maxFds = %d
 [platform]
 address = %q
-`, first, first+1, p.public, p.ready, memoryMegabytes, maxDescriptors, s.Addr())
+`, first, first+1, p.public, p.ready, m.megabytes, m.descriptors, s.Addr())
 	assert.NilError(t, os.WriteFile(file, []byte(settings), 0o600))
 	p.start([]string{platform.SettingsVariable + "=" + file}, "entry")
 	return p
