peers: digests of gateways that nobody knows are bounded

Seen: 3 s of digests to the port for peers, each in the name of another gateway that doesn't exist, make a gateway on the platform take 341 MB where 96 are allowed.

Cause: the last digest of each name was kept for as long as the process runs.

Change: of gateways that the store has not listed, the digests of 32 at once are kept; those that no longer count are dropped for others.

--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -270,6 +270,7 @@
 	p.ready, _ = freeAddress(t)
 	_, first := freeAddress(t)
 	p.metrics = fmt.Sprintf("127.0.0.1:%d", first+1)
+	p.peers = fmt.Sprintf("127.0.0.1:%d", first)
 	p.ordinary = func() *http.Request {
 		r, _ := http.NewRequest(http.MethodPost, "http://"+p.public+"/read/a", strings.NewReader("prompt"))
 		r.Host, r.Header = fakes.Host, fakes.RequestHeader(fmt.Sprint("ordinary-", rand.Uint64()), apiKey, "", 4000)
--- a/entry/controller.go
+++ b/entry/controller.go
@@ -280,8 +280,8 @@
 	}
 	c.gatewayCount = n
 	c.gateway.gateways.Store(int64(n))
-	c.gateway.peers.SetGateways(n)
 	all, registered := c.members.All(), c.members.Registered()
+	c.gateway.peers.SetGateways(c.members.VMs())
 	c.gateway.relay.SetGateways(c.gateway.settings.VM, all)
 	c.gateway.limiter.setGateways(n, registered)
 	c.gateway.partTransport.setGateways(all)
--- a/member/member.go
+++ b/member/member.go
@@ -149,6 +149,15 @@
 // Removed ones may still be reachable.
 func (l *List) All() []Gateway { return l.collect(func(*member) bool { return true }) }
 
+// VMs returns the VMs of the gateways that All returns, in the same order.
+func (l *List) VMs() []units.VMID {
+	var out []units.VMID
+	for _, g := range l.All() {
+		out = append(out, g.VM)
+	}
+	return out
+}
+
 func (l *List) collect(include func(m *member) bool) []Gateway {
 	out := make([]Gateway, 0, len(l.gateways))
 	for _, m := range l.gateways {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -34,6 +34,9 @@
 	// minDigestAge is the least age at which a digest no longer counts. It covers the delays of a
 	// busy gateway.
 	minDigestAge = 900 * clock.Millisecond
+	// maxStrangers is the number of gateways at once whose digests are kept although they are not known to be registered, as
+	// those that have just started.
+	maxStrangers = 32
 )
 
 // DigestInterval returns the interval between two digests of one gateway among n.
@@ -84,8 +87,8 @@
 	clocks *Clocks
 	mu     sync.Mutex
 	latest map[units.VMID]Digest
-	// gateways is the number of gateways, from which the interval of digests follows.
-	gateways int
+	// known are the gateways that the store has listed; the interval of digests follows from their number.
+	known map[units.VMID]bool
 }
 
 // Listen opens the UDP socket. It returns an error if the address is invalid or can't be
@@ -160,16 +163,44 @@
 		p.mu.Unlock()
 		return
 	}
+	if !ok && !p.makeRoom(vm) {
+		p.mu.Unlock()
+		stats.Event("digests_of_strangers")
+		return
+	}
 	p.latest[vm] = received
 	p.mu.Unlock()
 	p.OnDigest(received)
 }
 
-// SetGateways sets the number of gateways.
-func (p *Transport) SetGateways(n int) {
+// makeRoom reports whether the first digest of a gateway may be kept. It drops the last ones of gateways that are not known to
+// be registered if they no longer count. p.mu must be held.
+func (p *Transport) makeRoom(vm units.VMID) bool {
+	if p.known[vm] {
+		return true
+	}
+	now, strangers := p.Clock.Now(), 0
+	for other, d := range p.latest {
+		switch {
+		case p.known[other]:
+		case now.Sub(d.ReceivedAt) >= maxDigestAge(len(p.known)):
+			delete(p.latest, other)
+		default:
+			strangers++
+		}
+	}
+	return strangers < maxStrangers
+}
+
+// SetGateways sets the gateways that the store has listed, this one included.
+func (p *Transport) SetGateways(list []units.VMID) {
+	known := make(map[units.VMID]bool, len(list))
+	for _, vm := range list {
+		known[vm] = true
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.gateways = n
+	p.known = known
 }
 
 // FreshDigests returns the last digest of each gateway that has not missed several intervals.
@@ -179,7 +210,7 @@
 	defer p.mu.Unlock()
 	out := make([]Digest, 0, len(p.latest))
 	for _, d := range p.latest {
-		if now.Sub(d.ReceivedAt) < maxDigestAge(p.gateways) {
+		if now.Sub(d.ReceivedAt) < maxDigestAge(len(p.known)) {
 			out = append(out, d)
 		}
 	}
