entry, gate, coord, agent: net/http answers no request for the whole server

Change: DisableGeneralOptionsHandler at all servers.

Evidence: crowd TestRequestForWholeServerIsNoSuccess failed at all seven listeners before and passes.

--- a/agent/server.go
+++ b/agent/server.go
@@ -267,6 +267,8 @@
 		ReadTimeout:       adminTimeout,
 		WriteTimeout:      adminTimeout,
 		MaxHeaderBytes:    maxAdminHeaderBytes,
+
+		DisableGeneralOptionsHandler: true,
 	}
 	l := listen.New(s.adminListener, listen.Options{
 		Heads: budget.NewPool(adminHeadBytes), HeadBytes: func() int { return maxAdminHeaderBytes },
--- a/coord/ops.go
+++ b/coord/ops.go
@@ -78,6 +78,8 @@
 		IdleTimeout:       opsIdleTimeout,
 		MaxHeaderBytes:    opsHeaderBytes,
 		ErrorLog:          klog.NewStandardLogger("WARNING"),
+
+		DisableGeneralOptionsHandler: true,
 	}}
 	o.listener = listen.New(l, listen.Options{
 		Heads: budget.NewPool(opsHeadBytes), HeadBytes: func() int { return opsHeaderBytes },
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -235,6 +235,25 @@
 	}
 }
 
+// Guards against a success that no upstream has given: net/http itself answers a request for all of the server, past the limits
+// of the handlers.
+func TestRequestForWholeServerIsNoSuccess(t *testing.T) {
+	const text = "OPTIONS * HTTP/1.1\r\nHost: " + fakes.Host + "\r\nConnection: close\r\n\r\n"
+	entry, gate, agent := startEntry(t), startGate(t), startAgent(t)
+	for _, address := range []string{entry.public, entry.ready, entry.metrics, gate.public, gate.operators, gate.ready, agent.ready} {
+		c, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		defer c.Close()
+		assert.NilError(t, c.SetDeadline(time.Now().Add(recoveryTime)))
+		_, err = io.WriteString(c, text)
+		assert.NilError(t, err)
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err)
+		res.Body.Close()
+		assert.Check(t, res.StatusCode >= http.StatusBadRequest, "%s: %d", address, res.StatusCode)
+	}
+}
+
 // streams returns what opens streams of a session between processes and sends so many bytes on each, without a handshake.
 func streams(count, size int) string {
 	var b []byte
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -88,7 +88,7 @@
 	s.connections = listen.NewLimiter("entry", name, most)
 	s.server = &http.Server{
 		Handler: h, ReadHeaderTimeout: longestHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: largestHeaderBytes,
-		ErrorLog: klog.NewStandardLogger("WARNING"),
+		DisableGeneralOptionsHandler: true, ErrorLog: klog.NewStandardLogger("WARNING"),
 	}
 	s.listener.Attach(s.server, s.connections)
 	return s, nil
--- a/gate/listen.go
+++ b/gate/listen.go
@@ -67,6 +67,8 @@
 		IdleTimeout:       l.IdleTimeout.Duration(),
 		MaxHeaderBytes:    l.MaxHeaderBytes,
 		ErrorLog:          klog.NewStandardLogger("WARNING"),
+
+		DisableGeneralOptionsHandler: true,
 	}
 	if name == adminName {
 		s.ReadTimeout, s.WriteTimeout = l.HeaderTimeout.Duration(), l.WriteTimeout.Duration()
