--- a/member/member.go
+++ b/member/member.go
@@ -151,8 +151,9 @@
 
 // VMs returns the VMs of the gateways that All returns, in the same order.
 func (l *List) VMs() []units.VMID {
-	var out []units.VMID
-	for _, g := range l.All() {
+	all := l.All()
+	out := make([]units.VMID, 0, len(all))
+	for _, g := range all {
 		out = append(out, g.VM)
 	}
 	return out
