relay, assign: names of models that callers make up are no demand

Cause: the header Model of any request counted as demand. Made-up names stayed in the leader's record of requested targets for ever, and protobuf refused to encode the digest with a name that isn't UTF-8, with the demand for all other models in it.

Change: what the configuration doesn't have is no demand, and a request for it is refused at once with model_not_found unless an upstream has it loaded. The leader ignores it in digests and forgets targets that the configuration has dropped. Plain services don't look at the model that a caller names.

--- a/assign/plan.go
+++ b/assign/plan.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/magnolialever/magnolialever/clock"
@@ -73,11 +74,7 @@
 // Plan returns the orders to send now. The ledger already counts each as in flight, so that
 // the caller must pass the outcome of each to Ledger.ApplyResult.
 func (p *Planner) Plan(now clock.Time, input PlanInput) []PlannedOrder {
-	for t, demand := range input.Demand {
-		if demand.requested() {
-			p.lastRequested[t] = now
-		}
-	}
+	input.Demand = p.recordRequested(now, newCatalog(input.Services), input.Demand)
 	p.zones.update(now, input.Demand)
 	p.dropReservations(now, input.ExcludedZones)
 	p.status = Status{}
@@ -103,6 +100,45 @@
 	return orders
 }
 
+// catalog has the models that engines can load.
+type catalog map[modelKey]*fleet.Model
+
+func newCatalog(services map[units.ServiceID]*fleet.Service) catalog {
+	c := catalog{}
+	for id, s := range services {
+		if s.Engine == nil {
+			continue
+		}
+		for i := range s.Engine.Models {
+			c[modelKey{id, s.Engine.Models[i].Name}] = &s.Engine.Models[i]
+		}
+	}
+	return c
+}
+
+// has reports whether engines can load the target.
+func (c catalog) has(t Target) bool {
+	m := c[modelKey{t.Service, t.Model}]
+	return m != nil && (t.Adapter == "" || m.HasAdapter(t.Adapter))
+}
+
+// recordRequested records what is requested, and forgets what engines can't load. It returns the demand for what they can:
+// other gateways may report names that callers have made up.
+func (p *Planner) recordRequested(now clock.Time, c catalog, all map[Target]Demand) map[Target]Demand {
+	known := make(map[Target]Demand, len(all))
+	for t, demand := range all {
+		if !c.has(t) {
+			continue
+		}
+		known[t] = demand
+		if demand.requested() {
+			p.lastRequested[t] = now
+		}
+	}
+	maps.DeleteFunc(p.lastRequested, func(t Target, _ clock.Time) bool { return !c.has(t) })
+	return known
+}
+
 // dropReservations removes reservations that have expired or whose upstream is gone, draining
 // or in an excluded zone.
 func (p *Planner) dropReservations(now clock.Time, excludedZones map[units.Zone]bool) {
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/magnolialever/magnolialever/clock"
@@ -82,11 +83,35 @@
 
 // Model returns the model with the name.
 func (e *Engine) Model(name units.ModelID) (Model, bool) {
-	i := slices.IndexFunc(e.Models, func(m Model) bool { return m.Name == name })
-	if i < 0 {
-		return Model{}, false
+	if m := e.find(name); m != nil {
+		return *m, true
 	}
-	return e.Models[i], true
+	return Model{}, false
+}
+
+func (e *Engine) find(name units.ModelID) *Model {
+	for i := range e.Models {
+		if e.Models[i].Name == name {
+			return &e.Models[i]
+		}
+	}
+	return nil
+}
+
+// Has reports whether the engines can load the model and, unless it is empty, the adapter.
+func (e *Engine) Has(name units.ModelID, adapter string) bool {
+	m := e.find(name)
+	return m != nil && (adapter == "" || m.HasAdapter(adapter))
+}
+
+// HasAdapter reports whether the model has an adapter with the name.
+func (m *Model) HasAdapter(name string) bool {
+	text, ok := strings.CutPrefix(name, "a")
+	if !ok {
+		return false
+	}
+	n, err := strconv.Atoi(text)
+	return err == nil && 1 <= n && n <= m.AdapterCount && strconv.Itoa(n) == text
 }
 
 // Service is a group of upstreams that serve the same routes.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -179,7 +179,7 @@
 		defer x.refundUnused()
 	}
 	x.server.recordRequest(x.service.Name)
-	if x.callerRequest.Model != "" {
+	if x.hasTarget() {
 		x.server.OnModelUse(x.service.Name, x.callerRequest.Model, x.callerRequest.Adapter, x.work())
 	}
 	for !x.finished {
@@ -254,14 +254,19 @@
 
 // schedulerRequest returns what the scheduler has to know of the request.
 func (x *exchange) schedulerRequest() sched.Request {
-	return sched.Request{
-		Service: x.service, Model: x.callerRequest.Model, Adapter: x.callerRequest.Adapter,
-		Prompt: x.callerRequest.PromptTokens, Output: x.callerRequest.ExpectedOutput(), PromptParts: x.callerRequest.PromptParts,
+	r := sched.Request{
+		Service: x.service,
+		Prompt:  x.callerRequest.PromptTokens, Output: x.callerRequest.ExpectedOutput(), PromptParts: x.callerRequest.PromptParts,
 		Rank: x.priority(), FirstEventDue: x.nextEventDue(), LatestStart: x.latestStart(),
 		Deadline: x.arrivedAt.Add(x.timeout), Kind: sched.RunKind{Service: x.service.Name, Route: x.route.Name}, Size: x.runSize(),
 		Once: x.route.RetryMode == fleet.AtMostOnce, Resumable: x.route.RetryMode == fleet.Resumable, Begun: x.runs > 0,
 		Avoid: x.tried,
 	}
+	if x.service.Engine != nil {
+		// Plain services load no models, whatever the caller names.
+		r.Model, r.Adapter = x.callerRequest.Model, x.callerRequest.Adapter
+	}
+	return r
 }
 
 // runSize returns the tokens by which the time that the run takes is judged. Another upstream, or another gateway that
@@ -289,6 +294,9 @@
 	x.server.mu.Lock()
 	scheduled := x.server.Scheduler.Add(now, request)
 	x.server.mu.Unlock()
+	if scheduled.ModelMissing && !x.hasTarget() {
+		return x.refuseUnknownTarget(scheduled)
+	}
 	if scheduled.ModelMissing {
 		x.server.OnModelMissing(x.service.Name, x.callerRequest.Model, x.callerRequest.Adapter)
 	}
--- a/relay/refuse.go
+++ b/relay/refuse.go
@@ -25,10 +25,12 @@
 
 // Refusals with fixed contents.
 var (
-	noConfig           = &refusal{status: http.StatusServiceUnavailable, code: units.StoreUnavailable, retryAfter: clock.Second}
-	keysNotUsable      = &refusal{status: http.StatusServiceUnavailable, code: units.Isolated, retryAfter: 300 * clock.Millisecond, closeConnection: true}
-	noRoute            = &refusal{status: http.StatusNotFound, code: units.ServiceNotFound}
-	invalidKey         = &refusal{status: http.StatusUnauthorized, code: units.InvalidKey}
+	noConfig      = &refusal{status: http.StatusServiceUnavailable, code: units.StoreUnavailable, retryAfter: clock.Second}
+	keysNotUsable = &refusal{status: http.StatusServiceUnavailable, code: units.Isolated, retryAfter: 300 * clock.Millisecond, closeConnection: true}
+	noRoute       = &refusal{status: http.StatusNotFound, code: units.ServiceNotFound}
+	invalidKey    = &refusal{status: http.StatusUnauthorized, code: units.InvalidKey}
+	// A newer configuration may have what an unknown model names, so that the caller may come back.
+	unknownTarget      = &refusal{status: http.StatusServiceUnavailable, code: units.ModelNotFound, retryAfter: clock.Second}
 	invalidBody        = &refusal{status: http.StatusBadRequest, code: units.InvalidRequest, closeConnection: true}
 	bodyTooLarge       = &refusal{status: http.StatusRequestEntityTooLarge, code: units.BodyTooLarge, closeConnection: true}
 	bodyBudgetExceeded = &refusal{status: http.StatusServiceUnavailable, code: units.QueueFull, retryAfter: bodyBudgetRetryAfter, closeConnection: true}
--- a/relay/short.go
+++ b/relay/short.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/magnolialever/magnolialever/assign"
+	"github.com/magnolialever/magnolialever/sched"
 	"github.com/magnolialever/magnolialever/units"
 )
 
@@ -12,7 +13,7 @@
 
 // recordShortage reports a refusal that another copy of the model or adapter could have avoided.
 func (x *exchange) recordShortage(code units.Code) {
-	if x.server.OnModelShort == nil || x.callerRequest.Model == "" {
+	if x.server.OnModelShort == nil || !x.hasTarget() {
 		return
 	}
 	switch code {
@@ -21,6 +22,32 @@
 	}
 }
 
+// hasTarget reports whether the request names a model, or an adapter, that the configuration has. Names of others are what a caller
+// likes to send: they are no demand.
+func (x *exchange) hasTarget() bool {
+	return x.service.Engine != nil && x.service.Engine.Has(x.callerRequest.Model, x.callerRequest.Adapter)
+}
+
+// refuseUnknownTarget ends a request for a model or adapter that the configuration does not have and no upstream has loaded. It
+// returns the attempt if it was assigned to an upstream meanwhile, else nil.
+func (x *exchange) refuseUnknownTarget(scheduled *sched.Attempt) *sched.Attempt {
+	x.server.mu.Lock()
+	waiting := x.server.Scheduler.Cancel(scheduled)
+	x.server.mu.Unlock()
+	if !waiting {
+		if <-scheduled.Ready; scheduled.Refused == nil {
+			return scheduled
+		}
+	}
+	x.reason = "not in the configuration"
+	if x.runs > 0 || x.delivered.headSent {
+		x.giveUp(x.reason)
+		return nil
+	}
+	x.refuse(unknownTarget)
+	return nil
+}
+
 // WaitingWork returns the work of the requests that wait for a model or adapter for too long, in prompt tokens.
 func (s *Server) WaitingWork() map[assign.Target]float64 {
 	s.mu.Lock()
--- a/sched/overdue.go
+++ b/sched/overdue.go
@@ -17,12 +17,13 @@
 	Prompt, Output units.Tokens
 }
 
-// Overdue returns the queued requests for models that will hardly meet their latency objective.
+// Overdue returns the queued requests that will hardly meet their latency objective, for models and adapters that engines can
+// load.
 func (s *Scheduler) Overdue(now clock.Time) []Overdue {
 	var list []Overdue
 	for _, a := range s.queue {
 		objective := float64(a.Service.FirstEventObjective)
-		if a.Model != "" && a.queued && float64(a.FirstEventDue.Sub(now)) < objective*overdueShare {
+		if a.queued && a.Service.Engine != nil && a.Service.Engine.Has(a.Model, a.Adapter) && float64(a.FirstEventDue.Sub(now)) < objective*overdueShare {
 			list = append(list, Overdue{Service: a.Service.Name, Model: a.Model, Adapter: a.Adapter, Prompt: a.Prompt, Output: a.Output})
 		}
 	}
