retry: an answer refutes that a request has crashed upstreams, at all processes

Cause: an answer cleared one crash, at one gateway, and digests of others brought it back; it did not clear a request that was refused already; and answers before a crash became known said nothing.

Change: crashes that an answer refutes are kept and sent with the suspects; a crash counts where it isn't refuted. Gateways with agents count every answer. The three encodings of suspects are one (retry/codec.go).

--- a/agent/finish.go
+++ b/agent/finish.go
@@ -36,7 +36,7 @@
 	}
 	switch {
 	case r == nil:
-		s.suspects.RecordSuccess(retry.Fingerprint(j.call.Fingerprint))
+		s.recordAnswer(now, j)
 	case r.crashed:
 		s.recordCrash(now, j, r)
 	case r.code == units.UpstreamFailed && !r.canceled && !r.secondAnswer:
@@ -72,23 +72,30 @@
 		return
 	}
 	s.suspects.RecordCrash(now, retry.Fingerprint(j.call.Fingerprint), retry.CrashID(r.crashID))
+	s.pushSuspects(now)
+}
+
+// pushSuspects sends all crash suspects to the gateways.
+func (s *state) pushSuspects(now clock.Time) {
 	f := s.suspectsFrame(now)
 	for c := range s.controlStreams {
 		c.push(f)
 	}
 }
 
+// recordAnswer records that the upstream has answered the job's request, and pushes the suspects to the gateways if that
+// refutes that the request has caused crashes.
+func (s *state) recordAnswer(now clock.Time, j *job) {
+	if _, refuted := s.suspects.RecordSuccess(now, retry.Fingerprint(j.call.Fingerprint)); refuted {
+		s.pushSuspects(now)
+	}
+}
+
 // suspectsFrame returns a frame with all crash suspects.
 func (s *state) suspectsFrame(now clock.Time) *wire.Frame {
 	suspects := &wire.Suspects{}
 	for _, e := range s.suspects.List(now) {
-		suspect := &wire.Suspect{
-			Fingerprint: uint64(e.Fingerprint), Crashes: uint32(len(e.Crashes)), Ttl: int64(e.Expires.Sub(now)),
-		}
-		for _, c := range e.Crashes {
-			suspect.Crash = append(suspect.Crash, uint64(c))
-		}
-		suspects.Suspect = append(suspects.Suspect, suspect)
+		suspects.Suspect = append(suspects.Suspect, retry.EncodeSuspect(now, e))
 	}
 	return &wire.Frame{Body: &wire.Frame_Suspects{Suspects: suspects}}
 }
@@ -96,14 +103,7 @@
 // mergeSuspects adds the crash suspects of a gateway.
 func (s *state) mergeSuspects(now clock.Time, m *wire.Suspects) {
 	for _, suspect := range m.Suspect {
-		e := retry.Suspect{
-			Fingerprint: retry.Fingerprint(suspect.Fingerprint),
-			Expires:     now.Add(min(clock.Span(suspect.Ttl), retry.SuspectTTL)),
-		}
-		for _, c := range suspect.Crash {
-			e.Crashes = append(e.Crashes, retry.CrashID(c))
-		}
-		s.suspects.Merge(now, e)
+		s.suspects.Merge(now, retry.DecodeSuspect(now, suspect))
 	}
 }
 
--- a/coord/suspect.go
+++ b/coord/suspect.go
@@ -37,46 +37,41 @@
 
 // Succeeded implements gate.Suspects.
 func (s *Suspects) Succeeded(f retry.Fingerprint) {
+	now := s.clock.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.list.RecordSuccess(f)
+	e, refuted := s.list.RecordSuccess(now, f)
+	s.mu.Unlock()
+	if refuted {
+		s.send(retry.EncodeSuspect(now, e))
+	}
 }
 
-// Receive merges the suspects of another process. Their time to live is at most retry.SuspectTTL.
+// Receive merges the suspects of another process.
 func (s *Suspects) Receive(m *wire.Suspects) {
 	now := s.clock.Now()
 	list := make([]retry.Suspect, 0, len(m.Suspect))
 	for _, w := range m.Suspect {
-		e := retry.Suspect{Fingerprint: retry.Fingerprint(w.Fingerprint), Expires: now.Add(min(clock.Span(w.Ttl), retry.SuspectTTL))}
-		for _, c := range w.Crash {
-			e.Crashes = append(e.Crashes, retry.CrashID(c))
-		}
-		list = append(list, e)
+		list = append(list, retry.DecodeSuspect(now, w))
 	}
 	s.merge(now, list)
 }
 
 // merge broadcasts only the changes, so that each process forwards a crash once.
 func (s *Suspects) merge(now clock.Time, list []retry.Suspect) {
-	changed := &wire.Suspects{}
+	var changed []*wire.Suspect
 	s.mu.Lock()
 	for _, e := range list {
 		if s.list.Merge(now, e) {
-			changed.Suspect = append(changed.Suspect, suspectMessage(now, e))
+			changed = append(changed, retry.EncodeSuspect(now, e))
 		}
 	}
 	s.mu.Unlock()
-	if len(changed.Suspect) > 0 {
-		s.broadcast(&wire.Frame{Body: &wire.Frame_Suspects{Suspects: changed}})
+	if len(changed) > 0 {
+		s.send(changed...)
 	}
 }
 
-func suspectMessage(now clock.Time, e retry.Suspect) *wire.Suspect {
-	w := &wire.Suspect{
-		Fingerprint: uint64(e.Fingerprint), Crashes: uint32(len(e.Crashes)), Ttl: int64(e.Expires.Sub(now)),
-	}
-	for _, c := range e.Crashes {
-		w.Crash = append(w.Crash, uint64(c))
-	}
-	return w
+// send sends suspects to all connected agents and gateways.
+func (s *Suspects) send(list ...*wire.Suspect) {
+	s.broadcast(&wire.Frame{Body: &wire.Frame_Suspects{Suspects: &wire.Suspects{Suspect: list}}})
 }
--- a/entry/controller.go
+++ b/entry/controller.go
@@ -16,6 +16,7 @@
 	"github.com/magnolialever/magnolialever/parts"
 	"github.com/magnolialever/magnolialever/peers"
 	"github.com/magnolialever/magnolialever/rawjson"
+	"github.com/magnolialever/magnolialever/retry"
 	"github.com/magnolialever/magnolialever/sched"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/view"
@@ -237,7 +238,7 @@
 // handleDigest merges the crash suspects and parts of another gateway, and plans soon if that gateway had misses.
 func (c *controller) handleDigest(now clock.Time, d peers.Digest) {
 	for _, w := range d.GetSuspects() {
-		c.gateway.relay.MergeSuspect(decodeSuspect(now, w))
+		c.gateway.relay.MergeSuspect(retry.DecodeSuspect(now, w))
 	}
 	c.recordConfig(d)
 	c.gateway.partExchange.Merge(d.GetParts(), parts.Sender{VM: units.VMID(d.GetVm()), Address: d.From.String()}, d.GetLife(), d.GetSentMs())
--- a/entry/residency.go
+++ b/entry/residency.go
@@ -141,32 +141,15 @@
 		r.adapter == other.adapter && r.acceptedOrders == other.acceptedOrders
 }
 
-// encodeSuspects encodes crash suspects for a digest. Expiry is sent as the time left, because
-// clocks differ between gateways.
+// encodeSuspects encodes crash suspects for a digest.
 func encodeSuspects(now clock.Time, list []retry.Suspect) []*wire.Suspect {
 	out := make([]*wire.Suspect, 0, len(list))
 	for _, s := range list {
-		w := &wire.Suspect{Fingerprint: uint64(s.Fingerprint), Ttl: int64(s.Expires.Sub(now))}
-		for _, c := range s.Crashes {
-			w.Crash = append(w.Crash, uint64(c))
-		}
-		out = append(out, w)
+		out = append(out, retry.EncodeSuspect(now, s))
 	}
 	return out
 }
 
-// decodeSuspect decodes a crash suspect of a digest. Its TTL is limited to retry.SuspectTTL.
-func decodeSuspect(now clock.Time, w *wire.Suspect) retry.Suspect {
-	s := retry.Suspect{
-		Fingerprint: retry.Fingerprint(w.GetFingerprint()),
-		Expires:     now.Add(min(clock.Span(w.GetTtl()), retry.SuspectTTL)),
-	}
-	for _, c := range w.GetCrash() {
-		s.Crashes = append(s.Crashes, retry.CrashID(c))
-	}
-	return s
-}
-
 // handleMiss plans at once if this gateway is the leader, else it sends the miss to the leader in a
 // digest.
 func (c *controller) handleMiss(now clock.Time) {
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -127,9 +127,7 @@
 func (r *relay) reportSuccess() {
 	info := &r.request.info
 	r.server.options.Retrier.Succeeded(r.server.clock.Now(), info)
-	if info.Exclusive {
-		r.server.options.Suspects.Succeeded(retry.Fingerprint(info.Fingerprint))
-	}
+	r.server.options.Suspects.Succeeded(retry.Fingerprint(info.Fingerprint))
 }
 
 // checkSuspect returns a problem when the request must not run because it is suspected of crashing
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -22,7 +22,7 @@
 	case sched.Broken:
 		s.crashes.RecordBrokenResponse(now, f, scheduled.Upstream.ID, scheduled.Upstream.ProcessStart)
 	case sched.Served:
-		s.crashes.RecordSuccess(f)
+		s.crashes.RecordSuccess(now, f)
 	}
 }
 
--- a/relay/verdict.go
+++ b/relay/verdict.go
@@ -11,13 +11,12 @@
 // Verdicts returns the verdicts on requests that crash upstreams, by their fingerprints.
 func (s *Server) Verdicts() parts.Verdicts { return requestVerdicts{s} }
 
-// Verdict implements parts.Verdicts. A request that an upstream has answered since it is refused is not known to crash
-// upstreams: it may have been there when they ended for another reason.
+// Verdict implements parts.Verdicts.
 func (v requestVerdicts) Verdict(id parts.ID) parts.Verdict {
 	v.server.mu.Lock()
 	defer v.server.mu.Unlock()
 	f := retry.Fingerprint(id)
-	if !v.server.crashes.Proven(v.server.Clock.Now(), f) {
+	if !v.server.crashes.Rejects(v.server.Clock.Now(), f) {
 		return parts.Verdict{Part: id, Request: true}
 	}
 	return verdictOn(f)
--- a/retry/crash.go
+++ b/retry/crash.go
@@ -138,11 +138,10 @@
 	return c.suspects.Action(now, f) == Reject
 }
 
-// RecordSuccess clears a request that was completed, unless it is rejected.
-func (c *CrashDetector) RecordSuccess(f Fingerprint) { c.suspects.RecordSuccess(f) }
-
-// Proven is Suspects.Proven.
-func (c *CrashDetector) Proven(now clock.Time, f Fingerprint) bool { return c.suspects.Proven(now, f) }
+// RecordSuccess records that an upstream has answered the request.
+func (c *CrashDetector) RecordSuccess(now clock.Time, f Fingerprint) {
+	c.suspects.RecordSuccess(now, f)
+}
 
 // TakeRejected is Suspects.TakeRejected.
 func (c *CrashDetector) TakeRejected() []Fingerprint { return c.suspects.TakeRejected() }
--- a/retry/suspect.go
+++ b/retry/suspect.go
@@ -17,6 +17,8 @@
 	maxSuspects = 4096
 	// maxRejected bounds the requests that wait for TakeRejected; the oldest is dropped.
 	maxRejected = 64
+	// maxRefuted bounds the refuted crashes of a request; the oldest is dropped.
+	maxRefuted = 8
 )
 
 // Fingerprint identifies a request by customer, target and body.
@@ -44,21 +46,22 @@
 type Suspect struct {
 	Fingerprint Fingerprint
 	Crashes     []CrashID
-	Expires     clock.Time
+	// Refuted are crashes that the request has not caused, as an upstream has answered it. Other processes may still count them.
+	Refuted []CrashID
+	Expires clock.Time
 }
 
 // suspectEntry is what this process knows of a suspect. own is set if it has recorded one of the crashes itself.
 type suspectEntry struct {
 	Suspect
 	own bool
-	// answered is set if an upstream has answered the request after it came to be refused.
-	answered bool
 }
 
-// Suspects tracks requests that were running when an upstream crashed. A request that only ran
-// beside the one that caused the crash is cleared when it succeeds.
+// Suspects tracks requests that were running when an upstream crashed. One that causes crashes is never answered: an answer, before
+// or after a crash, refutes that the request has caused it, at all processes.
 type Suspects struct {
-	entries map[Fingerprint]*suspectEntry
+	entries  map[Fingerprint]*suspectEntry
+	answered answeredRequests
 	// rejected are those that TakeRejected returns next.
 	rejected []Fingerprint
 }
@@ -86,20 +89,43 @@
 		e = &suspectEntry{Suspect: Suspect{Fingerprint: other.Fingerprint}}
 		s.entries[other.Fingerprint] = e
 	}
-	changed := false
-	for _, c := range other.Crashes {
-		if len(e.Crashes) < CrashLimit && !slices.Contains(e.Crashes, c) {
-			e.Crashes = append(e.Crashes, c)
-			changed = true
-		}
+	changed := e.refute(other.Refuted)
+	if s.answered.has(now, other.Fingerprint) {
+		changed = e.refute(other.Crashes) || changed
 	}
-	if changed {
+	counted := e.count(other.Crashes)
+	if changed || counted {
 		e.Expires = max(e.Expires, other.Expires)
 	}
 	e.own = e.own || own
-	if changed && e.own && len(e.Crashes) == CrashLimit {
+	if counted && e.own && len(e.Crashes) == CrashLimit {
 		s.rejected = append(s.rejected[max(len(s.rejected)-maxRejected+1, 0):], other.Fingerprint)
 	}
+	return changed || counted
+}
+
+// count adds crashes that are not refuted, up to CrashLimit, and reports whether one of them was new.
+func (e *suspectEntry) count(crashes []CrashID) bool {
+	before := len(e.Crashes)
+	for _, c := range crashes {
+		if len(e.Crashes) < CrashLimit && !slices.Contains(e.Crashes, c) && !slices.Contains(e.Refuted, c) {
+			e.Crashes = append(e.Crashes, c)
+		}
+	}
+	return len(e.Crashes) > before
+}
+
+// refute records that the request has not caused the crashes, and reports whether that was new of one of them.
+func (e *suspectEntry) refute(crashes []CrashID) bool {
+	changed := false
+	for _, c := range crashes {
+		if slices.Contains(e.Refuted, c) {
+			continue
+		}
+		e.Refuted = append(e.Refuted[max(len(e.Refuted)-maxRefuted+1, 0):], c)
+		changed = true
+	}
+	e.Crashes = slices.DeleteFunc(e.Crashes, func(c CrashID) bool { return slices.Contains(e.Refuted, c) })
 	return changed
 }
 
@@ -147,21 +173,21 @@
 	}
 }
 
-// RecordSuccess clears a request that was completed, unless it is rejected.
-func (s *Suspects) RecordSuccess(f Fingerprint) {
+// RecordSuccess records that an upstream has answered the request. It returns the suspect with the crashes that this refutes,
+// to be sent to other processes, and false if there are none.
+func (s *Suspects) RecordSuccess(now clock.Time, f Fingerprint) (Suspect, bool) {
+	s.answered.add(now, f)
 	e, ok := s.entries[f]
-	switch {
-	case !ok:
-	case len(e.Crashes) < CrashLimit:
-		delete(s.entries, f)
-	default:
-		e.answered = true
+	if !ok || !e.refute(slices.Clone(e.Crashes)) {
+		return Suspect{}, false
 	}
+	// It outlives what other processes know.
+	e.Expires = now.Add(SuspectTTL)
+	return e.clone(), true
 }
 
-// Proven reports whether the request is rejected and no upstream has answered it since.
-func (s *Suspects) Proven(now clock.Time, f Fingerprint) bool {
-	return s.Action(now, f) == Reject && !s.entries[f].answered
+func (e *suspectEntry) clone() Suspect {
+	return Suspect{Fingerprint: e.Fingerprint, Crashes: slices.Clone(e.Crashes), Refuted: slices.Clone(e.Refuted), Expires: e.Expires}
 }
 
 // Action returns how the request may run.
@@ -174,10 +200,14 @@
 		delete(s.entries, f)
 		return Allow
 	}
-	if len(e.Crashes) >= CrashLimit {
+	switch len(e.Crashes) {
+	case 0:
+		return Allow
+	case CrashLimit:
 		return Reject
+	default:
+		return Isolate
 	}
-	return Isolate
 }
 
 // List returns the suspects that have not expired.
@@ -185,7 +215,7 @@
 	list := make([]Suspect, 0, len(s.entries))
 	for _, e := range s.entries {
 		if now.Before(e.Expires) {
-			list = append(list, Suspect{Fingerprint: e.Fingerprint, Crashes: slices.Clone(e.Crashes), Expires: e.Expires})
+			list = append(list, e.clone())
 		}
 	}
 	return list
