--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -237,6 +237,20 @@
 	return "", 0
 }
 
+// freePorts returns the first of two unused ports.
+func freePorts(t *testing.T) int {
+	t.Helper()
+	for range 1000 {
+		_, port := freeAddress(t)
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1)); err == nil {
+			l.Close()
+			return port
+		}
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
 // startEntry starts a gateway on the platform, with a store and an upstream.
 func startEntry(t *testing.T) *process {
 	t.Helper()
@@ -268,7 +282,7 @@
 	p := &process{t: t, readyPath: "/readiness", megabytes: m.megabytes, descriptors: m.descriptors - reservedDescriptors}
 	p.public, _ = freeAddress(t)
 	p.ready, _ = freeAddress(t)
-	_, first := freeAddress(t)
+	first := freePorts(t)
 	p.metrics = fmt.Sprintf("127.0.0.1:%d", first+1)
 	p.peers = fmt.Sprintf("127.0.0.1:%d", first)
 	p.ordinary = func() *http.Request {
