--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -65,6 +65,8 @@
 	public, ready string
 	// storeLink is its link to the store.
 	storeLink *link
+	// graceSeconds is the period of grace of its planned stops; 0 for agents and gateways with agents.
+	graceSeconds int
 	// stops are its planned stops, otherFaults those that end or freeze its process.
 	stops, otherFaults spells
 
@@ -122,6 +124,7 @@
 	g := &gateway{
 		name: name, args: []string{"entry"}, env: []string{platform.SettingsVariable + "=" + file},
 		public: fmt.Sprintf("127.0.0.1:%d", front), ready: "http://" + ready + "/readiness", storeLink: l,
+		graceSeconds: graceSeconds,
 	}
 	settings := fmt.Sprintf(`nodeName = %q
 zone = "zone-a"
