feed: a watch that is cut is no outage of the store

Change: after a watch that ended without an answer the revision is read at once; if the store answers, nothing has expired. Timeouts, other failures and known outages count as before.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -253,6 +253,10 @@
 		f.synced = false
 		return 0
 	}
+	if errors.Is(err, errWatchCut) {
+		stats.Event("store_watches_cut")
+		return f.backOff()
+	}
 	f.recordLateAnswer(err)
 	stats.Event("store_failed")
 	if pause := f.Pause(); f.batchAt != 0 && f.Clock.Now().Sub(f.batchAt) < pause {
@@ -269,6 +273,11 @@
 		// The store has no work with this. Entries are kept for a time that begins with its answer, so that must not come late.
 		return minRetryDelay
 	}
+	return f.backOff()
+}
+
+// backOff returns the delay before the next call after one that failed, longer each time.
+func (f *Feed) backOff() time.Duration {
 	f.retryDelay = min(max(f.retryDelay*2, minRetryDelay), maxRetryDelay)
 	return f.retryDelay/2 + rand.N(f.retryDelay/2+1)
 }
@@ -290,6 +299,9 @@
 	readErr := f.readRevision(ctx)
 	w := <-watched
 	if w.err != nil {
+		if readErr == nil && f.isOnlyCut(ctx, w.err) {
+			return errWatchCut
+		}
 		return w.err
 	}
 	f.applyWatch(w)
@@ -302,6 +314,29 @@
 	return readErr
 }
 
+// errWatchCut means that a watch ended without an answer while the store answered other calls.
+var errWatchCut = errors.New("the watch was cut")
+
+// isOnlyCut reports whether a watch that failed was cut and the store has no outage: it answers this gateway at once. An outage
+// would let entries of live upstreams expire, so that those which are removed had to be kept for a while.
+func (f *Feed) isOnlyCut(ctx context.Context, err error) bool {
+	if f.storeDown || isTimeout(err) {
+		return false
+	}
+	for _, other := range []error{platform.ErrNewEra, platform.ErrCompacted, platform.ErrUnreadable, platform.ErrLateAnswer, platform.ErrUnreachable} {
+		if errors.Is(err, other) {
+			return false
+		}
+	}
+	return f.confirmRevision(ctx) == nil
+}
+
+// isTimeout reports whether a call failed as no answer came in time.
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
 // watchResult is the result of a watch.
 type watchResult struct {
 	items    []platform.Item
@@ -334,20 +369,29 @@
 	}
 }
 
-// readRevision reads the revision of the store, unless the state was confirmed a short time ago.
+// readRevision reads the revision of the store, unless the state was confirmed a short time ago and confirmAt has not passed since.
 func (f *Feed) readRevision(ctx context.Context) error {
-	started := f.Clock.Now()
-	confirms := f.confirmAt != 0 && !started.Before(f.confirmAt)
-	if !confirms && started.Sub(f.state.ConfirmedAt()) < f.ConfirmInterval() {
+	now := f.Clock.Now()
+	due := f.confirmAt != 0 && !now.Before(f.confirmAt)
+	if !due && now.Sub(f.state.ConfirmedAt()) < f.ConfirmInterval() {
 		return nil
 	}
-	revision, err := f.Store.Revision(ctx)
-	if err != nil {
+	if err := f.confirmRevision(ctx); err != nil {
 		return err
 	}
-	if confirms {
+	if due {
 		f.confirmAt = 0
 	}
+	return nil
+}
+
+// confirmRevision reads the revision of the store, which may confirm the state.
+func (f *Feed) confirmRevision(ctx context.Context) error {
+	started := f.Clock.Now()
+	revision, err := f.Store.Revision(ctx)
+	if err != nil {
+		return err
+	}
 	f.state.RecordStoreRevision(started, revision)
 	f.OnConfirm(f.state.ConfirmedAt())
 	return nil
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -112,12 +112,17 @@
 
 // newPausedFollower returns a follower whose own watches are the pause apart.
 func newPausedFollower(t *testing.T, pause clock.Span) *follower {
-	f := &follower{
-		t: t, store: &scriptedStore{revision: 10, calls: map[string]int{}, items: map[string]platform.Item{}},
-		views: make(chan *view.Snapshot, 100),
-	}
+	t.Helper()
+	s := &scriptedStore{revision: 10, calls: map[string]int{}, items: map[string]platform.Item{}}
+	return newFollowerOf(t, s, s, pause)
+}
+
+// newFollowerOf returns a follower of a store that counts its calls in another one.
+func newFollowerOf(t *testing.T, s feed.Store, counts *scriptedStore, pause clock.Span) *follower {
+	t.Helper()
+	f := &follower{t: t, store: counts, views: make(chan *view.Snapshot, 100)}
 	f.feed = feed.New(feed.Options{
-		Clock: f.clock, Store: f.store, OnChange: func(s *view.Snapshot) { f.views <- s }, OnConfirm: func(clock.Time) {},
+		Clock: f.clock, Store: s, OnChange: func(s *view.Snapshot) { f.views <- s }, OnConfirm: func(clock.Time) {},
 		OthersConfirmedAt: func() clock.Time { return 0 }, OnOtherItem: func(platform.Item, bool) {}, OnFullRead: func(feed.FullRead) {}, Pause: func() clock.Span { return pause },
 		ConfirmInterval: func() clock.Span { return clock.Second },
 		OnBatch:         func(feed.Batch) {},
