--- a/tools/testrun/main.go
+++ b/tools/testrun/main.go
@@ -76,6 +76,12 @@
 // alonePackages are the packages whose tests load the machine as a whole. They run after all others, one after the other.
 var alonePackages = []string{modulePath + "crowd"}
 
+// The time limits of a run of "go test". The tests of alonePackages run one at a time, and each takes seconds by itself.
+const (
+	timeLimit      = "8m"
+	aloneTimeLimit = "20m"
+)
+
 // runTests runs the tests of all packages. Its error is not nil if a test failed or the output is incomplete.
 func runTests() (*result, error) {
 	r := &result{output: map[testName][]string{}}
@@ -84,18 +90,18 @@
 		return r, fmt.Errorf("list packages: %w", err)
 	}
 	packages := slices.DeleteFunc(strings.Fields(string(out)), func(p string) bool { return slices.Contains(alonePackages, p) })
-	err = r.runGoTest(packages...)
+	err = r.runGoTest(timeLimit, packages...)
 	for _, p := range alonePackages {
-		err = errors.Join(err, r.runGoTest(p))
+		err = errors.Join(err, r.runGoTest(aloneTimeLimit, p))
 	}
 	return r, err
 }
 
-// runGoTest runs "go test" for packages and adds the events to the result.
-func (r *result) runGoTest(packages ...string) error {
+// runGoTest runs "go test" for packages within a time limit and adds the events to the result.
+func (r *result) runGoTest(limit string, packages ...string) error {
 	// Disables the test cache: package system runs a binary that it builds itself, and the cache
 	// does not track the sources of that binary.
-	c := exec.Command("go", append([]string{"test", "-count=1", "-race", "-timeout", "8m", "-json"}, packages...)...)
+	c := exec.Command("go", append([]string{"test", "-count=1", "-race", "-timeout", limit, "-json"}, packages...)...)
 	c.Stderr = os.Stderr
 	out, err := c.StdoutPipe()
 	if err != nil {
