--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -201,14 +201,14 @@
 	p := startEntry(t)
 	p.await("a request with parts after the start, until which the gateway may not know those that crash upstreams", func() bool {
 		r := p.ordinary()
-		r.Header.Set("Prompt-Prefix", "first:1,own:1")
+		fakes.SetPromptParts(r.Header, "first", "own")
 		return p.answers(r)
 	})
 	body := strings.Repeat("a", legal)
 	for name, text := range map[string]string{
 		"short fields":       begin("POST", "/read/a", shortFields(headSize), length(6), headEnd) + "prompt",
 		"long field":         begin("POST", "/read/a", "Long: "+body[:headSize]+headEnd, length(6), headEnd) + "prompt",
-		"many parts":         begin("POST", "/read/a", "Prompt-Prefix: "+items(":1", ",")+"\r\n", length(6), headEnd) + "prompt",
+		"many parts":         begin("POST", "/read/a", fakes.PromptField(items(":1", ",")), length(6), headEnd) + "prompt",
 		"many trailers":      begin("POST", "/read/a", chunked, "Trailer: "+differentItems(",")+"\r\n", headEnd) + "6\r\nprompt\r\n0\r\n\r\n",
 		"many items":         begin("POST", "/read/a", "List: "+items("", ",")+"\r\n", length(6), headEnd) + "prompt",
 		"longest body":       begin("POST", "/read/a", length(legal), headEnd) + body,
--- a/crowd/list_test.go
+++ b/crowd/list_test.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"testing"
+
+	"github.com/magnolialever/magnolialever/platform/fakes"
 )
 
 // listMachine has room for more connections than a crowd opens.
@@ -41,7 +43,7 @@
 	public := func(p *process) string { return p.public }
 	ready := func(p *process) string { return p.ready }
 	body := strings.Repeat("a", legal)
-	parts := "Prompt-Prefix: " + items(":1", ",") + "\r\n"
+	parts := fakes.PromptField(items(":1", ","))
 	trailer := "Trailer: " + differentItems(",") + "\r\n"
 	whole := begin("POST", "/read/a", parts, length(6), headEnd) + "prompt"
 	return map[string]target{
--- a/relay/claim_test.go
+++ b/relay/claim_test.go
@@ -38,7 +38,7 @@
 			}
 			got := g.send(context.Background(), http.MethodPost, path, model, "x")
 			assert.Check(t, got.status == http.StatusBadGateway, "%d at %s: %d", status, path, got.status)
-			assert.Check(t, got.header.Get("Server-Stamp") == "", "%d at %s: receipt under another status", status, path)
+			assert.Check(t, !fakes.HasReceipt(got.header), "%d at %s: receipt under another status", status, path)
 			atMostOnce := path == "/once/a" || path == "/stream/a"
 			assert.Check(t, runs.Load() == 1 || !atMostOnce, "%d at %s: %d runs", status, path, runs.Load())
 		}
@@ -64,7 +64,7 @@
 		var runs atomic.Int32
 		g := newTestGateway(t, startClaimant(t, "one", status, &runs), startClaimant(t, "two", http.StatusInternalServerError, &runs))
 		got := g.get("/read/a")
-		assert.Check(t, got.status == http.StatusInternalServerError && got.header.Get("Server-Stamp") != "", "%d: %d", status, got.status)
+		assert.Check(t, got.status == http.StatusInternalServerError && fakes.HasReceipt(got.header), "%d: %d", status, got.status)
 	}
 }
 
