relay, socket: logs say what ended an upstream's answer

The log couldn't tell an answer that ended by its length or last chunk from one that ended with its connection, nor a connection that was ended in order from one that was lost. The system reports a loss once, to whichever call comes next; its state tells the two apart at any time: a connection that is closed without the end of the other side's bytes, which counts as one byte that has arrived, was lost.

No logic changes.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -282,13 +282,14 @@
 	totalLatency      = stats.NewHistogram("relay_whole_ms")
 )
 
-// recordServed logs and measures a request that this attempt answered; the answer to the caller began at firstAt.
-func (a *attempt) recordServed(status int, firstAt clock.Time) {
+// recordServed logs and measures a request that this attempt answered, whose upstream's answer ended as given; the answer to the caller
+// began at firstAt.
+func (a *attempt) recordServed(status int, ending string, firstAt clock.Time) {
 	placed, first, took := a.assignedAt.Sub(a.arrivedAt), firstAt.Sub(a.arrivedAt), a.server.Clock.Now().Sub(a.arrivedAt)
 	assignLatency.Record(placed.Duration())
 	firstEventLatency.Record(first.Duration())
 	totalLatency.Record(took.Duration())
 	klog.InfoS("relay: served", "request", a.callerRequest.RequestID, "status", status, "upstream", a.scheduled.Upstream.ID, "customer", a.customerID(),
-		"cost", a.tokenCost(), "model", a.callerRequest.Model, "adapter", a.callerRequest.Adapter, "sends", a.sends, "runs", a.runs, "events", a.delivered.events,
+		"cost", a.tokenCost(), "model", a.callerRequest.Model, "adapter", a.callerRequest.Adapter, "sends", a.sends, "runs", a.runs, "events", a.delivered.events, "end", ending,
 		"placed", placed, "first", first, "took", took, "revision", a.view.Revision)
 }
--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -24,6 +24,8 @@
 	header  http.Header
 	// length is the announced length of the body, which the answer to a HEAD request lacks; negative if unknown.
 	length int64
+	// ending is what ended the upstream's answer.
+	ending string
 	body   []byte
 	// claim is what the body holds of the server's budget.
 	claim bodyClaim
@@ -51,7 +53,7 @@
 		res.abort()
 		return a.handleCallError(ctx, err)
 	}
-	p := &bufferedResponse{attempt: a, status: res.status, header: res.header, length: res.length}
+	p := &bufferedResponse{attempt: a, status: res.status, header: res.header, length: res.length, ending: res.ending()}
 	p.claim.pool, p.claim.clock, p.claim.owner = a.server.answers, a.server.Clock, answerWriter{a.exchange}
 	defer p.claim.release()
 	// Only a caller that does not read its answer gives way.
@@ -95,7 +97,7 @@
 // writeBuffered sends a buffered response to the caller and finishes the request.
 func (x *exchange) writeBuffered(p *bufferedResponse) {
 	x.finished = true
-	p.attempt.recordServed(p.status, x.server.Clock.Now())
+	p.attempt.recordServed(p.status, p.ending, x.server.Clock.Now())
 	h := x.writer.Header()
 	platform.CopyResponseHeader(h, p.header)
 	if x.httpRequest.Method != http.MethodHead {
--- a/relay/call.go
+++ b/relay/call.go
@@ -83,9 +83,11 @@
 	length int64
 	// closeDelimited is set where the body ends with the connection.
 	closeDelimited bool
-	pool           *pool
-	address        string
-	conn           *conn
+	// method is that of the request.
+	method  string
+	pool    *pool
+	address string
+	conn    *conn
 	// stopCancel stops the closing of conn on cancellation; it returns false when too late.
 	stopCancel func() bool
 	// sendDone receives the result of an asynchronous send; nil for a synchronous one.
@@ -121,7 +123,7 @@
 		p.onDial()
 	}
 	stopCancel := context.AfterFunc(ctx, c.abort)
-	res := &response{pool: p, address: address, conn: c, stopCancel: stopCancel}
+	res := &response{method: r.method, pool: p, address: address, conn: c, stopCancel: stopCancel}
 	if err := res.send(data, headDeadline, r.deadline); err != nil {
 		res.abort()
 		return nil, err
@@ -210,6 +212,19 @@
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
+// ending is what ended the body of a response, as in logs.
+func (rs *response) ending() string {
+	switch {
+	case rs.closeDelimited:
+		return "connection " + rs.conn.Ended().String()
+	case rs.length >= 0:
+		return "length"
+	case hasBody(rs.method, rs.status):
+		return "chunks"
+	}
+	return "head"
+}
+
 // discardShort reads a body to its end, so that the connection can be used again. It fails for a body
 // of more than maxDiscardBytes.
 func discardShort(body io.Reader) error {
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -52,7 +52,7 @@
 
 // conn is a connection to an upstream. It carries one request at a time.
 type conn struct {
-	net.Conn
+	*socket.ClientConn
 	reader *bufio.Reader
 	// headLimit limits what is read for the head of a response.
 	headLimit headLimit
@@ -102,11 +102,11 @@
 // that has failed with a timeout can't be used again.
 func (c *conn) readPatiently(p []byte) (int, error) {
 	for {
-		n, err := c.Conn.Read(p)
+		n, err := c.ClientConn.Read(p)
 		if n > 0 || c.onSilence == nil || !isTimeout(err) {
 			return n, err
 		}
-		if socket.Peek(c.Conn) == socket.Unread {
+		if socket.Peek(c.ClientConn) == socket.Unread {
 			// The deadline passed while this gateway did not read, as it was paused: the upstream was not silent.
 			if err := c.SetReadDeadline(time.Now().Add(unreadGrace)); err != nil {
 				return 0, fmt.Errorf("set deadline: %w", err)
@@ -129,10 +129,8 @@
 // abort resets the connection, so that bytes of the request that have not arrived are dropped. Otherwise the kernel sends them
 // as soon as a cut has healed, long after the request was given up.
 func (c *conn) abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		// It fails only for a connection that is closed already.
-		_ = tcp.SetLinger(0)
-	}
+	// It fails only for a connection that is closed already.
+	_ = c.SetLinger(0)
 	c.closeNow()
 }
 
@@ -142,7 +140,7 @@
 	if c.reader.Buffered() > 0 {
 		return socket.Unread
 	}
-	return socket.Peek(c.Conn)
+	return socket.Peek(c.ClientConn)
 }
 
 // dropUnexpected closes a connection on which the upstream has sent bytes that belong to no request.
@@ -190,7 +188,7 @@
 	if err != nil {
 		return nil, false, fmt.Errorf("connect to %s: %w: %w", address, errNotSent, err)
 	}
-	c := &conn{Conn: n}
+	c := &conn{ClientConn: socket.NewClientConn(n)}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
 	return c, false, nil
 }
--- a/relay/send.go
+++ b/relay/send.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -40,11 +39,7 @@
 	if p.sendTimeout <= 0 || c.unlimitedSend == unlimited {
 		return nil
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return nil
-	}
-	raw, err := tcp.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return fmt.Errorf("set the time limit for sending: %w", err)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -48,7 +48,7 @@
 		a.finished = true
 		a.writeHead(res)
 		res.release()
-		a.recordServed(res.status, a.delivered.startedAt)
+		a.recordServed(res.status, res.ending(), a.delivered.startedAt)
 		return sched.Served
 	}
 	res.abort()
--- /dev/null
+++ b/socket/client.go
@@ -0,0 +1,90 @@
+package socket
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// tcpClosed is the state of a TCP connection that no longer exists: TCP_CLOSE of Linux.
+const tcpClosed = 7
+
+// ClientConn is a connection of a client that knows how its other side has ended it. Reads have to go through it.
+type ClientConn struct {
+	net.Conn
+	// received is the number of bytes that Read has returned.
+	received uint64
+	// ended is how the connection ended, once Read has returned an error.
+	ended Ending
+}
+
+// Ending is how what the other side of a connection sends has ended.
+type Ending uint8
+
+const (
+	// NotEnded means that more may come, or that it can't be told.
+	NotEnded Ending = iota
+	// EndedInOrder means that the other side ended its bytes, all of which have arrived.
+	EndedInOrder
+	// Lost means that the connection was reset or timed out before that.
+	Lost
+)
+
+// String returns the ending as in logs.
+func (e Ending) String() string { return [...]string{"none", "in order", "lost"}[e] }
+
+// NewClientConn returns a ClientConn of which nothing has been read.
+func NewClientConn(c net.Conn) *ClientConn { return &ClientConn{Conn: c} }
+
+// Read implements io.Reader.
+func (c *ClientConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received += uint64(n)
+	switch {
+	case errors.Is(err, io.EOF):
+		c.ended = c.ending()
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.ETIMEDOUT):
+		c.ended = Lost
+	}
+	return n, err //nolint:wrapcheck // callers compare with io.EOF
+}
+
+// Ended returns how the connection had ended when Read last returned an error.
+func (c *ClientConn) Ended() Ending { return c.ended }
+
+// ending returns how a connection ended whose bytes were all read. The end of the bytes counts as a byte that has arrived.
+func (c *ClientConn) ending() Ending {
+	ended := NotEnded
+	control(c.Conn, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		switch {
+		case err != nil:
+		case info.State == tcpClosed && info.Bytes_received <= c.received:
+			ended = Lost
+		default:
+			ended = EndedInOrder
+		}
+	})
+	return ended
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *ClientConn) SyscallConn() (syscall.RawConn, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return s.SyscallConn() //nolint:wrapcheck // as that of the connection
+}
+
+// SetLinger is that of a net.TCPConn.
+func (c *ClientConn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tcp.SetLinger(seconds) //nolint:wrapcheck // as that of the connection
+}
--- /dev/null
+++ b/socket/client_test.go
@@ -0,0 +1,82 @@
+package socket_test
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/socket"
+)
+
+// newPair returns both ends of a connection.
+func newPair(t *testing.T) (client, server *net.TCPConn) {
+	t.Helper()
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	defer l.Close()
+	client, err = net.DialTCP("tcp", nil, l.Addr().(*net.TCPAddr))
+	assert.NilError(t, err)
+	t.Cleanup(func() { client.Close() })
+	server, err = l.AcceptTCP()
+	assert.NilError(t, err)
+	t.Cleanup(func() { server.Close() })
+	return client, server
+}
+
+// reset ends a connection by a reset.
+func reset(t *testing.T, c *net.TCPConn) {
+	t.Helper()
+	assert.NilError(t, c.SetLinger(0))
+	assert.NilError(t, c.Close())
+}
+
+// Guards against logs that call the end of a lost connection one in order, or the other way round.
+func TestClientConnKnowsHowItEnded(t *testing.T) {
+	for name, c := range map[string]struct {
+		want socket.Ending
+		end  func(t *testing.T, client, server *net.TCPConn)
+	}{
+		"end":               {socket.EndedInOrder, func(t *testing.T, _, server *net.TCPConn) { assert.NilError(t, server.Close()) }},
+		"end of both sides": {socket.EndedInOrder, endBoth},
+		"end, then reset": {socket.EndedInOrder, func(t *testing.T, _, server *net.TCPConn) {
+			assert.NilError(t, server.CloseWrite())
+			reset(t, server)
+		}},
+		"reset": {socket.Lost, func(t *testing.T, _, server *net.TCPConn) { reset(t, server) }},
+		"reset that a write met": {socket.Lost, func(t *testing.T, client, server *net.TCPConn) {
+			reset(t, server)
+			awaitFailedWrite(t, client)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, server := newPair(t)
+			_, err := server.Write([]byte("answer"))
+			assert.NilError(t, err)
+			in := socket.NewClientConn(client)
+			_, err = io.ReadFull(in, make([]byte, 6))
+			assert.NilError(t, err)
+			assert.Equal(t, in.Ended(), socket.NotEnded)
+			c.end(t, client, server)
+			_, err = io.Copy(io.Discard, in)
+			assert.Equal(t, in.Ended(), c.want, "%v", err)
+		})
+	}
+}
+
+func endBoth(t *testing.T, client, server *net.TCPConn) {
+	assert.NilError(t, client.CloseWrite())
+	assert.NilError(t, server.Close())
+}
+
+// awaitFailedWrite writes until the system reports that the connection is lost.
+func awaitFailedWrite(t *testing.T, c net.Conn) {
+	t.Helper()
+	for range 1000 {
+		if _, err := c.Write([]byte("x")); err != nil {
+			return
+		}
+	}
+	t.Fatal("no write failed")
+}
