--- a/relay/abort_test.go
+++ b/relay/abort_test.go
@@ -25,7 +25,17 @@
 func newGatewayBefore(t *testing.T, address string, sendTimeout clock.Span) *testGateway {
 	t.Helper()
 	g := newTestGatewayWith(t, func(o *relay.Options) { o.SendTimeout = sendTimeout }, startReplica(t, "one", func(*fakes.Request) {}))
-	useService(g, fakes.AppService)
+	return moveUpstreams(useService(g, fakes.AppService), address)
+}
+
+// newEngineGatewayBefore returns a gateway with one engine, which listens at the address, and a time limit of 4 s for requests.
+func newEngineGatewayBefore(t *testing.T, address string) *testGateway {
+	t.Helper()
+	return moveUpstreams(newPatientGateway(t, fakes.EngineService, startReplica(t, "one", func(*fakes.Request) {})), address)
+}
+
+// moveUpstreams gives all upstreams of the gateway the address.
+func moveUpstreams(g *testGateway, address string) *testGateway {
 	next := &view.Snapshot{Config: g.snapshot.Config, Upstreams: map[units.UpstreamID]*view.Entry{}}
 	for id, e := range g.snapshot.Upstreams {
 		upstream := *e.Upstream
--- a/socket/client_test.go
+++ b/socket/client_test.go
@@ -1,9 +1,12 @@
 package socket_test
 
 import (
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -80,3 +83,14 @@
 	}
 	t.Fatal("no write failed")
 }
+
+// Guards against a look at a connection that takes the only report of its reset, so that whoever reads it sees a plain end.
+func TestPeekLeavesTheReportOfAReset(t *testing.T) {
+	client, server := newPair(t)
+	reset(t, server)
+	for end := time.Now().Add(5 * time.Second); socket.Peek(client) != socket.Closed; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end))
+	}
+	_, err := client.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
