socket: a look at a connection leaves the report of its reset

The relay looks at the connection of a silent upstream; the look read with MSG_PEEK, which takes the report of a reset that the system gives only once, and the read after it saw a plain end. Peek asks for the state (poll) and for the number of unread bytes instead, neither of which takes anything.

--- a/socket/socket.go
+++ b/socket/socket.go
@@ -21,7 +21,8 @@
 	Unread
 )
 
-// Peek returns the state of the connection. It takes nothing from it, and doesn't wait for a goroutine that reads.
+// Peek returns the state of the connection. It takes nothing from it, the report of a reset included, which the system gives only
+// once, and doesn't wait for a goroutine that reads.
 func Peek(c net.Conn) State {
 	s, ok := c.(syscall.Conn)
 	if !ok {
@@ -31,15 +32,16 @@
 	if err != nil {
 		return Closed
 	}
-	state := Closed
+	state := Open
 	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		events := poll(fd, unix.POLLRDHUP)
+		// The bytes are counted last: those that arrived before the end are still unread.
+		unread, e := unix.IoctlGetInt(int(fd), unix.SIOCINQ)
 		switch {
-		case errors.Is(e, syscall.EAGAIN):
-			state = Open
-		case e == nil && n > 0:
+		case e == nil && unread > 0:
 			state = Unread
+		case events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0:
+			state = Closed
 		}
 	})
 	if err != nil {
@@ -48,6 +50,20 @@
 	return state
 }
 
+// poll returns those of the events, and of the errors that are always reported, that hold now; none if it can't be told.
+func poll(fd uintptr, events int16) int16 {
+	p := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	for {
+		_, err := unix.Poll(p, 0)
+		switch {
+		case err == nil:
+			return p[0].Revents
+		case !errors.Is(err, unix.EINTR):
+			return 0
+		}
+	}
+}
+
 // Waiting reports whether connections wait to be accepted. It accepts none. It returns false if that can't be told.
 func Waiting(l net.Listener) bool {
 	if wrapped, ok := l.(Listener); ok {
@@ -62,11 +78,7 @@
 		return false
 	}
 	waiting := false
-	err = raw.Control(func(fd uintptr) {
-		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, e := unix.Poll(p, 0)
-		waiting = e == nil && n > 0 && p[0].Revents&unix.POLLIN != 0
-	})
+	err = raw.Control(func(fd uintptr) { waiting = poll(fd, unix.POLLIN)&unix.POLLIN != 0 })
 	return err == nil && waiting
 }
 
