socket, relay: ErrLost instead of an end where a connection was lost

The system reports a reset once, to whichever call comes next; if that was the write of a long request, or any other call, the read after it sees a plain end, which ends such an answer. No order of calls can be relied on, so the read asks the state of the connection at each end: one that is closed without the end of the other side's bytes was lost. A connection that was ended in order and reset afterwards has an end, which the system counts as a byte that has arrived.

--- a/socket/client.go
+++ b/socket/client.go
@@ -7,12 +7,19 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/magnolialever/magnolialever/stats"
 )
 
 // tcpClosed is the state of a TCP connection that no longer exists: TCP_CLOSE of Linux.
 const tcpClosed = 7
 
-// ClientConn is a connection of a client that knows how its other side has ended it. Reads have to go through it.
+// ErrLost means that a connection was reset or timed out, of which a call other than the read was notified. What was read may be a part
+// of what the other side sent.
+var ErrLost = errors.New("connection was lost before the other side ended it")
+
+// ClientConn is a connection of a client whose reads tell its end from its loss. The system reports a loss once, to whichever call
+// comes next, and a read after that sees a plain end. Reads have to go through it.
 type ClientConn struct {
 	net.Conn
 	// received is the number of bytes that Read has returned.
@@ -39,13 +46,16 @@
 // NewClientConn returns a ClientConn of which nothing has been read.
 func NewClientConn(c net.Conn) *ClientConn { return &ClientConn{Conn: c} }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It fails with ErrLost instead of io.EOF where the connection was lost.
 func (c *ClientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received += uint64(n)
 	switch {
 	case errors.Is(err, io.EOF):
-		c.ended = c.ending()
+		if c.ended = c.ending(); c.ended == Lost {
+			stats.Event("losses_found_at_end")
+			return n, ErrLost
+		}
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.ETIMEDOUT):
 		c.ended = Lost
 	}
