--- a/relay/buffered.go
+++ b/relay/buffered.go
@@ -53,7 +53,7 @@
 		res.abort()
 		return a.handleCallError(ctx, err)
 	}
-	p := &bufferedResponse{attempt: a, status: res.status, header: res.header, length: res.length, ending: res.ending()}
+	p := &bufferedResponse{attempt: a, status: res.status, header: res.header, length: res.length}
 	p.claim.pool, p.claim.clock, p.claim.owner = a.server.answers, a.server.Clock, answerWriter{a.exchange}
 	defer p.claim.release()
 	// Only a caller that does not read its answer gives way.
@@ -74,7 +74,7 @@
 	if res.status < http.StatusInternalServerError {
 		a.ticket.Began()
 	}
-	p.body = body
+	p.body, p.ending = body, res.ending()
 	if res.status >= 500 && a.route.RetryMode != fleet.AtMostOnce && a.runs < a.route.MaxAttempts && res.status != http.StatusGatewayTimeout {
 		a.failureResponse = p
 		a.failed("status " + strconv.Itoa(res.status))
