socket: a close by this side doesn't hide the loss of a connection

ErrLost alone didn't help a client that closes its connection once a write has failed, as the transport of net/http does: the read sees a plain end, the connection is closed, its state can't be read any longer, and io.EOF remains. The read now fails with net.ErrClosed then, as it does when the close comes first.

--- a/socket/client.go
+++ b/socket/client.go
@@ -46,13 +46,18 @@
 // NewClientConn returns a ClientConn of which nothing has been read.
 func NewClientConn(c net.Conn) *ClientConn { return &ClientConn{Conn: c} }
 
-// Read implements io.Reader. It fails with ErrLost instead of io.EOF where the connection was lost.
+// Read implements io.Reader. It fails with ErrLost instead of io.EOF where the connection was lost, and with net.ErrClosed where that can't
+// be told any longer, as this side has closed the connection meanwhile.
 func (c *ClientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received += uint64(n)
 	switch {
 	case errors.Is(err, io.EOF):
-		if c.ended = c.ending(); c.ended == Lost {
+		var closed bool
+		if c.ended, closed = c.ending(); closed {
+			return n, net.ErrClosed
+		}
+		if c.ended == Lost {
 			stats.Event("losses_found_at_end")
 			return n, ErrLost
 		}
@@ -65,10 +70,10 @@
 // Ended returns how the connection had ended when Read last returned an error.
 func (c *ClientConn) Ended() Ending { return c.ended }
 
-// ending returns how a connection ended whose bytes were all read. The end of the bytes counts as a byte that has arrived.
-func (c *ClientConn) ending() Ending {
-	ended := NotEnded
-	control(c.Conn, func(fd int) {
+// ending returns how a connection ended whose bytes were all read, or whether this side has closed it, so that it can't be told. The end
+// of the bytes counts as a byte that has arrived.
+func (c *ClientConn) ending() (ended Ending, closed bool) {
+	err := control(c.Conn, func(fd int) {
 		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		switch {
 		case err != nil:
@@ -78,7 +83,7 @@
 			ended = EndedInOrder
 		}
 	})
-	return ended
+	return ended, errors.Is(err, net.ErrClosed)
 }
 
 // SyscallConn implements syscall.Conn.
--- a/socket/client_test.go
+++ b/socket/client_test.go
@@ -94,3 +94,23 @@
 	_, err := client.Read(make([]byte, 1))
 	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
 }
+
+// closingConn closes itself at the end of what it reads, as another goroutine may at that moment.
+type closingConn struct{ *net.TCPConn }
+
+func (c closingConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if err != nil {
+		c.Close()
+	}
+	return n, err //nolint:wrapcheck // as that of the connection
+}
+
+// Guards against a lost connection that looks ended because this side, whose write met the loss, closes it before its state is read.
+func TestCloseDoesNotHideLoss(t *testing.T) {
+	client, server := newPair(t)
+	reset(t, server)
+	awaitFailedWrite(t, client)
+	_, err := socket.NewClientConn(closingConn{client}).Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, net.ErrClosed), "%v", err)
+}
