--- a/relay/reset_test.go
+++ b/relay/reset_test.go
@@ -56,7 +56,7 @@
 	const requests = 100
 	body := strings.Repeat("x", longBody)
 	for path, answer := range map[string]string{
-		"/once/a": fakes.Head("id-/once/a", "200 OK") + "\r\n" + strings.Repeat("piece\n", 3),
+		"/once/a":   fakes.Head("id-/once/a", "200 OK") + "\r\n" + strings.Repeat("piece\n", 3),
 		"/stream/a": streamHead("id-/stream/a") + eventRange(1, 3),
 	} {
 		whole := 0
