agent: a lost connection is not the end of an answer

Callers of a service got a part of an answer without a length as the whole answer when its connection was reset amid a long request, and the agent stored that part as the result of calls that must not be repeated. The write loop of net/http takes the report of the reset; the read of the answer then sees a plain end. The agent now dials through socket.Dialer, whose connections tell an end from a loss. The call fails and may have run. As with every broken connection it counts as a crash unless the engine is known to run on; the reset that its read was told of already did.

--- a/agent/forward.go
+++ b/agent/forward.go
@@ -16,6 +16,7 @@
 
 	"github.com/magnolialever/magnolialever/copies"
 	"github.com/magnolialever/magnolialever/notice"
+	"github.com/magnolialever/magnolialever/socket"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
@@ -46,7 +47,7 @@
 // each request: what an upstream sends after its answer could be taken for the next one, and on a connection
 // in use again net/http repeats some requests that failed.
 func newTransport() *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout}
+	d := &socket.Dialer{Dialer: net.Dialer{Timeout: dialTimeout}}
 	return &http.Transport{
 		DialContext:            d.DialContext,
 		DisableCompression:     true,
