entry: stored totals are removed after a failed write too

The leader forgot the keys of the totals that cut-off gateways leave in the store before the write that removes them: after a failed write they stayed there for good. It forgets a key now once the write has succeeded, and only at the revision that was merged, so that totals stored again meanwhile are removed with the next write.

--- a/entry/usage.go
+++ b/entry/usage.go
@@ -49,6 +49,8 @@
 		state    usage.State
 		revision units.Revision
 		err      error
+		// removed are the keys of stored totals that the write removes, with their revisions.
+		removed map[string]units.Revision
 	}
 	// usageReported is the result of a report.
 	usageReported struct {
@@ -98,8 +100,8 @@
 	// decidedAt is when this gateway decided last, resentAt when it last sent a gateway the reports that it lacked.
 	decidedAt clock.Time
 	resentAt  map[string]clock.Time
-	// storedTotals are the keys of totals that gateways have left in the store.
-	storedTotals map[string]bool
+	// storedTotals are the keys of totals that gateways have left in the store, with their revisions.
+	storedTotals map[string]units.Revision
 	// parts are the parts of reports of which not all have arrived.
 	parts map[usage.Window]usage.Counts
 	// final is set once this gateway counts no more.
@@ -114,7 +116,7 @@
 		reporter: usage.NewReporter(usage.Options{
 			Length: g.settings.Bounds.UsageWindow, Delay: g.settings.Bounds.UsageDelay, FirstStart: g.settings.FirstStart,
 		}, aggregate),
-		resentAt: map[string]clock.Time{}, parts: map[usage.Window]usage.Counts{}, storedTotals: map[string]bool{},
+		resentAt: map[string]clock.Time{}, parts: map[usage.Window]usage.Counts{}, storedTotals: map[string]units.Revision{},
 		calls: duty.NewCalls(d.holder, pacer, usage.Report.Equal),
 	}
 }
--- a/entry/usage_decide.go
+++ b/entry/usage_decide.go
@@ -76,13 +76,12 @@
 		return
 	}
 	call, revision := u.startStoreCall(), u.reporter.Revision()
-	merged := slices.Sorted(maps.Keys(u.storedTotals))
-	clear(u.storedTotals)
+	removed := maps.Clone(u.storedTotals)
 	u.gateway.startCall(func(ctx context.Context) {
-		m := usageWritten{call: call, state: state}
+		m := usageWritten{call: call, state: state, removed: removed}
 		m.revision, m.err = u.gateway.store.Commit(ctx, platform.Txn{
 			If:  []platform.Condition{{Key: usageKey, Revision: revision}},
-			Put: []platform.Write{{Key: usageKey, Value: value}}, Delete: merged,
+			Put: []platform.Write{{Key: usageKey, Value: value}}, Delete: slices.Sorted(maps.Keys(removed)),
 		})
 		u.gateway.post(m)
 	})
@@ -157,6 +156,8 @@
 		u.recordStoreFailure(now, m.err)
 		return
 	}
+	// Totals that were stored again during the write are removed with the next one.
+	maps.DeleteFunc(u.storedTotals, func(key string, r units.Revision) bool { return m.removed[key] == r })
 	decided := u.reporter.Written(m.state, m.revision)
 	u.counter.Forget(u.aggregate.Next())
 	u.decidedAt = now
--- a/entry/usage_store.go
+++ b/entry/usage_store.go
@@ -51,7 +51,8 @@
 	})
 }
 
-// handleStoredTotals merges totals that a gateway has left in the store. Their key is removed with the next decision.
+// handleStoredTotals merges totals that a gateway has left in the store. The next decision of this gateway removes
+// their key.
 func (u *usageManager) handleStoredTotals(i platform.Item) {
 	m := &wire.UsageTotals{}
 	if err := proto.Unmarshal(i.Value, m); err != nil {
@@ -59,5 +60,5 @@
 		return
 	}
 	u.aggregate.Merge(decodeTotals(m))
-	u.storedTotals[i.Key] = true
+	u.storedTotals[i.Key] = i.Revision
 }
--- a/entry/usage_test.go
+++ b/entry/usage_test.go
@@ -7,11 +7,13 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/magnolialever/magnolialever/clock"
 	"github.com/magnolialever/magnolialever/platform"
 	"github.com/magnolialever/magnolialever/platform/fakes"
+	"github.com/magnolialever/magnolialever/wire"
 )
 
 // meteredWindow is the length of the windows of usage in tests.
@@ -231,3 +233,17 @@
 	c.waitFor("all requests are reported", func() bool { return sumReports(t, cloud) == sent })
 	c.waitFor("the totals are removed", func() bool { return len(c.store.Keys("duties/usage/")) == 0 })
 }
+
+// Guards against totals of other gateways that stay in the store for good after a failed write of the leader that would
+// have removed them.
+func TestStoredTotalsAreRemovedAfterAFailedWrite(t *testing.T) {
+	c, cloud := newMeteredCluster(t, 1)
+	c.waitFor("windows are reported", func() bool { return len(cloud.UsageReports()) > 0 })
+	const key = "duties/usage/ghost"
+	c.store.FailRemovals(key, 1)
+	value, err := proto.Marshal(&wire.UsageTotals{Vm: "ghost", Life: 1, Final: true})
+	assert.NilError(t, err)
+	c.store.PutBytes(key, value)
+	c.waitFor("a write fails", func() bool { return c.store.RemovalsToFail() == 0 })
+	c.waitFor("the totals are removed", func() bool { return len(c.store.Keys(key)) == 0 })
+}
