entry: shorter functions of the usage manager, with doc comments

decide, handleLoaded, handleEnd and sendDue did two or three steps each; reading and writing the state, decoding it, the repeated last write, the recent totals and the choice of recipients are functions now, and all functions have doc comments. go test -race -run 'Usage|Totals|Duty|Leader|ControlAPI|CutOff' ./entry passes.

--- a/entry/usage.go
+++ b/entry/usage.go
@@ -108,6 +108,7 @@
 	final bool
 }
 
+// newUsageManager returns the manager of a gateway that counts usage. The pacer limits the calls of all duties.
 func newUsageManager(d *dutyManager, pacer *duty.Pacer) *usageManager {
 	g := d.gateway
 	aggregate := usage.NewAggregate()
@@ -121,6 +122,7 @@
 	}
 }
 
+// onTick does what is due: it folds the counts, sends totals, and decides and reports while this gateway is the leader.
 func (u *usageManager) onTick(now clock.Time) {
 	at, wall := peers.ReadWall(u.gateway.clock)
 	u.wall.RecordOwn(at, wall)
--- a/entry/usage_decide.go
+++ b/entry/usage_decide.go
@@ -56,20 +56,29 @@
 		return
 	}
 	if !u.reporter.Loaded() {
-		call := u.startStoreCall()
-		u.gateway.startCall(func(ctx context.Context) {
-			item, err := u.gateway.store.Get(ctx, usageKey)
-			u.gateway.post(usageLoaded{call, item, err})
-		})
+		u.readState()
 		return
 	}
 	u.aggregate.Merge(u.own(u.counter.Totals(u.aggregate.Next())))
 	gateways := u.gatewayVMs()
 	u.ask(now, gateways)
-	state, ok := u.reporter.Decide(u.instant(now), gateways, u.customers())
-	if !ok {
-		return
+	if state, ok := u.reporter.Decide(u.instant(now), gateways, u.customers()); ok {
+		u.writeState(state)
 	}
+}
+
+// readState reads the state from the store. The result is a usageLoaded message.
+func (u *usageManager) readState() {
+	call := u.startStoreCall()
+	u.gateway.startCall(func(ctx context.Context) {
+		item, err := u.gateway.store.Get(ctx, usageKey)
+		u.gateway.post(usageLoaded{call, item, err})
+	})
+}
+
+// writeState writes the state into the store and removes the stored totals that were merged. The result is a
+// usageWritten message.
+func (u *usageManager) writeState(state usage.State) {
 	value, err := state.Encode()
 	if err != nil {
 		klog.ErrorS(err, "entry: usage not written")
@@ -116,34 +125,38 @@
 	return out
 }
 
+// handleLoaded takes over the state that was read from the store.
 func (u *usageManager) handleLoaded(now clock.Time, m usageLoaded) {
 	if m.call != u.storeCall {
 		return
 	}
 	u.storePending = false
-	state := usage.State{}
+	state, revision := usage.State{}, units.Revision(0)
 	switch {
 	case errors.Is(m.err, platform.ErrKeyNotFound):
-		m.item.Revision = 0
 	case m.err != nil:
 		u.recordStoreFailure(now, m.err)
 		return
 	default:
-		var err error
-		if state, err = usage.DecodeState(m.item.Value); err != nil {
-			// Another writer's value is replaced.
-			klog.InfoS("entry: usage in the store can't be read and is replaced", "revision", m.item.Revision, "err", err)
-			state = usage.State{}
-		}
+		state, revision = decodeStored(m.item), m.item.Revision
 	}
-	u.reporter.Load(u.instant(now), state, m.item.Revision)
+	u.reporter.Load(u.instant(now), state, revision)
 	u.counter.Forget(u.aggregate.Next())
 	if u.reporter.Ahead(u.instant(now)) {
 		stats.Event("usage_ahead")
 		klog.InfoS("entry: usage was decided for windows of the future", "next", state.Next, "current", usage.WindowOf(u.instant(now), u.reporter.Length))
 	}
-	klog.InfoS("entry: usage read", "epoch", u.epoch, "next", state.Next, "reports", len(state.Reports),
-		"revision", m.item.Revision)
+	klog.InfoS("entry: usage read", "epoch", u.epoch, "next", state.Next, "reports", len(state.Reports), "revision", revision)
+}
+
+// decodeStored decodes the state in the store; it is empty if another writer has put a value there, which is replaced.
+func decodeStored(i platform.Item) usage.State {
+	state, err := usage.DecodeState(i.Value)
+	if err != nil {
+		klog.InfoS("entry: usage in the store can't be read and is replaced", "revision", i.Revision, "err", err)
+		return usage.State{}
+	}
+	return state
 }
 
 // handleWritten sends the other gateways what was decided, before it is reported: the store may lose its newest writes.
@@ -169,6 +182,7 @@
 	u.lead(now)
 }
 
+// recordStoreFailure delays the next call to the store, and has the state read again: a write may have taken effect.
 func (u *usageManager) recordStoreFailure(now clock.Time, err error) {
 	stats.Event("usage_store_failed")
 	klog.InfoS("entry: usage not read or written", "err", err)
--- a/entry/usage_end.go
+++ b/entry/usage_end.go
@@ -60,17 +60,22 @@
 	all := u.aggregate.Totals()
 	u.gateway.startCall(func(ctx context.Context) {
 		defer close(m.done)
-		for range leaveTries {
-			err := u.gateway.leaveTotals(ctx, all)
-			if err == nil {
-				return
-			}
-			klog.InfoS("entry: last usage not written", "err", err)
-			clock.Sleep(ctx, rand.N(leavePause))
-		}
+		u.gateway.retryLeaveTotals(ctx, all)
 	})
 }
 
+// retryLeaveTotals calls leaveTotals until it succeeds, leaveTries times at the most.
+func (g *Gateway) retryLeaveTotals(ctx context.Context, all []usage.Totals) {
+	for range leaveTries {
+		err := g.leaveTotals(ctx, all)
+		if err == nil {
+			return
+		}
+		klog.InfoS("entry: last usage not written", "err", err)
+		clock.Sleep(ctx, rand.N(leavePause))
+	}
+}
+
 // leaveTotals adds totals to those in the store, for the leader of gateways that are started later.
 func (g *Gateway) leaveTotals(ctx context.Context, all []usage.Totals) error {
 	item, err := g.store.Get(ctx, usageKey)
--- a/entry/usage_report.go
+++ b/entry/usage_report.go
@@ -37,6 +37,7 @@
 	})
 }
 
+// handleReported records the outcome of a report.
 func (u *usageManager) handleReported(now clock.Time, m usageReported) {
 	o := u.recordOutcome(now, m.call.Proof, m.took, m.call.Repeated, m.err)
 	if o == duty.Acknowledged && now.After(m.call.Deadline) {
--- a/entry/usage_send.go
+++ b/entry/usage_send.go
@@ -36,10 +36,7 @@
 // sendDue sends totals to the leader and the standby: all of undecided windows when these change, those of the last
 // windows at intervals and when a window is complete, and changed ones as soon as the rate of bytes allows.
 func (u *usageManager) sendDue(now clock.Time) {
-	recipients := u.recipients
-	if holder, v := u.controller.orders.elector.Holder(), u.controller.members.Version(); holder != u.leader || v != u.membersVersion {
-		recipients, u.leader, u.membersVersion = u.chooseRecipients(), holder, v
-	}
+	recipients := u.currentRecipients()
 	if u.completeAt == 0 && u.counter.Complete() != u.sentComplete {
 		// Not all gateways at the same moment.
 		u.completeAt = now.Add(clock.Span(rand.Int64N(int64(min(spreadTime, u.reporter.Delay/20)) + 1)))
@@ -55,12 +52,10 @@
 			u.sendAll(now)
 			return
 		}
-		u.recordSent(now)
 		if complete && u.isCutOff() {
 			u.storeTotals()
 		}
-		current := usage.WindowOf(u.instant(now), u.reporter.Length)
-		u.send(u.own(u.counter.Totals(max(current-recentWindows, u.aggregate.Next()))), u.recipients...)
+		u.sendRecent(now)
 	case u.counter.HasChanged() && !now.Before(u.changedAfter):
 		u.sendChanged(now)
 	}
@@ -77,6 +72,13 @@
 	return max(1, float64(u.controller.gatewayCount)/fullRateGateways)
 }
 
+// sendRecent sends the totals of the last windows.
+func (u *usageManager) sendRecent(now clock.Time) {
+	u.recordSent(now)
+	current := usage.WindowOf(u.instant(now), u.reporter.Length)
+	u.send(u.own(u.counter.Totals(max(current-recentWindows, u.aggregate.Next()))), u.recipients...)
+}
+
 // recordSent records that the totals of the last windows are sent.
 func (u *usageManager) recordSent(now clock.Time) {
 	u.sentAt, u.sentComplete, u.completeAt = now, u.counter.Complete(), 0
@@ -128,6 +130,17 @@
 	return bytes
 }
 
+// currentRecipients returns the addresses of the gateways that should get the totals now: u.recipients unless the leader or
+// the list of gateways has changed.
+func (u *usageManager) currentRecipients() []string {
+	holder, v := u.controller.orders.elector.Holder(), u.controller.members.Version()
+	if holder == u.leader && v == u.membersVersion {
+		return u.recipients
+	}
+	u.leader, u.membersVersion = holder, v
+	return u.chooseRecipients()
+}
+
 // chooseRecipients returns the addresses of the leader and of the standby: the gateway that would lead next, of another
 // zone than the leader if there is one, so that a cut between zones leaves one of them.
 func (u *usageManager) chooseRecipients() []string {
--- a/entry/usage_wire.go
+++ b/entry/usage_wire.go
@@ -29,6 +29,7 @@
 	return m
 }
 
+// decodeTotals decodes totals with their windows. A window may stand in several parts.
 func decodeTotals(m *wire.UsageTotals) usage.Totals {
 	t := usage.Totals{
 		VM: units.VMID(m.GetVm()), Incarnation: usage.Incarnation(m.GetLife()), SentAt: clock.Time(m.GetSentMs()),
@@ -71,6 +72,7 @@
 	return out
 }
 
+// decodeWindow decodes the counts of a window.
 func decodeWindow(m *wire.UsageWindow) (usage.Window, usage.Counts) {
 	counts := usage.Counts{}
 	for _, n := range m.GetCounts() {
