agent, coord, gate: comments on the bound of heads name the commas that count

Lines and further items of lists, which commas separate, count since heads with long lists were bounded; three comments still said 64 lines. Comments only.

--- a/agent/server.go
+++ b/agent/server.go
@@ -29,7 +29,7 @@
 	adminTimeout        = 10 * time.Second
 	maxAdminHeaderBytes = 8 << 10
 	// maxAdminConnections bounds the connections to the listener for administration, adminHeadBytes what the heads of requests
-	// there take beyond 4 KiB and 64 lines each, adminUnreadBytes what the system has received and nobody has read.
+	// there take beyond 4 KiB and 64 lines and commas each, adminUnreadBytes what the system has received and nobody has read.
 	maxAdminConnections = 64
 	adminHeadBytes      = 4 << 20
 	adminUnreadBytes    = 4 << 20
--- a/coord/ops.go
+++ b/coord/ops.go
@@ -29,7 +29,7 @@
 	opsHeaderBytes = 16 << 10
 	opsStopTimeout = 10 * time.Second
 	// opsConnections bounds the connections to the operators' listener, opsHeadBytes what the heads of requests there take
-	// beyond 4 KiB and 64 lines each, opsUnreadBytes what the system has received and nobody has read.
+	// beyond 4 KiB and 64 lines and commas each, opsUnreadBytes what the system has received and nobody has read.
 	opsConnections = 64
 	opsHeadBytes   = 8 << 20
 	opsUnreadBytes = 8 << 20
--- a/gate/settings.go
+++ b/gate/settings.go
@@ -48,7 +48,7 @@
 	MaxCustomerRequests int `json:"customer_requests"`
 	// MaxBufferBytes bounds the total size of request body buffers.
 	MaxBufferBytes int64 `json:"buffer_bytes"`
-	// MaxHeadBuffers bounds what the headers of all requests in memory take beyond 4 KiB and 64 lines each; by default a
+	// MaxHeadBuffers bounds what the headers of all requests in memory take beyond 4 KiB and 64 lines and commas each; by default a
 	// quarter of MaxBufferBytes.
 	MaxHeadBuffers int64 `json:"head_buffer_bytes"`
 	// LiveDeadline, NormalDeadline and NightDeadline are the times from the arrival of a request to
