budget: FreeHeadFields is FreeHeadEntries

It bounds the lines of a head and the further items of its lists together; the name spoke of fields only, and so did that of fieldBytes. No change of behaviour; go test ./budget passes.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -18,7 +18,7 @@
 	// Connections bounds the connections of callers, ReadyConnections those to the readiness check, and
 	// MetricsConnections those to the metrics.
 	Connections, ReadyConnections, MetricsConnections int
-	// Heads bounds what the heads of requests may take beyond FreeHeadBytes and FreeHeadFields each, at all listeners.
+	// Heads bounds what the heads of requests may take beyond FreeHeadBytes and FreeHeadEntries each, at all listeners.
 	Heads units.Bytes
 	// Bodies bounds the buffered bodies of requests.
 	Bodies units.Bytes
--- a/budget/head.go
+++ b/budget/head.go
@@ -9,11 +9,12 @@
 const (
 	// FreeHeadBytes is the size of a head up to which it takes nothing of the pool. Connections count with it.
 	FreeHeadBytes = 4 << 10
-	// FreeHeadFields is the number of lines and items of lists likewise.
-	FreeHeadFields = 64
-	// fieldBytes is what a field, or an item of a list, takes when it is parsed, besides its own bytes: 87 bytes measured for
+	// FreeHeadEntries is the number of entries of a head up to which they take nothing of the pool: its lines and the further
+	// items of its lists.
+	FreeHeadEntries = 64
+	// entryBytes is what a line, or a further item of a list, takes when it is parsed, besides its own bytes: 87 bytes measured for
 	// fields of 3 to 5 bytes, and an entry of the map that grows.
-	fieldBytes = 128
+	entryBytes = 128
 )
 
 // Head counts the head of one request as it arrives.
@@ -70,6 +71,6 @@
 
 // Claim returns what the head has to hold of the pool.
 func (h *Head) Claim() units.Bytes {
-	over := max(h.Bytes-FreeHeadBytes, 0) + max(h.Lines+h.Items-FreeHeadFields, 0)*fieldBytes
+	over := max(h.Bytes-FreeHeadBytes, 0) + max(h.Lines+h.Items-FreeHeadEntries, 0)*entryBytes
 	return units.Bytes(over)
 }
