entry, feed: methods for a new era have names of their own

Four methods were called beginEra. The gateway's keeps the name; the controller's handles the message (handleEraBegan), the order manager's gives up leadership (giveUpForEra), and the feed's records the era and reports whether it has risen (recordEra).

--- a/entry/controller.go
+++ b/entry/controller.go
@@ -144,7 +144,7 @@
 	case fullReadDone:
 		c.handleFullRead(now, m.read)
 	case eraBegan:
-		c.beginEra(m)
+		c.handleEraBegan(m)
 	case eraReceived:
 		c.handleReceivedEra(now, m.era)
 	case digestAsked:
--- a/entry/era.go
+++ b/entry/era.go
@@ -56,15 +56,15 @@
 	c.orders.elector.GiveUp(now)
 }
 
-// beginEra ends what rests on the era before. It sends the era to the other gateways, unless one of them has sent it: those
+// handleEraBegan ends what rests on the era before. It sends the era to the other gateways, unless one of them has sent it: those
 // cut off from the store would learn of it by the next digest only.
-func (c *controller) beginEra(m eraBegan) {
+func (c *controller) handleEraBegan(m eraBegan) {
 	klog.InfoS("entry: era of the store", "era", m.era, "heard", c.gateway.peersEra.Load())
 	if m.era <= c.era {
 		return
 	}
 	c.era, c.eraAt = m.era, m.at
-	c.orders.beginEra(m.at, m.era)
+	c.orders.giveUpForEra(m.at, m.era)
 	if int64(m.era) <= c.gateway.peersEra.Load() {
 		return
 	}
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -77,8 +77,8 @@
 	klog.InfoS("entry: duty taken", "epoch", m.epoch, "era", epoch.OfEpoch(m.epoch))
 }
 
-// beginEra gives up leadership when the store has come back from an older copy.
-func (o *orderManager) beginEra(now clock.Time, era epoch.Era) {
+// giveUpForEra gives up leadership when the store has come back from an older copy.
+func (o *orderManager) giveUpForEra(now clock.Time, era epoch.Era) {
 	if o.elector.Holds(now) {
 		klog.InfoS("entry: duty lost", "err", platform.ErrNewEra)
 	}
--- a/feed/batch.go
+++ b/feed/batch.go
@@ -62,7 +62,7 @@
 			return
 		case <-f.eraBegan:
 			// The next answer of the store tells its era, if this gateway has only heard of it.
-			f.beginEra()
+			f.recordEra()
 			timer.Reset(rand.N(maxGapDelay))
 		case b := <-f.batches:
 			switch f.handleBatch(ctx, b) {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -135,9 +135,9 @@
 	}
 }
 
-// beginEra records the store's era and reports whether it has risen since the last full read began. Revisions of the earlier
+// recordEra records the store's era and reports whether it has risen since the last full read began. Revisions of the earlier
 // one may exist again with other content then, so that no watch can continue from them.
-func (f *Feed) beginEra() bool {
+func (f *Feed) recordEra() bool {
 	era := f.Store.Era()
 	if era <= f.era {
 		return false
@@ -234,7 +234,7 @@
 		}
 		return f.pause()
 	}
-	if f.beginEra() {
+	if f.recordEra() {
 		// All gateways read the full state now.
 		return rand.N(maxGapDelay)
 	}
@@ -284,7 +284,7 @@
 
 // sync reads the store: all of it, or the next changes once the state is synced.
 func (f *Feed) sync(ctx context.Context) error {
-	f.beginEra()
+	f.recordEra()
 	if !f.synced || f.rereadAt != 0 && !f.Clock.Now().Before(f.rereadAt) {
 		return f.readAll(ctx)
 	}
@@ -413,7 +413,7 @@
 	if err != nil {
 		return err
 	}
-	f.beginEra()
+	f.recordEra()
 	if epoch.Of(rev) < f.era {
 		return platform.ErrLateAnswer
 	}
