assign: the demand is filtered apart from what is recorded as requested

recordRequested also dropped the demand for what engines can't load, which its name didn't say; that is catalog.filter now. No change of behaviour; go test ./assign passes.

--- a/assign/plan.go
+++ b/assign/plan.go
@@ -74,7 +74,9 @@
 // Plan returns the orders to send now. The ledger already counts each as in flight, so that
 // the caller must pass the outcome of each to Ledger.ApplyResult.
 func (p *Planner) Plan(now clock.Time, input PlanInput) []PlannedOrder {
-	input.Demand = p.recordRequested(now, newCatalog(input.Services), input.Demand)
+	known := newCatalog(input.Services)
+	input.Demand = known.filter(input.Demand)
+	p.recordRequested(now, known, input.Demand)
 	p.zones.update(now, input.Demand)
 	p.dropReservations(now, input.ExcludedZones)
 	p.status = Status{}
@@ -122,21 +124,25 @@
 	return m != nil && (t.Adapter == "" || m.HasAdapter(t.Adapter))
 }
 
-// recordRequested records what is requested, and forgets what engines can't load. It returns the demand for what they can:
-// other gateways may report names that callers have made up.
-func (p *Planner) recordRequested(now clock.Time, c catalog, all map[Target]Demand) map[Target]Demand {
+// filter returns the demand for what engines can load: other gateways may report names that callers have made up.
+func (c catalog) filter(all map[Target]Demand) map[Target]Demand {
 	known := make(map[Target]Demand, len(all))
 	for t, demand := range all {
-		if !c.has(t) {
-			continue
+		if c.has(t) {
+			known[t] = demand
 		}
-		known[t] = demand
+	}
+	return known
+}
+
+// recordRequested records what is requested, and forgets what engines can't load.
+func (p *Planner) recordRequested(now clock.Time, c catalog, all map[Target]Demand) {
+	for t, demand := range all {
 		if demand.requested() {
 			p.lastRequested[t] = now
 		}
 	}
 	maps.DeleteFunc(p.lastRequested, func(t Target, _ clock.Time) bool { return !c.has(t) })
-	return known
 }
 
 // dropReservations removes reservations that have expired or whose upstream is gone, draining
