sched: requests that let late ones pass are called deferrable

Patient is no term of queueing; the turn is deferredTurn, its test isDeferrable and its bound deferrableShare, whose comment gives the reason of the bound.

--- a/sched/queue.go
+++ b/sched/queue.go
@@ -20,7 +20,7 @@
 // goesFirst reports whether a queued request goes before one that arrives for the same target.
 func goesFirst(now clock.Time, queued, added *Attempt) bool {
 	if queued.isLate(now) {
-		return added.turnOf(now, queued.Rank) == patientTurn
+		return added.turnOf(now, queued.Rank) == deferredTurn
 	}
 	return compareAttempts(queued, added) <= 0
 }
--- a/sched/returns_test.go
+++ b/sched/returns_test.go
@@ -51,7 +51,7 @@
 
 // Guards against work with an objective of many seconds that passes urgent requests which are late, and against such work
 // that starves behind them.
-func TestPatientWorkLetsUrgentLateRequestsPass(t *testing.T) {
+func TestDeferrableWorkLetsUrgentLateRequestsPass(t *testing.T) {
 	for _, test := range []struct {
 		freedAt clock.Time
 		urgent  bool
@@ -59,9 +59,9 @@
 		s := engine(1)
 		scheduler := newScheduler(entry("one", "zone-a", 1))
 		running := scheduler.Add(100, newRequest(s, 100))
-		patient := newRequest(s, 100)
-		patient.Rank, patient.FirstEventDue, patient.LatestStart = 2, 8100, 9100
-		waits := scheduler.Add(100, patient)
+		deferrable := newRequest(s, 100)
+		deferrable.Rank, deferrable.FirstEventDue, deferrable.LatestStart = 2, 8100, 9100
+		waits := scheduler.Add(100, deferrable)
 		late := newRequest(s, test.freedAt-500)
 		first := scheduler.Add(test.freedAt-500, late)
 		scheduler.End(test.freedAt, running, sched.Served)
--- a/sched/turn.go
+++ b/sched/turn.go
@@ -4,7 +4,7 @@
 	"github.com/magnolialever/magnolialever/clock"
 )
 
-// turn is when a queued request is tried when there is room: lower ones first.
+// turn is the group in which a queued request is tried when there is room: lower ones first.
 type turn uint8
 
 const (
@@ -13,17 +13,17 @@
 	onTimeTurn turn = iota
 	// lateTurn is that of requests that can't.
 	lateTurn
-	// patientTurn is that of requests that can, but have most of their wait left while more urgent ones are late: work
+	// deferredTurn is that of requests that can, but have half of their wait left while more urgent ones are late: work
 	// with an objective of many seconds would otherwise pass all that is due within one.
-	patientTurn
+	deferredTurn
 )
 
 // turns lists all of them in order.
-var turns = [...]turn{onTimeTurn, lateTurn, patientTurn}
+var turns = [...]turn{onTimeTurn, lateTurn, deferredTurn}
 
-// patientShare is the part of the time from its arrival to its latest start for which a request lets more urgent ones
-// pass that are late.
-const patientShare = 0.5
+// deferrableShare is the part of its wait, from its arrival to its latest start, in which a request is tried after more
+// urgent ones that are late. The rest is for its own start: it would otherwise starve for as long as the load lasts.
+const deferrableShare = 0.5
 
 // noRank is above all ranks.
 const noRank = int(^uint(0) >> 1)
@@ -31,19 +31,19 @@
 // isLate reports whether a request can't meet its latency objective any longer.
 func (a *Attempt) isLate(now clock.Time) bool { return !now.Before(a.FirstEventDue) }
 
-// isPatient reports whether a request has most of its wait left.
-func (a *Attempt) isPatient(now clock.Time) bool {
+// isDeferrable reports whether a request has so much of its wait left that late ones of a more urgent class go first.
+func (a *Attempt) isDeferrable(now clock.Time) bool {
 	wait := a.LatestStart.Sub(a.addedAt)
-	return now.Sub(a.addedAt) < clock.Span(float64(wait)*patientShare)
+	return now.Sub(a.addedAt) < clock.Span(float64(wait)*deferrableShare)
 }
 
-// turnOf returns the turn of a request where the most urgent late one has the rank.
+// turnOf returns the turn of a request where the most urgent late one has the rank lateRank. Lower ranks are more urgent.
 func (a *Attempt) turnOf(now clock.Time, lateRank int) turn {
 	switch {
 	case a.isLate(now):
 		return lateTurn
-	case lateRank < a.Rank && a.isPatient(now):
-		return patientTurn
+	case lateRank < a.Rank && a.isDeferrable(now):
+		return deferredTurn
 	default:
 		return onTimeTurn
 	}
