--- a/soak/answer_test.go
+++ b/soak/answer_test.go
@@ -18,6 +18,20 @@
 	pieceDelay = 8 * time.Millisecond
 	// spoiledShare is the share of answers with a fault, one in so many.
 	spoiledShare = 5
+	// cutShare is the share of answers without another fault that are cut by a reset, one in so many; of these, one in
+	// silentShare is silent before.
+	cutShare, silentShare = 8, 3
+	// cutUploadShare is like cutShare for answers to long requests.
+	cutUploadShare = 2
+	// leastSilence and mostSilence are the bounds of that silence. Gateways look for another upstream after 1.2 s.
+	leastSilence, mostSilence = 1200 * time.Millisecond, 2700 * time.Millisecond
+	// lateReset is the time from the end of an answer to the reset of its half-closed connection.
+	lateReset = 30 * time.Millisecond
+	// uploadBytes is the length of the body of a long request. Gateways with agents keep answers of up to 1 MiB, and the
+	// plain service's holds the body of the request.
+	uploadBytes = 1_000_000
+	// wholeUpload is more than the length of any request.
+	wholeUpload = 2 * uploadBytes
 	// maxWrongBytes is the largest number of bytes that are no part of an answer.
 	maxWrongBytes = 40
 )
@@ -85,16 +99,27 @@
 	kept ending = iota
 	closed
 	reset
+	// halfClosed means that the upstream ends its bytes in order, and resets the connection after lateReset.
+	halfClosed
 )
 
 // answer is an answer of an upstream.
 type answer struct {
 	id, head string
+	// pieces are those of the whole body.
+	pieces []string
 	// parts are the parts of the body that are written one after the other, not always whole pieces.
 	parts   []string
 	framing framing
 	// writes are the bytes on the connection.
 	writes []string
+	// silence is the time from the last write to the end of the connection, silenceEnd, if set, ends it instead.
+	silence    time.Duration
+	silenceEnd <-chan struct{}
+	// uploadRead is how much of a long request is read before the rest of the answer.
+	uploadRead int64
+	// upload is set for a long request.
+	upload bool
 	ending ending
 	// late is what is written once the next request on the connection was read.
 	late string
@@ -102,14 +127,15 @@
 
 // newAnswer returns an attempt's answer without a fault. A stream goes on after the event that the request names.
 func newAnswer(r *fakes.Request, notices string, attempt int, events bool) *answer {
-	a := &answer{id: r.RequestID, head: fakes.Head(r.RequestID, "200 OK") + notices}
+	a := &answer{id: r.RequestID, upload: r.Unread, head: fakes.Head(r.RequestID, "200 OK") + notices}
 	first := 1
 	if last, err := strconv.Atoi(r.LastEventID); err == nil {
 		first = last + 1
 	}
 	for i := first; i <= lastPiece; i++ {
-		a.parts = append(a.parts, piece(events, i, r.RequestID, attempt))
+		a.pieces = append(a.pieces, piece(events, i, r.RequestID, attempt))
 	}
+	a.parts = a.pieces
 	if events {
 		a.head += "Content-Type: text/event-stream\r\n"
 		a.framing = chunked
@@ -177,6 +203,58 @@
 	return true
 }
 
+// vary lets an answer without a fault end as those of real upstreams do: by its length, its last chunk, or its connection, which
+// is closed in order, or half-closed and reset later. Some are cut by a reset; while upstreams are silent, up to silenceEnd, all
+// are. It reports whether its caller may not get it whole.
+func (a *answer) vary(random *rand.Rand, silenceEnd <-chan struct{}) bool {
+	a.framing, a.ending, a.uploadRead, a.silenceEnd = framing(random.IntN(3)), kept, wholeUpload, silenceEnd
+	share := cutShare
+	if a.upload {
+		share = cutUploadShare
+	}
+	if silenceEnd != nil || random.IntN(share) == 0 {
+		a.cut(random)
+		return true
+	}
+	if a.framing != closing && random.IntN(4) == 0 {
+		a.head += "Connection: close\r\n"
+		a.ending = closed
+	}
+	a.frame()
+	if a.framing == closing && random.IntN(2) == 0 {
+		a.ending = halfClosed
+		// A link may pass on the end later than lateReset.
+		return true
+	}
+	return false
+}
+
+// cut lets an answer be cut by a reset between two pieces or inside one, at once or after a silence. Most have no length, so
+// that nothing else tells that they are not whole.
+func (a *answer) cut(random *rand.Rand) {
+	if random.IntN(2) == 0 {
+		a.framing = closing
+	}
+	a.parts = a.pieces
+	a.frame()
+	if n := len(a.pieces); n > 0 {
+		whole := random.IntN(n)
+		if a.silenceEnd != nil {
+			// Many answers that have not begun, at an upstream that ends, would make all parts of prompts suspect.
+			whole = max(whole, min(1, n-1))
+		}
+		next := a.writes[1+whole]
+		a.writes = a.writes[:1+whole]
+		if random.IntN(2) == 0 {
+			a.writes = append(a.writes, next[:1+random.IntN(len(next)-1)])
+		}
+	}
+	a.ending, a.uploadRead = reset, random.Int64N(uploadBytes>>random.IntN(4))
+	if random.IntN(silentShare) == 0 {
+		a.silence = leastSilence + time.Duration(random.Int64N(int64(mostSilence-leastSilence)))
+	}
+}
+
 // cutAt cuts what is written after n bytes.
 func (a *answer) cutAt(n int) {
 	for i, w := range a.writes {
@@ -251,7 +329,7 @@
 }
 
 // write writes the answer after what an earlier one on the connection left.
-func (a *answer) write(r *fakes.Request, late string) {
+func (a *answer) write(r *fakes.Request, l *link, late string) {
 	if late != "" {
 		r.WriteRaw(late)
 	}
@@ -263,11 +341,41 @@
 			return
 		}
 	}
+	if a.silenceEnd != nil {
+		<-a.silenceEnd
+	} else {
+		time.Sleep(a.silence)
+	}
+	a.end(r, l)
+}
+
+// writeEarly writes the answer to a long request during its upload.
+func (a *answer) writeEarly(r *fakes.Request, l *link) {
+	early := len(a.writes)
+	if a.ending != reset {
+		early /= 2
+	}
+	if r.TryWriteRaw(strings.Join(a.writes[:early], "")) != nil || r.ReadUpload(a.uploadRead) != nil {
+		return
+	}
+	if r.TryWriteRaw(strings.Join(a.writes[early:], "")) == nil {
+		a.end(r, l)
+	}
+}
+
+// end ends the connection after the answer, or keeps it.
+func (a *answer) end(r *fakes.Request, l *link) {
 	switch a.ending {
 	case closed:
 		r.CloseConnection()
 	case reset:
 		r.ResetConnection()
+	case halfClosed:
+		r.CloseWrite()
+		time.Sleep(lateReset)
+		// The link has passed on the end, and can't see the reset any more.
+		l.resetGateway(r.RemoteAddr)
+		r.ResetConnection()
 	case kept:
 	}
 }
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -16,6 +16,12 @@
 // maxAttempts is the number of attempts that the routes allow.
 const maxAttempts = 2
 
+// uploadShare is the share of long requests, one in so many.
+const uploadShare = 8
+
+// uploadPadding makes the body of a request long.
+var uploadPadding = strings.Repeat("x", uploadBytes)
+
 // callers is the number of callers that send requests one after the other.
 const callers = 16
 
@@ -139,14 +145,20 @@
 		case "key":
 			c.sendWithKey(g, i)
 		default:
-			c.send(g, newCall(kind, fmt.Sprintf("%s-%d-%d", kind, c.number, i)))
+			q := newCall(kind, fmt.Sprintf("%s-%d-%d", kind, c.number, i))
+			q.upload = c.fleet.endings && kind != "deadly" && c.random.IntN(uploadShare) == 0
+			c.send(g, q)
 		}
 		time.Sleep(time.Duration(c.random.IntN(30)) * time.Millisecond)
 	}
 }
 
 // call is a request to send.
-type call struct{ kind, id, path, model, key string }
+type call struct {
+	kind, id, path, model, key string
+	// upload is set if its body is long, so that upstreams answer before they have read it.
+	upload bool
+}
 
 // newCall returns a call of a kind.
 func newCall(kind, id string) call {
@@ -163,7 +175,11 @@
 // send sends a request and checks its answer. It returns the status; 0 if the connection broke.
 func (c *caller) send(g *gateway, q call) int {
 	id := q.id
-	req, err := http.NewRequest(http.MethodPost, "http://"+g.public+"/"+q.path+"/a", strings.NewReader(id))
+	sent := id
+	if q.upload {
+		sent += uploadPadding
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+g.public+"/"+q.path+"/a", strings.NewReader(sent))
 	if err != nil {
 		c.fleet.record.breach("request %s: %v", id, err)
 		return 0
--- a/soak/config_test.go
+++ b/soak/config_test.go
@@ -13,6 +13,10 @@
 // the bound in the settings.
 const withdrawalTime = 3 * time.Second
 
+// talkTimeout is the time limit of resumable streams if upstreams fall silent: gateways look for another upstream after 1.2 s, and
+// again and again up to the limit.
+const talkTimeout = 3500 * time.Millisecond
+
 // operator writes configurations. Version n has the routes and the keys of n and of n-1 besides the lasting ones: each
 // version adds a route and a key, and drops those of two versions before.
 type operator struct {
@@ -48,6 +52,9 @@
 // config returns the current version. The caller holds o.mu.
 func (o *operator) config() map[string]any {
 	config := fakes.Config(o.version, apiKey, keyOf(o.version), keyOf(o.version-1))
+	if o.fleet.endings {
+		fakes.SetTimeouts(config, int(talkTimeout.Milliseconds()), "talk")
+	}
 	fakes.AddRoute(config, routeOf(o.version))
 	fakes.AddRoute(config, routeOf(o.version-1))
 	return config
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -226,6 +226,10 @@
 	// seed is that of the run. spoil is set while upstreams spoil some of their answers.
 	seed  uint64
 	spoil atomic.Bool
+	// endings is set if answers end in all ways in which those of real upstreams do, and some requests are long.
+	endings bool
+	// silence ends the silence of the upstreams; nil while they are not silent.
+	silence atomic.Pointer[chan struct{}]
 	// storeUp counts the time in which all gateways reach the store.
 	storeUp *stopwatch
 	// lasting has what goes on in the background and ends by itself.
@@ -299,9 +303,9 @@
 }
 
 // newFleet starts a fleet and waits until its gateways are ready.
-func newFleet(t *testing.T, seed uint64, eras bool) *fleet {
+func newFleet(t *testing.T, seed uint64, eras, endings bool) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: fakes.NewStore(), record: newRecord(), seed: seed, eras: eras, storeUp: newStopwatch(), cloud: fakes.NewCloud()}
+	f := &fleet{t: t, store: fakes.NewStore(), record: newRecord(), seed: seed, eras: eras, endings: endings, storeUp: newStopwatch(), cloud: fakes.NewCloud()}
 	if eras {
 		f.store.SetEra(1)
 	}
@@ -330,6 +334,14 @@
 	return rand.New(rand.NewPCG(f.seed, h.Sum64()))
 }
 
+// currentSilence returns what ends the silence of the upstreams; nil if they are not silent.
+func (f *fleet) currentSilence() <-chan struct{} {
+	if end := f.silence.Load(); end != nil {
+		return *end
+	}
+	return nil
+}
+
 // processes returns the gateways and agents.
 func (f *fleet) processes() []*gateway { return slices.Concat(f.gateways, f.agents) }
 
--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/magnolialever/magnolialever/socket"
 )
 
 // direction is one of a connection's two.
@@ -18,6 +20,9 @@
 	response
 )
 
+// linkBuffer is the size in bytes of the buffers of links for requests.
+const linkBuffer = 32 << 10
+
 // link is a proxy on loopback between gateways and one listener of the platform. It passes on how a connection ends.
 type link struct {
 	target, address string
@@ -27,10 +32,12 @@
 	// changed is signaled when one of the fields below changes.
 	changed *sync.Cond
 	// held counts the faults by which nothing is passed on in a direction.
-	held   [2]int
-	delay  time.Duration
-	conns  map[*net.TCPConn]bool
-	closed bool
+	held  [2]int
+	delay time.Duration
+	conns map[*net.TCPConn]bool
+	// gatewayConns are gateways' connections by the address from which the link connected to the listener for them.
+	gatewayConns map[string]*net.TCPConn
+	closed       bool
 	// disturbed counts the faults that last, disturbedUntil is the end of the last one.
 	disturbed      int
 	disturbedUntil time.Time
@@ -42,7 +49,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("link to %s: %w", target, err)
 	}
-	k := &link{target: target, address: l.Addr().String(), listener: l, conns: map[*net.TCPConn]bool{}}
+	k := &link{target: target, address: l.Addr().String(), listener: l, conns: map[*net.TCPConn]bool{}, gatewayConns: map[string]*net.TCPConn{}}
 	k.changed = sync.NewCond(&k.mu)
 	go k.accept(l)
 	return k, nil
@@ -68,8 +75,12 @@
 		return
 	}
 	d := behind.(*net.TCPConn)
+	// Else buffers take long requests whole, and an upstream that resets amid one finds its sender done.
+	_ = c.SetReadBuffer(linkBuffer)
+	_ = d.SetWriteBuffer(linkBuffer)
 	l.mu.Lock()
 	l.conns[c], l.conns[d] = true, true
+	l.gatewayConns[d.LocalAddr().String()] = c
 	l.mu.Unlock()
 	var group sync.WaitGroup
 	group.Go(func() { l.pass(request, c, d) })
@@ -81,13 +92,15 @@
 	defer l.mu.Unlock()
 	delete(l.conns, c)
 	delete(l.conns, d)
+	delete(l.gatewayConns, d.LocalAddr().String())
 }
 
-// pass passes on bytes in one direction, and then how they ended.
+// pass passes on bytes in one direction, and then how they ended. The write in the other direction may take the system's
+// report of a reset, so that the read here sees a plain end.
 func (l *link) pass(dir direction, from, to *net.TCPConn) {
-	buf := make([]byte, 16<<10)
+	buf, source := make([]byte, 16<<10), socket.NewClientConn(from)
 	for {
-		n, err := from.Read(buf)
+		n, err := source.Read(buf)
 		l.wait(dir)
 		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
@@ -95,7 +108,7 @@
 				return
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && source.Ended() == socket.EndedInOrder {
 			_ = to.CloseWrite()
 			return
 		}
@@ -159,6 +172,15 @@
 	})
 }
 
+// resetGateway ends the connection of the gateway that the listener sees at the address with a reset. It is no fault of the link.
+func (l *link) resetGateway(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c := l.gatewayConns[address]; c != nil {
+		resetConns(c)
+	}
+}
+
 // disturb calls f at the begin and at the end of a fault that lasts for a time.
 func (l *link) disturb(span time.Duration, f func(begin bool)) {
 	l.mu.Lock()
--- a/soak/return_test.go
+++ b/soak/return_test.go
@@ -147,7 +147,7 @@
 	for i := range *runCount {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			play(t, seed, true, func(x *faults) []func() {
+			play(t, seed, true, true, func(x *faults) []func() {
 				return []func(){x.returnStore, x.returnStore, x.change, x.change, x.leave, x.kill}
 			})
 		})
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,6 +53,9 @@
 	if x.fleet.eras {
 		all = append(all, x.returnStore)
 	}
+	if x.fleet.endings {
+		all = append(all, x.fallSilent)
+	}
 	return all
 }
 
@@ -134,6 +137,31 @@
 	})
 }
 
+// fallSilent lets all upstreams fall silent amid their answers, and reset their connections while a gateway stands still: it finds
+// the resets together with the time at which it looks at the connections of silent upstreams.
+func (x *faults) fallSilent() {
+	span, before, after := x.span(1500, 2500), x.span(20, 200), x.span(100, 400)
+	end := make(chan struct{})
+	if !x.fleet.silence.CompareAndSwap(nil, &end) {
+		return
+	}
+	x.fleet.lasting.Go(func() {
+		time.Sleep(span)
+		close(end)
+		x.fleet.silence.Store(nil)
+	})
+	x.onGateway(true, func(g *gateway) error {
+		return g.otherFaults.count(func() error {
+			time.Sleep(span - before)
+			if err := g.signal(syscall.SIGSTOP); err != nil {
+				return err
+			}
+			time.Sleep(before + after)
+			return g.signal(syscall.SIGCONT)
+		})
+	})
+}
+
 // setOutages adds to the number of outages of the store that last.
 func (x *faults) setOutages(n int) {
 	x.mu.Lock()
@@ -223,22 +251,25 @@
 func TestSoak(t *testing.T) {
 	for i := range *runCount {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soak(t, seed, seed%2 == 0) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soak(t, seed, seed%2 == 0, true) })
 	}
 }
 
-// Guards against faults that the soak has found before. The store did not return in them.
+// Guards against faults that the soak has found before. In them the store did not return, and answers ended in fewer ways.
 func TestSoakFailedSeeds(t *testing.T) {
 	for _, seed := range failedSeeds {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soak(t, seed, false) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soak(t, seed, false, false) })
 	}
 }
 
-func soak(t *testing.T, seed uint64, eras bool) { play(t, seed, eras, (*faults).kinds) }
+func soak(t *testing.T, seed uint64, eras, endings bool) {
+	play(t, seed, eras, endings, (*faults).kinds)
+}
 
-// play plays faults of some kinds. eras is set if the store states its era and may return.
-func play(t *testing.T, seed uint64, eras bool, kinds func(x *faults) []func()) {
-	f := newFleet(t, seed, eras)
+// play plays faults of some kinds. eras is set if the store states its era and may return, endings if answers end as those of real
+// upstreams do.
+func play(t *testing.T, seed uint64, eras, endings bool, kinds func(x *faults) []func()) {
+	f := newFleet(t, seed, eras, endings)
 	ctx, cancel := context.WithTimeout(context.Background(), *duration)
 	defer cancel()
 	var group sync.WaitGroup
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -46,8 +46,8 @@
 	pauseFrom, pauseUntil time.Time
 	paused, pauseFaults   int
 	old                   []*fakes.Replica
-	// unsized is the number of answers without a length that are being written.
-	unsized int
+	// unsized are the connections, by their other ends, on which answers without a length are being written.
+	unsized map[string]bool
 	// connections are the connections by their other ends.
 	connections map[string]connection
 }
@@ -61,7 +61,7 @@
 }
 
 func newUpstream(f *fleet, name, service string) *upstream {
-	u := &upstream{fleet: f, name: name, service: service, connections: map[string]connection{}}
+	u := &upstream{fleet: f, name: name, service: service, connections: map[string]connection{}, unsized: map[string]bool{}}
 	assert.NilError(f.t, u.start())
 	return u
 }
@@ -91,6 +91,7 @@
 	}
 	u.link = l
 	replica.Advertise(u.link.addr())
+	replica.LeaveUnread(uploadBytes)
 	if u.service == fakes.EngineService {
 		replica.AddModel("small", "a1")
 	}
@@ -117,9 +118,9 @@
 	}
 	key := fakes.UpstreamKeyPrefix + u.id()
 	u.link.refuse()
-	if u.unsized > 0 {
+	for address := range u.unsized {
 		// Nobody could tell the end of a connection from the end of such an answer.
-		u.link.reset()
+		u.link.resetGateway(address)
 	}
 	u.replica.Crash()
 	u.link.close()
@@ -241,22 +242,34 @@
 	attempt := u.fleet.record.addRun(r.RequestID, l)
 	a := newAnswer(r, u.notices(), attempt, u.service == fakes.EngineService)
 	spoiled := u.fleet.spoil.Load() && a.spoil(u.fleet.randomOf(r.RequestID, attempt))
+	if !spoiled && u.fleet.endings && u.fleet.spoil.Load() {
+		spoiled = a.vary(u.fleet.randomOf(r.RequestID+" end", attempt), u.fleet.currentSilence())
+	}
 	late, spoiledBefore := u.swapConnection(r, connection{a.late, spoiled})
 	if spoiled || spoiledBefore {
 		u.fleet.record.spoil(r.RequestID)
 	}
 	if a.framing == closing {
-		u.addUnsized(1)
-		defer u.addUnsized(-1)
+		u.setUnsized(r.RemoteAddr, true)
+		defer u.setUnsized(r.RemoteAddr, false)
+	}
+	switch {
+	case r.Unread && a.uploadRead > 0 && late == "":
+		a.writeEarly(r, l)
+	case !r.Unread || r.ReadUpload(wholeUpload) == nil:
+		a.write(r, l, late)
 	}
-	a.write(r, late)
 }
 
-// addUnsized adds to the number of answers without a length that are being written.
-func (u *upstream) addUnsized(n int) {
+// setUnsized sets whether an answer without a length is being written on the connection from the address.
+func (u *upstream) setUnsized(address string, unsized bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.unsized += n
+	if unsized {
+		u.unsized[address] = true
+	} else {
+		delete(u.unsized, address)
+	}
 }
 
 // swapConnection sets what an answer leaves on its connection. It returns the bytes that the answer before left, and
