--- a/fakes/engine/engine.go
+++ b/fakes/engine/engine.go
@@ -111,6 +111,10 @@
 	// CutAfter tokens.
 	CutStreams int `json:"cut_streams"`
 	CutAfter   int `json:"cut_after"`
+	// UnsizedStreams is the number of following streams without a length, which end with the connection. One that is cut is
+	// reset CutSilence ms after its last token.
+	UnsizedStreams int        `json:"unsized_streams"`
+	CutSilence     clock.Span `json:"cut_silence"`
 	// LoseOrderResponses is the number of following orders whose responses are lost after they
 	// took effect.
 	LoseOrderResponses int `json:"lose_orders"`
--- a/fakes/engine/stream.go
+++ b/fakes/engine/stream.go
@@ -103,6 +103,10 @@
 	if s.consumeFault(func(f *Faults) *int { return &f.CutStreams }) {
 		cutAfter = s.faults.Get().CutAfter
 	}
+	unsized := s.consumeFault(func(f *Faults) *int { return &f.UnsizedStreams })
+	if unsized {
+		serve.EndByConnection(w)
+	}
 	events := &eventWriter{w: w}
 	nextToken := q.firstToken
 	for !events.failed {
@@ -122,6 +126,10 @@
 		}
 		for ; nextToken < p.nextToken; nextToken++ {
 			if nextToken-q.firstToken == cutAfter {
+				if unsized {
+					serve.Reset(w, s.faults.Get().CutSilence)
+					return
+				}
 				serve.Abort()
 			}
 			events.send(f.tokenChunk(ResponseToken(q.target, q.prompt, nextToken)))
--- a/fakes/plain/plain.go
+++ b/fakes/plain/plain.go
@@ -2,6 +2,8 @@
 package plain
 
 import (
+	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -33,6 +35,9 @@
 	RestartDelay clock.Span
 }
 
+// LongBodyBytes is the least length of the body of a call that Faults.ResetUploads counts.
+const LongBodyBytes = 256 << 10
+
 const defaultRestart = 500 * clock.Millisecond
 
 // Faults are the injectable faults.
@@ -43,6 +48,16 @@
 	LoseCalls int `json:"lose_calls"`
 	// FailCalls is the number of following calls that fail with status 500 before they run.
 	FailCalls int `json:"fail_calls"`
+	// UnsizedResponses is the number of following calls whose responses have no length and end with the connection.
+	UnsizedResponses int `json:"unsized_answers"`
+	// ResetResponses is the number of following calls whose responses have no length and are cut by a reset after ResetAfter
+	// bytes, ResetSilence ms after these.
+	ResetResponses int        `json:"reset_answers"`
+	ResetAfter     int        `json:"reset_after"`
+	ResetSilence   clock.Span `json:"reset_silence"`
+	// ResetUploads is the number of following calls with a body of at least LongBodyBytes whose responses have no length,
+	// begin before the body is read and are cut by a reset after ResetAfter bytes when half of the body was read.
+	ResetUploads int `json:"reset_uploads"`
 	// DelayMillis is added to the duration of each call.
 	DelayMillis clock.Span `json:"delay_millis"`
 }
@@ -160,6 +175,10 @@
 }
 
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength >= LongBodyBytes && s.consumeFault(func(f *Faults) *int { return &f.ResetUploads }) {
+		s.resetUpload(w, r)
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, serve.MaxBodyBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -184,7 +203,36 @@
 	if s.consumeFault(func(f *Faults) *int { return &f.LoseResponses }) {
 		serve.Abort()
 	}
-	serve.WriteJSON(w, http.StatusOK, a)
+	switch {
+	case s.consumeFault(func(f *Faults) *int { return &f.UnsizedResponses }):
+		serve.EndByConnection(w)
+		serve.WriteJSON(w, http.StatusOK, a)
+	case s.consumeFault(func(f *Faults) *int { return &f.ResetResponses }):
+		c, _ := serve.TakeConn(w)
+		defer c.Close()
+		writeBegin(c, a, s.Faults().ResetAfter)
+		time.Sleep(s.Faults().ResetSilence.Duration())
+	default:
+		serve.WriteJSON(w, http.StatusOK, a)
+	}
+}
+
+// writeBegin writes up to so many bytes of a response without a length, and never the whole one.
+func writeBegin(w io.Writer, a Response, bytes int) {
+	data, err := json.Marshal(a)
+	if err != nil {
+		panic(err) // a Response can always be marshaled
+	}
+	// The client may have disconnected.
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n%s", data[:min(bytes, len(data)-1)])
+}
+
+// resetUpload begins the response to a call before its body is read, and resets the connection amid the body.
+func (s *Server) resetUpload(w http.ResponseWriter, r *http.Request) {
+	c, body := serve.TakeConn(w)
+	defer c.Close()
+	writeBegin(c, s.countRun(s.recordCall(r, nil)), s.Faults().ResetAfter)
+	_, _ = io.CopyN(io.Discard, body, r.ContentLength/2) // the client may have disconnected
 }
 
 func (s *Server) recordCall(r *http.Request, body []byte) *Call {
--- a/fakes/serve/serve.go
+++ b/fakes/serve/serve.go
@@ -3,6 +3,7 @@
 package serve
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -159,6 +160,34 @@
 // http.ErrAbortHandler, so it must run in the handler's goroutine.
 func Abort() { panic(http.ErrAbortHandler) }
 
+// EndByConnection lets the response have no length, so that its body ends with the connection.
+func EndByConnection(w http.ResponseWriter) {
+	w.Header().Set("Transfer-Encoding", "identity")
+}
+
+// TakeConn takes over the connection of the current request, whose close resets it from now on; a simulated crash doesn't close
+// it. Nothing of the request's body may have been read. The handler's ResponseWriter can't be used any more.
+func TakeConn(w http.ResponseWriter) (net.Conn, *bufio.Reader) {
+	c, rw, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		Abort()
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only for a connection that is closed already
+	}
+	return c, rw.Reader
+}
+
+// Reset sends what was written of the response and ends the connection of the current request with a reset after the silence.
+func Reset(w http.ResponseWriter, silence clock.Span) {
+	if http.NewResponseController(w).Flush() != nil {
+		Abort()
+	}
+	c, _ := TakeConn(w)
+	time.Sleep(silence.Duration())
+	_ = c.Close()
+}
+
 // ReadJSON decodes the JSON body of the request into v. If that fails, it responds with status
 // 400 and returns false.
 func ReadJSON(w http.ResponseWriter, r *http.Request, v any) bool {
--- a/soak/agents_test.go
+++ b/soak/agents_test.go
@@ -36,6 +36,8 @@
 	modelBytes                                 = 1 << 30
 	// streamTokens is the length of a completion.
 	streamTokens = 12
+	// mostResetBytes bounds what is sent of a response that is reset. Whole ones are longer.
+	mostResetBytes = 60
 )
 
 // agentFleet is gateways with agents, the stand-ins of their platform, engines and plain services.
@@ -239,11 +241,38 @@
 			cut := x.random.IntN(streamTokens)
 			f.models[x.random.IntN(agentEngines)].Update(func(v *engine.Faults) { v.CutStreams, v.CutAfter = 3, cut })
 		},
+		func() {
+			cut, silence := x.random.IntN(streamTokens), f.silence(x)
+			f.models[x.random.IntN(agentEngines)].Update(func(v *engine.Faults) {
+				v.CutStreams, v.CutAfter, v.UnsizedStreams, v.CutSilence = 3, cut, 8, silence
+			})
+		},
+		func() {
+			f.services[x.random.IntN(agentServices)].Update(func(v *plain.Faults) { v.UnsizedResponses = 8 })
+		},
+		func() { f.resetResponses(x) },
+		func() { f.resetResponses(x) },
 		func() { f.services[x.random.IntN(agentServices)].Update(func(v *plain.Faults) { v.LoseResponses = 3 }) },
 		func() { f.services[x.random.IntN(agentServices)].Update(func(v *plain.Faults) { v.LoseCalls = 3 }) },
 	}
 }
 
+// resetResponses lets a service cut some responses without a length by a reset.
+func (f *agentFleet) resetResponses(x *faults) {
+	after, silence := x.random.IntN(mostResetBytes), f.silence(x)
+	f.services[x.random.IntN(agentServices)].Update(func(v *plain.Faults) {
+		v.ResetResponses, v.ResetUploads, v.ResetAfter, v.ResetSilence = 3, 5, after, silence
+	})
+}
+
+// silence returns how long an upstream is silent before a reset: mostly not at all.
+func (f *agentFleet) silence(x *faults) clock.Span {
+	if x.random.IntN(silentShare) > 0 {
+		return 0
+	}
+	return clock.FromDuration(x.span(int(leastSilence.Milliseconds()), int(mostSilence.Milliseconds())))
+}
+
 // loseStore lets the store be out for a time, or lose the answers to some calls that took effect.
 func (f *agentFleet) loseStore(x *faults) {
 	span := x.span(200, 1500)
@@ -315,6 +344,10 @@
 		path = "/v1/completions"
 		body = fmt.Sprintf(`{"model": "m", "prompt": %q, "max_tokens": %d, "stream": true}`, id, streamTokens)
 	}
+	// A call that is repeated with its key has the same body.
+	if body == id && c.fleet.randomOf(id, 0).IntN(uploadShare) == 0 {
+		body += uploadPadding
+	}
 	req, err := http.NewRequest(method, "http://"+g.public+path, strings.NewReader(body))
 	if err != nil {
 		c.fleet.record.breach("request %s: %v", id, err)
