--- a/socket/client.go
+++ b/socket/client.go
@@ -7,12 +7,19 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/magnolialever/magnolialever/stats"
 )
 
 // tcpClosed is the state of a TCP connection that no longer exists: TCP_CLOSE of Linux.
 const tcpClosed = 7
 
-// ClientConn is a connection of a client that knows how its other side has ended it. Reads have to go through it.
+// ErrLost means that a connection was reset or timed out, of which a call other than the read was notified. What was read may be a part
+// of what the other side sent.
+var ErrLost = errors.New("connection was lost before the other side ended it")
+
+// ClientConn is a connection of a client whose reads tell its end from its loss. The system reports a loss once, to whichever call
+// comes next, and a read after that sees a plain end. Reads have to go through it.
 type ClientConn struct {
 	net.Conn
 	// received is the number of bytes that Read has returned.
@@ -39,13 +46,21 @@
 // NewClientConn returns a ClientConn of which nothing has been read.
 func NewClientConn(c net.Conn) *ClientConn { return &ClientConn{Conn: c} }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It fails with ErrLost instead of io.EOF where the connection was lost, and with net.ErrClosed where that can't
+// be told any longer, as this side has closed the connection meanwhile.
 func (c *ClientConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received += uint64(n)
 	switch {
 	case errors.Is(err, io.EOF):
-		c.ended = c.ending()
+		var closed bool
+		if c.ended, closed = c.ending(); closed {
+			return n, net.ErrClosed
+		}
+		if c.ended == Lost {
+			stats.Event("losses_found_at_end")
+			return n, ErrLost
+		}
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.ETIMEDOUT):
 		c.ended = Lost
 	}
@@ -55,10 +70,10 @@
 // Ended returns how the connection had ended when Read last returned an error.
 func (c *ClientConn) Ended() Ending { return c.ended }
 
-// ending returns how a connection ended whose bytes were all read. The end of the bytes counts as a byte that has arrived.
-func (c *ClientConn) ending() Ending {
-	ended := NotEnded
-	control(c.Conn, func(fd int) {
+// ending returns how a connection ended whose bytes were all read, or whether this side has closed it, so that it can't be told. The end
+// of the bytes counts as a byte that has arrived.
+func (c *ClientConn) ending() (ended Ending, closed bool) {
+	err := control(c.Conn, func(fd int) {
 		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		switch {
 		case err != nil:
@@ -68,7 +83,7 @@
 			ended = EndedInOrder
 		}
 	})
-	return ended
+	return ended, errors.Is(err, net.ErrClosed)
 }
 
 // SyscallConn implements syscall.Conn.
