agent, relay: metrics tell answers that ended with their connection

Nothing but the end of the connection tells the end of an answer without a length, and neither the agents' logs nor any counter told such answers from others. answers_ended_by_connection counts them at both ways in; an agent's log at -v=1 has a line per served call with what ended its answer.

No logic changes.

--- a/agent/forward.go
+++ b/agent/forward.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/copies"
 	"github.com/magnolialever/magnolialever/notice"
@@ -87,8 +88,8 @@
 
 // relayCall sends the call to the upstream and relays the response to w.
 func (f *forwarder) relayCall(ctx context.Context, c *wire.Call, w responseWriter) (tokenCounts, *refusal) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connected atomic.Pointer[net.Conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connected.Store(&info.Conn) }}
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(ctx, trace))
 	defer cancel()
 	req, err := f.newRequest(ctx, c)
@@ -100,7 +101,7 @@
 	}
 	resp, err := f.transport.RoundTrip(req)
 	if err != nil {
-		return tokenCounts{}, failedCall(ctx, err, connected.Load())
+		return tokenCounts{}, failedCall(ctx, err, connected.Load() != nil)
 	}
 	defer resp.Body.Close()
 	if !copies.IsFinalStatus(resp.StatusCode) {
@@ -115,11 +116,16 @@
 	if err := w.writeHead(resp.StatusCode, responseHeader(resp.Header)); err != nil {
 		return tokenCounts{}, canceledCall(err)
 	}
-	body := answerBody(resp, m.isModel)
+	body, forward := &endedBody{Reader: answerBody(resp, m.isModel)}, f.forwardBody
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		return f.forwardEvents(ctx, body, m, w)
+		forward = f.forwardEvents
 	}
-	return f.forwardBody(ctx, body, m, w)
+	counts, r := forward(ctx, body, m, w)
+	if r == nil {
+		ending := body.ending(resp, *connected.Load())
+		klog.V(1).InfoS("agent: served", "attempt", c.Attempt, "status", resp.StatusCode, "end", ending)
+	}
+	return counts, r
 }
 
 // newRequest builds the upstream's request. It fails when the path is not absolute or the
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -289,6 +290,9 @@
 	assignLatency.Record(placed.Duration())
 	firstEventLatency.Record(first.Duration())
 	totalLatency.Record(took.Duration())
+	if strings.HasPrefix(ending, endedByConnection) {
+		stats.Event("answers_ended_by_connection")
+	}
 	klog.InfoS("relay: served", "request", a.callerRequest.RequestID, "status", status, "upstream", a.scheduled.Upstream.ID, "customer", a.customerID(),
 		"cost", a.tokenCost(), "model", a.callerRequest.Model, "adapter", a.callerRequest.Adapter, "sends", a.sends, "runs", a.runs, "events", a.delivered.events, "end", ending,
 		"placed", placed, "first", first, "took", took, "revision", a.view.Revision)
--- a/relay/call.go
+++ b/relay/call.go
@@ -212,11 +212,14 @@
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
+// endedByConnection is the begin of the ending of a body that ended with its connection.
+const endedByConnection = "connection "
+
 // ending is what ended the body of a response, as in logs.
 func (rs *response) ending() string {
 	switch {
 	case rs.closeDelimited:
-		return "connection " + rs.conn.Ended().String()
+		return endedByConnection + rs.conn.Ended().String()
 	case rs.length >= 0:
 		return "length"
 	case hasBody(rs.method, rs.status):
