relay: the budget for incomplete events has a type of that name

bodyBudget limited incomplete events only; it is eventBudget now and stands with the splitter in event.go. bodyClaim serves requests and answers, which its comment and the error of an exhausted budget now say: the error text loses "request".

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -43,7 +43,7 @@
 func (x *exchange) newAttempt(scheduled *sched.Attempt, ticket *parts.Ticket) *attempt {
 	now := x.server.Clock.Now()
 	return &attempt{
-		exchange: x, scheduled: scheduled, ticket: ticket, assignedAt: now, stream: newEventSplitter(&x.delivered, &x.server.eventBudget),
+		exchange: x, scheduled: scheduled, ticket: ticket, assignedAt: now, stream: newEventSplitter(&x.delivered, &x.server.events),
 		silence: silence{progressAt: now},
 	}
 }
--- a/relay/body.go
+++ b/relay/body.go
@@ -30,32 +30,15 @@
 // longPast is a deadline that ends reads and writes at once.
 var longPast = time.Unix(1, 0)
 
-// errBodyBudget means that buffering the body would exceed the budget for request bodies.
-var errBodyBudget = errors.New("budget for request bodies is exhausted")
+// errBodyBudget means that buffering a body would exceed the budget for bodies of its kind.
+var errBodyBudget = errors.New("budget for bodies is exhausted")
 
-// bodyBudget limits the bytes of incomplete events buffered at once. It is safe for concurrent use.
-type bodyBudget struct {
-	used  atomic.Int64
-	limit int64
-}
-
-// acquire reserves n bytes and reports whether they were within the limit.
-func (b *bodyBudget) acquire(n int64) bool {
-	if b.used.Add(n) > b.limit {
-		b.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (b *bodyBudget) release(n int64) { b.used.Add(-n) }
-
-// bodyClaim is what one body holds of a budget.Pool, beyond the first initialBufferBytes, which are free: they are part of what
-// a connection takes.
+// bodyClaim is what the body of one request or one answer holds of its budget.Pool, beyond the first initialBufferBytes, which
+// are free: they are part of what a connection takes.
 type bodyClaim struct {
 	pool  *budget.Pool
 	clock clock.Clock
-	// owner ends the request when the body gives way.
+	// owner ends the reading or writing of the body when that has to give way to others.
 	owner yielder
 	claim budget.Claim
 	// used is set once the claim holds bytes.
@@ -67,6 +50,7 @@
 // yielder ends the reading or writing of a body. yieldBudget is called from any goroutine.
 type yielder interface{ yieldBudget() }
 
+// take claims n further bytes and reports whether the pool had them.
 func (b *bodyClaim) take(n int64) bool {
 	if !b.used {
 		b.used = true
@@ -96,6 +80,7 @@
 	}
 }
 
+// release returns all that the body holds.
 func (b *bodyClaim) release() {
 	if b.used {
 		b.pool.Release(&b.claim)
--- a/relay/event.go
+++ b/relay/event.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/magnolialever/magnolialever/stats"
 )
@@ -16,7 +17,7 @@
 	// pending holds the bytes of an incomplete event.
 	pending []byte
 	// budget limits the bytes of incomplete events of all streams, of which this one has acquired budgetHeld.
-	budget     *bodyBudget
+	budget     *eventBudget
 	budgetHeld int64
 	// commentBytes is the number of bytes of comments since the last event.
 	commentBytes int
@@ -28,7 +29,7 @@
 
 // newEventSplitter returns the splitter of an attempt whose caller has got delivered. If that is a part of a stream, the
 // attempt resumes it. release has to be called when the attempt ends.
-func newEventSplitter(delivered *delivery, budget *bodyBudget) *eventSplitter {
+func newEventSplitter(delivered *delivery, budget *eventBudget) *eventSplitter {
 	e := &eventSplitter{delivered: delivered, budget: budget}
 	if !delivered.headSent {
 		return e
@@ -39,6 +40,24 @@
 	return e
 }
 
+// eventBudget limits the bytes of the incomplete events of all streams. It is safe for concurrent use.
+type eventBudget struct {
+	used  atomic.Int64
+	limit int64
+}
+
+// acquire reserves n bytes and reports whether they were within the limit.
+func (b *eventBudget) acquire(n int64) bool {
+	if b.used.Add(n) > b.limit {
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// release returns n bytes.
+func (b *eventBudget) release(n int64) { b.used.Add(-n) }
+
 // dataField begins the line of an event that holds its data.
 var dataField = []byte("data:")
 
--- a/relay/server.go
+++ b/relay/server.go
@@ -94,9 +94,9 @@
 	// answers limits the bytes of upstreams' responses buffered at once. It has the same limit
 	// as bodies, but is separate: an answer must not fail because of requests that wait.
 	answers *budget.Pool
-	// eventBudget limits the bytes of incomplete events, apart from both: upstreams that never end an event must not fail
+	// events limits the bytes of incomplete events, apart from both: upstreams that never end an event must not fail
 	// sound answers.
-	eventBudget bodyBudget
+	events eventBudget
 	// active counts requests in progress.
 	active atomic.Int64
 
@@ -127,7 +127,7 @@
 	}
 	s.bodies, s.answers = budget.NewPool(units.Bytes(s.BodyBudget)), budget.NewPool(units.Bytes(s.BodyBudget))
 	s.answers.SetYieldDelay(answerYieldDelay)
-	s.eventBudget.limit = s.BodyBudget / eventBudgetPart
+	s.events.limit = s.BodyBudget / eventBudgetPart
 	s.ended, s.end = context.WithCancel(context.Background())
 	s.view.Store(&view.Snapshot{})
 	return s
--- a/relay/successor.go
+++ b/relay/successor.go
@@ -174,7 +174,7 @@
 	b := s.attempt
 	x.upstream = b.scheduled.Upstream.ID
 	// The silent upstream may have sent events right before it broke off, of which the request of b doesn't know.
-	b.stream = newEventSplitter(&x.delivered, &x.server.eventBudget)
+	b.stream = newEventSplitter(&x.delivered, &x.server.events)
 	if errors.Is(s.err, errPartNotGranted) {
 		x.sends--
 		x.allowAgain(x.upstream)
