events: the readers of event streams share the bound on comments and the end of a stream

relay and agent each had the bound on comments between two events with its error, and agent and gate the data of the last event; three packages had the name of the data field. They stand in package events now. The splitters stay apart: relay keeps identifiers, gate indexes and agent single events.

--- a/agent/event.go
+++ b/agent/event.go
@@ -8,6 +8,8 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"github.com/magnolialever/magnolialever/events"
 )
 
 // maxEventBytes is the maximum size of one event of a stream.
@@ -16,24 +18,14 @@
 // errEventTooLarge means that an event exceeds maxEventBytes.
 var errEventTooLarge = errors.New("event is larger than 1 MB")
 
-// maxCommentBytes is the number of bytes of comments that a stream may have between two events. Pings of some bytes a second
-// stay below it for hours.
-const maxCommentBytes = 64 << 10
-
-// errNoProgress means that a stream has more than maxCommentBytes without an event.
-var errNoProgress = errors.New("the stream has comments without end")
-
 // doneEvent is the last event of an OpenAI-compatible stream.
-const doneEvent = "data: [DONE]\n\n"
-
-// doneData is the payload of doneEvent.
-var doneData = []byte("[DONE]")
+const doneEvent = events.DataField + " " + events.Done + "\n\n"
 
 // eventReader splits a stream into server-sent events.
 type eventReader struct {
 	reader *bufio.Reader
-	// commentBytes is the number of bytes of comments since the last event.
-	commentBytes int
+	// comments counts those since the last event.
+	comments events.Comments
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -64,23 +56,20 @@
 	}
 }
 
-// countComments fails with errNoProgress if the event is a comment beyond the limit.
+// countComments fails with events.ErrNoProgress if the event is a comment beyond the limit.
 func (e *eventReader) countComments(event []byte) error {
 	if event[0] != ':' {
-		e.commentBytes = 0
+		e.comments.Reset()
 		return nil
 	}
-	if e.commentBytes += len(event); e.commentBytes > maxCommentBytes {
-		return errNoProgress
-	}
-	return nil
+	return e.comments.Add(len(event))
 }
 
 // eventData returns the payload of an event: its data lines, joined without newlines.
 func eventData(event []byte) []byte {
 	var data []byte
 	for line := range bytes.Lines(event) {
-		if rest, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+		if rest, ok := bytes.CutPrefix(line, []byte(events.DataField)); ok {
 			data = append(data, bytes.TrimSpace(rest)...)
 		}
 	}
--- a/agent/forward.go
+++ b/agent/forward.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/magnolialever/magnolialever/copies"
+	"github.com/magnolialever/magnolialever/events"
 	"github.com/magnolialever/magnolialever/notice"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
@@ -238,7 +239,7 @@
 	case errors.Is(err, copies.ErrSecondAnswer):
 		stats.Event("second_answer")
 		return &refusal{code: units.UpstreamFailed, mayHaveRun: true, secondAnswer: true, message: err.Error()}
-	case errors.Is(err, errEventTooLarge), errors.Is(err, errNoProgress):
+	case errors.Is(err, errEventTooLarge), errors.Is(err, events.ErrNoProgress):
 		stats.Event("endless_answer")
 		return &refusal{code: units.UpstreamFailed, mayHaveRun: true, message: err.Error()}
 	case !connected:
--- a/agent/meter.go
+++ b/agent/meter.go
@@ -1,13 +1,13 @@
 package agent
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
 
+	"github.com/magnolialever/magnolialever/events"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
 )
@@ -110,7 +110,7 @@
 		return eventForward
 	}
 	data := eventData(event)
-	if bytes.Equal(data, doneData) {
+	if string(data) == events.Done {
 		m.sawDone = true
 		return eventForward
 	}
--- a/gate/events.go
+++ b/gate/events.go
@@ -3,17 +3,15 @@
 import (
 	"bytes"
 
+	"github.com/magnolialever/magnolialever/events"
 	"github.com/magnolialever/magnolialever/wire"
 )
 
 // maxEventBytes bounds an event whose end has not arrived yet.
 const maxEventBytes = 1 << 20
 
-// doneData is the payload of the last event of an OpenAI-compatible stream.
-const doneData = "[DONE]"
-
 var (
-	dataField  = []byte("data:")
+	dataField  = []byte(events.DataField)
 	eventEnd   = []byte("\n\n")
 	eventEndCR = []byte("\r\n\r\n")
 )
@@ -84,7 +82,7 @@
 // isLast reports whether an event is the last one of its stream.
 func isLast(event []byte) bool {
 	data, ok := bytes.CutPrefix(event, dataField)
-	return ok && string(bytes.TrimSpace(data)) == doneData
+	return ok && string(bytes.TrimSpace(data)) == events.Done
 }
 
 // eventLength returns the length of the event at the start of data, including the empty line that
--- a/relay/event.go
+++ b/relay/event.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"sync/atomic"
 
+	"github.com/magnolialever/magnolialever/events"
 	"github.com/magnolialever/magnolialever/stats"
 )
 
@@ -19,8 +20,8 @@
 	// budget limits the bytes of incomplete events of all streams, of which this one has acquired budgetHeld.
 	budget     *eventBudget
 	budgetHeld int64
-	// commentBytes is the number of bytes of comments since the last event.
-	commentBytes int
+	// comments counts those since the last event.
+	comments events.Comments
 	// skipThrough is the numeric identifier up to which events of a resumed stream repeat earlier
 	// ones and are dropped. It applies while skipping is set.
 	skipThrough int64
@@ -59,7 +60,7 @@
 func (b *eventBudget) release(n int64) { b.used.Add(-n) }
 
 // dataField begins the line of an event that holds its data.
-var dataField = []byte("data:")
+var dataField = []byte(events.DataField)
 
 var eventSeparator = []byte("\n\n")
 
@@ -75,19 +76,12 @@
 // errEventBudget means that the incomplete events of all streams together exceed their budget.
 var errEventBudget = errors.New("budget for incomplete events is exhausted")
 
-// maxCommentBytes is the number of bytes of comments that a stream may have between two events. Pings of some bytes a second
-// stay below it for hours.
-const maxCommentBytes = 64 << 10
-
-// errNoProgress means that a stream has more than maxCommentBytes without an event.
-var errNoProgress = errors.New("the stream has comments without end")
-
 // errEventOrder means that an event's identifier is not above that of the event before it.
 var errEventOrder = errors.New("identifiers of events do not increase")
 
 // add appends bytes of the stream and returns the events that are complete now, without repeated
 // ones. The result is valid until the next call. It fails with errEventTooLarge if the incomplete
-// event exceeds the limit, with errEventBudget if those of all streams do, and with errEventOrder or errNoProgress after
+// event exceeds the limit, with errEventBudget if those of all streams do, and with errEventOrder or events.ErrNoProgress after
 // the events that it returns.
 func (e *eventSplitter) add(p []byte) ([]byte, error) {
 	data, known := p, 0
@@ -138,7 +132,7 @@
 }
 
 // filterRepeated drops repeated events and records the others as delivered. It overwrites its argument. It stops with
-// errEventOrder before an event that is out of order, and with errNoProgress before a comment beyond the limit.
+// errEventOrder before an event that is out of order, and with events.ErrNoProgress before a comment beyond the limit.
 func (e *eventSplitter) filterRepeated(complete []byte) ([]byte, error) {
 	out := complete[:0]
 	for len(complete) > 0 {
@@ -159,9 +153,9 @@
 		if ok || bytes.Contains(event, dataField) {
 			e.delivered.events++
 			e.delivered.last = append(e.delivered.last[:0], event...)
-			e.commentBytes = 0
-		} else if e.commentBytes += len(event); e.commentBytes > maxCommentBytes {
-			return out, errNoProgress
+			e.comments.Reset()
+		} else if err := e.comments.Add(len(event)); err != nil {
+			return out, err
 		}
 		out = append(out, event...)
 	}
