fakes: one counter of faults

engine, keyval and plain each decremented counted faults in the same way; Faults.Consume does it now. No change of behaviour. go test -race ./fakes/... ./store ./once ./syncer passes.

--- a/fakes/engine/api.go
+++ b/fakes/engine/api.go
@@ -38,7 +38,7 @@
 		s.refuse(w, rec, errInvalid(err.Error()))
 		return nil
 	}
-	if s.consumeFault(func(f *Faults) *int { return &f.FailRequests }) {
+	if s.faults.Consume(func(f *Faults) *int { return &f.FailRequests }) {
 		s.refuse(w, rec, errInjected)
 		return nil
 	}
--- a/fakes/engine/engine.go
+++ b/fakes/engine/engine.go
@@ -256,15 +256,3 @@
 	s.faultRoutes(m)
 	return m
 }
-
-// consumeFault decrements the counter of a fault and reports whether it was above 0.
-func (s *Server) consumeFault(field func(*Faults) *int) bool {
-	due := false
-	s.faults.Update(func(f *Faults) {
-		if n := field(f); *n > 0 {
-			*n--
-			due = true
-		}
-	})
-	return due
-}
--- a/fakes/engine/orders.go
+++ b/fakes/engine/orders.go
@@ -70,7 +70,7 @@
 	defer cancel()
 	clock.Sleep(ctx, s.faults.Get().OrderDelayMillis.Duration())
 	e := s.execute(ctx, &o)
-	if s.consumeFault(func(f *Faults) *int { return &f.LoseOrderResponses }) {
+	if s.faults.Consume(func(f *Faults) *int { return &f.LoseOrderResponses }) {
 		serve.Abort()
 	}
 	if e != nil {
--- a/fakes/engine/stream.go
+++ b/fakes/engine/stream.go
@@ -100,7 +100,7 @@
 // streamTokens sends each token as one server-sent event.
 func (s *Server) streamTokens(ctx context.Context, w http.ResponseWriter, q *sequence, f *format, includeUsage bool) {
 	cutAfter := -1
-	if s.consumeFault(func(f *Faults) *int { return &f.CutStreams }) {
+	if s.faults.Consume(func(f *Faults) *int { return &f.CutStreams }) {
 		cutAfter = s.faults.Get().CutAfter
 	}
 	events := &eventWriter{w: w}
--- a/fakes/keyval/handlers.go
+++ b/fakes/keyval/handlers.go
@@ -57,14 +57,14 @@
 	if !serve.ReadJSON(w, r, &q) || !s.admit(w, counter, class) {
 		return
 	}
-	if class == writeCall && s.consumeFault(loseWrites) {
+	if class == writeCall && s.faults.Consume(loseWrites) {
 		serve.Abort()
 	}
 	s.mu.Lock()
 	s.expireDueLeases()
 	v, e := do(&q)
 	s.mu.Unlock()
-	if class == writeCall && s.consumeFault(loseResponses) {
+	if class == writeCall && s.faults.Consume(loseResponses) {
 		serve.Abort()
 	}
 	if e != nil {
@@ -339,7 +339,7 @@
 	if !send(w, e, m) {
 		return 0
 	}
-	if s.consumeFault(cutWatches) {
+	if s.faults.Consume(cutWatches) {
 		serve.Abort()
 	}
 	return m.Events[len(m.Events)-1].Kv.ModRevision + 1
--- a/fakes/keyval/keyval.go
+++ b/fakes/keyval/keyval.go
@@ -252,18 +252,6 @@
 	return true
 }
 
-// consumeFault decrements the counter of a fault and reports whether it was above 0.
-func (s *Server) consumeFault(field func(*Faults) *int) bool {
-	due := false
-	s.faults.Update(func(f *Faults) {
-		if n := field(f); *n > 0 {
-			*n--
-			due = true
-		}
-	})
-	return due
-}
-
 func loseResponses(f *Faults) *int { return &f.LoseResponses }
 func loseWrites(f *Faults) *int    { return &f.LoseWrites }
 func cutWatches(f *Faults) *int    { return &f.CutWatches }
--- a/fakes/plain/plain.go
+++ b/fakes/plain/plain.go
@@ -170,10 +170,10 @@
 		s.Crash(s.options.RestartDelay)
 		serve.Abort()
 	}
-	if s.consumeFault(func(f *Faults) *int { return &f.LoseCalls }) {
+	if s.Consume(func(f *Faults) *int { return &f.LoseCalls }) {
 		serve.Abort()
 	}
-	if s.consumeFault(func(f *Faults) *int { return &f.FailCalls }) {
+	if s.Consume(func(f *Faults) *int { return &f.FailCalls }) {
 		http.Error(w, "injected fault", http.StatusInternalServerError)
 		return
 	}
@@ -181,7 +181,7 @@
 	// The sleep ignores the request's context: the call has run, even if its client
 	// disconnects.
 	time.Sleep((s.options.CallTime + s.Faults().DelayMillis).Duration())
-	if s.consumeFault(func(f *Faults) *int { return &f.LoseResponses }) {
+	if s.Consume(func(f *Faults) *int { return &f.LoseResponses }) {
 		serve.Abort()
 	}
 	serve.WriteJSON(w, http.StatusOK, a)
@@ -208,15 +208,3 @@
 	s.runs[c.ID]++
 	return Response{ID: c.ID, Method: c.Method, Path: c.Path, Body: c.Body, Run: s.runs[c.ID]}
 }
-
-// consumeFault decrements the counter of a fault and reports whether it was above 0.
-func (s *Server) consumeFault(field func(*Faults) *int) bool {
-	due := false
-	s.Update(func(f *Faults) {
-		if n := field(f); *n > 0 {
-			*n--
-			due = true
-		}
-	})
-	return due
-}
--- a/fakes/serve/base.go
+++ b/fakes/serve/base.go
@@ -44,3 +44,6 @@
 
 // Update changes the injected faults under a lock.
 func (b *Base[T]) Update(change func(*T)) { b.faults.Update(change) }
+
+// Consume decrements the counter of a fault and reports whether it was above 0.
+func (b *Base[T]) Consume(counter func(*T) *int) bool { return b.faults.Consume(counter) }
--- a/fakes/serve/faults.go
+++ b/fakes/serve/faults.go
@@ -27,6 +27,18 @@
 	change(&f.value)
 }
 
+// Consume decrements the counter of a fault and reports whether it was above 0.
+func (f *Faults[T]) Consume(counter func(*T) *int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := counter(&f.value)
+	if *n <= 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
 // ServeHTTP returns the faults as JSON, after it has applied the body of a POST.
 func (f *Faults[T]) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodPost {
