opsrv: one response to changes that fail

PutTeam, IssueKey and WithdrawKey each mapped refusals, conflicts and unknown results to the same responses; failureResponse does it now.

--- a/opsrv/convert.go
+++ b/opsrv/convert.go
@@ -72,6 +72,26 @@
 	return out
 }
 
+// changeResponse is a response to any change.
+type changeResponse interface {
+	opsapi.IssueKeyRes
+	opsapi.PutTeamRes
+	opsapi.WithdrawKeyRes
+}
+
+// failureResponse returns the response to a change that was not made, or may not have been; nil if it was accepted.
+func failureResponse(c change, o outcome) (changeResponse, error) {
+	switch o.result {
+	case refused:
+		return refusedResponse(o.problems), nil
+	case conflict:
+		return conflictResponse(c, o)
+	case unknown:
+		return unknownResponse(), nil
+	}
+	return nil, nil
+}
+
 // conflictResponse returns the response to a change whose expected revision is not the stored one,
 // or that lost against concurrent writes in each try.
 func conflictResponse(c change, o outcome) (*opsapi.Conflict, error) {
--- a/opsrv/keys.go
+++ b/opsrv/keys.go
@@ -46,13 +46,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("issue key %s: %w", key.ID, err)
 	}
-	switch o.result {
-	case refused:
-		return refusedResponse(o.problems), nil
-	case conflict:
-		return conflictResponse(c, o)
-	case unknown:
-		return unknownResponse(), nil
+	if res, err := failureResponse(c, o); res != nil || err != nil {
+		return res, err
 	}
 	if o.repeated {
 		// The earlier call returned the secret, or its response was lost.
@@ -89,13 +84,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("withdraw key %s: %w", r.Key, err)
 	}
-	switch o.result {
-	case refused:
-		return refusedResponse(o.problems), nil
-	case conflict:
-		return conflictResponse(c, o)
-	case unknown:
-		return unknownResponse(), nil
+	if res, err := failureResponse(c, o); res != nil || err != nil {
+		return res, err
 	}
 	return s.acceptedResponse(ctx, c, o), nil
 }
--- a/opsrv/team.go
+++ b/opsrv/team.go
@@ -71,13 +71,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("put team %s: %w", team, err)
 	}
-	switch o.result {
-	case refused:
-		return refusedResponse(o.problems), nil
-	case conflict:
-		return conflictResponse(c, o)
-	case unknown:
-		return unknownResponse(), nil
+	if res, err := failureResponse(c, o); res != nil || err != nil {
+		return res, err
 	}
 	return s.acceptedResponse(ctx, c, o), nil
 }
