--- a/fakes/engine/stream.go
+++ b/fakes/engine/stream.go
@@ -103,7 +103,7 @@
 	if s.faults.Consume(func(f *Faults) *int { return &f.CutStreams }) {
 		cutAfter = s.faults.Get().CutAfter
 	}
-	unsized := s.consumeFault(func(f *Faults) *int { return &f.UnsizedStreams })
+	unsized := s.faults.Consume(func(f *Faults) *int { return &f.UnsizedStreams })
 	if unsized {
 		serve.EndByConnection(w)
 	}
--- a/fakes/plain/plain.go
+++ b/fakes/plain/plain.go
@@ -175,7 +175,7 @@
 }
 
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength >= LongBodyBytes && s.consumeFault(func(f *Faults) *int { return &f.ResetUploads }) {
+	if r.ContentLength >= LongBodyBytes && s.Consume(func(f *Faults) *int { return &f.ResetUploads }) {
 		s.resetUpload(w, r)
 		return
 	}
@@ -204,10 +204,10 @@
 		serve.Abort()
 	}
 	switch {
-	case s.consumeFault(func(f *Faults) *int { return &f.UnsizedResponses }):
+	case s.Consume(func(f *Faults) *int { return &f.UnsizedResponses }):
 		serve.EndByConnection(w)
 		serve.WriteJSON(w, http.StatusOK, a)
-	case s.consumeFault(func(f *Faults) *int { return &f.ResetResponses }):
+	case s.Consume(func(f *Faults) *int { return &f.ResetResponses }):
 		c, _ := serve.TakeConn(w)
 		defer c.Close()
 		writeBegin(c, a, s.Faults().ResetAfter)
