--- a/fakes/engine/stream.go
+++ b/fakes/engine/stream.go
@@ -100,9 +100,13 @@
 // streamTokens sends each token as one server-sent event.
 func (s *Server) streamTokens(ctx context.Context, w http.ResponseWriter, q *sequence, f *format, includeUsage bool) {
 	cutAfter := -1
-	if s.consumeFault(func(f *Faults) *int { return &f.CutStreams }) {
+	if s.faults.Consume(func(f *Faults) *int { return &f.CutStreams }) {
 		cutAfter = s.faults.Get().CutAfter
 	}
+	unsized := s.faults.Consume(func(f *Faults) *int { return &f.UnsizedStreams })
+	if unsized {
+		serve.EndByConnection(w)
+	}
 	events := &eventWriter{w: w}
 	nextToken := q.firstToken
 	for !events.failed {
@@ -122,6 +126,10 @@
 		}
 		for ; nextToken < p.nextToken; nextToken++ {
 			if nextToken-q.firstToken == cutAfter {
+				if unsized {
+					serve.Reset(w, s.faults.Get().CutSilence)
+					return
+				}
 				serve.Abort()
 			}
 			events.send(f.tokenChunk(ResponseToken(q.target, q.prompt, nextToken)))
