relay: an answer that ended while the gateway stood still is no silence

A read deadline that passes while the gateway is paused counts as the upstream's silence only if nothing has arrived. The end of the connection was not counted as an arrival: the end was read as a timeout if the decision was to give the upstream up, and another one could be asked. Found by the review.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -106,8 +106,8 @@
 		if n > 0 || c.onSilence == nil || !isTimeout(err) {
 			return n, err
 		}
-		if socket.Peek(c.ClientConn) == socket.Unread {
-			// The deadline passed while this gateway did not read, as it was paused: the upstream was not silent.
+		if socket.Peek(c.ClientConn) != socket.Open {
+			// The deadline passed while this gateway did not read, as it was paused: the upstream was not silent, or has ended.
 			if err := c.SetReadDeadline(time.Now().Add(unreadGrace)); err != nil {
 				return 0, fmt.Errorf("set deadline: %w", err)
 			}
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -261,3 +263,31 @@
 	assert.Equal(t, string(got), fakes.Event(1))
 	assert.Equal(t, silences, 0)
 }
+
+// Guards against a gateway that takes its own pause for the silence of an upstream whose answer has ended meanwhile: the request would
+// run again elsewhere.
+func TestEndDuringAPauseOfTheGatewayIsNoSilence(t *testing.T) {
+	for name, end := range map[string]func(t *testing.T, c net.Conn){
+		"in order": func(t *testing.T, c net.Conn) { assert.NilError(t, c.Close()) },
+		"reset":    resetConn,
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer l.Close()
+		upstream, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		c, err := l.Accept()
+		assert.NilError(t, err)
+		defer c.Close()
+		end(t, upstream)
+		for socket.Peek(c) != socket.Closed {
+			time.Sleep(time.Millisecond)
+		}
+		silences := 0
+		r, err := relay.NewReader(c, func() (time.Time, bool) { silences++; return time.Time{}, false })
+		assert.NilError(t, err)
+		_, err = io.ReadAll(r)
+		assert.Check(t, !errors.Is(err, os.ErrDeadlineExceeded), "%s: %v", name, err)
+		assert.Equal(t, silences, 0, name)
+	}
+}
