relay: a resumed stream that ends before its place is not complete

The upstream that goes on with a stream may begin at an earlier event than was asked for, and end before the events that the caller has; the repeated events were dropped and the stream ended as complete. It counts as broken off now. One that ends with the caller's last event, or without any event, still ends the stream: nothing tells it from a whole one.

--- a/relay/event.go
+++ b/relay/event.go
@@ -26,6 +26,8 @@
 	// ones and are dropped. It applies while skipping is set.
 	skipThrough int64
 	skipping    bool
+	// lastSkipped is the numeric identifier of the last event that was dropped so; 0 if there was none.
+	lastSkipped int64
 }
 
 // newEventSplitter returns the splitter of an attempt whose caller has got delivered. If that is a part of a stream, the
@@ -181,6 +183,7 @@
 		return eventNew
 	}
 	if e.skipping && v <= e.skipThrough {
+		e.lastSkipped = v
 		return eventRepeated
 	}
 	e.skipping = false
@@ -196,6 +199,11 @@
 // endsInsideEvent reports whether bytes of an incomplete event are left.
 func (e *eventSplitter) endsInsideEvent() bool { return len(bytes.TrimSpace(e.pending)) > 0 }
 
+// endsBeforeResumption reports whether the stream has repeated events that the caller has, and not reached the last of them.
+func (e *eventSplitter) endsBeforeResumption() bool {
+	return e.skipping && e.lastSkipped > 0 && e.lastSkipped < e.skipThrough
+}
+
 // eventID returns the identifier of an event, and false if it has none.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -48,3 +48,22 @@
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.body, eventRange(1, 6))
 }
+
+// Guards against a stream that ends as complete because the upstream that goes on with it ended before the event from which it was
+// to go on.
+func TestResumedStreamThatEndsBeforeItsPlaceIsNotComplete(t *testing.T) {
+	for last, whole := range map[int]bool{2: false, 3: false, 4: true, 6: true} {
+		script := func(r *fakes.Request) {
+			if r.LastEventID != "" {
+				r.Stream(1, last, true)
+				return
+			}
+			r.Stream(1, 4, false)
+			r.ResetConnection()
+		}
+		one, two := startReplica(t, "one", script), startReplica(t, "two", script)
+		got := newTestGateway(t, one, two).postStream("/talk/a")
+		assert.Equal(t, got.err == nil, whole, "ends after %d: %v", last, got.err)
+		assert.Equal(t, got.body, eventRange(1, max(4, last)), "ends after %d", last)
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -41,7 +41,7 @@
 // breaks off.
 func (a *attempt) relayStream(ctx context.Context, res *response) sched.Outcome {
 	err := a.copyStream(res)
-	if err == nil && a.stream.endsInsideEvent() {
+	if err == nil && (a.stream.endsInsideEvent() || a.stream.endsBeforeResumption()) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err == nil {
