soak: failing test of reset answers at a gateway that is stopped or slow

Callers saw streams without a length end as complete after a part of their events. The system reports a reset once, and the look at the connection of a silent upstream takes the report, so that the read after it sees a plain end.

The test plays calls through a gateway process. Upstreams write 10 of 40 pieces, fall silent and reset their connections while the gateway is stopped by SIGSTOP until 1.5 s later, or while it runs 30 ms of each 100 ms. The upstreams' connections end 0.3 to 1.8 s, and 1.15 to 2.65 s, after the last piece.

--- /dev/null
+++ b/soak/ending_test.go
@@ -0,0 +1,356 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/magnolialever/magnolialever/platform/fakes"
+)
+
+const (
+	// allPieces are the pieces of a whole answer, piecesBefore those that a run writes before it falls silent.
+	allPieces, piecesBefore = 40, 10
+	// endTimeout is the time limit of requests and routes; no answer lasts so long.
+	endTimeout = 20 * time.Second
+	// frozenBefore and frozenAfter are how long before and after the answers end a frozen gateway is stopped.
+	frozenBefore, frozenAfter = 50 * time.Millisecond, 1500 * time.Millisecond
+	// slowStopped and slowRunning are the spells of a gateway that gets 0.3 of the time.
+	slowStopped, slowRunning = 70 * time.Millisecond, 30 * time.Millisecond
+	// endSlots are the requests that an upstream takes at once.
+	endSlots = 300
+)
+
+// runEnd is what a run does after its silence.
+type runEnd func(r *fakes.Request, framing framing, next int)
+
+// resetRun resets the connection between two pieces.
+func resetRun(r *fakes.Request, _ framing, _ int) { r.ResetConnection() }
+
+// completeRun writes the rest of the answer and closes the connection.
+func completeRun(r *fakes.Request, framing framing, next int) {
+	writePieces(r, framing, next, allPieces)
+	if framing == chunked {
+		r.WriteRaw("0\r\n\r\n")
+		return
+	}
+	r.CloseConnection()
+}
+
+// numberedPiece returns a piece of an answer of the route.
+func numberedPiece(path string, i int) string {
+	if strings.HasPrefix(path, "/read/") {
+		return fmt.Sprintf("piece %d\n", i)
+	}
+	return fakes.Event(i)
+}
+
+// beginAnswer writes the head of an answer.
+func beginAnswer(r *fakes.Request, framing framing) {
+	head := fakes.Head(r.RequestID, "200 OK")
+	if !strings.HasPrefix(r.URL.Path, "/read/") {
+		head += "Content-Type: text/event-stream\r\n"
+	}
+	if framing == chunked {
+		head += "Transfer-Encoding: chunked\r\n"
+	}
+	r.WriteRaw(head + "\r\n")
+}
+
+// writePieces writes the pieces from first to last.
+func writePieces(r *fakes.Request, framing framing, first, last int) {
+	for i := first; i <= last; i++ {
+		if p := numberedPiece(r.URL.Path, i); framing == chunked {
+			r.Chunk(p)
+		} else {
+			r.WriteRaw(p)
+		}
+	}
+}
+
+// endPlay is calls through one gateway, whose upstreams fall silent together and end their answers after a time.
+type endPlay struct {
+	route   string
+	framing framing
+	calls   int
+	// silence returns how long after the last piece the run of each call ends.
+	silence func(random *rand.Rand) []time.Duration
+	// slow lets the gateway get 0.3 of the time from the silence on; otherwise it is frozen across the ends.
+	slow bool
+	// upstreams is the number of upstreams, attempts that of attempts that routes allow.
+	upstreams, attempts int
+	// ends are those of the runs of a request, one after the other; further runs are refused.
+	ends []runEnd
+}
+
+// endCounts counts how calls ended for their callers.
+type endCounts struct {
+	// whole answers look complete and are, short ones look complete and are not, broken ones look incomplete.
+	whole, short, broken int
+	// refused calls got another status than 200, other answers have bytes that are none of theirs.
+	refused, other int
+}
+
+// endRun is a endPlay under way.
+type endRun struct {
+	*endPlay
+	*fleet
+	replicas []*fakes.Replica
+	// silences are those of the requests by number.
+	silences []time.Duration
+	// begun counts the first runs that are silent, allSilent is closed once all are, at silentAt.
+	begun     atomic.Int64
+	allSilent chan struct{}
+	silentAt  time.Time
+	stopped   chan struct{}
+
+	mu   sync.Mutex // guards the field below
+	runs map[string]int
+}
+
+// play plays calls and returns how they ended.
+func (p *endPlay) play(t *testing.T, seed uint64) endCounts {
+	c := &endRun{
+		endPlay: p, fleet: &fleet{t: t, store: fakes.NewStore()}, allSilent: make(chan struct{}), stopped: make(chan struct{}), runs: map[string]int{},
+	}
+	random := rand.New(rand.NewPCG(seed, 54))
+	c.silences = p.silence(random)
+	c.start()
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var counts endCounts
+	for i := range p.calls {
+		group.Go(func() {
+			body, status, err := c.send(fmt.Sprint("call-", i))
+			mu.Lock()
+			defer mu.Unlock()
+			counts.add(p.route, body, status, err)
+		})
+	}
+	done := make(chan struct{})
+	go func() { group.Wait(); close(done) }()
+	select {
+	case <-c.allSilent:
+	case <-done:
+		t.Fatalf("only %d of %d answers began: %+v", c.begun.Load(), p.calls, counts)
+	}
+	assert.NilError(t, c.disturb(done))
+	<-done
+	return counts
+}
+
+// start starts the upstreams and the gateway, and waits until it serves.
+func (c *endRun) start() {
+	c.t.Cleanup(func() {
+		close(c.stopped)
+		c.close()
+		for _, r := range c.replicas {
+			r.Close()
+		}
+	})
+	config := fakes.Config(1, apiKey)
+	fakes.SetTimeouts(config, int(endTimeout.Milliseconds()))
+	fakes.SetCapacity(config, endSlots)
+	fakes.SetAttempts(config, c.attempts)
+	c.store.Put(fakes.ConfigKey, config)
+	service := fakes.EngineService
+	if c.route == "read" {
+		service = fakes.AppService
+	}
+	for i := range c.upstreams {
+		r, err := fakes.NewReplica(fmt.Sprint("upstream-", i), c.serve)
+		assert.NilError(c.t, err)
+		r.AddModel("small")
+		description := r.Description(service, "zone-a", "ready")
+		description["slots"] = endSlots
+		c.store.Put(fakes.UpstreamKeyPrefix+r.Instance, description)
+		c.replicas = append(c.replicas, r)
+	}
+	g := newGateway(c.t, "gate-0", c.store.Addr(), 1)
+	assert.NilError(c.t, g.start())
+	c.gateways = append(c.gateways, g)
+	c.waitReady()
+	for end := time.Now().Add(recoveryTime); ; time.Sleep(20 * time.Millisecond) {
+		if _, status, err := c.send("probe"); err == nil && status == http.StatusOK {
+			return
+		}
+		assert.Assert(c.t, time.Now().Before(end), "the gateway serves nothing")
+	}
+}
+
+// serve runs a request.
+func (c *endRun) serve(r *fakes.Request) {
+	var number int
+	if _, err := fmt.Sscanf(r.RequestID, "call-%d", &number); err != nil {
+		beginAnswer(r, chunked)
+		completeRun(r, chunked, 1)
+		return
+	}
+	c.mu.Lock()
+	run := c.runs[r.RequestID]
+	c.runs[r.RequestID]++
+	c.mu.Unlock()
+	if run >= len(c.ends) {
+		r.RejectFull()
+		return
+	}
+	first := 1
+	if r.LastEventID != "" {
+		_, err := fmt.Sscan(r.LastEventID, &first)
+		assert.Check(c.t, err)
+		first++
+	}
+	beginAnswer(r, c.framing)
+	writePieces(r, c.framing, first, first+piecesBefore-1)
+	if run == 0 && int(c.begun.Add(1)) == c.calls {
+		c.silentAt = time.Now()
+		close(c.allSilent)
+	}
+	c.await(number)
+	c.ends[run](r, c.framing, first+piecesBefore)
+}
+
+// await waits for the end of the silence of a request.
+func (c *endRun) await(number int) {
+	select {
+	case <-c.allSilent:
+	case <-c.stopped:
+		return
+	}
+	select {
+	case <-time.After(time.Until(c.silentAt.Add(c.silences[number]))):
+	case <-c.stopped:
+	}
+}
+
+// send sends a request and returns its answer.
+func (c *endRun) send(id string) (body string, status int, err error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.gateways[0].public+"/"+c.route+"/a", strings.NewReader(id))
+	if err != nil {
+		return "", 0, err
+	}
+	model := "small"
+	if c.route == "read" {
+		model = ""
+	}
+	req.Header, req.Host = fakes.RequestHeader(id, apiKey, model, int(endTimeout.Milliseconds())), fakes.Host
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: endTimeout + time.Second}
+	res, err := client.Do(req)
+	if err != nil {
+		return "", 0, err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return string(b), res.StatusCode, err
+}
+
+// disturb stops the gateway, or makes it slow, until the answers have ended.
+func (c *endRun) disturb(done <-chan struct{}) error {
+	g := c.gateways[0]
+	spell := func(stopped time.Duration) error {
+		if err := g.signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		time.Sleep(stopped)
+		return g.signal(syscall.SIGCONT)
+	}
+	if !c.slow {
+		time.Sleep(time.Until(c.silentAt.Add(c.silences[0] - frozenBefore)))
+		return spell(frozenBefore + frozenAfter)
+	}
+	for {
+		if err := spell(slowStopped); err != nil {
+			return err
+		}
+		select {
+		case <-done:
+			return nil
+		case <-time.After(slowRunning):
+		}
+	}
+}
+
+// add counts an answer.
+func (n *endCounts) add(route, body string, status int, err error) {
+	if status != http.StatusOK && err == nil {
+		n.refused++
+		return
+	}
+	pieces := 0
+	for ; pieces < allPieces; pieces++ {
+		rest, found := strings.CutPrefix(body, numberedPiece("/"+route+"/", pieces+1))
+		if !found {
+			break
+		}
+		body = rest
+	}
+	switch {
+	case body != "" && (err == nil || !errors.Is(err, io.ErrUnexpectedEOF)):
+		n.other++
+	case err != nil:
+		n.broken++
+	case pieces < allPieces:
+		n.short++
+	default:
+		n.whole++
+	}
+}
+
+// acrossFreeze lets all answers of a play end at once, while the gateway is frozen.
+func acrossFreeze(calls int) func(random *rand.Rand) []time.Duration {
+	return func(random *rand.Rand) []time.Duration {
+		return slices.Repeat([]time.Duration{between(random, 300*time.Millisecond, 1800*time.Millisecond)}, calls)
+	}
+}
+
+// spread lets the answers of a play end around the looks at their connections.
+func spread(calls int) func(random *rand.Rand) []time.Duration {
+	return func(random *rand.Rand) (out []time.Duration) {
+		for range calls {
+			out = append(out, between(random, 1150*time.Millisecond, 2650*time.Millisecond))
+		}
+		return out
+	}
+}
+
+// Guards against answers that look complete to callers although their connections were reset, at a gateway that is stopped for a while or
+// gets little time.
+func TestResetAnswersLookIncomplete(t *testing.T) {
+	for name, p := range map[string]endPlay{
+		"frozen, resumable":          {route: "talk", framing: closing},
+		"frozen, resumable, chunked": {route: "talk", framing: chunked},
+		"frozen, runs once":          {route: "stream", framing: closing},
+		"frozen, plain":              {route: "read", framing: closing},
+		"slow, resumable":            {route: "talk", framing: closing, slow: true},
+		"slow, resumable, chunked":   {route: "talk", framing: chunked, slow: true},
+		"slow, runs once":            {route: "stream", framing: closing, slow: true},
+		"slow, plain":                {route: "read", framing: closing, slow: true},
+	} {
+		p.upstreams, p.attempts, p.ends = 1, 2, []runEnd{resetRun}
+		p.calls, p.silence = 20, acrossFreeze(20)
+		if p.slow {
+			p.calls, p.silence = 100, spread(100)
+		}
+		for i := range *runCount {
+			seed := *firstSeed + uint64(i)
+			t.Run(fmt.Sprint(name, ", seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				n := p.play(t, seed)
+				t.Logf("%+v", n)
+				assert.Check(t, n.short == 0, "%d of %d cut answers look complete", n.short, p.calls)
+				assert.Check(t, n.broken+n.refused+n.short == p.calls, "not all answers were cut: %+v", n)
+			})
+		}
+	}
+}
