soak: failing test of streams that the successor of a silent upstream goes on with

Two upstreams have the model; each run falls silent after 10 events. The gateway asks the other one with Last-Event-Id, which answers without a length, writes 10 events, and then resets its connection, writes some more and resets it, or ends in order with all events; the gateway is frozen meanwhile or gets 0.3 of the time.

With two attempts the gateway does not look at the connection of the successor.

--- a/soak/ending_test.go
+++ b/soak/ending_test.go
@@ -28,6 +28,8 @@
 	frozenBefore, frozenAfter = 50 * time.Millisecond, 1500 * time.Millisecond
 	// slowStopped and slowRunning are the spells of a gateway that gets 0.3 of the time.
 	slowStopped, slowRunning = 70 * time.Millisecond, 30 * time.Millisecond
+	// longestSilence is how long an upstream is silent before another goes on with its answer.
+	longestSilence = 4 * time.Second
 	// endSlots are the requests that an upstream takes at once.
 	endSlots = 300
 )
@@ -48,6 +50,26 @@
 	r.CloseConnection()
 }
 
+// resetAmidRun writes some more pieces and resets the connection.
+func resetAmidRun(r *fakes.Request, framing framing, next int) {
+	writePieces(r, framing, next, next+piecesBefore/2)
+	r.ResetConnection()
+}
+
+// giveWay stays silent until the gateway closes the connection, or completes the answer if it does not.
+func giveWay(r *fakes.Request, framing framing, next int) {
+	closed := make(chan struct{})
+	go func() {
+		r.WaitForClose()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(longestSilence):
+		completeRun(r, framing, next)
+	}
+}
+
 // numberedPiece returns a piece of an answer of the route.
 func numberedPiece(path string, i int) string {
 	if strings.HasPrefix(path, "/read/") {
@@ -100,6 +122,8 @@
 	whole, short, broken int
 	// refused calls got another status than 200, other answers have bytes that are none of theirs.
 	refused, other int
+	// continued counts calls that ran at a second upstream.
+	continued int
 }
 
 // endRun is a endPlay under way.
@@ -147,9 +171,22 @@
 	}
 	assert.NilError(t, c.disturb(done))
 	<-done
+	counts.continued = c.continued()
 	return counts
 }
 
+// continued returns how many calls ran at a second upstream.
+func (c *endRun) continued() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, runs := range c.runs {
+		if runs > 1 && len(c.ends) > 1 {
+			n++
+		}
+	}
+	return n
+}
+
 // start starts the upstreams and the gateway, and waits until it serves.
 func (c *endRun) start() {
 	c.t.Cleanup(func() {
@@ -307,20 +344,28 @@
 	}
 }
 
-// acrossFreeze lets all answers of a play end at once, while the gateway is frozen.
-func acrossFreeze(calls int) func(random *rand.Rand) []time.Duration {
-	return func(random *rand.Rand) []time.Duration {
-		return slices.Repeat([]time.Duration{between(random, 300*time.Millisecond, 1800*time.Millisecond)}, calls)
+// silenceBetween lets the answers of a play end after times between least and most: at once before a gateway that is frozen,
+// one by one before a slow one.
+func (p *endPlay) silenceBetween(least, most time.Duration) {
+	p.silence = func(random *rand.Rand) (out []time.Duration) {
+		if !p.slow {
+			return slices.Repeat([]time.Duration{between(random, least, most)}, p.calls)
+		}
+		for range p.calls {
+			out = append(out, between(random, least, most))
+		}
+		return out
 	}
 }
 
-// spread lets the answers of a play end around the looks at their connections.
-func spread(calls int) func(random *rand.Rand) []time.Duration {
-	return func(random *rand.Rand) (out []time.Duration) {
-		for range calls {
-			out = append(out, between(random, 1150*time.Millisecond, 2650*time.Millisecond))
-		}
-		return out
+// defaultCalls are those of a play before a gateway that is frozen, slowCalls those before a slow one.
+const defaultCalls, slowCalls = 20, 100
+
+// setCalls sets the number of calls.
+func (p *endPlay) setCalls() {
+	p.calls = defaultCalls
+	if p.slow {
+		p.calls = slowCalls
 	}
 }
 
@@ -338,9 +383,10 @@
 		"slow, plain":                {route: "read", framing: closing, slow: true},
 	} {
 		p.upstreams, p.attempts, p.ends = 1, 2, []runEnd{resetRun}
-		p.calls, p.silence = 20, acrossFreeze(20)
+		p.setCalls()
+		p.silenceBetween(300*time.Millisecond, 1800*time.Millisecond)
 		if p.slow {
-			p.calls, p.silence = 100, spread(100)
+			p.silenceBetween(1150*time.Millisecond, 2650*time.Millisecond)
 		}
 		for i := range *runCount {
 			seed := *firstSeed + uint64(i)
@@ -354,3 +400,49 @@
 		}
 	}
 }
+
+// Guards against streams that look complete although the answer of the upstream that goes on with them after a silence was reset, and against
+// those that are cut although it was whole.
+func TestStreamsOfSuccessors(t *testing.T) {
+	for name, p := range map[string]endPlay{
+		"frozen, reset":             {ends: []runEnd{giveWay, resetRun}},
+		"frozen, reset amid answer": {ends: []runEnd{giveWay, resetAmidRun}},
+		"frozen, both reset":        {ends: []runEnd{resetRun, resetRun}},
+		"frozen, first reset":       {ends: []runEnd{resetRun, completeRun}},
+		"frozen, whole":             {ends: []runEnd{giveWay, completeRun}},
+		"slow, reset":               {ends: []runEnd{giveWay, resetRun}, slow: true},
+		"slow, reset amid answer":   {ends: []runEnd{giveWay, resetAmidRun}, slow: true},
+		"slow, first reset":         {ends: []runEnd{resetRun, completeRun}, slow: true},
+		"slow, whole":               {ends: []runEnd{giveWay, completeRun}, slow: true},
+	} {
+		for i := range *runCount {
+			seed := *firstSeed + uint64(i)
+			p.playSuccessors(t, name, seed)
+		}
+	}
+}
+
+// playSuccessors plays streams with which other upstreams go on, whose answers end while the gateway changes to them with odd seeds, later with
+// even ones. Routes allow two or three attempts: with three, the gateway also looks at the connections of the successors.
+func (p endPlay) playSuccessors(t *testing.T, name string, seed uint64) {
+	p.route, p.framing, p.upstreams, p.attempts = "talk", closing, 2, 2+int(seed/2%2)
+	p.setCalls()
+	when := "after the change"
+	p.silenceBetween(2300*time.Millisecond, 3*time.Second)
+	if seed%2 == 1 {
+		when = "at the change"
+		p.silenceBetween(1150*time.Millisecond, 1600*time.Millisecond)
+	}
+	t.Run(fmt.Sprintf("%s %s, %d attempts, seed %d", name, when, p.attempts, seed), func(t *testing.T) {
+		t.Parallel()
+		n := p.play(t, seed)
+		t.Logf("%+v", n)
+		assert.Check(t, n.short == 0, "%d of %d cut streams look complete", n.short, p.calls)
+		if !strings.Contains(name, "first") && !strings.Contains(name, "both") {
+			assert.Check(t, n.continued > 0, "no other upstream was asked")
+		}
+		if strings.Contains(name, "whole") {
+			assert.Check(t, n.whole == p.calls, "whole streams were cut: %+v", n)
+		}
+	})
+}
