--- a/agent/forward.go
+++ b/agent/forward.go
@@ -13,9 +13,12 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/magnolialever/magnolialever/copies"
+	"github.com/magnolialever/magnolialever/events"
 	"github.com/magnolialever/magnolialever/notice"
+	"github.com/magnolialever/magnolialever/socket"
 	"github.com/magnolialever/magnolialever/stats"
 	"github.com/magnolialever/magnolialever/units"
 	"github.com/magnolialever/magnolialever/wire"
@@ -46,7 +49,7 @@
 // each request: what an upstream sends after its answer could be taken for the next one, and on a connection
 // in use again net/http repeats some requests that failed.
 func newTransport() *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout}
+	d := &socket.Dialer{Dialer: net.Dialer{Timeout: dialTimeout}}
 	return &http.Transport{
 		DialContext:            d.DialContext,
 		DisableCompression:     true,
@@ -87,8 +90,8 @@
 
 // relayCall sends the call to the upstream and relays the response to w.
 func (f *forwarder) relayCall(ctx context.Context, c *wire.Call, w responseWriter) (tokenCounts, *refusal) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connected atomic.Pointer[net.Conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connected.Store(&info.Conn) }}
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(ctx, trace))
 	defer cancel()
 	req, err := f.newRequest(ctx, c)
@@ -100,7 +103,7 @@
 	}
 	resp, err := f.transport.RoundTrip(req)
 	if err != nil {
-		return tokenCounts{}, failedCall(ctx, err, connected.Load())
+		return tokenCounts{}, failedCall(ctx, err, connected.Load() != nil)
 	}
 	defer resp.Body.Close()
 	if !copies.IsFinalStatus(resp.StatusCode) {
@@ -115,11 +118,16 @@
 	if err := w.writeHead(resp.StatusCode, responseHeader(resp.Header)); err != nil {
 		return tokenCounts{}, canceledCall(err)
 	}
-	body := answerBody(resp, m.isModel)
+	body, forward := &endedBody{Reader: answerBody(resp, m.isModel)}, f.forwardBody
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		return f.forwardEvents(ctx, body, m, w)
+		forward = f.forwardEvents
 	}
-	return f.forwardBody(ctx, body, m, w)
+	counts, r := forward(ctx, body, m, w)
+	if r == nil {
+		ending := body.ending(resp, *connected.Load())
+		klog.V(1).InfoS("agent: served", "attempt", c.Attempt, "status", resp.StatusCode, "end", ending)
+	}
+	return counts, r
 }
 
 // newRequest builds the upstream's request. It fails when the path is not absolute or the
@@ -238,7 +246,7 @@
 	case errors.Is(err, copies.ErrSecondAnswer):
 		stats.Event("second_answer")
 		return &refusal{code: units.UpstreamFailed, mayHaveRun: true, secondAnswer: true, message: err.Error()}
-	case errors.Is(err, errEventTooLarge), errors.Is(err, errNoProgress):
+	case errors.Is(err, errEventTooLarge), errors.Is(err, events.ErrNoProgress):
 		stats.Event("endless_answer")
 		return &refusal{code: units.UpstreamFailed, mayHaveRun: true, message: err.Error()}
 	case !connected:
--- a/relay/event.go
+++ b/relay/event.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"errors"
 	"strconv"
+	"sync/atomic"
 
+	"github.com/magnolialever/magnolialever/events"
 	"github.com/magnolialever/magnolialever/stats"
 )
 
@@ -16,19 +18,21 @@
 	// pending holds the bytes of an incomplete event.
 	pending []byte
 	// budget limits the bytes of incomplete events of all streams, of which this one has acquired budgetHeld.
-	budget     *bodyBudget
+	budget     *eventBudget
 	budgetHeld int64
-	// commentBytes is the number of bytes of comments since the last event.
-	commentBytes int
+	// comments counts those since the last event.
+	comments events.Comments
 	// skipThrough is the numeric identifier up to which events of a resumed stream repeat earlier
 	// ones and are dropped. It applies while skipping is set.
 	skipThrough int64
 	skipping    bool
+	// lastSkipped is the numeric identifier of the last event that was dropped so; 0 if there was none.
+	lastSkipped int64
 }
 
 // newEventSplitter returns the splitter of an attempt whose caller has got delivered. If that is a part of a stream, the
 // attempt resumes it. release has to be called when the attempt ends.
-func newEventSplitter(delivered *delivery, budget *bodyBudget) *eventSplitter {
+func newEventSplitter(delivered *delivery, budget *eventBudget) *eventSplitter {
 	e := &eventSplitter{delivered: delivered, budget: budget}
 	if !delivered.headSent {
 		return e
@@ -39,8 +43,26 @@
 	return e
 }
 
+// eventBudget limits the bytes of the incomplete events of all streams. It is safe for concurrent use.
+type eventBudget struct {
+	used  atomic.Int64
+	limit int64
+}
+
+// acquire reserves n bytes and reports whether they were within the limit.
+func (b *eventBudget) acquire(n int64) bool {
+	if b.used.Add(n) > b.limit {
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// release returns n bytes.
+func (b *eventBudget) release(n int64) { b.used.Add(-n) }
+
 // dataField begins the line of an event that holds its data.
-var dataField = []byte("data:")
+var dataField = []byte(events.DataField)
 
 var eventSeparator = []byte("\n\n")
 
@@ -56,19 +78,12 @@
 // errEventBudget means that the incomplete events of all streams together exceed their budget.
 var errEventBudget = errors.New("budget for incomplete events is exhausted")
 
-// maxCommentBytes is the number of bytes of comments that a stream may have between two events. Pings of some bytes a second
-// stay below it for hours.
-const maxCommentBytes = 64 << 10
-
-// errNoProgress means that a stream has more than maxCommentBytes without an event.
-var errNoProgress = errors.New("the stream has comments without end")
-
 // errEventOrder means that an event's identifier is not above that of the event before it.
 var errEventOrder = errors.New("identifiers of events do not increase")
 
 // add appends bytes of the stream and returns the events that are complete now, without repeated
 // ones. The result is valid until the next call. It fails with errEventTooLarge if the incomplete
-// event exceeds the limit, with errEventBudget if those of all streams do, and with errEventOrder or errNoProgress after
+// event exceeds the limit, with errEventBudget if those of all streams do, and with errEventOrder or events.ErrNoProgress after
 // the events that it returns.
 func (e *eventSplitter) add(p []byte) ([]byte, error) {
 	data, known := p, 0
@@ -119,7 +134,7 @@
 }
 
 // filterRepeated drops repeated events and records the others as delivered. It overwrites its argument. It stops with
-// errEventOrder before an event that is out of order, and with errNoProgress before a comment beyond the limit.
+// errEventOrder before an event that is out of order, and with events.ErrNoProgress before a comment beyond the limit.
 func (e *eventSplitter) filterRepeated(complete []byte) ([]byte, error) {
 	out := complete[:0]
 	for len(complete) > 0 {
@@ -140,9 +155,9 @@
 		if ok || bytes.Contains(event, dataField) {
 			e.delivered.events++
 			e.delivered.last = append(e.delivered.last[:0], event...)
-			e.commentBytes = 0
-		} else if e.commentBytes += len(event); e.commentBytes > maxCommentBytes {
-			return out, errNoProgress
+			e.comments.Reset()
+		} else if err := e.comments.Add(len(event)); err != nil {
+			return out, err
 		}
 		out = append(out, event...)
 	}
@@ -168,6 +183,7 @@
 		return eventNew
 	}
 	if e.skipping && v <= e.skipThrough {
+		e.lastSkipped = v
 		return eventRepeated
 	}
 	e.skipping = false
@@ -183,6 +199,11 @@
 // endsInsideEvent reports whether bytes of an incomplete event are left.
 func (e *eventSplitter) endsInsideEvent() bool { return len(bytes.TrimSpace(e.pending)) > 0 }
 
+// endsBeforeResumption reports whether the stream has repeated events that the caller has, and not reached the last of them.
+func (e *eventSplitter) endsBeforeResumption() bool {
+	return e.skipping && e.lastSkipped > 0 && e.lastSkipped < e.skipThrough
+}
+
 // eventID returns the identifier of an event, and false if it has none.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
