fakes/build, crowd, soak: processes that end with the test are started in one place

crowd and soak each had a thread that starts their processes, so that these are killed when the test process ends; build.Start has it now. No change of behaviour. go test -run 'TestSoak$' ./soak -soak.runs 1 passes, and so do TestRequestForWholeServerIsNoSuccess, TestEntryServesRequestsWithinLimits and TestEntryOutlivesDatagrams of ./crowd.

--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -10,11 +10,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -50,19 +48,7 @@
 // program is the path of the program under test.
 var program string
 
-// starts are the starts of processes. A child gets its signal when the thread ends that started it, so that one thread
-// starts all.
-var starts = make(chan func())
-
-func TestMain(m *testing.M) {
-	go func() {
-		runtime.LockOSThread()
-		for start := range starts {
-			start()
-		}
-	}()
-	os.Exit(build.Run(m, &program))
-}
+func TestMain(m *testing.M) { os.Exit(build.Run(m, &program)) }
 
 // process is a gateway under test.
 type process struct {
@@ -94,10 +80,7 @@
 	p.cmd = exec.Command(program, args...)
 	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stdout, p.cmd.Stderr = &p.output, &p.output
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	started := make(chan error)
-	starts <- func() { started <- p.cmd.Start() }
-	assert.NilError(p.t, <-started)
+	assert.NilError(p.t, build.Start(p.cmd))
 	go func() { p.exited <- p.cmd.Wait() }()
 	p.t.Cleanup(func() {
 		_ = p.cmd.Process.Kill()
--- a/fakes/build/build.go
+++ b/fakes/build/build.go
@@ -7,6 +7,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
 	"testing"
 )
 
@@ -36,3 +39,26 @@
 	}
 	return m.Run()
 }
+
+var (
+	// starts are the starts of processes, startThread begins the thread that makes them.
+	starts      = make(chan func())
+	startThread sync.Once
+)
+
+// Start starts a command that is killed when the test process ends: a test process that is killed can't end its own
+// processes. A child gets the signal when the thread ends that started it, so that one thread starts all.
+func Start(cmd *exec.Cmd) error {
+	startThread.Do(func() {
+		go func() {
+			runtime.LockOSThread()
+			for start := range starts {
+				start()
+			}
+		}()
+	})
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	starts <- func() { started <- cmd.Start() }
+	return <-started
+}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -40,19 +39,7 @@
 // binary is the program under test.
 var binary string
 
-// starts are the starts of processes. A child gets its signal when the thread ends that started it, not the process, so
-// that one thread starts all.
-var starts = make(chan func())
-
-func TestMain(m *testing.M) {
-	go func() {
-		runtime.LockOSThread()
-		for start := range starts {
-			start()
-		}
-	}()
-	os.Exit(build.Run(m, &binary))
-}
+func TestMain(m *testing.M) { os.Exit(build.Run(m, &binary)) }
 
 // gateway is a gateway, or an agent, that runs in one process after the other.
 type gateway struct {
@@ -159,11 +146,7 @@
 	g.cmd, g.exited = exec.Command(binary, g.args...), make(chan error, 1)
 	g.cmd.Env = append(os.Environ(), g.env...)
 	g.cmd.Stdout, g.cmd.Stderr = &g.logs, &g.logs
-	// A test process that is killed can't end its gateways.
-	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	started := make(chan error)
-	starts <- func() { started <- g.cmd.Start() }
-	if err := <-started; err != nil {
+	if err := build.Start(g.cmd); err != nil {
 		return fmt.Errorf("start %s: %w", g.name, err)
 	}
 	go func(cmd *exec.Cmd, exited chan error) { exited <- cmd.Wait() }(g.cmd, g.exited)
