gate: the tests of odd statuses and of statuses of runs share their steps

TestOddStatusIsNotPassedOn and TestStatusOfRunDoesNotSayNotRun built the same gateways, answers and checks. The cases, the statuses and the checks stay.

--- a/gate/status_test.go
+++ b/gate/status_test.go
@@ -23,31 +23,44 @@
 
 var oddStatuses = []int{0, 1, 99, 100, 101, 150, 199, 600, 999, 1000, 1 << 31}
 
+// startServiceGateway starts a gateway in front of one agent with the Once.
+func startServiceGateway(t *testing.T, once gate.Once, run func(c *agentCall)) *gate.Server {
+	t.Helper()
+	return startGateway(t, func(o *gate.Options) {
+		withService(o)
+		o.Once = once
+	}, newFakeAgent(t, "a1", run))
+}
+
+// answerWith returns an agent's answer with the status.
+func answerWith(status int, contentType string) func(c *agentCall) {
+	return func(c *agentCall) {
+		_ = c.sendHead(uint32(status), contentType)
+		_ = c.sendPart(0, "body")
+		c.sendDone()
+	}
+}
+
+// checkMayHaveRun makes a call that must not be repeated and checks that its response has the status want and says that it
+// may have run.
+func checkMayHaveRun(t *testing.T, s *gate.Server, want int, what string, header ...string) {
+	t.Helper()
+	w, body := sendRequest(t, s, "POST", "/svc/cases/book", "x", header...)
+	assert.Check(t, w.StatusCode == want && w.Header.Get("X-Run") == "may-have-run", "%s: %d %q", what, w.StatusCode, body)
+}
+
 // Guards against a panic, or an answer, where an agent of another version passes on an odd status, plain or streamed, or has
 // reported it as the result of a call that must not be repeated; and against a claim that the request has not run.
 func TestOddStatusIsNotPassedOn(t *testing.T) {
 	for _, status := range oddStatuses {
+		what := fmt.Sprint(status)
 		for _, contentType := range []string{"text/plain", "text/event-stream"} {
-			run := func(c *agentCall) {
-				_ = c.sendHead(uint32(status), contentType)
-				_ = c.sendPart(0, "body")
-				c.sendDone()
-			}
-			s := startGateway(t, func(o *gate.Options) {
-				withService(o)
-				o.Once = &gate.MemoryOnce{}
-			}, newFakeAgent(t, "a1", run))
-			w, body := sendRequest(t, s, "POST", "/svc/cases/book", "x", "Idempotency-Key", "k")
-			assert.Check(t, w.StatusCode == http.StatusBadGateway && w.Header.Get("X-Run") == "may-have-run", "%d: %d %q", status, w.StatusCode, body)
-			w, body = sendRequest(t, s, "POST", "/svc/cases/book", "x", "Idempotency-Key", "k")
-			assert.Check(t, w.StatusCode == http.StatusConflict && w.Header.Get("X-Run") == "may-have-run", "%d again: %d %q", status, w.StatusCode, body)
+			s := startServiceGateway(t, &gate.MemoryOnce{}, answerWith(status, contentType))
+			checkMayHaveRun(t, s, http.StatusBadGateway, what, "Idempotency-Key", "k")
+			checkMayHaveRun(t, s, http.StatusConflict, what+" again", "Idempotency-Key", "k")
 		}
-		s := startGateway(t, func(o *gate.Options) {
-			withService(o)
-			o.Once = &storedOnce{status: status}
-		}, newFakeAgent(t, "a1", func(c *agentCall) { c.sendDone() }))
-		w, body := sendRequest(t, s, "POST", "/svc/cases/book", "x", "Idempotency-Key", fmt.Sprint("k", status))
-		assert.Check(t, w.StatusCode == http.StatusConflict && w.Header.Get("X-Run") == "may-have-run", "%d stored: %d %q", status, w.StatusCode, body)
+		s := startServiceGateway(t, &storedOnce{status: status}, func(c *agentCall) { c.sendDone() })
+		checkMayHaveRun(t, s, http.StatusConflict, what+" stored", "Idempotency-Key", fmt.Sprint("k", status))
 	}
 }
 
@@ -55,29 +68,15 @@
 // that it has not; and against a stored answer that says so.
 func TestStatusOfRunDoesNotSayNotRun(t *testing.T) {
 	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
-		run := func(c *agentCall) {
-			_ = c.sendHead(uint32(status), "text/plain")
-			_ = c.sendPart(0, "failed")
-			c.sendDone()
-		}
-		s := startGateway(t, func(o *gate.Options) {
-			withService(o)
-			o.Once = &gate.MemoryOnce{}
-		}, newFakeAgent(t, "a1", run))
-		for _, header := range [][]string{nil, {"Idempotency-Key", "k"}} {
-			w, _ := sendRequest(t, s, "POST", "/svc/cases/book", "x", header...)
-			assert.Check(t, w.StatusCode == http.StatusBadGateway && w.Header.Get("X-Run") == "may-have-run", "%d, %v: %d", status, header, w.StatusCode)
-		}
-		w, _ := sendRequest(t, s, "POST", "/svc/cases/book", "x", "Idempotency-Key", "k")
-		assert.Check(t, w.StatusCode == http.StatusConflict && w.Header.Get("X-Run") == "may-have-run", "%d again: %d", status, w.StatusCode)
+		what, run := fmt.Sprint(status), answerWith(status, "text/plain")
+		s := startServiceGateway(t, &gate.MemoryOnce{}, run)
+		checkMayHaveRun(t, s, http.StatusBadGateway, what)
+		checkMayHaveRun(t, s, http.StatusBadGateway, what+" with a key", "Idempotency-Key", "k")
+		checkMayHaveRun(t, s, http.StatusConflict, what+" again", "Idempotency-Key", "k")
 		w, body := sendRequest(t, s, "GET", "/svc/cases/state", "")
-		assert.Check(t, w.StatusCode == status && body == "failed", "%d of a call that may be repeated: %d", status, w.StatusCode)
+		assert.Check(t, w.StatusCode == status && body == "body", "%d of a call that may be repeated: %d %q", status, w.StatusCode, body)
 
-		s = startGateway(t, func(o *gate.Options) {
-			withService(o)
-			o.Once = &storedOnce{status: status}
-		}, newFakeAgent(t, "a1", run))
-		w, _ = sendRequest(t, s, "POST", "/svc/cases/book", "x", "Idempotency-Key", "k")
-		assert.Check(t, w.StatusCode == http.StatusConflict && w.Header.Get("X-Run") == "may-have-run", "%d stored: %d", status, w.StatusCode)
+		s = startServiceGateway(t, &storedOnce{status: status}, run)
+		checkMayHaveRun(t, s, http.StatusConflict, what+" stored", "Idempotency-Key", "k")
 	}
 }
