notice, sched, relay: comments name notices in place of what was told

Comments said of messages, delays and distinctions alike that something was told. They name the notice, the message or the delay now; what notice keeps of a process is its state.

--- a/agent/engine_test.go
+++ b/agent/engine_test.go
@@ -244,7 +244,7 @@
 	assert.Assert(t, readResponse(t, ta.call(&wire.Call{Attempt: "a2", Kind: "model", Target: "a", Idempotent: true})).done != nil)
 }
 
-// Guards against gateways that are not told what an engine lost in a restart between two reads of
+// Guards against gateways that don't learn what an engine lost in a restart between two reads of
 // its load report: they would send it requests, and the controller would load nothing there, until
 // they ask for a new report.
 func TestQuickRestartIsReported(t *testing.T) {
--- a/agent/notice_test.go
+++ b/agent/notice_test.go
@@ -12,7 +12,7 @@
 	"github.com/magnolialever/magnolialever/wire"
 )
 
-// Guards against calls to an upstream within the pause that it asked for, and against callers that are not told
+// Guards against calls to an upstream within the pause that it asked for, and against callers that don't learn
 // how long it is.
 func TestPausedUpstreamGetsNoCalls(t *testing.T) {
 	var calls, limited atomic.Int64
--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -54,7 +54,7 @@
 }
 
 // Guards against a leader under an epoch that is not higher than that of an earlier one (without the era 16, 24, then 22),
-// whose orders are refused, or which can't be told from the earlier one's: the store gives out revisions again.
+// whose orders are refused, or which can't be distinguished from the earlier one's: the store gives out revisions again.
 func TestEpochsGrowWhenStoreReturnsOlder(t *testing.T) {
 	many := func(put func(key string, value any)) {
 		for i := range 200 {
@@ -213,7 +213,7 @@
 }
 
 // Guards against the same where the gateways restart one after the other: the last one that knew the newer configuration has
-// ended, and the one that it told has not used it.
+// ended, and the one that got it has not used it.
 func TestWithdrawnKeyStaysWithdrawnWhenGatewaysRestartInTurn(t *testing.T) {
 	c, _ := newEraCluster(t, 2)
 	copied := c.store.Copy()
--- a/entry/residency_change.go
+++ b/entry/residency_change.go
@@ -25,7 +25,7 @@
 	announcement
 }
 
-// announcement says how often the leader has told the other gateways of a change.
+// announcement says how often the leader has announced a change to the other gateways.
 type announcement struct {
 	// ordered is set if this gateway has ordered the change.
 	ordered       bool
--- a/epoch/epoch.go
+++ b/epoch/epoch.go
@@ -33,7 +33,7 @@
 func Valid(n int64) bool { return n >= 0 && n <= maxEra }
 
 // Join returns the revision over all eras of a store's own revision in an era. Revisions of era 0 stay as they are. It
-// returns false if the store's revision is negative or too large to be told from one of the next era.
+// returns false if the store's revision is negative or too large to be distinguished from one of the next era.
 func Join(e Era, own int64) (units.Revision, bool) {
 	if e == 0 {
 		return units.Revision(own), true
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -45,7 +45,7 @@
 	// Watch returns the first changes after a revision, with the revision that they lead to. Without a
 	// change, or if it does not hear of any, it returns no items after the time wait. It fails with an
 	// error that wraps platform.ErrCompacted when the store no longer has the changes after that
-	// revision, and with one that wraps platform.ErrUnreadable when it can't be told what changed.
+	// revision, and with one that wraps platform.ErrUnreadable when the changes are not known.
 	Watch(ctx context.Context, prefix string, after units.Revision, wait clock.Span) ([]platform.Item, units.Revision, error)
 	// Get returns the item under a key.
 	Get(ctx context.Context, key string) (platform.Item, error)
--- a/gate/parts.go
+++ b/gate/parts.go
@@ -33,7 +33,7 @@
 }
 
 // leadingHashes returns the hashes of the leading blocks of a prompt without messages, of 1, 2, 4 and so on
-// blocks. Beginnings that requests share and that are shorter are not told apart.
+// blocks. Beginnings that requests share and that are shorter are not distinguished.
 func leadingHashes(prefixHashes []uint64) []uint64 {
 	var hashes []uint64
 	for n := 1; n <= len(prefixHashes); n *= 2 {
--- a/listen/listen_test.go
+++ b/listen/listen_test.go
@@ -234,7 +234,7 @@
 	assert.Equal(t, s.served.Load(), int64(1))
 }
 
-// Guards against a refusal that waits for a body which its caller holds back until it is told to go on.
+// Guards against a refusal that waits for a body which its caller holds back until it gets 100 (Continue).
 func TestRefusalDoesNotWaitForBody(t *testing.T) {
 	s := newServer(t, 10*clock.Second, 0, true)
 	_, in := s.dial("POST /refused HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 1000000\r\n\r\n")
--- a/notice/notice.go
+++ b/notice/notice.go
@@ -30,24 +30,24 @@
 	Start int64
 }
 
-// belief is what a process told this gateway.
-type belief struct {
+// state is what this gateway knows of a process by its notices.
+type state struct {
 	leaving     bool
 	pausedUntil clock.Time
-	toldAt      clock.Time
+	noticeAt    clock.Time
 }
 
-// Board holds what the processes of upstreams told this gateway. It is told by nobody else, so that neither the
-// store nor another gateway can say otherwise. It is safe for concurrent use.
+// Board holds what this gateway knows of the processes of upstreams by their own notices. Neither the store nor another
+// gateway can change it. It is safe for concurrent use.
 type Board struct {
-	mu      sync.Mutex // guards beliefs
-	beliefs map[Process]belief
+	mu     sync.Mutex // guards states
+	states map[Process]state
 }
 
 // NewBoard returns an empty Board.
-func NewBoard() *Board { return &Board{beliefs: map[Process]belief{}} }
+func NewBoard() *Board { return &Board{states: map[Process]state{}} }
 
-// Record records a notice of a process. It reports whether it changes what is believed: the process leaves,
+// Record records a notice of a process. It reports whether it changes the state: the process leaves,
 // or a pause ends later. A later notice never ends a pause sooner.
 func (b *Board) Record(now clock.Time, p Process, n Notice) bool {
 	if n == (Notice{}) {
@@ -55,15 +55,15 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	old, known := b.beliefs[p]
+	old, known := b.states[p]
 	if !known {
 		b.evict(now)
 	}
-	updated := belief{leaving: old.leaving || n.Leaving, pausedUntil: old.pausedUntil, toldAt: now}
+	updated := state{leaving: old.leaving || n.Leaving, pausedUntil: old.pausedUntil, noticeAt: now}
 	if n.Pause > 0 {
 		updated.pausedUntil = max(updated.pausedUntil, now.Add(n.Pause))
 	}
-	b.beliefs[p] = updated
+	b.states[p] = updated
 	return updated.leaving != old.leaving || updated.pausedUntil != old.pausedUntil
 }
 
@@ -71,34 +71,34 @@
 func (b *Board) Leaving(p Process) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.beliefs[p].leaving
+	return b.states[p].leaving
 }
 
 // Pause returns how long the process must get no requests; 0 if it may get some now.
 func (b *Board) Pause(now clock.Time, p Process) clock.Span {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return max(b.beliefs[p].pausedUntil.Sub(now), 0)
+	return max(b.states[p].pausedUntil.Sub(now), 0)
 }
 
 // Accepts reports whether the process may get requests now.
 func (b *Board) Accepts(now clock.Time, p Process) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	v := b.beliefs[p]
+	v := b.states[p]
 	return !v.leaving && !now.Before(v.pausedUntil)
 }
 
-// evict makes room if maxProcesses are known: it drops pauses that have ended, or else the half that was told
-// first. The caller holds b.mu.
+// evict makes room if maxProcesses are known: it drops pauses that have ended, or else the half with the
+// oldest notices. The caller holds b.mu.
 func (b *Board) evict(now clock.Time) {
-	if len(b.beliefs) < maxProcesses {
+	if len(b.states) < maxProcesses {
 		return
 	}
-	list := make([]Process, 0, len(b.beliefs))
-	for p, v := range b.beliefs {
+	list := make([]Process, 0, len(b.states))
+	for p, v := range b.states {
 		if !v.leaving && !now.Before(v.pausedUntil) {
-			delete(b.beliefs, p)
+			delete(b.states, p)
 			continue
 		}
 		list = append(list, p)
@@ -106,8 +106,8 @@
 	if len(list) < maxProcesses {
 		return
 	}
-	slices.SortFunc(list, func(x, y Process) int { return cmp.Compare(b.beliefs[x].toldAt, b.beliefs[y].toldAt) })
+	slices.SortFunc(list, func(x, y Process) int { return cmp.Compare(b.states[x].noticeAt, b.states[y].noticeAt) })
 	for _, p := range list[:len(list)/2] {
-		delete(b.beliefs, p)
+		delete(b.states, p)
 	}
 }
--- a/quota/account.go
+++ b/quota/account.go
@@ -27,7 +27,7 @@
 	refilledAt clock.Time
 	// unspent are the tokens of this gateway's requests that wait to be sent.
 	unspent float64
-	// otherUnspent are those of other gateways, by address, as they told this pool.
+	// otherUnspent are those of other gateways, by address, as they have reported them.
 	otherUnspent map[string]reportedTokens
 	// unspentShare is the fraction of all known unspent tokens that takes room in this bucket if it is a pool's; 0 if it is
 	// not: this gateway's own ones take room then.
--- a/relay/mixed_test.go
+++ b/relay/mixed_test.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// Guards against answers that can't be told apart because requests without an id share a connection.
+// Guards against answers that can't be distinguished because requests without an id share a connection.
 func TestRequestWithoutIDHasItsOwnConnection(t *testing.T) {
 	replica := startReplica(t, "one", func(r *fakes.Request) {
 		assert.Check(t, r.RequestID != "" || r.NumberOnConnection == 1)
@@ -279,7 +279,7 @@
 	}
 }
 
-// Guards against events that a caller gets twice because another upstream can't be told where a stream broke off.
+// Guards against events that a caller gets twice because no request can tell another upstream where a stream broke off.
 func TestStreamWithoutPositionIsNotResumed(t *testing.T) {
 	for name, events := range map[string][]string{
 		"no ids":       {"data: one\n\n", "data: two\n\n", "data: three\n\n"},
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -8,12 +8,12 @@
 	"github.com/magnolialever/magnolialever/stats"
 )
 
-// Accepts reports whether an upstream may get requests now, by what it told this gateway.
+// Accepts reports whether an upstream may get requests now, by its notices to this gateway.
 func (s *Server) Accepts(u *fleet.Upstream) bool {
 	return s.notices.Accepts(s.Clock.Now(), notice.Process{Upstream: u.ID, Start: u.ProcessStart})
 }
 
-// Leaving reports whether an upstream told this gateway that it leaves.
+// Leaving reports whether an upstream has announced to this gateway that it leaves.
 func (s *Server) Leaving(u *fleet.Upstream) bool {
 	return s.notices.Leaving(notice.Process{Upstream: u.ID, Start: u.ProcessStart})
 }
--- a/relay/notice_test.go
+++ b/relay/notice_test.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// Guards against a leaving that outlives the process that told it.
+// Guards against a leaving that outlives the process that announced it.
 func TestNewProcessOfLeavingUpstreamGetsRequests(t *testing.T) {
 	replica := startReplica(t, "r1", respondLeaving)
 	r := newTestGateway(t, replica)
@@ -89,7 +89,7 @@
 	assert.Equal(t, r.sendApp("third").status, http.StatusOK)
 }
 
-// Guards against requests to an upstream within the pause that it asked for, and against callers that are told to
+// Guards against requests to an upstream within the pause that it asked for, and against answers by which callers
 // come back sooner.
 func TestPausedUpstreamGetsNoRequests(t *testing.T) {
 	replica := startReplica(t, "r1", rejectForSeconds("5"))
--- a/relay/repeat_test.go
+++ b/relay/repeat_test.go
@@ -22,7 +22,7 @@
 	r.Respond("200 OK", "done")
 }
 
-// Guards against a request that ran and whose caller is told that it has not: an upstream writes an earlier
+// Guards against a request that ran and whose caller gets an answer which says that it has not: an upstream writes an earlier
 // refusal once more where the answer to the same request, sent again, is due.
 func TestRepeatedRefusalIsNotTakenForTheAnswer(t *testing.T) {
 	refusedOnce := 0
--- a/relay/server.go
+++ b/relay/server.go
@@ -80,7 +80,7 @@
 	Options
 	view atomic.Pointer[view.Snapshot]
 	pool *pool
-	// notices are what upstreams told this gateway.
+	// notices are the notices of upstreams to this gateway.
 	notices *notice.Board
 	// stop has the times of a stop of this gateway; nil if none was requested.
 	stop atomic.Pointer[stopTimes]
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -27,7 +27,7 @@
 	lastAt clock.Time
 }
 
-// canResume reports whether another upstream can go on with the stream: it is told the number of the last event.
+// canResume reports whether another upstream can go on with the stream: its request names the last event.
 func (d *delivery) canResume() bool {
 	if d.events == 0 {
 		return true
--- a/sched/notice_test.go
+++ b/sched/notice_test.go
@@ -16,7 +16,7 @@
 	"github.com/magnolialever/magnolialever/view"
 )
 
-// told is what an upstream has told the gateway, as the upstream sees it.
+// told is the notices that an upstream has sent to the gateway, as the upstream sees it.
 type told struct {
 	leaving    bool
 	pauseUntil clock.Time
@@ -149,7 +149,7 @@
 	})
 }
 
-// Guards against requests, repeats and requests held up in a dial that reach an upstream after it told the
+// Guards against requests, repeats and requests held up in a dial that reach an upstream after it announced to the
 // gateway that it leaves or wants a pause, in any order with restarts, pauses of the gateway, views that
 // come late and late answers.
 func TestNoticesHoldInAnyOrder(t *testing.T) {
--- a/sched/returns.go
+++ b/sched/returns.go
@@ -8,7 +8,7 @@
 
 const (
 	// returnShare is the part of the time that a caller has left after which it comes back at the latest, whatever
-	// it was told.
+	// delay it got.
 	returnShare = 1.0 / 3
 	// lateReturnShare is the part of that time from which callers come back while there is no room for them.
 	lateReturnShare = 0.6
@@ -19,14 +19,14 @@
 )
 
 // returnBook tells refused callers when to come back. It answers a load that exceeds for seconds what the upstreams of
-// a target take: callers that are told the same delay come back together and are refused again.
+// a target take: callers that get the same delay come back together and are refused again.
 type returnBook map[serviceTarget]*returns
 
 // returns is the record of one target at this gateway.
 type returns struct {
 	// arrivals and starts are the rates of requests that arrive and of those that an upstream gets.
 	arrivals, starts decayingRate
-	// bookedUntil is when the last of the callers comes back that were told when there will be room.
+	// bookedUntil is when the last of the callers comes back that got the time at which there will be room.
 	bookedUntil clock.Time
 }
 
--- a/sched/returns_test.go
+++ b/sched/returns_test.go
@@ -12,7 +12,7 @@
 	"github.com/magnolialever/magnolialever/view"
 )
 
-// refuseAll adds n requests with the deadline to a full engine and returns the delays that their callers are told once their latest start
+// refuseAll adds n requests with the deadline to a full engine and returns the delays that their callers get once their latest start
 // has passed.
 func refuseAll(n int, arrived, deadline clock.Time) []clock.Span {
 	s := engine(1)
@@ -33,7 +33,7 @@
 	return delays
 }
 
-// Guards against callers of a full engine that are all told the same delay, come back together and are refused again.
+// Guards against callers of a full engine that all get the same delay, come back together and are refused again.
 func TestReturnsOfRefusedCallersAreSpread(t *testing.T) {
 	delays := refuseAll(40, 100, 14_100)
 	const timeLeft = 12 * clock.Second
@@ -70,7 +70,7 @@
 	}
 }
 
-// Guards against callers that are told the whole time of a load which has nearly ended.
+// Guards against callers that get the whole time of a load as their delay which has nearly ended.
 func TestCallersAreToldWhenACopyIsThere(t *testing.T) {
 	s := engine(1)
 	e := entry("one", "zone-a", 1)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -110,7 +110,7 @@
 	// runs tells how long runs take, running are the attempts that were started and have not ended.
 	runs    runRecord
 	running map[*Attempt]struct{}
-	// notices are what upstreams told this gateway.
+	// notices are the notices of upstreams to this gateway.
 	notices *notice.Board
 	// gauges has what was learned of services.
 	gauges gauge.Services
@@ -136,7 +136,7 @@
 	}
 }
 
-// Notices returns what upstreams told this gateway; the caller records there what it hears from them.
+// Notices returns the notices of upstreams to this gateway; the caller records there what arrives.
 func (s *Scheduler) Notices() *notice.Board { return s.notices }
 
 // SetGateways sets the gateways that share the cold-start limits of upstreams, and which of them this
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -122,7 +122,7 @@
 	assert.Assert(t, !ok)
 }
 
-// Guards against reports that are late because a gateway was killed, and against the loss of what it had told.
+// Guards against reports that are late because a gateway was killed, and against the loss of what it had sent.
 func TestKilledGatewayDelaysReportsButStillCounts(t *testing.T) {
 	a, b, s := newGateway("a", 1), newGateway("b", 2), &store{}
 	a.load(t, s)
@@ -284,7 +284,7 @@
 	assert.Equal(t, again[0].Window, window+1)
 }
 
-// Guards against a restart of all gateways, after which windows are missing, or what was told before is forgotten.
+// Guards against a restart of all gateways, after which windows are missing, or what was sent before is forgotten.
 func TestRestartOfAllGoesOn(t *testing.T) {
 	a, s := newGateway("a", 1), &store{}
 	a.load(t, s)
