assign: comments of short.go say what the constants and gains stand for

Copies won work, were on their way or just came, and refusals were unseen: the comments name the work that a copy takes on, its load and refusals that are older than a copy (olderRefusals, olderRefusalShare). Comments and names only; go test ./assign passes.

--- a/assign/adapter.go
+++ b/assign/adapter.go
@@ -87,7 +87,7 @@
 				at = loadedAt
 			}
 		}
-		room += unseenPart(r.now.Sub(at)) * r.room(l.site)
+		room += olderRefusalShare(r.now.Sub(at)) * r.room(l.site)
 	}
 	return room
 }
--- a/assign/short.go
+++ b/assign/short.go
@@ -7,35 +7,35 @@
 )
 
 const (
-	// minGain is the least part of a site's capacity that a further copy of a model that is short has to win.
+	// minGain is the least work that a further copy of a model has to take on, as a part of a site's capacity.
 	minGain = 0.1
-	// demandLifetime is the time in which demand is expected to fall to a third, by which the time that a copy takes to come
-	// is judged.
+	// demandLifetime is the time constant with which demand is expected to decay: what a copy takes on counts less the longer
+	// it takes to load.
 	demandLifetime = 6 * clock.Second
 	// hostLoadTime is the duration of a load from the host's copy.
 	hostLoadTime = 800 * clock.Millisecond
-	// reportDelay is the time until refusals are known here.
+	// reportDelay is the time until the leader knows of a refusal.
 	reportDelay = 300 * clock.Millisecond
 	// typicalRequest is the work of a request in prompt tokens, typicalRun how long one runs under load. minUnloadTime is how
 	// long the unload of a copy takes at which none runs.
 	typicalRequest = 4000.0
 	typicalRun     = 2 * clock.Second
 	minUnloadTime  = 300 * clock.Millisecond
-	// lossWeight is the weight of work that an unload puts at risk, against the work that the load wins.
+	// lossWeight is the weight of work that an unload puts at risk, against the work that the load takes on.
 	lossWeight = 2.0
-	// holdLoads is the number of store loads for whose time a copy is kept after the last demand that needed it: to take
-	// it away and to bring it back costs two.
+	// holdLoads is the number of store loads for whose duration a peak, or a shortage, of a model counts: to unload a copy and
+	// to load it again costs two.
 	holdLoads = 2
-	// idleCopyLoss is the part of an engine's capacity that the last copy of a model counts for that nobody has asked for
-	// in lastCopyIdleTime, twice that if it has to come back from the weight store.
+	// idleCopyLoss is the cost of the unload of the last copy of a model that was not requested in lastCopyIdleTime, as a part
+	// of an engine's capacity; it is twice that if the model would have to be loaded from the weight store again.
 	idleCopyLoss = 0.02
 )
 
-// peak is the greatest work of a model since a time.
+// peak is the greatest recent work of a model.
 type peak struct {
 	workRate float64
 	at       clock.Time
-	// shortAt is when the model was short last.
+	// shortAt is when the model was short last: more of its work than minGain was refused or waited.
 	shortAt clock.Time
 }
 
@@ -72,9 +72,9 @@
 	r.short = len(needs)
 	for len(needs) > 0 {
 		m := neediest(needs)
-		won := r.addShortCopy(m, needs[m])
-		needs[m] -= won
-		if won == 0 || needs[m] < minGain*engineCapacity {
+		gain := r.addShortCopy(m, needs[m])
+		needs[m] -= gain
+		if gain == 0 || needs[m] < minGain*engineCapacity {
 			delete(needs, m)
 		}
 	}
@@ -91,7 +91,7 @@
 	return first
 }
 
-// need returns the work of a model, in prompt tokens/s, that neither its copies nor those that are on their way can take.
+// need returns the work of a model, in prompt tokens/s, that neither its copies nor those that are being loaded can take.
 func (r *round) need(m *modelState) float64 {
 	shortage := m.demand.shortage()
 	if shortage > 0 {
@@ -125,12 +125,12 @@
 	return room
 }
 
-// pendingRoom returns the capacity of the copies of a model that are on their way, and of those that just came to the
-// extent that the refusals that are known are from before.
+// pendingRoom returns the free capacity of the copies of a model that are being loaded, and of those loaded lately in the
+// share of the known refusals that are older than them: these don't show yet what such a copy takes on.
 func (r *round) pendingRoom(m *modelState) float64 {
 	room := 0.0
 	for _, l := range m.copies {
-		room += l.unseen(r.now) * max(l.capacity-l.workRate+l.modelWork, 0)
+		room += l.olderRefusals(r.now) * max(l.capacity-l.workRate+l.modelWork, 0)
 	}
 	for _, s := range m.reserved {
 		room += max(s.capacity-s.workRate, 0)
@@ -138,19 +138,19 @@
 	return room
 }
 
-// unseen returns the part of the known refusals that are from before the copy came.
-func (l *placement) unseen(now clock.Time) float64 {
+// olderRefusals returns the share of the known refusals that are older than the loaded copy; 1 if it is not loaded yet.
+func (l *placement) olderRefusals(now clock.Time) float64 {
 	switch {
 	case !l.loaded():
 		return 1
 	case l.copy.loadedAt == 0:
 		return 0
 	}
-	return unseenPart(now.Sub(l.copy.loadedAt))
+	return olderRefusalShare(now.Sub(l.copy.loadedAt))
 }
 
-// unseenPart returns the part of the known refusals that are older than the age.
-func unseenPart(age clock.Span) float64 {
+// olderRefusalShare returns the share of the known refusals that are older than the age.
+func olderRefusalShare(age clock.Span) float64 {
 	return math.Exp(-float64(max(age-reportDelay, 0)) / float64(refusalTimeConstant))
 }
 
@@ -173,7 +173,7 @@
 	return max(min(s.capacity-s.workRate, s.capacity*(1-float64(r.input.InFlight[s.id])/slots)), 0)
 }
 
-// addShortCopy adds the copy of a model that wins most work, and returns how much; 0 if none is worth its cost.
+// addShortCopy adds the copy of a model with the greatest value and returns its gain; 0 if none is worth its cost.
 func (r *round) addShortCopy(m *modelState, need float64) float64 {
 	var best move
 	for _, s := range r.sites {
@@ -201,7 +201,7 @@
 type move struct {
 	site   *site
 	victim *placement
-	// gain is the work that the load wins, value what that is worth with its costs, both in prompt tokens/s.
+	// gain is the work that the copy would take on, value what is left of it after all costs, both in prompt tokens/s.
 	gain, value float64
 }
 
@@ -229,8 +229,8 @@
 }
 
 // leastLoss returns the copy at a site whose unload makes room for the model and puts the least work at risk, and that
-// work in prompt tokens/s. It returns nil if there is none: copies that just came, the last ones of models that were
-// requested lately and those of models that were short lately stay. All last copies stay while no request is refused.
+// work in prompt tokens/s. It returns nil if there is none: copies younger than minCopyAge, the last ones of models that
+// were requested lately and those of models that were short lately stay. All last copies stay while no request is refused.
 func (r *round) leastLoss(s *site, wanted *modelState) (*placement, float64) {
 	var best *placement
 	least := math.Inf(1)
@@ -254,7 +254,7 @@
 	return best, least
 }
 
-// idleLoss returns what the last copy of a model that nobody asks for counts, in prompt tokens/s.
+// idleLoss returns the cost of the unload of the last copy of a model without requests, in prompt tokens/s.
 func (l *placement) idleLoss() float64 {
 	if l.hasHostCopy(l.model.Name) {
 		return idleCopyLoss * l.capacity
