--- a/sched/fleet_test.go
+++ b/sched/fleet_test.go
@@ -174,14 +174,19 @@
 	return false
 }
 
+// newHotLoad returns the load of a model at four engines, as a part of what these can prefill.
+func newHotLoad(gateways int, utilization float64) fleetLoad {
+	return fleetLoad{
+		gateways: gateways, engines: 4, utilization: utilization, prefillRate: 20, digestInterval: 120 + clock.Span(gateways)*5,
+		objective: 800 * clock.Millisecond, patience: 3200 * clock.Millisecond, seed: 1,
+	}
+}
+
 // Guards against gateways that together send a hot model more than its engines can prefill: the
 // prompts wait at the engines until all of them are late, though many could be on time.
 func TestHotModelIsServedOnTime(t *testing.T) {
 	for _, gateways := range []int{6, 31, 103} {
-		l := fleetLoad{
-			gateways: gateways, engines: 4, utilization: 1.3, prefillRate: 20, digestInterval: 120 + clock.Span(gateways)*5,
-			objective: 800 * clock.Millisecond, patience: 3200 * clock.Millisecond, seed: 1,
-		}
+		l := newHotLoad(gateways, 1.3)
 		limited := l.run()
 		l.unlimited = true
 		unlimited := l.run()
@@ -195,10 +200,7 @@
 // Guards against limits that delay requests while the engines have room for all of them.
 func TestSpareRoomIsUsed(t *testing.T) {
 	for _, gateways := range []int{6, 31, 103} {
-		l := fleetLoad{
-			gateways: gateways, engines: 4, utilization: 0.7, prefillRate: 20, digestInterval: 120 + clock.Span(gateways)*5,
-			objective: 800 * clock.Millisecond, patience: 3200 * clock.Millisecond, seed: 1,
-		}
+		l := newHotLoad(gateways, 0.7)
 		got := l.run()
 		assert.Check(t, got.refused == 0 && got.left == 0, "%d gateways: %+v", gateways, got)
 		assert.Check(t, float64(got.onTime) >= 0.9*float64(got.sent), "%d gateways: %+v", gateways, got)
