--- a/fakes/engine/api.go
+++ b/fakes/engine/api.go
@@ -138,17 +138,24 @@
 
 // writeWhole waits for the end of the sequence and writes the response as one JSON object.
 func (s *Server) writeWhole(ctx context.Context, w http.ResponseWriter, q *sequence, f *format) {
+	if p, ok := s.awaitEnd(ctx, w, q); ok {
+		serve.WriteJSON(w, http.StatusOK, f.completion(ResponseText(q.target, q.prompt, q.firstToken, p.nextToken), f.usage(q)))
+	}
+}
+
+// awaitEnd waits for the end of the sequence. It returns false if that has failed, after it has written the error, or if the
+// client has disconnected.
+func (s *Server) awaitEnd(ctx context.Context, w http.ResponseWriter, q *sequence) (progress, bool) {
 	for {
 		p, ok := s.awaitProgress(ctx, q)
 		switch {
 		case !ok:
-			return
+			return p, false
 		case p.err != nil:
 			errEngine(p.err).write(w)
-			return
+			return p, false
 		case p.ended:
-			serve.WriteJSON(w, http.StatusOK, f.completion(ResponseText(q.target, q.prompt, q.firstToken, p.nextToken), f.usage(q)))
-			return
+			return p, true
 		}
 	}
 }
@@ -169,18 +176,8 @@
 		return
 	}
 	defer s.cancel(seq)
-	for {
-		p, ok := s.awaitProgress(r.Context(), seq)
-		switch {
-		case !ok:
-			return
-		case p.err != nil:
-			errEngine(p.err).write(w)
-			return
-		case p.ended:
-			serve.WriteJSON(w, http.StatusOK, embeddingsFor(&q))
-			return
-		}
+	if _, ok := s.awaitEnd(r.Context(), w, seq); ok {
+		serve.WriteJSON(w, http.StatusOK, embeddingsFor(&q))
 	}
 }
 
