entry: one way to count announcements and to start a ready gateway

Changes of residency and loads recorded their announcements with the same lines; takeDue does it. Four tests of verdicts start a gateway and wait for it through startReadyGateway. No change of behaviour. go test -race -run 'Verdict|Crashing|Lapsed|Resid|Load|Part|Announce|Order' ./entry passes.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -198,6 +198,14 @@
 	c.t.Fatalf("timed out after 10 s: %s", what)
 }
 
+// startReadyGateway starts a gateway and waits until it is ready.
+func (c *cluster) startReadyGateway(name string) *testGateway {
+	c.t.Helper()
+	g := c.startGateway(name)
+	c.waitFor("gateway is ready", func() bool { return c.readyStatus(g) == http.StatusOK })
+	return g
+}
+
 // readyStatus returns the status of a readiness check; 0 if the call fails.
 func (c *cluster) readyStatus(g *testGateway) int {
 	res, err := http.Get("http://" + g.settings.ReadyAddress + "/readiness")
--- a/entry/residency.go
+++ b/entry/residency.go
@@ -92,11 +92,9 @@
 	m := &wire.ResidencyChanges{}
 	for i := range c.residencyChanges {
 		r := &c.residencyChanges[i]
-		if !r.announcementDue(now) {
+		if !r.takeDue(now) {
 			continue
 		}
-		r.announcements++
-		r.announcedAt = now
 		m.Changes = append(m.Changes, &wire.Residency{
 			Upstream: string(r.upstream), Model: string(r.model), Adapter: r.adapter, Dropped: r.unloaded,
 			Orders: r.acceptedOrders, Born: r.processStart,
--- a/entry/residency_change.go
+++ b/entry/residency_change.go
@@ -33,6 +33,16 @@
 	announcedAt   clock.Time
 }
 
+// takeDue reports whether the change has to be announced now, and records that it is.
+func (a *announcement) takeDue(now clock.Time) bool {
+	if !a.announcementDue(now) {
+		return false
+	}
+	a.announcements++
+	a.announcedAt = now
+	return true
+}
+
 // announcementDue reports whether the change has to be announced now.
 func (a *announcement) announcementDue(now clock.Time) bool {
 	switch {
--- a/entry/residency_loads.go
+++ b/entry/residency_loads.go
@@ -64,11 +64,9 @@
 	m := &wire.PendingLoads{}
 	for i := range c.pendingLoads {
 		l := &c.pendingLoads[i]
-		if !l.announcementDue(now) {
+		if !l.takeDue(now) {
 			continue
 		}
-		l.announcements++
-		l.announcedAt = now
 		m.Loads = append(m.Loads, &wire.PendingLoad{
 			Upstream: string(l.upstream), Born: l.processStart, Model: string(l.model), Orders: l.acceptedOrders,
 			DueMs: int64(l.readyAt.Sub(now)), FromStore: l.fromWeightStore,
--- a/entry/verdicts_test.go
+++ b/entry/verdicts_test.go
@@ -56,8 +56,7 @@
 	c.store.Put(fakes.UpstreamKeyPrefix+"llm-1", c.llm.Description(fakes.EngineService, "zone-a", "draining"))
 	const deadly = "dead1"
 	all := c.addCrashingEngines(8, deadly)
-	first := c.startGateway("gate-0")
-	c.waitFor("gateway is ready", func() bool { return c.readyStatus(first) == http.StatusOK })
+	first := c.startReadyGateway("gate-0")
 	assert.Equal(t, c.sendParts(first, "sound", "shared", "own"), http.StatusOK)
 	for i := range 6 {
 		c.sendParts(first, fmt.Sprint("bad", i), "shared", deadly, fmt.Sprint("own", i))
@@ -108,8 +107,7 @@
 	c := newCluster(t, 0)
 	c.store.Put(fakes.UpstreamKeyPrefix+"app-1", c.app.Description(fakes.AppService, "zone-a", "draining"))
 	all := c.addCrashingServices(6)
-	first := c.startGateway("gate-0")
-	c.waitFor("gateway is ready", func() bool { return c.readyStatus(first) == http.StatusOK })
+	first := c.startReadyGateway("gate-0")
 	for c.responseStatus(first, "/once/deadly", apiKey) != http.StatusServiceUnavailable && countReached(all) < len(all) {
 		time.Sleep(300 * time.Millisecond)
 	}
@@ -132,8 +130,7 @@
 	c := newCluster(t, 0)
 	c.store.Put(fakes.UpstreamKeyPrefix+"app-1", c.app.Description(fakes.AppService, "zone-a", "draining"))
 	all := c.addCrashingServices(6)
-	g := c.startGateway("gate-0")
-	c.waitFor("gateway is ready", func() bool { return c.readyStatus(g) == http.StatusOK })
+	g := c.startReadyGateway("gate-0")
 	g.reload(g.settings)
 	for c.responseStatus(g, "/once/deadly", apiKey) != http.StatusServiceUnavailable && countReached(all) < len(all) {
 		time.Sleep(300 * time.Millisecond)
@@ -157,8 +154,7 @@
 		keys = append(keys, member.Key(cutOff.VM))
 		c.store.PutBytes(member.Key(cutOff.VM), value)
 	}
-	g := c.startGateway("gate-0")
-	c.waitFor("gateway is ready", func() bool { return c.readyStatus(g) == http.StatusOK })
+	g := c.startReadyGateway("gate-0")
 	assert.Equal(t, c.sendParts(g, "sound", "shared", "own"), http.StatusOK)
 	c.sendParts(g, "bad", "shared", deadly, "own-bad")
 	for _, key := range keys {
