gate: a permit refused as stale is renewed until the slot table arrives

An agent that has a newer slot table than the gateway refuses its permits as permit_stale. The gateway counted that as a failure: it tried again three times with pauses of at most 5, 80 and 160 ms, without the agent's hint of 100 ms, and each new permit was of the same old table.

Such a refusal passes by itself, like cold_limit. It no longer counts against the retries; a new permit is taken after 2.5 to 7.5 ms at another agent, which serves if the first one has just started, and then after 50 to 150 ms (calls with an Idempotency-Key: 250 to 750 ms), until the capacity deadline (3 s). New counter permits_stale.

TestStalePermitIsRenewedUntilTheTableArrives fails without the change (503 after 40 ms). The other two tests bound the new wait: agents without a table are avoided, and the request ends after 3 s with at most 70 attempts.

--- a/gate/refusal_test.go
+++ b/gate/refusal_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/openai/openai-go/v3"
 	"gotest.tools/v3/assert"
@@ -165,3 +166,46 @@
 		assert.Assert(t, after >= 4 && after <= 5, "%d s", after)
 	}
 }
+
+// Guards against callers that are refused because a gateway gets a new slot table later than the agents.
+func TestStalePermitIsRenewedUntilTheTableArrives(t *testing.T) {
+	var arrived atomic.Bool
+	respond := respondTokens(1)
+	handler := func(c *agentCall) {
+		if !arrived.Load() {
+			c.sendRefuse("permit_stale", false, 100)
+			return
+		}
+		respond(c)
+	}
+	s := startGateway(t, nil, newFakeAgent(t, "a1", handler), newFakeAgent(t, "a2", handler))
+	time.AfterFunc(time.Second, func() { arrived.Store(true) })
+	_, err := newClient(s, testKey).Chat.Completions.New(context.Background(), chatParams("small"))
+	assert.NilError(t, err)
+}
+
+// Guards against waiting for an agent that refuses all permits, as it has no slot table yet, while another one serves.
+func TestStalePermitIsTriedElsewhereFirst(t *testing.T) {
+	a := newFakeAgent(t, "a1", func(c *agentCall) { c.sendRefuse("permit_stale", false, 100) })
+	s := startGateway(t, nil, a, newFakeAgent(t, "a2", respondTokens(1)))
+	for range 10 {
+		start := time.Now()
+		_, err := newClient(s, testKey).Chat.Completions.New(context.Background(), chatParams("small"))
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(start) < time.Second)
+	}
+	assert.Assert(t, a.calls.Load() <= 10)
+}
+
+// Guards against requests that wait for a slot table without end, or ask upstreams in a tight loop meanwhile.
+func TestStalePermitsEndWithARefusal(t *testing.T) {
+	a := newFakeAgent(t, "a1", func(c *agentCall) { c.sendRefuse("permit_stale", false, 100) })
+	s := startGateway(t, nil, a)
+	start := time.Now()
+	_, err := newClient(s, testKey).Chat.Completions.New(context.Background(), chatParams("small"))
+	e := apiErrorOf(t, err)
+	assert.Equal(t, e.StatusCode, 503)
+	assert.Equal(t, e.Response.Header.Get("X-Run"), "not-run")
+	assert.Assert(t, time.Since(start) < 5*time.Second, "%s", time.Since(start))
+	assert.Assert(t, a.calls.Load() < 70, "%d attempts", a.calls.Load())
+}
--- a/gate/relay.go
+++ b/gate/relay.go
@@ -20,6 +20,8 @@
 	// recordedRetryDelay replaces capacityRetryDelay for calls with an Idempotency-Key: each of
 	// their attempts writes a record to the store.
 	recordedRetryDelay = 500 * time.Millisecond
+	// firstStaleRetryDelay is the mean delay after the first refusal of a request's permit as stale.
+	firstStaleRetryDelay = 5 * time.Millisecond
 	// maxCapacityWait bounds the wait for capacity. A caller that is refused early can retry later
 	// or elsewhere.
 	maxCapacityWait = 3 * clock.Second
@@ -43,6 +45,8 @@
 	// leastRetryAfter is the shortest time after which an upstream that refused the request said to retry; 0 if
 	// none did.
 	leastRetryAfter clock.Span
+	// stalePermits is the number of attempts whose permits upstreams refused as stale.
+	stalePermits int
 	// lastProblem is why the last attempt failed; nil before the first failure.
 	lastProblem *Problem
 	// brokenAt is when the last failed attempt that may have run ended.
@@ -208,6 +212,9 @@
 		return p
 	}
 	r.failedUpstreams = append(r.failedUpstreams, u.id)
+	if isStalePermit(p) {
+		return p
+	}
 	r.failure.Upstream = u.id
 	r.failure.Result = a.result
 	r.failure.FailedAttempts++
--- a/gate/retry.go
+++ b/gate/retry.go
@@ -13,12 +13,15 @@
 // refusals cost the upstream nothing, so they don't count as failures; they are retried until the
 // capacity deadline.
 func (r *relay) prepareRetry(ctx context.Context, p *Problem) bool {
-	if !isTransient(p) {
+	if !isTransient(p) && !isStalePermit(p) {
 		return r.waitForRetry(ctx, p)
 	}
 	if !r.server.clock.Now().Before(r.capacityDeadline()) {
 		return false
 	}
+	if isStalePermit(p) {
+		return r.waitForSlotTable(ctx, p)
+	}
 	stats.Event("capacity_awaited")
 	changed := r.server.capacityChanged.wait()
 	wait := capacityRetryDelay
@@ -35,6 +38,26 @@
 	return !p.MayHaveRun && (p.Code == units.ColdLimit || p.Code == units.Quarantine)
 }
 
+// isStalePermit reports whether an upstream refused the permit since it has a newer slot table than this gateway, or none yet.
+// A new permit is valid once this gateway has that table, or at another upstream.
+func isStalePermit(p *Problem) bool { return !p.MayHaveRun && p.Code == units.PermitStale }
+
+// waitForSlotTable waits for the time in which the newer slot table usually arrives, and reports whether the next attempt
+// may start. The first one follows soon, as other upstreams may accept the permit.
+func (r *relay) waitForSlotTable(ctx context.Context, p *Problem) bool {
+	r.stalePermits++
+	stats.Event("permits_stale")
+	wait := max(p.RetryAfter.Duration(), capacityRetryDelay)
+	switch {
+	case r.request.idempotencyKey != "":
+		wait = recordedRetryDelay
+	case r.stalePermits == 1:
+		wait = firstStaleRetryDelay
+	}
+	clock.Sleep(ctx, wait/2+rand.N(wait))
+	return ctx.Err() == nil
+}
+
 // capacityDeadline returns when waiting for capacity ends.
 func (r *relay) capacityDeadline() clock.Time {
 	if r.response.headSent {
