assign: a missing model takes the copy that the others can replace

addCopy unloads a copy for a model without one. It chose the copy by its model's demand per remaining copy and the site by its load, whether or not the remaining copies have room for the work, and moved no work within the round: after a quarter of the engines of TestQuarterOfEnginesCrash is lost, both copies' neighbours of a few busy models were unloaded in one round, and models with 60,000 tokens/s of work were left on one engine of 40,000 until loads from the weight store came, 2 to 4 s after the engines had returned.

The work of a copy for which the others have no room is now part of its cost, weighted as for models that are short, and its work moves to the others. Where they have room, as in calm times, the choice is the same but for the work that copies chosen earlier in the round have moved.

The traffic of the tests takes a seed (-assign.seed; the order of a map decided among equally loaded engines), so that a run can be repeated. TestMissingModelTakesNoCopyThatIsNeeded fails without the change.

--- a/assign/load_test.go
+++ b/assign/load_test.go
@@ -1,9 +1,12 @@
 package assign_test
 
 import (
+	"cmp"
+	"flag"
 	"fmt"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -24,6 +27,9 @@
 	requestRate = 2000.0
 )
 
+// trafficSeed sets the order in which requests ask engines, to repeat a failure.
+var trafficSeed = flag.Uint64("assign.seed", 0, "seed of the traffic; 0 is a random one")
+
 // traffic is the work that callers offer to a cluster, and what becomes of it.
 type traffic struct {
 	*cluster
@@ -40,6 +46,11 @@
 	turn                 int
 	// lastWork is the work of each engine in the last 50 ms, by which requests choose.
 	lastWork map[*engine]float64
+	// seed determines order, the order in which engines are asked, and random, which chooses the first of them: they decide
+	// among equally loaded ones.
+	seed   uint64
+	order  []units.UpstreamID
+	random *rand.Rand
 }
 
 // newTraffic returns a cluster of engines in three zones with a weight store of the rate.
@@ -49,7 +60,22 @@
 	for i := range engines {
 		c.engines[units.UpstreamID(fmt.Sprint("e", i))].zone = units.Zone([]string{"a", "b", "c"}[i%3])
 	}
-	return &traffic{cluster: c, offered: map[units.ModelID]float64{}, meter: assign.NewMeter()}
+	w := &traffic{cluster: c, offered: map[units.ModelID]float64{}, meter: assign.NewMeter()}
+	w.setSeed(cmp.Or(*trafficSeed, rand.Uint64()))
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("-assign.seed %d", w.seed)
+		}
+	})
+	return w
+}
+
+// setSeed sets the order in which requests ask engines.
+func (w *traffic) setSeed(seed uint64) {
+	w.seed = seed
+	w.order = slices.Sorted(maps.Keys(w.engines))
+	w.random = rand.New(rand.NewPCG(seed, 0))
+	w.random.Shuffle(len(w.order), func(i, j int) { w.order[i], w.order[j] = w.order[j], w.order[i] })
 }
 
 // offer sets the work of the models from m on to the rate each.
@@ -103,7 +129,10 @@
 	}
 	var best *engine
 	least, held := math.Inf(1), false
-	for _, e := range w.engines {
+	first := w.random.IntN(len(w.order))
+	for i := range w.order {
+		id := w.order[(first+i)%len(w.order)]
+		e := w.engines[id]
 		if adapters, has := e.models[m]; !has || target.Adapter != "" && !adapters[target.Adapter] || e.lost || e.activeOrder != nil && e.activeOrder.Unload && e.activeOrder.Model == m {
 			continue
 		}
@@ -159,6 +188,31 @@
 	w.checkStoreRate()
 }
 
+// Guards against a missing model that takes a copy of a busy model whose other copies have no room for its work, while other
+// engines have one to spare.
+func TestMissingModelTakesNoCopyThatIsNeeded(t *testing.T) {
+	c := newCluster(t, 4, 11)
+	// Two models have two copies. Those of m00 have no room for each other's work, those of m03 have, but are at busier engines.
+	for i, models := range [][]int{{0, 1, 2}, {0, 4, 5}, {3, 6, 7}, {3, 8, 9}} {
+		e := c.engines[units.UpstreamID(fmt.Sprint("e", i))]
+		clear(e.models)
+		for _, m := range models {
+			e.models[modelName(m)] = map[string]bool{}
+		}
+	}
+	for i := range 10 {
+		c.setDemand(modelName(i), "", 3000, 0)
+	}
+	c.setDemand(modelName(0), "", 42_000, 0)
+	c.setDemand(modelName(6), "", 30_000, 0)
+	c.setDemand(modelName(8), "", 30_000, 0)
+	c.setDemand(modelName(10), "", 5000, 3)
+	c.run(1, 2001)
+	assert.Equal(t, c.copies(modelName(0)), 2, "copies of a model whose work one engine can't take")
+	c.run(2001, 7001)
+	assert.Assert(t, c.copies(modelName(10)) > 0)
+}
+
 // Guards against copies that are moved to and fro when demand moves between two models every 4 s.
 func TestDemandThatMovesToAndFro(t *testing.T) {
 	w := newTraffic(t, 18, 36, 10)
--- a/assign/place.go
+++ b/assign/place.go
@@ -48,10 +48,11 @@
 				continue
 			}
 		} else {
-			if v = r.chooseVictim(s, m, missing); v == nil || !r.withinNextBudget(s, m) {
+			var loss float64
+			if v, loss = r.chooseVictim(s, m, missing); v == nil || !r.withinNextBudget(s, m) {
 				continue
 			}
-			cost += unloadCost
+			cost += unloadCost + lossWeight*loss/engineCapacity
 			if !r.fitsWithout(s, m, v.megabytes) {
 				cost += crowdedCost
 			}
@@ -71,22 +72,25 @@
 	case victim == nil:
 		r.orderLoad(best, m)
 	default:
+		moveWork(victim)
 		r.reserve(best, m, victim)
 	}
 }
 
-// chooseVictim returns the copy to unload from the upstream so that m fits, or nil if no copy can be unloaded.
+// chooseVictim returns the copy to unload from the upstream so that m fits, or nil if no copy can be unloaded, and its
+// work in prompt tokens/s for which the other copies have no room.
 // The last copy of a model is only unloaded for a missing model, and only after lastCopyIdleTime without requests.
-func (r *round) chooseVictim(s *site, m *modelState, missing bool) *placement {
+func (r *round) chooseVictim(s *site, m *modelState, missing bool) (*placement, float64) {
 	var victim *placement
-	least := math.Inf(1)
+	least, leastLoss := math.Inf(1), 0.0
 	for _, l := range s.copies {
 		v := l.model
 		if !missing && (v.recentlyShort || r.now.Sub(l.copy.since) < minCopyAge || !r.fitsWithout(s, m, l.megabytes)) {
 			continue
 		}
+		spare, _ := r.spareWithout(l)
 		rest := len(v.copies) - 1
-		cost := v.demand.WorkRate / max(float64(rest), 0.5)
+		cost, loss := v.demand.WorkRate/max(float64(rest), 0.5), 0.0
 		switch {
 		case rest > 0 && (missing || cost < highUtilization*engineCapacity):
 		case rest <= 0 && missing && !v.recent:
@@ -94,9 +98,13 @@
 		default:
 			continue
 		}
+		if rest > 0 {
+			loss = max(l.modelWork-spare, 0)
+			cost += lossWeight * loss
+		}
 		if cost < least {
-			victim, least = l, cost
+			victim, least, leastLoss = l, cost, loss
 		}
 	}
-	return victim
+	return victim, leastLoss
 }
