assign: a missing model takes no last loaded copy while another one loads

chooseVictim counted copies that still load among those that remain. After a crash, an engine that came back loaded a busy model from its disk, and 50 ms later its only loaded copy was unloaded for a missing model: none of its requests was served until the load ended, and its engine loaded it again.

Only loaded copies count. TestMissingModelTakesNoLastLoadedCopy fails without the change.

--- a/assign/load_test.go
+++ b/assign/load_test.go
@@ -213,6 +213,23 @@
 	assert.Assert(t, c.copies(modelName(10)) > 0)
 }
 
+// Guards against a missing model that takes the only loaded copy of a busy model whose further copy is still loading.
+func TestMissingModelTakesNoLastLoadedCopy(t *testing.T) {
+	c := newCluster(t, 3, 9)
+	// e2 has room for m00, which is busy at e0, and loads it; then m09 is asked for.
+	delete(c.engines["e2"].models, modelName(8))
+	c.service.Engine.Models = append(c.service.Engine.Models, fleet.Model{Name: modelName(9), WeightMegabytes: 70_000, StoreLoadTime: 4 * clock.Second})
+	for i := range 8 {
+		c.setDemand(modelName(i), "", 3000, 0)
+	}
+	c.setDemand(modelName(0), "", 30_000, 0)
+	c.run(1, 2001)
+	assert.Assert(t, c.engines["e2"].activeOrder != nil && c.engines["e2"].activeOrder.Model == modelName(0), "m00 is being loaded")
+	c.setDemand(modelName(9), "", 3000, 3)
+	c.run(2001, 3001)
+	assert.Assert(t, c.copies(modelName(0)) > 0)
+}
+
 // Guards against copies that are moved to and fro when demand moves between two models every 4 s.
 func TestDemandThatMovesToAndFro(t *testing.T) {
 	w := newTraffic(t, 18, 36, 10)
--- a/assign/place.go
+++ b/assign/place.go
@@ -78,7 +78,7 @@
 }
 
 // chooseVictim returns the copy to unload from the upstream so that m fits, or nil if no copy can be unloaded, and its
-// work in prompt tokens/s for which the other copies have no room.
+// work in prompt tokens/s for which the other copies have no room. Copies that still load can't stand in for it.
 // The last copy of a model is only unloaded for a missing model, and only after lastCopyIdleTime without requests.
 func (r *round) chooseVictim(s *site, m *modelState, missing bool) (*placement, float64) {
 	var victim *placement
@@ -88,8 +88,7 @@
 		if !missing && (v.recentlyShort || r.now.Sub(l.copy.since) < minCopyAge || !r.fitsWithout(s, m, l.megabytes)) {
 			continue
 		}
-		spare, _ := r.spareWithout(l)
-		rest := len(v.copies) - 1
+		spare, rest := r.spareWithout(l)
 		cost, loss := v.demand.WorkRate/max(float64(rest), 0.5), 0.0
 		switch {
 		case rest > 0 && (missing || cost < highUtilization*engineCapacity):
