soak: all upstreams fall silent at once, and uploads are reset as they flow

A fault is added in which all upstreams fall silent, answer no request any more and reset their connections together while up to two gateways stand still.

Resets amid uploads happen at the link while bytes flow: a gateway whose upstream has stopped reading waits, and its read takes the report of the reset.

--- a/soak/answer_test.go
+++ b/soak/answer_test.go
@@ -25,11 +25,15 @@
 	cutUploadShare = 2
 	// leastSilence and mostSilence are the bounds of that silence. Gateways look for another upstream after 1.2 s.
 	leastSilence, mostSilence = 1200 * time.Millisecond, 2700 * time.Millisecond
+	// silenceBegin is the time in which answers still begin when all upstreams fall silent.
+	silenceBegin = 300 * time.Millisecond
 	// lateReset is the time from the end of an answer to the reset of its half-closed connection.
 	lateReset = 30 * time.Millisecond
 	// uploadBytes is the length of the body of a long request. Gateways with agents keep answers of up to 1 MiB, and the
 	// plain service's holds the body of the request.
 	uploadBytes = 1_000_000
+	// answerTime is the time in which the begin of an answer reaches the gateway.
+	answerTime = 5 * time.Millisecond
 	// wholeUpload is more than the length of any request.
 	wholeUpload = 2 * uploadBytes
 	// maxWrongBytes is the largest number of bytes that are no part of an answer.
@@ -103,6 +107,16 @@
 	halfClosed
 )
 
+// silence is a time in which all upstreams are silent: answers stop amid their bodies, requests that arrive later than silenceBegin
+// get none, and at the end their connections are reset.
+type silence struct {
+	since time.Time
+	end   chan struct{}
+}
+
+// isComplete reports whether requests get no answer any more.
+func (s *silence) isComplete() bool { return s != nil && time.Since(s.since) > silenceBegin }
+
 // answer is an answer of an upstream.
 type answer struct {
 	id, head string
@@ -113,11 +127,14 @@
 	framing framing
 	// writes are the bytes on the connection.
 	writes []string
-	// silence is the time from the last write to the end of the connection, silenceEnd, if set, ends it instead.
-	silence    time.Duration
-	silenceEnd <-chan struct{}
-	// uploadRead is how much of a long request is read before the rest of the answer.
-	uploadRead int64
+	// silence is the time from the last write to the end of the connection; if common is set, all upstreams are silent up to its
+	// end instead.
+	silence time.Duration
+	common  *silence
+	// early is set if the answer to a long request begins before the request is read, uploadReset is how much of it is read
+	// then if the answer is cut.
+	early       bool
+	uploadReset int
 	// upload is set for a long request.
 	upload bool
 	ending ending
@@ -204,15 +221,15 @@
 }
 
 // vary lets an answer without a fault end as those of real upstreams do: by its length, its last chunk, or its connection, which
-// is closed in order, or half-closed and reset later. Some are cut by a reset; while upstreams are silent, up to silenceEnd, all
-// are. It reports whether its caller may not get it whole.
-func (a *answer) vary(random *rand.Rand, silenceEnd <-chan struct{}) bool {
-	a.framing, a.ending, a.uploadRead, a.silenceEnd = framing(random.IntN(3)), kept, wholeUpload, silenceEnd
+// is closed in order, or half-closed and reset later. Some are cut by a reset; once all upstreams fall silent, all are. It reports
+// whether its caller may not get it whole.
+func (a *answer) vary(random *rand.Rand, common *silence) bool {
+	a.framing, a.ending, a.early, a.common = framing(random.IntN(3)), kept, a.upload, common
 	share := cutShare
 	if a.upload {
 		share = cutUploadShare
 	}
-	if silenceEnd != nil || random.IntN(share) == 0 {
+	if common != nil || random.IntN(share) == 0 {
 		a.cut(random)
 		return true
 	}
@@ -232,24 +249,20 @@
 // cut lets an answer be cut by a reset between two pieces or inside one, at once or after a silence. Most have no length, so
 // that nothing else tells that they are not whole.
 func (a *answer) cut(random *rand.Rand) {
-	if random.IntN(2) == 0 {
+	if a.common != nil || random.IntN(2) == 0 {
 		a.framing = closing
 	}
 	a.parts = a.pieces
 	a.frame()
 	if n := len(a.pieces); n > 0 {
 		whole := random.IntN(n)
-		if a.silenceEnd != nil {
-			// Many answers that have not begun, at an upstream that ends, would make all parts of prompts suspect.
-			whole = max(whole, min(1, n-1))
-		}
 		next := a.writes[1+whole]
 		a.writes = a.writes[:1+whole]
 		if random.IntN(2) == 0 {
 			a.writes = append(a.writes, next[:1+random.IntN(len(next)-1)])
 		}
 	}
-	a.ending, a.uploadRead = reset, random.Int64N(uploadBytes>>random.IntN(4))
+	a.ending, a.uploadReset = reset, random.IntN(uploadBytes/2)
 	if random.IntN(silentShare) == 0 {
 		a.silence = leastSilence + time.Duration(random.Int64N(int64(mostSilence-leastSilence)))
 	}
@@ -341,8 +354,8 @@
 			return
 		}
 	}
-	if a.silenceEnd != nil {
-		<-a.silenceEnd
+	if a.common != nil {
+		<-a.common.end
 	} else {
 		time.Sleep(a.silence)
 	}
@@ -355,7 +368,14 @@
 	if a.ending != reset {
 		early /= 2
 	}
-	if r.TryWriteRaw(strings.Join(a.writes[:early], "")) != nil || r.ReadUpload(a.uploadRead) != nil {
+	if r.TryWriteRaw(strings.Join(a.writes[:early], "")) != nil {
+		return
+	}
+	if a.ending == reset {
+		time.Sleep(answerTime)
+		l.resetAfter(r.RemoteAddr, a.uploadReset)
+	}
+	if r.ReadUpload(wholeUpload) != nil {
 		return
 	}
 	if r.TryWriteRaw(strings.Join(a.writes[early:], "")) == nil {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -228,8 +228,8 @@
 	spoil atomic.Bool
 	// endings is set if answers end in all ways in which those of real upstreams do, and some requests are long.
 	endings bool
-	// silence ends the silence of the upstreams; nil while they are not silent.
-	silence atomic.Pointer[chan struct{}]
+	// silence is that of the upstreams; nil while they are not silent.
+	silence atomic.Pointer[silence]
 	// storeUp counts the time in which all gateways reach the store.
 	storeUp *stopwatch
 	// lasting has what goes on in the background and ends by itself.
@@ -334,14 +334,6 @@
 	return rand.New(rand.NewPCG(f.seed, h.Sum64()))
 }
 
-// currentSilence returns what ends the silence of the upstreams; nil if they are not silent.
-func (f *fleet) currentSilence() <-chan struct{} {
-	if end := f.silence.Load(); end != nil {
-		return *end
-	}
-	return nil
-}
-
 // processes returns the gateways and agents.
 func (f *fleet) processes() []*gateway { return slices.Concat(f.gateways, f.agents) }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -137,29 +137,31 @@
 	})
 }
 
-// fallSilent lets all upstreams fall silent amid their answers, and reset their connections while a gateway stands still: it finds
-// the resets together with the time at which it looks at the connections of silent upstreams.
+// fallSilent lets all upstreams fall silent, and reset their connections while two gateways stand still: these find the resets
+// together with the time at which they look at the connections of silent upstreams.
 func (x *faults) fallSilent() {
 	span, before, after := x.span(1500, 2500), x.span(20, 200), x.span(100, 400)
-	end := make(chan struct{})
-	if !x.fleet.silence.CompareAndSwap(nil, &end) {
+	s := &silence{since: time.Now(), end: make(chan struct{})}
+	if !x.fleet.silence.CompareAndSwap(nil, s) {
 		return
 	}
 	x.fleet.lasting.Go(func() {
 		time.Sleep(span)
-		close(end)
 		x.fleet.silence.Store(nil)
+		close(s.end)
 	})
-	x.onGateway(true, func(g *gateway) error {
-		return g.otherFaults.count(func() error {
-			time.Sleep(span - before)
-			if err := g.signal(syscall.SIGSTOP); err != nil {
-				return err
-			}
-			time.Sleep(before + after)
-			return g.signal(syscall.SIGCONT)
+	for range 2 {
+		x.onGateway(true, func(g *gateway) error {
+			return g.otherFaults.count(func() error {
+				time.Sleep(span - before)
+				if err := g.signal(syscall.SIGSTOP); err != nil {
+					return err
+				}
+				time.Sleep(before + after)
+				return g.signal(syscall.SIGCONT)
+			})
 		})
-	})
+	}
 }
 
 // setOutages adds to the number of outages of the store that last.
@@ -218,6 +220,10 @@
 func (x *faults) engine() *upstream { return x.fleet.engines[x.random.IntN(engineCount)] }
 
 func (x *faults) crash() {
+	if x.fleet.silence.Load() != nil {
+		// All requests that wait there for their answers would count as the cause.
+		return
+	}
 	u := x.engine()
 	if process, ok := u.current(); ok && u.crash(process) {
 		u.startAfter(x.span(500, 1500))
@@ -231,7 +237,7 @@
 		return
 	}
 	x.fleet.lasting.Go(func() {
-		for x.fleet.storeUp.read() < until {
+		for x.fleet.storeUp.read() < until || x.fleet.silence.Load() != nil {
 			time.Sleep(10 * time.Millisecond)
 		}
 		if u.crash(process) {
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -222,6 +222,12 @@
 
 // serve answers a request that reached a process.
 func (u *upstream) serve(process int, l *link, r *fakes.Request) {
+	if s := u.fleet.silence.Load(); s.isComplete() {
+		u.fleet.record.spoil(r.RequestID)
+		<-s.end
+		r.ResetConnection()
+		return
+	}
 	pause := u.count()
 	switch {
 	case pause > 0:
@@ -243,7 +249,7 @@
 	a := newAnswer(r, u.notices(), attempt, u.service == fakes.EngineService)
 	spoiled := u.fleet.spoil.Load() && a.spoil(u.fleet.randomOf(r.RequestID, attempt))
 	if !spoiled && u.fleet.endings && u.fleet.spoil.Load() {
-		spoiled = a.vary(u.fleet.randomOf(r.RequestID+" end", attempt), u.fleet.currentSilence())
+		spoiled = a.vary(u.fleet.randomOf(r.RequestID+" end", attempt), u.fleet.silence.Load())
 	}
 	late, spoiledBefore := u.swapConnection(r, connection{a.late, spoiled})
 	if spoiled || spoiledBefore {
@@ -254,7 +260,7 @@
 		defer u.setUnsized(r.RemoteAddr, false)
 	}
 	switch {
-	case r.Unread && a.uploadRead > 0 && late == "":
+	case a.early && late == "":
 		a.writeEarly(r, l)
 	case !r.Unread || r.ReadUpload(wholeUpload) == nil:
 		a.write(r, l, late)
