--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -334,6 +334,14 @@
 	return rand.New(rand.NewPCG(f.seed, h.Sum64()))
 }
 
+// callers returns the number of callers.
+func (f *fleet) callers() int {
+	if f.endings {
+		return manyCallers
+	}
+	return fewCallers
+}
+
 // processes returns the gateways and agents.
 func (f *fleet) processes() []*gateway { return slices.Concat(f.gateways, f.agents) }
 
