--- a/entry/residency_change.go
+++ b/entry/residency_change.go
@@ -25,7 +25,7 @@
 	announcement
 }
 
-// announcement says how often the leader has told the other gateways of a change.
+// announcement says how often the leader has announced a change to the other gateways.
 type announcement struct {
 	// ordered is set if this gateway has ordered the change.
 	ordered       bool
@@ -33,6 +33,16 @@
 	announcedAt   clock.Time
 }
 
+// takeDue reports whether the change has to be announced now, and records that it is.
+func (a *announcement) takeDue(now clock.Time) bool {
+	if !a.announcementDue(now) {
+		return false
+	}
+	a.announcements++
+	a.announcedAt = now
+	return true
+}
+
 // announcementDue reports whether the change has to be announced now.
 func (a *announcement) announcementDue(now clock.Time) bool {
 	switch {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -27,7 +27,7 @@
 	lastAt clock.Time
 }
 
-// canResume reports whether another upstream can go on with the stream: it is told the number of the last event.
+// canResume reports whether another upstream can go on with the stream: its request names the last event.
 func (d *delivery) canResume() bool {
 	if d.events == 0 {
 		return true
@@ -41,7 +41,7 @@
 // breaks off.
 func (a *attempt) relayStream(ctx context.Context, res *response) sched.Outcome {
 	err := a.copyStream(res)
-	if err == nil && a.stream.endsInsideEvent() {
+	if err == nil && (a.stream.endsInsideEvent() || a.stream.endsBeforeResumption()) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err == nil {
