--- a/fakes/plain/plain_test.go
+++ b/fakes/plain/plain_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -79,3 +80,20 @@
 	assert.Equal(t, s.Runs("c2"), 0)
 	assert.Equal(t, s.Crashes(), 1)
 }
+
+// Guards against a fake that sends a response whole, or ends its connection in order, where a reset is to cut it: nobody could tell
+// that from the end of a response without a length.
+func TestResetResponses(t *testing.T) {
+	s := startServer(t, plain.Options{})
+	s.Update(func(f *plain.Faults) {
+		f.UnsizedResponses, f.ResetResponses, f.ResetUploads, f.ResetAfter = 1, 1, 1, 20
+	})
+	a, err := postCall(t, s, "c1", "whole")
+	assert.NilError(t, err)
+	assert.Equal(t, a.ID, "c1")
+	_, err = postCall(t, s, "c2", "cut")
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	_, err = postCall(t, s, "c3", strings.Repeat("x", 4*plain.LongBodyBytes))
+	assert.Assert(t, err != nil)
+	assert.Equal(t, s.Runs("c2")+s.Runs("c3"), 2)
+}
