assign: work above an engine's capacity is divided among its models

excessWork counted what is above the capacity of an engine in full for each of its models. Two models with 30,000 tokens/s each on one engine of 40,000 both needed copies for 20,000, so that a load from the weight store (4 s) for all of it looked better than one from a host for 10,000 (0.8 s), and engines that had just come back were taken up by such loads.

Each model's part is that of its work there. At a paused engine, which counts as full, all work of its models is still excess (pauseWork). Copies that are short of room are ordered for less work than before wherever hot models share an engine, also in calm times.

TestExcessIsSharedByTheModelsOfAnEngine fails without the change; TestAllWorkAtAPausedEngineIsExcess guards what it must not change.

--- a/assign/load_test.go
+++ b/assign/load_test.go
@@ -254,6 +254,37 @@
 	assert.Assert(t, c.copies(target) > 0, "loaded from the disk while another engine loads it from the weight store")
 }
 
+// Guards against a load from the weight store for a model whose work would fit where a host has it, because what is above the
+// capacity of an engine is counted in full for each of its models.
+func TestExcessIsSharedByTheModelsOfAnEngine(t *testing.T) {
+	c := newCluster(t, 3, 6)
+	c.service.Engine.LoadsPerSecond = 10
+	for i, models := range [][]int{{0, 1}, {3}, {4}} {
+		e := c.engines[units.UpstreamID(fmt.Sprint("e", i))]
+		clear(e.models)
+		for _, m := range models {
+			e.models[modelName(m)] = map[string]bool{}
+		}
+	}
+	c.engines["e1"].onDisk[modelName(0)] = true
+	for _, m := range []int{0, 1} {
+		c.demand[assign.Target{Service: service, Model: modelName(m)}] = assign.Demand{WorkRate: 30_000, RefusedRate: 10_000}
+	}
+	c.setDemand(modelName(3), "", 30_000, 0)
+	c.run(1, 1001)
+	assert.Assert(t, c.engines["e1"].models[modelName(0)] != nil, "loaded from the disk")
+}
+
+// Guards against a model at a paused engine of which only a part counts as work that needs another copy.
+func TestAllWorkAtAPausedEngineIsExcess(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	c.setDemand(modelName(0), "", 8000, 0)
+	c.paused = map[units.UpstreamID]bool{"e0": true}
+	c.run(1, 51)
+	short := c.planner.Status().Short
+	assert.Assert(t, len(short) == 1 && short[0].Model == modelName(0) && short[0].Need > 7999, "%+v", short)
+}
+
 // Guards against copies that are moved to and fro when demand moves between two models every 4 s.
 func TestDemandThatMovesToAndFro(t *testing.T) {
 	w := newTraffic(t, 18, 36, 10)
@@ -281,7 +312,7 @@
 // come back with their disks. Too little was served with the fixed seeds while copies were unloaded for missing models
 // whatever room the others had.
 func TestQuarterOfEnginesCrash(t *testing.T) {
-	for _, seed := range []uint64{0, 26, 128, 131, 147} {
+	for _, seed := range []uint64{0, 26, 128, 131, 147, 340} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			testQuarterOfEnginesCrash(t, seed)
 		})
--- a/assign/round.go
+++ b/assign/round.go
@@ -16,6 +16,8 @@
 	id units.UpstreamID
 	// capacity and workRate, the estimated work, are in prompt tokens/s.
 	capacity, workRate float64
+	// pauseWork is the part of workRate by which a paused upstream counts as fully loaded; it belongs to no model.
+	pauseWork float64
 	// usedMegabytes is the memory in use.
 	usedMegabytes float64
 	// ordered sites get no further order in this round: they paused, or get one already.
@@ -153,7 +155,7 @@
 			s.capacity = learned
 		}
 		if s.ordered {
-			s.workRate = s.capacity
+			s.workRate, s.pauseWork = s.capacity, s.capacity
 		}
 		r.sites = append(r.sites, s)
 	}
--- a/assign/short.go
+++ b/assign/short.go
@@ -154,15 +154,17 @@
 	return math.Exp(-float64(max(age-reportDelay, 0)) / float64(refusalTimeConstant))
 }
 
-// excessWork returns the work above the capacity of the upstreams, in prompt tokens/s, or 0
-// if one of them has spare capacity.
+// excessWork returns the part of a model's work that is above the capacity of the upstreams of its copies, in prompt
+// tokens/s, or 0 if one of them has spare capacity. What is above the capacity of an upstream is divided among its models:
+// counted in full for each, it would ask for copies several times over, and make one load from the weight store look
+// better than one from a host that takes less but is there sooner.
 func excessWork(copies []*placement) float64 {
 	excess := 0.0
 	for _, l := range copies {
 		if l.workRate <= l.capacity {
 			return 0
 		}
-		excess += l.workRate - l.capacity
+		excess += (l.workRate - l.capacity) * l.modelWork / (l.workRate - l.pauseWork)
 	}
 	return excess
 }
